--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of decisions against a plain scheduler."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of one cell on loopback, with faults."""
--- /dev/null
+++ b/lavenderstall/__init__.py
@@ -0,0 +1,1 @@
+"""Schedules services, batch runs, gang jobs and calls over the workers of a cell."""
--- /dev/null
+++ b/lavenderstall/identifiers.py
@@ -0,0 +1,52 @@
+"""Types of the names and numbers that cross module boundaries."""
+
+from typing import NewType
+
+EntryId = NewType("EntryId", str)
+WorkerId = NewType("WorkerId", str)
+ZoneName = NewType("ZoneName", str)
+RackName = NewType("RackName", str)
+SliceName = NewType("SliceName", str)
+ServiceName = NewType("ServiceName", str)
+TeamName = NewType("TeamName", str)
+JobId = NewType("JobId", str)
+TaskId = NewType("TaskId", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", str)
+Incarnation = NewType("Incarnation", str)
+Epoch = NewType("Epoch", int)
+Version = NewType("Version", int)
+ChangeNumber = NewType("ChangeNumber", int)
+
+EPOCH_STRIDE = 1000
+
+
+def make_slice_name(zone: ZoneName, index: int) -> SliceName:
+    """Return the name of the slice with that index in a zone."""
+    return SliceName(f"{zone}/{index}")
+
+
+def get_slice_zone(name: SliceName) -> ZoneName:
+    """Return the zone that a slice lies in."""
+    return ZoneName(name.rpartition("/")[0])
+
+
+def make_task_id(job: JobId, index: int) -> TaskId:
+    """Return the id of the task with that index in a job."""
+    return TaskId(f"{job}.{index}")
+
+
+def split_task_id(task: TaskId) -> tuple[JobId, int]:
+    """Return the job and the index that a task id names."""
+    job, _, index = task.rpartition(".")
+    return JobId(job), int(index)
+
+
+def make_epoch(term: int) -> Epoch:
+    """Return the first epoch of a table term; local takeovers count up from it."""
+    return Epoch(term * EPOCH_STRIDE)
+
+
+def get_term(epoch: Epoch) -> int:
+    """Return the table term that an epoch belongs to."""
+    return epoch // EPOCH_STRIDE
--- /dev/null
+++ b/lavenderstall/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement policies, one kind of work a module."""
--- /dev/null
+++ b/lavenderstall/protocol.py
@@ -0,0 +1,262 @@
+"""Bodies of the HTTP interfaces of workers, table service and membership list."""
+
+from enum import Enum
+
+import msgspec
+
+from lavenderstall.identifiers import (
+    EntryId,
+    Epoch,
+    Incarnation,
+    JobId,
+    RackName,
+    ServiceName,
+    TaskId,
+    TeamName,
+    WorkerId,
+    ZoneName,
+)
+from lavenderstall.resources import NOTHING, Resources
+
+HEADER_OWNER = "X-Owner"
+HEADER_EPOCH = "X-Epoch"
+HEADER_REQUEST = "X-Request-Id"
+HEADER_ATTEMPT = "X-Attempt-Id"
+HEADER_ATTEMPT_NUMBER = "X-Attempt"
+HEADER_IDEMPOTENT = "X-Idempotent"
+HEADER_DEADLINE = "X-Deadline-Ms"
+HEADER_DIGEST = "X-Digest"
+HEADER_INCARNATION = "X-Incarnation"
+
+
+class Kind(Enum):
+    """Kinds of tasks."""
+
+    SERVICE = "service"
+    BATCH = "batch"
+    GANG = "gang"
+
+
+class TaskState(Enum):
+    """States of a task."""
+
+    WAITING = "waiting"
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class MemberState(Enum):
+    """States of an instance on the membership list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class RefusalReason(Enum):
+    """Reasons for which a worker does not start work."""
+
+    FULL = "full"
+    LEAVING = "leaving"
+    VOID = "void"
+    NO_REPLICA = "no_replica"
+    EXPIRED = "expired"
+    CANCELLED = "cancelled"
+    DUPLICATE = "duplicate"
+    INCARNATION = "incarnation"
+
+
+class TaskStart(msgspec.Struct, omit_defaults=True):
+    """Ask a worker to start a task; `payload` is opaque to the scheduler."""
+
+    task: TaskId
+    job: JobId
+    team: TeamName
+    kind: Kind
+    resources: Resources
+    service: ServiceName = ServiceName("")
+    idempotent: bool = True
+    payload: dict[str, msgspec.Raw] = {}
+
+
+class TaskStop(msgspec.Struct, omit_defaults=True):
+    """Ask a worker to stop a task; a task not yet started is then refused when it arrives."""
+
+    task: TaskId
+    reason: str
+    checkpoint: bool = False
+
+
+class TaskThrottle(msgspec.Struct):
+    """Ask a worker to hold a task to a share of its cores, in thousandths."""
+
+    task: TaskId
+    cores_milli: int
+
+
+class TasksRequest(msgspec.Struct, omit_defaults=True):
+    """Carry the changes that an owner asks of one worker."""
+
+    owner: EntryId
+    epoch: Epoch
+    starts: list[TaskStart] = []
+    stops: list[TaskStop] = []
+    throttles: list[TaskThrottle] = []
+
+
+class TaskResult(msgspec.Struct, omit_defaults=True):
+    """Tell what became of one item of a `TasksRequest`."""
+
+    task: TaskId
+    accepted: bool
+    reason: RefusalReason | None = None
+    detail: str = ""
+
+
+class TasksAnswer(msgspec.Struct):
+    """Carry one result for each item, in the order starts, stops, throttles."""
+
+    results: list[TaskResult]
+
+
+class TaskReport(msgspec.Struct, omit_defaults=True):
+    """Describe one task on a worker; `used` is a lagging measurement."""
+
+    task: TaskId
+    job: JobId
+    team: TeamName
+    kind: Kind
+    state: TaskState
+    resources: Resources
+    service: ServiceName = ServiceName("")
+    idempotent: bool = True
+    used: Resources = NOTHING
+    age_ms: int = 0
+    detail: str = ""
+
+
+class LeaseRequest(msgspec.Struct, omit_defaults=True):
+    """Claim or renew a worker; `local` asks for a takeover without a table term."""
+
+    owner: EntryId
+    epoch: Epoch
+    ownership_ms: int
+    tasks_ms: int
+    local: bool = False
+    known: int = 0
+    acknowledged: list[TaskId] = []
+
+
+class LeaseAnswer(msgspec.Struct, omit_defaults=True):
+    """Describe a worker; `tasks` are all (`full`) or those changed since `known`."""
+
+    worker: WorkerId
+    incarnation: Incarnation
+    epoch: Epoch
+    capacity: Resources
+    sequence: int
+    full: bool
+    leaving: bool = False
+    tasks: list[TaskReport] = []
+    finished: list[TaskReport] = []
+    removed: list[TaskId] = []
+    foreign_calls: int = 0
+
+
+class Fenced(msgspec.Struct):
+    """Tell a sender which owner and epoch a worker obeys."""
+
+    error: str
+    owner: EntryId
+    epoch: Epoch
+
+
+class CallRefusal(msgspec.Struct, omit_defaults=True):
+    """Tell a sender that a call was not run."""
+
+    outcome: str
+    reason: RefusalReason
+    detail: str = ""
+
+
+class Condition(msgspec.Struct, frozen=True):
+    """Require a row to have a version; 0 means that it is absent."""
+
+    key: str
+    version: int
+
+
+class Put(msgspec.Struct, frozen=True):
+    """Write one row."""
+
+    key: str
+    value: msgspec.Raw
+
+
+class Transaction(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Write rows together if all conditions hold."""
+
+    conditions: list[Condition] = []
+    puts: list[Put] = []
+    deletes: list[str] = []
+
+
+class Row(msgspec.Struct, frozen=True):
+    """Hold one row; its version is the revision of the transaction that wrote it."""
+
+    key: str
+    version: int
+    value: msgspec.Raw
+
+
+class Committed(msgspec.Struct, frozen=True):
+    """Tell the revision at which a transaction took effect."""
+
+    revision: int
+
+
+class Conflicts(msgspec.Struct, frozen=True):
+    """List the rows that did not meet a condition; an absent row is version 0 and `null`."""
+
+    conflicts: list[Row]
+
+
+class Rows(msgspec.Struct, frozen=True):
+    """Hold the rows below a prefix in order of key, as of one revision."""
+
+    revision: int
+    rows: list[Row]
+
+
+class WorkerMember(msgspec.Struct):
+    """Describe a worker on the membership list; `pool` is the back end it belongs to."""
+
+    id: WorkerId
+    zone: ZoneName
+    rack: RackName
+    url: str
+    pool: str
+    state: MemberState = MemberState.LIVE
+
+
+class EntryMember(msgspec.Struct):
+    """Describe an entry instance on the membership list."""
+
+    id: EntryId
+    zone: ZoneName
+    link: str
+    http: str
+    state: MemberState = MemberState.LIVE
+
+
+class Members(msgspec.Struct):
+    """Hold the lagging list of instances; `as_of` is the list's own clock in seconds."""
+
+    as_of: float
+    workers: list[WorkerMember] = []
+    entries: list[EntryMember] = []
--- /dev/null
+++ b/lavenderstall/query/__init__.py
@@ -0,0 +1,1 @@
+"""Query and command language of operators."""
--- /dev/null
+++ b/lavenderstall/records.py
@@ -0,0 +1,139 @@
+"""Rows that the system keeps in the table service."""
+
+from typing import TypeVar
+
+import msgspec
+
+from lavenderstall.identifiers import (
+    EntryId,
+    Incarnation,
+    JobId,
+    RequestId,
+    ServiceName,
+    SliceName,
+    TeamName,
+    Version,
+    WorkerId,
+    ZoneName,
+)
+from lavenderstall.protocol import Kind, Row
+from lavenderstall.resources import Resources
+
+T = TypeVar("T")
+
+PREFIX_ENTRY = "entry/"
+PREFIX_SLICE = "slice/"
+PREFIX_JOB = "job/"
+PREFIX_WORK = "work/"
+PREFIX_ONCE = "once/"
+PREFIX_CONFIG = "config/"
+PREFIX_CHANGE = "change/"
+KEY_CONFIG_HEAD = "config/head"
+
+
+class EntryRow(msgspec.Struct):
+    """Show that an entry instance is alive; `beat` grows with each renewal."""
+
+    id: EntryId
+    incarnation: Incarnation
+    zone: ZoneName
+    link: str
+    http: str
+    beat: int
+
+
+class SliceRow(msgspec.Struct):
+    """Name the owner of a slice; an empty owner means released."""
+
+    slice: SliceName
+    owner: EntryId
+    incarnation: Incarnation
+    term: int
+    nonce: str
+
+
+class JobRow(msgspec.Struct, omit_defaults=True):
+    """Hold an accepted job; ranges of tasks are assigned by its work rows."""
+
+    id: JobId
+    team: TeamName
+    kind: Kind
+    tasks: int
+    resources: Resources
+    slices: list[SliceName]
+    nonce: str
+    service: ServiceName = ServiceName("")
+    pool: str = ""
+    priority: int = 0
+    idempotent: bool = True
+    expected_ms: int = 0
+    deadline_unix_ms: int = 0
+    version: Version = Version(0)
+    cancelled: bool = False
+    payload: dict[str, msgspec.Raw] = {}
+
+
+class WorkRow(msgspec.Struct, omit_defaults=True):
+    """Hold what one slice does for a job; tasks are indices within the job."""
+
+    job: JobId
+    slice: SliceName
+    tasks: list[int]
+    nonce: str
+    done: list[int] = []
+    failed: list[int] = []
+    unknown: list[int] = []
+    cancelled: list[int] = []
+    bound: dict[int, WorkerId] = {}
+
+
+class OnceRow(msgspec.Struct):
+    """Bind a non-idempotent request to one worker incarnation."""
+
+    request: RequestId
+    slice: SliceName
+    worker: WorkerId
+    incarnation: Incarnation
+    nonce: str
+
+
+class HeadRow(msgspec.Struct):
+    """Hold the number of the newest accepted change, which is the configuration's version."""
+
+    version: Version
+    nonce: str
+
+
+def encode_row(value: msgspec.Struct) -> msgspec.Raw:
+    """Encode a record as the value of a row."""
+    return msgspec.Raw(msgspec.json.encode(value))
+
+
+def decode_row(row: Row, kind: type[T]) -> T:
+    """Decode the value of a row."""
+    return msgspec.json.decode(row.value, type=kind)
+
+
+def make_entry_key(entry: EntryId) -> str:
+    """Return the key of an entry instance's liveness row."""
+    return f"{PREFIX_ENTRY}{entry}"
+
+
+def make_slice_key(name: SliceName) -> str:
+    """Return the key of a slice's ownership row."""
+    return f"{PREFIX_SLICE}{name}"
+
+
+def make_job_key(job: JobId) -> str:
+    """Return the key of a job's row."""
+    return f"{PREFIX_JOB}{job}"
+
+
+def make_work_key(name: SliceName, job: JobId) -> str:
+    """Return the key of a slice's part of a job."""
+    return f"{PREFIX_WORK}{name}/{job}"
+
+
+def make_once_key(team: TeamName, request: RequestId) -> str:
+    """Return the key of the binding of a non-idempotent request."""
+    return f"{PREFIX_ONCE}{team}/{request}"
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: workers, table service, object store, membership list."""
--- /dev/null
+++ b/tests/test_options.py
@@ -0,0 +1,55 @@
+"""Tests of options."""
+
+import os
+import unittest
+from unittest import mock
+
+from lavenderstall.options import (
+    Option,
+    OptionError,
+    parse_options,
+    read_flag,
+    read_integer,
+    read_seconds,
+    read_url,
+)
+
+TABLE = (
+    Option("port", read_integer(1, 65535), "port to listen on", required=True),
+    Option("lease", read_seconds(0.1, 60), "lease in seconds", "3"),
+    Option("trace", read_flag, "write traces", "no"),
+    Option("table", read_url("http"), "address of the table service"),
+)
+
+GOOD = (
+    (["--port", "80"], {}, {"port": 80, "lease": 3.0, "trace": False, "table": None}),
+    (["--port", "80"], {"LAVENDERSTALL_PORT": "81"}, {"port": 80}),
+    ([], {"LAVENDERSTALL_PORT": "81", "LAVENDERSTALL_TRACE": "on"}, {"port": 81, "trace": True}),
+)
+
+BAD = (
+    ([], {}, ("--port", "LAVENDERSTALL_PORT", "not set")),
+    (["--port", "x"], {}, ("--port", "LAVENDERSTALL_PORT", "'x'", "whole number")),
+    ([], {"LAVENDERSTALL_PORT": "0"}, ("--port", "LAVENDERSTALL_PORT", "'0'", "between")),
+    (["--port", "1", "--lease", "-1"], {}, ("--lease", "LAVENDERSTALL_LEASE", "'-1'")),
+    (["--port", "1", "--table", "ftp://a"], {}, ("--table", "LAVENDERSTALL_TABLE", "ftp://a")),
+    (["--port", "1", "--nothing"], {}, ("--nothing",)),
+)
+
+
+class ParseOptionsTest(unittest.TestCase):
+    """Guards against settings that are taken from the wrong place or not checked."""
+
+    def test_good_settings(self) -> None:
+        for arguments, variables, expected in GOOD:
+            with self.subTest(arguments=arguments), mock.patch.dict(os.environ, variables):
+                values = parse_options("program", TABLE, arguments)
+                self.assertEqual(values, values | expected)
+
+    def test_bad_settings(self) -> None:
+        for arguments, variables, words in BAD:
+            with self.subTest(arguments=arguments), mock.patch.dict(os.environ, variables):
+                with self.assertRaises(OptionError) as caught:
+                    parse_options("program", TABLE, arguments)
+                for word in words:
+                    self.assertIn(word, str(caught.exception))
