State when a task may be started again; add rosters and clock echoes

Cause: a delayed renewal could extend a task lease after its owner had counted it as lapsed, and a new owner could not tell which workers a former owner may have used. Conclusion: restarts of tasks need evidence from workers or the table, never from the membership list.

--- a/lavenderstall/protocol.py
+++ b/lavenderstall/protocol.py
@@ -141,7 +141,11 @@
 
 
 class LeaseRequest(msgspec.Struct, omit_defaults=True):
-    """Claim or renew a worker; `local` asks for a takeover without a table term."""
+    """Claim or renew a worker; `local` asks for a takeover without a table term.
+
+    `echo_ms` is `clock_ms` of the last answer that the owner received. Task leases run from it,
+    so that a delayed renewal cannot extend them; 0 extends nothing.
+    """
 
     owner: EntryId
     epoch: Epoch
@@ -149,6 +153,7 @@
     tasks_ms: int
     local: bool = False
     known: int = 0
+    echo_ms: int = 0
     acknowledged: list[TaskId] = []
 
 
@@ -161,6 +166,7 @@
     capacity: Resources
     sequence: int
     full: bool
+    clock_ms: int = 0
     leaving: bool = False
     tasks: list[TaskReport] = []
     finished: list[TaskReport] = []
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -8,6 +8,7 @@
     EntryId,
     Incarnation,
     JobId,
+    RackName,
     RequestId,
     ServiceName,
     SliceName,
@@ -42,49 +43,73 @@
     beat: int
 
 
-class SliceRow(msgspec.Struct):
-    """Name the owner of a slice; an empty owner means released."""
+class SliceRow(msgspec.Struct, omit_defaults=True):
+    """Name the owner of a slice and the workers it may start tasks on; no owner means released."""
 
     slice: SliceName
     owner: EntryId
     incarnation: Incarnation
     term: int
     nonce: str
+    workers: list[WorkerId] = []
 
 
-class JobRow(msgspec.Struct, omit_defaults=True):
-    """Hold an accepted job; ranges of tasks are assigned by its work rows."""
+class RacksRow(msgspec.Struct):
+    """Assign the racks of a zone to slices by index; entries are only ever added."""
+
+    racks: dict[RackName, int]
+    nonce: str
+
+
+class JobSpec(msgspec.Struct, omit_defaults=True):
+    """Describe the tasks of a job; each needs `resources` and runs about `expected_ms`."""
 
     id: JobId
     team: TeamName
     kind: Kind
     tasks: int
     resources: Resources
-    slices: list[SliceName]
-    nonce: str
     service: ServiceName = ServiceName("")
     pool: str = ""
     priority: int = 0
     idempotent: bool = True
     expected_ms: int = 0
     deadline_unix_ms: int = 0
-    version: Version = Version(0)
-    cancelled: bool = False
+    max_attempts: int = 3
     payload: dict[str, msgspec.Raw] = {}
 
 
+class JobRow(msgspec.Struct, omit_defaults=True):
+    """Hold an accepted job and the slices that its tasks were assigned to."""
+
+    spec: JobSpec
+    slices: list[SliceName]
+    nonce: str
+    cancelled: bool = False
+
+
 class WorkRow(msgspec.Struct, omit_defaults=True):
-    """Hold what one slice does for a job; tasks are indices within the job."""
+    """Hold what one slice does for a job; tasks are indices within the job.
 
-    job: JobId
+    The row is the desired state of the slice: its owner starts the tasks that are not finished
+    and stops what runs without being listed.
+    """
+
+    spec: JobSpec
     slice: SliceName
     tasks: list[int]
     nonce: str
     done: list[int] = []
     failed: list[int] = []
     unknown: list[int] = []
-    cancelled: list[int] = []
+    stopped: list[int] = []
     bound: dict[int, WorkerId] = {}
+    cancelled: bool = False
+
+    def list_open(self) -> list[int]:
+        """Return the tasks that have not ended."""
+        ended = {*self.done, *self.failed, *self.unknown, *self.stopped}
+        return [index for index in self.tasks if index not in ended]
 
 
 class OnceRow(msgspec.Struct):
@@ -124,6 +149,11 @@
     return f"{PREFIX_SLICE}{name}"
 
 
+def make_racks_key(zone: ZoneName) -> str:
+    """Return the key of the row that assigns the racks of a zone to slices."""
+    return f"{PREFIX_SLICE}{zone}/racks"
+
+
 def make_job_key(job: JobId) -> str:
     """Return the key of a job's row."""
     return f"{PREFIX_JOB}{job}"
