Add messages, links, ownership and worker links

Cause: the owner of a slice needs its messages, its claim through the table and one heartbeat for each worker. Change: pynng links with bounded queues, ownership with claims, rosters, takeovers without the table, and worker links with echoed leases.

--- /dev/null
+++ b/lavenderstall/links.py
@@ -0,0 +1,213 @@
+"""Links between entry instances: batched messages over bounded queues."""
+
+import logging
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import msgspec
+
+from lavenderstall.errors import PeerUnavailableError
+from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.messages import HINTS, Envelope, Message
+
+logger = logging.getLogger(__name__)
+
+QUEUE_MESSAGES = 1000
+BATCH_MESSAGES = 64
+FLUSH_SECONDS = 0.002
+SOCKET_BUFFER = 64
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+
+Receiver = Callable[[EntryId, Message], None]
+
+
+class Links(Protocol):
+    """Send messages to peers; delivery is not confirmed."""
+
+    def send(self, peer: EntryId, message: Message) -> None:
+        """Queue a message, or raise `PeerUnavailableError` when the peer takes no more."""
+
+    def broadcast(self, message: Message) -> None:
+        """Queue a hint for every peer that takes it."""
+
+    def set_peers(self, addresses: Mapping[EntryId, str]) -> None:
+        """Open links to new peers and close those to peers that left."""
+
+    def set_receiver(self, receiver: Receiver) -> None:
+        """Deliver messages to a function."""
+
+
+class Outbox:
+    """Hold messages for one peer, dropping the oldest hints when full."""
+
+    def __init__(self, peer: EntryId, limit: int = QUEUE_MESSAGES) -> None:
+        self.peer = peer
+        self._limit = limit
+        self._messages: deque[Message] = deque()
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+    def push(self, message: Message) -> None:
+        """Add a message."""
+        if len(self._messages) >= self._limit and not self._drop_hint():
+            raise PeerUnavailableError(
+                f"{self._limit} messages are queued", step="send", peer=self.peer
+            )
+        self._messages.append(message)
+
+    def take(self, count: int) -> list[Message]:
+        """Remove and return the oldest messages."""
+        return [self._messages.popleft() for _ in range(min(count, len(self._messages)))]
+
+    def restore(self, messages: list[Message]) -> None:
+        """Put messages back that could not be sent."""
+        self._messages.extendleft(reversed(messages))
+
+    def _drop_hint(self) -> bool:
+        for index, message in enumerate(self._messages):
+            if isinstance(message, HINTS):
+                del self._messages[index]
+                return True
+        return False
+
+
+class NngLinks:
+    """Carry envelopes over pynng PUSH and PULL sockets, one dialer a peer."""
+
+    def __init__(self, reactor: Any, entry: EntryId, incarnation: Incarnation, listen: str) -> None:
+        # Imported here so that tests of other modules need no sockets.
+        import pynng  # noqa: PLC0415  (import on first use)
+
+        self._pynng = pynng
+        self._reactor = reactor
+        self._entry = entry
+        self._incarnation = incarnation
+        self._receiver: Receiver = lambda sender, message: None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._dialers: dict[EntryId, tuple[str, Any]] = {}
+        self._outboxes: dict[EntryId, Outbox] = {}
+        self._flush_call: Any = None
+        self._socket = pynng.Pull0(listen=listen, recv_max_size=MAX_MESSAGE_BYTES)
+        self._reader = _Reader(self._socket.recv_fd, self._receive)
+        reactor.addReader(self._reader)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def set_receiver(self, receiver: Receiver) -> None:
+        """Deliver messages to a function."""
+        self._receiver = receiver
+
+    def set_peers(self, addresses: Mapping[EntryId, str]) -> None:
+        """Open links to new peers and close those to peers that left."""
+        wanted = {peer: url for peer, url in addresses.items() if peer != self._entry}
+        for peer in [p for p, (url, _) in self._dialers.items() if wanted.get(p) != url]:
+            _, dialer = self._dialers.pop(peer)
+            self._outboxes.pop(peer, None)
+            dialer.close()
+        for peer in wanted.keys() - self._dialers.keys():
+            dialer = self._pynng.Push0(send_buffer_size=SOCKET_BUFFER)
+            dialer.reconnect_time_min = 50
+            dialer.reconnect_time_max = 1000
+            dialer.dial(wanted[peer], block=False)
+            self._dialers[peer] = (wanted[peer], dialer)
+            self._outboxes[peer] = Outbox(peer)
+
+    def send(self, peer: EntryId, message: Message) -> None:
+        """Queue a message, or raise `PeerUnavailableError` when the peer takes no more."""
+        if peer == self._entry:
+            self._reactor.callLater(0, self._receiver, peer, message)
+            return
+        outbox = self._outboxes.get(peer)
+        if outbox is None:
+            raise PeerUnavailableError("the peer is not known", step="send", peer=peer)
+        outbox.push(message)
+        self._schedule()
+
+    def broadcast(self, message: Message) -> None:
+        """Queue a hint for every peer that takes it."""
+        for outbox in self._outboxes.values():
+            try:
+                outbox.push(message)
+            except PeerUnavailableError as error:
+                logger.debug("hint dropped: %s", error)
+        self._schedule()
+
+    def close(self) -> None:
+        """Send what is queued and close all sockets."""
+        self._flush()
+        self._reactor.removeReader(self._reader)
+        self._socket.close()
+        for _, dialer in self._dialers.values():
+            dialer.close()
+
+    def _schedule(self) -> None:
+        if self._flush_call is None:
+            self._flush_call = self._reactor.callLater(FLUSH_SECONDS, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_call = None
+        for peer, outbox in self._outboxes.items():
+            while outbox and self._send_batch(peer, outbox):
+                pass
+        if any(self._outboxes.values()):
+            self._flush_call = self._reactor.callLater(10 * FLUSH_SECONDS, self._flush)
+
+    def _send_batch(self, peer: EntryId, outbox: Outbox) -> bool:
+        batch = outbox.take(BATCH_MESSAGES)
+        data = self._encoder.encode(Envelope(self._entry, self._incarnation, batch))
+        try:
+            self._dialers[peer][1].send(data, block=False)
+        except self._pynng.exceptions.NNGException:
+            # The socket's buffer is full or nothing is connected; the batch waits.
+            outbox.restore(batch)
+            return False
+        self.bytes_sent += len(data)
+        return True
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data = self._socket.recv(block=False)
+            except self._pynng.exceptions.NNGException:
+                return
+            self.bytes_received += len(data)
+            try:
+                envelope = self._decoder.decode(data)
+            except msgspec.MsgspecError as error:
+                logger.warning("envelope discarded: %s", error)
+                continue
+            for message in envelope.messages:
+                self._deliver(envelope.sender, message)
+
+    def _deliver(self, sender: EntryId, message: Message) -> None:
+        try:
+            self._receiver(sender, message)
+        except Exception:
+            # One bad message must not stop the messages behind it.
+            logger.exception("message from %s failed", sender)
+
+
+class _Reader:
+    """Let the reactor watch a socket's descriptor."""
+
+    def __init__(self, descriptor: int, read: Callable[[], None]) -> None:
+        self._descriptor = descriptor
+        self._read = read
+
+    def fileno(self) -> int:
+        """Return the descriptor."""
+        return self._descriptor
+
+    def doRead(self) -> None:  # noqa: N802  (name set by IReadDescriptor)
+        """Read all that has arrived."""
+        self._read()
+
+    def connectionLost(self, reason: object) -> None:  # noqa: N802  (IReadDescriptor)
+        """Ignore the end of the descriptor; the socket reconnects by itself."""
+
+    def logPrefix(self) -> str:  # noqa: N802  (IReadDescriptor)
+        """Return the name used in logs."""
+        return "links"
--- /dev/null
+++ b/lavenderstall/ownership.py
@@ -0,0 +1,480 @@
+"""Ownership of slices: claims through the table, takeovers without it, and handovers."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from itertools import islice
+from typing import Any
+from zlib import crc32
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from lavenderstall.clocks import Clock, make_loop
+from lavenderstall.errors import (
+    ConflictError,
+    LavenderstallError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from lavenderstall.identifiers import (
+    EntryId,
+    Incarnation,
+    RackName,
+    SliceName,
+    WorkerId,
+    ZoneName,
+    make_slice_name,
+)
+from lavenderstall.protocol import Condition, Put, Row, Rows, Transaction
+from lavenderstall.records import (
+    PREFIX_ENTRY,
+    PREFIX_SLICE,
+    EntryRow,
+    RacksRow,
+    SliceRow,
+    decode_row,
+    encode_row,
+    make_entry_key,
+    make_racks_key,
+    make_slice_key,
+)
+from lavenderstall.storage import TableStore
+
+logger = logging.getLogger(__name__)
+
+TICK_SECONDS = 1.0
+LIVENESS_WRITES_PER_SECOND = 50
+MISSED_RENEWALS = 3
+ORPHAN_SECONDS = 1.5
+PEER_SILENCE_SECONDS = 3.0
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Name an entry instance, its zone and its addresses."""
+
+    entry: EntryId
+    incarnation: Incarnation
+    zone: ZoneName
+    link: str
+    http: str
+
+
+class Tenure(msgspec.Struct):
+    """Hold the right to send work to a slice.
+
+    `revision` is the version of the slice row at the claim, `confirmed` the time in seconds of
+    the last reading that named this owner; `local` tenures were taken without the table.
+    """
+
+    slice: SliceName
+    term: int
+    revision: int
+    confirmed: float
+    started: float
+    workers: frozenset[WorkerId] = frozenset()
+    local: bool = False
+
+
+class Observer:
+    """Receive the changes of ownership; the entry instance implements it."""
+
+    def gain_slice(self, tenure: Tenure) -> None:
+        """Start to serve a slice."""
+
+    def lose_slice(self, name: SliceName, reason: str) -> None:
+        """Stop to serve a slice at once."""
+
+    def change_peers(self, peers: Mapping[EntryId, EntryRow]) -> None:
+        """Learn which entry instances are alive."""
+
+
+class _Sighting(msgspec.Struct):
+    row: EntryRow
+    seen: float
+
+
+def rank_candidates(name: SliceName, entries: Iterable[EntryId]) -> list[EntryId]:
+    """Return entry instances in the order in which they should own a slice."""
+    return sorted(entries, key=lambda entry: crc32(f"{name}:{entry}".encode()))
+
+
+def assign_slices(
+    slices: Iterable[SliceName], entries: Iterable[EntryId]
+) -> dict[SliceName, EntryId]:
+    """Return the wanted owner of each slice, the same on every entry instance."""
+    names = sorted(slices)
+    candidates = sorted(entries)
+    if not candidates:
+        return {}
+    limit = -(-len(names) // len(candidates))
+    counts = dict.fromkeys(candidates, 0)
+    wanted: dict[SliceName, EntryId] = {}
+    for name in names:
+        ranked = rank_candidates(name, candidates)
+        owner = next(entry for entry in ranked if counts[entry] < limit)
+        counts[owner] += 1
+        wanted[name] = owner
+    return wanted
+
+
+def extend_racks(
+    known: Mapping[RackName, int], racks: Iterable[RackName], per_slice: int
+) -> dict[RackName, int]:
+    """Return the assignment of racks to slices with new racks added at the end."""
+    assigned = dict(known)
+    for rack in sorted(set(racks) - known.keys()):
+        last = max(assigned.values(), default=0)
+        full = sum(index == last for index in assigned.values()) >= per_slice
+        assigned[rack] = last + 1 if full else last
+    return assigned
+
+
+class Ownership:
+    """Claim, confirm, take over and release the slices of one zone."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: TableStore,
+        clock: Clock,
+        observer: Observer,
+        make_nonce: Callable[[], str],
+        racks_per_slice: int = 4,
+    ) -> None:
+        self.identity = identity
+        self.tenures: dict[SliceName, Tenure] = {}
+        self.peers: dict[EntryId, EntryRow] = {}
+        self.racks: dict[RackName, int] = {}
+        self.draining = False
+        self.last_contact = clock.seconds()
+        self._store = store
+        self._clock = clock
+        self._observer = observer
+        self._make_nonce = make_nonce
+        self._racks_per_slice = racks_per_slice
+        self._sightings: dict[EntryId, _Sighting] = {}
+        self._heard: dict[EntryId, float] = {}
+        self._rows: dict[SliceName, tuple[SliceRow, int]] = {}
+        self._orphaned: dict[SliceName, float] = {}
+        self._racks_version = 0
+        self._listed_racks: frozenset[RackName] = frozenset()
+        self._beat = 0
+        self._beat_version = 0
+        self._last_beat = float("-inf")
+        self._running = False
+        self._loop = make_loop(clock, self.step)
+
+    def start(self) -> None:
+        """Begin the periodic work."""
+        self._loop.start(TICK_SECONDS, now=True)
+
+    def stop(self) -> None:
+        """End the periodic work."""
+        if self._loop.running:
+            self._loop.stop()
+
+    def list_racks(self, racks: Iterable[RackName]) -> None:
+        """Tell which racks of the zone the membership list names."""
+        self._listed_racks = frozenset(racks)
+
+    def hear_peer(self, entry: EntryId) -> None:
+        """Note that a peer of the zone was heard over a link."""
+        self._heard[entry] = self._clock.seconds()
+
+    def find_slice(self, rack: RackName) -> SliceName | None:
+        """Return the slice that a rack belongs to, or none if it is not assigned yet."""
+        index = self.racks.get(rack)
+        return None if index is None else make_slice_name(self.identity.zone, index)
+
+    def get_interval(self) -> float:
+        """Return the seconds between two renewals, longer in a large fleet."""
+        return max(TICK_SECONDS, len(self._sightings) / LIVENESS_WRITES_PER_SECOND)
+
+    def get_store_age(self) -> float:
+        """Return the seconds since the table was last read."""
+        return self._clock.seconds() - self.last_contact
+
+    def step(self) -> "Deferred[None] | None":
+        """Renew, read the rows and act on them once, unless the last step still runs."""
+        if self._running:
+            self._consider_takeover()
+            return None
+        self._running = True
+        return Deferred.fromCoroutine(self._step())
+
+    async def _step(self) -> None:
+        try:
+            await self._renew()
+            await self._read_rows()
+            await self._assign_racks()
+            await self._claim_wanted()
+        except StoreUnavailableError as error:
+            logger.info("table service: %s", error)
+            self._consider_takeover()
+        except LavenderstallError as error:
+            logger.info("ownership step: %s", error)
+        finally:
+            self._running = False
+
+    async def _renew(self) -> None:
+        now = self._clock.seconds()
+        if now - self._last_beat < self.get_interval() - TICK_SECONDS / 2:
+            return
+        self._beat += 1
+        me = self.identity
+        row = EntryRow(me.entry, me.incarnation, me.zone, me.link, me.http, self._beat)
+        put = Put(make_entry_key(me.entry), encode_row(row))
+        try:
+            await self._store.transact(Transaction(puts=[put]))
+        except StoreOutcomeUnknownError as error:
+            # A renewal that took effect twice is harmless, so the next tick renews again.
+            logger.info("renewal: %s", error)
+            return
+        self._last_beat = now
+
+    async def _read_rows(self) -> None:
+        entries = await self._store.scan(PREFIX_ENTRY)
+        # The slice rows are read after anything that was read before this step.
+        asked = self._clock.seconds()
+        rows = await self._store.scan(f"{PREFIX_SLICE}{self.identity.zone}/")
+        self.last_contact = asked
+        self._observe_entries(entries)
+        self._observe_slices(rows, asked)
+
+    def _observe_entries(self, rows: Rows) -> None:
+        now = self._clock.seconds()
+        found = {row.id: row for row in (decode_row(r, EntryRow) for r in rows.rows)}
+        for entry, row in found.items():
+            last = self._sightings.get(entry)
+            if last is None or last.row != row:
+                self._sightings[entry] = _Sighting(row, now)
+        for entry in self._sightings.keys() - found.keys():
+            del self._sightings[entry]
+        limit = MISSED_RENEWALS * self.get_interval()
+        peers = {e: s.row for e, s in self._sightings.items() if now - s.seen < limit}
+        if peers != self.peers:
+            self.peers = peers
+            self._observer.change_peers(peers)
+
+    def _observe_slices(self, rows: Rows, asked: float) -> None:
+        racks_key = make_racks_key(self.identity.zone)
+        for row in rows.rows:
+            if row.key == racks_key:
+                self.racks = decode_row(row, RacksRow).racks
+                self._racks_version = row.version
+                continue
+            self._observe_slice(decode_row(row, SliceRow), row, asked)
+
+    def _observe_slice(self, found: SliceRow, row: Row, asked: float) -> None:
+        self._rows[found.slice] = (found, row.version)
+        held = self.tenures.get(found.slice)
+        mine = found.owner == self.identity.entry and found.incarnation == self.identity.incarnation
+        if not mine:
+            if held is not None and (not held.local or found.owner in self.peers):
+                self._drop(found.slice, f"the table names {found.owner or 'no owner'}")
+            return
+        if held is not None and held.term == found.term and not held.local:
+            held.confirmed = asked
+            held.workers = frozenset(found.workers)
+            return
+        if held is not None:
+            self._drop(found.slice, f"superseded by term {found.term}")
+        self._gain(found, row.version)
+
+    def _gain(self, row: SliceRow, version: int) -> None:
+        now = self._clock.seconds()
+        tenure = Tenure(row.slice, row.term, version, now, now, frozenset(row.workers))
+        self.tenures[row.slice] = tenure
+        logger.info("owns slice %s at term %d", row.slice, row.term)
+        self._observer.gain_slice(tenure)
+
+    def _drop(self, name: SliceName, reason: str) -> None:
+        if self.tenures.pop(name, None) is not None:
+            logger.info("lost slice %s: %s", name, reason)
+            self._observer.lose_slice(name, reason)
+
+    async def _assign_racks(self) -> None:
+        if self._listed_racks <= self.racks.keys():
+            return
+        racks = extend_racks(self.racks, self._listed_racks, self._racks_per_slice)
+        key = make_racks_key(self.identity.zone)
+        value = encode_row(RacksRow(racks, self._make_nonce()))
+        try:
+            done = await self._store.transact(
+                Transaction([Condition(key, self._racks_version)], [Put(key, value)])
+            )
+        except (ConflictError, StoreOutcomeUnknownError):
+            return  # The next step reads what the table holds.
+        self.racks = racks
+        self._racks_version = done.revision
+
+    def list_slices(self) -> list[SliceName]:
+        """Return the slices of the zone."""
+        return [make_slice_name(self.identity.zone, i) for i in sorted(set(self.racks.values()))]
+
+    def _list_candidates(self) -> list[EntryId]:
+        zone = self.identity.zone
+        return [entry for entry, row in self.peers.items() if row.zone == zone]
+
+    async def _claim_wanted(self) -> None:
+        if self.draining:
+            return
+        now = self._clock.seconds()
+        wanted = assign_slices(self.list_slices(), self._list_candidates())
+        for name, candidate in wanted.items():
+            if not self._is_free(name):
+                self._orphaned.pop(name, None)
+                continue
+            since = self._orphaned.setdefault(name, now)
+            mine = candidate == self.identity.entry
+            # Another candidate steps in when the wanted one does not claim in time.
+            if mine or now - since >= ORPHAN_SECONDS:
+                await self._claim(name)
+
+    def _is_free(self, name: SliceName) -> bool:
+        entry = self._rows.get(name)
+        if entry is None or not entry[0].owner:
+            return True
+        row = entry[0]
+        owner = self.peers.get(row.owner)
+        return owner is None or owner.incarnation != row.incarnation
+
+    async def _claim(self, name: SliceName, least_term: int = 0) -> None:
+        last, version = self._rows.get(name, (None, 0))
+        term = max((last.term if last else 0) + 1, least_term)
+        row = SliceRow(
+            name,
+            self.identity.entry,
+            self.identity.incarnation,
+            term,
+            self._make_nonce(),
+            list(last.workers) if last else [],
+        )
+        key = make_slice_key(name)
+        try:
+            done = await self._store.transact(
+                Transaction([Condition(key, version)], [Put(key, encode_row(row))])
+            )
+        except (ConflictError, StoreOutcomeUnknownError) as error:
+            # The next step reads the row and finds out who owns the slice.
+            logger.info("claim of %s: %s", name, error)
+            return
+        self._rows[name] = (row, done.revision)
+        self._drop(name, f"superseded by term {term}")
+        self._gain(row, done.revision)
+
+    async def confirm(self, name: SliceName) -> bool:
+        """Read the slice row and tell whether it still names this owner."""
+        asked = self._clock.seconds()
+        row = await self._store.read(make_slice_key(name))
+        if row is None:
+            return False
+        self.last_contact = asked
+        self._observe_slice(decode_row(row, SliceRow), row, asked)
+        held = self.tenures.get(name)
+        return held is not None and not held.local
+
+    def report_fenced(self, name: SliceName, term: int, owner: EntryId) -> None:
+        """Learn from a worker that it obeys another owner or a higher epoch."""
+        held = self.tenures.get(name)
+        if held is None:
+            return
+        if owner != self.identity.entry:
+            self._drop(name, f"a worker obeys {owner}")
+        if not held.local and not self.draining:
+            Deferred.fromCoroutine(self._reclaim(name, term + 1))
+
+    async def _reclaim(self, name: SliceName, least_term: int) -> None:
+        """Claim again with a higher term if the table still names this owner."""
+        try:
+            row = await self._store.read(make_slice_key(name))
+            if row is None:
+                return
+            found = decode_row(row, SliceRow)
+            if found.incarnation != self.identity.incarnation:
+                self._rows[name] = (found, row.version)
+                return
+            self._rows[name] = (found, row.version)
+            await self._claim(name, least_term)
+        except LavenderstallError as error:
+            logger.info("reclaim of %s: %s", name, error)
+
+    async def add_workers(self, name: SliceName, workers: Iterable[WorkerId]) -> bool:
+        """Add workers to the roster of an owned slice; tell whether the table holds them."""
+        return await self._change_roster(name, lambda roster: roster | frozenset(workers))
+
+    async def remove_workers(self, name: SliceName, workers: Iterable[WorkerId]) -> bool:
+        """Remove workers that surely run nothing from the roster of an owned slice."""
+        return await self._change_roster(name, lambda roster: roster - frozenset(workers))
+
+    async def _change_roster(
+        self, name: SliceName, change: Callable[[frozenset[WorkerId]], frozenset[WorkerId]]
+    ) -> bool:
+        held = self.tenures.get(name)
+        if held is None or held.local:
+            return False
+        last, version = self._rows[name]
+        roster = change(frozenset(last.workers))
+        if roster == frozenset(last.workers):
+            return True
+        row = msgspec.structs.replace(last, workers=sorted(roster), nonce=self._make_nonce())
+        key = make_slice_key(name)
+        try:
+            done = await self._store.transact(
+                Transaction([Condition(key, version)], [Put(key, encode_row(row))])
+            )
+        except LavenderstallError as error:
+            logger.info("roster of %s: %s", name, error)
+            return False
+        self._rows[name] = (row, done.revision)
+        held.workers = roster
+        return True
+
+    def _consider_takeover(self) -> None:
+        """Take slices without the table when nothing is heard from their owners."""
+        now = self._clock.seconds()
+        if self.draining or now - self.last_contact < PEER_SILENCE_SECONDS:
+            return
+        alive = {e for e, at in self._heard.items() if now - at < PEER_SILENCE_SECONDS}
+        alive.add(self.identity.entry)
+        zone = self.identity.zone
+        known = {e for e, s in self._sightings.items() if s.row.zone == zone}
+        candidates = (alive & known) | {self.identity.entry}
+        for name in self.list_slices():
+            owner = self._rows[name][0].owner if name in self._rows else EntryId("")
+            first = next(islice(rank_candidates(name, candidates), 1))
+            if name not in self.tenures and owner not in alive and first == self.identity.entry:
+                self._take_locally(name, now)
+
+    def _take_locally(self, name: SliceName, now: float) -> None:
+        tenure = Tenure(name, 0, 0, self.last_contact, now, local=True)
+        self.tenures[name] = tenure
+        logger.warning("takes slice %s without the table", name)
+        self._observer.gain_slice(tenure)
+
+    async def release(self, name: SliceName) -> None:
+        """Give up a slice, so that another entry instance may claim it at once."""
+        held = self.tenures.get(name)
+        self._drop(name, "released")
+        if held is None or held.local or name not in self._rows:
+            return
+        last, version = self._rows[name]
+        row = msgspec.structs.replace(last, owner=EntryId(""), nonce=self._make_nonce())
+        key = make_slice_key(name)
+        await self._store.transact(
+            Transaction([Condition(key, version)], [Put(key, encode_row(row))])
+        )
+
+    async def leave(self) -> None:
+        """Remove the liveness row, so that peers need not wait for missed renewals."""
+        self.stop()
+        key = make_entry_key(self.identity.entry)
+        await self._store.transact(Transaction(deletes=[key]))
+
+    def describe(self) -> dict[str, Any]:
+        """Return what operators see of this task."""
+        return {
+            "slices": {str(name): tenure.term for name, tenure in self.tenures.items()},
+            "peers": sorted(self.peers),
+            "store_age_s": round(self.get_store_age(), 3),
+        }
--- /dev/null
+++ b/lavenderstall/targets.py
@@ -0,0 +1,250 @@
+"""Client of the interface that workers offer to their owner."""
+
+import hashlib
+from io import BytesIO
+from typing import Any, Protocol, TypeVar
+
+import msgspec
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.error import ConnectError, ConnectingCancelledError, DNSLookupError
+from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from lavenderstall.errors import (
+    AnswerLostError,
+    FencedError,
+    LavenderstallError,
+    Outcome,
+    PeerUnavailableError,
+    RefusedError,
+)
+from lavenderstall.identifiers import (
+    AttemptId,
+    EntryId,
+    Epoch,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    WorkerId,
+)
+from lavenderstall.protocol import (
+    HEADER_ATTEMPT,
+    HEADER_DEADLINE,
+    HEADER_DIGEST,
+    HEADER_EPOCH,
+    HEADER_IDEMPOTENT,
+    HEADER_INCARNATION,
+    HEADER_OWNER,
+    HEADER_REQUEST,
+    CallRefusal,
+    Fenced,
+    LeaseAnswer,
+    LeaseRequest,
+    TasksAnswer,
+    TasksRequest,
+)
+
+T = TypeVar("T")
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+CONNECT_SECONDS = 1.0
+
+
+class WorkerCall(msgspec.Struct):
+    """Describe one call as an owner sends it to a worker; `remaining_ms` is its deadline."""
+
+    owner: EntryId
+    epoch: Epoch
+    incarnation: Incarnation
+    service: ServiceName
+    request: RequestId
+    attempt: AttemptId
+    idempotent: bool
+    remaining_ms: int
+    body: bytes
+    trace: str = ""
+
+
+class WorkerAnswer(msgspec.Struct):
+    """Hold a whole answer; length and digest have been checked."""
+
+    body: bytes
+    content_type: str
+
+
+class TargetClient(Protocol):
+    """Send messages to workers.
+
+    Calls fail with `PeerUnavailableError` when nothing was sent, `FencedError` and `RefusedError`
+    when the worker did not act, and `AnswerLostError` when it may have acted.
+    """
+
+    def renew(self, worker: WorkerId, url: str, request: LeaseRequest) -> "Deferred[LeaseAnswer]":
+        """Claim or renew a worker."""
+
+    def change_tasks(
+        self, worker: WorkerId, url: str, request: TasksRequest
+    ) -> "Deferred[TasksAnswer]":
+        """Start, stop and throttle tasks."""
+
+    def call(self, worker: WorkerId, url: str, call: WorkerCall) -> "Deferred[WorkerAnswer]":
+        """Run one call and return the whole answer."""
+
+    def void_request(
+        self, worker: WorkerId, url: str, request: RequestId, owner: EntryId, epoch: Epoch
+    ) -> "Deferred[str]":
+        """Make sure that a request never runs, or tell that it is `running` or `done`."""
+
+
+class VoidRequest(msgspec.Struct):
+    """Ask a worker to refuse a request from now on."""
+
+    owner: EntryId
+    epoch: Epoch
+
+
+class VoidAnswer(msgspec.Struct):
+    """Tell whether a request is `void`, `running` or `done`."""
+
+    state: str
+
+
+class HttpTargetClient:
+    """Talk HTTP to workers over persistent connections."""
+
+    def __init__(self, reactor: Any, timeout_seconds: float = 1.0) -> None:
+        self._reactor = reactor
+        self._timeout = timeout_seconds
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = 16
+        # The pool must not send a call a second time by itself.
+        pool.retryAutomatically = False
+        self._agent = Agent(reactor, connectTimeout=CONNECT_SECONDS, pool=pool)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def renew(self, worker: WorkerId, url: str, request: LeaseRequest) -> "Deferred[LeaseAnswer]":
+        """Claim or renew a worker."""
+        return Deferred.fromCoroutine(
+            self._exchange(worker, f"{url}/v1/lease", request, LeaseAnswer)
+        )
+
+    def change_tasks(
+        self, worker: WorkerId, url: str, request: TasksRequest
+    ) -> "Deferred[TasksAnswer]":
+        """Start, stop and throttle tasks."""
+        return Deferred.fromCoroutine(
+            self._exchange(worker, f"{url}/v1/tasks", request, TasksAnswer)
+        )
+
+    def void_request(
+        self, worker: WorkerId, url: str, request: RequestId, owner: EntryId, epoch: Epoch
+    ) -> "Deferred[str]":
+        """Make sure that a request never runs, or tell that it is `running` or `done`."""
+
+        async def run() -> str:
+            address = f"{url}/v1/requests/{request}/void"
+            answer = await self._exchange(worker, address, VoidRequest(owner, epoch), VoidAnswer)
+            return answer.state
+
+        return Deferred.fromCoroutine(run())
+
+    def call(self, worker: WorkerId, url: str, call: WorkerCall) -> "Deferred[WorkerAnswer]":
+        """Run one call and return the whole answer."""
+        return Deferred.fromCoroutine(self._call(worker, url, call))
+
+    async def _call(self, worker: WorkerId, url: str, call: WorkerCall) -> WorkerAnswer:
+        fields = {
+            HEADER_OWNER: call.owner,
+            HEADER_EPOCH: str(call.epoch),
+            HEADER_INCARNATION: call.incarnation,
+            HEADER_REQUEST: call.request,
+            HEADER_ATTEMPT: call.attempt,
+            HEADER_IDEMPOTENT: "yes" if call.idempotent else "no",
+            HEADER_DEADLINE: str(call.remaining_ms),
+            "traceparent": call.trace,
+        }
+        headers = Headers({name: [value] for name, value in fields.items() if value})
+        response, body = await self._send(
+            worker,
+            f"{url}/v1/calls/{call.service}",
+            headers,
+            call.body,
+            call.remaining_ms / 1000,
+        )
+        if response.code != 200:
+            raise read_error(worker, response.code, body)
+        check_whole(worker, response.headers.getRawHeaders(HEADER_DIGEST, [""])[0], body)
+        content_type = response.headers.getRawHeaders("Content-Type", ["application/json"])[0]
+        return WorkerAnswer(body, content_type)
+
+    async def _exchange(
+        self, worker: WorkerId, url: str, message: msgspec.Struct, kind: type[T]
+    ) -> T:
+        headers = Headers({"Content-Type": ["application/json"]})
+        data = msgspec.json.encode(message)
+        response, body = await self._send(worker, url, headers, data, self._timeout)
+        if response.code != 200:
+            raise read_error(worker, response.code, body)
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise AnswerLostError(str(error), step="decode answer", peer=worker) from error
+
+    async def _send(
+        self, worker: WorkerId, url: str, headers: Headers, data: bytes, seconds: float
+    ) -> tuple[Any, bytes]:
+        self.bytes_sent += len(data) + 200
+        producer: Any = FileBodyProducer(BytesIO(data))
+        request = self._agent.request(b"POST", url.encode(), headers, producer)
+        request.addTimeout(max(seconds, 0.001), self._reactor)
+        try:
+            response = await request
+        except (ConnectError, ConnectingCancelledError, DNSLookupError) as error:
+            raise PeerUnavailableError(str(error), step="connect", peer=worker) from error
+        except Exception as error:
+            raise AnswerLostError(repr(error), step="await answer", peer=worker) from error
+        reading = readBody(response)
+        reading.addTimeout(max(seconds, 0.001), self._reactor)
+        try:
+            body = await reading
+        except (CancelledError, Exception) as error:
+            raise AnswerLostError(repr(error), step="read answer", peer=worker) from error
+        self.bytes_received += len(body) + 200
+        return response, body
+
+
+def check_whole(worker: WorkerId, digest: str, body: bytes) -> None:
+    """Raise unless a body has the digest that the worker declared."""
+    if hashlib.sha256(body).hexdigest() != digest:
+        raise AnswerLostError("the digest does not match", step="check answer", peer=worker)
+
+
+def read_error(worker: WorkerId, code: int, body: bytes) -> LavenderstallError:
+    """Return the error that a worker's answer stands for."""
+    try:
+        if code == 409:
+            fenced = msgspec.json.decode(body, type=Fenced)
+            return FencedError(
+                "the worker obeys another owner",
+                step="worker",
+                peer=worker,
+                epoch=fenced.epoch,
+                owner=fenced.owner,
+            )
+        if code == 503:
+            refusal = msgspec.json.decode(body, type=CallRefusal)
+            return RefusedError(
+                refusal.detail, step="worker", peer=worker, reason=refusal.reason.value
+            )
+    except msgspec.MsgspecError as error:
+        return AnswerLostError(str(error), step="decode error", peer=worker)
+    if code == 500:
+        return RefusedError(
+            "the call ran and failed",
+            step="worker",
+            peer=worker,
+            reason="failed",
+            outcome=Outcome.FAILED,
+        )
+    return AnswerLostError(f"unexpected status {code}", step="worker", peer=worker)
