Add routing and serving of calls

Cause: a call has to reach a worker from any entry instance, with one truthful outcome. Conclusion: not_run is only concluded when no attempt is uncertain.

--- a/lavenderstall/limits.py
+++ b/lavenderstall/limits.py
@@ -288,6 +288,10 @@
         """Return the present concurrency limit of a service."""
         return self._get(service).limit.limit
 
+    def set_total(self, total: int) -> None:
+        """Bound the calls in flight of all services together."""
+        self._total = total
+
     def set_maximum(self, service: ServiceName, slots: int) -> None:
         """Bound a service's concurrency by the slots that its workers have."""
         self._get(service).limit.set_maximum(slots)
--- /dev/null
+++ b/lavenderstall/slots.py
@@ -0,0 +1,345 @@
+"""Calls on the owner's side: admission, a slot on a worker, binding, dispatch."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from random import Random
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+
+from lavenderstall.balancing import CallTarget, PeakLatency, choose_target
+from lavenderstall.bindings import Binding
+from lavenderstall.clocks import Clock, sleep
+from lavenderstall.contracts import Deadline
+from lavenderstall.errors import (
+    AnswerLostError,
+    ConflictError,
+    FencedError,
+    LavenderstallError,
+    Outcome,
+    PeerUnavailableError,
+    RefusedError,
+)
+from lavenderstall.fleet import WorkerLink
+from lavenderstall.identifiers import RequestId, ServiceName, SliceName, TeamName, WorkerId
+from lavenderstall.limits import Call, CallOutcome, Released, ServiceLimits
+from lavenderstall.messages import CallAnswer, CallForward
+from lavenderstall.protocol import Committed, Condition, Put, Row
+from lavenderstall.records import OnceRow, decode_row, encode_row, make_once_key
+
+logger = logging.getLogger(__name__)
+
+REASON_VOID = "void"
+REPEAT_SECONDS = 0.05
+BIND_SECONDS = 2.0
+
+OUTCOMES = {
+    Outcome.DONE: CallOutcome.COMPLETE,
+    Outcome.FAILED: CallOutcome.FAILED,
+    Outcome.NOT_RUN: CallOutcome.REFUSED,
+    Outcome.UNKNOWN: CallOutcome.TIMED_OUT,
+}
+
+
+class Commits(Protocol):
+    """Write rows through the group commit."""
+
+    def submit(
+        self, conditions: Iterable[Condition], puts: Iterable[Put], *, timeout: float
+    ) -> "Deferred[Committed]":
+        """Commit rows together, or fail within the timeout in seconds."""
+
+
+class CallServer:
+    """Run the calls that are forwarded to the owner of one slice."""
+
+    def __init__(
+        self,
+        name: SliceName,
+        links: Mapping[WorkerId, WorkerLink],
+        find_replicas: Callable[[ServiceName], frozenset[WorkerId]],
+        is_quarantined: Callable[[WorkerId], bool],
+        commits: Commits,
+        read_row: "Callable[[str], Deferred[Row | None]]",
+        clock: Clock,
+        random: Random,
+        make_nonce: Callable[[], str],
+    ) -> None:
+        self.name = name
+        self.in_flight = 0
+        self.draining = False
+        self._links = links
+        self._find_replicas = find_replicas
+        self._is_quarantined = is_quarantined
+        self._commits = commits
+        self._read_row = read_row
+        self._clock = clock
+        self._random = random
+        self._make_nonce = make_nonce
+        self._limits = ServiceLimits(total=0)
+        self._waiting: dict[str, Deferred[None]] = {}
+        self._latencies: dict[WorkerId, PeakLatency] = {}
+
+    def list_targets(self, service: ServiceName) -> list[CallTarget]:
+        """Return what is known of the workers with a replica of a service."""
+        return [
+            self._make_target(self._links[worker])
+            for worker in sorted(self._find_replicas(service))
+            if worker in self._links
+        ]
+
+    def _make_target(self, link: WorkerLink) -> CallTarget:
+        free = link.free_slots if link.usable else 0
+        return CallTarget(
+            worker=link.id,
+            slots=link.capacity.slots,
+            free_slots=free,
+            free_connections=free,
+            is_leaving=link.leaving,
+            is_quarantined=self._is_quarantined(link.id),
+            latency=self._latencies.setdefault(link.id, PeakLatency()),
+        )
+
+    def update_total(self) -> None:
+        """Bound the concurrent calls by the slots of the workers that are held."""
+        total = sum(link.capacity.slots for link in self._links.values() if link.usable)
+        self._limits.set_total(total)
+        self._apply(self._limits.start_waiting(self._clock.seconds()))
+
+    async def serve(self, forward: CallForward) -> CallAnswer:
+        """Run one call and return its outcome; errors become outcomes."""
+        self.in_flight += 1
+        try:
+            return await self._serve(forward)
+        except RefusedError as error:
+            outcome = error.outcome
+            repeated = forward.retry and not forward.idempotent and error.reason != REASON_VOID
+            if outcome is Outcome.NOT_RUN and repeated:
+                # An earlier attempt of this request may have run or may still run.
+                outcome = Outcome.UNKNOWN
+            return CallAnswer(
+                forward.call,
+                outcome,
+                reason=error.reason,
+                detail=str(error),
+                retry_after_ms=error.retry_after_ms,
+            )
+        except AnswerLostError as error:
+            return CallAnswer(forward.call, Outcome.UNKNOWN, "answer_lost", str(error))
+        finally:
+            self.in_flight -= 1
+
+    async def _serve(self, forward: CallForward) -> CallAnswer:
+        deadline = Deadline.from_remaining(forward.remaining_ms, self._clock.seconds())
+        if self.draining:
+            raise RefusedError("the owner leaves", step="admit", reason="draining")
+        call = Call(forward.call, forward.service, forward.team, deadline)
+        await self._admit(call)
+        started = self._clock.seconds()
+        outcome = Outcome.FAILED
+        try:
+            answer = await self._run(forward, deadline)
+            outcome = answer.outcome
+            return answer
+        except RefusedError as error:
+            outcome = error.outcome
+            raise
+        except AnswerLostError:
+            outcome = Outcome.UNKNOWN
+            raise
+        finally:
+            now = self._clock.seconds()
+            self._apply(self._limits.finish(call.service, OUTCOMES[outcome], now - started, now))
+
+    async def _admit(self, call: Call) -> None:
+        admitted = self._limits.admit(call, self._clock.seconds())
+        if admitted.displaced is not None:
+            self._apply(Released([], [admitted.displaced]))
+        if admitted.starts:
+            return
+        waiting: Deferred[None] = Deferred()
+        self._waiting[call.attempt] = waiting
+        remaining = call.deadline.get_remaining_ms(self._clock.seconds()) / 1000
+        timer = self._clock.callLater(remaining, self._expire, call)
+        try:
+            await waiting
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _expire(self, call: Call) -> None:
+        if self._limits.cancel(call.service, call.attempt):
+            self._refuse(call, "deadline", 0)
+
+    def _refuse(self, call: Call, reason: str, retry_after_ms: int) -> None:
+        waiting = self._waiting.pop(call.attempt, None)
+        if waiting is not None:
+            waiting.errback(
+                RefusedError(
+                    "the call waited and was not sent",
+                    step="admit",
+                    reason=reason,
+                    retry_after_ms=retry_after_ms,
+                )
+            )
+
+    def _apply(self, released: Released) -> None:
+        for displaced in released.expired:
+            self._refuse(displaced.call, displaced.reason.value, displaced.retry_after_ms)
+        for call in released.started:
+            waiting = self._waiting.pop(call.attempt, None)
+            if waiting is not None:
+                waiting.callback(None)
+
+    async def _run(self, forward: CallForward, deadline: Deadline) -> CallAnswer:
+        if forward.idempotent:
+            return await self._send(forward, self._choose(forward.service), deadline)
+        repeated = forward.retry
+        if forward.worker:
+            binding = Binding(self.name, forward.worker, forward.incarnation)
+        else:
+            binding, bound_before = await self._bind(forward)
+            repeated = repeated or bound_before
+        if binding.slice != self.name:
+            return CallAnswer(
+                forward.call,
+                Outcome.UNKNOWN,
+                "bound_elsewhere",
+                worker=binding.worker,
+                incarnation=binding.incarnation,
+                bound=binding.slice,
+            )
+        return await self._send_bound(forward, binding, deadline, repeated=repeated)
+
+    def _choose(self, service: ServiceName) -> WorkerLink:
+        targets = self.list_targets(service)
+        target = choose_target(targets, self._random, self._clock.seconds())
+        if target is None:
+            raise RefusedError(
+                f"no worker of slice {self.name} has a free slot for {service}",
+                step="choose worker",
+                reason="full" if targets else "no_replica",
+                retry_after_ms=50,
+            )
+        return self._links[target.worker]
+
+    async def _send(self, forward: CallForward, link: WorkerLink, deadline: Deadline) -> CallAnswer:
+        started = self._clock.seconds()
+        latency = self._latencies.setdefault(link.id, PeakLatency())
+        try:
+            answer = await link.call(
+                forward.service,
+                forward.request,
+                forward.call,
+                deadline.get_remaining_ms(started),
+                forward.body,
+                idempotent=forward.idempotent,
+                trace=forward.trace,
+            )
+        except (FencedError, PeerUnavailableError) as error:
+            raise RefusedError(str(error), step="send", peer=link.id, reason="moved") from error
+        except (AnswerLostError, RefusedError):
+            now = self._clock.seconds()
+            latency.record_failure(now - started, now)
+            raise
+        now = self._clock.seconds()
+        latency.record(now - started, now)
+        return CallAnswer(
+            forward.call,
+            Outcome.DONE,
+            body=answer.body,
+            worker=link.id,
+            incarnation=link.incarnation,
+            content_type=answer.content_type,
+        )
+
+    async def _bind(self, forward: CallForward) -> tuple[Binding, bool]:
+        """Commit which worker runs a request; tell whether an earlier attempt did so."""
+        link = self._choose(forward.service)
+        key = make_once_key(forward.team, forward.request)
+        row = OnceRow(forward.request, self.name, link.id, link.incarnation, self._make_nonce())
+        try:
+            await self._commits.submit(
+                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=BIND_SECONDS
+            )
+        except ConflictError:
+            return await self._read_binding(forward.team, forward.request), True
+        except RefusedError:
+            raise
+        except LavenderstallError as error:
+            raise RefusedError(
+                f"the request could not be bound to a worker: {error}",
+                step="bind",
+                reason="store_unavailable",
+                retry_after_ms=1000,
+            ) from error
+        return Binding(row.slice, row.worker, row.incarnation), False
+
+    async def _read_binding(self, team: TeamName, request: RequestId) -> Binding:
+        try:
+            row = await self._read_row(make_once_key(team, request))
+        except LavenderstallError as error:
+            raise RefusedError(
+                str(error), step="read binding", reason="store_unavailable", outcome=Outcome.UNKNOWN
+            ) from error
+        if row is None:
+            raise RefusedError(
+                "the binding has expired",
+                step="read binding",
+                reason="expired",
+                outcome=Outcome.UNKNOWN,
+            )
+        found = decode_row(row, OnceRow)
+        return Binding(found.slice, found.worker, found.incarnation)
+
+    async def _send_bound(
+        self, forward: CallForward, binding: Binding, deadline: Deadline, *, repeated: bool
+    ) -> CallAnswer:
+        """Send to the bound worker until it tells the outcome; it runs a request once."""
+        while True:
+            link = self._links.get(binding.worker)
+            if link is not None and link.incarnation not in {"", binding.incarnation}:
+                raise RefusedError(
+                    "the worker lost its record of the request",
+                    step="send",
+                    peer=binding.worker,
+                    reason="incarnation",
+                    outcome=Outcome.UNKNOWN,
+                )
+            try:
+                if link is None:
+                    raise RefusedError(
+                        "the worker is not known here",
+                        step="send",
+                        peer=binding.worker,
+                        reason="unreachable",
+                    )
+                return await self._send(forward, link, deadline)
+            except AnswerLostError:
+                repeated = True
+            except RefusedError as error:
+                if error.outcome is not Outcome.NOT_RUN:
+                    raise
+                if not repeated:
+                    raise
+                if link is not None and await self._is_void(link, forward.request):
+                    raise RefusedError(
+                        "the worker refuses this request from now on",
+                        step="send",
+                        peer=link.id,
+                        reason=REASON_VOID,
+                    ) from error
+            await self._pause(deadline)
+
+    async def _pause(self, deadline: Deadline) -> None:
+        if not deadline.allows(REPEAT_SECONDS, self._clock.seconds()):
+            raise AnswerLostError("the deadline passed", step="await answer")
+        await sleep(self._clock, REPEAT_SECONDS)
+
+    async def _is_void(self, link: WorkerLink, request: RequestId) -> bool:
+        """Tell whether the worker now refuses the request for good."""
+        try:
+            return await link.void_request(request) == "void"
+        except LavenderstallError as error:
+            logger.info("void of %s: %s", request, error)
+            return False
