--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -155,8 +155,10 @@
         return Deferred.fromCoroutine(self._beat())
 
     async def _beat(self) -> None:
+        request = self._make_request()
         try:
-            answer = await self._client.renew(self.id, self.member.url, self._make_request())
+            answer = await self._client.renew(self.id, self.member.url, request)
+            self.acknowledged.difference_update(request.acknowledged)
             self._take_answer(answer)
         except FencedError as error:
             self._take_fenced(error)
@@ -194,7 +196,6 @@
         self.lost = False
         self.state = LinkState.HELD
         self._known = answer.sequence
-        self.acknowledged &= {report.task for report in answer.finished}
         if restarted or returned:
             self._observer.restart_worker(self)
         self._observer.apply_inventory(self, answer)
