Add the owner's side of a slice

Change: a work book that commits ends in groups, and a slice server that adopts, places, starts, stops and reports tasks. Conclusion: rows are acted on only after the slice row was read later.

--- a/lavenderstall/identifiers.py
+++ b/lavenderstall/identifiers.py
@@ -42,6 +42,16 @@
     return JobId(job), int(index)
 
 
+def make_run_id(task: TaskId, term: int, number: int) -> TaskId:
+    """Return the id of one start of a task; no two starts share an id."""
+    return TaskId(f"{task}~{term}.{number}")
+
+
+def get_task(run: TaskId) -> TaskId:
+    """Return the task that a start belongs to."""
+    return TaskId(run.partition("~")[0])
+
+
 def make_epoch(term: int) -> Epoch:
     """Return the first epoch of a table term; local takeovers count up from it."""
     return Epoch(term * EPOCH_STRIDE)
--- /dev/null
+++ b/lavenderstall/slices.py
@@ -0,0 +1,808 @@
+"""The owner's side of one slice: its work, its tasks and the decisions applied to them."""
+
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum
+from itertools import count
+from random import Random
+from typing import Protocol
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from lavenderstall.clocks import Clock, make_loop
+from lavenderstall.decisions import Never, Plan
+from lavenderstall.dispatcher import Dispatcher
+from lavenderstall.errors import (
+    AnswerLostError,
+    FencedError,
+    LavenderstallError,
+    PeerUnavailableError,
+)
+from lavenderstall.fleet import (
+    LEASE_MARGIN,
+    Fleet,
+    FleetObserver,
+    LeaseTerms,
+    WorkerLink,
+    describe_fence,
+)
+from lavenderstall.identifiers import (
+    EntryId,
+    JobId,
+    ServiceName,
+    SliceName,
+    TaskId,
+    WorkerId,
+    ZoneName,
+    get_slice_zone,
+    get_task,
+    make_run_id,
+    make_task_id,
+)
+from lavenderstall.machines import SliceState
+from lavenderstall.messages import PoolSummary, SliceSummary
+from lavenderstall.ownership import Ownership, Tenure
+from lavenderstall.protocol import (
+    Kind,
+    LeaseAnswer,
+    TaskReport,
+    TaskStart,
+    TaskState,
+    TaskStop,
+    WorkerMember,
+)
+from lavenderstall.queues import FairQueue
+from lavenderstall.reasons import Reason, ReasonLog, Record
+from lavenderstall.records import PREFIX_WORK, JobSpec
+from lavenderstall.requests import TaskRequest
+from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.rooms import WorkerState, find_larger
+from lavenderstall.slots import CallServer, Commits
+from lavenderstall.storage import TableStore
+from lavenderstall.targets import TargetClient
+from lavenderstall.work import Job, WorkBook
+
+logger = logging.getLogger(__name__)
+
+RELOAD_SECONDS = 10.0
+FLUSH_SECONDS = 0.25
+LEAVE_GRACE_SECONDS = 5.0
+LIVE = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING})
+
+
+class Ending(Enum):
+    """What follows when a task stops."""
+
+    RETRY = "retry"
+    CANCEL = "cancel"
+
+
+class Task(msgspec.Struct):
+    """Hold a task that has not ended; `since` is when it began to wait."""
+
+    id: TaskId
+    index: int
+    spec: JobSpec
+    state: TaskState
+    since: float
+    worker: WorkerId = WorkerId("")
+    run: TaskId = TaskId("")
+    attempts: int = 0
+    started: float = 0.0
+    ending: Ending = Ending.RETRY
+    queued: bool = False
+    never: Reason | None = None
+    used: Resources = NOTHING
+
+
+class Environment(Protocol):
+    """Hold what a slice needs from its entry instance."""
+
+    entry: EntryId
+    clock: Clock
+    random: Random
+    store: TableStore
+    commits: Commits
+    client: TargetClient
+    ownership: Ownership
+    terms: LeaseTerms
+    make_nonce: Callable[[], str]
+    read_unix: Callable[[], float]
+
+
+class SliceServer(FleetObserver):
+    """Place the work of one slice on its workers while the tenure lasts."""
+
+    def __init__(self, environment: Environment, tenure: Tenure) -> None:
+        self.name: SliceName = tenure.slice
+        self.tenure = tenure
+        self.state = SliceState()
+        self.queue = FairQueue()
+        self.reasons = ReasonLog()
+        self.tasks: dict[TaskId, Task] = {}
+        self.stray: dict[TaskId, tuple[WorkerId, TaskReport]] = {}
+        self.loaded = False
+        self.draining = False
+        self.stopped = False
+        self._env = environment
+        self._clock = environment.clock
+        self._dispatcher = Dispatcher(self.queue, self.state)
+        self._numbers = count(1)
+        self._scheduled = False
+        self._reloading = False
+        self._reload_again = False
+        self._rostering = False
+        self._limbo: set[TaskId] = set()
+        self.book = WorkBook(
+            self.name, environment.commits, environment.make_nonce, self.request_reload
+        )
+        self.fleet = Fleet(
+            self.name,
+            environment.entry,
+            tenure,
+            environment.client,
+            environment.clock,
+            self,
+            environment.terms,
+        )
+        self.calls = CallServer(
+            self.name,
+            self.fleet.links,
+            self.find_replicas,
+            self._is_out_of_service,
+            environment.commits,
+            environment.store.read,
+            environment.clock,
+            environment.random,
+            environment.make_nonce,
+        )
+        self._loops = [
+            (make_loop(self._clock, self.request_reload), RELOAD_SECONDS),
+            (make_loop(self._clock, self.book.flush), FLUSH_SECONDS),
+            (make_loop(self._clock, self._review), 1.0),
+        ]
+
+    def start(self) -> None:
+        """Begin to claim workers and to read the rows."""
+        for loop, seconds in self._loops:
+            loop.start(seconds, now=True)
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self.stopped = True
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
+        self.fleet.stop()
+
+    # Workers
+
+    def set_members(self, members: Mapping[WorkerId, WorkerMember]) -> None:
+        """Take the workers that the membership list names for this slice."""
+        unlisted = self.fleet.set_members(members)
+        for link in unlisted:
+            if link.lost and not link.calls:
+                self._forget_worker(link)
+
+    def _forget_worker(self, link: WorkerLink) -> None:
+        """Drop a worker that is neither listed nor answering, once its lease has lapsed."""
+        if link.id in self.state.workers:
+            return
+        self.fleet.forget(link.id)
+        Deferred.fromCoroutine(self._env.ownership.remove_workers(self.name, [link.id]))
+
+    def apply_inventory(self, worker: WorkerLink, answer: LeaseAnswer) -> None:
+        """Take over a full inventory or the changes since the last one."""
+        known = self.state.workers.get(worker.id)
+        if known is None:
+            self._add_worker(worker)
+        elif known.capacity != answer.capacity or known.leaving != answer.leaving:
+            self.state.update_worker(worker.id, capacity=answer.capacity, leaving=answer.leaving)
+            if answer.leaving:
+                self._clock.callLater(LEAVE_GRACE_SECONDS, self._empty_worker, worker.id)
+        if answer.full:
+            self._compare_full(worker, answer)
+        for report in answer.tasks:
+            self._take_report(worker, report)
+        for report in answer.finished:
+            self._take_end(worker, report)
+        self.calls.update_total()
+        self._release_limbo()
+        self.request_schedule()
+
+    def _add_worker(self, link: WorkerLink) -> None:
+        """Take a worker into service once the table's roster names it."""
+        if link.id not in self.tenure.workers and not self.tenure.local:
+            self._request_roster()
+            return
+        member = link.member
+        self.state.add_worker(
+            WorkerState(
+                id=link.id,
+                zone=member.zone,
+                rack=member.rack,
+                pool=member.pool,
+                labels=frozenset(),
+                capacity=link.capacity,
+                incarnation=link.incarnation,
+                leaving=link.leaving,
+            )
+        )
+        for task in self.tasks.values():
+            if task.worker == link.id and task.state in LIVE:
+                self.state.charge(link.id, task.id, self._make_request([task]))
+        self._reconsider_never()
+
+    def _request_roster(self) -> None:
+        if not self._rostering:
+            self._rostering = True
+            Deferred.fromCoroutine(self._extend_roster())
+
+    async def _extend_roster(self) -> None:
+        try:
+            held = [link.id for link in self.fleet.links.values() if link.claimed]
+            if await self._env.ownership.add_workers(self.name, held):
+                for link in list(self.fleet.links.values()):
+                    if link.id in self.tenure.workers and link.claimed:
+                        if link.id not in self.state.workers:
+                            self._add_worker(link)
+                self.request_schedule()
+        finally:
+            self._rostering = False
+
+    def _compare_full(self, link: WorkerLink, answer: LeaseAnswer) -> None:
+        """Find tasks that a full inventory no longer lists."""
+        listed = {report.task for report in (*answer.tasks, *answer.finished)}
+        for task in list(self.tasks.values()):
+            if task.worker != link.id or task.run in listed:
+                continue
+            if task.state in {TaskState.RUNNING, TaskState.STOPPING}:
+                self._end_run(task, "the worker no longer lists the task")
+
+    def _take_report(self, link: WorkerLink, report: TaskReport) -> None:
+        """Adopt or update a task that a worker runs."""
+        name = get_task(report.task)
+        task = self.tasks.get(name)
+        if task is None or (task.run and task.run != report.task):
+            self.stray[report.task] = (link.id, report)
+            if self.loaded:
+                self.request_reload()
+            return
+        task.used = report.used
+        if task.state in LIVE:
+            if task.state is TaskState.STARTING:
+                task.state = TaskState.RUNNING
+            return
+        self._adopt(task, link.id, report)
+
+    def _adopt(self, task: Task, worker: WorkerId, report: TaskReport) -> None:
+        """Take over a task that was started by an earlier owner."""
+        if task.queued:
+            self.queue.cancel(task.id)
+            task.queued = False
+        self._limbo.discard(task.id)
+        task.worker = worker
+        task.run = report.task
+        task.state = report.state
+        task.started = self._clock.seconds() - report.age_ms / 1000
+        if worker in self.state.workers:
+            self.state.charge(worker, task.id, self._make_request([task]))
+        self._explain("adopted", Reason("task runs on the worker"), task)
+
+    def _take_end(self, link: WorkerLink, report: TaskReport) -> None:
+        """Handle a task that has ended on a worker."""
+        task = self.tasks.get(get_task(report.task))
+        if task is None:
+            job = self.book.jobs.get(report.job)
+            if self.loaded and (job is None or not job.dirty):
+                link.acknowledged.add(report.task)
+            elif not self.loaded:
+                self.stray[report.task] = (link.id, report)
+            return
+        if task.run and task.run != report.task:
+            link.acknowledged.add(report.task)
+            return
+        if not task.run:
+            self._adopt(task, link.id, report)
+        self._finish(task, report, lambda: link.acknowledged.add(report.task))
+
+    def _finish(self, task: Task, report: TaskReport, acknowledge: Callable[[], None]) -> None:
+        self._release_room(task)
+        if report.state is TaskState.DONE:
+            self._close(task, "done", acknowledge)
+        elif report.state is TaskState.FAILED:
+            task.attempts += 1
+            if task.spec.idempotent and task.attempts < task.spec.max_attempts:
+                acknowledge()
+                self._wait(task, f"failed: {report.detail}")
+            else:
+                self._close(task, "failed", acknowledge)
+        elif task.ending is Ending.CANCEL:
+            self._close(task, "stopped", acknowledge)
+        elif task.spec.idempotent:
+            acknowledge()
+            self._wait(task, report.detail)
+        else:
+            self._close(task, "unknown", acknowledge)
+
+    def _end_run(self, task: Task, detail: str) -> None:
+        """Handle a run that surely no longer exists and whose result is not known."""
+        self._release_room(task)
+        if task.ending is Ending.CANCEL:
+            self._close(task, "stopped")
+        elif task.spec.idempotent:
+            self._wait(task, detail)
+        else:
+            self._close(task, "unknown")
+
+    def lose_worker(self, worker: WorkerLink) -> None:
+        """Handle a worker whose task lease has surely lapsed."""
+        Deferred.fromCoroutine(self._lose_worker(worker))
+
+    async def _lose_worker(self, link: WorkerLink) -> None:
+        try:
+            confirmed = await self._env.ownership.confirm(self.name)
+        except LavenderstallError as error:
+            # Without the table another owner may keep the worker's tasks alive.
+            logger.info("worker %s stays charged: %s", link.id, error)
+            link.lost = False
+            return
+        if not confirmed or self.stopped or not link.lost:
+            return
+        logger.warning("worker %s is lost", link.id)
+        self._drop_runs(link, "the worker is lost")
+        if link.id in self.state.workers:
+            self.state.remove_worker(link.id)
+        self.request_schedule()
+
+    def restart_worker(self, worker: WorkerLink) -> None:
+        """Handle a worker that came back with a new incarnation and nothing running."""
+        self._drop_runs(worker, "the worker restarted")
+
+    def _drop_runs(self, link: WorkerLink, detail: str) -> None:
+        for task in list(self.tasks.values()):
+            if task.worker == link.id and task.state in LIVE:
+                self._end_run(task, detail)
+
+    def report_fenced(self, worker: WorkerLink, error: FencedError) -> None:
+        """Tell the ownership that a worker obeys another owner."""
+        term, owner = describe_fence(error)
+        self._env.ownership.report_fenced(self.name, term, owner)
+
+    def _empty_worker(self, name: WorkerId) -> None:
+        """Move the tasks of a service away from a leaving worker."""
+        worker = self.state.workers.get(name)
+        if self.stopped or worker is None or worker.in_service:
+            return
+        leaving = [
+            task
+            for task in self.tasks.values()
+            if task.worker == name and task.spec.kind is Kind.SERVICE
+        ]
+        self.stop_tasks(leaving, Ending.RETRY, "the worker leaves")
+
+    def _is_out_of_service(self, name: WorkerId) -> bool:
+        worker = self.state.workers.get(name)
+        return worker is not None and (worker.quarantined or worker.draining)
+
+    def find_replicas(self, service: ServiceName) -> frozenset[WorkerId]:
+        """Return the workers that run a replica of a service."""
+        return frozenset(
+            task.worker
+            for task in self._list_replicas()
+            if task.spec.service == service and task.state is TaskState.RUNNING
+        )
+
+    def _list_replicas(self) -> Iterable[Task]:
+        return (task for task in self.tasks.values() if task.spec.kind is Kind.SERVICE)
+
+    # Work rows
+
+    def request_reload(self) -> None:
+        """Read the rows soon."""
+        if self.tenure.local or self.stopped:
+            return
+        if self._reloading:
+            self._reload_again = True
+            return
+        self._reloading = True
+        Deferred.fromCoroutine(self._reload())
+
+    async def _reload(self) -> None:
+        try:
+            rows = await self._env.store.scan(f"{PREFIX_WORK}{self.name}/")
+            # The ownership is read after the rows: a row that is newer than the loss of the
+            # slice is thereby never acted on.
+            if not await self._env.ownership.confirm(self.name) or self.stopped:
+                return
+            changed, gone = self.book.load(rows)
+            self.loaded = True
+            self._take_changed(changed)
+            self._drop_gone(gone)
+            self._place_strays()
+            self._release_limbo()
+            self.request_schedule()
+        except LavenderstallError as error:
+            logger.info("rows of %s: %s", self.name, error)
+        finally:
+            self._reloading = False
+            if self._reload_again:
+                self._reload_again = False
+                self.request_reload()
+
+    def _take_changed(self, jobs: Iterable[Job]) -> None:
+        for job in jobs:
+            spec, row = job.row.spec, job.row
+            fresh = job.version > self.tenure.revision
+            for index in row.list_open():
+                name = make_task_id(spec.id, index)
+                task = self.tasks.get(name)
+                if task is not None:
+                    task.spec = spec
+                    continue
+                task = Task(name, index, spec, TaskState.WAITING, self._clock.seconds())
+                self.tasks[name] = task
+                if fresh:
+                    self._queue(task)
+                else:
+                    self._limbo.add(name)
+            listed = set(row.tasks)
+            mine = [task for task in self.tasks.values() if task.spec.id == spec.id]
+            surplus = [task for task in mine if row.cancelled or task.index not in listed]
+            self.cancel_tasks(surplus, "cancelled" if row.cancelled else "no longer assigned")
+
+    def _drop_gone(self, jobs: Iterable[Job]) -> None:
+        names = {job.row.spec.id for job in jobs}
+        surplus = [task for task in self.tasks.values() if task.spec.id in names]
+        self.cancel_tasks(surplus, "the job was removed")
+
+    def _place_strays(self) -> None:
+        """Match reported tasks with rows; stop those that no row asks for."""
+        strays, self.stray = self.stray, {}
+        for run, (worker, report) in strays.items():
+            link = self.fleet.links.get(worker)
+            if link is None:
+                continue
+            task = self.tasks.get(get_task(run))
+            if report.state in {TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED}:
+                self._take_end(link, report)
+            elif task is not None and not task.run:
+                self._adopt(task, worker, report)
+            elif task is None or task.run != run:
+                self._send_stops(link, [TaskStop(run, "no row asks for the task")])
+
+    def _release_limbo(self) -> None:
+        """Queue older tasks that no worker runs, once that is certain."""
+        if not self._limbo or not self.loaded or not self._is_roster_claimed():
+            return
+        limbo, self._limbo = self._limbo, set()
+        for name in limbo:
+            task = self.tasks.get(name)
+            if task is not None and not task.run:
+                self._resume(task)
+
+    def _resume(self, task: Task) -> None:
+        job = self.book.jobs.get(task.spec.id)
+        if job is not None and task.index in job.row.bound:
+            # An earlier owner bound the task, so it may have run before.
+            self._close(task, "unknown")
+        else:
+            self._queue(task)
+
+    def _is_roster_claimed(self) -> bool:
+        links = self.fleet.links
+        if all(name in links and links[name].claimed for name in self.tenure.workers):
+            return True
+        terms = self._env.terms
+        limit = terms.outage_limit + terms.tasks * LEASE_MARGIN
+        return self._clock.seconds() - self.tenure.started >= limit
+
+    # Tasks
+
+    def _queue(self, task: Task) -> None:
+        """Let a task wait for its turn; gangs wait as a whole."""
+        task.state = TaskState.WAITING
+        task.worker, task.run = WorkerId(""), TaskId("")
+        if task.spec.kind is Kind.GANG:
+            self._queue_gang(task.spec.id)
+        elif not task.queued:
+            task.queued = True
+            self.queue.requeue(self._make_request([task]), task.since)
+        self.request_schedule()
+
+    def _queue_gang(self, job: JobId) -> None:
+        members = [task for task in self.tasks.values() if task.spec.id == job]
+        live = [task for task in members if task.state in LIVE]
+        if live:
+            self.stop_tasks(live, Ending.RETRY, "a member of the gang does not run")
+            return
+        ready = [task for task in members if not task.queued and task.id not in self._limbo]
+        if len(ready) == len(members):
+            for task in members:
+                task.queued = True
+            since = min(task.since for task in members)
+            self.queue.requeue(self._make_request(members), since)
+
+    def _wait(self, task: Task, detail: str) -> None:
+        task.since = self._clock.seconds()
+        task.ending = Ending.RETRY
+        self._explain("waits", Reason("starts again", detail), task)
+        self._queue(task)
+
+    def _close(self, task: Task, field: str, after: Callable[[], None] | None = None) -> None:
+        """Note the end of a task."""
+        if task.queued:
+            self._withdraw(task)
+        self._limbo.discard(task.id)
+        del self.tasks[task.id]
+        self._explain(field, Reason("task ended", field), task)
+        self.book.note_end(task.spec.id, task.index, field, after)
+
+    def _withdraw(self, task: Task) -> None:
+        for request in self.queue.cancel(task.id):
+            for name in request.tasks:
+                if name in self.tasks:
+                    self.tasks[name].queued = False
+
+    def _release_room(self, task: Task) -> None:
+        worker = self.state.workers.get(task.worker)
+        if worker is not None and task.id in worker.tasks:
+            self.state.release(task.worker, task.id)
+
+    def cancel_tasks(self, tasks: Iterable[Task], reason: str) -> None:
+        """Stop tasks for good; those that have not started end at once."""
+        listed = list(tasks)
+        for task in listed:
+            if task.state is TaskState.WAITING and task.id not in self._limbo:
+                self._close(task, "stopped")
+        self.stop_tasks([t for t in listed if t.state in LIVE], Ending.CANCEL, reason)
+
+    def stop_tasks(self, tasks: Iterable[Task], ending: Ending, reason: str) -> None:
+        """Ask workers to stop tasks."""
+        stops: dict[WorkerId, list[TaskStop]] = {}
+        for task in tasks:
+            if task.state is TaskState.STOPPING and task.ending is ending:
+                continue
+            task.ending = ending
+            task.state = TaskState.STOPPING
+            checkpoint = ending is Ending.RETRY
+            stops.setdefault(task.worker, []).append(TaskStop(task.run, reason, checkpoint))
+        for worker, listed in stops.items():
+            link = self.fleet.links.get(worker)
+            if link is not None:
+                self._send_stops(link, listed)
+
+    def _send_stops(self, link: WorkerLink, stops: list[TaskStop]) -> None:
+        Deferred.fromCoroutine(self._stop_on(link, stops))
+
+    async def _stop_on(self, link: WorkerLink, stops: list[TaskStop]) -> None:
+        try:
+            results = await link.change_tasks(stops=stops)
+        except LavenderstallError as error:
+            # The review sends the stops again.
+            logger.info("stops at %s: %s", link.id, error)
+            return
+        for result in results:
+            task = self.tasks.get(get_task(result.task))
+            gone = result.accepted and result.detail == "not running"
+            if task is not None and task.run == result.task and gone:
+                self._end_run(task, "stopped before it ran")
+
+    def _make_request(self, tasks: list[Task]) -> TaskRequest:
+        spec = tasks[0].spec
+        return TaskRequest(
+            tasks=tuple(task.id for task in tasks),
+            job=spec.id,
+            team=spec.team,
+            kind=spec.kind,
+            resources=spec.resources,
+            service=spec.service if spec.kind is Kind.SERVICE else ServiceName(""),
+            pool=spec.pool,
+            priority=spec.priority,
+            idempotent=spec.idempotent,
+            expected_ms=spec.expected_ms,
+        )
+
+    # Decisions
+
+    def request_schedule(self) -> None:
+        """Decide on waiting tasks soon."""
+        if not self._scheduled and not self.stopped:
+            self._scheduled = True
+            self._clock.callLater(0, self._schedule)
+
+    def _schedule(self) -> None:
+        self._scheduled = False
+        if self.stopped or self.draining or self.tenure.local:
+            return
+        age = self._clock.seconds() - self.tenure.confirmed
+        if age >= self._env.terms.outage_limit:
+            return
+        starts: dict[WorkerId, list[Task]] = {}
+        decided = 0
+        for dispatched in self._dispatcher.dispatch(self._clock.seconds()):
+            decided += 1
+            self._take_decision(dispatched.decision, starts)
+        for worker, tasks in starts.items():
+            Deferred.fromCoroutine(self._start_on(worker, tasks))
+        if decided:
+            # The dispatcher bounds one pass; another follows if it was cut short.
+            self.request_schedule()
+
+    def _take_decision(self, decision: object, starts: dict[WorkerId, list[Task]]) -> None:
+        if isinstance(decision, Plan):
+            for placement in decision.placements:
+                task = self.tasks[placement.task]
+                task.queued = False
+                task.state = TaskState.STARTING
+                task.worker = placement.worker
+                task.run = make_run_id(task.id, self.tenure.term, next(self._numbers))
+                starts.setdefault(placement.worker, []).append(task)
+                self._explain("placed", decision.reason, task)
+        elif isinstance(decision, Never):
+            for name in decision.request.tasks:
+                task = self.tasks[name]
+                task.queued = False
+                task.never = decision.reason
+                self._explain("never", decision.reason, task)
+
+    def _reconsider_never(self) -> None:
+        for task in list(self.tasks.values()):
+            if task.never is not None:
+                task.never = None
+                self._queue(task)
+
+    async def _start_on(self, worker: WorkerId, tasks: list[Task]) -> None:
+        """Start tasks on a worker and handle each result."""
+        runs = {task.run: task for task in tasks}
+        link = self.fleet.links.get(worker)
+        try:
+            tasks = await self._bind(worker, tasks)
+            if link is None or not link.usable:
+                raise PeerUnavailableError("the worker is silent", step="start", peer=worker)
+            results = await link.change_tasks(starts=[make_start(task) for task in tasks])
+        except (PeerUnavailableError, FencedError) as error:
+            for task in tasks:
+                self._refuse_start(task, str(error))
+            return
+        except AnswerLostError as error:
+            # A start that is still on its way is refused once the stop has arrived.
+            logger.info("starts at %s: %s", worker, error)
+            return
+        now = self._clock.seconds()
+        for result in results:
+            task = runs[result.task]
+            if self.tasks.get(task.id) is not task or task.run != result.task:
+                continue
+            if result.accepted:
+                task.started = now
+                if task.state is TaskState.STARTING:
+                    task.state = TaskState.RUNNING
+            else:
+                reason = result.reason.value if result.reason else ""
+                self._refuse_start(task, f"{reason} {result.detail}".strip())
+
+    async def _bind(self, worker: WorkerId, tasks: list[Task]) -> list[Task]:
+        """Commit the worker of non-idempotent tasks; return the tasks that may start."""
+        ready = [task for task in tasks if task.spec.idempotent]
+        once: dict[JobId, list[Task]] = {}
+        for task in tasks:
+            if not task.spec.idempotent:
+                once.setdefault(task.spec.id, []).append(task)
+        for job, listed in once.items():
+            if await self.book.bind(job, [task.index for task in listed], worker):
+                ready += listed
+            else:
+                for task in listed:
+                    self._refuse_start(task, "the binding could not be committed")
+        return [task for task in ready if task.state is TaskState.STARTING]
+
+    def _refuse_start(self, task: Task, detail: str) -> None:
+        """Let a task wait again that a worker surely did not start."""
+        if self.tasks.get(task.id) is not task or task.state not in LIVE:
+            return
+        self._release_room(task)
+        if not task.spec.idempotent:
+            self.book.unbind(task.spec.id, task.index)
+        if task.ending is Ending.CANCEL:
+            self._close(task, "stopped")
+            return
+        self._explain("refused", Reason("worker refused the start", detail), task)
+        self._clock.callLater(0.05, self._queue_again, task)
+        task.state = TaskState.WAITING
+        task.run = TaskId("")
+
+    def _queue_again(self, task: Task) -> None:
+        if self.tasks.get(task.id) is task and task.state is TaskState.WAITING:
+            self._queue(task)
+
+    def _review(self) -> None:
+        """Resolve starts and stops whose answers were lost."""
+        now = self._clock.seconds()
+        stuck: dict[WorkerId, list[TaskStop]] = {}
+        for task in self.tasks.values():
+            link = self.fleet.links.get(task.worker)
+            if link is None or not link.claimed:
+                continue
+            if task.state is TaskState.STARTING and now - task.since >= 0:
+                task.started = task.started or now
+                if now - task.started >= 3.0:
+                    stuck.setdefault(link.id, []).append(TaskStop(task.run, "start unconfirmed"))
+            elif task.state is TaskState.STOPPING:
+                stuck.setdefault(link.id, []).append(TaskStop(task.run, "stop repeated"))
+        for worker, stops in stuck.items():
+            self._send_stops(self.fleet.links[worker], stops)
+        self._expire_waiting()
+        self._release_limbo()
+        self.request_schedule()
+
+    def _expire_waiting(self) -> None:
+        unix_ms = self._env.read_unix() * 1000
+        expired = [
+            task
+            for task in self.tasks.values()
+            if task.state is TaskState.WAITING and 0 < task.spec.deadline_unix_ms < unix_ms
+        ]
+        self.cancel_tasks(expired, "the deadline passed")
+
+    def _explain(self, outcome: str, reason: Reason, task: Task) -> None:
+        workers = (task.worker,) if task.worker else ()
+        self.reasons.add(
+            Record(self._env.read_unix(), outcome, reason, (task.id,), task.spec.id, workers)
+        )
+
+    # Summaries
+
+    def summarize(self) -> SliceSummary:
+        """Describe the slice to other entry instances."""
+        free: dict[ServiceName, int] = {}
+        for task in self._list_replicas():
+            link = self.fleet.links.get(task.worker)
+            usable = link is not None and link.usable and not self._is_out_of_service(link.id)
+            if link is not None and usable and task.state is TaskState.RUNNING:
+                free[task.spec.service] = free.get(task.spec.service, 0) + link.free_slots
+        waiting = {kind.value: n for kind, n in self.queue.count_kinds().items() if n}
+        return SliceSummary(
+            self.name,
+            self._env.entry,
+            max((link.epoch for link in self.fleet.links.values()), default=0),
+            self._summarize_pools(),
+            {} if self.draining else free,
+            waiting,
+            int(self.queue.measure_oldest(self._clock.seconds()) * 1000),
+        )
+
+    def _summarize_pools(self) -> dict[str, PoolSummary]:
+        pools: dict[str, PoolSummary] = {}
+        for worker in self.state.workers.values():
+            if not worker.in_service:
+                continue
+            known = pools.get(worker.pool, PoolSummary(0, NOTHING, NOTHING, NOTHING))
+            pools[worker.pool] = PoolSummary(
+                known.workers + 1,
+                known.room.add(worker.room),
+                find_larger(known.largest, worker.room),
+                find_larger(known.capacity, worker.capacity),
+            )
+        return pools
+
+    @property
+    def zone(self) -> ZoneName:
+        """Return the zone of the slice."""
+        return get_slice_zone(self.name)
+
+
+def make_start(task: Task) -> TaskStart:
+    """Return the message that starts a task."""
+    spec = task.spec
+    return TaskStart(
+        task=task.run,
+        job=spec.id,
+        team=spec.team,
+        kind=spec.kind,
+        resources=spec.resources,
+        service=spec.service,
+        idempotent=spec.idempotent,
+        payload=spec.payload,
+    )
