--- /dev/null
+++ b/lavenderstall/decisions.py
@@ -0,0 +1,340 @@
+"""Decides where a request runs: slice state and one request in, a plan with its reason out."""
+
+from collections.abc import Iterable, Iterator
+from itertools import islice
+
+import msgspec
+
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import TaskId, WorkerId
+from lavenderstall.machines import SliceState
+from lavenderstall.placement import get_policy
+from lavenderstall.placement.base import Policy
+from lavenderstall.reasons import ALTERNATIVES, Alternative, Reason
+from lavenderstall.requests import Constraints, Scope, Spread, TaskRequest
+from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.rooms import DIMENSIONS, Group, WorkerState, count_fits, find_shortage
+
+__all__ = [
+    "Constraints",
+    "Decision",
+    "Never",
+    "Placement",
+    "Plan",
+    "PlanStaleError",
+    "Scope",
+    "Spread",
+    "TaskRequest",
+    "Wait",
+    "apply",
+    "decide",
+]
+
+
+class Placement(msgspec.Struct, frozen=True):
+    """Bind one task to one worker."""
+
+    task: TaskId
+    worker: WorkerId
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Start all tasks of a request; `at` is the time of the decision in seconds."""
+
+    request: TaskRequest
+    placements: tuple[Placement, ...]
+    reason: Reason
+    at: float = 0.0
+
+
+class Wait(msgspec.Struct, frozen=True):
+    """The request does not fit now; the reason tells the shortage and what is in the way."""
+
+    request: TaskRequest
+    reason: Reason
+
+
+class Never(msgspec.Struct, frozen=True):
+    """The request fits on no worker even when empty; the reason tells what has to change."""
+
+    request: TaskRequest
+    reason: Reason
+
+
+Decision = Plan | Wait | Never
+
+
+class PlanStaleError(LavenderstallError):
+    """A plan does not fit the state any more; nothing was charged."""
+
+
+def decide(state: SliceState, request: TaskRequest, now: float) -> Decision:
+    """Return where a request runs now, or why it does not."""
+    never = find_never(state, request)
+    if never is not None:
+        return never
+    policy = get_policy(request.kind.value)
+    if len(request.tasks) > 1:
+        return decide_gang(state, request, policy, now)
+    return decide_single(state, request, policy, now)
+
+
+def apply(state: SliceState, plan: Plan) -> None:
+    """Charge a plan; raise `PlanStaleError` and charge nothing if it does not fit any more."""
+    needs: dict[WorkerId, Resources] = {}
+    for placement in plan.placements:
+        need = needs.get(placement.worker, NOTHING)
+        needs[placement.worker] = need.add(plan.request.resources)
+        worker = state.workers.get(placement.worker)
+        if worker is not None and placement.task in worker.tasks:
+            raise PlanStaleError(
+                f"task {placement.task} is already charged", step="apply", peer=worker.id
+            )
+    for worker_id, need in needs.items():
+        worker = state.workers.get(worker_id)
+        if worker is None or not worker.in_service:
+            raise PlanStaleError("worker is out of service", step="apply", peer=worker_id)
+        if not need.fits(worker.room):
+            short = ", ".join(need.find_shortages(worker.room))
+            raise PlanStaleError(f"no room any more: {short}", step="apply", peer=worker_id)
+        if not admits(state, plan.request, worker, plan.at):
+            raise PlanStaleError("worker no longer meets the constraints", step="apply")
+    for placement in plan.placements:
+        state.charge(placement.worker, placement.task, plan.request, plan.at)
+
+
+def admits(state: SliceState, request: TaskRequest, worker: WorkerState, now: float) -> bool:
+    """Tell whether constraints and reservations let a request run on a worker."""
+    if state.reserved and not may_backfill(state, request, worker, now):
+        return False
+    service = request.service
+    rack = state.racks[worker.rack]
+    if service and (service in worker.repelled or service in rack.repelled):
+        return False
+    constraints = request.constraints
+    if constraints.racks and worker.rack not in constraints.racks:
+        return False
+    near = worker.services if constraints.scope is Scope.WORKER else rack.services
+    if constraints.anti_affinity and not constraints.anti_affinity.isdisjoint(near):
+        return False
+    return all(
+        other in near or (other == service and service not in state.hosts)
+        for other in constraints.affinity
+    )
+
+
+def may_backfill(state: SliceState, request: TaskRequest, worker: WorkerState, now: float) -> bool:
+    """Tell whether a request leaves the worker's reservation its start."""
+    reservation = state.reserved.get(worker.id)
+    if reservation is None or reservation.request.tasks == request.tasks:
+        return True
+    return 0 < request.expected_ms <= (reservation.start - now) * 1000
+
+
+def find_never(state: SliceState, request: TaskRequest) -> Never | None:
+    """Return why a request fits no worker of the slice even when empty, or none.
+
+    A slice without workers answers none, because its inventory may not be known yet.
+    """
+    if not state.workers:
+        return None
+    need = request.resources
+    wanted = len(request.tasks)
+    groups = state.match_groups(request)
+    places = 0
+    for group in groups:
+        for capacity, count in group.capacities.items():
+            if need.fits(capacity):
+                places += count if wanted == 1 else count * count_fits(need, capacity, wanted)
+                if places >= wanted:
+                    return None
+    return Never(request, explain_never(state, request, groups, places))
+
+
+def explain_never(
+    state: SliceState, request: TaskRequest, groups: list[Group], places: int
+) -> Reason:
+    """Return what would have to change for a request to fit."""
+    if not groups:
+        labels = ", ".join(sorted(request.constraints.labels)) or "any"
+        detail = f"no worker in pool {request.pool or 'any'} with labels {labels}"
+        return Reason("no worker meets the constraints", detail)
+    if places:
+        numbers = {"places": float(places), "tasks": float(len(request.tasks))}
+        detail = f"the slice holds {places} of {len(request.tasks)} tasks when empty"
+        return Reason("gang is larger than the slice", detail, numbers=numbers)
+    capacities = [capacity for group in groups for capacity in group.capacities]
+    nearest = min(capacities, key=lambda size: len(request.resources.find_shortages(size)))
+    changes = "; ".join(
+        f"{name} from {getattr(request.resources, name)} to {getattr(nearest, name)}"
+        for name in request.resources.find_shortages(nearest)
+    )
+    shortage = find_shortage(request.resources, nearest)
+    return Reason("larger than any worker", f"reduce {changes}", shortage=shortage)
+
+
+def list_passes(state: SliceState, request: TaskRequest) -> Iterator[list[Group]]:
+    """Yield the groups to search, accelerator workers last for other work.
+
+    They stay closed to other work while accelerator work waits.
+    """
+    groups = state.match_groups(request)
+    if request.resources.accelerators:
+        yield [group for group in groups if group.key.accelerated]
+        return
+    yield [group for group in groups if not group.key.accelerated]
+    if not state.waiting_accelerators:
+        yield [group for group in groups if group.key.accelerated]
+
+
+def decide_single(
+    state: SliceState, request: TaskRequest, policy: Policy, now: float
+) -> Plan | Wait:
+    """Return the placement of a request of one task."""
+    for groups in list_passes(state, request):
+        found = find_candidates(state, request, policy, groups, now)
+        if found:
+            scored = sorted(
+                ((policy.score(state, request, worker, name), worker) for worker, name in found),
+                key=lambda pair: pair[0],
+            )
+            chosen, worker = scored[0]
+            others = tuple(
+                Alternative(other.id, policy.describe(score, chosen))
+                for score, other in scored[1 : 1 + ALTERNATIVES]
+            )
+            reason = Reason(policy.rule, alternatives=others)
+            return Plan(request, (Placement(request.tasks[0], worker.id),), reason, now)
+    return Wait(request, explain_wait(state, request, now))
+
+
+def find_candidates(
+    state: SliceState, request: TaskRequest, policy: Policy, groups: list[Group], now: float
+) -> list[tuple[WorkerState, str]]:
+    """Return workers with room that admit a request, each with its group's scarcest resource."""
+    found: list[tuple[WorkerState, str]] = []
+    need = request.resources
+    for group in groups:
+        scarcest = group.find_scarcest(need)
+        workers = group.index.find_fits(
+            need,
+            scarcest,
+            policy.candidates,
+            lambda worker: admits(state, request, worker, now),
+            roomiest=policy.roomiest,
+        )
+        found.extend((worker, scarcest) for worker in workers)
+    return found
+
+
+def decide_gang(state: SliceState, request: TaskRequest, policy: Policy, now: float) -> Plan | Wait:
+    """Return placements for all tasks of a gang, or none."""
+    wanted = len(request.tasks)
+    places = 0
+    for groups in list_passes(state, request):
+        racks = collect_places(state, request, groups, now)
+        hosts = choose_hosts(racks, wanted)
+        if hosts:
+            bound = [worker.id for count, worker in hosts for _ in range(count)]
+            pairs = zip(request.tasks, bound, strict=True)
+            placements = tuple(Placement(task, worker) for task, worker in pairs)
+            numbers = {
+                "workers": float(len(hosts)),
+                "racks": float(len({worker.rack for _, worker in hosts})),
+            }
+            return Plan(request, placements, Reason(policy.rule, numbers=numbers), now)
+        places = max(places, sum(count for hosts in racks for count, _ in hosts))
+    return Wait(request, explain_wait(state, request, now, places))
+
+
+def collect_places(
+    state: SliceState, request: TaskRequest, groups: list[Group], now: float
+) -> list[list[tuple[int, WorkerState]]]:
+    """Return for each rack how many tasks each worker takes now.
+
+    Tasks of a service that is kept off itself go one to a worker or rack.
+    """
+    need = request.resources
+    constraints = request.constraints
+    alone = bool(request.service) and request.service in constraints.anti_affinity
+    limit = 1 if alone else len(request.tasks)
+    by_rack: dict[str, list[tuple[int, WorkerState]]] = {}
+    for group in groups:
+        for worker in group.index.find_fits(
+            need,
+            group.find_scarcest(need),
+            len(state.workers),
+            lambda worker: admits(state, request, worker, now),
+        ):
+            count = count_fits(need, worker.room, limit)
+            by_rack.setdefault(worker.rack, []).append((count, worker))
+    if alone and constraints.scope is Scope.RACK:
+        return [hosts[:1] for hosts in by_rack.values()]
+    return list(by_rack.values())
+
+
+def choose_hosts(
+    racks: Iterable[list[tuple[int, WorkerState]]], wanted: int
+) -> list[tuple[int, WorkerState]]:
+    """Return how many tasks go to which worker, or nothing if not all find a place.
+
+    A single rack that holds the gang with least to spare comes first, else the largest racks.
+    """
+    sized = sorted(((sum(count for count, _ in hosts), hosts) for hosts in racks), key=get_size)
+    if sum(size for size, _ in sized) < wanted:
+        return []
+    whole = next((hosts for size, hosts in sized if size >= wanted), None)
+    order = [whole] if whole is not None else [hosts for _, hosts in reversed(sized)]
+    chosen: list[tuple[int, WorkerState]] = []
+    for hosts in order:
+        for count, worker in sorted(hosts, key=get_size, reverse=True):
+            taken = min(count, wanted)
+            chosen.append((taken, worker))
+            wanted -= taken
+            if not wanted:
+                return chosen
+    return []
+
+
+def get_size(pair: tuple[int, object]) -> int:
+    """Return the number of a pair."""
+    return pair[0]
+
+
+def explain_wait(state: SliceState, request: TaskRequest, now: float, places: int = 0) -> Reason:
+    """Return what a request is short of on the roomiest workers, and what is in the way."""
+    groups = state.match_groups(request)
+    roomiest: list[WorkerState] = []
+    for group in groups:
+        name = group.find_scarcest(request.resources)
+        roomiest.extend(group.index.find_fits(NOTHING, name, ALTERNATIVES, roomiest=True))
+    if not roomiest:
+        return Reason("no worker in service", "all that match are leaving, draining or quarantined")
+    others = tuple(
+        Alternative(worker.id, explain_refusal(state, request, worker, now))
+        for worker in islice(roomiest, ALTERNATIVES)
+    )
+    shortages = [find_shortage(request.resources, worker.room) for worker in roomiest]
+    shortage = min(shortages, key=lambda short: sum(getattr(short, name) for name in DIMENSIONS))
+    rule = "no room" if shortage != NOTHING else "room is not admitted"
+    numbers = {"places": float(places)} if len(request.tasks) > 1 else {}
+    return Reason(rule, others[0].why_not, others, shortage, numbers)
+
+
+def explain_refusal(
+    state: SliceState, request: TaskRequest, worker: WorkerState, now: float
+) -> str:
+    """Return why a worker does not take a request."""
+    short = request.resources.find_shortages(worker.room)
+    if short:
+        missing = find_shortage(request.resources, worker.room)
+        amounts = ", ".join(f"{name} by {getattr(missing, name)}" for name in short)
+        return f"short of {amounts}; {len(worker.tasks)} tasks run there"
+    if not may_backfill(state, request, worker, now):
+        holder = state.reserved[worker.id].request.job
+        return f"reserved for {holder}"
+    if not admits(state, request, worker, now):
+        return "affinity, anti-affinity or rack constraint"
+    if len(request.tasks) > 1:
+        return f"takes {count_fits(request.resources, worker.room, len(request.tasks))} tasks"
+    return "kept for accelerator work that waits"
--- /dev/null
+++ b/lavenderstall/dispatcher.py
@@ -0,0 +1,120 @@
+"""Takes waiting requests in order and decides on them until nothing fits."""
+
+from collections.abc import Iterator
+from math import inf
+
+import msgspec
+
+from lavenderstall.decisions import Decision, Plan, Wait, apply, decide
+from lavenderstall.lanes import Shape, Waiting
+from lavenderstall.machines import SliceState
+from lavenderstall.protocol import Kind
+from lavenderstall.queues import FairQueue
+from lavenderstall.reservations import plan_reservation
+
+LIMIT = 256
+"""Decisions in one call, so that a call takes a few tens of milliseconds at most."""
+RESERVE_AFTER_S = 5.0
+"""Wait after which a single task that is passed by smaller ones gets a reservation."""
+REPLAN_AFTER_S = 10.0
+"""Age at which a reservation is planned anew, because declared run times are often wrong."""
+REVIEW_EVERY_S = 0.5
+
+
+class Dispatched(msgspec.Struct, frozen=True):
+    """A decision, and the time since when its request waited."""
+
+    decision: Decision
+    since: float
+
+
+class Dispatcher:
+    """Serve a queue over a slice; plans it yields are already applied."""
+
+    def __init__(self, queue: FairQueue, state: SliceState) -> None:
+        self.queue = queue
+        self.state = state
+        self._reviewed = -inf
+
+    def dispatch(self, now: float, limit: int = LIMIT) -> Iterator[Dispatched]:
+        """Yield plans and final refusals; a request that does not fit stays in the queue."""
+        self._drop_reservations()
+        for _ in range(limit):
+            waiting = self._find_holder() or self.queue.peek(now, self.state)
+            if waiting is None:
+                break
+            decision = decide(self.state, waiting.request, now)
+            if isinstance(decision, Wait):
+                self._keep_waiting(waiting, decision, now)
+                continue
+            self.queue.cancel(waiting.request.tasks[0])
+            if isinstance(decision, Plan):
+                apply(self.state, decision)
+                waiting.shape.closed_since = inf
+                self._end_reservation(waiting)
+            yield Dispatched(decision, waiting.since)
+        if now - self._reviewed >= REVIEW_EVERY_S:
+            self._reviewed = now
+            self._review(now)
+
+    def _find_holder(self) -> Waiting | None:
+        """Return a request whose reserved workers gained room since its last attempt."""
+        if not self.state.reservations:
+            return None
+        self.queue.follow(self.state)
+        for kind, reservation in list(self.state.reservations.items()):
+            waiting = self.queue.find(reservation.request.tasks[0])
+            if waiting is None or not waiting.shape.open:
+                continue
+            if self.queue.check_quota(waiting.request, self.state) is None:
+                return waiting
+            self.state.cancel_reservation(kind)
+        return None
+
+    def _keep_waiting(self, waiting: Waiting, decision: Wait, now: float) -> None:
+        """Close the shape of a request that does not fit."""
+        wanted = len(waiting.request.tasks)
+        places = int(decision.reason.numbers.get("places", 0.0))
+        self.queue.close(waiting.shape, now, wanted - places)
+        if waiting.request.kind is Kind.GANG and Kind.GANG not in self.state.reservations:
+            self._reserve(waiting, now)
+
+    def _drop_reservations(self) -> None:
+        """Give up reservations of requests that do not wait any more."""
+        for kind, reservation in list(self.state.reservations.items()):
+            if reservation.request.tasks[0] not in self.queue:
+                self.state.cancel_reservation(kind)
+
+    def _end_reservation(self, waiting: Waiting) -> None:
+        reservation = self.state.reservations.get(waiting.request.kind)
+        if reservation is not None and reservation.request.tasks == waiting.request.tasks:
+            self.state.cancel_reservation(waiting.request.kind)
+
+    def _review(self, now: float) -> None:
+        """Plan a reservation for the first request of each kind that is being passed by."""
+        for kind in Kind:
+            held = self.state.reservations.get(kind)
+            if held is not None and now - held.made < REPLAN_AFTER_S:
+                continue
+            patience = 0.0 if kind is Kind.GANG else RESERVE_AFTER_S
+            late = [
+                shape
+                for shape in self.queue.closed
+                if shape.key.kind is kind and now - shape.closed_since >= patience
+            ]
+            first = min(map(find_first, late), key=lambda waiting: waiting.rank, default=None)
+            if first is not None:
+                self._reserve(first, now)
+
+    def _reserve(self, waiting: Waiting, now: float) -> None:
+        kind = waiting.request.kind
+        self.state.cancel_reservation(kind)
+        reservation = plan_reservation(self.state, waiting.request, now)
+        if reservation is not None:
+            self.state.reserve(kind, reservation)
+
+
+def find_first(shape: Shape) -> Waiting:
+    """Return the request of lowest rank of a shape that requests wait with."""
+    heads = (heap.peek() for heap in shape.lanes.values())
+    return min((head for head in heads if head is not None), key=lambda head: head.rank)
--- /dev/null
+++ b/lavenderstall/machines.py
@@ -0,0 +1,297 @@
+"""What a decider knows about the workers of a slice, indexed by their free room."""
+
+from collections.abc import Iterable, Iterator
+
+import msgspec
+
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import (
+    Incarnation,
+    RackName,
+    ServiceName,
+    TaskId,
+    TeamName,
+    WorkerId,
+    ZoneName,
+)
+from lavenderstall.protocol import Kind
+from lavenderstall.requests import Scope, TaskRequest
+from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.rooms import Charge, Group, GroupKey, WorkerState
+
+
+class StateError(LavenderstallError):
+    """The state of a slice does not allow a change; nothing was changed."""
+
+
+class Rack:
+    """Workers that share a rack, and the services that run or are kept off there."""
+
+    def __init__(self, name: RackName, zone: ZoneName) -> None:
+        self.name = name
+        self.zone = zone
+        self.workers: dict[WorkerId, WorkerState] = {}
+        self.services: dict[ServiceName, int] = {}
+        self.repelled: dict[ServiceName, int] = {}
+
+
+class Reservation(msgspec.Struct):
+    """Keep workers for a request that does not fit yet, from `start` in seconds on."""
+
+    request: TaskRequest
+    workers: frozenset[WorkerId]
+    start: float
+    made: float
+
+
+def count_up(counts: dict[ServiceName, int], name: ServiceName, step: int) -> None:
+    """Change a count and drop it at zero."""
+    value = counts.get(name, 0) + step
+    if value > 0:
+        counts[name] = value
+    else:
+        counts.pop(name, None)
+
+
+class SliceState:
+    """Room, charges and reservations of the workers of one slice."""
+
+    def __init__(self, workers: Iterable[WorkerState] = ()) -> None:
+        self.workers: dict[WorkerId, WorkerState] = {}
+        self.groups: dict[GroupKey, Group] = {}
+        self.racks: dict[RackName, Rack] = {}
+        self.hosts: dict[ServiceName, dict[WorkerId, WorkerState]] = {}
+        self.capacity = NOTHING
+        self.used = NOTHING
+        self.team_used: dict[TeamName, Resources] = {}
+        self.kind_used: dict[Kind, Resources] = {}
+        self.lane_used: dict[tuple[Kind, TeamName], Resources] = {}
+        self.reservations: dict[Kind, Reservation] = {}
+        self.reserved: dict[WorkerId, Reservation] = {}
+        self.waiting_accelerators = 0
+        self.topology = 0
+        self.freed: dict[WorkerId, WorkerState] = {}
+        self.touched_teams: dict[TeamName, None] = {}
+        self._matches: dict[tuple[str, frozenset[str], frozenset[ZoneName]], list[Group]] = {}
+        for worker in workers:
+            self.add_worker(worker)
+
+    def add_worker(self, worker: WorkerState) -> None:
+        """Take a worker into the slice, with no task charged to it."""
+        if worker.id in self.workers:
+            raise StateError(f"worker {worker.id} is already known", step="add worker")
+        worker.room = worker.capacity
+        worker.tasks = {}
+        self.workers[worker.id] = worker
+        rack = self.racks.get(worker.rack)
+        if rack is None:
+            rack = self.racks[worker.rack] = Rack(worker.rack, worker.zone)
+        rack.workers[worker.id] = worker
+        self._enter_group(worker)
+
+    def remove_worker(self, worker_id: WorkerId) -> WorkerState:
+        """Drop a worker and all its charges; return it as it was."""
+        worker = self._get_worker(worker_id, "remove worker")
+        charges = list(worker.tasks.values())
+        for charge in charges:
+            self.release(worker_id, charge.task)
+        self._leave_group(worker)
+        rack = self.racks[worker.rack]
+        del rack.workers[worker_id]
+        if not rack.workers:
+            del self.racks[worker.rack]
+        del self.workers[worker_id]
+        self.freed.pop(worker_id, None)
+        self.reserved.pop(worker_id, None)
+        worker.tasks = {charge.task: charge for charge in charges}
+        return worker
+
+    def update_worker(
+        self,
+        worker_id: WorkerId,
+        *,
+        capacity: Resources | None = None,
+        leaving: bool | None = None,
+        quarantined: bool | None = None,
+        draining: bool | None = None,
+        incarnation: Incarnation | None = None,
+    ) -> None:
+        """Change what is known about a worker; its charges stay."""
+        worker = self._get_worker(worker_id, "update worker")
+        self._leave_group(worker)
+        worker.capacity = worker.capacity if capacity is None else capacity
+        worker.leaving = worker.leaving if leaving is None else leaving
+        worker.quarantined = worker.quarantined if quarantined is None else quarantined
+        worker.draining = worker.draining if draining is None else draining
+        worker.incarnation = worker.incarnation if incarnation is None else incarnation
+        worker.room = worker.capacity
+        for charge in worker.tasks.values():
+            worker.room = worker.room.subtract(charge.resources)
+        self._enter_group(worker)
+
+    def charge(
+        self, worker_id: WorkerId, task: TaskId, what: TaskRequest | Resources, now: float = 0.0
+    ) -> None:
+        """Count a task that is starting, running or stopping on a worker.
+
+        An adopted task may exceed the room; only plans are held to it.
+        """
+        worker = self._get_worker(worker_id, "charge")
+        if task in worker.tasks:
+            raise StateError(f"task {task} is already charged", step="charge", peer=worker_id)
+        charge = make_charge(task, what, now)
+        worker.tasks[task] = charge
+        self._use(worker, charge, charge.resources)
+        if charge.service:
+            self._count_service(worker, charge, 1)
+
+    def release(self, worker_id: WorkerId, task: TaskId) -> Resources:
+        """Give back what a task took; return it."""
+        worker = self._get_worker(worker_id, "release")
+        charge = worker.tasks.pop(task, None)
+        if charge is None:
+            raise StateError(f"task {task} is not charged", step="release", peer=worker_id)
+        self._use(worker, charge, NOTHING.subtract(charge.resources))
+        if charge.service:
+            self._count_service(worker, charge, -1)
+        self.freed[worker_id] = worker
+        return charge.resources
+
+    def recharge(self, worker_id: WorkerId, task: TaskId, resources: Resources) -> None:
+        """Replace what a task takes, after its use was measured."""
+        worker = self._get_worker(worker_id, "recharge")
+        charge = worker.tasks.get(task)
+        if charge is None:
+            raise StateError(f"task {task} is not charged", step="recharge", peer=worker_id)
+        difference = resources.subtract(charge.resources)
+        charge.resources = resources
+        self._use(worker, charge, difference)
+        self.freed[worker_id] = worker
+
+    def get_room(self, worker_id: WorkerId) -> Resources:
+        """Return what is free on a worker; negative where charges exceed its capacity."""
+        return self._get_worker(worker_id, "get room").room
+
+    def match_groups(self, request: TaskRequest) -> list[Group]:
+        """Return the groups that meet a request's pool, labels and zones."""
+        constraints = request.constraints
+        key = (request.pool, constraints.labels, constraints.zones)
+        found = self._matches.get(key)
+        if found is None:
+            found = self._matches[key] = [
+                group
+                for group in self.groups.values()
+                if (not request.pool or group.key.pool == request.pool)
+                and constraints.labels <= group.key.labels
+                and (not constraints.zones or group.key.zone in constraints.zones)
+            ]
+        return found
+
+    def reserve(self, kind: Kind, reservation: Reservation) -> None:
+        """Hold workers for a request in place of the earlier one of that kind."""
+        self.cancel_reservation(kind)
+        self.reservations[kind] = reservation
+        for worker in reservation.workers:
+            self.reserved.setdefault(worker, reservation)
+
+    def cancel_reservation(self, kind: Kind) -> None:
+        """Open the workers of a kind's reservation to all requests."""
+        old = self.reservations.pop(kind, None)
+        if old is None:
+            return
+        for worker in old.workers:
+            if self.reserved.get(worker) is old:
+                del self.reserved[worker]
+                if worker in self.workers:
+                    self.freed[worker] = self.workers[worker]
+
+    def take_freed(self) -> Iterator[WorkerState]:
+        """Yield each worker with more room than at the last call, once."""
+        while self.freed:
+            yield self.freed.popitem()[1]
+
+    def _get_worker(self, worker_id: WorkerId, step: str) -> WorkerState:
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            raise StateError("worker is not part of the slice", step=step, peer=worker_id)
+        return worker
+
+    def _enter_group(self, worker: WorkerState) -> None:
+        key = GroupKey(
+            worker.pool, worker.zone, worker.labels, accelerated=worker.capacity.accelerators > 0
+        )
+        group = self.groups.get(key)
+        if group is None:
+            group = self.groups[key] = Group(key)
+            self._matches.clear()
+        worker.group = group
+        group.capacities[worker.capacity] = group.capacities.get(worker.capacity, 0) + 1
+        self.topology += 1
+        if worker.in_service:
+            group.capacity = group.capacity.add(worker.capacity)
+            group.used = group.used.add(worker.capacity.subtract(worker.room))
+            self.capacity = self.capacity.add(worker.capacity)
+            group.index.add(worker)
+            self.freed[worker.id] = worker
+
+    def _leave_group(self, worker: WorkerState) -> None:
+        group = worker.group
+        count = group.capacities[worker.capacity] - 1
+        if count:
+            group.capacities[worker.capacity] = count
+        else:
+            del group.capacities[worker.capacity]
+        self.topology += 1
+        if worker.in_service:
+            group.capacity = group.capacity.subtract(worker.capacity)
+            group.used = group.used.subtract(worker.capacity.subtract(worker.room))
+            self.capacity = self.capacity.subtract(worker.capacity)
+            group.index.remove(worker)
+        if not group.capacities:
+            del self.groups[group.key]
+            self._matches.clear()
+
+    def _use(self, worker: WorkerState, charge: Charge, amount: Resources) -> None:
+        worker.room = worker.room.subtract(amount)
+        self.used = self.used.add(amount)
+        if worker.in_service:
+            worker.group.used = worker.group.used.add(amount)
+            worker.group.index.move(worker)
+        if charge.kind is not None:
+            team, kind = charge.team, charge.kind
+            self.team_used[team] = self.team_used.get(team, NOTHING).add(amount)
+            lane = (kind, team)
+            self.kind_used[kind] = self.kind_used.get(kind, NOTHING).add(amount)
+            self.lane_used[lane] = self.lane_used.get(lane, NOTHING).add(amount)
+            self.touched_teams[team] = None
+
+    def _count_service(self, worker: WorkerState, charge: Charge, step: int) -> None:
+        rack = self.racks[worker.rack]
+        name = charge.service
+        count_up(worker.services, name, step)
+        count_up(rack.services, name, step)
+        if name in worker.services:
+            self.hosts.setdefault(name, {})[worker.id] = worker
+        else:
+            self.hosts[name].pop(worker.id, None)
+            if not self.hosts[name]:
+                del self.hosts[name]
+        target = rack.repelled if charge.repels_rack else worker.repelled
+        for other in charge.repels:
+            count_up(target, other, step)
+
+
+def make_charge(task: TaskId, what: TaskRequest | Resources, now: float) -> Charge:
+    """Return the charge of one task of a request, or of bare resources."""
+    if isinstance(what, Resources):
+        return Charge(task, what)
+    return Charge(
+        task,
+        what.resources,
+        what.kind,
+        what.team,
+        what.service,
+        now + what.expected_ms / 1000 if what.expected_ms else float("inf"),
+        what.constraints.anti_affinity,
+        what.constraints.scope is Scope.RACK,
+    )
--- /dev/null
+++ b/lavenderstall/placement/base.py
@@ -0,0 +1,41 @@
+"""The contract of placement policies."""
+
+from lavenderstall.machines import SliceState
+from lavenderstall.protocol import Kind
+from lavenderstall.requests import Spread, TaskRequest
+from lavenderstall.resources import Resources
+from lavenderstall.rooms import WorkerState
+
+
+class Policy:
+    """Rank the workers that have room for a request; the lowest score is chosen."""
+
+    name = ""
+    """Name under which the policy is found."""
+    kind: Kind
+    """Kind of tasks that the policy places."""
+    roomiest = False
+    """Whether the search starts with the workers that have most room."""
+    spread = Spread.NONE
+    """Spread that applies if the request states none."""
+    candidates = 12
+    """Number of workers with room that are compared."""
+    rule = ""
+    """Sentence that explains the choice."""
+
+    def score(
+        self, state: SliceState, request: TaskRequest, worker: WorkerState, scarcest: str
+    ) -> tuple[float, ...]:
+        """Return numbers to compare in order."""
+        raise NotImplementedError
+
+    def describe(self, score: tuple[float, ...], chosen: tuple[float, ...]) -> str:
+        """Return why a worker with this score was not chosen."""
+        raise NotImplementedError
+
+
+def measure_imbalance(need: Resources, room: Resources, capacity: Resources) -> float:
+    """Return the difference of the parts of cores and memory left after a placement."""
+    cores = (room.cores_milli - need.cores_milli) / (capacity.cores_milli or 1)
+    memory = (room.memory_mb - need.memory_mb) / (capacity.memory_mb or 1)
+    return abs(cores - memory)
--- /dev/null
+++ b/lavenderstall/queues.py
@@ -0,0 +1,303 @@
+"""The order in which waiting requests are served."""
+
+from collections.abc import Mapping
+from itertools import count
+from math import inf
+
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import JobId, TaskId, TeamName
+from lavenderstall.lanes import (
+    KindLanes,
+    Lane,
+    LazyHeap,
+    Shape,
+    ShapeKey,
+    Team,
+    Waiting,
+    make_shape_key,
+    measure_dominant,
+)
+from lavenderstall.machines import SliceState
+from lavenderstall.protocol import Kind
+from lavenderstall.reasons import Reason
+from lavenderstall.requests import TaskRequest
+from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.rooms import WorkerState, count_fits, find_shortage
+
+AGING_S = 60.0
+"""Seconds of waiting that weigh as much as one step of priority."""
+SHARES = {Kind.SERVICE: 0.4, Kind.BATCH: 0.3, Kind.GANG: 0.3}
+"""Guaranteed part of the slice for each kind."""
+
+
+class DuplicateRequestError(LavenderstallError):
+    """A task of the request is already waiting; nothing was changed."""
+
+
+class FairQueue:
+    """Waiting requests: kinds by share, teams by weight and quota, then priority with age."""
+
+    def __init__(
+        self, shares: Mapping[Kind, float] | None = None, aging_s: float = AGING_S
+    ) -> None:
+        self.shares = dict(SHARES if shares is None else shares)
+        self.aging_s = aging_s
+        self.kinds = {kind: KindLanes(kind) for kind in Kind}
+        self.shapes: dict[ShapeKey, Shape] = {}
+        self.closed: dict[Shape, None] = {}
+        self.accelerators_waiting = 0
+        self._teams: dict[TeamName, Team] = {}
+        self._tasks: dict[TaskId, Waiting] = {}
+        self._jobs: dict[JobId, dict[Waiting, None]] = {}
+        self._numbers = count()
+        self._waiting = 0
+        self._accelerators_waited = False
+        self._changed: dict[TeamName, None] = {}
+
+    def __len__(self) -> int:
+        return self._waiting
+
+    def __contains__(self, task: object) -> bool:
+        return task in self._tasks
+
+    def set_team(self, name: TeamName, weight: float = 1.0, quota: Resources | None = None) -> None:
+        """Set a team's weight and the most it may hold at a time; none is unlimited."""
+        if weight <= 0:
+            raise ValueError(f"weight of team {name} must be positive, not {weight}")
+        self._teams[name] = Team(weight, quota)
+        self._changed[name] = None
+
+    def push(self, request: TaskRequest, now: float) -> None:
+        """Add a request."""
+        self.requeue(request, now)
+
+    def requeue(self, request: TaskRequest, since: float) -> Waiting:
+        """Add a request that has waited since an earlier time."""
+        for task in request.tasks:
+            if task in self._tasks:
+                raise DuplicateRequestError(f"task {task} is already waiting", step="push")
+        kind = self.kinds[request.kind]
+        lane = kind.lanes.get(request.team)
+        if lane is None:
+            lane = kind.lanes[request.team] = Lane(kind, request.team)
+        shape = self._find_shape(request, kind)
+        rank = since - request.priority * self.aging_s
+        waiting = Waiting(request, since, rank, next(self._numbers), shape, lane)
+        for task in request.tasks:
+            self._tasks[task] = waiting
+        self._jobs.setdefault(request.job, {})[waiting] = None
+        heap = lane.shapes.get(shape)
+        if heap is None:
+            heap = lane.shapes[shape] = shape.lanes[lane] = LazyHeap()
+        heap.push(rank, waiting)
+        kind.ages.push(since, waiting)
+        self._count(waiting, 1)
+        if lane.parked and shape.open:
+            self._changed[request.team] = None
+        return waiting
+
+    def cancel(self, name: TaskId | JobId) -> tuple[TaskRequest, ...]:
+        """Withdraw a waiting task, its whole gang, or all requests of a job; return them."""
+        waiting = self._tasks.get(TaskId(name))
+        if waiting is not None:
+            self._withdraw(waiting)
+            return (waiting.request,)
+        found = list(self._jobs.get(JobId(name), ()))
+        for waiting in found:
+            self._withdraw(waiting)
+        return tuple(waiting.request for waiting in found)
+
+    def find(self, task: TaskId) -> Waiting | None:
+        """Return the waiting request of a task."""
+        return self._tasks.get(task)
+
+    def pop_next(self, now: float, state: SliceState) -> Waiting | None:
+        """Remove and return the next request to decide on, or none."""
+        waiting = self.peek(now, state)
+        if waiting is not None:
+            self._withdraw(waiting)
+        return waiting
+
+    def peek(self, now: float, state: SliceState) -> Waiting | None:
+        """Return the next request to decide on, or none."""
+        self.follow(state)
+        kinds = [kind for kind in self.kinds.values() if kind.open_waiting]
+        if len(kinds) > 1:
+            kinds.sort(key=lambda kind: self._measure_kind(kind, state))
+        for kind in kinds:
+            waiting = self._find_first(kind, state)
+            if waiting is not None:
+                return waiting
+        return None
+
+    def close(self, shape: Shape, now: float, missing: int = 1) -> None:
+        """Leave a shape out until so many more of its tasks may fit."""
+        shape.missing = max(missing, 1)
+        shape.closed_since = min(shape.closed_since, now)
+        if shape.open:
+            shape.open = False
+            shape.kind.open_waiting -= shape.waiting
+            self.closed[shape] = None
+
+    def open(self, shape: Shape) -> None:
+        """Let requests of a shape be decided on again."""
+        if shape.open:
+            return
+        shape.open = True
+        shape.kind.open_waiting += shape.waiting
+        del self.closed[shape]
+        for lane in shape.lanes:
+            if lane.parked:
+                self._changed[lane.team] = None
+
+    def count_kinds(self) -> dict[Kind, int]:
+        """Return the number of waiting requests of each kind."""
+        return {kind: lanes.waiting for kind, lanes in self.kinds.items()}
+
+    def count_teams(self) -> dict[TeamName, int]:
+        """Return the number of waiting requests of each team that has any."""
+        counts: dict[TeamName, int] = {}
+        for lanes in self.kinds.values():
+            for team, lane in lanes.lanes.items():
+                counts[team] = counts.get(team, 0) + lane.waiting
+        return {team: number for team, number in counts.items() if number}
+
+    def measure_oldest(self, now: float, kind: Kind | None = None) -> float:
+        """Return how many seconds the oldest request of a kind, or of all, has waited."""
+        kinds = self.kinds.values() if kind is None else (self.kinds[kind],)
+        oldest = (lanes.ages.peek() for lanes in kinds)
+        return max((now - waiting.since for waiting in oldest if waiting is not None), default=0.0)
+
+    def find_passed_over(self, team: TeamName) -> Reason | None:
+        """Return why a team's requests are passed over, or none."""
+        lanes = (kind.lanes.get(team) for kind in self.kinds.values())
+        return next((lane.passed_over for lane in lanes if lane and lane.passed_over), None)
+
+    def _find_shape(self, request: TaskRequest, kind: KindLanes) -> Shape:
+        key = make_shape_key(request)
+        shape = self.shapes.get(key)
+        if shape is None:
+            shape = self.shapes[key] = Shape(key, kind, request.resources)
+        else:
+            shape.note_smaller(request.resources)
+        return shape
+
+    def _count(self, waiting: Waiting, step: int) -> None:
+        shape, lane = waiting.shape, waiting.lane
+        self._waiting += step
+        lane.waiting += step
+        lane.kind.waiting += step
+        shape.waiting += step
+        if shape.open:
+            lane.kind.open_waiting += step
+        if waiting.request.resources.accelerators:
+            self.accelerators_waiting += step
+
+    def _withdraw(self, waiting: Waiting) -> None:
+        request, shape, lane = waiting.request, waiting.shape, waiting.lane
+        waiting.alive = False
+        for task in request.tasks:
+            del self._tasks[task]
+        of_job = self._jobs[request.job]
+        del of_job[waiting]
+        if not of_job:
+            del self._jobs[request.job]
+        lane.shapes[shape].note_withdrawn()
+        lane.kind.ages.note_withdrawn()
+        self._count(waiting, -1)
+        if not shape.waiting:
+            self._drop_shape(shape)
+        if not lane.waiting:
+            lane.passed_over = None
+
+    def _drop_shape(self, shape: Shape) -> None:
+        """Forget a shape that nothing waits with."""
+        del self.shapes[shape.key]
+        self.closed.pop(shape, None)
+        for lane in shape.lanes:
+            del lane.shapes[shape]
+            if not lane.shapes:
+                del lane.kind.lanes[lane.team]
+                lane.parked = True
+
+    def follow(self, state: SliceState) -> None:
+        """Note changed use and room since the last call."""
+        state.waiting_accelerators = self.accelerators_waiting
+        if self._accelerators_waited and not self.accelerators_waiting:
+            for shape in list(self.closed):
+                if not shape.key.accelerators:
+                    self.open(shape)
+        self._accelerators_waited = self.accelerators_waiting > 0
+        for worker in state.take_freed():
+            self._open_for(worker)
+        for team in (*state.touched_teams, *self._changed):
+            for kind in self.kinds.values():
+                lane = kind.lanes.get(team)
+                if lane is not None:
+                    kind.enter(lane, self._measure_lane(lane, state), next(self._numbers))
+        state.touched_teams.clear()
+        self._changed.clear()
+
+    def _open_for(self, worker: WorkerState) -> None:
+        """Open the closed shapes that may now fit because of room on a worker."""
+        if not worker.in_service:
+            return
+        room = worker.room
+        for shape in [shape for shape in self.closed if shape.need.fits(room)]:
+            pool = shape.key.pool
+            if pool and pool != worker.pool:
+                continue
+            shape.missing -= count_fits(shape.need, room, shape.key.tasks)
+            if shape.missing <= 0:
+                self.open(shape)
+
+    def _measure_kind(self, kind: KindLanes, state: SliceState) -> float:
+        share = self.shares.get(kind.kind, 0.0)
+        used = measure_dominant(state.kind_used.get(kind.kind, NOTHING), state.capacity)
+        return used / share if share else inf
+
+    def _measure_lane(self, lane: Lane, state: SliceState) -> float:
+        team = self._teams.get(lane.team)
+        used = state.lane_used.get((lane.kind.kind, lane.team), NOTHING)
+        return measure_dominant(used, state.capacity) / (team.weight if team else 1.0)
+
+    def _find_first(self, kind: KindLanes, state: SliceState) -> Waiting | None:
+        """Return the first request of the first team that may start one; park the others."""
+        while (found := kind.take_first()) is not None:
+            key, lane = found
+            waiting = self._find_head(lane, state)
+            if waiting is not None:
+                kind.enter(lane, key, next(self._numbers))
+                return waiting
+            lane.parked = True
+        return None
+
+    def _find_head(self, lane: Lane, state: SliceState) -> Waiting | None:
+        """Return the request of lowest rank among the open shapes of a team under its quota."""
+        best: Waiting | None = None
+        lane.passed_over = None
+        for shape, heap in lane.shapes.items():
+            head = heap.peek() if shape.open else None
+            if head is None or (best is not None and best.rank <= head.rank):
+                continue
+            reason = self.check_quota(head.request, state)
+            if reason is None:
+                best = head
+            else:
+                lane.passed_over = reason
+        return best
+
+    def check_quota(self, request: TaskRequest, state: SliceState) -> Reason | None:
+        """Return why a request would exceed its team's quota, or none."""
+        team = self._teams.get(request.team)
+        if team is None or team.quota is None:
+            return None
+        need = NOTHING
+        for _ in request.tasks:
+            need = need.add(request.resources)
+        total = state.team_used.get(request.team, NOTHING).add(need)
+        if total.fits(team.quota):
+            return None
+        short = find_shortage(total, team.quota)
+        detail = ", ".join(total.find_shortages(team.quota))
+        return Reason("team is at its quota", f"{request.team} exceeds {detail}", shortage=short)
--- /dev/null
+++ b/lavenderstall/reasons.py
@@ -0,0 +1,100 @@
+"""Why decisions were made, kept in a bounded ring with lookup by subject."""
+
+from collections import deque
+
+import msgspec
+
+from lavenderstall.identifiers import JobId, RequestId, TaskId, WorkerId
+from lavenderstall.resources import NOTHING, Resources
+
+ALTERNATIVES = 5
+CAPACITY = 4096
+
+
+class Alternative(msgspec.Struct, frozen=True):
+    """A worker that was considered and not chosen, and why not."""
+
+    worker: WorkerId
+    why_not: str
+
+
+class Reason(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Explain a decision; `shortage` is what is missing, `numbers` are what was compared."""
+
+    rule: str
+    detail: str = ""
+    alternatives: tuple[Alternative, ...] = ()
+    shortage: Resources = NOTHING
+    numbers: dict[str, float] = {}
+
+
+class Record(msgspec.Struct, frozen=True):
+    """A reason with its time in seconds, its outcome and what it concerns."""
+
+    at: float
+    outcome: str
+    reason: Reason
+    tasks: tuple[TaskId, ...] = ()
+    job: JobId | None = None
+    workers: tuple[WorkerId, ...] = ()
+    request: RequestId | None = None
+
+    def list_subjects(self) -> frozenset[tuple[str, str]]:
+        """Return the kind and id of all that the record concerns."""
+        found = {("task", str(task)) for task in self.tasks}
+        found.update(("worker", str(worker)) for worker in self.workers)
+        if self.job:
+            found.add(("job", str(self.job)))
+        if self.request:
+            found.add(("request", str(self.request)))
+        return frozenset(found)
+
+
+class ReasonLog:
+    """Hold the latest records; each record is indexed by the subjects it concerns."""
+
+    def __init__(self, capacity: int = CAPACITY) -> None:
+        self._capacity = capacity
+        self._records: deque[Record] = deque()
+        self._subjects: dict[tuple[str, str], deque[Record]] = {}
+        self.dropped = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def add(self, record: Record) -> None:
+        """Keep a record and drop the oldest beyond the capacity."""
+        self._records.append(record)
+        for subject in record.list_subjects():
+            self._subjects.setdefault(subject, deque()).append(record)
+        if len(self._records) > self._capacity:
+            self._drop_oldest()
+
+    def find_task(self, task: TaskId) -> tuple[Record, ...]:
+        """Return the records about a task, oldest first."""
+        return self._find("task", task)
+
+    def find_job(self, job: JobId) -> tuple[Record, ...]:
+        """Return the records about a job, oldest first."""
+        return self._find("job", job)
+
+    def find_worker(self, worker: WorkerId) -> tuple[Record, ...]:
+        """Return the records about a worker, oldest first."""
+        return self._find("worker", worker)
+
+    def find_request(self, request: RequestId) -> tuple[Record, ...]:
+        """Return the records about a request, oldest first."""
+        return self._find("request", request)
+
+    def _find(self, kind: str, name: str) -> tuple[Record, ...]:
+        return tuple(self._subjects.get((kind, name), ()))
+
+    def _drop_oldest(self) -> None:
+        """Drop one record; it is the oldest of each of its subjects."""
+        record = self._records.popleft()
+        self.dropped += 1
+        for subject in record.list_subjects():
+            records = self._subjects[subject]
+            records.popleft()
+            if not records:
+                del self._subjects[subject]
--- /dev/null
+++ b/lavenderstall/requests.py
@@ -0,0 +1,67 @@
+"""What a decider is asked to place."""
+
+from enum import Enum
+
+import msgspec
+
+from lavenderstall.identifiers import (
+    JobId,
+    RackName,
+    RequestId,
+    ServiceName,
+    TaskId,
+    TeamName,
+    ZoneName,
+)
+from lavenderstall.protocol import Kind
+from lavenderstall.resources import Resources
+
+
+class Scope(Enum):
+    """How far affinity and anti-affinity reach."""
+
+    WORKER = "worker"
+    RACK = "rack"
+
+
+class Spread(Enum):
+    """Over what the tasks of a service are spread if possible."""
+
+    NONE = "none"
+    RACK = "rack"
+    ZONE = "zone"
+
+
+class Constraints(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Where a request may run; an empty set allows all."""
+
+    labels: frozenset[str] = frozenset()
+    zones: frozenset[ZoneName] = frozenset()
+    racks: frozenset[RackName] = frozenset()
+    affinity: frozenset[ServiceName] = frozenset()
+    anti_affinity: frozenset[ServiceName] = frozenset()
+    scope: Scope = Scope.WORKER
+
+
+ANYWHERE = Constraints()
+
+
+class TaskRequest(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Ask for one task, or for all tasks of a gang; `resources` are those of each task.
+
+    `expected_ms` is the declared run time, 0 if unknown. Higher `priority` is more urgent.
+    """
+
+    tasks: tuple[TaskId, ...]
+    job: JobId
+    team: TeamName
+    kind: Kind
+    resources: Resources
+    service: ServiceName = ServiceName("")
+    pool: str = ""
+    priority: int = 0
+    idempotent: bool = True
+    expected_ms: int = 0
+    constraints: Constraints = ANYWHERE
+    spread: Spread | None = None
+    request: RequestId = RequestId("")
--- /dev/null
+++ b/lavenderstall/reservations.py
@@ -0,0 +1,75 @@
+"""Chooses the workers that are kept for a request that does not fit yet."""
+
+from math import inf
+
+from lavenderstall.decisions import admits
+from lavenderstall.machines import Reservation, SliceState
+from lavenderstall.protocol import Kind
+from lavenderstall.requests import TaskRequest
+from lavenderstall.resources import NOTHING
+from lavenderstall.rooms import Charge, WorkerState, count_fits
+
+CANDIDATES = 256
+"""Workers that are looked at; each costs a pass over its tasks."""
+DEFAULT_RUN_S = 60.0
+"""Assumed remaining run time of work that declares none."""
+OVERDUE_S = 1.0
+"""Assumed remaining run time of work past its expected end."""
+
+
+def plan_reservation(state: SliceState, request: TaskRequest, now: float) -> Reservation | None:
+    """Return the workers on which a request can start earliest, or none if it never can."""
+    gains: list[tuple[float, int, WorkerState]] = []
+    wanted = len(request.tasks)
+    for worker in list_candidates(state, request, max(CANDIDATES, wanted)):
+        if worker.id not in state.reserved and admits(state, request, worker, now):
+            gains.extend((at, gain, worker) for at, gain in list_gains(worker, request, now))
+    gains.sort(key=lambda gain: gain[0])
+    workers: dict[WorkerState, None] = {}
+    for at, gain, worker in gains:
+        workers[worker] = None
+        wanted -= gain
+        if wanted <= 0:
+            chosen = frozenset(worker.id for worker in workers)
+            return Reservation(request, chosen, max(at, now), now)
+    return None
+
+
+def list_candidates(state: SliceState, request: TaskRequest, limit: int) -> list[WorkerState]:
+    """Return the roomiest workers whose capacity takes a task of the request."""
+    found: list[WorkerState] = []
+    for group in state.match_groups(request):
+        if request.resources.accelerators or not group.key.accelerated:
+            name = group.find_scarcest(request.resources)
+            found.extend(group.index.find_fits(NOTHING, name, limit, roomiest=True))
+    return [worker for worker in found if request.resources.fits(worker.capacity)][:limit]
+
+
+def list_gains(worker: WorkerState, request: TaskRequest, now: float) -> list[tuple[float, int]]:
+    """Return when how many more tasks of the request fit on a worker as its tasks end."""
+    need, wanted = request.resources, len(request.tasks)
+    room = worker.room
+    held = count_fits(need, room, wanted)
+    gains = [(now, held)] if held else []
+    ends = sorted(
+        ((estimate_end(charge, now), charge) for charge in worker.tasks.values()),
+        key=lambda pair: pair[0],
+    )
+    for at, charge in ends:
+        if at == inf or held >= wanted:
+            break
+        room = room.add(charge.resources)
+        count = count_fits(need, room, wanted)
+        if count > held:
+            gains.append((at, count - held))
+            held = count
+    return gains
+
+
+def estimate_end(charge: Charge, now: float) -> float:
+    """Return when a task is expected to end, in seconds; services do not end."""
+    if charge.kind is Kind.SERVICE:
+        return inf
+    if charge.ends == inf:
+        return now + DEFAULT_RUN_S
+    return max(charge.ends, now + OVERDUE_S)
--- /dev/null
+++ b/lavenderstall/rooms.py
@@ -0,0 +1,254 @@
+"""An index of workers by their free room."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from lavenderstall.identifiers import (
+    Incarnation,
+    RackName,
+    ServiceName,
+    TaskId,
+    TeamName,
+    WorkerId,
+    ZoneName,
+)
+from lavenderstall.protocol import Kind
+from lavenderstall.resources import NOTHING, Resources
+
+DIMENSIONS = ("cores_milli", "memory_mb", "accelerators")
+BUCKETS = 192
+
+
+class Charge(msgspec.Struct):
+    """What one task takes from one worker; `ends` is its expected end in seconds."""
+
+    task: TaskId
+    resources: Resources
+    kind: Kind | None = None
+    team: TeamName = TeamName("")
+    service: ServiceName = ServiceName("")
+    ends: float = float("inf")
+    repels: frozenset[ServiceName] = frozenset()
+    repels_rack: bool = False
+
+
+class GroupKey(msgspec.Struct, frozen=True):
+    """Workers of one group are interchangeable except for their room and rack."""
+
+    pool: str
+    zone: ZoneName
+    labels: frozenset[str]
+    accelerated: bool
+
+
+class WorkerState(msgspec.Struct, eq=False):
+    """Describe a worker; the fields from `room` on are kept by `SliceState`."""
+
+    id: WorkerId
+    zone: ZoneName
+    rack: RackName
+    pool: str
+    labels: frozenset[str]
+    capacity: Resources
+    incarnation: Incarnation
+    leaving: bool = False
+    quarantined: bool = False
+    draining: bool = False
+    room: Resources = NOTHING
+    tasks: dict[TaskId, Charge] = {}
+    services: dict[ServiceName, int] = {}
+    repelled: dict[ServiceName, int] = {}
+    group: Group = None  # type: ignore[assignment]
+    buckets: list[int] = []
+    positions: list[int] = []
+
+    @property
+    def in_service(self) -> bool:
+        """Tell whether new work may go to the worker."""
+        return not (self.leaving or self.quarantined or self.draining)
+
+
+def quantise(amount: int) -> int:
+    """Return a bucket that grows with the amount, four to each power of two."""
+    if amount < 8:
+        return max(amount, 0)
+    shift = amount.bit_length() - 3
+    return shift * 4 + (amount >> shift)
+
+
+class Bucket:
+    """Workers of similar room in one dimension, and a bound on their room in all."""
+
+    __slots__ = ("bound", "cursor", "workers")
+
+    def __init__(self) -> None:
+        self.workers: list[WorkerState] = []
+        self.bound = NOTHING
+        self.cursor = 0
+
+    def raise_bound(self, room: Resources) -> None:
+        """Make the bound at least the room."""
+        if not room.fits(self.bound):
+            self.bound = find_larger(self.bound, room)
+
+    def tighten_bound(self) -> None:
+        """Set the bound to the largest room of each component."""
+        bound = NOTHING
+        for worker in self.workers:
+            if not worker.room.fits(bound):
+                bound = find_larger(bound, worker.room)
+        self.bound = bound
+
+
+def find_larger(first: Resources, second: Resources) -> Resources:
+    """Return the larger amount of each component."""
+    return Resources(
+        max(first.cores_milli, second.cores_milli),
+        max(first.memory_mb, second.memory_mb),
+        max(first.accelerators, second.accelerators),
+        max(first.slots, second.slots),
+        max(first.connections, second.connections),
+    )
+
+
+def find_shortage(need: Resources, room: Resources) -> Resources:
+    """Return what is missing of each component."""
+    missing = {name: getattr(need, name) - getattr(room, name) for name in need.__struct_fields__}
+    return Resources(**{name: amount for name, amount in missing.items() if amount > 0})
+
+
+def count_fits(need: Resources, room: Resources, limit: int) -> int:
+    """Return how many times a need fits into a room, at most `limit`."""
+    count = limit
+    for name in need.__struct_fields__:
+        amount = getattr(need, name)
+        if amount:
+            count = min(count, getattr(room, name) // amount)
+    return max(count, 0)
+
+
+class RoomIndex:
+    """Workers by room in each dimension, so that a search skips those that are too full."""
+
+    def __init__(self) -> None:
+        self._tables = [[Bucket() for _ in range(BUCKETS)] for _ in DIMENSIONS]
+        self._top = 0
+        self.count = 0
+
+    def add(self, worker: WorkerState) -> None:
+        """Take a worker in."""
+        worker.buckets = [-1] * len(DIMENSIONS)
+        worker.positions = [0] * len(DIMENSIONS)
+        self.count += 1
+        self._top = max(self._top, *(quantise(getattr(worker.capacity, n)) for n in DIMENSIONS))
+        self.move(worker)
+
+    def remove(self, worker: WorkerState) -> None:
+        """Take a worker out."""
+        self.count -= 1
+        for number, table in enumerate(self._tables):
+            self._drop(table, number, worker)
+
+    def move(self, worker: WorkerState) -> None:
+        """Note a change of a worker's room."""
+        room = worker.room
+        amounts = (room.cores_milli, room.memory_mb, room.accelerators)
+        for number, amount in enumerate(amounts):
+            table = self._tables[number]
+            wanted = quantise(amount)
+            if wanted != worker.buckets[number]:
+                if worker.buckets[number] >= 0:
+                    self._drop(table, number, worker)
+                workers = table[wanted].workers
+                worker.buckets[number] = wanted
+                worker.positions[number] = len(workers)
+                workers.append(worker)
+            table[wanted].raise_bound(room)
+
+    def find_fits(
+        self,
+        need: Resources,
+        dimension: str,
+        limit: int,
+        admit: Callable[[WorkerState], Any] | None = None,
+        *,
+        roomiest: bool = False,
+    ) -> list[WorkerState]:
+        """Return up to `limit` workers with room, those with least room first or last.
+
+        The result is empty only if no admitted worker has room.
+        """
+        table = self._tables[DIMENSIONS.index(dimension)]
+        order = range(quantise(getattr(need, dimension)), self._top + 1)
+        found: list[WorkerState] = []
+        for number in reversed(order) if roomiest else order:
+            bucket = table[number]
+            if bucket.workers and need.fits(bucket.bound):
+                self._search(bucket, need, limit - len(found), admit, found)
+                if len(found) >= limit:
+                    break
+        return found
+
+    def _search(
+        self,
+        bucket: Bucket,
+        need: Resources,
+        limit: int,
+        admit: Callable[[WorkerState], Any] | None,
+        found: list[WorkerState],
+    ) -> None:
+        """Search one bucket, starting where the last search found room."""
+        workers = bucket.workers
+        start = bucket.cursor if bucket.cursor < len(workers) else 0
+        fits = 0
+        for offset in range(start - len(workers), start):
+            worker = workers[offset]
+            if not need.fits(worker.room):
+                continue
+            fits += 1
+            if admit is None or admit(worker):
+                if limit and fits == 1:
+                    bucket.cursor = offset % len(workers)
+                found.append(worker)
+                limit -= 1
+                if limit <= 0:
+                    return
+        if not fits:
+            bucket.tighten_bound()
+
+    def _drop(self, table: list[Bucket], number: int, worker: WorkerState) -> None:
+        """Move the last worker of the bucket to the place of the dropped one."""
+        bucket = table[worker.buckets[number]]
+        last = bucket.workers.pop()
+        if last is not worker:
+            position = worker.positions[number]
+            bucket.workers[position] = last
+            last.positions[number] = position
+        if not bucket.workers:
+            bucket.bound = NOTHING
+
+
+class Group:
+    """Workers of one key: an index of those in service, and the capacities of all."""
+
+    def __init__(self, key: GroupKey) -> None:
+        self.key = key
+        self.index = RoomIndex()
+        self.capacities: dict[Resources, int] = {}
+        self.capacity = NOTHING
+        self.used = NOTHING
+
+    def find_scarcest(self, need: Resources) -> str:
+        """Return the needed dimension of which the largest part is in use."""
+        best, worst = DIMENSIONS[0], -1.0
+        for name in DIMENSIONS:
+            total = getattr(self.capacity, name)
+            if total and getattr(need, name):
+                part = getattr(self.used, name) / total
+                if part > worst:
+                    best, worst = name, part
+        return best
