Add access by salted token hashes

Cause: requests of operators and callers need a right or a team. Change: scrypt hashes, constant-time comparison, a bounded cache under a keyed digest, and typed errors with an HTTP status. Conclusion: a token starts with the name of its holder, so that a check hashes against one holder's tokens and not against all.

--- /dev/null
+++ b/lavenderstall/access.py
@@ -0,0 +1,139 @@
+"""Checks tokens of operators and teams against salted hashes."""
+
+import hashlib
+import hmac
+import secrets
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import TeamName
+from lavenderstall.schemas import Declaration, Operator, Right, Team
+
+# Tokens carry 256 random bits and cannot be guessed from a fast hash; 1 MB and a few
+# milliseconds keep one check from delaying the other work of an entry instance.
+SCRYPT_COST = 1 << 10
+SCRYPT_BLOCK = 8
+SALT_BYTES = 16
+HASH_BYTES = 32
+SECRET_BYTES = 32
+MAX_TOKEN_LENGTH = 256
+CACHE_SIZE = 2_000
+
+
+class AccessError(LavenderstallError):
+    """A token is missing, unknown or lacks a right; `status` is the HTTP status."""
+
+    def __init__(self, detail: str, *, status: int) -> None:
+        super().__init__(detail, step="access")
+        self.status = status
+
+
+class Caller(msgspec.Struct, frozen=True):
+    """Identify who sent a request: an operator with a right, or a team."""
+
+    name: str
+    right: Right | None = None
+    team: TeamName = TeamName("")
+
+
+def hash_token(token: str, salt: bytes) -> str:
+    """Return the text under which a token is declared."""
+    digest = hashlib.scrypt(
+        token.encode(), salt=salt, n=SCRYPT_COST, r=SCRYPT_BLOCK, p=1, dklen=HASH_BYTES
+    )
+    return f"scrypt${salt.hex()}${digest.hex()}"
+
+
+def make_token(name: str, random: Callable[[int], bytes] = secrets.token_bytes) -> tuple[str, str]:
+    """Return a new token for an operator or team, and its hash for the declaration."""
+    token = f"{name}.{random(SECRET_BYTES).hex()}"
+    return token, hash_token(token, random(SALT_BYTES))
+
+
+def matches_hash(token: str, declared: str) -> bool:
+    """Tell in constant time whether a token has a declared hash."""
+    _, salt, _ = declared.split("$")
+    return hmac.compare_digest(hash_token(token, bytes.fromhex(salt)), declared)
+
+
+def read_bearer(header: str | None) -> str:
+    """Return the token of an `Authorization` header."""
+    scheme, _, token = (header or "").strip().partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        raise AccessError("a bearer token is required", status=401)
+    return token.strip()
+
+
+class Access:
+    """Find callers by token.
+
+    A token starts with the name of its operator or team and a dot, so that one name's hashes
+    are checked instead of all. Results are cached under a keyed digest, never the token.
+    """
+
+    def __init__(self, random: Callable[[int], bytes] = secrets.token_bytes) -> None:
+        self._key = random(HASH_BYTES)
+        self._cache: OrderedDict[bytes, bool] = OrderedDict()
+        self._hashes: dict[str, list[tuple[str, Caller]]] = {}
+
+    def __repr__(self) -> str:
+        return f"Access(names={len(self._hashes)}, cached={len(self._cache)})"
+
+    def replace(self, declared: Iterable[Declaration]) -> None:
+        """Use the operators and teams of a newer configuration."""
+        hashes: dict[str, list[tuple[str, Caller]]] = {}
+        for value in declared:
+            if isinstance(value, Operator):
+                caller = Caller(value.name, value.right)
+                hashes.setdefault(value.name, []).append((value.token, caller))
+            if isinstance(value, Team):
+                caller = Caller(value.name, None, TeamName(value.name))
+                hashes.setdefault(value.name, []).extend((each, caller) for each in value.tokens)
+        self._hashes = hashes
+
+    def _matches(self, token: str, declared: str) -> bool:
+        key = hmac.digest(self._key, f"{declared}\n{token}".encode(), "sha256")
+        known = self._cache.get(key)
+        if known is None:
+            known = matches_hash(token, declared)
+            self._cache[key] = known
+            if len(self._cache) > CACHE_SIZE:
+                self._cache.popitem(last=False)
+        else:
+            self._cache.move_to_end(key)
+        return known
+
+    def find_caller(self, token: str) -> Caller | None:
+        """Return who holds a token, or none."""
+        if len(token) > MAX_TOKEN_LENGTH or not token.isascii():
+            return None
+        name = token.rpartition(".")[0]
+        for declared, caller in self._hashes.get(name, []):
+            if self._matches(token, declared):
+                return caller
+        return None
+
+    def get_caller(self, header: str | None) -> Caller:
+        """Return who sent an `Authorization` header, or raise `AccessError`."""
+        caller = self.find_caller(read_bearer(header))
+        if caller is None:
+            raise AccessError("the token is not known", status=401)
+        return caller
+
+    def get_operator(self, header: str | None, right: Right) -> Caller:
+        """Return the operator who sent a header and has a right, or raise `AccessError`."""
+        caller = self.get_caller(header)
+        if caller.right is not Right.CHANGE and caller.right is not right:
+            detail = f"{caller.name!r} lacks the right {right.value!r}"
+            raise AccessError(detail, status=403)
+        return caller
+
+    def get_team(self, header: str | None) -> TeamName:
+        """Return the team whose token sent a header, or raise `AccessError`."""
+        caller = self.get_caller(header)
+        if not caller.team:
+            raise AccessError(f"{caller.name!r} is not the token of a team", status=403)
+        return caller.team
--- /dev/null
+++ b/tests/test_access.py
@@ -0,0 +1,79 @@
+"""Tests of access."""
+
+import logging
+import unittest
+from unittest import mock
+
+from lavenderstall import access
+from lavenderstall.access import Access, AccessError, hash_token, make_token
+from lavenderstall.schemas import Operator, Right, Team
+
+SALT = bytes(16)
+DECLARED = (
+    Operator("ana", hash_token("ana.a", SALT), Right.CHANGE),
+    Operator("ben", hash_token("ben.b", SALT)),
+    Team("ana", tokens=(hash_token("ana.t", SALT), hash_token("ana.u", SALT))),
+)
+# Header, status when an operator must read, when one must change, when a team must call.
+TABLE = (
+    ("Bearer ana.a", None, None, 403),
+    ("bearer ben.b", None, 403, 403),
+    ("Bearer ana.t", 403, 403, None),
+    ("Bearer ana.u", 403, 403, None),
+    ("Bearer ben.a", 401, 401, 401),
+    ("Bearer ana.\u00e9", 401, 401, 401),
+    ("Bearer " + "x" * 500, 401, 401, 401),
+    ("Bearer", 401, 401, 401),
+    ("Basic ana.a", 401, 401, 401),
+    (None, 401, 401, 401),
+)
+
+
+class AccessTest(unittest.TestCase):
+    """Guards against callers who are given rights that they were not declared with."""
+
+    def setUp(self) -> None:
+        self.access = Access(bytes)
+        self.access.replace(DECLARED)
+
+    def test_rights(self) -> None:
+        for header, *expected in TABLE:
+            checks = (
+                lambda header=header: self.access.get_operator(header, Right.READ),
+                lambda header=header: self.access.get_operator(header, Right.CHANGE),
+                lambda header=header: self.access.get_team(header),
+            )
+            for check, status in zip(checks, expected, strict=True):
+                with self.subTest(header=header, status=status):
+                    try:
+                        check()
+                        found = None
+                    except AccessError as error:
+                        found = error.status
+                        self.assertNotIn("ana.a", str(error))
+                    self.assertEqual(found, status)
+
+    def test_second_check_is_cached_until_the_hash_is_replaced(self) -> None:
+        with mock.patch.object(access, "matches_hash", wraps=access.matches_hash) as hashed:
+            for _ in range(5):
+                self.assertIsNotNone(self.access.find_caller("ben.b"))
+            self.assertEqual(hashed.call_count, 1)
+        self.access.replace([])
+        self.assertIsNone(self.access.find_caller("ben.b"))
+
+    def test_cache_is_bounded(self) -> None:
+        with mock.patch.object(access, "matches_hash", return_value=False):
+            for number in range(access.CACHE_SIZE + 10):
+                self.access.find_caller(f"ben.{number}")
+        self.assertIn(f"cached={access.CACHE_SIZE}", repr(self.access))
+
+    def test_made_token_is_accepted_and_not_shown(self) -> None:
+        token, declared = make_token("cem")
+        operator = Operator("cem", declared)
+        self.access.replace([operator])
+        with self.assertNoLogs(level=logging.DEBUG):
+            caller = self.access.find_caller(token)
+        self.assertEqual(caller and caller.name, "cem")
+        shown = repr((self.access, operator, caller, self.access.__dict__))
+        self.assertNotIn(token, shown.replace(declared, ""))
+        self.assertNotIn(declared, repr((self.access, operator, caller)))
