Add configuration with versions, changes and undo

Cause: operators race each other, acknowledgements get lost, and each change must be visible and reversible. Change: a change is one transaction conditional on the head; a lost acknowledgement is resolved by reading back the nonce of the change's row; undo, approval and rejection are changes of their own; the view applies only higher versions; runtime commands are items of the same history. Conclusion: a conflict alone does not decide, because it may be with an earlier copy of the same transaction; the holder of the number decides.

--- /dev/null
+++ b/lavenderstall/configuration.py
@@ -0,0 +1,420 @@
+"""Versions of the configuration: reading, changing and undoing."""
+
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from typing import Any, Protocol
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from lavenderstall.changes import (
+    Change,
+    ChangeRefusedError,
+    ChangeState,
+    Difference,
+    ItemChange,
+    ItemKey,
+    ItemRow,
+    OvertakenError,
+    compare,
+    equals,
+    find_item_key,
+    make_change_key,
+    make_item_key,
+)
+from lavenderstall.errors import (
+    ConflictError,
+    LavenderstallError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from lavenderstall.identifiers import ChangeNumber, Version
+from lavenderstall.protocol import Condition, Put, Rows, Transaction
+from lavenderstall.records import (
+    KEY_CONFIG_HEAD,
+    PREFIX_CHANGE,
+    PREFIX_CONFIG,
+    HeadRow,
+    decode_row,
+    encode_row,
+)
+from lavenderstall.schemas import Item
+from lavenderstall.storage import TableStore
+
+# A change without a version that its author saw is tried again when another overtakes it.
+MAX_ATTEMPTS = 5
+# A write of unknown outcome may still be on its way, so that reading back needs several tries.
+READ_BACK_DELAYS_S = (0.0, 0.2, 0.5, 1.0, 2.0)
+
+
+class Clock(Protocol):
+    """Tell the time in seconds and call functions later, as Twisted's `IReactorTime` does."""
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+
+    def callLater(self, delay: float, callable: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
+        """Call a function after a delay in seconds."""
+
+
+class ConfigurationError(LavenderstallError):
+    """The stored configuration cannot be read."""
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Hold all items as of one version; `head` is the version of the head's row."""
+
+    version: Version
+    head: int
+    items: dict[ItemKey, Item]
+
+
+EMPTY = Snapshot(Version(0), 0, {})
+
+
+class Applied(msgspec.Struct, frozen=True):
+    """Describe what an operator's request did or, as a preview, would do."""
+
+    version: Version
+    change: Change | None = None
+    differences: tuple[Difference, ...] = ()
+    committed: bool = False
+
+
+def read_snapshot(rows: Rows) -> Snapshot:
+    """Return the configuration that the rows below `config/` hold."""
+    version, head, items = Version(0), 0, {}
+    try:
+        for row in rows.rows:
+            key = find_item_key(row.key)
+            if key is not None:
+                items[key] = decode_row(row, ItemRow).value
+            elif row.key == KEY_CONFIG_HEAD:
+                version, head = decode_row(row, HeadRow).version, row.version
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(f"row {row.key!r}: {error}", step="configuration") from None
+    return Snapshot(version, head, items)
+
+
+class ConfigurationView:
+    """Hold the newest configuration that was read.
+
+    A snapshot below the version in effect is ignored, so that a slow or stale reader never
+    reverts it. `age_ms` counts from the start of the read that last confirmed the version.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._snapshot = EMPTY
+        self._confirmed: float | None = None
+        self._listeners: list[Callable[[ConfigurationView], None]] = []
+
+    @property
+    def version(self) -> Version:
+        """Return the version in effect."""
+        return self._snapshot.version
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the items in effect."""
+        return self._snapshot
+
+    @property
+    def age_ms(self) -> int | None:
+        """Return how long ago the version was confirmed, or none if it never was."""
+        if self._confirmed is None:
+            return None
+        return round((self._clock.seconds() - self._confirmed) * 1000)
+
+    def get(self, kind: str, name: str) -> Any:
+        """Return an item, or none."""
+        return self._snapshot.items.get(ItemKey(kind, name))
+
+    def list_kind(self, kind: str) -> list[Any]:
+        """Return all items of a kind in order of name."""
+        return [item for key, item in sorted(self._snapshot.items.items()) if key.kind == kind]
+
+    def listen(self, listener: Callable[["ConfigurationView"], None]) -> None:
+        """Call a listener after each version that takes effect."""
+        self._listeners.append(listener)
+
+    def accept(self, snapshot: Snapshot, read_at: float | None = None) -> bool:
+        """Apply a snapshot of a higher version and tell whether it took effect.
+
+        `read_at` is the time at which its read from the table started; none stands for a
+        snapshot from a peer, which does not confirm the version.
+        """
+        if snapshot.version < self.version:
+            return False
+        if read_at is not None:
+            self.confirm(snapshot.version, read_at)
+        if snapshot.version == self.version and self._snapshot is not EMPTY:
+            return False
+        self._snapshot = snapshot
+        for listener in self._listeners:
+            listener(self)
+        return True
+
+    def confirm(self, version: Version, read_at: float) -> None:
+        """Note that the table had a version at a time, unless the answer is stale."""
+        if version >= self.version:
+            self._confirmed = max(read_at, self._confirmed or read_at)
+
+
+class ConfigurationReader:
+    """Refresh a view from the table."""
+
+    def __init__(self, store: TableStore, view: ConfigurationView, clock: Clock) -> None:
+        self._store = store
+        self._view = view
+        self._clock = clock
+
+    async def refresh(self) -> Snapshot:
+        """Read the head, and all items if it is newer than the view; return the view's items."""
+        read_at = self._clock.seconds()
+        row = await self._store.read(KEY_CONFIG_HEAD)
+        version = decode_row(row, HeadRow).version if row else Version(0)
+        if version == self._view.version:
+            self._view.confirm(version, read_at)
+        elif version > self._view.version:
+            self._view.accept(read_snapshot(await self._store.scan(PREFIX_CONFIG)), read_at)
+        return self._view.snapshot
+
+
+class Draft(msgspec.Struct, frozen=True):
+    """Hold what is wanted of a change before it has a number."""
+
+    author: str
+    reason: str
+    wanted: Mapping[ItemKey, Item | None] = {}
+    state: ChangeState = ChangeState.DONE
+    automatic: bool = False
+    undoes: ChangeNumber = ChangeNumber(0)
+    decides: Change | None = None
+
+
+class Configuration:
+    """Change the configuration, one transaction a change.
+
+    `unix_ms` is the wall clock for the history; `make_nonce` returns a new random text.
+    """
+
+    def __init__(
+        self,
+        store: TableStore,
+        view: ConfigurationView,
+        clock: Clock,
+        unix_ms: Callable[[], int],
+        make_nonce: Callable[[], str],
+    ) -> None:
+        self._store = store
+        self._reader = ConfigurationReader(store, view, clock)
+        self._clock = clock
+        self._unix_ms = unix_ms
+        self._make_nonce = make_nonce
+
+    async def list_changes(self) -> list[Change]:
+        """Return the stored changes in order of number."""
+        rows = await self._store.scan(PREFIX_CHANGE)
+        return [decode_row(row, Change) for row in rows.rows]
+
+    async def get_change(self, number: int) -> Change:
+        """Return a change, or raise `ChangeRefusedError`."""
+        row = await self._store.read(make_change_key(number)) if number > 0 else None
+        if row is None:
+            raise ChangeRefusedError(f"change {number} does not exist", number=number)
+        return decode_row(row, Change)
+
+    async def apply(
+        self, draft: Draft, *, seen: Version | None = None, preview: bool = False
+    ) -> Applied:
+        """Make a change, or none if nothing differs.
+
+        Without `seen` the change is based on the newest version, and it is tried again when
+        it is overtaken by a change that left its items alone. Raises `OvertakenError`, or a
+        store error; after `StoreOutcomeUnknownError` the change may have been made.
+        """
+        first = base = await self._reader.refresh()
+        for _ in range(MAX_ATTEMPTS):
+            differences = compare(base.items, draft.wanted)
+            if not differences and not draft.decides:
+                return Applied(base.version)
+            if seen not in (None, base.version):
+                raise await self._describe_overtaking(Version(seen or 0), base.version)
+            if draft.state is ChangeState.PROPOSED and await self._is_proposed(draft):
+                return Applied(base.version)
+            change = self._make_change(draft, base)
+            if preview:
+                return Applied(base.version, change, differences)
+            if await self._commit(self._make_transaction(change, draft, base), change):
+                await self._refresh_after_commit()
+                return Applied(Version(change.number), change, differences, committed=True)
+            base = await self._reader.refresh()
+            touched = any(
+                not equals(first.items.get(key), base.items.get(key)) for key in draft.wanted
+            )
+            if seen is not None or touched or draft.decides:
+                raise await self._describe_overtaking(first.version, base.version)
+        raise await self._describe_overtaking(first.version, base.version)
+
+    async def undo(
+        self, number: int, *, author: str, reason: str, seen: Version | None, preview: bool = False
+    ) -> Applied:
+        """Restore the items of a change as they were before it."""
+        base = await self._reader.refresh()
+        change = await self.get_change(number)
+        await self._check_undo(change)
+        wanted = {each.key: each.before for each in change.items}
+        draft = Draft(author, reason, wanted, undoes=change.number)
+        # The check holds for this version only.
+        return await self.apply(draft, seen=base.version if seen is None else seen, preview=preview)
+
+    async def approve(self, number: int, *, author: str, reason: str) -> Applied:
+        """Carry out a proposed change."""
+        base = await self._reader.refresh()
+        change = await self._get_proposal(number)
+        for each in change.items:
+            if not equals(base.items.get(each.key), each.before):
+                detail = f"change {number} is out of date: {each.key} has changed since"
+                raise ChangeRefusedError(detail, number=number)
+        wanted = {each.key: each.after for each in change.items}
+        draft = Draft(author, reason, wanted, decides=change)
+        return await self.apply(draft, seen=base.version)
+
+    async def reject(self, number: int, *, author: str, reason: str) -> Applied:
+        """Close a proposed change without carrying it out."""
+        base = await self._reader.refresh()
+        change = await self._get_proposal(number)
+        draft = Draft(author, reason, state=ChangeState.REJECTED, decides=change)
+        return await self.apply(draft, seen=base.version)
+
+    async def _get_proposal(self, number: int) -> Change:
+        change = await self.get_change(number)
+        if change.state is not ChangeState.PROPOSED:
+            state, by = change.state.value, change.decided_by
+            detail = f"change {number} is {state}{f' by change {by}' if by else ''}, not proposed"
+            raise ChangeRefusedError(detail, number=number, later=by)
+        return change
+
+    async def _check_undo(self, change: Change) -> None:
+        """Raise `ChangeRefusedError` if a change cannot be undone."""
+        number = change.number
+        if change.state is ChangeState.PROPOSED:
+            raise ChangeRefusedError(f"change {number} is only proposed; reject it", number=number)
+        if change.decided_by or not change.items:
+            by = f"; see change {change.decided_by}" if change.decided_by else ""
+            detail = f"change {number} is {change.state.value} and changed no items itself{by}"
+            raise ChangeRefusedError(detail, number=number, later=change.decided_by)
+        keys = {each.key for each in change.items}
+        for later in await self.list_changes():
+            common = sorted(keys & {each.key for each in later.items})
+            if later.number > number and later.state is ChangeState.DONE and common:
+                detail = (
+                    f"change {number} cannot be undone: change {later.number} by {later.author} "
+                    f"({later.reason}) touches {', '.join(map(str, common))}; undo it first"
+                )
+                raise ChangeRefusedError(detail, number=number, later=later.number)
+
+    async def _is_proposed(self, draft: Draft) -> bool:
+        """Tell whether an open proposal wants the same."""
+        return any(
+            change.state is ChangeState.PROPOSED
+            and {each.key for each in change.items} == set(draft.wanted)
+            and all(equals(each.after, draft.wanted[each.key]) for each in change.items)
+            for change in await self.list_changes()
+        )
+
+    def _make_change(self, draft: Draft, base: Snapshot) -> Change:
+        items = tuple(
+            ItemChange(key, base.items.get(key), after)
+            for key, after in sorted(draft.wanted.items(), key=lambda pair: pair[0])
+            if not equals(base.items.get(key), after)
+        )
+        return Change(
+            number=ChangeNumber(base.version + 1),
+            author=draft.author,
+            time_unix_ms=self._unix_ms(),
+            reason=draft.reason,
+            state=draft.state,
+            nonce=self._make_nonce(),
+            items=items,
+            automatic=draft.automatic,
+            undoes=draft.undoes,
+            decides=draft.decides.number if draft.decides else ChangeNumber(0),
+        )
+
+    def _make_transaction(self, change: Change, draft: Draft, base: Snapshot) -> Transaction:
+        number, nonce = change.number, change.nonce
+        puts = [
+            Put(make_change_key(number), encode_row(change)),
+            Put(KEY_CONFIG_HEAD, encode_row(HeadRow(Version(number), nonce))),
+        ]
+        deletes = []
+        for each in change.items if change.state is ChangeState.DONE else ():
+            key = make_item_key(each.key)
+            if each.after is None:
+                deletes.append(key)
+            else:
+                puts.append(Put(key, encode_row(ItemRow(number, nonce, each.after))))
+        if draft.decides:
+            rejected = change.state is ChangeState.REJECTED
+            state = ChangeState.REJECTED if rejected else ChangeState.APPROVED
+            decided = msgspec.structs.replace(draft.decides, state=state, decided_by=number)
+            puts.append(Put(make_change_key(decided.number), encode_row(decided)))
+        conditions = [
+            Condition(KEY_CONFIG_HEAD, base.head),
+            Condition(make_change_key(number), 0),
+        ]
+        return Transaction(conditions, puts, deletes)
+
+    async def _commit(self, transaction: Transaction, change: Change) -> bool:
+        """Commit and tell whether this change, and no other, took its number.
+
+        Sending again after a lost acknowledgement is safe, because the condition on the head
+        admits only one of the copies.
+        """
+        sent = False
+        for delay in READ_BACK_DELAYS_S:
+            await self._wait(delay)
+            try:
+                await self._store.transact(transaction)
+                return True
+            except StoreUnavailableError:
+                if not sent:
+                    raise
+            except (ConflictError, StoreOutcomeUnknownError):
+                # A conflict may be with an earlier copy of this transaction, so that only the
+                # change that holds the number decides.
+                sent = True
+            holder = await self._find_change(change.number)
+            if holder is not None:
+                return holder.nonce == change.nonce
+        raise StoreOutcomeUnknownError(
+            f"change {change.number} with nonce {change.nonce} may have been made; "
+            f"read change {change.number} before trying again",
+            step="configuration",
+        )
+
+    async def _find_change(self, number: int) -> Change | None:
+        """Return the change that has a number, or none if absent or not readable now."""
+        try:
+            row = await self._store.read(make_change_key(number))
+        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            return None
+        return decode_row(row, Change) if row else None
+
+    async def _refresh_after_commit(self) -> None:
+        """Refresh the view; a failure must not make an accepted change look rejected."""
+        with suppress(LavenderstallError):
+            await self._reader.refresh()
+
+    async def _describe_overtaking(self, seen: Version, head: Version) -> OvertakenError:
+        """Return the error that names the first change after the version seen."""
+        change = await self._find_change(seen + 1)
+        return OvertakenError(change, seen=seen, head=head)
+
+    async def _wait(self, delay_s: float) -> None:
+        if delay_s:
+            waited: Deferred[None] = Deferred()
+            self._clock.callLater(delay_s, waited.callback, None)
+            await waited
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,292 @@
+"""Tests of configuration and changes."""
+
+import itertools
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+
+from lavenderstall.changes import (
+    ChangeRefusedError,
+    ChangeState,
+    DifferenceAction,
+    ItemKey,
+    OvertakenError,
+    compare,
+    set_command,
+)
+from lavenderstall.configuration import (
+    Configuration,
+    ConfigurationError,
+    ConfigurationReader,
+    ConfigurationView,
+    Draft,
+    Snapshot,
+    read_snapshot,
+)
+from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from lavenderstall.identifiers import Version
+from lavenderstall.protocol import Row, Rows
+from lavenderstall.schemas import Command, Demand, Policy, Team
+from tests.support import FakeTable, Fault, run
+
+A, B = ItemKey("team", "a"), ItemKey("team", "b")
+LOST, GONE, LATE = Fault.ACKNOWLEDGEMENT_LOST, Fault.REQUEST_LOST, Fault.DELAYED
+
+
+def make_draft(key: ItemKey = A, weight: int | None = 1, author: str = "ana", **more) -> Draft:
+    """Return a draft that sets the weight of a team, or removes the team."""
+    item = None if weight is None else Team(key.name, weight)
+    return Draft(author, "because", {key: item}, **more)
+
+
+class TableTest(unittest.TestCase):
+    """Prepares a table and two operators with a view each."""
+
+    def setUp(self) -> None:
+        self.table, self.clock = FakeTable(), Clock()
+        nonces = map(str, itertools.count(1))
+        self.views = [ConfigurationView(self.clock) for _ in range(2)]
+        self.ana, self.ben = (
+            Configuration(self.table, view, self.clock, lambda: 7, lambda: next(nonces))
+            for view in self.views
+        )
+
+    def run_now(self, coroutine):
+        return run(coroutine, self.clock)
+
+    def get_weight(self, key: ItemKey = A) -> int | None:
+        view = ConfigurationView(self.clock)
+        snapshot = run(ConfigurationReader(self.table, view, self.clock).refresh())
+        return getattr(snapshot.items.get(key), "weight", None)
+
+
+class ApplyTest(TableTest):
+    """Guards against changes that are lost, made twice, or accepted for both of two racers."""
+
+    def test_change_is_recorded_with_both_states(self) -> None:
+        self.run_now(self.ana.apply(make_draft(weight=1), seen=Version(0)))
+        applied = self.run_now(self.ana.apply(make_draft(weight=2), seen=Version(1)))
+        change = self.run_now(self.ben.get_change(2))
+        self.assertEqual(change, applied.change)
+        self.assertEqual((change.author, change.reason, change.time_unix_ms), ("ana", "because", 7))
+        (item,) = change.items
+        self.assertEqual((item.before, item.after), (Team("a", 1), Team("a", 2)))
+        self.assertEqual([view.version for view in self.views], [2, 0])
+
+    def test_nothing_differs(self) -> None:
+        self.run_now(self.ana.apply(make_draft(), seen=Version(0)))
+        applied = self.run_now(self.ana.apply(make_draft(), seen=Version(1)))
+        self.assertEqual((applied.change, applied.version, self.table.writes), (None, 1, 1))
+
+    def test_preview_writes_nothing(self) -> None:
+        applied = self.run_now(self.ana.apply(make_draft(), preview=True))
+        self.assertEqual((len(applied.differences), self.table.writes), (1, 0))
+
+    def test_exactly_one_racer_is_accepted(self) -> None:
+        for faults in itertools.product((Fault.NONE, LOST, GONE, LATE), repeat=3):
+            with self.subTest(faults=faults):
+                self.setUp()
+                self.table.faults.extend(faults)
+                results: list = []
+                for operator, weight in ((self.ana, 1), (self.ben, 2)):
+                    draft = make_draft(weight=weight, author=str(weight))
+                    deferred = Deferred.fromCoroutine(operator.apply(draft, seen=Version(0)))
+                    deferred.addBoth(results.append)
+                self.clock.pump([0.1] * 25)
+                self.table.deliver()
+                self.clock.pump([1.0] * 10)
+                (failure,) = (each for each in results if isinstance(each, Failure))
+                self.assertIsInstance(failure.value, OvertakenError)
+                (accepted,) = (each for each in results if not isinstance(each, Failure))
+                self.assertEqual(failure.value.change, accepted.change)
+                self.assertEqual(str(self.get_weight()), accepted.change.author)
+                self.assertEqual(self.table.writes, 1)
+
+    def test_lost_acknowledgements_are_resolved(self) -> None:
+        for faults in ([LOST], [GONE], [LATE], [LOST, Fault.DOWN], [GONE, Fault.DOWN, LOST]):
+            with self.subTest(faults=faults):
+                self.setUp()
+                self.table.faults.extend(faults)
+                applied = self.run_now(self.ana.apply(make_draft(), seen=Version(0)))
+                self.table.deliver()
+                self.assertEqual((applied.version, self.table.writes), (1, 1))
+
+    def test_unknown_outcome_names_the_change(self) -> None:
+        self.table.faults.extend([GONE] * 9)
+        with self.assertRaisesRegex(StoreOutcomeUnknownError, "read change 1"):
+            self.run_now(self.ana.apply(make_draft()))
+
+    def test_failing_read_back_is_not_a_rejection(self) -> None:
+        self.run_now(self.ana.apply(make_draft(B), seen=Version(0)))
+        self.table.faults.append(LOST)
+        draft = Deferred.fromCoroutine(self.ana.apply(make_draft(), seen=Version(1)))
+        self.table.failing_reads = 2
+        self.clock.pump([0.5] * 12)
+        results: list = []
+        draft.addBoth(results.append)
+        self.assertTrue(results[0].committed)
+
+    def test_store_down_changes_nothing(self) -> None:
+        self.table.faults.append(Fault.DOWN)
+        with self.assertRaises(StoreUnavailableError):
+            self.run_now(self.ana.apply(make_draft()))
+        self.assertEqual(self.table.rows, {})
+
+    def test_unversioned_change_yields_only_to_its_own_items(self) -> None:
+        for key, overtaken in ((A, True), (B, False)):
+            with self.subTest(key=key):
+                self.setUp()
+                self.table.faults.extend([GONE])
+                first = Deferred.fromCoroutine(self.ana.apply(make_draft(A, 5)))
+                run(self.ben.apply(make_draft(key, 6)))
+                results: list = []
+                first.addBoth(results.append)
+                self.clock.pump([1.0] * 9)
+                self.assertEqual(hasattr(results[0], "value"), overtaken)
+
+
+class UndoTest(TableTest):
+    """Guards against an undo that discards later work."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for key, weight in ((A, 1), (A, 2), (B, 3)):
+            self.run_now(self.ana.apply(make_draft(key, weight)))
+
+    def undo(self, number: int, **more):
+        return self.run_now(
+            self.ben.undo(number, author="ben", reason="wrong", **({"seen": None} | more))
+        )
+
+    def test_undo_and_its_undo(self) -> None:
+        self.assertEqual(self.undo(2).change.undoes, 2)
+        self.assertEqual(self.get_weight(), 1)
+        self.undo(4)
+        self.assertEqual(self.get_weight(), 2)
+        self.undo(3)
+        self.assertIsNone(self.get_weight(B))
+
+    def test_preview_shows_and_changes_nothing(self) -> None:
+        (difference,) = self.undo(2, preview=True).differences
+        self.assertEqual(difference.fields[0].after, None)
+        self.assertEqual((self.get_weight(), self.table.writes), (2, 3))
+
+    def test_refused(self) -> None:
+        proposal = make_draft(A, 9, state=ChangeState.PROPOSED)
+        self.run_now(self.ana.apply(proposal))
+        self.run_now(self.ana.reject(4, author="ana", reason="no"))
+        for number, words in (
+            (1, "change 2 by ana .*touches team/a"),
+            (4, "see change 5"),
+            (5, "changed no items"),
+            (77, "does not exist"),
+        ):
+            with self.subTest(number=number), self.assertRaisesRegex(ChangeRefusedError, words):
+                self.undo(number)
+
+    def test_seen_version_is_checked(self) -> None:
+        with self.assertRaises(OvertakenError) as caught:
+            self.undo(2, seen=Version(2))
+        self.assertEqual(caught.exception.number, 3)
+
+
+class ProposalTest(TableTest):
+    """Guards against proposals that take effect without approval or out of date."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.draft = make_draft(state=ChangeState.PROPOSED, automatic=True)
+        self.run_now(self.ana.apply(self.draft))
+
+    def test_approved_change_is_done_once_and_undone(self) -> None:
+        self.assertIsNone(self.get_weight())
+        self.run_now(self.ben.approve(1, author="ben", reason="good"))
+        self.assertEqual(self.get_weight(), 1)
+        states = [(c.state, c.decides, c.decided_by) for c in self.run_now(self.ana.list_changes())]
+        self.assertEqual(states, [(ChangeState.APPROVED, 0, 2), (ChangeState.DONE, 1, 0)])
+        with self.assertRaisesRegex(ChangeRefusedError, "approved by change 2"):
+            self.run_now(self.ana.reject(1, author="ana", reason="late"))
+        self.run_now(self.ana.undo(2, author="ana", reason="x", seen=None))
+        self.assertIsNone(self.get_weight())
+
+    def test_rejected_change_has_no_effect(self) -> None:
+        self.run_now(self.ben.reject(1, author="ben", reason="bad"))
+        self.assertIsNone(self.get_weight())
+        self.assertEqual(self.run_now(self.ana.get_change(1)).state, ChangeState.REJECTED)
+
+    def test_out_of_date_proposal_is_refused(self) -> None:
+        self.run_now(self.ben.apply(make_draft(weight=8)))
+        with self.assertRaisesRegex(ChangeRefusedError, "team/a has changed"):
+            self.run_now(self.ana.approve(1, author="ana", reason="x"))
+
+    def test_open_proposal_is_not_repeated(self) -> None:
+        self.assertIsNone(self.run_now(self.ben.apply(self.draft)).change)
+
+
+class ViewTest(unittest.TestCase):
+    """Guards against a configuration that reverts or looks fresher than it is."""
+
+    @given(st.lists(st.tuples(st.integers(0, 6), st.floats(0, 50)), max_size=12))
+    def test_version_never_falls(self, reads: list[tuple[int, float]]) -> None:
+        clock = Clock()
+        view = ConfigurationView(clock)
+        clock.advance(100)
+        highest, confirmed = 0, None
+        for version, read_at in reads:
+            item = Team("a", version + 1)
+            view.accept(Snapshot(Version(version), 0, {A: item}), read_at)
+            if version >= highest:
+                confirmed = max(read_at, confirmed or 0.0)
+            highest = max(highest, version)
+            self.assertEqual((view.version, view.get("team", "a").weight), (highest, highest + 1))
+            self.assertEqual(view.age_ms, round((100 - (confirmed or 0.0)) * 1000))
+
+    def test_listeners_hear_each_version_once(self) -> None:
+        view, heard = ConfigurationView(Clock()), []
+        view.listen(lambda each: heard.append(each.version))
+        for version in (2, 1, 2, 3):
+            view.accept(Snapshot(Version(version), 0, {}))
+        self.assertEqual((heard, view.age_ms), ([2, 3], None))
+
+    def test_unreadable_row_applies_nothing(self) -> None:
+        with self.assertRaisesRegex(ConfigurationError, "config/team/a"):
+            read_snapshot(Rows(1, [Row("config/team/a", 1, b'{"change": 1}')]))
+
+
+class CompareTest(unittest.TestCase):
+    """Guards against differences that are missed, invented, or show secrets."""
+
+    def test_table(self) -> None:
+        one, two = Team("a", 1), Team("a", 2)
+        for current, wanted, expected in (
+            ({}, {A: one}, [DifferenceAction.ADD]),
+            ({A: one}, {A: two}, [DifferenceAction.CHANGE]),
+            ({A: one}, {A: None}, [DifferenceAction.REMOVE]),
+            ({A: one}, {A: one}, []),
+            ({A: one}, {}, []),
+            ({}, {A: None}, []),
+        ):
+            with self.subTest(current=current, wanted=wanted):
+                found = compare(current, wanted)
+                self.assertEqual([each.action for each in found], expected)
+
+    def test_order_of_keys_is_no_difference(self) -> None:
+        shares = [(Demand.BATCH, 1), (Demand.CALLS, 2)]
+        one, two = (Policy("p", dict(pairs)) for pairs in (shares, shares[::-1]))
+        self.assertEqual(compare({A: one}, {A: two}), ())
+
+    def test_hashes_are_shortened(self) -> None:
+        declared = "scrypt$" + "0" * 32 + "$" + "1" * 58 + "abcdef"
+        text = str(compare({}, {A: Team("a", tokens=(declared,))}))
+        self.assertNotIn(declared, text)
+        self.assertIn("abcdef", text)
+
+    def test_commands(self) -> None:
+        drained = set_command("worker/w", None, drained=True)
+        both = set_command("worker/w", drained, quarantined=True)
+        self.assertEqual(both, Command("worker/w", drained=True, quarantined=True))
+        self.assertIsNone(set_command("worker/w", drained, drained=False))
