Add admission by quotas and bounded waiting counts

Cause: floods of jobs must be refused early and cheaply, with a time after which a retry can succeed. Change: waiting counts are bounded per kind and team, with a quarter of each kind's bound left for teams below their share; retry_after_ms is the excess divided by the measured start rate; the running quota holds starts back. Conclusion: the module is ready for use by slices and jobs.

--- /dev/null
+++ b/lavenderstall/admission.py
@@ -0,0 +1,200 @@
+"""Quotas per team and bounded waiting counts per kind, with early refusal."""
+
+import math
+from enum import Enum
+
+import msgspec
+
+from lavenderstall.errors import RefusedError
+from lavenderstall.identifiers import TeamName
+from lavenderstall.protocol import Kind
+from lavenderstall.resources import NOTHING, Resources
+
+STEP = "admission"
+
+KIND_BOUND = 200_000
+TEAM_BOUND = 100_000
+# A team that holds its share of a kind's bound may fill this part of it; the rest is left for
+# teams that hold less.
+SHARED_PART = 0.75
+
+DRAIN_WINDOW_S = 30.0
+MINIMUM_RETRY_MS = 100
+# Also used before anything has started, when no drain rate is known.
+MAXIMUM_RETRY_MS = 60_000
+
+
+class AdmissionReason(Enum):
+    """Reasons for which work is refused before it waits, or held back before it starts."""
+
+    UNKNOWN_TEAM = "unknown_team"
+    LARGER_THAN_QUOTA = "larger_than_team_quota"
+    TEAM_WAITING_QUOTA = "team_waiting_quota"
+    TEAM_QUEUE_FULL = "team_queue_full"
+    KIND_QUEUE_FULL = "kind_queue_full"
+    TEAM_RUNNING_QUOTA = "team_running_quota"
+
+
+class Quota(msgspec.Struct, frozen=True):
+    """Bound what a team runs and how many of its tasks wait; None is no bound."""
+
+    running: Resources | None = None
+    waiting: int | None = None
+
+
+class DrainRate:
+    """Measure events per second with exponential decay over `DRAIN_WINDOW_S`."""
+
+    def __init__(self, now: float) -> None:
+        self._created = now
+        self._updated = now
+        self._weight = 0.0
+
+    def record(self, count: int, now: float) -> None:
+        """Add events that happened now."""
+        self._decay(now)
+        self._weight += count
+
+    def get(self, now: float) -> float:
+        """Return the rate per second, corrected for a window that is not yet full."""
+        self._decay(now)
+        elapsed = max(1.0, now - self._created)
+        filled = 1 - math.exp(-elapsed / DRAIN_WINDOW_S)
+        return self._weight / (DRAIN_WINDOW_S * filled)
+
+    def _decay(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated)
+        self._weight *= math.exp(-elapsed / DRAIN_WINDOW_S)
+        self._updated = max(self._updated, now)
+
+
+class _Queue:
+    """Hold the waiting counts and the drain rate of one kind."""
+
+    def __init__(self, now: float) -> None:
+        self.waiting = 0
+        self.teams: dict[TeamName, int] = {}
+        self.rate = DrainRate(now)
+
+    def add(self, team: TeamName, count: int) -> None:
+        self.waiting += count
+        self.teams[team] = self.teams.get(team, 0) + count
+
+    def remove(self, team: TeamName, count: int) -> None:
+        held = self.teams.get(team, 0)
+        if count > held:
+            raise ValueError(f"team {team} has {held} waiting tasks, not {count}")
+        self.waiting -= count
+        self.teams[team] = held - count
+        if not self.teams[team]:
+            del self.teams[team]
+
+
+class Admission:
+    """Count waiting and running work by kind and team and refuse what exceeds a bound."""
+
+    def __init__(
+        self,
+        quotas: dict[TeamName, Quota],
+        now: float,
+        *,
+        kind_bound: int = KIND_BOUND,
+        team_bound: int = TEAM_BOUND,
+    ) -> None:
+        self._quotas = quotas
+        self._kind_bound = kind_bound
+        self._team_bound = team_bound
+        self._queues = {kind: _Queue(now) for kind in Kind}
+        self._running: dict[TeamName, Resources] = {}
+
+    def set_quotas(self, quotas: dict[TeamName, Quota]) -> None:
+        """Replace all quotas; work that is already accepted stays."""
+        self._quotas = quotas
+
+    def count_waiting(self, kind: Kind, team: TeamName | None = None) -> int:
+        """Return the waiting tasks of a kind, of one team or of all."""
+        queue = self._queues[kind]
+        return queue.waiting if team is None else queue.teams.get(team, 0)
+
+    def get_running(self, team: TeamName) -> Resources:
+        """Return what the running tasks of a team are charged."""
+        return self._running.get(team, NOTHING)
+
+    def admit(self, kind: Kind, team: TeamName, count: int, unit: Resources, now: float) -> None:
+        """Count tasks as waiting, or raise `RefusedError` with a reason of `AdmissionReason`.
+
+        `unit` is what must fit the quota at once: one task, or all tasks of a gang.
+        """
+        refusal = self._find_refusal(kind, team, count, unit)
+        if refusal is not None:
+            reason, excess = refusal
+            raise RefusedError(
+                f"{count} {kind.value} tasks of team {team} exceed a bound by {excess}",
+                step=STEP,
+                reason=reason.value,
+                retry_after_ms=self._estimate_retry_ms(kind, reason, excess, now),
+            )
+        self._queues[kind].add(team, count)
+
+    def find_start_obstacle(self, team: TeamName, charge: Resources) -> AdmissionReason | None:
+        """Return why a waiting task of a team may not start now."""
+        quota = self._quotas.get(team)
+        if quota is None:
+            return AdmissionReason.UNKNOWN_TEAM
+        if quota.running is None or self.get_running(team).add(charge).fits(quota.running):
+            return None
+        return AdmissionReason.TEAM_RUNNING_QUOTA
+
+    def record_start(self, kind: Kind, team: TeamName, charge: Resources, now: float) -> None:
+        """Count one waiting task as running."""
+        self._queues[kind].remove(team, 1)
+        self._queues[kind].rate.record(1, now)
+        self._running[team] = self.get_running(team).add(charge)
+
+    def record_end(self, team: TeamName, charge: Resources) -> None:
+        """Count one running task as ended; `charge` is what it was charged last."""
+        self._running[team] = self.get_running(team).subtract(charge)
+
+    def change_charge(self, team: TeamName, before: Resources, after: Resources) -> None:
+        """Count a running task at a new charge."""
+        self._running[team] = self.get_running(team).subtract(before).add(after)
+
+    def record_cancel(self, kind: Kind, team: TeamName, count: int) -> None:
+        """Drop waiting tasks; these say nothing about the drain rate."""
+        self._queues[kind].remove(team, count)
+
+    def _find_refusal(
+        self, kind: Kind, team: TeamName, count: int, unit: Resources
+    ) -> tuple[AdmissionReason, int] | None:
+        """Return the first bound that is exceeded and by how many tasks."""
+        quota = self._quotas.get(team)
+        if quota is None:
+            return AdmissionReason.UNKNOWN_TEAM, count
+        if quota.running is not None and not unit.fits(quota.running):
+            return AdmissionReason.LARGER_THAN_QUOTA, count
+        queue = self._queues[kind]
+        own = queue.teams.get(team, 0) + count
+        if quota.waiting is not None:
+            total = sum(each.teams.get(team, 0) for each in self._queues.values()) + count
+            if total > quota.waiting:
+                return AdmissionReason.TEAM_WAITING_QUOTA, total - quota.waiting
+        if own > self._team_bound:
+            return AdmissionReason.TEAM_QUEUE_FULL, own - self._team_bound
+        # A team that does not wait yet counts too, so that one team alone leaves places.
+        teams = len(queue.teams) + (team not in queue.teams) + 1
+        is_over_share = own > self._kind_bound / teams
+        bound = int(self._kind_bound * (SHARED_PART if is_over_share else 1))
+        if queue.waiting + count > bound:
+            return AdmissionReason.KIND_QUEUE_FULL, queue.waiting + count - bound
+        return None
+
+    def _estimate_retry_ms(
+        self, kind: Kind, reason: AdmissionReason, excess: int, now: float
+    ) -> int:
+        """Return when the excess will have drained; 0 if waiting does not help."""
+        if reason in (AdmissionReason.UNKNOWN_TEAM, AdmissionReason.LARGER_THAN_QUOTA):
+            return 0
+        rate = self._queues[kind].rate.get(now)
+        if excess * 1000 >= rate * MAXIMUM_RETRY_MS:
+            return MAXIMUM_RETRY_MS
+        return max(MINIMUM_RETRY_MS, int(excess * 1000 / rate))
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,84 @@
+"""Tests of quotas and bounded waiting counts."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavenderstall.admission import Admission, AdmissionReason, Quota
+from lavenderstall.errors import Outcome, RefusedError
+from lavenderstall.identifiers import TeamName
+from lavenderstall.protocol import Kind
+from lavenderstall.resources import NOTHING, Resources
+
+A, B, C = TeamName("a"), TeamName("b"), TeamName("c")
+CORE = Resources(1000)
+QUOTAS = {A: Quota(Resources(4000), 8), B: Quota(), C: Quota()}
+
+
+class AdmissionTest(unittest.TestCase):
+    """Guards against unbounded queues and refusals before a bound is reached."""
+
+    def setUp(self) -> None:
+        self.admission = Admission(QUOTAS, 0.0, kind_bound=20, team_bound=16)
+
+    def refuse(self, team: TeamName, count: int, unit: Resources = CORE) -> RefusedError:
+        with self.assertRaises(RefusedError) as caught:
+            self.admission.admit(Kind.BATCH, team, count, unit, 10.0)
+        self.assertIs(caught.exception.outcome, Outcome.NOT_RUN)
+        return caught.exception
+
+    def test_reasons(self) -> None:
+        for team, count, unit, reason in [
+            (TeamName("x"), 1, CORE, AdmissionReason.UNKNOWN_TEAM),
+            (A, 1, Resources(4001), AdmissionReason.LARGER_THAN_QUOTA),
+            (A, 9, CORE, AdmissionReason.TEAM_WAITING_QUOTA),
+            (B, 17, CORE, AdmissionReason.TEAM_QUEUE_FULL),
+        ]:
+            with self.subTest(reason=reason):
+                self.assertEqual(self.refuse(team, count, unit).reason, reason.value)
+        self.assertEqual(self.admission.count_waiting(Kind.BATCH), 0)
+
+    def test_flooding_teams_leave_places_for_another(self) -> None:
+        self.admission.admit(Kind.BATCH, B, 14, CORE, 0.0)
+        self.assertEqual(self.refuse(B, 2).reason, AdmissionReason.KIND_QUEUE_FULL.value)
+        self.admission.admit(Kind.BATCH, C, 5, CORE, 0.0)
+
+    def test_retry_time_follows_the_drain_rate(self) -> None:
+        self.admission.admit(Kind.BATCH, B, 15, CORE, 0.0)
+        self.assertEqual(self.refuse(B, 4).retry_after_ms, 60_000)
+        for step in range(10):
+            self.admission.record_start(Kind.BATCH, B, CORE, float(step))
+            self.admission.admit(Kind.BATCH, B, 1, CORE, float(step))
+        self.assertAlmostEqual(self.refuse(B, 4).retry_after_ms, 3000, delta=1000)
+
+    def test_running_quota_holds_starts_back(self) -> None:
+        self.admission.admit(Kind.BATCH, A, 5, CORE, 0.0)
+        for _ in range(4):
+            self.assertIsNone(self.admission.find_start_obstacle(A, CORE))
+            self.admission.record_start(Kind.BATCH, A, CORE, 0.0)
+        obstacle = self.admission.find_start_obstacle(A, CORE)
+        self.assertIs(obstacle, AdmissionReason.TEAM_RUNNING_QUOTA)
+        self.admission.change_charge(A, CORE, NOTHING)
+        self.assertIsNone(self.admission.find_start_obstacle(A, CORE))
+
+    @given(st.lists(st.tuples(st.sampled_from([A, B, C]), st.integers(1, 9), st.booleans())))
+    def test_bounds_hold(self, steps: list[tuple[TeamName, int, bool]]) -> None:
+        admission = Admission(QUOTAS, 0.0, kind_bound=20, team_bound=16)
+        for team, count, cancels in steps:
+            own = admission.count_waiting(Kind.GANG, team)
+            if cancels:
+                admission.record_cancel(Kind.GANG, team, min(own, count))
+                continue
+            total = admission.count_waiting(Kind.GANG)
+            try:
+                admission.admit(Kind.GANG, team, count, CORE, 0.0)
+            except RefusedError:
+                bound = 8 if team == A else 16
+                self.assertTrue(own + count > bound or total + count > 15)
+            self.assertLessEqual(admission.count_waiting(Kind.GANG), 20)
+            self.assertLessEqual(admission.count_waiting(Kind.GANG, team), 16)
+
+
+if __name__ == "__main__":
+    unittest.main()
