Compose the tasks of an entry instance

Cause: ownership, slices, calls, jobs and configuration need one process that connects them. Change: entry instance with message dispatch, reconciler of declarations, traces, metrics and logs.

--- a/lavenderstall/clocks.py
+++ b/lavenderstall/clocks.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import LoopingCall
 
 
-class Timer(Protocol):
+class DelayedCall(Protocol):
     """A call that has been scheduled."""
 
     def cancel(self) -> None:
--- /dev/null
+++ b/lavenderstall/entry.py
@@ -0,0 +1,440 @@
+"""One entry instance: the tasks that it runs and the messages between them."""
+
+import logging
+from collections.abc import Callable, Mapping
+from functools import singledispatchmethod
+from random import Random
+
+import msgspec
+from twisted.internet.defer import Deferred, DeferredList
+
+from lavenderstall.access import Access
+from lavenderstall.bindings import Binding, issue_request_id
+from lavenderstall.calls import CallRequest, CallRouter, Directory
+from lavenderstall.clocks import Clock, make_loop, sleep
+from lavenderstall.commits import GroupCommit
+from lavenderstall.configuration import Configuration, ConfigurationReader, ConfigurationView
+from lavenderstall.errors import LavenderstallError, Outcome, PeerUnavailableError, RefusedError
+from lavenderstall.fleet import LeaseTerms
+from lavenderstall.identifiers import (
+    EntryId,
+    RequestId,
+    ServiceName,
+    SliceName,
+    Version,
+    WorkerId,
+)
+from lavenderstall.jobs import JobDesk
+from lavenderstall.links import Links
+from lavenderstall.messages import (
+    CallAnswer,
+    CallForward,
+    ConfigAsk,
+    ConfigChanged,
+    ConfigPart,
+    Handover,
+    Heartbeat,
+    Message,
+    SliceSummary,
+    WorkAssigned,
+)
+from lavenderstall.metrics import Metrics
+from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
+from lavenderstall.peers import Peers, export_snapshot, import_snapshot
+from lavenderstall.protocol import Members, MemberState, WorkerMember
+from lavenderstall.reconciler import Reconciler
+from lavenderstall.records import EntryRow
+from lavenderstall.slices import SliceServer
+from lavenderstall.storage import MemberList, TableStore
+from lavenderstall.targets import TargetClient
+from lavenderstall.traces import Traces
+
+logger = logging.getLogger(__name__)
+
+MEMBERS_SECONDS = 1.0
+SUMMARY_SECONDS = 0.2
+HEARTBEAT_SECONDS = 0.5
+CONFIG_SECONDS = 0.5
+SILENCE_SECONDS = 0.25
+RECONCILE_SECONDS = 1.0
+DRAIN_SECONDS = 15.0
+FLUSH_SECONDS = 3.0
+POLL_SECONDS = 0.05
+
+
+class Outside(msgspec.Struct):
+    """Hold all that an entry instance reaches outside itself."""
+
+    clock: Clock
+    random: Random
+    store: TableStore
+    members: MemberList
+    links: Links
+    client: TargetClient
+    read_unix: Callable[[], float]
+    traces: Traces
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Hold the limits of an entry instance."""
+
+    racks_per_slice: int = 4
+    terms: LeaseTerms = LeaseTerms()
+    config_stale_seconds: float = 900.0
+
+
+class Entry(Observer):
+    """Serve callers and operators and own slices of the zone."""
+
+    def __init__(self, identity: Identity, outside: Outside, settings: Settings) -> None:
+        self.identity = identity
+        self.entry = identity.entry
+        self.clock = outside.clock
+        self.random = outside.random
+        self.store = outside.store
+        self.client = outside.client
+        self.links = outside.links
+        self.read_unix = outside.read_unix
+        self.traces = outside.traces
+        self.terms = settings.terms
+        self.settings = settings
+        self.draining = False
+        self.slices: dict[SliceName, SliceServer] = {}
+        self.members = Members(0.0)
+        self.metrics = Metrics()
+        self.access = Access()
+        self.peers = Peers(self.clock)
+        self._member_list = outside.members
+        self.commits = GroupCommit(self.store, self.clock, self.make_nonce, self._count_entries)
+        self.ownership = Ownership(
+            identity, self.store, self.clock, self, self.make_nonce, settings.racks_per_slice
+        )
+        self.directory = Directory(self.clock, self.entry, identity.zone)
+        self.router = CallRouter(
+            self.clock, self.links, self.directory, self.random, self.make_nonce, self.read_unix
+        )
+        self.view = ConfigurationView(self.clock)
+        self.view.listen(self._use_configuration)
+        self.reader = ConfigurationReader(self.store, self.view, self.clock)
+        self.configuration = Configuration(
+            self.store, self.view, self.clock, self._read_unix_ms, self.make_nonce
+        )
+        self.desk = JobDesk(self.store, self.commits, self.directory, self.links, self.make_nonce)
+        self.reconciler = Reconciler(
+            self.entry,
+            self.view,
+            self.store,
+            self.commits,
+            self.desk,
+            self.directory,
+            self.clock,
+            self.make_nonce,
+            lambda: self.ownership.peers,
+        )
+        self._polling_members = False
+        self._refreshing = False
+        self._loops = [
+            (make_loop(self.clock, self._poll_members), MEMBERS_SECONDS),
+            (make_loop(self.clock, self._send_summaries), SUMMARY_SECONDS),
+            (make_loop(self.clock, self._send_heartbeat), HEARTBEAT_SECONDS),
+            (make_loop(self.clock, self.refresh_configuration), CONFIG_SECONDS),
+            (make_loop(self.clock, self.router.check_silence), SILENCE_SECONDS),
+            (make_loop(self.clock, self.reconciler.step), RECONCILE_SECONDS),
+        ]
+
+    # Life
+
+    def start(self) -> None:
+        """Begin all periodic work."""
+        self.links.set_receiver(self.receive)
+        for loop, seconds in self._loops:
+            loop.start(seconds, now=True)
+        self.ownership.start()
+
+    async def shut_down(self) -> None:
+        """Finish requests in flight, hand over the slices and stop, in a bounded time."""
+        self.draining = True
+        self.ownership.draining = True
+        for server in self.slices.values():
+            server.draining = True
+        self._send_heartbeat()
+        self._send_summaries()
+        await self._wait_for(lambda: self.router.in_flight == 0, DRAIN_SECONDS)
+        for server in self.slices.values():
+            server.calls.draining = True
+        await self._wait_for(self._is_idle, DRAIN_SECONDS)
+        for server in self.slices.values():
+            await DeferredList(server.book.flush(), consumeErrors=True)
+        flushing = self.commits.flush()
+        flushing.addTimeout(FLUSH_SECONDS, self.clock)  # type: ignore[arg-type]
+        await DeferredList([flushing], consumeErrors=True)
+        for name in list(self.slices):
+            await self._release(name)
+        try:
+            await self.ownership.leave()
+        except LavenderstallError as error:
+            logger.warning("liveness row stays: %s", error)
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop all periodic work at once."""
+        for loop, _ in self._loops:
+            if loop.running:
+                loop.stop()
+        self.ownership.stop()
+        for server in self.slices.values():
+            server.stop()
+        self.slices.clear()
+
+    async def _wait_for(self, is_done: Callable[[], bool], seconds: float) -> None:
+        limit = self.clock.seconds() + seconds
+        while not is_done() and self.clock.seconds() < limit:
+            await sleep(self.clock, POLL_SECONDS)
+
+    def _is_idle(self) -> bool:
+        return all(server.calls.in_flight == 0 for server in self.slices.values())
+
+    async def _release(self, name: SliceName) -> None:
+        tenure = self.slices[name].tenure
+        try:
+            await self.ownership.release(name)
+        except LavenderstallError as error:
+            logger.warning("slice %s is left to its takeover: %s", name, error)
+            return
+        self.links.broadcast(Handover(name, tenure.epoch))
+
+    def make_nonce(self) -> str:
+        """Return a text that is never used twice."""
+        return f"{self.random.getrandbits(96):024x}"
+
+    def _read_unix_ms(self) -> int:
+        return int(self.read_unix() * 1000)
+
+    def _count_entries(self) -> int:
+        return max(len(self.ownership.peers), len(self.members.entries), 1)
+
+    # Ownership
+
+    def gain_slice(self, tenure: Tenure) -> None:
+        """Start to serve a slice."""
+        server = SliceServer(self, tenure)
+        self.slices[tenure.slice] = server
+        server.set_members(self._list_workers(tenure.slice))
+        server.start()
+        self.metrics.count("slices_gained")
+
+    def lose_slice(self, name: SliceName, reason: str) -> None:
+        """Stop to serve a slice at once."""
+        server = self.slices.pop(name, None)
+        if server is not None:
+            server.stop()
+            self.metrics.count("slices_lost")
+        self.directory.drop(name, self.entry)
+
+    def change_peers(self, peers: Mapping[EntryId, EntryRow]) -> None:
+        """Open links to the entry instances that are alive."""
+        self._set_links()
+
+    def _set_links(self) -> None:
+        addresses = {member.id: member.link for member in self.members.entries}
+        addresses |= {entry: row.link for entry, row in self.ownership.peers.items()}
+        self.links.set_peers(addresses)
+
+    def _list_workers(self, name: SliceName) -> dict[WorkerId, WorkerMember]:
+        return {
+            worker.id: worker
+            for worker in self.members.workers
+            if worker.zone == self.identity.zone and self.ownership.find_slice(worker.rack) == name
+        }
+
+    def _poll_members(self) -> None:
+        if not self._polling_members:
+            self._polling_members = True
+            Deferred.fromCoroutine(self._read_members())
+
+    async def _read_members(self) -> None:
+        try:
+            self.members = await self._member_list.list_members()
+        except LavenderstallError as error:
+            logger.info("membership list: %s", error)
+            return
+        finally:
+            self._polling_members = False
+        zone = self.identity.zone
+        self.ownership.list_racks(w.rack for w in self.members.workers if w.zone == zone)
+        self._set_links()
+        leaving = {w.id for w in self.members.workers if w.state is MemberState.LEAVING}
+        for name, server in self.slices.items():
+            server.set_members(self._list_workers(name))
+            server.set_leaving(leaving)
+
+    # Messages
+
+    def receive(self, sender: EntryId, message: Message) -> None:
+        """Handle a message from a peer or from this entry instance."""
+        self.directory.hear(sender)
+        self.peers.hear(sender)
+        self._handle(message, sender)
+
+    @singledispatchmethod
+    def _handle(self, message: object, sender: EntryId) -> None:
+        logger.warning("message of type %s is not handled", type(message).__name__)
+
+    @_handle.register
+    def _(self, message: Heartbeat, sender: EntryId) -> None:
+        self.peers.update(message)
+        if message.zone == self.identity.zone:
+            self.ownership.hear_peer(sender)
+        if message.version > self.view.version:
+            self._follow_version(sender, message.version)
+
+    @_handle.register
+    def _(self, message: SliceSummary, sender: EntryId) -> None:
+        self.directory.update(message)
+
+    @_handle.register
+    def _(self, message: CallForward, sender: EntryId) -> None:
+        Deferred.fromCoroutine(self._serve(sender, message))
+
+    @_handle.register
+    def _(self, message: CallAnswer, sender: EntryId) -> None:
+        self.router.receive(sender, message)
+
+    @_handle.register
+    def _(self, message: WorkAssigned, sender: EntryId) -> None:
+        server = self.slices.get(message.slice)
+        if server is not None:
+            server.request_reload()
+
+    @_handle.register
+    def _(self, message: ConfigChanged, sender: EntryId) -> None:
+        if message.version > self.view.version:
+            self._follow_version(sender, message.version)
+
+    @_handle.register
+    def _(self, message: ConfigAsk, sender: EntryId) -> None:
+        if self.view.version > message.version:
+            self._send(sender, export_snapshot(self.view.snapshot))
+
+    @_handle.register
+    def _(self, message: ConfigPart, sender: EntryId) -> None:
+        self.view.accept(import_snapshot(message))
+
+    @_handle.register
+    def _(self, message: Handover, sender: EntryId) -> None:
+        self.directory.drop(message.slice, sender)
+        self.ownership.step()
+
+    def _follow_version(self, sender: EntryId, version: Version) -> None:
+        """Read a newer configuration from the table, or from the peer while it cannot be read."""
+        if self.ownership.get_store_age() > MEMBERS_SECONDS * 2:
+            self._send(sender, ConfigAsk(self.view.version))
+        else:
+            self.refresh_configuration()
+
+    def _send(self, peer: EntryId, message: Message) -> None:
+        try:
+            self.links.send(peer, message)
+        except PeerUnavailableError as error:
+            logger.info("message dropped: %s", error)
+
+    async def _serve(self, sender: EntryId, forward: CallForward) -> None:
+        server = self.slices.get(forward.slice)
+        with self.traces.hop("serve call", forward.request, forward.trace) as hop:
+            if server is None:
+                answer = CallAnswer(
+                    forward.call,
+                    Outcome.UNKNOWN if forward.retry else Outcome.NOT_RUN,
+                    "moved",
+                    f"slice {forward.slice} has another owner",
+                )
+            else:
+                forward.trace = hop.parent
+                started = self.clock.seconds()
+                answer = await server.calls.serve(forward)
+                self.metrics.record("serve_call", self.clock.seconds() - started)
+            hop.note(outcome=answer.outcome.value, reason=answer.reason, worker=answer.worker)
+        self._send(sender, answer)
+
+    def _send_summaries(self) -> None:
+        for server in self.slices.values():
+            summary = server.summarize()
+            self.directory.update(summary)
+            self.links.broadcast(summary)
+
+    def _send_heartbeat(self) -> None:
+        beat = Heartbeat(
+            self.entry,
+            self.identity.incarnation,
+            self.identity.zone,
+            self.view.version,
+            self.draining,
+            int(self.ownership.get_store_age() * 1000),
+        )
+        self.links.broadcast(beat)
+
+    # Configuration
+
+    def refresh_configuration(self) -> None:
+        """Read the configuration's head, and the items when it is newer."""
+        if not self._refreshing:
+            self._refreshing = True
+            Deferred.fromCoroutine(self._refresh_configuration())
+
+    async def _refresh_configuration(self) -> None:
+        try:
+            await self.reader.refresh()
+        except LavenderstallError as error:
+            logger.info("configuration: %s", error)
+        finally:
+            self._refreshing = False
+
+    def _use_configuration(self, view: ConfigurationView) -> None:
+        declared = [*view.list_kind("operator"), *view.list_kind("team")]
+        self.access.replace(declared)
+        self.links.broadcast(ConfigChanged(view.version))
+        logger.info("configuration %d is in force", view.version)
+
+    def list_versions(self) -> dict[EntryId, Version]:
+        """Return the configuration that each live entry instance has in force."""
+        known = self.peers.list_versions()
+        alive = {e: known.get(e, Version(0)) for e in self.ownership.peers if e != self.entry}
+        return alive | {self.entry: self.view.version}
+
+    # Calls
+
+    async def call(self, request: CallRequest) -> CallAnswer:
+        """Route one call and return its outcome."""
+        if self.draining:
+            raise RefusedError(
+                "the entry instance shuts down",
+                step="receive",
+                reason="draining",
+                outcome=Outcome.UNKNOWN if request.retry else Outcome.NOT_RUN,
+                retry_after_ms=100,
+            )
+        started = self.clock.seconds()
+        answer = await self.router.route(request)
+        self.metrics.record(f"call_{request.service}", self.clock.seconds() - started)
+        self.metrics.count(f"calls_{answer.outcome.value}")
+        return answer
+
+    def issue_request(self, service: ServiceName) -> RequestId:
+        """Return a request id bound to a worker of an owned slice, or raise."""
+        for server in self.slices.values():
+            for worker in sorted(server.find_replicas(service)):
+                link = server.fleet.links.get(worker)
+                if link is not None and link.usable and link.free_slots:
+                    binding = Binding(server.name, worker, link.incarnation, int(self.read_unix()))
+                    return issue_request_id(binding, self.make_nonce())
+        raise RefusedError(
+            f"no worker of this entry instance's slices serves {service}",
+            step="issue request",
+            reason="no_replica",
+            retry_after_ms=500,
+        )
+
+    def may_accept_jobs(self) -> bool:
+        """Tell whether the configuration is recent enough to accept new jobs."""
+        age = self.view.age_ms
+        return age is not None and age < self.settings.config_stale_seconds * 1000
--- a/lavenderstall/messages.py
+++ b/lavenderstall/messages.py
@@ -107,7 +107,7 @@
     """Carry a whole configuration as JSON by key."""
 
     version: Version
-    items: dict[str, msgspec.Raw]
+    items: dict[str, bytes]
 
 
 class QueryAsk(msgspec.Struct, tag="query_ask"):
--- /dev/null
+++ b/lavenderstall/metrics.py
@@ -0,0 +1,58 @@
+"""Counters and latency histograms, written as a text page."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 3_600_000_000
+DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Hold the counters and histograms of one entry instance."""
+
+    def __init__(self) -> None:
+        self.counters: Counter[str] = Counter()
+        self._histograms: dict[str, HdrHistogram] = {}
+        self._gauges: dict[str, Callable[[], float]] = {}
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] += amount
+
+    def record(self, name: str, seconds: float) -> None:
+        """Add a duration to a histogram."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, DIGITS)
+            self._histograms[name] = histogram
+        value = min(max(int(seconds * 1e6), LOWEST_MICROSECONDS), HIGHEST_MICROSECONDS)
+        histogram.record_value(value)
+
+    def watch(self, name: str, read: Callable[[], float]) -> None:
+        """Read a gauge whenever the page is written."""
+        self._gauges[name] = read
+
+    def get_percentile(self, name: str, percentile: float) -> float:
+        """Return a percentile of a histogram in seconds, 0 when it is empty."""
+        histogram = self._histograms.get(name)
+        return histogram.get_value_at_percentile(percentile) / 1e6 if histogram else 0.0
+
+    def write_page(self) -> str:
+        """Return all values in the text format of common collectors."""
+        return "\n".join([*self._list_lines(), ""])
+
+    def _list_lines(self) -> Iterator[str]:
+        for name, amount in sorted(self.counters.items()):
+            yield f"lavenderstall_{name}_total {amount}"
+        for name, read in sorted(self._gauges.items()):
+            yield f"lavenderstall_{name} {read():g}"
+        for name, histogram in sorted(self._histograms.items()):
+            for percentile in PERCENTILES:
+                value = histogram.get_value_at_percentile(percentile) / 1e6
+                label = f'quantile="{percentile / 100:g}"'
+                yield f"lavenderstall_{name}_seconds{{{label}}} {value:g}"
+            yield f"lavenderstall_{name}_seconds_count {histogram.get_total_count()}"
--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -18,11 +18,13 @@
 )
 from lavenderstall.identifiers import (
     EntryId,
+    Epoch,
     Incarnation,
     RackName,
     SliceName,
     WorkerId,
     ZoneName,
+    make_epoch,
     make_slice_name,
 )
 from lavenderstall.protocol import Condition, Put, Row, Rows, Transaction
@@ -74,6 +76,11 @@
     workers: frozenset[WorkerId] = frozenset()
     local: bool = False
 
+    @property
+    def epoch(self) -> Epoch:
+        """Return the first epoch of the term."""
+        return make_epoch(self.term)
+
 
 class Observer:
     """Receive the changes of ownership; the entry instance implements it."""
--- /dev/null
+++ b/lavenderstall/peers.py
@@ -0,0 +1,61 @@
+"""What an entry instance knows about the others from their heartbeats."""
+
+import msgspec
+
+from lavenderstall.changes import ItemKey
+from lavenderstall.clocks import Clock
+from lavenderstall.configuration import Snapshot
+from lavenderstall.identifiers import EntryId, Version
+from lavenderstall.messages import ConfigPart, Heartbeat
+from lavenderstall.schemas import Item
+
+
+class Peer(msgspec.Struct):
+    """Hold the latest heartbeat of a peer and when anything was last heard from it."""
+
+    heartbeat: Heartbeat
+    heard: float
+
+
+class Peers:
+    """Hold the peers that were heard since the start."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._peers: dict[EntryId, Peer] = {}
+
+    def hear(self, entry: EntryId) -> None:
+        """Note that a peer was heard."""
+        peer = self._peers.get(entry)
+        if peer is not None:
+            peer.heard = self._clock.seconds()
+
+    def update(self, heartbeat: Heartbeat) -> None:
+        """Take a heartbeat."""
+        self._peers[heartbeat.entry] = Peer(heartbeat, self._clock.seconds())
+
+    def list_versions(self) -> dict[EntryId, Version]:
+        """Return the configuration version of each peer."""
+        return {entry: peer.heartbeat.version for entry, peer in self._peers.items()}
+
+    def list_peers(self) -> dict[EntryId, Peer]:
+        """Return all peers."""
+        return dict(self._peers)
+
+
+def export_snapshot(snapshot: Snapshot) -> ConfigPart:
+    """Return a configuration as a message."""
+    items = {
+        f"{key.kind}/{key.name}": msgspec.json.encode(item)
+        for key, item in snapshot.items.items()
+    }
+    return ConfigPart(snapshot.version, items)
+
+
+def import_snapshot(part: ConfigPart) -> Snapshot:
+    """Return the configuration that a message carries."""
+    items: dict[ItemKey, Item] = {}
+    for name, encoded in part.items.items():
+        kind, _, rest = name.partition("/")
+        items[ItemKey(kind, rest)] = msgspec.json.decode(encoded, type=Item)
+    return Snapshot(part.version, 0, items)
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -1,7 +1,7 @@
 """The owner's side of one slice: its work, its tasks and the decisions applied to them."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from enum import Enum
 from itertools import count
 from random import Random
@@ -29,6 +29,7 @@
 )
 from lavenderstall.identifiers import (
     EntryId,
+    Epoch,
     JobId,
     ServiceName,
     SliceName,
@@ -68,6 +69,8 @@
 RELOAD_SECONDS = 10.0
 FLUSH_SECONDS = 0.25
 LEAVE_GRACE_SECONDS = 5.0
+# Two heartbeats would have reported a start by then.
+CONFIRM_SECONDS = 3.0
 LIVE = frozenset({TaskState.STARTING, TaskState.RUNNING, TaskState.STOPPING})
 
 
@@ -185,6 +188,16 @@
             if link.lost and not link.calls:
                 self._forget_worker(link)
 
+    def set_leaving(self, leaving: Collection[WorkerId]) -> None:
+        """Take the workers that the membership list names as leaving."""
+        for name, worker in list(self.state.workers.items()):
+            if name in leaving and not worker.leaving:
+                self._leave(name)
+
+    def _leave(self, name: WorkerId) -> None:
+        self.state.update_worker(name, leaving=True)
+        self._clock.callLater(LEAVE_GRACE_SECONDS, self._empty_worker, name)
+
     def _forget_worker(self, link: WorkerLink) -> None:
         """Drop a worker that is neither listed nor answering, once its lease has lapsed."""
         if link.id in self.state.workers:
@@ -197,10 +210,11 @@
         known = self.state.workers.get(worker.id)
         if known is None:
             self._add_worker(worker)
-        elif known.capacity != answer.capacity or known.leaving != answer.leaving:
-            self.state.update_worker(worker.id, capacity=answer.capacity, leaving=answer.leaving)
-            if answer.leaving:
-                self._clock.callLater(LEAVE_GRACE_SECONDS, self._empty_worker, worker.id)
+        else:
+            if known.capacity != answer.capacity:
+                self.state.update_worker(worker.id, capacity=answer.capacity)
+            if answer.leaving and not known.leaving:
+                self._leave(worker.id)
         if answer.full:
             self._compare_full(worker, answer)
         for report in answer.tasks:
@@ -244,9 +258,9 @@
             held = [link.id for link in self.fleet.links.values() if link.claimed]
             if await self._env.ownership.add_workers(self.name, held):
                 for link in list(self.fleet.links.values()):
-                    if link.id in self.tenure.workers and link.claimed:
-                        if link.id not in self.state.workers:
-                            self._add_worker(link)
+                    known = link.id in self.state.workers
+                    if link.claimed and not known and link.id in self.tenure.workers:
+                        self._add_worker(link)
                 self.request_schedule()
         finally:
             self._rostering = False
@@ -384,7 +398,7 @@
 
     def _is_out_of_service(self, name: WorkerId) -> bool:
         worker = self.state.workers.get(name)
-        return worker is not None and (worker.quarantined or worker.draining)
+        return worker is not None and not worker.in_service
 
     def find_replicas(self, service: ServiceName) -> frozenset[WorkerId]:
         """Return the workers that run a replica of a service."""
@@ -637,6 +651,7 @@
                 task.queued = False
                 task.state = TaskState.STARTING
                 task.worker = placement.worker
+                task.started = self._clock.seconds()
                 task.run = make_run_id(task.id, self.tenure.term, next(self._numbers))
                 starts.setdefault(placement.worker, []).append(task)
                 self._explain("placed", decision.reason, task)
@@ -725,10 +740,9 @@
             link = self.fleet.links.get(task.worker)
             if link is None or not link.claimed:
                 continue
-            if task.state is TaskState.STARTING and now - task.since >= 0:
-                task.started = task.started or now
-                if now - task.started >= 3.0:
-                    stuck.setdefault(link.id, []).append(TaskStop(task.run, "start unconfirmed"))
+            unconfirmed = now - task.started >= CONFIRM_SECONDS
+            if task.state is TaskState.STARTING and unconfirmed:
+                stuck.setdefault(link.id, []).append(TaskStop(task.run, "start unconfirmed"))
             elif task.state is TaskState.STOPPING:
                 stuck.setdefault(link.id, []).append(TaskStop(task.run, "stop repeated"))
         for worker, stops in stuck.items():
@@ -766,7 +780,7 @@
         return SliceSummary(
             self.name,
             self._env.entry,
-            max((link.epoch for link in self.fleet.links.values()), default=0),
+            max((link.epoch for link in self.fleet.links.values()), default=Epoch(0)),
             self._summarize_pools(),
             {} if self.draining else free,
             waiting,
