Let stand-ins answer at once and discard reads older than a commit

Cause: the object store and the membership list answered only after the clock moved, unlike the table; a client that read after its own commit or after a conflict could be given an older revision. Change: clocks.call_after calls at once without a delay; TableView takes the revisions of commits and of rows in conflict as seen. Conclusion: all stand-ins behave alike on a test's clock.

--- a/lavenderstall/clocks.py
+++ b/lavenderstall/clocks.py
@@ -24,3 +24,11 @@
         self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any
     ) -> DelayedCall:
         """Schedule a call after a delay in seconds."""
+
+
+def call_after(clock: Clock, delay: float, function: Callable[..., Any], *arguments: Any) -> None:
+    """Call a function after a delay in seconds, or at once if there is none."""
+    if delay > 0:
+        clock.callLater(delay, function, *arguments)
+    else:
+        function(*arguments)
--- a/lavenderstall/storage.py
+++ b/lavenderstall/storage.py
@@ -39,3 +39,8 @@
 
     def list_members(self) -> "Deferred[Members]":
         """Return the list as the platform sees it."""
+
+
+def find_row(rows: Rows, key: str) -> Row | None:
+    """Return the row with a key, or none if it is absent."""
+    return next((row for row in rows.rows if row.key == key), None)
--- a/standins/members.py
+++ b/standins/members.py
@@ -5,7 +5,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from lavenderstall.clocks import Clock
+from lavenderstall.clocks import Clock, call_after
 from lavenderstall.errors import StoreUnavailableError
 from lavenderstall.identifiers import EntryId, WorkerId
 from lavenderstall.protocol import EntryMember, Members, MemberState, WorkerMember
@@ -55,16 +55,13 @@
         # The list describes the platform as it was one lag ago.
         as_of = self._clock.seconds() - self._lag_s
         members = Members(as_of, list(self._workers.values()), list(self._entries.values()))
-        self._clock.callLater(self.faults.delay_s, answer.callback, members)
+        call_after(self._clock, self.faults.delay_s, answer.callback, members)
         return answer
 
     def _change(self, lag_s: float | None, change: Callable[[], object]) -> None:
         """Apply a change after the lag, or at once if the lag is 0."""
         delay = self._lag_s if lag_s is None else lag_s
-        if delay > 0:
-            self._clock.callLater(delay, change)
-        else:
-            change()
+        call_after(self._clock, delay, change)
 
     def _set_state(self, worker: WorkerId, state: MemberState) -> None:
         """Replace the state of a worker on the list."""
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -2,7 +2,7 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderstall.clocks import Clock
+from lavenderstall.clocks import Clock, call_after
 from lavenderstall.errors import StoreUnavailableError
 from standins.faults import ServiceFaults
 
@@ -21,7 +21,7 @@
         if self._is_down(answer, "put object"):
             return answer
         self._bodies[name] = body
-        self._clock.callLater(self.faults.delay_s, answer.callback, None)
+        call_after(self._clock, self.faults.delay_s, answer.callback, None)
         return answer
 
     def get(self, name: str) -> Deferred[bytes | None]:
@@ -29,7 +29,7 @@
         answer: Deferred[bytes | None] = Deferred()
         if self._is_down(answer, "get object"):
             return answer
-        self._clock.callLater(self.faults.delay_s, answer.callback, self._bodies.get(name))
+        call_after(self._clock, self.faults.delay_s, answer.callback, self._bodies.get(name))
         return answer
 
     def _is_down(self, answer: Deferred, step: str) -> bool:
--- a/standins/table.py
+++ b/standins/table.py
@@ -7,10 +7,12 @@
 
 import msgspec
 from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
 
-from lavenderstall.clocks import Clock
+from lavenderstall.clocks import Clock, call_after
 from lavenderstall.errors import ConflictError, StoreOutcomeUnknownError, StoreUnavailableError
 from lavenderstall.protocol import Committed, Row, Rows, Transaction
+from lavenderstall.storage import find_row
 from standins.faults import TableFaults
 
 T = TypeVar("T")
@@ -82,7 +84,7 @@
 
     def transact(self, transaction: Transaction) -> Deferred[Committed]:
         """Write rows together if all conditions hold."""
-        return self._run(lambda: self._commit(transaction), self._acknowledge)
+        return self._run(lambda: self.commit(transaction), self._acknowledge)
 
     def scan(self, prefix: str) -> Deferred[Rows]:
         """Return the rows below a prefix."""
@@ -111,11 +113,11 @@
             try:
                 result = operation()
             except StoreUnavailableError as error:
-                self._wait(delay, answer.errback, error)
+                call_after(self._clock, delay, answer.errback, error)
             except ConflictError as error:
-                self._wait(delay, answer.errback, error)
+                call_after(self._clock, delay, answer.errback, error)
             else:
-                self._wait(delay, respond, result)
+                call_after(self._clock, delay, respond, result)
 
         def respond(result: T) -> None:
             try:
@@ -124,16 +126,9 @@
                 answer.errback(error)
 
         delay = self.faults.delay_s / 2
-        self._wait(delay, apply)
+        call_after(self._clock, delay, apply)
         return answer
 
-    def _wait(self, delay: float, function: Callable[..., None], *arguments: object) -> None:
-        """Call a function after a delay, or at once if there is none."""
-        if delay > 0:
-            self._clock.callLater(delay, function, *arguments)
-        else:
-            function(*arguments)
-
     def _check(self, meter: RateMeter, step: str) -> None:
         """Raise an error if the table is down or the rate is used up."""
         if self.faults.down:
@@ -141,8 +136,8 @@
         if not meter.admit():
             raise OverRateError(f"over {meter.limit} a second", step=step, peer="table")
 
-    def _commit(self, transaction: Transaction) -> Committed:
-        """Apply a transaction."""
+    def commit(self, transaction: Transaction) -> Committed:
+        """Apply a transaction at once; raise where `transact` fails."""
         self._check(self.writes, "transact")
         self.write_times.append(self._clock.seconds())
         differing = [
@@ -210,8 +205,7 @@
 
     def _read(self, key: str) -> Row | None:
         """Return one row."""
-        rows = self._scan(key).rows
-        return next((row for row in rows if row.key == key), None)
+        return find_row(self._scan(key), key)
 
 
 class TableView:
@@ -224,7 +218,8 @@
 
     def transact(self, transaction: Transaction) -> Deferred[Committed]:
         """Write rows together if all conditions hold."""
-        return self._reach("transact", lambda: self._table.transact(transaction))
+        sent = self._reach("transact", lambda: self._table.transact(transaction))
+        return sent.addCallbacks(self._note_commit, self._note_conflict)
 
     def scan(self, prefix: str) -> Deferred[Rows]:
         """Return the rows below a prefix, never older than an answer seen before."""
@@ -232,10 +227,7 @@
 
     def read(self, key: str) -> Deferred[Row | None]:
         """Return one row, or none if it is absent."""
-        found = self.scan(key)
-        return found.addCallback(
-            lambda rows: next((row for row in rows.rows if row.key == key), None)
-        )
+        return self.scan(key).addCallback(find_row, key)
 
     def _reach(self, step: str, operation: Callable[[], Deferred[T]]) -> Deferred[T]:
         """Run an operation unless the client is cut off from the table."""
@@ -245,6 +237,17 @@
         failed.errback(StoreUnavailableError("table not reached", step=step, peer="table"))
         return failed
 
+    def _note_commit(self, committed: Committed) -> Committed:
+        """Take the revision of a commit as seen."""
+        self._seen = max(self._seen, committed.revision)
+        return committed
+
+    def _note_conflict(self, failure: Failure) -> Failure:
+        """Take the versions of the rows that differ as seen."""
+        if isinstance(failure.value, RowsDifferError):
+            self._seen = max([self._seen, *(row.version for row in failure.value.rows)])
+        return failure
+
     def _check(self, rows: Rows) -> Rows:
         """Discard an answer from a lower revision than one seen before."""
         if rows.revision < self._seen:
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.python.failure import Failure
 
-from lavenderstall.clocks import Clock
+from lavenderstall.clocks import Clock, call_after
 from lavenderstall.errors import AnswerLostError, FencedError, PeerUnavailableError
 from lavenderstall.identifiers import (
     EPOCH_STRIDE,
@@ -176,10 +176,8 @@
         if self.faults.cut_off:
             error = AnswerLostError("worker is cut off", step="answer", peer=self.shape.id)
             answer.errback(error)
-        elif self.faults.answer_delay_s > 0:
-            self._clock.callLater(self.faults.answer_delay_s, answer.callback, result)
         else:
-            answer.callback(result)
+            call_after(self._clock, self.faults.answer_delay_s, answer.callback, result)
 
     def _spoil(self, answer: CallAnswer) -> CallAnswer:
         """Cut the body of an answer in the middle if a fault asks for it."""
