--- /dev/null
+++ b/tests/memory.py
@@ -0,0 +1,53 @@
+"""HTTP between an agent and a service in memory, on a clock that a test advances."""
+
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.error import ConnectingCancelledError, ConnectionRefusedError
+from twisted.internet.task import Clock
+from twisted.test import iosim
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.server import Site
+
+from standins.web import Service
+
+
+class MemoryNetwork:
+    """Connect agents to one service; `refusing` and `hanging` apply to new connections."""
+
+    def __init__(self, clock: Clock, service: Service) -> None:
+        self._clock = clock
+        self._site = Site(service, timeout=None, reactor=clock)
+        self._pumps: list[iosim.IOPump] = []
+        self.refusing = False
+        self.hanging = False
+        self.connections = 0
+        self.agent = Agent.usingEndpointFactory(clock, self, HTTPConnectionPool(clock))
+
+    def endpointForURI(self, uri):
+        """Return the endpoint of a URL, which is the network itself."""
+        return self
+
+    def connect(self, factory) -> Deferred:
+        """Open a connection."""
+        if self.refusing:
+            return fail(ConnectionRefusedError())
+        if self.hanging:
+            return Deferred(lambda d: d.errback(ConnectingCancelledError(None)))
+        client, server = factory.buildProtocol(None), self._site.buildProtocol(None)
+        ends = iosim.FakeTransport(server, True), iosim.FakeTransport(client, False)
+        self._pumps.append(iosim.connect(server, ends[0], client, ends[1]))
+        self.connections += 1
+        return succeed(client)
+
+    def run(self, seconds: float = 0.0, step: float = 0.1) -> None:
+        """Move all bytes, and the clock in steps."""
+        self._flush()
+        end = self._clock.seconds() + seconds
+        while self._clock.seconds() < end - 1e-9:
+            self._clock.advance(min(step, end - self._clock.seconds()))
+            self._flush()
+
+    def _flush(self) -> None:
+        """Move bytes until all ends are still."""
+        moved = True
+        while moved:
+            moved = sum(bool(pump.pump()) for pump in self._pumps) > 0
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,163 @@
+"""Tests of the HTTP clients of the platform, against the stand-ins in memory."""
+
+import unittest
+
+import msgspec
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
+
+from lavenderstall.clients import HttpMemberList, HttpObjectStore, HttpTableStore
+from lavenderstall.errors import ConflictError, StoreOutcomeUnknownError, StoreUnavailableError
+from lavenderstall.identifiers import EntryId, ZoneName
+from lavenderstall.protocol import Condition, EntryMember, Put, Transaction
+from standins.cell import Cell, CellShape
+from standins.faults import FaultRequest
+from standins.web import ControlService, Reply, Service
+from tests.memory import MemoryNetwork
+
+URL = "http://127.0.0.1:1"
+ENTRY = EntryMember(EntryId("e1"), ZoneName("z1"), "tcp://127.0.0.1:2", "http://127.0.0.1:3")
+
+
+def make_put(key: str, number: int = 1) -> Put:
+    """Return a put of a small value."""
+    return Put(key, msgspec.Raw(msgspec.json.encode({"number": number})))
+
+
+def make_transaction(key: str, version: int = 0) -> Transaction:
+    """Return a transaction on one row."""
+    return Transaction([Condition(key, version)], [make_put(key)])
+
+
+class CutService(Service):
+    """Answer with less than the declared length."""
+
+    def handle(self, method, path, request):
+        return succeed(Reply(200, b'{"revision":1}', 20))
+
+
+class HttpCase(unittest.TestCase):
+    """Serve a cell in memory."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.cell = Cell(CellShape(entries=[ENTRY], zones={"z1": 0}), self.clock)
+        self.network = MemoryNetwork(self.clock, ControlService(self.cell))
+        self.table = HttpTableStore(self.network.agent, self.clock, URL)
+
+    def wait(self, deferred, seconds: float = 0.0):
+        """Return the result of a deferred after some seconds, or raise its error."""
+        found: list = []
+        deferred.addBoth(found.append)
+        self.network.run(seconds)
+        self.assertEqual(len(found), 1, "no result yet")
+        if hasattr(found[0], "raiseException"):
+            found[0].raiseException()
+        return found[0]
+
+    def set_faults(self, target: str, **settings) -> None:
+        """Set faults on a stand-in."""
+        self.cell.apply(FaultRequest(target, settings))
+
+
+class HttpTableStoreTest(HttpCase):
+    """Guards against a write whose outcome is told wrongly, and against reading backwards."""
+
+    def test_commit_and_read(self) -> None:
+        committed = self.wait(self.table.transact(make_transaction("a/é&b")))
+        row = self.wait(self.table.read("a/é&b"))
+        self.assertEqual(row.version, committed.revision)
+        self.assertEqual(msgspec.json.decode(row.value), {"number": 1})
+        self.assertIsNone(self.wait(self.table.read("a/")))
+        self.assertEqual(self.network.connections, 1, "the connection is not kept open")
+
+    def test_conflict_names_the_rows(self) -> None:
+        self.wait(self.table.transact(make_transaction("a")))
+        with self.assertRaises(ConflictError) as caught:
+            self.wait(self.table.transact(make_transaction("a")))
+        self.assertEqual(caught.exception.keys, frozenset({"a"}))
+
+    def test_write_failures(self) -> None:
+        cases = (
+            ({"down": True}, StoreUnavailableError, 0),
+            ({"lose_next": 1}, StoreOutcomeUnknownError, 1),
+            ({"delay_s": 10.0}, StoreOutcomeUnknownError, 1),
+        )
+        for settings, kind, revisions in cases:
+            with self.subTest(settings=settings):
+                self.setUp()
+                self.set_faults("table", **settings)
+                with self.assertRaises(kind):
+                    self.wait(self.table.transact(make_transaction("a")), 6)
+                self.assertEqual(self.cell.table.revision, revisions)
+
+    def test_write_over_the_rate(self) -> None:
+        self.cell.table.writes.limit = 0
+        with self.assertRaisesRegex(StoreUnavailableError, "429"):
+            self.wait(self.table.transact(make_transaction("a")))
+
+    def test_write_not_sent(self) -> None:
+        for name in ("refusing", "hanging"):
+            with self.subTest(name):
+                self.setUp()
+                setattr(self.network, name, True)
+                with self.assertRaises(StoreUnavailableError):
+                    self.wait(self.table.transact(make_transaction("a")), 3)
+
+    def test_response_cut_in_the_middle(self) -> None:
+        self.network = MemoryNetwork(self.clock, CutService())
+        table = HttpTableStore(self.network.agent, self.clock, URL)
+        with self.assertRaises(StoreOutcomeUnknownError):
+            self.wait(table.transact(make_transaction("a")), 1)
+        with self.assertRaises(StoreUnavailableError):
+            self.wait(table.scan("a"), 1)
+
+    def test_read_failures(self) -> None:
+        for settings in ({"down": True}, {"delay_s": 10.0}):
+            with self.subTest(settings=settings):
+                self.setUp()
+                self.set_faults("table", **settings)
+                with self.assertRaises(StoreUnavailableError):
+                    self.wait(self.table.scan(""), 3)
+
+    def test_stale_read_is_discarded(self) -> None:
+        self.wait(self.table.transact(make_transaction("a")))
+        self.set_faults("table", stale_revisions=1)
+        with self.assertRaisesRegex(StoreUnavailableError, "revision 0 after 1"):
+            self.wait(self.table.scan(""))
+
+    def test_stale_read_after_conflict_is_discarded(self) -> None:
+        other = HttpTableStore(self.network.agent, self.clock, URL)
+        self.wait(other.transact(make_transaction("a")))
+        with self.assertRaises(ConflictError):
+            self.wait(self.table.transact(make_transaction("a")))
+        self.set_faults("table", stale_revisions=1)
+        with self.assertRaises(StoreUnavailableError):
+            self.wait(self.table.read("a"))
+
+
+class HttpObjectStoreTest(HttpCase):
+    """Guards against an object that is cut, mixed up or told as absent in an outage."""
+
+    def test_objects(self) -> None:
+        store = HttpObjectStore(self.network.agent, self.clock, URL)
+        body = bytes(range(256)) * 1_000
+        self.wait(store.put("a/b c", body))
+        self.assertEqual(self.wait(store.get("a/b c")), body)
+        self.assertIsNone(self.wait(store.get("a/c")))
+        self.set_faults("objects", down=True)
+        with self.assertRaises(StoreUnavailableError):
+            self.wait(store.get("a/c"))
+        with self.assertRaises(StoreUnavailableError):
+            self.wait(store.put("a/c", b""))
+
+
+class HttpMemberListTest(HttpCase):
+    """Guards against a list that cannot be read or that stays empty in an outage."""
+
+    def test_members(self) -> None:
+        members = HttpMemberList(self.network.agent, self.clock, URL)
+        self.assertEqual(self.wait(members.list_members(), 0.1).entries, [ENTRY])
+        self.set_faults("members", down=True)
+        with self.assertRaises(StoreUnavailableError):
+            self.wait(members.list_members())
