--- a/lavenderstall/clocks.py
+++ b/lavenderstall/clocks.py
@@ -8,25 +8,25 @@
 
 
 class DelayedCall(Protocol):
-    """A call that has been scheduled."""
+    """Stand for a call that was scheduled."""
 
     def cancel(self) -> None:
-        """Remove the call."""
+        """Drop the call."""
 
     def active(self) -> bool:
         """Tell whether the call is still to come."""
 
 
 class Clock(Protocol):
-    """Monotonic time in seconds and scheduled calls; a reactor or a test's clock."""
+    """Tell monotonic time and schedule calls, as a reactor or a test's clock does."""
 
     def seconds(self) -> float:
-        """Return the time."""
+        """Return the time in seconds."""
 
     def callLater(  # noqa: N802  (name set by IReactorTime)
-        self, delay: float, callable: Callable[..., Any], *args: Any, **kwargs: Any
-    ) -> Any:
-        """Call a function after a delay."""
+        self, delay: float, callable: Callable[..., Any], *args: Any, **kw: Any
+    ) -> DelayedCall:
+        """Schedule a call after a delay in seconds."""
 
 
 def sleep(clock: Clock, seconds: float) -> "Deferred[None]":
@@ -41,3 +41,11 @@
     loop = LoopingCall(step)
     loop.clock = cast("Any", clock)
     return loop
+
+
+def call_after(clock: Clock, delay: float, function: Callable[..., Any], *arguments: Any) -> None:
+    """Call a function after a delay in seconds, or at once if there is none."""
+    if delay > 0:
+        clock.callLater(delay, function, *arguments)
+    else:
+        function(*arguments)
--- a/lavenderstall/peers.py
+++ b/lavenderstall/peers.py
@@ -46,8 +46,7 @@
 def export_snapshot(snapshot: Snapshot) -> ConfigPart:
     """Return a configuration as a message."""
     items = {
-        f"{key.kind}/{key.name}": msgspec.json.encode(item)
-        for key, item in snapshot.items.items()
+        f"{key.kind}/{key.name}": msgspec.json.encode(item) for key, item in snapshot.items.items()
     }
     return ConfigPart(snapshot.version, items)
 
--- /dev/null
+++ b/lavenderstall/web.py
@@ -0,0 +1,424 @@
+"""HTTP interface for callers and operators."""
+
+import hashlib
+import logging
+import re
+from collections.abc import Awaitable, Callable
+from io import BytesIO
+from typing import Any, ClassVar
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+from twisted.web.resource import Resource
+from twisted.web.server import NOT_DONE_YET, Request, Site
+
+from lavenderstall import protocol
+from lavenderstall.access import AccessError
+from lavenderstall.bindings import check_request_id
+from lavenderstall.calls import CallRequest
+from lavenderstall.contracts import Deadline
+from lavenderstall.entry import Entry
+from lavenderstall.errors import (
+    BadRequestError,
+    LavenderstallError,
+    Outcome,
+    RefusedError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from lavenderstall.identifiers import JobId, RequestId, ServiceName, TeamName
+from lavenderstall.operations import Operations, find_status
+from lavenderstall.records import JobSpec
+from lavenderstall.schemas import Right
+
+logger = logging.getLogger(__name__)
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_DEADLINE_MS = 600_000
+DEFAULT_DEADLINE_MS = 10_000
+JOB_POLL_SECONDS = 0.1
+JSON = "application/json"
+TEXT = "text/plain; charset=utf-8"
+
+OUTCOME_STATUS = {
+    Outcome.DONE: 200,
+    Outcome.FAILED: 502,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+}
+
+
+class Refusal(msgspec.Struct):
+    """Hold the body of each answer that is not a result."""
+
+    outcome: str
+    reason: str
+    detail: str
+    retry_after_ms: int = 0
+    request_id: str = ""
+    step: str = ""
+    peer: str = ""
+
+
+class Reply(msgspec.Struct):
+    """Hold a response."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON
+    headers: dict[str, str] = {}
+
+
+class Issued(msgspec.Struct):
+    """Hold an issued request id."""
+
+    request_id: RequestId
+
+
+class IssueRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Ask for a request id that is bound to a worker of a service."""
+
+    service: ServiceName
+
+
+class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
+    """Ask for a job; its id makes a repeated request harmless."""
+
+    id: JobId
+    kind: protocol.Kind
+    tasks: int
+    resources: dict[str, int]
+    pool: str = ""
+    service: ServiceName = ServiceName("")
+    priority: int = 0
+    idempotent: bool = True
+    expected_ms: int = 0
+    deadline_ms: int = 0
+    payload: dict[str, msgspec.Raw] = {}
+
+
+class BoundedRequest(Request):
+    """Keep bodies in memory and discard those above the limit, as instances have no disks."""
+
+    oversized = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802  (name set by twisted.web)
+        """Prepare for a body of a declared length, or of unknown length."""
+        self.content = BytesIO()
+        self.oversized = length is not None and length > MAX_BODY_BYTES
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802  (name set by twisted.web)
+        """Take a part of the body."""
+        if self.oversized or self.content.tell() + len(data) > MAX_BODY_BYTES:
+            self.oversized = True
+            return
+        self.content.write(data)
+
+
+class Exchange:
+    """Hold one request and what its handler needs."""
+
+    def __init__(self, request: BoundedRequest, path: tuple[str, ...]) -> None:
+        self.path = path
+        self.body = request.content.getvalue() if request.content else b""
+        self.headers: Headers = request.requestHeaders
+        self.arguments = {
+            key.decode("utf-8", "replace"): values[-1].decode("utf-8", "replace")
+            for key, values in request.args.items()
+        }
+
+    def get_header(self, name: str, default: str = "") -> str:
+        """Return a header."""
+        return str(self.headers.getRawHeaders(name, [default])[0])
+
+    def get_integer(self, name: str, default: int, low: int, high: int) -> int:
+        """Return a header as a number between two bounds, or raise."""
+        text = self.get_header(name, str(default))
+        if not re.fullmatch(r"-?[0-9]{1,12}", text) or not low <= int(text) <= high:
+            raise BadRequestError(
+                f"header {name} is {text[:40]!r}, must be {low} to {high}", step="read header"
+            )
+        return int(text)
+
+    def get_flag(self, name: str, *, default: bool) -> bool:
+        """Return a header as yes or no, or raise."""
+        text = self.get_header(name, "yes" if default else "no").lower()
+        if text not in {"yes", "no"}:
+            raise BadRequestError(
+                f"header {name} is {text[:40]!r}, must be yes or no", step="read header"
+            )
+        return text == "yes"
+
+    def decode(self, kind: type) -> Any:
+        """Return the body as a typed value, or raise an error that names the field."""
+        try:
+            return msgspec.json.decode(self.body, type=kind)
+        except msgspec.MsgspecError as error:
+            raise BadRequestError(str(error), step="read body") from error
+
+
+Handler = Callable[[Exchange], Awaitable[Reply]]
+
+
+def make_json(status: int, value: object, **headers: str) -> Reply:
+    """Return a JSON response."""
+    return Reply(status, msgspec.json.encode(value), JSON, headers)
+
+
+def make_error(error: Exception, request_id: str = "") -> Reply:
+    """Return the response that tells an error."""
+    if isinstance(error, RefusedError):
+        status = 422 if error.reason == "never_fits" else OUTCOME_STATUS[error.outcome]
+        outcome, reason, retry = error.outcome.value, error.reason, error.retry_after_ms
+    elif isinstance(error, AccessError):
+        status, outcome, reason, retry = error.status, "not_run", "access", 0
+    elif isinstance(error, StoreOutcomeUnknownError):
+        status, outcome, reason, retry = 504, "unknown", "store_unavailable", 1000
+    elif isinstance(error, StoreUnavailableError):
+        status, outcome, reason, retry = 503, "not_run", "store_unavailable", 1000
+    elif isinstance(error, LavenderstallError):
+        status, outcome, reason, retry = find_status(error), "not_run", "bad_request", 0
+    else:
+        logger.error("request failed", exc_info=error)
+        status, outcome, reason, retry = 500, "unknown", "internal", 0
+        error = LavenderstallError("internal error; see the log", step="handle")
+    refusal = Refusal(outcome, reason, error.detail, retry, request_id, error.step, error.peer)
+    headers = {"Retry-After": str(-(-retry // 1000))} if retry else {}
+    return make_json(status, refusal, **headers)
+
+
+class Gate(Resource):
+    """Dispatch requests by method and path."""
+
+    isLeaf = True  # noqa: N815  (name set by twisted.web)
+
+    routes: ClassVar[tuple[tuple[str, str, str], ...]] = (
+        ("POST", "/v1/calls/{}", "call"),
+        ("POST", "/v1/requests", "issue"),
+        ("POST", "/v1/jobs", "submit"),
+        ("GET", "/v1/jobs/{}", "read_job"),
+        ("DELETE", "/v1/jobs/{}", "cancel_job"),
+        ("POST", "/v1/query", "query"),
+        ("POST", "/v1/apply", "apply"),
+        ("GET", "/v1/changes", "list_changes"),
+        ("GET", "/v1/config", "read_config"),
+        ("GET", "/v1/traces/{}", "read_trace"),
+        ("GET", "/healthz", "check_health"),
+        ("GET", "/metrics", "read_metrics"),
+    )
+
+    def __init__(self, entry: Entry) -> None:
+        super().__init__()
+        self._entry = entry
+        self._operations = Operations(entry)
+        self._patterns = [
+            (method, re.compile(re.escape(path).replace(r"\{\}", "([^/]+)")), name)
+            for method, path, name in self.routes
+        ]
+
+    def render(self, request: BoundedRequest) -> int:
+        """Answer a request once its handler is done."""
+        gone: list[object] = []
+        request.notifyFinish().addErrback(gone.append)
+        answer = Deferred.fromCoroutine(self._answer(request))
+        answer.addCallback(lambda reply: None if gone else send_reply(request, reply))
+        answer.addErrback(lambda failure: logger.error("response failed: %s", failure))
+        return NOT_DONE_YET
+
+    async def _answer(self, request: BoundedRequest) -> Reply:
+        request_id = ""
+        try:
+            handler, path = self._find_handler(request)
+            exchange = Exchange(request, path)
+            request_id = exchange.get_header(protocol.HEADER_REQUEST)[:200]
+            if request.oversized:
+                raise BadRequestError(
+                    f"the body is larger than {MAX_BODY_BYTES} bytes", step="read body"
+                )
+            return await handler(exchange)
+        except Exception as error:
+            return make_error(error, request_id)
+
+    def _find_handler(self, request: BoundedRequest) -> tuple[Handler, tuple[str, ...]]:
+        path = request.path.decode("utf-8", "replace")
+        method = request.method.decode("ascii", "replace")
+        allowed = set()
+        for wanted, pattern, name in self._patterns:
+            match = pattern.fullmatch(path)
+            if match and wanted == method:
+                return getattr(self, f"_{name}"), match.groups()
+            if match:
+                allowed.add(wanted)
+        if allowed:
+            raise BadRequestError(
+                f"{method} is not allowed on {path[:80]!r}, only {', '.join(sorted(allowed))}",
+                step="find handler",
+            )
+        known = ", ".join(sorted({path for _, path, _ in self.routes}))
+        raise BadRequestError(
+            f"path {path[:80]!r} does not exist; known are {known}", step="find handler"
+        )
+
+    def _get_team(self, exchange: Exchange) -> TeamName:
+        return self._entry.access.get_team(exchange.get_header("Authorization"))
+
+    async def _call(self, exchange: Exchange) -> Reply:
+        team = self._get_team(exchange)
+        number = exchange.get_integer(protocol.HEADER_ATTEMPT_NUMBER, 1, 1, 1000)
+        remaining = exchange.get_integer(
+            protocol.HEADER_DEADLINE, DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS
+        )
+        idempotent = exchange.get_flag(protocol.HEADER_IDEMPOTENT, default=False)
+        given = exchange.get_header(protocol.HEADER_REQUEST)
+        if not given and not idempotent:
+            raise BadRequestError(
+                f"a call that is not idempotent needs the header {protocol.HEADER_REQUEST}",
+                step="read header",
+            )
+        request = check_request_id(given) if given else RequestId(self._entry.make_nonce())
+        with self._entry.traces.hop(
+            "receive call", request, exchange.get_header("traceparent")
+        ) as hop:
+            call = CallRequest(
+                ServiceName(exchange.path[0]),
+                team,
+                request,
+                Deadline.from_remaining(remaining, self._entry.clock.seconds()),
+                exchange.body,
+                idempotent,
+                number > 1,
+                hop.parent,
+            )
+            answer = await self._entry.call(call)
+            hop.note(outcome=answer.outcome.value, reason=answer.reason, team=team)
+        if answer.outcome is Outcome.DONE:
+            return Reply(
+                200,
+                answer.body,
+                answer.content_type or JSON,
+                {
+                    protocol.HEADER_REQUEST: request,
+                    protocol.HEADER_DIGEST: hashlib.sha256(answer.body).hexdigest(),
+                    "X-Outcome": answer.outcome.value,
+                    "X-Worker": answer.worker,
+                },
+            )
+        return make_error(
+            RefusedError(
+                answer.detail,
+                step="call",
+                peer=answer.worker,
+                reason=answer.reason,
+                outcome=answer.outcome,
+                retry_after_ms=answer.retry_after_ms,
+            ),
+            request,
+        )
+
+    async def _issue(self, exchange: Exchange) -> Reply:
+        self._get_team(exchange)
+        wanted = exchange.decode(IssueRequest)
+        return make_json(200, Issued(self._entry.issue_request(wanted.service)))
+
+    async def _submit(self, exchange: Exchange) -> Reply:
+        team = self._get_team(exchange)
+        wanted = exchange.decode(JobRequest)
+        status = await self._operations.submit(make_spec(self._entry, team, wanted))
+        return make_json(202, status)
+
+    async def _read_job(self, exchange: Exchange) -> Reply:
+        caller = self._entry.access.get_caller(exchange.get_header("Authorization"))
+        wait = min(int(exchange.arguments.get("wait_ms", "0") or 0), MAX_DEADLINE_MS)
+        job = JobId(exchange.path[0])
+        return make_json(200, await self._operations.read_job(job, caller, wait / 1000))
+
+    async def _cancel_job(self, exchange: Exchange) -> Reply:
+        caller = self._entry.access.get_caller(exchange.get_header("Authorization"))
+        return make_json(200, await self._operations.cancel_job(JobId(exchange.path[0]), caller))
+
+    async def _query(self, exchange: Exchange) -> Reply:
+        caller = self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
+        return await self._operations.query(exchange, caller)
+
+    async def _apply(self, exchange: Exchange) -> Reply:
+        caller = self._entry.access.get_operator(exchange.get_header("Authorization"), Right.CHANGE)
+        return await self._operations.apply(exchange, caller)
+
+    async def _list_changes(self, exchange: Exchange) -> Reply:
+        self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
+        return make_json(200, await self._entry.configuration.list_changes())
+
+    async def _read_config(self, exchange: Exchange) -> Reply:
+        self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
+        return make_json(200, self._operations.describe_config())
+
+    async def _read_trace(self, exchange: Exchange) -> Reply:
+        self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
+        return make_json(200, self._entry.traces.ring.find(exchange.path[0]))
+
+    async def _check_health(self, exchange: Exchange) -> Reply:
+        ready = not self._entry.draining
+        return make_json(200 if ready else 503, self._operations.describe_health())
+
+    async def _read_metrics(self, exchange: Exchange) -> Reply:
+        return Reply(200, self._entry.metrics.write_page().encode(), TEXT)
+
+
+def make_spec(entry: Entry, team: TeamName, wanted: JobRequest) -> JobSpec:
+    """Return the job that a request asks for, or raise for what cannot be meant."""
+    if wanted.kind is protocol.Kind.SERVICE:
+        raise BadRequestError("services are declared, not submitted", step="check job")
+    check_request_id(wanted.id)
+    try:
+        resources = msgspec.convert(wanted.resources, Strict).to_resources()
+    except msgspec.ValidationError as error:
+        raise BadRequestError(f"resources: {error}", step="check job") from error
+    deadline = int(entry.read_unix() * 1000) + wanted.deadline_ms if wanted.deadline_ms else 0
+    return JobSpec(
+        id=wanted.id,
+        team=team,
+        kind=wanted.kind,
+        tasks=wanted.tasks,
+        resources=resources,
+        service=wanted.service,
+        pool=wanted.pool,
+        priority=wanted.priority,
+        idempotent=wanted.idempotent,
+        expected_ms=wanted.expected_ms,
+        deadline_unix_ms=deadline,
+        payload=wanted.payload,
+    )
+
+
+class Strict(msgspec.Struct, forbid_unknown_fields=True):
+    """Check the amounts of a job request."""
+
+    cores_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __post_init__(self) -> None:
+        amounts = (self.cores_milli, self.memory_mb, self.accelerators)
+        if min(amounts) < 0 or max(amounts) == 0:
+            raise ValueError("amounts must not be negative, and one must be above 0")
+
+    def to_resources(self) -> protocol.Resources:
+        """Return the amounts."""
+        return protocol.Resources(self.cores_milli, self.memory_mb, self.accelerators)
+
+
+def send_reply(request: Request, reply: Reply) -> None:
+    """Write a response."""
+    request.setResponseCode(reply.status)
+    request.setHeader("Content-Type", reply.content_type)
+    request.setHeader("Content-Length", str(len(reply.body)))
+    for name, value in reply.headers.items():
+        request.setHeader(name, value)
+    request.write(reply.body)
+    request.finish()
+
+
+def make_site(entry: Entry) -> Site:
+    """Return the site that serves an entry instance."""
+    return Site(Gate(entry), requestFactory=BoundedRequest)
