Reject declarations that cannot be stored

Cause: a YAML escape can produce a lone surrogate, which JSON cannot hold, so that the failure would appear only when the change is written. Change: a declaration is encoded once when it is read, and a failure is a problem with its line; the test of any text encodes what was read. Conclusion: an accepted declaration can always be stored.

--- a/lavenderstall/declarations.py
+++ b/lavenderstall/declarations.py
@@ -216,12 +216,14 @@
 
 
 def _convert(value: Any, kind: type[Declaration]) -> Declaration:
-    """Return a declaration; `Raw` fields need the detour over JSON."""
+    """Return a declaration that can be stored as JSON; `Raw` fields are encoded one by one."""
     payload = value.get("payload")
     if isinstance(payload, dict):
         raw = {name: msgspec.Raw(msgspec.json.encode(inner)) for name, inner in payload.items()}
         value = {**value, "payload": raw}
-    return msgspec.convert(value, kind)
+    declared = msgspec.convert(value, kind)
+    msgspec.json.encode(declared)
+    return declared
 
 
 def _compose(source: Source) -> Iterator[tuple[yaml.Node, _Loader]]:
--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -4,6 +4,7 @@
 import unittest
 from pathlib import Path
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -52,6 +53,7 @@
     ("kind: cell\nname: c\nzones: [{name: a}, {name: a}]", 1, "", "'a' occurs twice"),
     ("kind: team\nname: &x t\ndescription: *x", 3, "", "aliases"),
     ("kind: team\nname: !!python/name:os.system", 2, "name", "tag"),
+    ('kind: team\nname: t\ndescription: "\\uD800"', 1, "", "surrogates"),
     ("kind: team\nname: [", 2, "", "YAML"),
     ("a: " + "[" * 5000, 1, "", "deep"),
     ("kind: team\nname: t\nweight: " + "9" * 5000, 3, "weight", "cannot be read"),
@@ -86,7 +88,7 @@
     def test_any_text_gives_a_typed_error(self, text: str) -> None:
         for prefix in ("", "kind: batch\nname: ", BATCH + "payload:\n  a: "):
             try:
-                read_text(prefix + text)
+                json.loads(msgspec.json.encode(read_text(prefix + text)))
             except DeclarationError as error:
                 self.assertTrue(error.problems)
 
