--- a/lavenderstall/configuration.py
+++ b/lavenderstall/configuration.py
@@ -213,6 +213,10 @@
         self._unix_ms = unix_ms
         self._make_nonce = make_nonce
 
+    async def refresh(self) -> Snapshot:
+        """Return the newest items."""
+        return await self._reader.refresh()
+
     async def list_changes(self) -> list[Change]:
         """Return the stored changes in order of number."""
         rows = await self._store.scan(PREFIX_CHANGE)
@@ -226,16 +230,27 @@
         return decode_row(row, Change)
 
     async def apply(
-        self, draft: Draft, *, seen: Version | None = None, preview: bool = False
+        self,
+        draft: Draft,
+        *,
+        seen: Version | None = None,
+        based_on: Snapshot | None = None,
+        preview: bool = False,
     ) -> Applied:
         """Make a change, or none if nothing differs.
 
-        Without `seen` the change is based on the newest version, and it is tried again when
-        it is overtaken by a change that left its items alone. Raises `OvertakenError`, or a
-        store error; after `StoreOutcomeUnknownError` the change may have been made.
+        Without `seen` the change is based on a snapshot, by default the newest, and yields only
+        to changes that touch its items. Raises `OvertakenError`, or a store error; after
+        `StoreOutcomeUnknownError` the change may have been made.
         """
-        first = base = await self._reader.refresh()
+        base = await self.refresh()
+        first = based_on or base
         for _ in range(MAX_ATTEMPTS):
+            touched = any(
+                not equals(first.items.get(key), base.items.get(key)) for key in draft.wanted
+            )
+            if touched:
+                raise await self._describe_overtaking(first.version, base.version)
             differences = compare(base.items, draft.wanted)
             if not differences and not draft.decides:
                 return Applied(base.version)
@@ -249,11 +264,8 @@
             if await self._commit(self._make_transaction(change, draft, base), change):
                 await self._refresh_after_commit()
                 return Applied(Version(change.number), change, differences, committed=True)
-            base = await self._reader.refresh()
-            touched = any(
-                not equals(first.items.get(key), base.items.get(key)) for key in draft.wanted
-            )
-            if seen is not None or touched or draft.decides:
+            base = await self.refresh()
+            if seen is not None or draft.decides:
                 raise await self._describe_overtaking(first.version, base.version)
         raise await self._describe_overtaking(first.version, base.version)
 
@@ -261,7 +273,7 @@
         self, number: int, *, author: str, reason: str, seen: Version | None, preview: bool = False
     ) -> Applied:
         """Restore the items of a change as they were before it."""
-        base = await self._reader.refresh()
+        base = await self.refresh()
         change = await self.get_change(number)
         await self._check_undo(change)
         wanted = {each.key: each.before for each in change.items}
@@ -271,7 +283,7 @@
 
     async def approve(self, number: int, *, author: str, reason: str) -> Applied:
         """Carry out a proposed change."""
-        base = await self._reader.refresh()
+        base = await self.refresh()
         change = await self._get_proposal(number)
         for each in change.items:
             if not equals(base.items.get(each.key), each.before):
@@ -283,7 +295,7 @@
 
     async def reject(self, number: int, *, author: str, reason: str) -> Applied:
         """Close a proposed change without carrying it out."""
-        base = await self._reader.refresh()
+        base = await self.refresh()
         change = await self._get_proposal(number)
         draft = Draft(author, reason, state=ChangeState.REJECTED, decides=change)
         return await self.apply(draft, seen=base.version)
