Add the query and command language

Cause: operators ask about and direct the cell with the same words on the command line and over HTTP. Change: rows and answers, a lark grammar, verbs and formatters as families, evaluation per owner with a merge, the slices a statement concerns, and commands carried out as configuration changes. Control characters of reported texts are replaced before they reach a terminal.

--- /dev/null
+++ b/lavenderstall/query/execution.py
@@ -0,0 +1,185 @@
+"""Carries out commands as configuration changes."""
+
+import re
+from collections.abc import Callable, Iterable, Mapping
+from functools import singledispatch
+from typing import Any
+
+import yaml
+
+from lavenderstall.changes import ItemKey, make_plain, set_command
+from lavenderstall.configuration import Applied, Configuration, Draft
+from lavenderstall.declarations import (
+    DeclarationError,
+    Source,
+    find_nearest,
+    read_declarations,
+)
+from lavenderstall.identifiers import Version
+from lavenderstall.inventory import Answer, make_change_info
+from lavenderstall.query.fields import UNITS, read_number
+from lavenderstall.query.reach import SliceFacts
+from lavenderstall.query.statements import (
+    Assignment,
+    Decide,
+    Direct,
+    QueryError,
+    SetFields,
+    Statement,
+    Undo,
+)
+from lavenderstall.query.verbs import get_verb
+from lavenderstall.query.verbs.directive import DirectVerb
+from lavenderstall.schemas import Demand, Item
+
+INTEGER = re.compile(r"-?\d{1,18}\Z", re.ASCII)
+TRUTH = {"true": True, "yes": True, "false": False, "no": False}
+MAX_PATH_DEPTH = 10
+
+
+def _read_value(assignment: Assignment) -> Any:
+    """Return the plain value of an assignment; a duration or size may have a unit."""
+    word = assignment.value
+    if word.quoted:
+        return word.text
+    if INTEGER.match(word.text):
+        return int(word.text)
+    for suffix, units, _ in UNITS[:2]:
+        if assignment.path.text.endswith(suffix):
+            return read_number(word, units)
+    return TRUTH.get(word.text, word.text)
+
+
+def _assign(plain: dict[str, Any], assignment: Assignment) -> None:
+    """Set the field that a dotted path names."""
+    path = assignment.path
+    *outer, last = path.text.split(".")
+    if len(outer) > MAX_PATH_DEPTH or path.text in ("kind", "name"):
+        raise path.make_error(f"{path.text!r} cannot be set")
+    for name in outer:
+        inner = plain.setdefault(name, {})
+        if not isinstance(inner, dict):
+            raise path.make_error(f"{name!r} has no fields")
+        plain = inner
+    plain[last] = _read_value(assignment)
+
+
+def _find_assignment(statement: SetFields, field: str) -> Assignment:
+    """Return the assignment that a problem in a field is due to."""
+    paths = {each.path.text: each for each in statement.assignments}
+    fitting = (each for path, each in paths.items() if field.startswith(path) or field in path)
+    return next(fitting, statement.assignments[0])
+
+
+@singledispatch
+def draft_items(statement: Statement, items: Mapping[ItemKey, Item]) -> dict[ItemKey, Item | None]:
+    """Return the items that a command wants, given those in effect."""
+    raise TypeError(f"{type(statement).__name__} sets no items")
+
+
+@draft_items.register
+def _(statement: SetFields, items: Mapping[ItemKey, Item]) -> dict[ItemKey, Item | None]:
+    key = ItemKey(statement.kind, statement.name)
+    plain = make_plain(items.get(key))
+    if plain is None:
+        names = [each.name for each in items if each.kind == key.kind]
+        nearest = find_nearest(key.name, names)
+        raise QueryError(f"no {key.kind} is named {key.name!r}", nearest=nearest)
+    for assignment in statement.assignments:
+        _assign(plain, assignment)
+    text = yaml.safe_dump(plain, sort_keys=False)
+    try:
+        (declared,) = read_declarations([Source(str(key), text)])
+    except DeclarationError as error:
+        problem = error.problems[0]
+        word = _find_assignment(statement, problem.field).path
+        detail = f"{problem.field}: {problem.detail}" if problem.field else problem.detail
+        raise QueryError(detail, line=word.line, column=word.column) from None
+    return {key: declared.value}
+
+
+@draft_items.register
+def _(statement: Direct, items: Mapping[ItemKey, Item]) -> dict[ItemKey, Item | None]:
+    verb = get_verb(statement.verb)
+    assert isinstance(verb, DirectVerb)
+    key = ItemKey("command", statement.scope)
+    return {key: set_command(statement.scope, items.get(key), **verb.flags)}
+
+
+def check_scope(
+    statement: Statement, slices: Iterable[SliceFacts], items: Mapping[ItemKey, Item]
+) -> None:
+    """Raise `QueryError` if a directive names a place or work that does not exist."""
+    if not isinstance(statement, Direct):
+        return
+    facts = tuple(slices)
+    target, _, name = statement.scope.partition("/")
+    known: dict[str, set[str]] = {
+        "worker": {worker for each in facts for worker in each.workers},
+        "rack": {rack for each in facts for rack in each.racks},
+        "zone": {str(each.zone) for each in facts},
+        "slice": {str(each.slice) for each in facts},
+        "service": {key.name for key in items if key.kind == "service"},
+        "team": {key.name for key in items if key.kind == "team"},
+        "kind": {demand.value for demand in Demand},
+    }
+    # Commands on a thing that is gone must still be cleared.
+    if ItemKey("command", statement.scope) in items or not known.get(target):
+        return
+    if name not in known[target]:
+        nearest = find_nearest(name, known[target])
+        raise QueryError(f"no {target} is named {name!r}", nearest=nearest)
+
+
+def _make_answer(applied: Applied, unix_ms: int) -> Answer:
+    note = "" if applied.committed else "preview: nothing was changed"
+    return Answer(
+        change=make_change_info(applied.change, unix_ms) if applied.change else None,
+        differences=applied.differences,
+        committed=applied.committed,
+        version=applied.version,
+        note=note if applied.change else "nothing to change",
+    )
+
+
+async def _apply(
+    statement: Statement,
+    configuration: Configuration,
+    author: str,
+    seen: Version | None,
+    slices: Iterable[SliceFacts],
+) -> Applied:
+    if isinstance(statement, Undo):
+        return await configuration.undo(
+            statement.number,
+            author=author,
+            reason=statement.reason,
+            seen=seen,
+            preview=statement.preview,
+        )
+    if isinstance(statement, Decide):
+        act = configuration.approve if statement.verb == "approve" else configuration.reject
+        return await act(statement.number, author=author, reason=statement.reason)
+    if isinstance(statement, SetFields | Direct):
+        base = await configuration.refresh()
+        check_scope(statement, slices, base.items)
+        draft = Draft(author, statement.reason, draft_items(statement, base.items))
+        return await configuration.apply(draft, seen=seen, based_on=base)
+    raise TypeError(f"{type(statement).__name__} is not a command")
+
+
+async def execute(
+    statement: Statement,
+    configuration: Configuration,
+    *,
+    author: str,
+    unix_ms: Callable[[], int],
+    seen: Version | None = None,
+    slices: Iterable[SliceFacts] = (),
+) -> Answer:
+    """Carry out a command and return the change it made.
+
+    Raises `QueryError`, `OvertakenError`, `ChangeRefusedError` or a store error.
+    """
+    applied = await _apply(statement, configuration, author, seen, slices)
+    return _make_answer(applied, unix_ms())
--- /dev/null
+++ b/lavenderstall/query/formatters/table.py
@@ -0,0 +1,151 @@
+"""Formats answers as tables for people."""
+
+import re
+from collections.abc import Iterable, Sequence
+from enum import Enum
+from typing import Any
+
+from lavenderstall.changes import Difference, DifferenceAction
+from lavenderstall.inventory import Answer, AnyInfo, ChangeInfo, CountInfo
+from lavenderstall.query.formatters import Formatter
+
+MAX_WIDTH = 80
+UNITS_MS = ((86_400_000, "d"), (3_600_000, "h"), (60_000, "m"), (1_000, "s"))
+# Control characters of declared or reported texts must not reach a terminal.
+CONTROL = re.compile(r"[\x00-\x1f\x7f-\x9f\u2028\u2029\u202a-\u202e\u2066-\u2069]")
+RESET = "\x1b[0m"
+BOLD, RED, GREEN, YELLOW = "\x1b[1m", "\x1b[31m", "\x1b[32m", "\x1b[33m"
+COLOURS = {
+    "failed": RED,
+    "lost": RED,
+    "refused": RED,
+    "unknown": YELLOW,
+    "quarantined": YELLOW,
+    "drained": YELLOW,
+    "proposed": YELLOW,
+    "waiting": YELLOW,
+    "running": GREEN,
+    "live": GREEN,
+    "done": GREEN,
+}
+SIGNS = {DifferenceAction.ADD: "+", DifferenceAction.CHANGE: "~", DifferenceAction.REMOVE: "-"}
+SIGN_COLOURS = {"+": GREEN, "~": YELLOW, "-": RED}
+
+
+def format_duration(milliseconds: int) -> str:
+    """Return a duration in its largest unit, with one decimal below ten."""
+    for size, unit in UNITS_MS:
+        if milliseconds >= size:
+            amount = milliseconds / size
+            return f"{amount:.1f}{unit}" if amount < 10 else f"{amount:.0f}{unit}"
+    return f"{milliseconds}ms"
+
+
+def _clean(text: str) -> str:
+    return CONTROL.sub("?", text)
+
+
+def _format_value(name: str, value: Any) -> str:
+    if name.endswith("_ms"):
+        return format_duration(value)
+    if name.endswith("cores_milli"):
+        return f"{value / 1000:g}"
+    if name.endswith("_mb"):
+        return f"{value / 1024:.1f}GB" if value >= 1024 else f"{value}MB"
+    if isinstance(value, Enum):
+        return str(value.value)
+    if isinstance(value, tuple):
+        return "; ".join(map(str, value))
+    return str(value)
+
+
+def _make_title(name: str) -> str:
+    return re.sub(r"_(ms|mb|milli)\Z", "", name).replace("_", " ").upper()
+
+
+def _make_cells(row: AnyInfo, columns: Sequence[str]) -> list[str]:
+    if isinstance(row, CountInfo):
+        return [_clean(value) for value in row.values] + [str(row.count)]
+    cells = (_clean(_format_value(name, getattr(row, name))) for name in columns)
+    return [cell if len(cell) <= MAX_WIDTH else cell[: MAX_WIDTH - 3] + "..." for cell in cells]
+
+
+def _paint(text: str, code: str | None, colour: bool) -> str:
+    return f"{code}{text}{RESET}" if colour and code else text
+
+
+def _format_grid(titles: Sequence[str], grid: list[list[str]], colour: bool) -> Iterable[str]:
+    """Yield aligned lines; colours are added after padding."""
+    widths = [max(map(len, column)) for column in zip(titles, *grid, strict=True)]
+    padded = (title.ljust(width) for title, width in zip(titles, widths, strict=True))
+    yield _paint("  ".join(padded).rstrip(), BOLD, colour)
+    for cells in grid:
+        line = [
+            _paint(cell, COLOURS.get(cell), colour) + " " * (width - len(cell))
+            for cell, width in zip(cells, widths, strict=True)
+        ]
+        yield "  ".join(line).rstrip()
+
+
+def format_differences(differences: Iterable[Difference], *, colour: bool = False) -> str:
+    """Return one line for each item and field that differs."""
+    lines = []
+    for difference in differences:
+        sign = SIGNS[difference.action]
+        lines.append(_paint(f"{sign} {_clean(str(difference.key))}", SIGN_COLOURS[sign], colour))
+        for field in difference.fields:
+            before = "absent" if field.before is None else _clean(field.before)
+            after = "absent" if field.after is None else _clean(field.after)
+            lines.append(f"    {_clean(field.path)}: {before} -> {after}")
+    return "".join(f"{line}\n" for line in lines)
+
+
+def _format_change(change: ChangeInfo, committed: bool) -> Iterable[str]:
+    origin = "automatic, by" if change.automatic else "by"
+    yield f"change {change.id}, {change.state.value}, {origin} {_clean(change.author)}"
+    if change.reason:
+        yield f"reason: {_clean(change.reason)}"
+    links = (("undoes", change.undoes), ("decides", change.decides))
+    yield from (f"{word} change {number}" for word, number in links if number)
+    if change.decided_by:
+        yield f"decided by change {change.decided_by}"
+    if committed:
+        yield "accepted"
+
+
+def _format_footer(answer: Answer) -> Iterable[str]:
+    if answer.total > len(answer.rows) and answer.columns and answer.columns[-1] != "count":
+        yield f"{len(answer.rows)} of {answer.total} rows"
+    if answer.parts:
+        ages = [part.age_ms for part in answer.parts]
+        oldest = max(answer.parts, key=lambda part: part.age_ms)
+        yield (
+            f"{len(ages)} owner{'s' if len(ages) > 1 else ''}, data up to "
+            f"{format_duration(max(ages))} old ({oldest.owner})"
+        )
+    for missing in answer.missing:
+        where = ", ".join(missing.slices) or missing.owner
+        yield f"missing: {_clean(where)}: {_clean(missing.reason)}"
+
+
+class TableFormatter(Formatter):
+    """Make aligned columns, then the sources, their ages, and what is missing."""
+
+    name = "table"
+
+    def format(self, answer: Answer, *, colour: bool = False) -> str:
+        """Return the lines of an answer."""
+        lines: list[str] = []
+        if answer.change:
+            lines += _format_change(answer.change, answer.committed)
+        elif answer.rows:
+            grid = [_make_cells(row, answer.columns) for row in answer.rows]
+            titles = [_make_title(name) for name in answer.columns]
+            lines += _format_grid(titles, grid, colour)
+        elif not answer.note:
+            lines.append("no rows")
+        text = "".join(f"{line}\n" for line in lines)
+        text += format_differences(answer.differences, colour=colour)
+        footer = [_clean(answer.note)] if answer.note else []
+        footer += _format_footer(answer)
+        return text + "".join(f"{line}\n" for line in footer)
--- /dev/null
+++ b/lavenderstall/query/reach.py
@@ -0,0 +1,87 @@
+"""Determines whom a statement concerns and which right it needs."""
+
+from collections.abc import Iterable
+from functools import singledispatch
+
+import msgspec
+
+from lavenderstall.identifiers import SliceName, ZoneName
+from lavenderstall.query.fields import TOPICS, Reach
+from lavenderstall.query.filters import decide
+from lavenderstall.query.statements import (
+    Condition,
+    Count,
+    Show,
+    ShowChange,
+    Statement,
+    Topic,
+    Undo,
+    Why,
+)
+from lavenderstall.schemas import Right
+
+
+class SliceFacts(msgspec.Struct, frozen=True):
+    """Hold what an entry instance knows of a slice; empty sets are not known."""
+
+    slice: SliceName
+    zone: ZoneName
+    racks: frozenset[str] = frozenset()
+    workers: frozenset[str] = frozenset()
+
+
+def get_reach(statement: Statement) -> Reach:
+    """Return who holds the rows that a statement concerns."""
+    if isinstance(statement, Show | Count):
+        return TOPICS[statement.topic].reach
+    if isinstance(statement, Why):
+        return Reach.ENTRIES if statement.subject == "request" else Reach.OWNERS
+    return Reach.LOCAL
+
+
+def get_right(statement: Statement) -> Right:
+    """Return the right that a statement needs."""
+    if isinstance(statement, Show | ShowChange | Count | Why):
+        return Right.READ
+    return Right.READ if isinstance(statement, Undo) and statement.preview else Right.CHANGE
+
+
+def _is_concerned(topic: Topic, where: Condition | None, facts: SliceFacts) -> bool:
+    known = {"zone": frozenset({str(facts.zone)}), "slice": frozenset({str(facts.slice)})}
+    known |= {"rack": facts.racks, "worker": facts.workers}
+    if topic is Topic.SLICES:
+        known["id"] = known["slice"]
+    if topic is Topic.WORKERS:
+        known["id"] = facts.workers
+    if topic in (Topic.TASKS, Topic.WAITING):
+        # A task that waits is on no rack and no worker.
+        known["rack"] = facts.racks | {""} if facts.racks else facts.racks
+        known["worker"] = facts.workers | {""} if facts.workers else facts.workers
+    return decide(where, known) is not False
+
+
+@singledispatch
+def find_slices(statement: Statement, slices: Iterable[SliceFacts]) -> tuple[SliceName, ...]:
+    """Return the slices whose owners must be asked; none for what owners do not hold."""
+    return ()
+
+
+@find_slices.register(Show)
+@find_slices.register(Count)
+def _(statement: Show | Count, slices: Iterable[SliceFacts]) -> tuple[SliceName, ...]:
+    if get_reach(statement) is not Reach.OWNERS:
+        return ()
+    return tuple(
+        facts.slice for facts in slices if _is_concerned(statement.topic, statement.where, facts)
+    )
+
+
+@find_slices.register
+def _(statement: Why, slices: Iterable[SliceFacts]) -> tuple[SliceName, ...]:
+    if get_reach(statement) is not Reach.OWNERS:
+        return ()
+    known = tuple(slices)
+    holders = tuple(facts.slice for facts in known if statement.id in facts.workers)
+    if statement.subject == "worker" and holders:
+        return holders
+    return tuple(facts.slice for facts in known)
--- /dev/null
+++ b/lavenderstall/query/statements.py
@@ -0,0 +1,189 @@
+"""Statements that the parser produces, and the error for texts that are not statements."""
+
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+
+from lavenderstall.declarations import find_nearest
+from lavenderstall.errors import LavenderstallError
+
+Scalar = int | float | str
+
+
+class QueryError(LavenderstallError):
+    """A text is not a statement; positions count from 1."""
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        line: int = 1,
+        column: int = 1,
+        expected: Iterable[str] = (),
+        nearest: str | None = None,
+    ) -> None:
+        self.line = line
+        self.column = column
+        self.expected = tuple(expected)
+        self.nearest = nearest
+        self.problem = detail
+        text = f"line {line}, column {column}: {detail}"
+        if nearest:
+            text += f"; did you mean {nearest!r}?"
+        if self.expected:
+            text += f" (expected {', '.join(self.expected)})"
+        super().__init__(text, step="query")
+
+
+class Word(msgspec.Struct, frozen=True):
+    """Hold a word of the text and its position."""
+
+    text: str
+    line: int = 1
+    column: int = 1
+    quoted: bool = False
+
+    def make_error(self, detail: str, expected: Iterable[str] = ()) -> QueryError:
+        """Return an error at this word that names what was expected and the nearest of it."""
+        words = tuple(expected)
+        nearest = find_nearest(self.text, words)
+        return QueryError(
+            detail, line=self.line, column=self.column, expected=words, nearest=nearest
+        )
+
+
+class Topic(Enum):
+    """Collections of rows."""
+
+    TASKS = "tasks"
+    JOBS = "jobs"
+    WORKERS = "workers"
+    SERVICES = "services"
+    SLICES = "slices"
+    REFUSALS = "refusals"
+    WAITING = "waiting"
+    CHANGES = "changes"
+    ENTRIES = "entries"
+
+
+class Relation(Enum):
+    """How a field is compared; `~` is containment of text."""
+
+    EQUAL = "="
+    UNEQUAL = "!="
+    LESS = "<"
+    AT_MOST = "<="
+    MORE = ">"
+    AT_LEAST = ">="
+    CONTAINS = "~"
+
+
+class Comparison(msgspec.Struct, frozen=True, tag="comparison"):
+    """Compare a field; it holds if it does for one of the values."""
+
+    field: str
+    relation: Relation
+    values: tuple[Scalar, ...]
+
+
+class Every(msgspec.Struct, frozen=True, tag="every"):
+    """Hold if all conditions do."""
+
+    conditions: tuple["Condition", ...]
+
+
+class Either(msgspec.Struct, frozen=True, tag="either"):
+    """Hold if one of the conditions does."""
+
+    conditions: tuple["Condition", ...]
+
+
+class Negation(msgspec.Struct, frozen=True, tag="negation"):
+    """Hold if the condition does not."""
+
+    condition: "Condition"
+
+
+Condition = Comparison | Every | Either | Negation
+
+
+class Order(msgspec.Struct, frozen=True):
+    """Sort by a field."""
+
+    field: str
+    descending: bool = False
+
+
+class Show(msgspec.Struct, frozen=True, tag="show"):
+    """List rows."""
+
+    topic: Topic
+    where: Condition | None = None
+    sort: tuple[Order, ...] = ()
+    limit: int = 100
+
+
+class ShowChange(msgspec.Struct, frozen=True, tag="show_change"):
+    """Describe one change in full."""
+
+    number: int
+
+
+class Count(msgspec.Struct, frozen=True, tag="count"):
+    """Count rows that share values."""
+
+    topic: Topic
+    by: tuple[str, ...] = ()
+    where: Condition | None = None
+    limit: int = 100
+
+
+class Why(msgspec.Struct, frozen=True, tag="why"):
+    """Explain the decisions about a task, job, request or worker."""
+
+    subject: str
+    id: str
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """Set one field by its dotted path."""
+
+    path: Word
+    value: Word
+
+
+class SetFields(msgspec.Struct, frozen=True, tag="set"):
+    """Set fields of a declaration."""
+
+    kind: str
+    name: str
+    assignments: tuple[Assignment, ...]
+    reason: str
+
+
+class Direct(msgspec.Struct, frozen=True, tag="direct"):
+    """Put a runtime command into effect on a scope such as `worker/w1`, or lift it."""
+
+    verb: str
+    scope: str
+    reason: str
+
+
+class Undo(msgspec.Struct, frozen=True, tag="undo"):
+    """Undo a change, or show what undoing it would do."""
+
+    number: int
+    reason: str
+    preview: bool = False
+
+
+class Decide(msgspec.Struct, frozen=True, tag="decide"):
+    """Approve or reject a proposed change."""
+
+    verb: str
+    number: int
+    reason: str
+
+
+Statement = Show | ShowChange | Count | Why | SetFields | Direct | Undo | Decide
--- /dev/null
+++ b/lavenderstall/query/verbs/__init__.py
@@ -0,0 +1,114 @@
+"""Verbs of the language, one a module, found by name or alias."""
+
+from collections.abc import Iterable
+from functools import cache
+from importlib import import_module
+from typing import ClassVar
+
+import msgspec
+
+from lavenderstall.declarations import find_nearest
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.query.filters import Filter
+from lavenderstall.query.statements import Assignment, Statement, Word
+from lavenderstall.schemas import Right
+
+# Name, module, class, aliases. A module is imported when its verb is first looked up.
+VERBS: dict[str, tuple[str, str, tuple[str, ...]]] = {
+    "show": ("show", "ShowVerb", ("list",)),
+    "count": ("count", "CountVerb", ()),
+    "why": ("why", "WhyVerb", ("explain",)),
+    "set": ("set", "SetVerb", ()),
+    "drain": ("drain", "DrainVerb", ()),
+    "undrain": ("undrain", "UndrainVerb", ()),
+    "cancel": ("cancel", "CancelVerb", ("kill",)),
+    "quarantine": ("quarantine", "QuarantineVerb", ()),
+    "release": ("release", "ReleaseVerb", ()),
+    "pause": ("pause", "PauseVerb", ()),
+    "resume": ("resume", "ResumeVerb", ()),
+    "undo": ("undo", "UndoVerb", ("revert",)),
+    "approve": ("approve", "ApproveVerb", ("accept",)),
+    "reject": ("reject", "RejectVerb", ("refuse",)),
+}
+ALIASES = {alias: name for name, row in VERBS.items() for alias in row[2]}
+
+
+class UnknownVerbError(LavenderstallError):
+    """No verb has a name; `name` is what was asked for, `known` what exists."""
+
+    def __init__(self, name: str, known: Iterable[str]) -> None:
+        self.name = name
+        self.known = tuple(known)
+        nearest = find_nearest(name, self.known)
+        hint = f"; did you mean {nearest!r}?" if nearest else ""
+        detail = f"no verb {name[:100]!r}{hint} (known: {', '.join(self.known)})"
+        super().__init__(detail, step="query")
+
+
+class Parsed(msgspec.Struct, frozen=True):
+    """Hold the parts of a text that follow a verb."""
+
+    verb: Word
+    object: Word | None = None
+    id: Word | None = None
+    where: Filter | None = None
+    by: tuple[Word, ...] = ()
+    sort: tuple[tuple[Word, bool], ...] = ()
+    limit: Word | None = None
+    assignments: tuple[Assignment, ...] = ()
+    because: Word | None = None
+    preview: bool = False
+
+
+class Verb:
+    """Contract of a verb: what it is called, what it needs, and how it makes a statement."""
+
+    name: ClassVar[str]
+    summary: ClassVar[str]
+    example: ClassVar[str]
+    right: ClassVar[Right] = Right.CHANGE
+
+    def build(self, parsed: Parsed) -> Statement:
+        """Return the statement for the parts of a text, or raise `QueryError`."""
+        raise NotImplementedError
+
+
+def read_count(word: Word, high: int) -> int:
+    """Return a whole number from 1 to a bound, or raise `QueryError`."""
+    if not (word.text.isascii() and word.text.isdigit()) or not 1 <= int(word.text) <= high:
+        raise word.make_error(f"{word.text!r} is not a whole number from 1 to {high}")
+    return int(word.text)
+
+
+def read_reason(parsed: Parsed) -> str:
+    """Return the reason that the author gives, or raise `QueryError`."""
+    reason = parsed.because.text.strip() if parsed.because else ""
+    if not reason and not parsed.preview:
+        raise (parsed.because or parsed.verb).make_error("the reason must not be empty")
+    return reason
+
+
+def list_words() -> list[str]:
+    """Return all names and aliases."""
+    return sorted(VERBS.keys() | ALIASES.keys())
+
+
+@cache
+def _load(name: str) -> Verb:
+    module, member, _ = VERBS[name]
+    verb: Verb = getattr(import_module(f"{__name__}.{module}"), member)()
+    return verb
+
+
+def find_verb(name: str) -> Verb | None:
+    """Return the verb with a name or alias, or none."""
+    name = ALIASES.get(name, name)
+    return _load(name) if name in VERBS else None
+
+
+def get_verb(name: str) -> Verb:
+    """Return the verb with a name or alias, or raise `UnknownVerbError`."""
+    verb = find_verb(name)
+    if verb is None:
+        raise UnknownVerbError(name, list_words())
+    return verb
--- /dev/null
+++ b/lavenderstall/query/verbs/approve.py
@@ -0,0 +1,18 @@
+"""Carries out proposed changes."""
+
+from lavenderstall.query.statements import Decide, Statement
+from lavenderstall.query.verbs import Parsed, Verb, read_count, read_reason
+from lavenderstall.query.verbs.show import MAX_NUMBER
+
+
+class ApproveVerb(Verb):
+    """Carry out a proposed change."""
+
+    name = "approve"
+    summary = "carry out a proposed change"
+    example = 'approve change 413 because "looks right"'
+
+    def build(self, parsed: Parsed) -> Statement:
+        """Return a `Decide`."""
+        assert parsed.id is not None
+        return Decide(self.name, read_count(parsed.id, MAX_NUMBER), read_reason(parsed))
--- /dev/null
+++ b/lavenderstall/query/verbs/reject.py
@@ -0,0 +1,18 @@
+"""Rejects proposed changes."""
+
+from lavenderstall.query.statements import Decide, Statement
+from lavenderstall.query.verbs import Parsed, Verb, read_count, read_reason
+from lavenderstall.query.verbs.show import MAX_NUMBER
+
+
+class RejectVerb(Verb):
+    """Close a proposed change without carrying it out."""
+
+    name = "reject"
+    summary = "reject a proposed change"
+    example = 'reject change 413 because "not during the rounds"'
+
+    def build(self, parsed: Parsed) -> Statement:
+        """Return a `Decide`."""
+        assert parsed.id is not None
+        return Decide(self.name, read_count(parsed.id, MAX_NUMBER), read_reason(parsed))
--- /dev/null
+++ b/lavenderstall/query/verbs/resume.py
@@ -0,0 +1,13 @@
+"""Lets paused work start again."""
+
+from lavenderstall.query.verbs.directive import WORK, DirectVerb
+
+
+class ResumeVerb(DirectVerb):
+    """Let paused work start again."""
+
+    name = "resume"
+    summary = "let paused work start again"
+    example = 'resume kind batch because "flood is over"'
+    targets = WORK
+    flags = {"paused": False}
--- /dev/null
+++ b/lavenderstall/query/verbs/undo.py
@@ -0,0 +1,19 @@
+"""Undoes changes."""
+
+from lavenderstall.query.statements import Statement, Undo
+from lavenderstall.query.verbs import Parsed, Verb, read_count, read_reason
+from lavenderstall.query.verbs.show import MAX_NUMBER
+
+
+class UndoVerb(Verb):
+    """Undo a change by a new one, or preview that."""
+
+    name = "undo"
+    summary = "undo a change, or preview it"
+    example = 'undo change 412 because "wrong team"'
+
+    def build(self, parsed: Parsed) -> Statement:
+        """Return an `Undo`."""
+        assert parsed.id is not None
+        number = read_count(parsed.id, MAX_NUMBER)
+        return Undo(number, read_reason(parsed), parsed.preview)
