--- /dev/null
+++ b/lavenderstall/daemon.py
@@ -0,0 +1,137 @@
+"""Program that runs one entry instance."""
+
+import logging
+import signal
+import sys
+import time
+from pathlib import Path
+from random import SystemRandom
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from lavenderstall.clients import HttpMemberList, HttpTableStore, make_agent
+from lavenderstall.entry import Entry, Outside, Settings
+from lavenderstall.fleet import LeaseTerms
+from lavenderstall.identifiers import EntryId, Incarnation, ZoneName
+from lavenderstall.links import NngLinks
+from lavenderstall.logs import configure_logs
+from lavenderstall.options import (
+    Option,
+    OptionError,
+    parse_options,
+    read_choice,
+    read_integer,
+    read_seconds,
+    read_text,
+    read_url,
+)
+from lavenderstall.ownership import Identity
+from lavenderstall.schemas import Operator, Right
+from lavenderstall.targets import HttpTargetClient
+from lavenderstall.traces import Traces
+from lavenderstall.web import make_site
+
+logger = logging.getLogger(__name__)
+
+LEVELS = ("debug", "info", "warning", "error")
+
+OPTIONS = (
+    Option("entry", read_text, "name of this entry instance", required=True),
+    Option("zone", read_text, "availability zone of this entry instance", required=True),
+    Option("http", read_url("http"), "address for callers and operators", required=True),
+    Option("link", read_url("tcp"), "address for other entry instances", required=True),
+    Option("platform", read_url("http"), "address of the platform's services", required=True),
+    Option("racks-per-slice", read_integer(1, 1000), "racks of a zone that one owner serves", "4"),
+    Option("ownership-lease", read_seconds(0.5, 60), "ownership lease at workers, seconds", "3"),
+    Option("task-lease", read_seconds(2, 3600), "task lease at workers, seconds", "30"),
+    Option(
+        "outage-limit",
+        read_seconds(10, 86400),
+        "seconds without the table after which tasks are no longer renewed",
+        "900",
+    ),
+    Option(
+        "config-stale-limit",
+        read_seconds(10, 86400),
+        "age of the configuration in seconds at which no jobs are accepted",
+        "900",
+    ),
+    Option("operator-hash", read_text, "token hash of the operator of an empty configuration"),
+    Option("trace-file", read_text, "file that spans are appended to as JSON lines"),
+    Option("log-level", read_choice(*LEVELS), f"one of {', '.join(LEVELS)}", "info"),
+)
+
+
+def make_entry(values: dict[str, Any], reactor: Any) -> Entry:
+    """Return an entry instance with the outside that the settings name."""
+    random = SystemRandom()
+    incarnation = Incarnation(f"{random.getrandbits(64):016x}")
+    entry = EntryId(values["entry"])
+    identity = Identity(
+        entry, incarnation, ZoneName(values["zone"]), values["link"], values["http"]
+    )
+    trace_file = values["trace-file"]
+    file = Path(trace_file).open("a", encoding="utf-8") if trace_file else None  # noqa: SIM115
+    agent = make_agent(reactor)
+    outside = Outside(
+        clock=reactor,
+        random=random,
+        store=HttpTableStore(agent, reactor, values["platform"]),
+        members=HttpMemberList(agent, reactor, values["platform"]),
+        links=NngLinks(reactor, entry, incarnation, values["link"]),
+        client=HttpTargetClient(reactor),
+        read_unix=time.time,
+        traces=Traces(entry, file),
+    )
+    terms = LeaseTerms(values["ownership-lease"], values["task-lease"], values["outage-limit"])
+    settings = Settings(values["racks-per-slice"], terms, values["config-stale-limit"])
+    instance = Entry(identity, outside, settings)
+    if values["operator-hash"]:
+        first = Operator(name="operator", token=values["operator-hash"], right=Right.CHANGE)
+        instance.access.replace([first])
+    return instance
+
+
+def run_entry(instance: Entry, reactor: Any) -> None:
+    """Serve until the process is told to end; a second signal ends it at once."""
+    address = instance.identity.http.removeprefix("http://")
+    host, _, port = address.rpartition(":")
+    listening = reactor.listenTCP(int(port), make_site(instance), 512, host)
+
+    def finish(result: object) -> None:
+        logger.info("entry instance ends: %s", result)
+        instance.traces.close()
+        reactor.stop()
+
+    def leave(number: int, frame: object) -> None:
+        if instance.draining:
+            reactor.callFromThread(reactor.stop)
+            return
+        reactor.callFromThread(lambda: Deferred.fromCoroutine(instance.shut_down()).addBoth(finish))
+
+    instance.start()
+    reactor.addSystemEventTrigger("before", "shutdown", listening.stopListening)
+    # The reactor installs its own handlers when it starts; these replace them.
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, leave)
+    reactor.callWhenRunning(signal.signal, signal.SIGINT, leave)
+    logger.info("entry instance %s serves %s", instance.entry, instance.identity.http)
+    reactor.run()
+
+
+def main() -> int:
+    """Run an entry instance and return the exit status."""
+    from twisted.internet import reactor  # noqa: PLC0415  (importing it installs it)
+
+    try:
+        values = parse_options("lavenderstall-entry", OPTIONS)
+    except OptionError as error:
+        print(f"lavenderstall-entry: {error.detail}", file=sys.stderr)
+        return 2
+    configure_logs(values["entry"], values["log-level"])
+    run_entry(make_entry(values, reactor), reactor)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 from random import Random
+from typing import Any, cast
 
 import msgspec
 from twisted.internet.defer import Deferred, DeferredList
@@ -166,7 +167,7 @@
         for server in self.slices.values():
             await DeferredList(server.book.flush(), consumeErrors=True)
         flushing = self.commits.flush()
-        flushing.addTimeout(FLUSH_SECONDS, self.clock)  # type: ignore[arg-type]
+        flushing.addTimeout(FLUSH_SECONDS, cast("Any", self.clock))
         await DeferredList([flushing], consumeErrors=True)
         for name in list(self.slices):
             await self._release(name)
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -110,9 +110,11 @@
     client: TargetClient
     ownership: Ownership
     terms: LeaseTerms
-    make_nonce: Callable[[], str]
     read_unix: Callable[[], float]
 
+    def make_nonce(self) -> str:
+        """Return a text that is never used twice."""
+
 
 class SliceServer(FleetObserver):
     """Place the work of one slice on its workers while the tenure lasts."""
--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -45,7 +45,12 @@
     """Write rows through the group commit."""
 
     def submit(
-        self, conditions: Iterable[Condition], puts: Iterable[Put], *, timeout: float
+        self,
+        conditions: Iterable[Condition] = (),
+        puts: Iterable[Put] = (),
+        deletes: Iterable[str] = (),
+        *,
+        timeout: float,
     ) -> "Deferred[Committed]":
         """Commit rows together, or fail within the timeout in seconds."""
 
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -102,6 +102,7 @@
     """Keep bodies in memory and discard those above the limit, as instances have no disks."""
 
     oversized = False
+    content: BytesIO
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802  (name set by twisted.web)
         """Prepare for a body of a declared length, or of unknown length."""
