--- a/lavenderstall/clients.py
+++ b/lavenderstall/clients.py
@@ -9,7 +9,6 @@
     ConnectError,
     ConnectingCancelledError,
     ConnectionDone,
-    DNSLookupError,
 )
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
@@ -45,7 +44,6 @@
 NOT_SENT = (
     ConnectError,
     ConnectingCancelledError,
-    DNSLookupError,
     RequestGenerationFailed,
     RequestNotSent,
 )
