--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -106,12 +106,15 @@
     clock: Clock
     random: Random
     store: TableStore
-    commits: Commits
     client: TargetClient
     ownership: Ownership
     terms: LeaseTerms
     read_unix: Callable[[], float]
 
+    @property
+    def commits(self) -> Commits:
+        """Return the group commit."""
+
     def make_nonce(self) -> str:
         """Return a text that is never used twice."""
 
