Show default values in differences of changed items

Cause: a field left at its default was shown as absent, so that a change of a weight from 1 to 3 read "absent -> 3". Change: differences of an item that exists before and after include default values; new and removed items still show only what they set. The test that expected an absent value now expects both values. Conclusion: an operator sees what a field was before.

--- a/lavenderstall/changes.py
+++ b/lavenderstall/changes.py
@@ -146,6 +146,18 @@
     return one == other or make_plain(one) == make_plain(other)
 
 
+def _make_full(value: Any) -> Any:
+    """Return plain values that include the fields with default values."""
+    if isinstance(value, msgspec.Struct):
+        names = value.__struct_fields__
+        return {name: _make_full(getattr(value, name)) for name in names}
+    if isinstance(value, dict):
+        return {msgspec.to_builtins(key): _make_full(inner) for key, inner in value.items()}
+    if isinstance(value, tuple):
+        return [_make_full(inner) for inner in value]
+    return msgspec.json.decode(msgspec.json.encode(value))
+
+
 def _shorten(value: Any) -> Any:
     if isinstance(value, list):
         return [_shorten(each) for each in value]
@@ -165,8 +177,9 @@
 
 
 def describe_item(before: Item | None, after: Item | None) -> tuple[FieldChange, ...]:
-    """Return the fields in which two states of an item differ."""
-    old, new = (_flatten(make_plain(item) or {}) for item in (before, after))
+    """Return the fields in which two states differ; a new item shows no default values."""
+    make = make_plain if before is None or after is None else _make_full
+    old, new = (_flatten(make(item) or {}) for item in (before, after))
     return tuple(
         FieldChange(path, old.get(path), new.get(path))
         for path in sorted(old.keys() | new.keys())
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -13,6 +13,7 @@
     ChangeRefusedError,
     ChangeState,
     DifferenceAction,
+    FieldChange,
     ItemKey,
     OvertakenError,
     compare,
@@ -172,7 +173,7 @@
 
     def test_preview_shows_and_changes_nothing(self) -> None:
         (difference,) = self.undo(2, preview=True).differences
-        self.assertEqual(difference.fields[0].after, None)
+        self.assertEqual(difference.fields, (FieldChange("weight", "2", "1"),))
         self.assertEqual((self.get_weight(), self.table.writes), (2, 3))
 
     def test_refused(self) -> None:
