Add bodies of the operators' interface and a client

Cause: the command line and the server need the same types, and a client must not send twice what may run only once. Change: request and answer bodies; a synchronous client that tries entry instances in turn. It stops after a request that may have arrived and is not safe to repeat, and reports a later rejection as unknown when an earlier attempt may have run. An answer without a length is incomplete. Conclusion: "not run" is reported only if no attempt may have run.

--- /dev/null
+++ b/lavenderstall/bodies.py
@@ -0,0 +1,126 @@
+"""Bodies of the HTTP interface of callers and operators."""
+
+from typing import Any
+
+import msgspec
+
+from lavenderstall.changes import Difference
+from lavenderstall.declarations import Problem
+from lavenderstall.errors import Outcome
+from lavenderstall.identifiers import ChangeNumber, EntryId, JobId, RequestId, Version, ZoneName
+from lavenderstall.inventory import ChangeInfo, JobInfo, MissingPart, Part
+from lavenderstall.schemas import Batch, Gang
+
+PATH_QUERY = "/v1/query"
+PATH_APPLY = "/v1/apply"
+PATH_CHANGES = "/v1/changes"
+PATH_CONFIG = "/v1/config"
+PATH_JOBS = "/v1/jobs"
+PATH_CALLS = "/v1/calls"
+PATH_TRACES = "/v1/traces"
+
+
+class QueryRequest(msgspec.Struct, omit_defaults=True):
+    """Ask for the answer to a statement; `seen` is the version that a command is based on."""
+
+    text: str
+    seen: Version | None = None
+
+
+class ApplyRequest(msgspec.Struct, omit_defaults=True):
+    """Ask for declarations, as YAML text, to take effect, or for a preview of that."""
+
+    documents: str
+    reason: str = ""
+    seen: Version | None = None
+    preview: bool = False
+
+
+class ApplyAnswer(msgspec.Struct, omit_defaults=True):
+    """Describe an accepted change or a preview.
+
+    `in_effect` and `pending` list the live entry instances that have the change in effect and
+    those that do not yet. `dangling` names references to what is not declared.
+    """
+
+    version: Version
+    change: ChangeInfo | None = None
+    differences: tuple[Difference, ...] = ()
+    committed: bool = False
+    in_effect: tuple[EntryId, ...] = ()
+    pending: tuple[EntryId, ...] = ()
+    dangling: tuple[str, ...] = ()
+
+
+class ChangesAnswer(msgspec.Struct, omit_defaults=True):
+    """List changes, newest first."""
+
+    version: Version
+    changes: tuple[ChangeInfo, ...] = ()
+
+
+class ConfigAnswer(msgspec.Struct, omit_defaults=True):
+    """Hold all items as plain values, with hashes of tokens shortened."""
+
+    version: Version
+    age_ms: int | None = None
+    items: tuple[dict[str, Any], ...] = ()
+
+
+class JobRequest(msgspec.Struct, omit_defaults=True):
+    """Submit a job; its id is the request id, so that a retry finds the first submission."""
+
+    id: JobId
+    job: Batch | Gang
+
+
+class JobAnswer(msgspec.Struct, omit_defaults=True):
+    """Describe a job; after a submission only its id is known."""
+
+    id: JobId
+    job: JobInfo | None = None
+    parts: tuple[Part, ...] = ()
+    missing: tuple[MissingPart, ...] = ()
+
+
+class SpanInfo(msgspec.Struct, omit_defaults=True):
+    """Describe one hop of a request; times are in microseconds."""
+
+    name: str
+    span_id: str
+    parent_id: str = ""
+    owner: EntryId = EntryId("")
+    zone: ZoneName = ZoneName("")
+    start_unix_us: int = 0
+    duration_us: int = 0
+    attributes: dict[str, str] = {}
+
+
+class TraceAnswer(msgspec.Struct, omit_defaults=True):
+    """List the hops of a request that are still held in memory."""
+
+    request_id: RequestId
+    spans: tuple[SpanInfo, ...] = ()
+    missing: tuple[MissingPart, ...] = ()
+
+
+class Rejection(msgspec.Struct, omit_defaults=True):
+    """Tell why a request was not carried out, and whether it can have run.
+
+    `problems` belong to declarations; `line`, `column`, `expected` and `nearest` to the text of
+    a statement; `overtaken_by` is the change that was accepted first.
+    """
+
+    outcome: Outcome
+    reason: str
+    detail: str
+    retry_after_ms: int = 0
+    request_id: str = ""
+    step: str = ""
+    peer: str = ""
+    problems: tuple[Problem, ...] = ()
+    line: int = 0
+    column: int = 0
+    expected: tuple[str, ...] = ()
+    nearest: str | None = None
+    overtaken_by: ChangeNumber = ChangeNumber(0)
--- /dev/null
+++ b/lavenderstall/client.py
@@ -0,0 +1,261 @@
+"""Calls entry instances over HTTP, one after the other until one answers."""
+
+import http.client
+import socket
+from collections.abc import Callable, Mapping, Sequence
+from typing import TypeVar
+from urllib.parse import quote, urlsplit
+
+import msgspec
+
+from lavenderstall.bodies import (
+    PATH_APPLY,
+    PATH_CALLS,
+    PATH_CHANGES,
+    PATH_CONFIG,
+    PATH_JOBS,
+    PATH_QUERY,
+    PATH_TRACES,
+    ApplyAnswer,
+    ApplyRequest,
+    ChangesAnswer,
+    ConfigAnswer,
+    JobAnswer,
+    JobRequest,
+    QueryRequest,
+    Rejection,
+    TraceAnswer,
+)
+from lavenderstall.errors import (
+    AnswerLostError,
+    LavenderstallError,
+    Outcome,
+    PeerUnavailableError,
+)
+from lavenderstall.identifiers import JobId, RequestId, ServiceName, Version
+from lavenderstall.inventory import Answer
+from lavenderstall.protocol import (
+    HEADER_ATTEMPT_NUMBER,
+    HEADER_DEADLINE,
+    HEADER_IDEMPOTENT,
+    HEADER_REQUEST,
+)
+
+T = TypeVar("T")
+
+DEFAULT_TIMEOUT_S = 10.0
+MAX_ANSWER_BYTES = 256 * 1024 * 1024
+MAX_DETAIL = 300
+STATUS_OK = 200
+STATUS_MULTIPLE = 300
+# A proxy or load balancer in front of an entry instance answers so when it got no answer.
+STATUS_NO_ANSWER = frozenset({502, 504})
+STATUS_UNAVAILABLE = 503
+
+Connect = Callable[[str, int, float], http.client.HTTPConnection]
+
+
+class RejectedError(LavenderstallError):
+    """An entry instance rejected a request; `rejection` says why, `status` is that of HTTP."""
+
+    def __init__(self, rejection: Rejection, *, status: int, peer: str) -> None:
+        super().__init__(rejection.detail, step=rejection.step or "request", peer=peer)
+        self.rejection = rejection
+        self.status = status
+
+
+class Request(msgspec.Struct, frozen=True):
+    """Hold one request.
+
+    One that is `safe` may be sent again after it may have arrived; one that only `reads` leaves
+    nothing behind when its answer is lost.
+    """
+
+    method: str
+    path: str
+    body: bytes | None = None
+    headers: Mapping[str, str] = {}
+    safe: bool = False
+    reads: bool = False
+
+
+class _UnansweredError(Exception):
+    """An entry instance did not answer; `sent` tells whether it may have acted."""
+
+    def __init__(self, detail: str, *, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+def _connect(host: str, port: int, timeout_s: float) -> http.client.HTTPConnection:
+    return http.client.HTTPConnection(host, port, timeout=timeout_s)
+
+
+def _describe(error: Exception, timeout_s: float) -> str:
+    if isinstance(error, TimeoutError | socket.timeout):
+        return f"no answer within {timeout_s:g} s"
+    if isinstance(error, OSError) and error.strerror:
+        return error.strerror.lower()
+    return str(error) or type(error).__name__
+
+
+def _read_rejection(status: int, body: bytes) -> Rejection:
+    try:
+        return msgspec.json.decode(body, type=Rejection)
+    except msgspec.MsgspecError:
+        text = body[:MAX_DETAIL].decode("utf-8", "replace").strip()
+        detail = f"HTTP status {status}{f': {text}' if text else ''}"
+        return Rejection(Outcome.UNKNOWN, "unreadable", detail)
+
+
+def _make_read(path: str) -> Request:
+    return Request("GET", path, safe=True, reads=True)
+
+
+class Client:
+    """Send requests to the first entry instance that answers."""
+
+    def __init__(
+        self,
+        entries: Sequence[str],
+        token: str = "",
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        connect: Connect = _connect,
+    ) -> None:
+        self._entries = tuple(entries)
+        self._token = token
+        self._timeout_s = timeout_s
+        self._connect = connect
+
+    def __repr__(self) -> str:
+        return f"Client({list(self._entries)!r})"
+
+    def _exchange(self, entry: str, request: Request, attempt: int) -> tuple[int, bytes]:
+        """Return status and body of the answer of one entry instance."""
+        parts = urlsplit(entry)
+        sent = False
+        connection = self._connect(parts.hostname or "", parts.port or 80, self._timeout_s)
+        headers = {"Content-Type": "application/json", **request.headers}
+        if self._token:
+            headers["Authorization"] = f"Bearer {self._token}"
+        if attempt > 1:
+            headers[HEADER_ATTEMPT_NUMBER] = str(attempt)
+        try:
+            connection.connect()
+            sent = True
+            connection.request(request.method, request.path, request.body, headers)
+            response = connection.getresponse()
+            body = response.read(MAX_ANSWER_BYTES + 1)
+        except (OSError, http.client.HTTPException) as error:
+            raise _UnansweredError(_describe(error, self._timeout_s), sent=sent) from None
+        finally:
+            connection.close()
+        if len(body) > MAX_ANSWER_BYTES:
+            raise _UnansweredError(f"the answer is over {MAX_ANSWER_BYTES} bytes", sent=sent)
+        # Without a length or chunks a broken connection looks like the end of the answer.
+        if response.length or (response.length is None and not response.chunked):
+            raise _UnansweredError("the answer is incomplete", sent=sent)
+        if response.status in STATUS_NO_ANSWER:
+            raise _UnansweredError(f"HTTP status {response.status}", sent=sent)
+        return response.status, body
+
+    def send(self, request: Request) -> bytes:
+        """Return the body of a successful answer.
+
+        The next entry instance is tried when one was not reached, is unavailable and has not
+        run the request, or did not answer a safe request. Raises `RejectedError`,
+        `PeerUnavailableError` when none was reached, `AnswerLostError` when one may have acted.
+        """
+        failures: list[str] = []
+        rejected: RejectedError | None = None
+        lost = False
+        attempt = 1
+        for entry in self._entries:
+            try:
+                status, body = self._exchange(entry, request, attempt)
+            except _UnansweredError as error:
+                failures.append(f"{entry}: {error}")
+                lost = lost or error.sent
+                attempt += error.sent
+                if error.sent and not request.safe:
+                    break
+                continue
+            if STATUS_OK <= status < STATUS_MULTIPLE:
+                return body
+            rejection = _read_rejection(status, body)
+            rejected = RejectedError(rejection, status=status, peer=entry)
+            if rejection.outcome is not Outcome.NOT_RUN:
+                raise rejected
+            failures.append(f"{entry}: {rejection.detail}")
+            if status != STATUS_UNAVAILABLE:
+                break
+        if lost and not request.reads:
+            # An attempt without an answer may have run, whatever a later one was told.
+            detail = f"the request may have been carried out: {'; '.join(failures)}"
+            raise AnswerLostError(detail, step="request")
+        if rejected:
+            raise rejected
+        detail = f"no entry instance answered: {'; '.join(failures) or 'none is given'}"
+        raise PeerUnavailableError(detail, step="request")
+
+    def _fetch(self, request: Request, kind: type[T]) -> T:
+        body = self.send(request)
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.MsgspecError as error:
+            detail = f"the answer to {request.path} cannot be read: {error}"
+            raise AnswerLostError(detail, step="request") from None
+
+    def query(self, text: str, *, reads: bool, seen: Version | None = None) -> Answer:
+        """Return the answer to a statement; `reads` tells that it changes nothing."""
+        body = msgspec.json.encode(QueryRequest(text, seen))
+        return self._fetch(Request("POST", PATH_QUERY, body, safe=reads, reads=reads), Answer)
+
+    def apply(self, request: ApplyRequest) -> ApplyAnswer:
+        """Apply declarations, or preview that."""
+        body = msgspec.json.encode(request)
+        reads = request.preview
+        return self._fetch(Request("POST", PATH_APPLY, body, safe=reads, reads=reads), ApplyAnswer)
+
+    def get_changes(self) -> ChangesAnswer:
+        """Return the changes."""
+        return self._fetch(_make_read(PATH_CHANGES), ChangesAnswer)
+
+    def get_config(self) -> ConfigAnswer:
+        """Return all items."""
+        return self._fetch(_make_read(PATH_CONFIG), ConfigAnswer)
+
+    def submit(self, request: JobRequest) -> JobAnswer:
+        """Submit a job; its id makes sending it again safe."""
+        headers = {HEADER_REQUEST: request.id}
+        body = msgspec.json.encode(request)
+        return self._fetch(Request("POST", PATH_JOBS, body, headers, safe=True), JobAnswer)
+
+    def get_job(self, job: JobId) -> JobAnswer:
+        """Return the state of a job."""
+        path = f"{PATH_JOBS}/{quote(job, safe='')}"
+        return self._fetch(_make_read(path), JobAnswer)
+
+    def call(
+        self,
+        service: ServiceName,
+        body: bytes,
+        *,
+        request_id: RequestId,
+        idempotent: bool,
+        deadline_ms: int,
+    ) -> bytes:
+        """Return the response of a service."""
+        headers = {
+            "Content-Type": "application/octet-stream",
+            HEADER_REQUEST: request_id,
+            HEADER_IDEMPOTENT: "true" if idempotent else "false",
+            HEADER_DEADLINE: str(deadline_ms),
+        }
+        path = f"{PATH_CALLS}/{quote(service, safe='')}"
+        return self.send(Request("POST", path, body, headers, safe=idempotent))
+
+    def get_trace(self, request_id: RequestId) -> TraceAnswer:
+        """Return the hops of a request."""
+        path = f"{PATH_TRACES}/{quote(request_id, safe='')}"
+        return self._fetch(_make_read(path), TraceAnswer)
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,127 @@
+"""Tests of the client."""
+
+import unittest
+
+import msgspec
+
+from lavenderstall.bodies import ApplyRequest, JobAnswer, JobRequest, Rejection
+from lavenderstall.client import Client, RejectedError
+from lavenderstall.errors import (
+    AnswerLostError,
+    LavenderstallError,
+    Outcome,
+    PeerUnavailableError,
+)
+from lavenderstall.identifiers import JobId, RequestId, ServiceName, TeamName
+from lavenderstall.resources import NOTHING
+from lavenderstall.schemas import Batch
+from tests.entries import FakeEntry, Reply
+
+OK = Reply()
+JOB = JobRequest(JobId("j/1"), Batch("j", TeamName("t"), 1, NOTHING))
+JOB_ACCEPTED = Reply(202, msgspec.json.encode(JobAnswer(JobId("j/1"))))
+CLOSED = Reply(length=None)
+SHORT = Reply(length=99)
+GATEWAY = Reply(502, b"<html>")
+
+
+def reject(status: int, outcome: Outcome = Outcome.NOT_RUN) -> Reply:
+    """Return a rejection."""
+    return Reply(status, msgspec.json.encode(Rejection(outcome, "r", "why", step="admit")))
+
+
+def call(client: Client, idempotent: bool) -> bytes:
+    """Call a service."""
+    return client.call(
+        ServiceName("s"),
+        b"body",
+        request_id=RequestId("q"),
+        idempotent=idempotent,
+        deadline_ms=5,
+    )
+
+
+SENDERS = {
+    "read": lambda client: client.query("show tasks", reads=True),
+    "command": lambda client: client.query('drain worker w because "x"', reads=False),
+    "apply": lambda client: client.apply(ApplyRequest("", seen=1)),
+    "submit": lambda client: client.submit(JOB),
+    "once": lambda client: call(client, idempotent=False),
+    "call": lambda client: call(client, idempotent=True),
+}
+LOST, GONE, REFUSED = AnswerLostError, PeerUnavailableError, RejectedError
+NONE_RUN = reject(503)
+# Sender, replies of the entry instances in turn (none is down), error, requests that arrive.
+TABLE = (
+    ("read", (None, OK), None, 1),
+    ("read", (CLOSED, OK), None, 2),
+    ("read", (SHORT, GATEWAY), GONE, 2),
+    ("read", (None, None), GONE, 0),
+    ("read", (NONE_RUN, OK), None, 2),
+    ("read", (reject(403), OK), REFUSED, 1),
+    ("read", (Reply(500, b"\xff"), OK), REFUSED, 1),
+    ("read", (Reply(body=b"[]"),), LOST, 1),
+    ("command", (None, OK), None, 1),
+    ("command", (CLOSED, OK), LOST, 1),
+    ("command", (NONE_RUN, OK), None, 2),
+    ("apply", (SHORT, OK), LOST, 1),
+    ("apply", (GATEWAY, OK), LOST, 1),
+    ("submit", (CLOSED, JOB_ACCEPTED), None, 2),
+    ("submit", (CLOSED, None), LOST, 1),
+    ("submit", (CLOSED, NONE_RUN), LOST, 2),
+    ("submit", (CLOSED, reject(429)), LOST, 2),
+    ("submit", (reject(429), JOB_ACCEPTED), REFUSED, 1),
+    ("once", (CLOSED, OK), LOST, 1),
+    ("once", (None, OK), None, 1),
+    ("call", (SHORT, OK), None, 2),
+    ("call", (reject(500, Outcome.FAILED), OK), REFUSED, 1),
+)
+
+
+class ClientTest(unittest.TestCase):
+    """Guards against requests sent twice that must not be, and rejections that are not true."""
+
+    def start(self, replies: tuple[Reply | None, ...]) -> list[FakeEntry]:
+        entries = []
+        for reply in replies:
+            entry = FakeEntry(lambda _, reply=reply: reply)
+            entries.append(entry)
+            if reply is None:
+                entry.close()
+            else:
+                self.addCleanup(entry.close)
+        return entries
+
+    def test_table(self) -> None:
+        for sender, replies, error, arrived in TABLE:
+            with self.subTest(sender=sender, replies=replies):
+                entries = self.start(replies)
+                client = Client([entry.url for entry in entries], "secret-token", 5.0)
+                found: LavenderstallError | None = None
+                try:
+                    SENDERS[sender](client)
+                except LavenderstallError as raised:
+                    found = raised
+                    self.assertNotIn("secret-token", str(raised))
+                self.assertIs(type(found) if found else None, error)
+                self.assertEqual(sum(len(entry.seen) for entry in entries), arrived)
+
+    def test_headers_of_a_retry(self) -> None:
+        entries = self.start((CLOSED, Reply(body=b"done")))
+        client = Client([entry.url for entry in entries], "t.secret")
+        self.assertEqual(call(client, idempotent=True), b"done")
+        (request,) = entries[1].seen
+        expected = {"X-Attempt": "2", "X-Request-Id": "q", "X-Idempotent": "true"}
+        expected |= {"X-Deadline-Ms": "5", "Authorization": "Bearer t.secret"}
+        self.assertEqual(request.headers, request.headers | expected)
+        self.assertEqual((request.path, request.body), ("/v1/calls/s", b"body"))
+
+    def test_no_answer_names_every_entry(self) -> None:
+        entries = self.start((None, None))
+        with self.assertRaises(PeerUnavailableError) as caught:
+            Client([entry.url for entry in entries]).get_config()
+        for entry in entries:
+            self.assertIn(f"{entry.url}: connection refused", str(caught.exception))
+
+    def test_token_is_not_shown(self) -> None:
+        self.assertNotIn("secret", repr(Client(["http://127.0.0.1:1"], "secret")))
