Follow single changes instead of reading all items

Cause: each entry instance read the whole configuration after each change, which grows with teams, changes and instances. Change: a reader at most 10 changes behind reads those rows and applies them; otherwise it reads all items. The JSON Schema names unknown fields as errors, as the reader of declarations does. Conclusion: a refresh after one change takes two reads.

--- a/lavenderstall/changes.py
+++ b/lavenderstall/changes.py
@@ -164,6 +164,14 @@
     return f"hash ending in {value[-6:]}" if isinstance(value, str) else value
 
 
+def make_shown(item: Item) -> dict[str, Any]:
+    """Return an item as plain values with hashes of tokens shortened."""
+    plain = make_plain(item) or {}
+    return {
+        name: _shorten(value) if name in SECRET_FIELDS else value for name, value in plain.items()
+    }
+
+
 def _flatten(value: Any, path: str = "") -> dict[str, str]:
     """Return the fields of nested mappings by dotted path."""
     if not isinstance(value, dict):
--- a/lavenderstall/configuration.py
+++ b/lavenderstall/configuration.py
@@ -1,8 +1,7 @@
-"""Versions of the configuration: reading, changing and undoing."""
+"""Changes of the configuration: applying, undoing, approving and rejecting."""
 
 from collections.abc import Callable, Mapping
 from contextlib import suppress
-from typing import Any, Protocol
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -18,7 +17,6 @@
     OvertakenError,
     compare,
     equals,
-    find_item_key,
     make_change_key,
     make_item_key,
 )
@@ -29,16 +27,16 @@
     StoreUnavailableError,
 )
 from lavenderstall.identifiers import ChangeNumber, Version
-from lavenderstall.protocol import Condition, Put, Rows, Transaction
+from lavenderstall.protocol import Condition, Put, Transaction
 from lavenderstall.records import (
     KEY_CONFIG_HEAD,
     PREFIX_CHANGE,
-    PREFIX_CONFIG,
     HeadRow,
     decode_row,
     encode_row,
 )
 from lavenderstall.schemas import Item
+from lavenderstall.snapshots import Clock, ConfigurationReader, ConfigurationView, Snapshot
 from lavenderstall.storage import TableStore
 
 # A change without a version that its author saw is tried again when another overtakes it.
@@ -47,31 +45,6 @@
 READ_BACK_DELAYS_S = (0.0, 0.2, 0.5, 1.0, 2.0)
 
 
-class Clock(Protocol):
-    """Tell the time in seconds and call functions later, as Twisted's `IReactorTime` does."""
-
-    def seconds(self) -> float:
-        """Return the time in seconds."""
-
-    def callLater(self, delay: float, callable: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
-        """Call a function after a delay in seconds."""
-
-
-class ConfigurationError(LavenderstallError):
-    """The stored configuration cannot be read."""
-
-
-class Snapshot(msgspec.Struct, frozen=True):
-    """Hold all items as of one version; `head` is the version of the head's row."""
-
-    version: Version
-    head: int
-    items: dict[ItemKey, Item]
-
-
-EMPTY = Snapshot(Version(0), 0, {})
-
-
 class Applied(msgspec.Struct, frozen=True):
     """Describe what an operator's request did or, as a preview, would do."""
 
@@ -81,106 +54,6 @@
     committed: bool = False
 
 
-def read_snapshot(rows: Rows) -> Snapshot:
-    """Return the configuration that the rows below `config/` hold."""
-    version, head, items = Version(0), 0, {}
-    try:
-        for row in rows.rows:
-            key = find_item_key(row.key)
-            if key is not None:
-                items[key] = decode_row(row, ItemRow).value
-            elif row.key == KEY_CONFIG_HEAD:
-                version, head = decode_row(row, HeadRow).version, row.version
-    except msgspec.MsgspecError as error:
-        raise ConfigurationError(f"row {row.key!r}: {error}", step="configuration") from None
-    return Snapshot(version, head, items)
-
-
-class ConfigurationView:
-    """Hold the newest configuration that was read.
-
-    A snapshot below the version in effect is ignored, so that a slow or stale reader never
-    reverts it. `age_ms` counts from the start of the read that last confirmed the version.
-    """
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._snapshot = EMPTY
-        self._confirmed: float | None = None
-        self._listeners: list[Callable[[ConfigurationView], None]] = []
-
-    @property
-    def version(self) -> Version:
-        """Return the version in effect."""
-        return self._snapshot.version
-
-    @property
-    def snapshot(self) -> Snapshot:
-        """Return the items in effect."""
-        return self._snapshot
-
-    @property
-    def age_ms(self) -> int | None:
-        """Return how long ago the version was confirmed, or none if it never was."""
-        if self._confirmed is None:
-            return None
-        return round((self._clock.seconds() - self._confirmed) * 1000)
-
-    def get(self, kind: str, name: str) -> Any:
-        """Return an item, or none."""
-        return self._snapshot.items.get(ItemKey(kind, name))
-
-    def list_kind(self, kind: str) -> list[Any]:
-        """Return all items of a kind in order of name."""
-        return [item for key, item in sorted(self._snapshot.items.items()) if key.kind == kind]
-
-    def listen(self, listener: Callable[["ConfigurationView"], None]) -> None:
-        """Call a listener after each version that takes effect."""
-        self._listeners.append(listener)
-
-    def accept(self, snapshot: Snapshot, read_at: float | None = None) -> bool:
-        """Apply a snapshot of a higher version and tell whether it took effect.
-
-        `read_at` is the time at which its read from the table started; none stands for a
-        snapshot from a peer, which does not confirm the version.
-        """
-        if snapshot.version < self.version:
-            return False
-        if read_at is not None:
-            self.confirm(snapshot.version, read_at)
-        if snapshot.version == self.version and self._snapshot is not EMPTY:
-            return False
-        self._snapshot = snapshot
-        for listener in self._listeners:
-            listener(self)
-        return True
-
-    def confirm(self, version: Version, read_at: float) -> None:
-        """Note that the table had a version at a time, unless the answer is stale."""
-        if version >= self.version:
-            self._confirmed = max(read_at, self._confirmed or read_at)
-
-
-class ConfigurationReader:
-    """Refresh a view from the table."""
-
-    def __init__(self, store: TableStore, view: ConfigurationView, clock: Clock) -> None:
-        self._store = store
-        self._view = view
-        self._clock = clock
-
-    async def refresh(self) -> Snapshot:
-        """Read the head, and all items if it is newer than the view; return the view's items."""
-        read_at = self._clock.seconds()
-        row = await self._store.read(KEY_CONFIG_HEAD)
-        version = decode_row(row, HeadRow).version if row else Version(0)
-        if version == self._view.version:
-            self._view.confirm(version, read_at)
-        elif version > self._view.version:
-            self._view.accept(read_snapshot(await self._store.scan(PREFIX_CONFIG)), read_at)
-        return self._view.snapshot
-
-
 class Draft(msgspec.Struct, frozen=True):
     """Hold what is wanted of a change before it has a number."""
 
--- a/lavenderstall/schemas.py
+++ b/lavenderstall/schemas.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Iterable
 from enum import Enum
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -310,6 +310,10 @@
     return str(item.__struct_config__.tag)
 
 
-def export_schema() -> dict[str, object]:
-    """Return the JSON Schema of all declarations."""
-    return msgspec.json.schema(Declaration)
+def export_schema() -> dict[str, Any]:
+    """Return the JSON Schema of all declarations, in which unknown fields are errors."""
+    schema = msgspec.json.schema(Declaration)
+    for definition in schema["$defs"].values():
+        if "properties" in definition:
+            definition["additionalProperties"] = False
+    return schema
--- /dev/null
+++ b/lavenderstall/snapshots.py
@@ -0,0 +1,199 @@
+"""Versions of the configuration: reading them and holding the newest."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import msgspec
+
+from lavenderstall.changes import (
+    Change,
+    ChangeState,
+    ItemKey,
+    ItemRow,
+    find_item_key,
+    make_change_key,
+)
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import Version
+from lavenderstall.protocol import Rows
+from lavenderstall.records import KEY_CONFIG_HEAD, PREFIX_CONFIG, HeadRow, decode_row
+from lavenderstall.schemas import Item, get_kind
+from lavenderstall.storage import TableStore
+
+# A reader that is further behind reads all items instead of each change.
+MAX_STEPS = 10
+
+
+class Clock(Protocol):
+    """Tell the time in seconds and call functions later, as Twisted's `IReactorTime` does."""
+
+    def seconds(self) -> float:
+        """Return the time in seconds."""
+
+    def callLater(self, delay: float, callable: Callable[..., Any], *args: Any) -> Any:  # noqa: N802
+        """Call a function after a delay in seconds."""
+
+
+class ConfigurationError(LavenderstallError):
+    """The stored configuration cannot be read."""
+
+
+class Snapshot(msgspec.Struct, frozen=True):
+    """Hold all items as of one version; `head` is the version of the head's row."""
+
+    version: Version
+    head: int
+    items: dict[ItemKey, Item]
+
+
+EMPTY = Snapshot(Version(0), 0, {})
+
+
+class SnapshotBody(msgspec.Struct, frozen=True):
+    """Carry a snapshot between entry instances."""
+
+    version: Version
+    head: int
+    items: tuple[Item, ...]
+
+
+def pack_snapshot(snapshot: Snapshot) -> SnapshotBody:
+    """Return the body that carries a snapshot."""
+    return SnapshotBody(snapshot.version, snapshot.head, tuple(snapshot.items.values()))
+
+
+def unpack_snapshot(body: SnapshotBody) -> Snapshot:
+    """Return the snapshot that a body carries."""
+    items = {ItemKey(get_kind(item), item.name): item for item in body.items}
+    return Snapshot(body.version, body.head, items)
+
+
+def apply_change(snapshot: Snapshot, change: Change, head: int) -> Snapshot:
+    """Return the configuration after the change that follows a snapshot."""
+    items = dict(snapshot.items)
+    for each in change.items if change.state is ChangeState.DONE else ():
+        if each.after is None:
+            items.pop(each.key, None)
+        else:
+            items[each.key] = each.after
+    return Snapshot(Version(change.number), head, items)
+
+
+def read_snapshot(rows: Rows) -> Snapshot:
+    """Return the configuration that the rows below `config/` hold."""
+    version, head, items = Version(0), 0, {}
+    try:
+        for row in rows.rows:
+            key = find_item_key(row.key)
+            if key is not None:
+                items[key] = decode_row(row, ItemRow).value
+            elif row.key == KEY_CONFIG_HEAD:
+                version, head = decode_row(row, HeadRow).version, row.version
+    except msgspec.MsgspecError as error:
+        raise ConfigurationError(f"row {row.key!r}: {error}", step="configuration") from None
+    return Snapshot(version, head, items)
+
+
+class ConfigurationView:
+    """Hold the newest configuration that was read.
+
+    A snapshot below the version in effect is ignored, so that a slow or stale reader never
+    reverts it. `age_ms` counts from the start of the read that last confirmed the version.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._snapshot = EMPTY
+        self._confirmed: float | None = None
+        self._listeners: list[Callable[[ConfigurationView], None]] = []
+
+    @property
+    def version(self) -> Version:
+        """Return the version in effect."""
+        return self._snapshot.version
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the items in effect."""
+        return self._snapshot
+
+    @property
+    def age_ms(self) -> int | None:
+        """Return how long ago the version was confirmed, or none if it never was."""
+        if self._confirmed is None:
+            return None
+        return round((self._clock.seconds() - self._confirmed) * 1000)
+
+    def get(self, kind: str, name: str) -> Any:
+        """Return an item, or none."""
+        return self._snapshot.items.get(ItemKey(kind, name))
+
+    def list_kind(self, kind: str) -> list[Any]:
+        """Return all items of a kind in order of name."""
+        return [item for key, item in sorted(self._snapshot.items.items()) if key.kind == kind]
+
+    def listen(self, listener: Callable[["ConfigurationView"], None]) -> None:
+        """Call a listener after each version that takes effect."""
+        self._listeners.append(listener)
+
+    def accept(self, snapshot: Snapshot, read_at: float | None = None) -> bool:
+        """Apply a snapshot of a higher version and tell whether it took effect.
+
+        `read_at` is the time at which its read from the table started; none stands for a
+        snapshot from a peer, which does not confirm the version.
+        """
+        if snapshot.version < self.version:
+            return False
+        if read_at is not None:
+            self.confirm(snapshot.version, read_at)
+        if snapshot.version == self.version and self._snapshot is not EMPTY:
+            return False
+        self._snapshot = snapshot
+        for listener in self._listeners:
+            listener(self)
+        return True
+
+    def confirm(self, version: Version, read_at: float) -> None:
+        """Note that the table had a version at a time, unless the answer is stale."""
+        if version >= self.version:
+            self._confirmed = max(read_at, self._confirmed or read_at)
+
+
+class ConfigurationReader:
+    """Refresh a view from the table."""
+
+    def __init__(self, store: TableStore, view: ConfigurationView, clock: Clock) -> None:
+        self._store = store
+        self._view = view
+        self._clock = clock
+
+    async def refresh(self) -> Snapshot:
+        """Read the head, and what is newer than the view; return the view's items."""
+        read_at = self._clock.seconds()
+        row = await self._store.read(KEY_CONFIG_HEAD)
+        version = decode_row(row, HeadRow).version if row else Version(0)
+        if version == self._view.version:
+            self._view.confirm(version, read_at)
+        elif version > self._view.version and row:
+            snapshot = await self._follow(version, row.version)
+            if snapshot is None:
+                snapshot = read_snapshot(await self._store.scan(PREFIX_CONFIG))
+            self._view.accept(snapshot, read_at)
+        return self._view.snapshot
+
+    async def _follow(self, version: Version, head: int) -> Snapshot | None:
+        """Return the view's snapshot with the changes up to a version, or none if too many."""
+        snapshot = self._view.snapshot
+        if snapshot is EMPTY or version - snapshot.version > MAX_STEPS:
+            return None
+        for number in range(snapshot.version + 1, version + 1):
+            row = await self._store.read(make_change_key(number))
+            if row is None:
+                return None
+            try:
+                snapshot = apply_change(snapshot, decode_row(row, Change), head)
+            except msgspec.MsgspecError as error:
+                raise ConfigurationError(
+                    f"row {row.key!r}: {error}", step="configuration"
+                ) from None
+        return snapshot
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -3,6 +3,7 @@
 import itertools
 import unittest
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
@@ -19,19 +20,20 @@
     compare,
     set_command,
 )
-from lavenderstall.configuration import (
-    Configuration,
+from lavenderstall.configuration import Configuration, ConfigurationView, Draft
+from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from lavenderstall.identifiers import Version
+from lavenderstall.protocol import Row, Rows
+from lavenderstall.schemas import Command, Demand, Policy, Team
+from lavenderstall.snapshots import (
     ConfigurationError,
     ConfigurationReader,
-    ConfigurationView,
-    Draft,
     Snapshot,
+    SnapshotBody,
+    pack_snapshot,
     read_snapshot,
+    unpack_snapshot,
 )
-from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
-from lavenderstall.identifiers import Version
-from lavenderstall.protocol import Row, Rows
-from lavenderstall.schemas import Command, Demand, Policy, Team
 from tests.support import FakeTable, Fault, run
 
 A, B = ItemKey("team", "a"), ItemKey("team", "b")
@@ -228,6 +230,27 @@
         self.assertIsNone(self.run_now(self.ben.apply(self.draft)).change)
 
 
+class ReaderTest(TableTest):
+    """Guards against a view that differs from the table after following single changes."""
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.integers(0, 3), st.integers(0, 2))))
+    def test_following_changes_equals_reading_all_items(self, steps: list) -> None:
+        self.setUp()
+        reader = ConfigurationReader(self.table, self.views[1], self.clock)
+        for name, weight, refreshes in steps:
+            state = ChangeState.PROPOSED if weight == 3 else ChangeState.DONE
+            draft = make_draft(ItemKey("team", name), weight or None, state=state)
+            run(self.ana.apply(draft))
+            if refreshes:
+                run(reader.refresh())
+        followed = run(reader.refresh())
+        view = ConfigurationView(self.clock)
+        whole = run(ConfigurationReader(self.table, view, self.clock).refresh())
+        self.assertEqual(followed, whole)
+        body = msgspec.msgpack.encode(pack_snapshot(whole))
+        self.assertEqual(unpack_snapshot(msgspec.msgpack.decode(body, type=SnapshotBody)), whole)
+
+
 class ViewTest(unittest.TestCase):
     """Guards against a configuration that reverts or looks fresher than it is."""
 
