--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -44,7 +44,7 @@
 from lavenderstall.query.execution import execute
 from lavenderstall.query.parser import parse_statement
 from lavenderstall.query.reach import get_right
-from lavenderstall.schemas import Right, get_kind
+from lavenderstall.schemas import Right, Team, get_kind
 from tests.entries import FakeEntry, Reply, Seen
 from tests.support import FakeTable, run
 
@@ -180,6 +180,19 @@
                 self.assertEqual(found, status, err)
                 self.assertIn(words, out + err)
 
+    def test_apply_changes_what_the_preview_showed(self) -> None:
+        file = self.write("team.yaml", TEAM.format(1))
+        preview, other = self.server.apply, {ItemKey("team", "u"): Team("u")}
+
+        def overtake(body: bytes) -> ApplyAnswer:
+            answer = preview(body)
+            run(self.server.configuration.apply(Draft("ben", "first", other)))
+            return answer
+
+        with mock.patch.object(self.server, "apply", overtake):
+            status, _, err = self.main("apply", file)
+        self.assertEqual((status, "overtaken by change 1 by ben" in err), (Status.REFUSED, True))
+
     def test_invalid_input_sends_nothing(self) -> None:
         bad = self.write("bad.yaml", "kind: team\nname: t\nwieght: 1\n")
         two = self.write("two.yaml", JOBS.format("a") + "---\n" + JOBS.format("b"))
