--- a/lavenderstall/evidence.py
+++ b/lavenderstall/evidence.py
@@ -52,6 +52,7 @@
         self.failures = 0
         self.successes = 0
         self.survived_s = 0.0
+        self.next_start = 0.0
 
     def is_sound(self, failed_after_s: float) -> bool:
         """Tell whether the job ran here past the time after which it failed elsewhere."""
--- a/lavenderstall/health.py
+++ b/lavenderstall/health.py
@@ -38,6 +38,8 @@
 
 # A job that fails on more workers than this says nothing about any of them.
 WIDE_FAILURE = 2
+# A job is tried on other workers for this long after it failed on one.
+AVOID_S = 10.0
 # Starts are spaced on a worker on which `PAUSE_JOBS` jobs failed since the last success.
 PAUSE_S = 1.0
 PAUSE_MAXIMUM_S = 30.0
@@ -75,6 +77,7 @@
     PROBE_NEEDS_SOUND_JOB = "probe_needs_job_that_runs_elsewhere"
     SPACED = "worker_failed_several_jobs"
     JOB_BACKS_OFF = "job_backs_off"
+    JOB_FAILED_HERE = "job_failed_on_this_worker"
 
 
 class Quarantine(msgspec.Struct, frozen=True):
@@ -160,6 +163,9 @@
             return HealthReason.JOB_BACKS_OFF
         state = self._workers[worker]
         if not state.is_quarantined:
+            entry = known.workers.get(worker) if known is not None else None
+            if entry is not None and now < entry.next_start:
+                return HealthReason.JOB_FAILED_HERE
             return HealthReason.SPACED if now < state.next_start else None
         if state.is_held_by_operator:
             return HealthReason.QUARANTINED
@@ -235,6 +241,7 @@
         if entry is None:
             return []
         entry.failures += 1
+        entry.next_start = now + AVOID_S
         state = self._workers[worker]
         known = self._jobs[job]
         if state.is_quarantined:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from lavenderstall.health import (
+    AVOID_S,
     BAD_JOB_ATTEMPTS,
     EXEMPTION_S,
     PROBE_DELAY_S,
@@ -95,6 +96,17 @@
             found = self.health.find_start_obstacle(WORKERS[0], JobId("k"), True, now)
             self.assertIs(found, expected)
 
+    def test_job_goes_elsewhere_after_a_failure(self) -> None:
+        self.health.record_failure(WORKERS[0], JobId("j"), 0.1, 1.0)
+        for worker, now, expected in [
+            (WORKERS[0], 2.0, HealthReason.JOB_FAILED_HERE),
+            (WORKERS[1], 2.0, None),
+            (WORKERS[0], 1.0 + AVOID_S, None),
+        ]:
+            with self.subTest(worker=worker, now=now):
+                found = self.health.find_start_obstacle(worker, JobId("j"), True, now)
+                self.assertIs(found, expected)
+
     def test_probes(self) -> None:
         worker, sound = WORKERS[3], JobId("j0")
         self.fail_on(worker, 4)
