Space starts on a worker from its first failed job on

Cause: a bad worker took a full set of 8 tasks of up to three jobs before starts were spaced. Change: starts are spaced from the first failed job on, 1 s apart and doubling with each further job, until a task runs well there.

--- a/lavenderstall/evidence.py
+++ b/lavenderstall/evidence.py
@@ -21,8 +21,8 @@
 PRIOR_OUTCOMES = 10.0
 OUTCOMES_REMEMBERED = 1000.0
 
-# Two jobs that fail in a row are the least that may be the worker's fault.
-PAUSE_JOBS = 2
+# A worker on which this many other jobs fail is no witness against a job.
+OTHER_FAILING_JOBS = 2
 PROBE_DELAY_S = 5.0
 
 
@@ -116,7 +116,7 @@
         """
         others = len(self.failed_jobs) - (job in self.failed_jobs)
         is_recent = now - self.last_success < EVIDENCE_WINDOW_S
-        return not self.is_quarantined and is_recent and others < PAUSE_JOBS
+        return not self.is_quarantined and is_recent and others < OTHER_FAILING_JOBS
 
     def record_sound(self, now: float) -> None:
         """Note that a task ran well."""
--- a/lavenderstall/health.py
+++ b/lavenderstall/health.py
@@ -10,7 +10,6 @@
 from lavenderstall.evidence import (
     EVENTS_PER_WORKER,
     EVIDENCE_WINDOW_S,
-    PAUSE_JOBS,
     PROBE_DELAY_S,
     Event,
     JobOnWorker,
@@ -40,7 +39,8 @@
 WIDE_FAILURE = 2
 # A job is tried on other workers for this long after it failed on one.
 AVOID_S = 10.0
-# Starts are spaced on a worker on which `PAUSE_JOBS` jobs failed since the last success.
+# Starts on a worker on which a job failed are this far apart until a task runs well there; the
+# distance doubles with each further job.
 PAUSE_S = 1.0
 PAUSE_MAXIMUM_S = 30.0
 
@@ -75,7 +75,7 @@
     PROBE_NOT_DUE = "probe_not_due"
     PROBE_NEEDS_IDEMPOTENT = "probe_needs_idempotent_task"
     PROBE_NEEDS_SOUND_JOB = "probe_needs_job_that_runs_elsewhere"
-    SPACED = "worker_failed_several_jobs"
+    SPACED = "worker_failed_its_last_tasks"
     JOB_BACKS_OFF = "job_backs_off"
     JOB_FAILED_HERE = "job_failed_on_this_worker"
 
@@ -305,14 +305,14 @@
     def _absolve_workers(self, job: JobId) -> None:
         """Lift the pauses that a bad job caused."""
         for state in self._workers.values():
-            if state.failed_jobs.pop(job, None) and len(state.failed_jobs) < PAUSE_JOBS:
+            if state.failed_jobs.pop(job, None) and not state.failed_jobs:
                 state.next_start = 0.0
 
     def _pause(self, state: WorkerRecord, now: float) -> None:
-        """Space the starts on a worker on which several jobs failed that fail nowhere else."""
+        """Space the starts on a worker on which jobs failed that fail nowhere else."""
         jobs = sum(not self._fails_widely(job) for job in state.failed_jobs)
-        if jobs >= PAUSE_JOBS:
-            state.next_start = now + min(PAUSE_MAXIMUM_S, PAUSE_S * 2 ** (jobs - PAUSE_JOBS))
+        if jobs:
+            state.next_start = now + min(PAUSE_MAXIMUM_S, PAUSE_S * 2 ** (jobs - 1))
 
     def _fails_widely(self, job: JobId) -> bool:
         """Tell whether a job failed on several workers in use since its last success."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -90,11 +90,11 @@
         self.assertEqual(sum(map(self.health.is_quarantined, WORKERS)), 4)
 
     def test_starts_are_spaced_before_the_quarantine(self) -> None:
-        for index in range(2):
+        for index, pause in enumerate([1.0, 2.0, 4.0]):
             self.health.record_failure(WORKERS[0], JobId(f"j{index}"), 0.1, 1.0)
-        for now, expected in [(1.1, HealthReason.SPACED), (2.1, None)]:
-            found = self.health.find_start_obstacle(WORKERS[0], JobId("k"), True, now)
-            self.assertIs(found, expected)
+            for now, expected in [(0.9 + pause, HealthReason.SPACED), (1.0 + pause, None)]:
+                found = self.health.find_start_obstacle(WORKERS[0], JobId("k"), True, now)
+                self.assertIs(found, expected)
 
     def test_job_goes_elsewhere_after_a_failure(self) -> None:
         self.health.record_failure(WORKERS[0], JobId("j"), 0.1, 1.0)
