Measure a worker that fails after one second too

Cause: the share depends on how fast the worker fails, because the baseline draws less from a slow one. Change: a row for failures after 1 s next to the one for 0.2 s.

--- a/bench/health_bench.py
+++ b/bench/health_bench.py
@@ -17,6 +17,8 @@
 TASKS_PER_JOB = (10, 60)
 RUN_S = 12.0
 FAIL_AFTER_S = 0.2
+# The slower a worker fails, the less it draws from the baseline within the run.
+SLOW_FAIL_AFTER_S = 1.0
 BAD_JOB_SHARE = 0.1
 # A slot, a free worker or a pause is looked at again this often.
 TICK_S = 0.1
@@ -58,7 +60,8 @@
 class Fleet:
     """Run tasks on workers, first fit in order of arrival; without `health` it is plain."""
 
-    def __init__(self, bad_worker: int, health: Health | None) -> None:
+    def __init__(self, bad_worker: int, health: Health | None, fail_after_s: float) -> None:
+        self.fail_after_s = fail_after_s
         self.bad_worker = bad_worker
         self.health = health
         self.free = [SLOTS] * WORKERS
@@ -98,7 +101,7 @@
         self.starts[worker] += 1
         self.free[worker] -= 1
         fails = task.is_bad or worker == self.bad_worker
-        run_s = FAIL_AFTER_S if fails else task.run_s
+        run_s = self.fail_after_s if fails else task.run_s
         entry = Running(now + run_s, sum(self.starts), now, worker, task)
         heapq.heappush(self.running, entry)
         if self.health is not None:
@@ -149,10 +152,10 @@
     return WorkerId(str(worker))
 
 
-def simulate(seed: int, health: Health | None) -> Fleet:
+def simulate(seed: int, health: Health | None, fail_after_s: float) -> Fleet:
     """Run the draws of one seed."""
     random = Random(seed)
-    fleet = Fleet(random.randrange(WORKERS), health)
+    fleet = Fleet(random.randrange(WORKERS), health, fail_after_s)
     arrivals = deque(draw_arrivals(random))
     for tick in range(int(DURATION_S / TICK_S)):
         now = tick * TICK_S
@@ -165,17 +168,24 @@
     return fleet
 
 
+def compare(seed: int, fail_after_s: float) -> tuple[Fleet, Fleet]:
+    """Return the plain and the guarded run of the same draws."""
+    names = [name_worker(worker) for worker in range(WORKERS)]
+    return simulate(seed, None, fail_after_s), simulate(seed, Health(names), fail_after_s)
+
+
 def run(seed: int) -> list[dict[str, Any]]:
     """Return the rows of this benchmark."""
-    plain = simulate(seed, None)
-    guarded = simulate(seed, Health([name_worker(worker) for worker in range(WORKERS)]))
-    drawn = plain.starts[plain.bad_worker]
-    sent = guarded.starts[guarded.bad_worker]
+    plain, guarded = compare(seed, FAIL_AFTER_S)
+    drawn, sent = plain.starts[plain.bad_worker], guarded.starts[plain.bad_worker]
     share = sent / max(1, drawn)
-    healthy = len(guarded.quarantined - {guarded.bad_worker})
+    slow_plain, slow = compare(seed, SLOW_FAIL_AFTER_S)
+    slow_share = slow.starts[plain.bad_worker] / max(1, slow_plain.starts[plain.bad_worker])
+    healthy = len((guarded.quarantined | slow.quarantined) - {plain.bad_worker})
     wrongly_failed = sum(not job.startswith("bad") for job in guarded.failed_jobs)
     rows = [
         ("bad_worker_share", share, "ratio", 1.0, share),
+        ("bad_worker_share_slow_failure", slow_share, "ratio", 1.0, slow_share),
         ("bad_worker_starts", sent, "starts", drawn, share),
         ("healthy_workers_quarantined", healthy, "workers", 0, None),
         ("good_jobs_failed", wrongly_failed, "jobs", 0, None),
