Answer statements from owners and apply the configuration in force

Cause: operators need the state of all slices from any entry instance, and drains, quotas and shares in the configuration had no effect. Change: rows of tasks, jobs, workers, services, slices and reasons; queries that ask the owners concerned; directives for teams, shares and commands.

--- a/lavenderstall/calls.py
+++ b/lavenderstall/calls.py
@@ -96,6 +96,10 @@
             if now - known.received < SUMMARY_SECONDS
         ]
 
+    def list_known(self) -> set[SliceName]:
+        """Return all slices that were heard of since the start."""
+        return set(self._summaries)
+
     def find_owner(self, name: SliceName) -> EntryId | None:
         """Return the owner of a slice, or none if it is not known."""
         known = self._summaries.get(name)
--- /dev/null
+++ b/lavenderstall/directives.py
@@ -0,0 +1,97 @@
+"""Applies the configuration in force to the slices of an entry instance."""
+
+from collections.abc import Iterable, Mapping
+
+from lavenderstall.configuration import ConfigurationView
+from lavenderstall.identifiers import TeamName, WorkerId
+from lavenderstall.messages import SliceSummary
+from lavenderstall.protocol import Kind
+from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.schemas import MILLI, Command, Policy, Quota, Team
+from lavenderstall.slices import SliceServer
+
+UNBOUNDED = 1 << 60
+
+
+def find_commands(view: ConfigurationView) -> dict[str, Command]:
+    """Return the runtime commands in force by scope."""
+    return {command.name: command for command in view.list_kind("command")}
+
+
+def list_scopes(server: SliceServer, worker: WorkerId) -> tuple[str, ...]:
+    """Return the scopes that a worker lies in, narrowest first."""
+    link = server.fleet.links[worker]
+    return (
+        f"worker/{worker}",
+        f"rack/{link.member.rack}",
+        f"slice/{server.name}",
+        f"zone/{server.zone}",
+    )
+
+
+def apply_commands(server: SliceServer, commands: Mapping[str, Command]) -> None:
+    """Drain, quarantine and cancel what the commands name, and lift what they no longer name."""
+    for worker in list(server.state.workers):
+        if worker not in server.fleet.links:
+            continue
+        found = [commands[scope] for scope in list_scopes(server, worker) if scope in commands]
+        server.set_service(
+            worker,
+            draining=any(command.drained for command in found),
+            quarantined=any(command.quarantined for command in found),
+        )
+    cancelled = {scope for scope, command in commands.items() if command.cancelled}
+    if cancelled:
+        server.cancel_tasks(
+            [
+                task
+                for task in server.tasks.values()
+                if not cancelled.isdisjoint({f"job/{task.spec.id}", f"task/{task.id}"})
+            ],
+            "cancelled by an operator",
+        )
+    server.paused = any(
+        commands[scope].paused
+        for scope in (f"slice/{server.name}", f"zone/{server.zone}")
+        if scope in commands
+    )
+
+
+def apply_policy(server: SliceServer, policies: Iterable[Policy]) -> None:
+    """Set the guaranteed shares of each kind; the policy named `default` holds."""
+    for policy in policies:
+        if policy.name != "default":
+            continue
+        shares = {demand.value: share / MILLI for demand, share in policy.shares.items()}
+        server.queue.shares.update({kind: shares.get(kind.value, 0.0) for kind in Kind})
+
+
+def compute_allowance(quota: Quota, elsewhere: Resources) -> Resources | None:
+    """Return what a team may hold in one slice, given what it holds in the others."""
+    bound = quota.resources
+    if bound == NOTHING:
+        return None
+    amounts = {
+        name: max(getattr(bound, name) - getattr(elsewhere, name), 0)
+        if getattr(bound, name)
+        else UNBOUNDED
+        for name in bound.__struct_fields__
+    }
+    return Resources(**amounts)
+
+
+def apply_teams(
+    server: SliceServer, teams: Iterable[Team], summaries: Iterable[SliceSummary]
+) -> None:
+    """Set weights and quotas; a quota counts what the team holds in other slices."""
+    others = [summary for summary in summaries if summary.slice != server.name]
+    for team in teams:
+        name = TeamName(team.name)
+        elsewhere = NOTHING
+        for summary in others:
+            elsewhere = elsewhere.add(summary.teams.get(name, NOTHING))
+        allowance = compute_allowance(team.quota, elsewhere)
+        if server.allowances.get(name) != (team.weight, allowance):
+            server.allowances[name] = (team.weight, allowance)
+            server.queue.set_team(name, float(team.weight), allowance)
+            server.request_schedule()
--- a/lavenderstall/dispatcher.py
+++ b/lavenderstall/dispatcher.py
@@ -75,6 +75,7 @@
         """Close the shape of a request that does not fit."""
         wanted = len(waiting.request.tasks)
         places = int(decision.reason.numbers.get("places", 0.0))
+        waiting.shape.reason = decision.reason
         self.queue.close(waiting.shape, now, wanted - places)
         if waiting.request.kind is Kind.GANG and Kind.GANG not in self.state.reservations:
             self._reserve(waiting, now)
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -15,6 +15,7 @@
 from lavenderstall.clocks import Clock, make_loop, sleep
 from lavenderstall.commits import GroupCommit
 from lavenderstall.configuration import Configuration, ConfigurationReader, ConfigurationView
+from lavenderstall.directives import apply_commands, apply_policy, apply_teams, find_commands
 from lavenderstall.errors import LavenderstallError, Outcome, PeerUnavailableError, RefusedError
 from lavenderstall.fleet import LeaseTerms
 from lavenderstall.identifiers import (
@@ -36,6 +37,8 @@
     Handover,
     Heartbeat,
     Message,
+    QueryAsk,
+    QueryPart,
     SliceSummary,
     WorkAssigned,
 )
@@ -43,12 +46,14 @@
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
 from lavenderstall.peers import Peers, export_snapshot, import_snapshot
 from lavenderstall.protocol import Members, MemberState, WorkerMember
+from lavenderstall.queries import QueryDesk
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
 from lavenderstall.slices import SliceServer
 from lavenderstall.storage import MemberList, TableStore
 from lavenderstall.targets import TargetClient
 from lavenderstall.traces import Traces
+from lavenderstall.views import RefusalLog
 
 logger = logging.getLogger(__name__)
 
@@ -118,7 +123,7 @@
         self.view.listen(self._use_configuration)
         self.reader = ConfigurationReader(self.store, self.view, self.clock)
         self.configuration = Configuration(
-            self.store, self.view, self.clock, self._read_unix_ms, self.make_nonce
+            self.store, self.view, self.clock, self.read_unix_ms, self.make_nonce
         )
         self.desk = JobDesk(self.store, self.commits, self.directory, self.links, self.make_nonce)
         self.reconciler = Reconciler(
@@ -132,6 +137,8 @@
             self.make_nonce,
             lambda: self.ownership.peers,
         )
+        self.refusals = RefusalLog()
+        self.queries = QueryDesk(self)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -208,7 +215,8 @@
         """Return a text that is never used twice."""
         return f"{self.random.getrandbits(96):024x}"
 
-    def _read_unix_ms(self) -> int:
+    def read_unix_ms(self) -> int:
+        """Return the wall clock in milliseconds."""
         return int(self.read_unix() * 1000)
 
     def _count_entries(self) -> int:
@@ -220,6 +228,7 @@
         """Start to serve a slice."""
         server = SliceServer(self, tenure)
         self.slices[tenure.slice] = server
+        apply_policy(server, self.view.list_kind("policy"))
         server.set_members(self._list_workers(tenure.slice))
         server.start()
         self.metrics.count("slices_gained")
@@ -321,6 +330,14 @@
     def _(self, message: ConfigPart, sender: EntryId) -> None:
         self.view.accept(import_snapshot(message))
 
+    @_handle.register
+    def _(self, message: QueryAsk, sender: EntryId) -> None:
+        self._send(sender, self.queries.serve(message))
+
+    @_handle.register
+    def _(self, message: QueryPart, sender: EntryId) -> None:
+        self.queries.receive(message)
+
     @_handle.register
     def _(self, message: Handover, sender: EntryId) -> None:
         self.directory.drop(message.slice, sender)
@@ -358,7 +375,11 @@
         self._send(sender, answer)
 
     def _send_summaries(self) -> None:
+        summaries = self.directory.list_summaries()
+        teams = self.view.list_kind("team")
         for server in self.slices.values():
+            apply_teams(server, teams, summaries)
+            apply_commands(server, find_commands(self.view))
             summary = server.summarize()
             self.directory.update(summary)
             self.links.broadcast(summary)
@@ -393,6 +414,8 @@
     def _use_configuration(self, view: ConfigurationView) -> None:
         declared = [*view.list_kind("operator"), *view.list_kind("team")]
         self.access.replace(declared)
+        for server in self.slices.values():
+            apply_policy(server, view.list_kind("policy"))
         self.links.broadcast(ConfigChanged(view.version))
         logger.info("configuration %d is in force", view.version)
 
--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -132,6 +132,10 @@
         used = len(self.calls) + self.foreign_calls
         return max(0, min(self.capacity.slots, self.capacity.connections) - used)
 
+    def get_silence(self) -> float:
+        """Return the seconds since the last answer."""
+        return self._clock.seconds() - self._last_answer
+
     def start(self) -> None:
         """Begin to claim and renew."""
         self._loop.start(HEARTBEAT_SECONDS, now=True)
--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -97,7 +97,17 @@
 class Shape:
     """Waiting requests of one shape; it is closed after one of them did not fit."""
 
-    __slots__ = ("closed_since", "key", "kind", "lanes", "missing", "need", "open", "waiting")
+    __slots__ = (
+        "closed_since",
+        "key",
+        "kind",
+        "lanes",
+        "missing",
+        "need",
+        "open",
+        "reason",
+        "waiting",
+    )
 
     def __init__(self, key: ShapeKey, kind: KindLanes, need: Resources) -> None:
         self.key = key
@@ -108,6 +118,7 @@
         self.waiting = 0
         self.missing = 0
         self.closed_since = inf
+        self.reason: Reason | None = None
 
     def note_smaller(self, need: Resources) -> None:
         """Lower the need to the smallest that waits."""
--- a/lavenderstall/messages.py
+++ b/lavenderstall/messages.py
@@ -50,6 +50,7 @@
     free_slots: dict[ServiceName, int] = {}
     waiting: dict[str, int] = {}
     oldest_wait_ms: int = 0
+    teams: dict[TeamName, Resources] = {}
 
 
 class CallForward(msgspec.Struct, tag="call", omit_defaults=True):
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -1,37 +1,37 @@
-"""What callers and operators ask of an entry instance beyond calls."""
+"""What callers and operators ask of an entry instance beyond calls and queries."""
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
-from lavenderstall.access import Caller
-from lavenderstall.changes import ChangeRefusedError, ItemKey, OvertakenError
+from lavenderstall.access import AccessError, Caller
+from lavenderstall.bindings import check_request_id
+from lavenderstall.bodies import (
+    ApplyAnswer,
+    ApplyRequest,
+    ChangesAnswer,
+    ConfigAnswer,
+    JobAnswer,
+    JobRequest,
+)
+from lavenderstall.changes import ItemKey, hide_secrets
 from lavenderstall.clocks import sleep
-from lavenderstall.configuration import Applied, Draft
-from lavenderstall.declarations import DeclarationError, Source, read_declarations
-from lavenderstall.errors import LavenderstallError, Outcome, RefusedError
-from lavenderstall.identifiers import EntryId, JobId, Version
+from lavenderstall.configuration import Draft
+from lavenderstall.declarations import Source, find_dangling, read_declarations
+from lavenderstall.errors import LavenderstallError, RefusedError
+from lavenderstall.identifiers import EntryId, JobId, RequestId, TeamName, Version
+from lavenderstall.inventory import JobInfo, make_change_info
 from lavenderstall.jobs import JobStatus
+from lavenderstall.protocol import Kind, TaskState
 from lavenderstall.records import JobSpec
-from lavenderstall.schemas import Item, get_kind
+from lavenderstall.schemas import Batch, Demand, Gang, Item, get_kind
 
 if TYPE_CHECKING:
     from lavenderstall.entry import Entry
-    from lavenderstall.web import Exchange, Reply
 
 FORCE_SECONDS = 3.0
 POLL_SECONDS = 0.1
-
-STATUS: dict[type[LavenderstallError], int] = {
-    OvertakenError: 409,
-    ChangeRefusedError: 409,
-    DeclarationError: 400,
-}
-
-
-def find_status(error: LavenderstallError) -> int:
-    """Return the HTTP status of an error that changed nothing."""
-    return STATUS.get(type(error), 400)
+JOB_POLL_SECONDS = 0.5
 
 
 class Health(msgspec.Struct):
@@ -46,31 +46,50 @@
     peers: list[str]
 
 
-class ApplyRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Ask to change declarations; `seen` is the version that the author read."""
-
-    documents: str
-    reason: str = ""
-    seen: Version | None = None
-    preview: bool = False
-    file: str = "request"
-
-
-class ApplyAnswer(msgspec.Struct):
-    """Tell what was changed and which entry instances have it in force."""
-
-    applied: Applied
-    in_force: list[EntryId]
-    not_in_force: list[EntryId]
-    took_ms: int
-
-
-class ConfigAnswer(msgspec.Struct):
-    """Hold the configuration that an entry instance has in force."""
-
-    version: Version
-    age_ms: int | None
-    items: dict[str, Item]
+def make_spec(job: JobId, wanted: Batch | Gang, unix_ms: int) -> JobSpec:
+    """Return the job that a caller asks for."""
+    return JobSpec(
+        id=job,
+        team=wanted.team,
+        kind=Kind.BATCH if isinstance(wanted, Batch) else Kind.GANG,
+        tasks=wanted.tasks,
+        resources=wanted.resources,
+        service=wanted.service if isinstance(wanted, Batch) else "",  # type: ignore[arg-type]
+        pool=wanted.pool,
+        priority=wanted.priority,
+        idempotent=wanted.idempotent,
+        expected_ms=wanted.expected_ms,
+        deadline_unix_ms=unix_ms + wanted.deadline_ms if wanted.deadline_ms else 0,
+        payload=wanted.payload,
+    )
+
+
+def find_job_state(status: JobStatus) -> TaskState:
+    """Return the state of a whole job."""
+    if not status.is_finished:
+        return TaskState.RUNNING if status.done else TaskState.WAITING
+    if status.unknown:
+        return TaskState.UNKNOWN
+    if status.failed:
+        return TaskState.FAILED
+    return TaskState.CANCELLED if status.cancelled else TaskState.DONE
+
+
+def make_job_answer(status: JobStatus, team: TeamName) -> JobAnswer:
+    """Return the answer that describes a job as the table holds it."""
+    info = JobInfo(
+        id=status.id,
+        team=team,
+        kind=status.kind,
+        state=find_job_state(status),
+        tasks=status.tasks,
+        waiting=status.open,
+        done=status.done,
+        failed=status.failed,
+        cancelled=status.stopped,
+        unknown=status.unknown,
+    )
+    return JobAnswer(status.id, info)
 
 
 class Operations:
@@ -79,81 +98,105 @@
     def __init__(self, entry: "Entry") -> None:
         self._entry = entry
 
-    async def submit(self, spec: JobSpec) -> JobStatus:
+    async def submit(self, wanted: JobRequest, caller: Caller) -> JobAnswer:
         """Accept a job, or raise `RefusedError` when it was not accepted."""
+        entry = self._entry
+        job = JobId(check_request_id(wanted.id))
+        if wanted.job.team != caller.team:
+            raise AccessError(
+                f"the job is of team {wanted.job.team!r}, the token of {caller.name!r}", status=403
+            )
+        spec = make_spec(job, wanted.job, entry.read_unix_ms())
+        demand = Demand(spec.kind.value)
+        try:
+            self._check_ready()
+            status = await entry.desk.submit(spec)
+        except RefusedError as error:
+            now = entry.clock.seconds()
+            entry.refusals.add(now, RequestId(job), spec.team, demand, error, spec.service)
+            entry.metrics.count(f"jobs_refused_{error.reason}")
+            raise
+        entry.metrics.count("jobs_accepted")
+        return make_job_answer(status, spec.team)
+
+    def _check_ready(self) -> None:
         entry = self._entry
         if entry.draining or not entry.may_accept_jobs():
             reason = "draining" if entry.draining else "config_stale"
             raise RefusedError(
                 "no jobs are accepted here now", step="accept", reason=reason, retry_after_ms=1000
             )
-        status = await entry.desk.submit(spec)
-        entry.metrics.count("jobs_accepted")
-        return status
 
-    async def read_job(self, job: JobId, caller: Caller, wait: float = 0.0) -> JobStatus:
+    async def read_job(self, job: JobId, caller: Caller, wait: float = 0.0) -> JobAnswer:
         """Return the state of a job, after its end or after a time in seconds."""
         limit = self._entry.clock.seconds() + wait
-        await self._check_team(job, caller)
+        team = await self._check_team(job, caller)
         status = await self._entry.desk.read_status(job)
         while not status.is_finished and self._entry.clock.seconds() < limit:
-            await sleep(self._entry.clock, POLL_SECONDS * 5)
-            status = await self._entry.desk.read_status(job)
-        return status
-
-    async def cancel_job(self, job: JobId, caller: Caller) -> JobStatus:
+            await sleep(self._entry.clock, JOB_POLL_SECONDS)
+            try:
+                status = await self._entry.desk.read_status(job)
+            except LavenderstallError:
+                # The job is known, so an outage of the store only delays the answer.
+                continue
+        return make_job_answer(status, team)
+
+    async def cancel_job(self, job: JobId, caller: Caller) -> JobAnswer:
         """Cancel a job of the caller's team."""
-        await self._check_team(job, caller)
-        return await self._entry.desk.cancel(job)
+        team = await self._check_team(job, caller)
+        return make_job_answer(await self._entry.desk.cancel(job), team)
 
-    async def _check_team(self, job: JobId, caller: Caller) -> None:
+    async def _check_team(self, job: JobId, caller: Caller) -> TeamName:
         _, row, _ = await self._entry.desk.read_rows(job)
         if caller.right is None and row.spec.team != caller.team:
-            raise RefusedError(
-                f"job {job} belongs to another team",
-                step="check team",
-                reason="access",
-                outcome=Outcome.NOT_RUN,
-            )
+            raise AccessError(f"job {job} belongs to another team", status=403)
+        return row.spec.team
 
-    async def query(self, exchange: "Exchange", caller: Caller) -> "Reply":
-        """Answer a statement of the query language."""
-        raise NotImplementedError
-
-    async def apply(self, exchange: "Exchange", caller: Caller) -> "Reply":
+    async def apply(self, wanted: ApplyRequest, caller: Caller) -> ApplyAnswer:
         """Change declarations and wait until the change is in force."""
-        from lavenderstall.web import make_json  # noqa: PLC0415  (the modules need each other)
-
-        wanted: ApplyRequest = exchange.decode(ApplyRequest)
-        declared = read_declarations([Source(wanted.file, wanted.documents)])
+        entry = self._entry
+        declared = read_declarations([Source("request", wanted.documents)])
         items: dict[ItemKey, Item | None] = {
             ItemKey(get_kind(each.value), each.value.name): each.value for each in declared
         }
         draft = Draft(caller.name, wanted.reason or "no reason given", items)
-        started = self._entry.clock.seconds()
-        applied = await self._entry.configuration.apply(
-            draft, seen=wanted.seen, preview=wanted.preview
+        started = entry.clock.seconds()
+        applied = await entry.configuration.apply(draft, seen=wanted.seen, preview=wanted.preview)
+        behind = await self._await_force(applied.version, started) if applied.committed else []
+        in_effect = sorted(entry.list_versions().keys() - set(behind))
+        known = {**entry.view.snapshot.items, **items}
+        change = applied.change
+        return ApplyAnswer(
+            version=applied.version,
+            change=make_change_info(change, entry.read_unix_ms()) if change else None,
+            differences=applied.differences,
+            committed=applied.committed,
+            in_effect=tuple(in_effect),
+            pending=tuple(behind),
+            dangling=tuple(find_dangling(item for item in known.values() if is_declared(item))),
         )
-        return make_json(200, await self._await_force(applied, started))
 
-    async def _await_force(self, applied: Applied, started: float) -> ApplyAnswer:
-        """Wait until every live entry instance has a version in force, or 3 s."""
-        entry = self._entry
+    async def _await_force(self, version: Version, started: float) -> list[EntryId]:
+        """Wait until a version is in force on every live entry instance, or 3 s."""
         while True:
-            versions = entry.list_versions()
-            behind = sorted(e for e, v in versions.items() if v < applied.version)
-            took = entry.clock.seconds() - started
-            if not behind or took >= FORCE_SECONDS or not applied.committed:
-                break
-            await sleep(entry.clock, POLL_SECONDS)
-        done = sorted(versions.keys() - set(behind))
-        return ApplyAnswer(applied, done, behind, int(took * 1000))
+            versions = self._entry.list_versions()
+            behind = sorted(entry for entry, held in versions.items() if held < version)
+            if not behind or self._entry.clock.seconds() - started >= FORCE_SECONDS:
+                return behind
+            await sleep(self._entry.clock, POLL_SECONDS)
+
+    async def list_changes(self) -> ChangesAnswer:
+        """Return the changes, newest first."""
+        now = self._entry.read_unix_ms()
+        changes = await self._entry.configuration.list_changes()
+        rows = tuple(make_change_info(change, now) for change in reversed(changes))
+        return ChangesAnswer(self._entry.view.version, rows)
 
     def describe_config(self) -> ConfigAnswer:
         """Return the configuration in force here, without tokens."""
         view = self._entry.view
-        items = {str(key): item for key, item in view.snapshot.items.items()}
-        return ConfigAnswer(view.version, view.age_ms, items)
+        items: list[dict[str, Any]] = [hide_secrets(i) for i in view.snapshot.items.values()]
+        return ConfigAnswer(view.version, view.age_ms, tuple(items))
 
     def describe_health(self) -> Health:
         """Return what the balancer and operators look at first."""
@@ -167,3 +210,8 @@
             {str(name): tenure.term for name, tenure in entry.ownership.tenures.items()},
             sorted(entry.ownership.peers),
         )
+
+
+def is_declared(item: Item | None) -> bool:
+    """Tell whether an item is a declaration and not a runtime command."""
+    return item is not None and get_kind(item) != "command"
--- /dev/null
+++ b/lavenderstall/queries.py
@@ -0,0 +1,172 @@
+"""Answers to statements: asks the owners concerned and merges their parts."""
+
+import logging
+from collections.abc import Collection
+from typing import TYPE_CHECKING
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from lavenderstall.access import AccessError, Caller
+from lavenderstall.errors import LavenderstallError, PeerUnavailableError
+from lavenderstall.identifiers import AttemptId, EntryId, SliceName, Version, get_slice_zone
+from lavenderstall.inventory import Answer, Inventory, MissingPart, Part, make_change_info
+from lavenderstall.messages import QueryAsk, QueryPart
+from lavenderstall.query.evaluation import evaluate, merge_answers
+from lavenderstall.query.execution import execute
+from lavenderstall.query.fields import Reach
+from lavenderstall.query.parser import parse_statement
+from lavenderstall.query.reach import SliceFacts, find_slices, get_reach, get_right
+from lavenderstall.query.statements import Show, ShowChange, Statement, Topic
+from lavenderstall.schemas import Right
+from lavenderstall.views import list_entries, make_inventory
+
+if TYPE_CHECKING:
+    from lavenderstall.entry import Entry
+
+logger = logging.getLogger(__name__)
+
+PART_SECONDS = 1.0
+
+
+class QueryDesk:
+    """Answer statements on any entry instance."""
+
+    def __init__(self, entry: "Entry") -> None:
+        self._entry = entry
+        self._pending: dict[AttemptId, Deferred[QueryPart]] = {}
+
+    async def answer(self, text: str, caller: Caller, seen: Version | None = None) -> Answer:
+        """Return the answer to a statement that an operator may give."""
+        statement = parse_statement(text)
+        if get_right(statement) is Right.CHANGE and caller.right is not Right.CHANGE:
+            raise AccessError(f"{caller.name!r} may read but not change", status=403)
+        reach = get_reach(statement)
+        if reach is Reach.OWNERS:
+            return await self._ask_owners(text, statement)
+        if reach is Reach.ENTRIES:
+            peers = sorted({*self._entry.ownership.peers, self._entry.entry})
+            return await self._ask(text, statement, {peer: [] for peer in peers}, [])
+        if isinstance(statement, Show | ShowChange) or get_right(statement) is Right.READ:
+            return await self._answer_locally(statement)
+        return await execute(
+            statement,
+            self._entry.configuration,
+            author=caller.name,
+            unix_ms=self._entry.read_unix_ms,
+            seen=seen,
+            slices=self._list_facts(),
+        )
+
+    def _list_facts(self) -> list[SliceFacts]:
+        """Return what is known of each slice, also of those without an owner."""
+        entry = self._entry
+        names = {summary.slice for summary in entry.directory.list_summaries()}
+        names |= set(entry.ownership.list_slices()) | entry.directory.list_known()
+        facts = []
+        for name in sorted(names):
+            server = entry.slices.get(name)
+            links = server.fleet.links.values() if server else ()
+            facts.append(
+                SliceFacts(
+                    name,
+                    get_slice_zone(name),
+                    frozenset(str(link.member.rack) for link in links),
+                    frozenset(str(link.id) for link in links),
+                )
+            )
+        return facts
+
+    async def _ask_owners(self, text: str, statement: Statement) -> Answer:
+        owners: dict[EntryId, list[SliceName]] = {}
+        missing: list[MissingPart] = []
+        for name in find_slices(statement, self._list_facts()):
+            owner = self._entry.directory.find_owner(name)
+            if owner is None:
+                missing.append(MissingPart("no owner is reachable", EntryId(""), (name,)))
+            else:
+                owners.setdefault(owner, []).append(name)
+        return await self._ask(text, statement, owners, missing)
+
+    async def _ask(
+        self,
+        text: str,
+        statement: Statement,
+        owners: dict[EntryId, list[SliceName]],
+        missing: list[MissingPart],
+    ) -> Answer:
+        """Ask all owners at once and merge what arrives in time."""
+        asked = {
+            owner: Deferred.fromCoroutine(self._ask_one(text, owner, slices))
+            for owner, slices in owners.items()
+        }
+        self._entry.metrics.count("query_parts_asked", len(asked))
+        answers: list[Answer] = []
+        for owner, waiting in asked.items():
+            try:
+                answers.append(await waiting)
+            except LavenderstallError as error:
+                missing.append(MissingPart(error.detail, owner, tuple(owners[owner])))
+        return merge_answers(statement, answers, missing)
+
+    async def _ask_one(self, text: str, owner: EntryId, slices: list[SliceName]) -> Answer:
+        query = AttemptId(self._entry.make_nonce())
+        waiting: Deferred[QueryPart] = Deferred()
+        self._pending[query] = waiting
+        timer = self._entry.clock.callLater(PART_SECONDS, self._give_up, query, owner)
+        started = self._entry.clock.seconds()
+        try:
+            self._entry.links.send(owner, QueryAsk(query, text, slices))
+            part = await waiting
+        finally:
+            self._pending.pop(query, None)
+            if timer.active():
+                timer.cancel()
+        answer = msgspec.json.decode(part.body, type=Answer)
+        age = int((self._entry.clock.seconds() - started) * 1000)
+        parts = tuple(Part(p.owner, p.age_ms + age, p.slices) for p in answer.parts)
+        gone = tuple(sorted(set(slices) - set(part.slices)))
+        lost = (MissingPart("the slice has moved", owner, gone),) if gone else ()
+        return msgspec.structs.replace(answer, parts=parts, missing=answer.missing + lost)
+
+    def _give_up(self, query: AttemptId, owner: EntryId) -> None:
+        waiting = self._pending.pop(query, None)
+        if waiting is not None:
+            waiting.errback(PeerUnavailableError("no answer in time", step="ask owner", peer=owner))
+
+    def receive(self, part: QueryPart) -> None:
+        """Pass a part to the query that waits for it."""
+        waiting = self._pending.pop(part.query, None)
+        if waiting is not None:
+            waiting.callback(part)
+
+    def serve(self, ask: QueryAsk) -> QueryPart:
+        """Return the part of an answer that this entry instance holds."""
+        entry = self._entry
+        statement = parse_statement(ask.text)
+        held = [name for name in ask.slices if name in entry.slices]
+        inventory = self._make_inventory(statement, held)
+        part = Part(entry.entry, 0, tuple(held))
+        answer = evaluate(statement, inventory, part)
+        return QueryPart(ask.query, entry.entry, held, msgspec.json.encode(answer))
+
+    def _make_inventory(self, statement: Statement, held: Collection[SliceName]) -> Inventory:
+        entry = self._entry
+        now, unix = entry.clock.seconds(), entry.read_unix()
+        servers = [entry.slices[name] for name in held]
+        inventory = make_inventory(servers, statement, now, unix)
+        inventory.refusals = entry.refusals.list_rows(now)
+        return inventory
+
+    async def _answer_locally(self, statement: Statement) -> Answer:
+        entry = self._entry
+        inventory = Inventory(entries=list_entries(entry))
+        if isinstance(statement, ShowChange) or self._concerns_changes(statement):
+            now = entry.read_unix_ms()
+            changes = await entry.configuration.list_changes()
+            inventory.changes = [make_change_info(change, now) for change in changes]
+        age = entry.view.age_ms or 0
+        return evaluate(statement, inventory, Part(entry.entry, age))
+
+    def _concerns_changes(self, statement: Statement) -> bool:
+        return getattr(statement, "topic", None) is Topic.CHANGES
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -34,6 +34,7 @@
     ServiceName,
     SliceName,
     TaskId,
+    TeamName,
     WorkerId,
     ZoneName,
     get_slice_zone,
@@ -89,6 +90,7 @@
     spec: JobSpec
     state: TaskState
     since: float
+    accepted: float = 0.0
     worker: WorkerId = WorkerId("")
     run: TaskId = TaskId("")
     attempts: int = 0
@@ -133,6 +135,9 @@
         self.loaded = False
         self.draining = False
         self.stopped = False
+        self.paused = False
+        self.owner = environment.entry
+        self.allowances: dict[TeamName, tuple[int, Resources | None]] = {}
         self._env = environment
         self._clock = environment.clock
         self._dispatcher = Dispatcher(self.queue, self.state)
@@ -401,6 +406,21 @@
         ]
         self.stop_tasks(leaving, Ending.RETRY, "the worker leaves")
 
+    def set_service(self, name: WorkerId, *, draining: bool, quarantined: bool) -> None:
+        """Take a worker out of service or back; services move away from a drained worker."""
+        worker = self.state.workers[name]
+        if (worker.draining, worker.quarantined) == (draining, quarantined):
+            return
+        self.state.update_worker(name, draining=draining, quarantined=quarantined)
+        if draining:
+            self._clock.callLater(LEAVE_GRACE_SECONDS, self._empty_worker, name)
+        self.request_schedule()
+
+    def find_worker_reason(self, name: WorkerId) -> str:
+        """Return the latest decision about a worker's service."""
+        records = [r for r in self.reasons.find_worker(name) if not r.tasks]
+        return records[-1].reason.detail if records else ""
+
     def _is_out_of_service(self, name: WorkerId) -> bool:
         worker = self.state.workers.get(name)
         return worker is not None and not worker.in_service
@@ -460,7 +480,8 @@
                 if task is not None:
                     task.spec = spec
                     continue
-                task = Task(name, index, spec, TaskState.WAITING, self._clock.seconds())
+                now = self._clock.seconds()
+                task = Task(name, index, spec, TaskState.WAITING, now, now)
                 self.tasks[name] = task
                 if fresh:
                     self._queue(task)
@@ -790,6 +811,11 @@
             {} if self.draining else free,
             waiting,
             int(self.queue.measure_oldest(self._clock.seconds()) * 1000),
+            {
+                team: used
+                for team, used in self.state.team_used.items()
+                if used != NOTHING and self.allowances.get(team, (0, None))[1] is not None
+            },
         )
 
     def _summarize_pools(self) -> dict[str, PoolSummary]:
--- /dev/null
+++ b/lavenderstall/views.py
@@ -0,0 +1,308 @@
+"""Rows of what one entry instance knows, for queries."""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from itertools import chain
+from typing import TYPE_CHECKING
+
+from lavenderstall.errors import RefusedError
+from lavenderstall.identifiers import JobId, RackName, RequestId, ServiceName, TaskId, WorkerId
+from lavenderstall.inventory import (
+    EntryInfo,
+    EntryState,
+    Inventory,
+    JobInfo,
+    ReasonInfo,
+    RefusalInfo,
+    ServiceInfo,
+    SliceInfo,
+    SliceState,
+    TaskInfo,
+    WorkerInfo,
+    WorkerState,
+)
+from lavenderstall.protocol import Kind, TaskState
+from lavenderstall.query.statements import Statement, Why
+from lavenderstall.reasons import Record
+from lavenderstall.schemas import Demand
+from lavenderstall.slices import SliceServer, Task
+from lavenderstall.work import Job
+
+if TYPE_CHECKING:
+    from lavenderstall.entry import Entry
+
+REFUSALS_KEPT = 1000
+SILENT_SECONDS = 3.0
+
+
+class RefusalLog:
+    """Hold the latest refusals that this entry instance gave."""
+
+    def __init__(self) -> None:
+        self._rows: deque[tuple[float, RefusalInfo]] = deque(maxlen=REFUSALS_KEPT)
+
+    def add(
+        self,
+        now: float,
+        request: RequestId,
+        team: str,
+        demand: Demand,
+        error: RefusedError,
+        service: str = "",
+    ) -> None:
+        """Keep a refusal."""
+        row = RefusalInfo(
+            id=request,
+            team=team,  # type: ignore[arg-type]
+            kind=demand,
+            reason=error.reason,
+            service=ServiceName(service),
+            step=error.step,
+            peer=error.peer,
+            detail=error.detail[:300],
+        )
+        self._rows.append((now, row))
+
+    def list_rows(self, now: float) -> list[RefusalInfo]:
+        """Return the refusals with their ages."""
+        return [
+            RefusalInfo(
+                **{name: getattr(row, name) for name in row.__struct_fields__ if name != "age_ms"},
+                age_ms=int((now - at) * 1000),
+            )
+            for at, row in self._rows
+        ]
+
+
+def find_reason(server: SliceServer, task: Task) -> str:
+    """Return why a task is in its present state."""
+    if task.never is not None:
+        return f"can never run here: {task.never.rule}; {task.never.detail}"
+    if task.state is TaskState.WAITING:
+        waiting = server.queue.find(task.id)
+        passed = server.queue.find_passed_over(task.spec.team)
+        reason = passed or (waiting.shape.reason if waiting is not None else None)
+        if reason is not None:
+            return f"{reason.rule}; {reason.detail}".rstrip("; ")
+    records = server.reasons.find_task(task.id)
+    if not records:
+        return ""
+    last = records[-1].reason
+    return f"{last.rule}; {last.detail}".rstrip("; ")
+
+
+def make_task_info(server: SliceServer, task: Task, now: float) -> TaskInfo:
+    """Return the row of a task."""
+    need = task.spec.resources
+    link = server.fleet.links.get(task.worker)
+    begun = task.started if task.state is not TaskState.WAITING else now
+    return TaskInfo(
+        id=task.id,
+        job=task.spec.id,
+        team=task.spec.team,
+        kind=task.spec.kind,
+        state=task.state,
+        zone=server.zone,
+        slice=server.name,
+        service=task.spec.service,
+        worker=task.worker,
+        rack=link.member.rack if link else RackName(""),
+        priority=task.spec.priority,
+        cores_milli=need.cores_milli,
+        memory_mb=need.memory_mb,
+        accelerators=need.accelerators,
+        age_ms=int((now - task.accepted) * 1000),
+        wait_ms=max(0, int((begun - task.since) * 1000)),
+        reason=find_reason(server, task),
+    )
+
+
+def make_job_info(server: SliceServer, job: Job, now: float) -> JobInfo:
+    """Return the row of the part of a job that a slice holds."""
+    row = job.row
+    live = [task for task in server.tasks.values() if task.spec.id == row.spec.id]
+    running = sum(task.state is not TaskState.WAITING for task in live)
+    state = TaskState.RUNNING if running else TaskState.WAITING
+    if not row.list_open():
+        state = TaskState.CANCELLED if row.cancelled else TaskState.DONE
+        state = TaskState.FAILED if row.failed else state
+    return JobInfo(
+        id=row.spec.id,
+        team=row.spec.team,
+        kind=row.spec.kind,
+        state=state,
+        service=row.spec.service,
+        priority=row.spec.priority,
+        tasks=len(row.tasks),
+        waiting=len(live) - running,
+        running=running,
+        done=len(row.done),
+        failed=len(row.failed),
+        cancelled=len(row.stopped),
+        unknown=len(row.unknown),
+        age_ms=int((now - min((t.accepted for t in live), default=now)) * 1000),
+        reason=next((find_reason(server, task) for task in live if not task.worker), ""),
+    )
+
+
+def list_workers(server: SliceServer, now: float) -> Iterator[WorkerInfo]:
+    """Yield the rows of a slice's workers."""
+    for link in server.fleet.links.values():
+        known = server.state.workers.get(link.id)
+        state = WorkerState.LIVE
+        if link.lost or known is None:
+            state = WorkerState.LOST
+        elif known.leaving:
+            state = WorkerState.LEAVING
+        elif known.quarantined:
+            state = WorkerState.QUARANTINED
+        elif known.draining:
+            state = WorkerState.DRAINED
+        room = known.room if known else link.capacity
+        yield WorkerInfo(
+            id=link.id,
+            state=state,
+            zone=link.member.zone,
+            rack=link.member.rack,
+            slice=server.name,
+            pool=link.member.pool,
+            owner=link.owner,
+            epoch=link.epoch,
+            tasks=len(known.tasks) if known else 0,
+            cores_milli=link.capacity.cores_milli,
+            memory_mb=link.capacity.memory_mb,
+            accelerators=link.capacity.accelerators,
+            free_cores_milli=room.cores_milli,
+            free_memory_mb=room.memory_mb,
+            free_accelerators=room.accelerators,
+            free_slots=link.free_slots,
+            age_ms=int(link.get_silence() * 1000),
+            reason=server.find_worker_reason(link.id),
+        )
+
+
+def list_services(server: SliceServer) -> Iterator[ServiceInfo]:
+    """Yield the rows of the services that a slice runs."""
+    for job in server.book.jobs.values():
+        spec = job.row.spec
+        if spec.kind is not Kind.SERVICE:
+            continue
+        live = [task for task in server.tasks.values() if task.spec.id == spec.id]
+        running = [task for task in live if task.state is TaskState.RUNNING]
+        links = [server.fleet.links[t.worker] for t in running if t.worker in server.fleet.links]
+        yield ServiceInfo(
+            id=spec.service,
+            team=spec.team,
+            pool=spec.pool,
+            replicas=spec.tasks,
+            running=len(running),
+            waiting=len(live) - len(running),
+            slots=sum(link.capacity.slots for link in links),
+            free_slots=sum(link.free_slots for link in links),
+            calls=sum(len(link.calls) for link in links),
+        )
+
+
+def make_slice_info(server: SliceServer, now: float) -> SliceInfo:
+    """Return the row of a slice."""
+    summary = server.summarize()
+    capacity, used = server.state.capacity, server.state.used
+    return SliceInfo(
+        id=server.name,
+        zone=server.zone,
+        state=SliceState.LOCAL if server.tenure.local else SliceState.OWNED,
+        owner=summary.owner,
+        epoch=summary.epoch,
+        workers=len(server.state.workers),
+        waiting=sum(summary.waiting.values()),
+        oldest_wait_ms=summary.oldest_wait_ms,
+        free_cores_milli=capacity.cores_milli - used.cores_milli,
+        free_memory_mb=capacity.memory_mb - used.memory_mb,
+        free_accelerators=capacity.accelerators - used.accelerators,
+        age_ms=int((now - server.tenure.started) * 1000),
+    )
+
+
+def list_reasons(server: SliceServer, why: Why, unix: float) -> Iterator[ReasonInfo]:
+    """Yield the recorded decisions about a subject, and why it waits now."""
+    log, name = server.reasons, why.id
+    found: Iterable[Record] = chain(
+        log.find_task(TaskId(name)), log.find_job(JobId(name)), log.find_worker(WorkerId(name))
+    )
+    for record in found:
+        reason = record.reason
+        numbers = ", ".join(f"{key} {value:g}" for key, value in reason.numbers.items())
+        text = "; ".join(part for part in (reason.rule, reason.detail, numbers) if part)
+        yield ReasonInfo(
+            id=name,
+            step="decide",
+            outcome=record.outcome,
+            reason=text,
+            slice=server.name,
+            owner=server.owner,
+            alternatives=tuple(f"{a.worker}: {a.why_not}" for a in reason.alternatives),
+            age_ms=max(0, int((unix - record.at) * 1000)),
+        )
+    waiting = server.queue.find(TaskId(name))
+    current = waiting.shape.reason if waiting is not None else None
+    if current is not None:
+        yield ReasonInfo(
+            id=name,
+            step="wait",
+            outcome="waiting",
+            reason=f"{current.rule}; {current.detail}",
+            slice=server.name,
+            owner=server.owner,
+            alternatives=tuple(f"{a.worker}: {a.why_not}" for a in current.alternatives),
+        )
+
+
+def make_inventory(
+    servers: Iterable[SliceServer], statement: Statement, now: float, unix: float
+) -> Inventory:
+    """Return the rows of some slices that a statement may need."""
+    inventory = Inventory()
+    for server in servers:
+        inventory.tasks += [make_task_info(server, task, now) for task in server.tasks.values()]
+        inventory.jobs += [make_job_info(server, job, now) for job in server.book.jobs.values()]
+        inventory.workers += list_workers(server, now)
+        inventory.services += list_services(server)
+        inventory.slices.append(make_slice_info(server, now))
+        if isinstance(statement, Why):
+            inventory.reasons += list_reasons(server, statement, unix)
+    return inventory
+
+
+def list_entries(entry: "Entry") -> list[EntryInfo]:
+    """Return the rows of the entry instances that are known here."""
+    now = entry.clock.seconds()
+    owned: dict[str, int] = {}
+    for summary in entry.directory.list_summaries():
+        owned[summary.owner] = owned.get(summary.owner, 0) + 1
+    rows = [
+        EntryInfo(
+            id=entry.entry,
+            zone=entry.identity.zone,
+            state=EntryState.DRAINING if entry.draining else EntryState.LIVE,
+            version=entry.view.version,
+            slices=len(entry.slices),
+            calls=entry.router.in_flight,
+            http=entry.identity.http,
+        )
+    ]
+    for name, peer in entry.peers.list_peers().items():
+        silent = now - peer.heard
+        state = EntryState.DRAINING if peer.heartbeat.draining else EntryState.LIVE
+        row = entry.ownership.peers.get(name)
+        rows.append(
+            EntryInfo(
+                id=name,
+                zone=peer.heartbeat.zone,
+                state=EntryState.SUSPECT if silent > SILENT_SECONDS else state,
+                version=peer.heartbeat.version,
+                slices=owned.get(name, 0),
+                http=row.http if row else "",
+                age_ms=int(silent * 1000),
+            )
+        )
+    return rows
