Test the stand-ins

Cause: every test of an entry instance relies on the stand-ins, and a stand-in that is kinder than the platform hides faults.

--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,15 +1,26 @@
 """HTTP between an agent and a service in memory, on a clock that a test advances."""
 
+import msgspec
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.error import ConnectingCancelledError, ConnectionRefusedError
 from twisted.internet.task import Clock
 from twisted.test import iosim
 from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
 from twisted.web.server import Site
 
+from lavenderstall.clients import BytesProducer, read_reply
 from standins.web import Service
 
 
+class Response(msgspec.Struct):
+    """Hold a whole response."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
 class MemoryNetwork:
     """Connect agents to one service; `refusing` and `hanging` apply to new connections."""
 
@@ -38,6 +49,28 @@
         self.connections += 1
         return succeed(client)
 
+    def fetch(self, method: str, path: str, body, headers: dict, seconds: float):
+        """Send one request and return its response, or none if there is none in time."""
+        found: list = []
+        raw = Headers({name: [value] for name, value in headers.items()})
+        producer = None if body is None else BytesProducer(body)
+        url = f"http://127.0.0.1:1{path}".encode()
+        sent = self.agent.request(method.encode(), url, raw, producer)
+        sent.addCallback(self._read, found)
+        sent.addErrback(lambda _: None)
+        self.run(seconds)
+        return found[0] if found else None
+
+    def _read(self, response, found: list) -> Deferred:
+        """Keep a response once its body is whole."""
+        pairs = response.headers.getAllRawHeaders()
+        headers = {name.decode(): values[0].decode() for name, values in pairs}
+        headers["Content-Length"] = str(response.length)
+        read = read_reply(response)
+        return read.addCallback(
+            lambda reply: found.append(Response(reply.status, headers, reply.body))
+        )
+
     def run(self, seconds: float = 0.0, step: float = 0.1) -> None:
         """Move all bytes, and the clock in steps."""
         self._flush()
