Test stand-ins for old timers, lost deltas and pauses

Change: tests for a task whose end is held back by a pause past the lease, for timers of an earlier incarnation, for a known sequence of an earlier incarnation, and for finished tasks within deltas. Conclusion: the tests now guard these rules.

--- a/tests/test_standins_workers.py
+++ b/tests/test_standins_workers.py
@@ -181,6 +181,13 @@
         self.set_faults(paused=False)
         self.assertEqual(get_result(answer).finished[0].state, TaskState.CANCELLED)
 
+    def test_task_does_not_end_as_done_after_a_pause_past_the_lease(self) -> None:
+        self.start("j.0", run_ms=1_000)
+        self.set_faults(paused=True)
+        self.clock.advance(40)
+        self.set_faults(paused=False)
+        self.assertIs(self.list_truth(TaskEnded)[0].state, TaskState.CANCELLED)
+
     def test_foreign_calls_are_counted(self) -> None:
         self.call(body=b'{"run_ms":5000}')
         self.assertEqual(self.lease().foreign_calls, 0)
@@ -262,8 +269,8 @@
     @given(
         st.lists(
             st.one_of(
-                st.tuples(st.just("start"), st.integers(0, 9), st.integers(100, 3_000)),
-                st.tuples(st.just("stop"), st.integers(0, 9)),
+                st.tuples(st.just("start"), st.integers(0, 3), st.sampled_from([100, 9_000])),
+                st.tuples(st.just("stop"), st.integers(0, 3)),
                 st.tuples(st.just("run"), st.sampled_from([0.05, 1.0, 6.0])),
                 st.tuples(st.just("renew"), st.booleans()),
                 st.tuples(st.just("crash")),
@@ -275,6 +282,7 @@
         """Guard against a delta that leaves out a change, also when an answer is lost."""
         self.setUp()
         mirror: dict = {}
+        finished: dict = {}
         known = 0
         for action, *values in [*actions, ("renew", True)]:
             match action:
@@ -291,14 +299,18 @@
                     answer = self.lease(known=known)
                     if not values[0]:
                         continue
-                    mirror = {} if answer.full else mirror
+                    if answer.full:
+                        mirror, finished = {}, {}
+                    finished.update({report.task: report for report in answer.finished})
                     for name in answer.removed:
                         mirror.pop(name, None)
                     mirror.update({report.task: report for report in answer.tasks})
                     known = answer.sequence
             allocated = self.worker.inventory.allocated
             self.assertTrue(allocated.fits(CAPACITY))
-        full = {report.task: report for report in self.lease().tasks}
+        answer = self.lease()
+        self.assertEqual(finished, {report.task: report for report in answer.finished})
+        full = {report.task: report for report in answer.tasks}
         pairs = [(name, report.state, report.used) for name, report in sorted(full.items())]
         seen = [(name, report.state, report.used) for name, report in sorted(mirror.items())]
         self.assertEqual(seen, pairs)
@@ -310,6 +322,10 @@
         self.worker.crash()
         answer = self.lease(known=known)
         self.assertEqual((answer.full, answer.tasks), (True, []))
+        # The answer above may be lost, so that the owner repeats the number it knows.
+        for index in range(3):
+            self.start(f"k.{index}")
+        self.assertTrue(self.lease(known=known).full)
         self.assertIs(self.list_truth(TaskEnded)[0].state, TaskState.UNKNOWN)
 
 
@@ -400,4 +416,15 @@
         for answer in (running, held):
             with self.assertRaises(AnswerLostError):
                 get_result(answer)
+        self.set_faults(paused=False)
+        self.clock.advance(1)
         self.assertEqual([record.outcome for record in self.list_truth(CallEnded)], ["lost"])
+
+    def test_timer_of_a_lost_task_does_not_end_its_successor(self) -> None:
+        self.start("j.0", run_ms=1_000)
+        self.clock.advance(0.5)
+        self.worker.crash()
+        self.lease()
+        self.start("j.0", run_ms=1_000)
+        self.clock.advance(0.6)
+        self.assertEqual(len(self.lease().tasks), 1)
