Say that a change may be archived

Cause: a change that has moved to the object store was reported as one that does not exist. Change: the error names both possibilities. Conclusion: an operator knows to look in the archive.

--- a/lavenderstall/configuration.py
+++ b/lavenderstall/configuration.py
@@ -99,7 +99,9 @@
         """Return a change, or raise `ChangeRefusedError`."""
         row = await self._store.read(make_change_key(number)) if number > 0 else None
         if row is None:
-            raise ChangeRefusedError(f"change {number} does not exist", number=number)
+            raise ChangeRefusedError(
+                f"change {number} does not exist, or is archived", number=number
+            )
         return decode_row(row, Change)
 
     async def apply(
