Bound the hashes of wrong tokens

Cause: each wrong token costs a hash of 2 ms, so that a flood of them would occupy an entry instance. Change: a budget of 50 hashes of wrong tokens a second; beyond it, tokens that are not cached are answered with status 429. Conclusion: wrong tokens take about a tenth of a core at most. A caller whose token is not cached yet has to try again during a flood.

--- a/lavenderstall/access.py
+++ b/lavenderstall/access.py
@@ -3,6 +3,7 @@
 import hashlib
 import hmac
 import secrets
+import time
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
@@ -21,6 +22,8 @@
 SECRET_BYTES = 32
 MAX_TOKEN_LENGTH = 256
 CACHE_SIZE = 2_000
+# A hash takes 2 ms, so that a flood of wrong tokens takes a tenth of a core at most.
+MAX_WRONG_PER_S = 50
 
 
 class AccessError(LavenderstallError):
@@ -71,10 +74,18 @@
     """Find callers by token.
 
     A token starts with the name of its operator or team and a dot, so that one name's hashes
-    are checked instead of all. Results are cached under a keyed digest, never the token.
+    are checked instead of all. Hashes of wrong tokens have a budget. Results are cached under a
+    keyed digest, never the token.
     """
 
-    def __init__(self, random: Callable[[int], bytes] = secrets.token_bytes) -> None:
+    def __init__(
+        self,
+        random: Callable[[int], bytes] = secrets.token_bytes,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._clock = clock
+        self._budget = float(MAX_WRONG_PER_S)
+        self._refilled = clock()
         self._key = random(HASH_BYTES)
         self._cache: OrderedDict[bytes, bool] = OrderedDict()
         self._hashes: dict[str, list[tuple[str, Caller]]] = {}
@@ -94,11 +105,22 @@
                 hashes.setdefault(value.name, []).extend((each, caller) for each in value.tokens)
         self._hashes = hashes
 
+    def _take_budget(self) -> None:
+        """Take one hash from the budget, or raise `AccessError`; a right token gives it back."""
+        now = self._clock()
+        grown = self._budget + (now - self._refilled) * MAX_WRONG_PER_S
+        self._budget, self._refilled = min(grown, float(MAX_WRONG_PER_S)), now
+        if self._budget < 1:
+            raise AccessError("too many wrong tokens; try again in a second", status=429)
+        self._budget -= 1
+
     def _matches(self, token: str, declared: str) -> bool:
         key = hmac.digest(self._key, f"{declared}\n{token}".encode(), "sha256")
         known = self._cache.get(key)
         if known is None:
+            self._take_budget()
             known = matches_hash(token, declared)
+            self._budget += known
             self._cache[key] = known
             if len(self._cache) > CACHE_SIZE:
                 self._cache.popitem(last=False)
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -33,7 +33,8 @@
     """Guards against callers who are given rights that they were not declared with."""
 
     def setUp(self) -> None:
-        self.access = Access(bytes)
+        self.now = 0.0
+        self.access = Access(bytes, lambda: self.now)
         self.access.replace(DECLARED)
 
     def test_rights(self) -> None:
@@ -64,9 +65,23 @@
     def test_cache_is_bounded(self) -> None:
         with mock.patch.object(access, "matches_hash", return_value=False):
             for number in range(access.CACHE_SIZE + 10):
+                self.now += 1
                 self.access.find_caller(f"ben.{number}")
         self.assertIn(f"cached={access.CACHE_SIZE}", repr(self.access))
 
+    def test_flood_of_wrong_tokens_spares_known_ones(self) -> None:
+        self.access.find_caller("ben.b")
+        with mock.patch.object(access, "matches_hash", return_value=False) as hashed:
+            for number in range(access.MAX_WRONG_PER_S):
+                self.access.find_caller(f"ben.{number}")
+            with self.assertRaises(AccessError) as caught:
+                self.access.find_caller("ben.next")
+            self.assertEqual(hashed.call_count, access.MAX_WRONG_PER_S)
+        self.assertEqual(caught.exception.status, 429)
+        self.assertIsNotNone(self.access.find_caller("ben.b"))
+        self.now += 1
+        self.assertIsNotNone(self.access.find_caller("ana.a"))
+
     def test_made_token_is_accepted_and_not_shown(self) -> None:
         token, declared = make_token("cem")
         operator = Operator("cem", declared)
