Serve queries, changes, jobs and traces over HTTP

Cause: operators and callers need the same typed bodies on both sides. Change: one table of routes, rejections by type of error, traces collected from all entry instances.

--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -40,6 +40,7 @@
     QueryAsk,
     QueryPart,
     SliceSummary,
+    TraceAsk,
     WorkAssigned,
 )
 from lavenderstall.metrics import Metrics
@@ -338,6 +339,10 @@
     def _(self, message: QueryPart, sender: EntryId) -> None:
         self.queries.receive(message)
 
+    @_handle.register
+    def _(self, message: TraceAsk, sender: EntryId) -> None:
+        self._send(sender, self.queries.serve_trace(message))
+
     @_handle.register
     def _(self, message: Handover, sender: EntryId) -> None:
         self.directory.drop(message.slice, sender)
--- a/lavenderstall/messages.py
+++ b/lavenderstall/messages.py
@@ -128,6 +128,13 @@
     body: bytes
 
 
+class TraceAsk(msgspec.Struct, tag="trace_ask"):
+    """Ask a peer for the spans of a request that it keeps."""
+
+    query: AttemptId
+    request: RequestId
+
+
 class Handover(msgspec.Struct, tag="handover"):
     """Tell that a slice was released, so that the next owner may claim it."""
 
@@ -146,6 +153,7 @@
     | ConfigPart
     | QueryAsk
     | QueryPart
+    | TraceAsk
     | Handover
 )
 
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -1,5 +1,6 @@
 """What callers and operators ask of an entry instance beyond calls and queries."""
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -14,7 +15,7 @@
     JobAnswer,
     JobRequest,
 )
-from lavenderstall.changes import ItemKey, hide_secrets
+from lavenderstall.changes import ItemKey, make_shown
 from lavenderstall.clocks import sleep
 from lavenderstall.configuration import Draft
 from lavenderstall.declarations import Source, find_dangling, read_declarations
@@ -24,7 +25,7 @@
 from lavenderstall.jobs import JobStatus
 from lavenderstall.protocol import Kind, TaskState
 from lavenderstall.records import JobSpec
-from lavenderstall.schemas import Batch, Demand, Gang, Item, get_kind
+from lavenderstall.schemas import Batch, Command, Declaration, Demand, Gang, Item, get_kind
 
 if TYPE_CHECKING:
     from lavenderstall.entry import Entry
@@ -173,7 +174,7 @@
             committed=applied.committed,
             in_effect=tuple(in_effect),
             pending=tuple(behind),
-            dangling=tuple(find_dangling(item for item in known.values() if is_declared(item))),
+            dangling=tuple(find_dangling(list_declared(known.values()))),
         )
 
     async def _await_force(self, version: Version, started: float) -> list[EntryId]:
@@ -195,7 +196,7 @@
     def describe_config(self) -> ConfigAnswer:
         """Return the configuration in force here, without tokens."""
         view = self._entry.view
-        items: list[dict[str, Any]] = [hide_secrets(i) for i in view.snapshot.items.values()]
+        items: list[dict[str, Any]] = [make_shown(i) for i in view.snapshot.items.values()]
         return ConfigAnswer(view.version, view.age_ms, tuple(items))
 
     def describe_health(self) -> Health:
@@ -212,6 +213,6 @@
         )
 
 
-def is_declared(item: Item | None) -> bool:
-    """Tell whether an item is a declaration and not a runtime command."""
-    return item is not None and get_kind(item) != "command"
+def list_declared(items: Iterable[Item | None]) -> list[Declaration]:
+    """Return the declarations among items, without runtime commands."""
+    return [item for item in items if item is not None and not isinstance(item, Command)]
--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -8,10 +8,18 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.access import AccessError, Caller
+from lavenderstall.bodies import SpanInfo, TraceAnswer
 from lavenderstall.errors import LavenderstallError, PeerUnavailableError
-from lavenderstall.identifiers import AttemptId, EntryId, SliceName, Version, get_slice_zone
+from lavenderstall.identifiers import (
+    AttemptId,
+    EntryId,
+    RequestId,
+    SliceName,
+    Version,
+    get_slice_zone,
+)
 from lavenderstall.inventory import Answer, Inventory, MissingPart, Part, make_change_info
-from lavenderstall.messages import QueryAsk, QueryPart
+from lavenderstall.messages import QueryAsk, QueryPart, TraceAsk
 from lavenderstall.query.evaluation import evaluate, merge_answers
 from lavenderstall.query.execution import execute
 from lavenderstall.query.fields import Reach
@@ -110,24 +118,68 @@
         return merge_answers(statement, answers, missing)
 
     async def _ask_one(self, text: str, owner: EntryId, slices: list[SliceName]) -> Answer:
+        started = self._entry.clock.seconds()
         query = AttemptId(self._entry.make_nonce())
+        part = await self._exchange(owner, query, QueryAsk(query, text, slices))
+        answer = msgspec.json.decode(part.body, type=Answer)
+        age = int((self._entry.clock.seconds() - started) * 1000)
+        parts = tuple(Part(p.owner, p.age_ms + age, p.slices) for p in answer.parts)
+        gone = tuple(sorted(set(slices) - set(part.slices)))
+        lost = (MissingPart("the slice has moved", owner, gone),) if gone else ()
+        return msgspec.structs.replace(answer, parts=parts, missing=answer.missing + lost)
+
+    async def _exchange(
+        self, owner: EntryId, query: AttemptId, message: QueryAsk | TraceAsk
+    ) -> QueryPart:
+        """Send a question and return the part that answers it in time."""
         waiting: Deferred[QueryPart] = Deferred()
         self._pending[query] = waiting
         timer = self._entry.clock.callLater(PART_SECONDS, self._give_up, query, owner)
-        started = self._entry.clock.seconds()
         try:
-            self._entry.links.send(owner, QueryAsk(query, text, slices))
-            part = await waiting
+            self._entry.links.send(owner, message)
+            return await waiting
         finally:
             self._pending.pop(query, None)
             if timer.active():
                 timer.cancel()
-        answer = msgspec.json.decode(part.body, type=Answer)
-        age = int((self._entry.clock.seconds() - started) * 1000)
-        parts = tuple(Part(p.owner, p.age_ms + age, p.slices) for p in answer.parts)
-        gone = tuple(sorted(set(slices) - set(part.slices)))
-        lost = (MissingPart("the slice has moved", owner, gone),) if gone else ()
-        return msgspec.structs.replace(answer, parts=parts, missing=answer.missing + lost)
+
+    async def collect_trace(self, request: RequestId) -> TraceAnswer:
+        """Return the spans of a request from all live entry instances."""
+        owners = sorted({*self._entry.ownership.peers, self._entry.entry})
+        queries = {owner: AttemptId(self._entry.make_nonce()) for owner in owners}
+        asked = {
+            owner: Deferred.fromCoroutine(self._exchange(owner, query, TraceAsk(query, request)))
+            for owner, query in queries.items()
+        }
+        spans: list[SpanInfo] = []
+        missing: list[MissingPart] = []
+        for owner, waiting in asked.items():
+            try:
+                part = await waiting
+            except LavenderstallError as error:
+                missing.append(MissingPart(error.detail, owner))
+                continue
+            spans += msgspec.json.decode(part.body, type=list[SpanInfo])
+        spans.sort(key=lambda span: span.start_unix_us)
+        return TraceAnswer(request, tuple(spans), tuple(missing))
+
+    def serve_trace(self, ask: TraceAsk) -> QueryPart:
+        """Return the spans of a request that this entry instance keeps."""
+        entry = self._entry
+        spans = [
+            SpanInfo(
+                name=record.name,
+                span_id=record.span,
+                parent_id=record.parent,
+                owner=entry.entry,
+                zone=entry.identity.zone,
+                start_unix_us=int(record.start_ms * 1000),
+                duration_us=int(record.took_ms * 1000),
+                attributes=record.details | ({"error": record.error} if record.error else {}),
+            )
+            for record in entry.traces.ring.find(ask.request)
+        ]
+        return QueryPart(ask.query, entry.entry, [], msgspec.json.encode(spans))
 
     def _give_up(self, query: AttemptId, owner: EntryId) -> None:
         waiting = self._pending.pop(query, None)
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -14,23 +14,17 @@
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from lavenderstall import protocol
-from lavenderstall.access import AccessError
+from lavenderstall.access import Caller
 from lavenderstall.bindings import check_request_id
+from lavenderstall.bodies import ApplyRequest, JobRequest, QueryRequest
 from lavenderstall.calls import CallRequest
 from lavenderstall.contracts import Deadline
 from lavenderstall.entry import Entry
-from lavenderstall.errors import (
-    BadRequestError,
-    LavenderstallError,
-    Outcome,
-    RefusedError,
-    StoreOutcomeUnknownError,
-    StoreUnavailableError,
-)
+from lavenderstall.errors import BadRequestError, Outcome, RefusedError
 from lavenderstall.identifiers import JobId, RequestId, ServiceName, TeamName
-from lavenderstall.operations import Operations, find_status
-from lavenderstall.records import JobSpec
-from lavenderstall.schemas import Right
+from lavenderstall.operations import Operations
+from lavenderstall.rejections import describe_error
+from lavenderstall.schemas import Demand, Right
 
 logger = logging.getLogger(__name__)
 
@@ -41,25 +35,6 @@
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
 
-OUTCOME_STATUS = {
-    Outcome.DONE: 200,
-    Outcome.FAILED: 502,
-    Outcome.NOT_RUN: 503,
-    Outcome.UNKNOWN: 504,
-}
-
-
-class Refusal(msgspec.Struct):
-    """Hold the body of each answer that is not a result."""
-
-    outcome: str
-    reason: str
-    detail: str
-    retry_after_ms: int = 0
-    request_id: str = ""
-    step: str = ""
-    peer: str = ""
-
 
 class Reply(msgspec.Struct):
     """Hold a response."""
@@ -82,22 +57,6 @@
     service: ServiceName
 
 
-class JobRequest(msgspec.Struct, forbid_unknown_fields=True):
-    """Ask for a job; its id makes a repeated request harmless."""
-
-    id: JobId
-    kind: protocol.Kind
-    tasks: int
-    resources: dict[str, int]
-    pool: str = ""
-    service: ServiceName = ServiceName("")
-    priority: int = 0
-    idempotent: bool = True
-    expected_ms: int = 0
-    deadline_ms: int = 0
-    payload: dict[str, msgspec.Raw] = {}
-
-
 class BoundedRequest(Request):
     """Keep bodies in memory and discard those above the limit, as instances have no disks."""
 
@@ -169,24 +128,11 @@
 
 def make_error(error: Exception, request_id: str = "") -> Reply:
     """Return the response that tells an error."""
-    if isinstance(error, RefusedError):
-        status = 422 if error.reason == "never_fits" else OUTCOME_STATUS[error.outcome]
-        outcome, reason, retry = error.outcome.value, error.reason, error.retry_after_ms
-    elif isinstance(error, AccessError):
-        status, outcome, reason, retry = error.status, "not_run", "access", 0
-    elif isinstance(error, StoreOutcomeUnknownError):
-        status, outcome, reason, retry = 504, "unknown", "store_unavailable", 1000
-    elif isinstance(error, StoreUnavailableError):
-        status, outcome, reason, retry = 503, "not_run", "store_unavailable", 1000
-    elif isinstance(error, LavenderstallError):
-        status, outcome, reason, retry = find_status(error), "not_run", "bad_request", 0
-    else:
-        logger.error("request failed", exc_info=error)
-        status, outcome, reason, retry = 500, "unknown", "internal", 0
-        error = LavenderstallError("internal error; see the log", step="handle")
-    refusal = Refusal(outcome, reason, error.detail, retry, request_id, error.step, error.peer)
+    status, rejection = describe_error(error)
+    rejection = msgspec.structs.replace(rejection, request_id=RequestId(request_id))
+    retry = rejection.retry_after_ms
     headers = {"Retry-After": str(-(-retry // 1000))} if retry else {}
-    return make_json(status, refusal, **headers)
+    return make_json(status, rejection, **headers)
 
 
 class Gate(Resource):
@@ -261,6 +207,12 @@
             f"path {path[:80]!r} does not exist; known are {known}", step="find handler"
         )
 
+    def _get_caller(self, exchange: Exchange) -> Caller:
+        return self._entry.access.get_caller(exchange.get_header("Authorization"))
+
+    def _get_operator(self, exchange: Exchange, right: Right) -> Caller:
+        return self._entry.access.get_operator(exchange.get_header("Authorization"), right)
+
     def _get_team(self, exchange: Exchange) -> TeamName:
         return self._entry.access.get_team(exchange.get_header("Authorization"))
 
@@ -305,17 +257,17 @@
                     "X-Worker": answer.worker,
                 },
             )
-        return make_error(
-            RefusedError(
-                answer.detail,
-                step="call",
-                peer=answer.worker,
-                reason=answer.reason,
-                outcome=answer.outcome,
-                retry_after_ms=answer.retry_after_ms,
-            ),
-            request,
+        refusal = RefusedError(
+            answer.detail,
+            step="call",
+            peer=answer.worker,
+            reason=answer.reason,
+            outcome=answer.outcome,
+            retry_after_ms=answer.retry_after_ms,
         )
+        now = self._entry.clock.seconds()
+        self._entry.refusals.add(now, request, team, Demand.CALLS, refusal, exchange.path[0])
+        return make_error(refusal, request)
 
     async def _issue(self, exchange: Exchange) -> Reply:
         self._get_team(exchange)
@@ -323,40 +275,49 @@
         return make_json(200, Issued(self._entry.issue_request(wanted.service)))
 
     async def _submit(self, exchange: Exchange) -> Reply:
-        team = self._get_team(exchange)
+        caller = self._get_caller(exchange)
         wanted = exchange.decode(JobRequest)
-        status = await self._operations.submit(make_spec(self._entry, team, wanted))
-        return make_json(202, status)
+        return make_json(202, await self._operations.submit(wanted, caller))
 
     async def _read_job(self, exchange: Exchange) -> Reply:
-        caller = self._entry.access.get_caller(exchange.get_header("Authorization"))
-        wait = min(int(exchange.arguments.get("wait_ms", "0") or 0), MAX_DEADLINE_MS)
+        caller = self._get_caller(exchange)
+        text = exchange.arguments.get("wait_ms", "0")
+        if not text.isdigit() or int(text) > MAX_DEADLINE_MS:
+            raise BadRequestError(
+                f"wait_ms is {text[:40]!r}, must be 0 to {MAX_DEADLINE_MS}", step="read argument"
+            )
         job = JobId(exchange.path[0])
-        return make_json(200, await self._operations.read_job(job, caller, wait / 1000))
+        return make_json(200, await self._operations.read_job(job, caller, int(text) / 1000))
 
     async def _cancel_job(self, exchange: Exchange) -> Reply:
-        caller = self._entry.access.get_caller(exchange.get_header("Authorization"))
-        return make_json(200, await self._operations.cancel_job(JobId(exchange.path[0]), caller))
+        caller = self._get_caller(exchange)
+        job = JobId(exchange.path[0])
+        return make_json(200, await self._operations.cancel_job(job, caller))
 
     async def _query(self, exchange: Exchange) -> Reply:
-        caller = self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
-        return await self._operations.query(exchange, caller)
+        caller = self._get_operator(exchange, Right.READ)
+        wanted = exchange.decode(QueryRequest)
+        queries = self._entry.queries
+        return make_json(200, await queries.answer(wanted.text, caller, wanted.seen))
 
     async def _apply(self, exchange: Exchange) -> Reply:
-        caller = self._entry.access.get_operator(exchange.get_header("Authorization"), Right.CHANGE)
-        return await self._operations.apply(exchange, caller)
+        wanted = exchange.decode(ApplyRequest)
+        right = Right.READ if wanted.preview else Right.CHANGE
+        caller = self._get_operator(exchange, right)
+        return make_json(200, await self._operations.apply(wanted, caller))
 
     async def _list_changes(self, exchange: Exchange) -> Reply:
-        self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
-        return make_json(200, await self._entry.configuration.list_changes())
+        self._get_operator(exchange, Right.READ)
+        return make_json(200, await self._operations.list_changes())
 
     async def _read_config(self, exchange: Exchange) -> Reply:
-        self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
+        self._get_operator(exchange, Right.READ)
         return make_json(200, self._operations.describe_config())
 
     async def _read_trace(self, exchange: Exchange) -> Reply:
-        self._entry.access.get_operator(exchange.get_header("Authorization"), Right.READ)
-        return make_json(200, self._entry.traces.ring.find(exchange.path[0]))
+        self._get_operator(exchange, Right.READ)
+        request = RequestId(exchange.path[0])
+        return make_json(200, await self._entry.queries.collect_trace(request))
 
     async def _check_health(self, exchange: Exchange) -> Reply:
         ready = not self._entry.draining
@@ -366,49 +327,6 @@
         return Reply(200, self._entry.metrics.write_page().encode(), TEXT)
 
 
-def make_spec(entry: Entry, team: TeamName, wanted: JobRequest) -> JobSpec:
-    """Return the job that a request asks for, or raise for what cannot be meant."""
-    if wanted.kind is protocol.Kind.SERVICE:
-        raise BadRequestError("services are declared, not submitted", step="check job")
-    check_request_id(wanted.id)
-    try:
-        resources = msgspec.convert(wanted.resources, Strict).to_resources()
-    except msgspec.ValidationError as error:
-        raise BadRequestError(f"resources: {error}", step="check job") from error
-    deadline = int(entry.read_unix() * 1000) + wanted.deadline_ms if wanted.deadline_ms else 0
-    return JobSpec(
-        id=wanted.id,
-        team=team,
-        kind=wanted.kind,
-        tasks=wanted.tasks,
-        resources=resources,
-        service=wanted.service,
-        pool=wanted.pool,
-        priority=wanted.priority,
-        idempotent=wanted.idempotent,
-        expected_ms=wanted.expected_ms,
-        deadline_unix_ms=deadline,
-        payload=wanted.payload,
-    )
-
-
-class Strict(msgspec.Struct, forbid_unknown_fields=True):
-    """Check the amounts of a job request."""
-
-    cores_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-
-    def __post_init__(self) -> None:
-        amounts = (self.cores_milli, self.memory_mb, self.accelerators)
-        if min(amounts) < 0 or max(amounts) == 0:
-            raise ValueError("amounts must not be negative, and one must be above 0")
-
-    def to_resources(self) -> protocol.Resources:
-        """Return the amounts."""
-        return protocol.Resources(self.cores_milli, self.memory_mb, self.accelerators)
-
-
 def send_reply(request: Request, reply: Reply) -> None:
     """Write a response."""
     request.setResponseCode(reply.status)
