Let siblings wait for the observation of a job's first task

Cause: all tasks of an unknown job were charged ten times their declaration at once and occupied up to a whole instance each. Change: while the first task of an unknown job runs unobserved, its siblings are held back; gangs are not.

--- a/bench/usage_bench.py
+++ b/bench/usage_bench.py
@@ -124,9 +124,10 @@
         blocked: set[JobId] = set()
         for _ in range(len(self.waiting)):
             task = self.waiting.popleft()
+            is_held = self.usage is not None and self.usage.find_start_obstacle(task.shape)
             charge = self.get_charge(task)
             fitting = (worker for worker in range(WORKERS) if charge.fits(free[worker]))
-            worker = None if task.shape.job in blocked else next(fitting, None)
+            worker = None if is_held or task.shape.job in blocked else next(fitting, None)
             if worker is None:
                 blocked.add(task.shape.job)
                 self.waiting.append(task)
--- a/lavenderstall/usage.py
+++ b/lavenderstall/usage.py
@@ -38,6 +38,12 @@
     UNKNOWN = "no_sibling_observed_yet"
 
 
+class StartObstacle(Enum):
+    """Reasons for which a task should not start yet."""
+
+    FIRST_TASK_UNOBSERVED = "first_task_of_job_not_observed_yet"
+
+
 class CorrectionReason(Enum):
     """Reasons for a correction."""
 
@@ -174,6 +180,8 @@
         self._headroom = headroom
         self._shapes: OrderedDict[str, Observed] = OrderedDict()
         self._tasks: dict[TaskId, _Task] = {}
+        # Running tasks of shapes that are not known yet.
+        self._first_tasks: dict[str, set[TaskId]] = {}
         # How far the last jobs of a team were off.
         self._ratios: dict[TeamName, deque[float]] = {}
 
@@ -187,17 +195,36 @@
         assumed = scale(declared, self._get_factor(shape.team))
         return Charge(bound_charge(declared, assumed, capacity), ChargeReason.UNKNOWN)
 
+    def find_start_obstacle(self, shape: Shape) -> StartObstacle | None:
+        """Return why a task should wait: its first sibling has not been observed yet.
+
+        A gang, whose tasks start together, is not held back; its tasks are charged as unknown.
+        """
+        is_first_running = bool(self._first_tasks.get(shape.get_key()))
+        if is_first_running and self._get_factor(shape.team) > TRUSTED_RATIO:
+            return StartObstacle.FIRST_TASK_UNOBSERVED
+        return None
+
     def record_start(
         self, task: TaskId, shape: Shape, declared: Resources, capacity: Resources, now: float
     ) -> None:
         """Follow a task that starts on a worker of that capacity."""
         self._tasks[task] = _Task(shape, declared, capacity, now)
+        if shape.get_key() not in self._shapes:
+            self._first_tasks.setdefault(shape.get_key(), set()).add(task)
 
     def record_end(self, task: TaskId, *, done: bool, now: float) -> None:
         """Forget a task; if it was done, what it used tells what its siblings will use."""
         entry = self._tasks.pop(task, None)
-        if entry is not None and done and entry.has_report:
+        if entry is None:
+            return
+        if done and entry.has_report:
             self._learn(entry, now)
+        first = self._first_tasks.get(entry.shape.get_key())
+        if first is not None:
+            first.discard(task)
+            if not first:
+                del self._first_tasks[entry.shape.get_key()]
 
     def record_report(self, task: TaskId, used: Resources, now: float) -> None:
         """Add what a worker measured of a task; `now` is the time of the measurement."""
@@ -313,6 +340,7 @@
         if key not in self._shapes:
             ratios = self._ratios.setdefault(entry.shape.team, deque(maxlen=TRUSTED_JOBS))
             ratios.append(compute_ratio(peak, entry.declared))
+            self._first_tasks.pop(key, None)
             self._shapes[key] = Observed()
             self._shapes[key].record(peak, now)
         self._shapes[key].record(entry.last_used, now)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -20,6 +20,7 @@
     Move,
     Report,
     Shape,
+    StartObstacle,
     Throttle,
     Usage,
     scale,
@@ -77,6 +78,18 @@
             charge = self.usage.compute_start_charge(SHAPE, DECLARED, CAPACITY)
             self.assertIs(charge.reason, reason)
 
+    def test_siblings_wait_for_the_first_observation(self) -> None:
+        self.assertIsNone(self.usage.find_start_obstacle(SHAPE))
+        for ends in (True, False):
+            self.usage.record_start(TASK, SHAPE, DECLARED, CAPACITY, 0.0)
+            obstacle = self.usage.find_start_obstacle(SHAPE)
+            self.assertIs(obstacle, StartObstacle.FIRST_TASK_UNOBSERVED)
+            if ends:
+                self.usage.record_end(TASK, done=False, now=1.0)
+            else:
+                self.observe(DECLARED)
+            self.assertIsNone(self.usage.find_start_obstacle(SHAPE))
+
     def test_accurate_teams_are_trusted_until_they_are_off_once(self) -> None:
         def charge_next() -> int:
             shape = Shape(TEAM, JobId("next"))
