Confirm the tenure before a claimed worker gets tasks

Cause: a worker that restarted has forgotten its epoch, so a former owner that was paused could claim it and start tasks that run elsewhere. Change: a worker is admitted only after the slice row, read after its claim, names the owner; task requests name the incarnation they are meant for.

--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -225,7 +225,9 @@
         throttles: Iterable[TaskThrottle] = (),
     ) -> list[TaskResult]:
         """Send task changes and return one result for each."""
-        request = TasksRequest(self.owner, self.epoch, [*starts], [*stops], [*throttles])
+        request = TasksRequest(
+            self.owner, self.epoch, [*starts], [*stops], [*throttles], self.incarnation
+        )
         try:
             answer = await self._client.change_tasks(self.id, self.member.url, request)
         except FencedError as error:
--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -423,7 +423,7 @@
         last, version = self._rows[name]
         roster = change(frozenset(last.workers))
         if roster == frozenset(last.workers):
-            return True
+            return await self.confirm(name)
         row = msgspec.structs.replace(last, workers=sorted(roster), nonce=self._make_nonce())
         key = make_slice_key(name)
         try:
--- a/lavenderstall/protocol.py
+++ b/lavenderstall/protocol.py
@@ -100,13 +100,18 @@
 
 
 class TasksRequest(msgspec.Struct, omit_defaults=True):
-    """Carry the changes that an owner asks of one worker."""
+    """Carry the changes that an owner asks of one worker.
+
+    A worker that restarted has forgotten its epoch, so it refuses requests that were meant for
+    an earlier incarnation.
+    """
 
     owner: EntryId
     epoch: Epoch
     starts: list[TaskStart] = []
     stops: list[TaskStop] = []
     throttles: list[TaskThrottle] = []
+    incarnation: Incarnation = Incarnation("")
 
 
 class TaskResult(msgspec.Struct, omit_defaults=True):
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -30,6 +30,7 @@
 from lavenderstall.identifiers import (
     EntryId,
     Epoch,
+    Incarnation,
     JobId,
     ServiceName,
     SliceName,
@@ -147,6 +148,7 @@
         self._reload_again = False
         self._rostering = False
         self._limbo: set[TaskId] = set()
+        self._admitted: set[Incarnation] = set()
         self.book = WorkBook(
             self.name, environment.commits, environment.make_nonce, self.request_reload
         )
@@ -236,8 +238,11 @@
         self.request_schedule()
 
     def _add_worker(self, link: WorkerLink) -> None:
-        """Take a worker into service once the table's roster names it."""
-        if link.id not in self.tenure.workers and not self.tenure.local:
+        """Take a worker into service, once the table has confirmed the tenure after its claim.
+
+        A worker that restarted has forgotten its epoch and accepts the claim of a former owner.
+        """
+        if link.incarnation not in self._admitted and not self.tenure.local:
             self._request_roster()
             return
         member = link.member
@@ -265,13 +270,18 @@
 
     async def _extend_roster(self) -> None:
         try:
-            held = [link.id for link in self.fleet.links.values() if link.claimed]
-            if await self._env.ownership.add_workers(self.name, held):
-                for link in list(self.fleet.links.values()):
-                    known = link.id in self.state.workers
-                    if link.claimed and not known and link.id in self.tenure.workers:
-                        self._add_worker(link)
-                self.request_schedule()
+            claimed = [link for link in self.fleet.links.values() if link.claimed]
+            incarnations = {link.incarnation for link in claimed}
+            held = [link.id for link in claimed]
+            if not await self._env.ownership.add_workers(self.name, held) or self.stopped:
+                return
+            self._admitted = incarnations
+            for link in claimed:
+                if link.incarnation in incarnations and link.id not in self.state.workers:
+                    self._add_worker(link)
+            self.request_schedule()
+        except LavenderstallError as error:
+            logger.info("workers of %s wait for the table: %s", self.name, error)
         finally:
             self._rostering = False
 
@@ -383,6 +393,8 @@
     def restart_worker(self, worker: WorkerLink) -> None:
         """Handle a worker that came back with a new incarnation and nothing running."""
         self._drop_runs(worker, "the worker restarted")
+        if worker.id in self.state.workers:
+            self.state.remove_worker(worker.id)
 
     def _drop_runs(self, link: WorkerLink, detail: str) -> None:
         for task in list(self.tasks.values()):
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -293,6 +293,8 @@
         """Apply starts, stops and throttles in this order."""
         self._check_lease()
         self._check_sender(request.owner, request.epoch, "tasks")
+        if request.incarnation not in {"", self.incarnation}:
+            raise self._make_fenced("tasks")
         results = [self._start(start) for start in request.starts]
         results += [self._stop(stop) for stop in request.stops]
         results += [self._throttle(throttle) for throttle in request.throttles]
--- a/tests/test_standins_workers.py
+++ b/tests/test_standins_workers.py
@@ -75,7 +75,10 @@
         """Claim or renew the worker."""
         leases = (int(OWNERSHIP_S * 1_000), int(TASKS_S * 1_000))
         names = [TaskId(name) for name in acknowledged]
-        return self.worker.lease(LeaseRequest(owner, Epoch(epoch), *leases, local, known, names))
+        # An owner echoes the reading of an answer that it has just received.
+        echo_ms = int(self.clock.seconds() * 1_000) + 1
+        request = LeaseRequest(owner, Epoch(epoch), *leases, local, known, echo_ms, names)
+        return self.worker.lease(request)
 
     def change(self, starts=(), stops=(), throttles=(), owner=OWNER, epoch=1000):
         """Send changes of tasks and return the results."""
