Queue a gang only once all its members are known

Cause: the tasks of a new row were queued one by one while they were created, so a gang was queued with its first member alone and the rest never followed. Change: all tasks of a row are created before any is queued. Conclusion: a gang read from its row starts as a whole.

--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -453,7 +453,7 @@
     def _take_changed(self, jobs: Iterable[Job]) -> None:
         for job in jobs:
             spec, row = job.row.spec, job.row
-            fresh = job.version > self.tenure.revision
+            added: list[Task] = []
             for index in row.list_open():
                 name = make_task_id(spec.id, index)
                 task = self.tasks.get(name)
@@ -462,10 +462,13 @@
                     continue
                 task = Task(name, index, spec, TaskState.WAITING, self._clock.seconds())
                 self.tasks[name] = task
-                if fresh:
+                added.append(task)
+            # All members of a gang have to be known before any of them is queued.
+            if job.version > self.tenure.revision:
+                for task in added:
                     self._queue(task)
-                else:
-                    self._limbo.add(name)
+            else:
+                self._limbo.update(task.id for task in added)
             listed = set(row.tasks)
             mine = [task for task in self.tasks.values() if task.spec.id == spec.id]
             surplus = [task for task in mine if row.cancelled or task.index not in listed]
