Close all shapes that one failed fit answers for

Cause: profiling a flood showed 11 failed fits for each start, because declared run times split equal sizes into about 100 shapes. Change: a request that has no room, with no reserved worker involved, closes every shape that needs as much; run times count in powers of 16; sizes are exact up to 512 shapes, since a rounded shape can hold a smaller request back while nothing ends; texts of reasons are composed on demand.

--- a/lavenderstall/decisions.py
+++ b/lavenderstall/decisions.py
@@ -13,7 +13,7 @@
 from lavenderstall.reasons import ALTERNATIVES, Alternative, Reason
 from lavenderstall.requests import Constraints, Scope, Spread, TaskRequest
 from lavenderstall.resources import NOTHING, Resources
-from lavenderstall.rooms import DIMENSIONS, Group, WorkerState, count_fits, find_shortage
+from lavenderstall.rooms import Group, WorkerState, count_fits, find_shortage
 
 __all__ = [
     "Constraints",
@@ -311,30 +311,42 @@
     if not roomiest:
         return Reason("no worker in service", "all that match are leaving, draining or quarantined")
     others = tuple(
-        Alternative(worker.id, explain_refusal(state, request, worker, now))
-        for worker in islice(roomiest, ALTERNATIVES)
+        explain_refusal(state, request, worker, now) for worker in islice(roomiest, ALTERNATIVES)
     )
-    shortages = [find_shortage(request.resources, worker.room) for worker in roomiest]
-    shortage = min(shortages, key=lambda short: sum(getattr(short, name) for name in DIMENSIONS))
-    rule = "no room" if shortage != NOTHING else "room is not admitted"
+    nearest = min(others, key=lambda other: measure_shortage(other.shortage))
+    rule = "no room" if nearest.shortage != NOTHING else "room is not admitted"
     numbers = {"places": float(places)} if len(request.tasks) > 1 else {}
-    return Reason(rule, others[0].why_not, others, shortage, numbers)
+    return Reason(rule, nearest.cause, others, nearest.shortage, numbers)
+
+
+def measure_shortage(shortage: Resources) -> int:
+    """Return a number by which shortages compare."""
+    return shortage.cores_milli + shortage.memory_mb + 1000 * shortage.accelerators
 
 
 def explain_refusal(
     state: SliceState, request: TaskRequest, worker: WorkerState, now: float
-) -> str:
+) -> Alternative:
     """Return why a worker does not take a request."""
-    short = request.resources.find_shortages(worker.room)
-    if short:
-        missing = find_shortage(request.resources, worker.room)
-        amounts = ", ".join(f"{name} by {getattr(missing, name)}" for name in short)
-        return f"short of {amounts}; {len(worker.tasks)} tasks run there"
+    need = request.resources
+    if not need.fits(worker.room):
+        return Alternative(worker.id, "", find_shortage(need, worker.room), len(worker.tasks))
     if not may_backfill(state, request, worker, now):
-        holder = state.reserved[worker.id].request.job
-        return f"reserved for {holder}"
-    if not admits(state, request, worker, now):
-        return "affinity, anti-affinity or rack constraint"
-    if len(request.tasks) > 1:
-        return f"takes {count_fits(request.resources, worker.room, len(request.tasks))} tasks"
-    return "kept for accelerator work that waits"
+        cause = f"reserved for {state.reserved[worker.id].request.job}"
+    elif not admits(state, request, worker, now):
+        cause = "affinity, anti-affinity or rack constraint"
+    elif len(request.tasks) > 1:
+        cause = f"takes {count_fits(need, worker.room, len(request.tasks))} tasks"
+    else:
+        cause = "kept for accelerator work that waits"
+    return Alternative(worker.id, cause)
+
+
+def depends_on_reservation(state: SliceState, request: TaskRequest) -> bool:
+    """Tell whether a reserved worker has room, so that a shorter request might be admitted."""
+    need = request.resources
+    return any(
+        need.fits(state.workers[worker].room)
+        for worker in state.reserved
+        if worker in state.workers
+    )
--- a/lavenderstall/dispatcher.py
+++ b/lavenderstall/dispatcher.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from lavenderstall.decisions import Decision, Plan, Wait, apply, decide
+from lavenderstall.decisions import Decision, Plan, Wait, apply, decide, depends_on_reservation
 from lavenderstall.lanes import Shape, Waiting
 from lavenderstall.machines import SliceState
 from lavenderstall.protocol import Kind
@@ -76,6 +76,8 @@
         wanted = len(waiting.request.tasks)
         places = int(decision.reason.numbers.get("places", 0.0))
         self.queue.close(waiting.shape, now, wanted - places)
+        if wanted == 1 and not depends_on_reservation(self.state, waiting.request):
+            self.queue.close_larger(waiting, now)
         if waiting.request.kind is Kind.GANG and Kind.GANG not in self.state.reservations:
             self._reserve(waiting, now)
 
--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -17,6 +17,9 @@
 COMPACT_AT = 32
 """A heap is rebuilt when more entries than this and half of all are withdrawn."""
 
+DURATION_BITS = 4
+"""Run times are often declared wrong by a factor of ten, so finer shapes would not differ."""
+
 
 class Waiting(msgspec.Struct, eq=False, gc=False):
     """A waiting request; `since` is when it was first pushed, the lowest rank goes first."""
@@ -61,7 +64,7 @@
 
 
 class ShapeKey(msgspec.Struct, frozen=True):
-    """What a failed fit depends on; amounts of cores and memory are rounded to buckets."""
+    """What a failed fit depends on; amounts of cores and memory are exact or buckets below 0."""
 
     kind: Kind
     service: str
@@ -76,21 +79,24 @@
     duration: int
 
 
-def make_shape_key(request: TaskRequest) -> ShapeKey:
-    """Return the shape of a request; the run time counts in powers of two."""
+def make_shape_key(request: TaskRequest, *, exact: bool) -> ShapeKey:
+    """Return the shape of a request; the run time counts in powers of 16."""
     need = request.resources
+    cores, memory = need.cores_milli, need.memory_mb
+    if not exact:
+        cores, memory = -quantise(cores), -quantise(memory)
     return ShapeKey(
         request.kind,
         request.service,
         request.pool,
         request.constraints,
-        quantise(need.cores_milli),
-        quantise(need.memory_mb),
+        cores,
+        memory,
         need.accelerators,
         need.slots,
         need.connections,
         len(request.tasks),
-        request.expected_ms.bit_length(),
+        request.expected_ms.bit_length() // DURATION_BITS,
     )
 
 
@@ -116,6 +122,19 @@
             self.need = Resources(*(min(pair) for pair in pairs))
 
 
+def implies_misfit(need: Resources, key: ShapeKey, other: Shape) -> bool:
+    """Tell whether a shape cannot fit where a need of another shape has no room."""
+    theirs = other.key
+    return (
+        key.pool == theirs.pool
+        and key.service == theirs.service
+        and (key.accelerators > 0) == (theirs.accelerators > 0)
+        and key.tasks <= theirs.tasks
+        and need.fits(other.need)
+        and key.constraints == theirs.constraints
+    )
+
+
 class Lane:
     """Waiting requests of one kind and team, by shape."""
 
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -14,6 +14,7 @@
     ShapeKey,
     Team,
     Waiting,
+    implies_misfit,
     make_shape_key,
     measure_dominant,
 )
@@ -29,6 +30,12 @@
 SHARES = {Kind.SERVICE: 0.4, Kind.BATCH: 0.3, Kind.GANG: 0.3}
 """Guaranteed part of the slice for each kind."""
 
+EXACT_SHAPES = 512
+"""Beyond this number shapes are rounded, because each event compares room with all closed ones.
+
+A rounded shape may hold a smaller request back behind a larger one until room is freed.
+"""
+
 
 class DuplicateRequestError(LavenderstallError):
     """A task of the request is already waiting; nothing was changed."""
@@ -45,6 +52,7 @@
         self.kinds = {kind: KindLanes(kind) for kind in Kind}
         self.shapes: dict[ShapeKey, Shape] = {}
         self.closed: dict[Shape, None] = {}
+        self.opened: dict[Shape, None] = {}
         self.accelerators_waiting = 0
         self._teams: dict[TeamName, Team] = {}
         self._tasks: dict[TaskId, Waiting] = {}
@@ -138,6 +146,14 @@
             shape.open = False
             shape.kind.open_waiting -= shape.waiting
             self.closed[shape] = None
+            del self.opened[shape]
+
+    def close_larger(self, waiting: Waiting, now: float) -> None:
+        """Leave out the shapes that need at least as much as a request that has no room."""
+        need, key = waiting.request.resources, waiting.shape.key
+        larger = (other for other in self.opened if implies_misfit(need, key, other))
+        for other in list(larger):
+            self.close(other, now)
 
     def open(self, shape: Shape) -> None:
         """Let requests of a shape be decided on again."""
@@ -146,6 +162,7 @@
         shape.open = True
         shape.kind.open_waiting += shape.waiting
         del self.closed[shape]
+        self.opened[shape] = None
         for lane in shape.lanes:
             if lane.parked:
                 self._changed[lane.team] = None
@@ -174,10 +191,11 @@
         return next((lane.passed_over for lane in lanes if lane and lane.passed_over), None)
 
     def _find_shape(self, request: TaskRequest, kind: KindLanes) -> Shape:
-        key = make_shape_key(request)
+        key = make_shape_key(request, exact=len(self.shapes) < EXACT_SHAPES)
         shape = self.shapes.get(key)
         if shape is None:
             shape = self.shapes[key] = Shape(key, kind, request.resources)
+            self.opened[shape] = None
         else:
             shape.note_smaller(request.resources)
         return shape
@@ -214,6 +232,7 @@
         """Forget a shape that nothing waits with."""
         del self.shapes[shape.key]
         self.closed.pop(shape, None)
+        self.opened.pop(shape, None)
         for lane in shape.lanes:
             del lane.shapes[shape]
             if not lane.shapes:
--- a/lavenderstall/reasons.py
+++ b/lavenderstall/reasons.py
@@ -11,11 +11,27 @@
 CAPACITY = 4096
 
 
-class Alternative(msgspec.Struct, frozen=True):
-    """A worker that was considered and not chosen, and why not."""
+class Alternative(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A worker that was considered and not chosen.
+
+    The text is composed on demand, because most reasons are never read.
+    """
 
     worker: WorkerId
-    why_not: str
+    cause: str = ""
+    shortage: Resources = NOTHING
+    tasks: int = 0
+
+    @property
+    def why_not(self) -> str:
+        """Return why the worker was not chosen."""
+        if self.cause:
+            return self.cause
+        amounts = ", ".join(
+            f"{name} by {getattr(self.shortage, name)}"
+            for name in self.shortage.find_shortages(NOTHING)
+        )
+        return f"short of {amounts}; {self.tasks} tasks run there"
 
 
 class Reason(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/lavenderstall/rooms.py
+++ b/lavenderstall/rooms.py
@@ -117,8 +117,13 @@
 
 def find_shortage(need: Resources, room: Resources) -> Resources:
     """Return what is missing of each component."""
-    missing = {name: getattr(need, name) - getattr(room, name) for name in need.__struct_fields__}
-    return Resources(**{name: amount for name, amount in missing.items() if amount > 0})
+    return Resources(
+        max(need.cores_milli - room.cores_milli, 0),
+        max(need.memory_mb - room.memory_mb, 0),
+        max(need.accelerators - room.accelerators, 0),
+        max(need.slots - room.slots, 0),
+        max(need.connections - room.connections, 0),
+    )
 
 
 def count_fits(need: Resources, room: Resources, limit: int) -> int:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -131,6 +131,15 @@
         fill(queue, large, small)
         self.assertEqual(self.dispatch(queue, dispatcher, 0.0), [small])
 
+    def test_smaller_work_of_nearly_the_same_size_is_not_held_back(self) -> None:
+        """Sizes that share a bucket must not answer for each other while nothing ends."""
+        queue, state = FairQueue(), make_state(1)
+        dispatcher = Dispatcher(queue, state)
+        state.charge("w0", "x", Resources(8000))
+        large, small = make_request(8100), make_request(8000)
+        fill(queue, large, small)
+        self.assertEqual(self.dispatch(queue, dispatcher, 0.0), [small])
+
     def test_gang_is_not_starved_and_short_work_is_backfilled(self) -> None:
         queue, state = FairQueue(), make_state(1)
         dispatcher = Dispatcher(queue, state)
