Conclude from a fence only what it proves

Cause: an owner took each fenced answer for a sign of another owner. A worker that restarted and obeys nobody made its owner drop and claim the whole slice again; an answer to a heartbeat of the former tenure made it claim twice more; and after a local takeover was fenced, the link renewed for ever at its old epoch and never asked for a takeover again. Change: an epoch below the owner's own only waits for the next claim; stopped links ignore answers; a fenced local takeover asks again.

--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -103,6 +103,7 @@
         self.leaving = False
         self.claimed = False
         self.lost = False
+        self.stopped = False
         self.foreign_calls = 0
         self.calls: set[AttemptId] = set()
         self.acknowledged: set[TaskId] = set()
@@ -137,7 +138,8 @@
         self._loop.start(HEARTBEAT_SECONDS, now=True)
 
     def stop(self) -> None:
-        """Send nothing more."""
+        """Send nothing more and ignore answers that are still on their way."""
+        self.stopped = True
         if self._loop.running:
             self._loop.stop()
 
@@ -183,6 +185,8 @@
         )
 
     def _take_answer(self, answer: LeaseAnswer) -> None:
+        if self.stopped:
+            return
         restarted = bool(self.incarnation) and answer.incarnation != self.incarnation
         returned = self.lost
         self._last_answer = self._clock.seconds()
@@ -201,9 +205,15 @@
         self._observer.apply_inventory(self, answer)
 
     def _take_fenced(self, error: FencedError) -> None:
+        if self.stopped:
+            return
         self.state = LinkState.CLAIMING
+        if error.epoch < self.epoch:
+            # The worker restarted and obeys nobody yet; the next heartbeat claims it.
+            return
         if self.tenure.local:
-            # The owner's lease has not lapsed at the worker; the next heartbeat asks again.
+            # The worker obeys another owner, whose lease has to lapse before it can be taken.
+            self.claimed = False
             return
         self._observer.report_fenced(self, error)
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,70 @@
+"""Tests of the links to the workers of a slice."""
+
+import unittest
+
+from lavenderstall.errors import Outcome
+from tests.cells import ECHO, Cell, make_job
+
+
+class RestartTest(unittest.TestCase):
+    """A worker comes back without its state."""
+
+    def test_keeps_slice(self) -> None:
+        # A restarted worker obeys nobody; that is no sign of another owner.
+        cell = Cell(entries=1, zones=1, services=[ECHO])
+        cell.run(3)
+        cell.submit(make_job("busy", 2, run_ms=60_000))
+        cell.run(2)
+        owner = cell.get_owner("z0/0")
+        server = owner.entry.slices["z0/0"]
+        cell.workers["z0w0"].crash()
+        told = cell.submit(make_job("more", 4, run_ms=60_000))
+        cell.run(5, until=lambda: len(cell.find_runs("more")) == 4)
+        self.assertEqual(told.outcome, Outcome.DONE)
+        self.assertIs(owner.entry.slices.get("z0/0"), server)
+        self.assertTrue(cell.run(3, until=lambda: len(cell.find_runs("busy")) == 2))
+
+
+class StoppedLinkTest(unittest.TestCase):
+    """Answers to a former tenure arrive during the next one."""
+
+    def test_ignores_answers(self) -> None:
+        # A heartbeat at the old epoch is fenced by the same owner's new epoch.
+        cell = Cell(entries=1, zones=1)
+        cell.run(3)
+        owner = cell.get_owner("z0/0")
+        for worker in cell.workers:
+            cell.roads.delays[(owner.name, worker)] = 0.9
+        cell.run(1.1)
+        cell.roads.delays.clear()
+        owner.entry.ownership.report_fenced("z0/0", 5, owner.name)
+        cell.run(10)
+        self.assertEqual(owner.entry.ownership.tenures["z0/0"].term, 6)
+
+
+class LocalTakeoverTest(unittest.TestCase):
+    """A slice is taken over while the table cannot be read."""
+
+    def test_asks_again_after_a_fence(self) -> None:
+        # The first candidate is fenced while it is paused; when the second one dies, the first
+        # has to take the workers again.
+        cell = Cell(entries=3, zones=1)
+        cell.run(3)
+        cell.kill(cell.get_owner("z0/0"))
+        cell.table.faults.down = True
+        self.assertTrue(cell.run(15, until=lambda: cell.list_owners("z0/0")))
+        cell.run(3)
+        first = cell.get_owner("z0/0")
+        cell.pause(first)
+        cell.run(10)
+        cell.resume(first)
+        cell.run(2)
+        (second,) = [node for node in cell.list_ready() if node is not first]
+        self.assertEqual({worker.owner for worker in cell.workers.values()}, {second.name})
+        cell.kill(second)
+        cell.run(10)
+        self.assertEqual({worker.owner for worker in cell.workers.values()}, {first.name})
+
+
+if __name__ == "__main__":
+    unittest.main()
