Send messages of one reactor turn at once

Cause: a call crosses two links and waited 2 ms for company on each. Change: the flush is scheduled for the end of the reactor's turn; messages that could not be sent are tried again after 20 ms.

--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -15,7 +15,9 @@
 
 QUEUE_MESSAGES = 1000
 BATCH_MESSAGES = 64
-FLUSH_SECONDS = 0.002
+# Messages of one reactor turn share an envelope; waiting longer would add to every call.
+FLUSH_SECONDS = 0.0
+RETRY_SECONDS = 0.02
 SOCKET_BUFFER = 64
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 
@@ -153,7 +155,7 @@
             while outbox and self._send_batch(peer, outbox):
                 pass
         if any(self._outboxes.values()):
-            self._flush_call = self._reactor.callLater(10 * FLUSH_SECONDS, self._flush)
+            self._flush_call = self._reactor.callLater(RETRY_SECONDS, self._flush)
 
     def _send_batch(self, peer: EntryId, outbox: Outbox) -> bool:
         batch = outbox.take(BATCH_MESSAGES)
