Keep headroom from work beyond its fair part

Cause: during a flood every free core went to the flood at once, so other work waited for tasks to end: its p99 wait rose from 0.01 to 1.51 s. Change: a team that uses over twice the mean of the others of its kind, or a kind over 1.5 times its share, leaves up to 8% of the scarcest resource free, in proportion to what others use.

--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -153,12 +153,14 @@
 class KindLanes:
     """Lanes of one kind in order of their weighted use."""
 
-    __slots__ = ("ages", "heap", "kind", "lanes", "open_waiting", "waiting")
+    __slots__ = ("active", "ages", "heap", "held", "kind", "lanes", "open_waiting", "waiting")
 
     def __init__(self, kind: Kind) -> None:
         self.kind = kind
         self.lanes: dict[TeamName, Lane] = {}
         self.heap: list[tuple[float, int, int, Lane]] = []
+        self.active: dict[TeamName, float] = {}
+        self.held: dict[Lane, None] = {}
         self.ages = LazyHeap()
         self.open_waiting = 0
         self.waiting = 0
--- a/lavenderstall/machines.py
+++ b/lavenderstall/machines.py
@@ -1,6 +1,7 @@
 """What a decider knows about the workers of a slice, indexed by their free room."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Hashable, Iterable, Iterator
+from typing import TypeVar
 
 import msgspec
 
@@ -19,6 +20,8 @@
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.rooms import Charge, Group, GroupKey, WorkerState
 
+K = TypeVar("K", bound=Hashable)
+
 
 class StateError(LavenderstallError):
     """The state of a slice does not allow a change; nothing was changed."""
@@ -53,6 +56,15 @@
         counts.pop(name, None)
 
 
+def add_up(sums: dict[K, Resources], key: K, amount: Resources) -> None:
+    """Change a sum and drop it at zero."""
+    value = sums.get(key, NOTHING).add(amount)
+    if value == NOTHING:
+        sums.pop(key, None)
+    else:
+        sums[key] = value
+
+
 class SliceState:
     """Room, charges and reservations of the workers of one slice."""
 
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -5,6 +5,7 @@
 from math import inf
 
 from lavenderstall.errors import LavenderstallError
+from lavenderstall.headroom import check_headroom, is_beyond
 from lavenderstall.identifiers import JobId, TaskId, TeamName
 from lavenderstall.lanes import (
     KindLanes,
@@ -247,16 +248,29 @@
                 if not shape.key.accelerators:
                     self.open(shape)
         self._accelerators_waited = self.accelerators_waiting > 0
-        for worker in state.take_freed():
-            self._open_for(worker)
-        for team in (*state.touched_teams, *self._changed):
+        if state.freed:
+            for worker in state.take_freed():
+                self._open_for(worker)
             for kind in self.kinds.values():
-                lane = kind.lanes.get(team)
-                if lane is not None:
-                    kind.enter(lane, self._measure_lane(lane, state), next(self._numbers))
+                self._changed.update((lane.team, None) for lane in kind.held)
+                kind.held.clear()
+        for team in (*state.touched_teams, *self._changed):
+            self._follow_team(team, state)
         state.touched_teams.clear()
         self._changed.clear()
 
+    def _follow_team(self, team: TeamName, state: SliceState) -> None:
+        """Give the lanes of a team their place by what it uses now."""
+        settings = self._teams.get(team)
+        for kind in self.kinds.values():
+            if (kind.kind, team) in state.lane_used:
+                kind.active[team] = settings.weight if settings else 1.0
+            else:
+                kind.active.pop(team, None)
+            lane = kind.lanes.get(team)
+            if lane is not None:
+                kind.enter(lane, self._measure_lane(lane, state), next(self._numbers))
+
     def _open_for(self, worker: WorkerState) -> None:
         """Open the closed shapes that may now fit because of room on a worker."""
         if not worker.in_service:
@@ -295,11 +309,18 @@
         """Return the request of lowest rank among the open shapes of a team under its quota."""
         best: Waiting | None = None
         lane.passed_over = None
+        kind = lane.kind
+        share = self.shares.get(kind.kind, 0.0)
+        beyond = is_beyond(state, kind.kind, lane.team, kind.active, share)
         for shape, heap in lane.shapes.items():
             head = heap.peek() if shape.open else None
             if head is None or (best is not None and best.rank <= head.rank):
                 continue
             reason = self.check_quota(head.request, state)
+            if reason is None and beyond:
+                reason = check_headroom(state, head.request)
+                if reason is not None:
+                    kind.held[lane] = None
             if reason is None:
                 best = head
             else:
