--- a/lavenderstall/headroom.py
+++ b/lavenderstall/headroom.py
@@ -20,6 +20,9 @@
 KIND_OVER = 1.5
 """A kind is beyond its fair part at this many times its share."""
 
+FLOOD_WAITING = 8
+"""Waiting requests from which a team may be flooding; few large gangs are no flood."""
+
 
 def is_beyond(
     state: SliceState, kind: Kind, team: TeamName, weights: Mapping[TeamName, float], share: float
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -5,7 +5,7 @@
 from math import inf
 
 from lavenderstall.errors import LavenderstallError
-from lavenderstall.headroom import check_headroom, is_beyond
+from lavenderstall.headroom import FLOOD_WAITING, check_headroom, is_beyond
 from lavenderstall.identifiers import JobId, TaskId, TeamName
 from lavenderstall.lanes import (
     KindLanes,
@@ -311,7 +311,9 @@
         lane.passed_over = None
         kind = lane.kind
         share = self.shares.get(kind.kind, 0.0)
-        beyond = is_beyond(state, kind.kind, lane.team, kind.active, share)
+        beyond = lane.waiting >= FLOOD_WAITING and is_beyond(
+            state, kind.kind, lane.team, kind.active, share
+        )
         for shape, heap in lane.shapes.items():
             head = heap.peek() if shape.open else None
             if head is None or (best is not None and best.rank <= head.rank):
