Serve calls on replicas whose rows were not read

Cause: replicas were found among the tasks of the rows only. After a takeover without the table no row is read, so each call was refused with no_replica. Change: replicas that a worker reports count as well.

--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -407,14 +407,20 @@
 
     def find_replicas(self, service: ServiceName) -> frozenset[WorkerId]:
         """Return the workers that run a replica of a service."""
-        return frozenset(
-            task.worker
-            for task in self._list_replicas()
-            if task.spec.service == service and task.state is TaskState.RUNNING
-        )
+        return frozenset(worker for name, worker in self._list_replicas() if name == service)
+
+    def _list_replicas(self) -> Iterable[tuple[ServiceName, WorkerId]]:
+        """Yield the service and the worker of each replica that runs.
 
-    def _list_replicas(self) -> Iterable[Task]:
-        return (task for task in self.tasks.values() if task.spec.kind is Kind.SERVICE)
+        Replicas whose rows were not read yet serve calls as well, as after a takeover without
+        the table.
+        """
+        for task in self.tasks.values():
+            if task.spec.kind is Kind.SERVICE and task.state is TaskState.RUNNING:
+                yield task.spec.service, task.worker
+        for worker, report in self.stray.values():
+            if report.kind is Kind.SERVICE and report.state is TaskState.RUNNING:
+                yield report.service, worker
 
     # Work rows
 
@@ -779,11 +785,11 @@
     def summarize(self) -> SliceSummary:
         """Describe the slice to other entry instances."""
         free: dict[ServiceName, int] = {}
-        for task in self._list_replicas():
-            link = self.fleet.links.get(task.worker)
+        for service, worker in self._list_replicas():
+            link = self.fleet.links.get(worker)
             usable = link is not None and link.usable and not self._is_out_of_service(link.id)
-            if link is not None and usable and task.state is TaskState.RUNNING:
-                free[task.spec.service] = free.get(task.spec.service, 0) + link.free_slots
+            if link is not None and usable:
+                free[service] = free.get(service, 0) + link.free_slots
         waiting = {kind.value: n for kind, n in self.queue.count_kinds().items() if n}
         return SliceSummary(
             self.name,
