Count a peer's silence only while rows were read

Cause: an entry row that did not change during a store outage was taken as the death of its writer by whoever read first afterwards, which then claimed all its slices. Change: each reading counts for one renewal interval at most. Conclusion: an outage of the store changes no owner.

--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -168,6 +168,7 @@
         self._beat = 0
         self._beat_version = 0
         self._last_beat = float("-inf")
+        self._observed = clock.seconds()
         self._running = False
         self._loop = make_loop(clock, self.step)
 
@@ -250,6 +251,11 @@
 
     def _observe_entries(self, rows: Rows) -> None:
         now = self._clock.seconds()
+        # Peers cannot renew during an outage, so a reading counts for one interval at most.
+        unobserved = max(0.0, now - self._observed - self.get_interval())
+        self._observed = now
+        for sighting in self._sightings.values():
+            sighting.seen += unobserved
         found = {row.id: row for row in (decode_row(r, EntryRow) for r in rows.rows)}
         for entry, row in found.items():
             last = self._sightings.get(entry)
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -137,7 +137,7 @@
         self._started = 0
         for zone in self.zones:
             for _ in range(entries):
-                self.start(zone)
+                self.start(zone, after=self.random.uniform(0, 0.5))
 
     def _add_worker(
         self,
@@ -200,14 +200,14 @@
 
     # Entry instances
 
-    def start(self, zone: ZoneName, name: str = "") -> Node:
-        """Start an entry instance, by default under a new name."""
+    def start(self, zone: ZoneName, name: str = "", after: float = 0.0) -> Node:
+        """Start an entry instance after a delay in seconds, by default under a new name."""
         self._started += 1
         entry = EntryId(name or f"{zone}e{self._started}")
         node = Node(self, entry, zone, self._started)
         self.nodes[entry] = node
         self.members.set_entry(EntryMember(entry, zone, entry, entry), lag_s=0)
-        node.entry.start()
+        node.gate.callLater(after, node.entry.start)
         return node
 
     def kill(self, node: Node) -> None:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,209 @@
+"""Tests of who owns a slice, and of what a former owner can still do."""
+
+import unittest
+
+from lavenderstall.errors import Outcome
+from lavenderstall.identifiers import get_task
+from tests.cells import ECHO, Cell, Node, make_job
+
+TAKEOVER_SECONDS = 5.0
+
+
+class PauseTest(unittest.TestCase):
+    """An owner is paused past its lease with dispatches in its socket buffers."""
+
+    def _pause_with_dispatches(self, idempotent: bool) -> tuple[Cell, Node]:
+        cell = Cell(entries=2, zones=1)
+        cell.run(3)
+        owner = cell.get_owner("z0/0")
+        cell.roads.holding.add(owner.name)
+        told = cell.submit(make_job("job", 4, run_ms=60_000, idempotent=idempotent))
+        self.assertTrue(cell.run(3, until=lambda: told.outcome is Outcome.DONE))
+        cell.run(0.9)
+        cell.pause(owner)
+        return cell, owner
+
+    def test_delayed_dispatches_are_fenced(self) -> None:
+        for idempotent in (True, False):
+            for resume_first in (True, False):
+                with self.subTest(idempotent=idempotent, resume_first=resume_first):
+                    cell, owner = self._pause_with_dispatches(idempotent)
+                    (other,) = cell.list_ready()
+                    took = cell.run(
+                        TAKEOVER_SECONDS,
+                        until=lambda: "z0/0" in other.entry.slices,  # noqa: B023
+                    )
+                    self.assertTrue(took)
+                    cell.run(2)
+                    if resume_first:
+                        cell.resume(owner)
+                    self.assertGreater(cell.roads.let_go(owner.name), 0)
+                    cell.run(5)
+                    cell.resume(owner)
+                    cell.run(5)
+                    self.assertEqual(cell.list_owners("z0/0"), [other])
+                    # A task that was bound by an earlier owner may have run and stays unknown.
+                    self.assertEqual(len(cell.find_runs("job")), 4 if idempotent else 0)
+                    started = {1} if idempotent else set()
+                    self.assertEqual(set(cell.checks.starts.values()), started)
+
+    def test_dispatches_before_the_takeover_are_adopted(self) -> None:
+        # The starts arrive while the next owner has claimed some of the workers only.
+        cell, owner = self._pause_with_dispatches(idempotent=True)
+        (other,) = cell.list_ready()
+        cell.roads.cuts.add((other.name, "z0w1"))
+        cell.run(TAKEOVER_SECONDS, until=lambda: "z0/0" in other.entry.slices)
+        cell.run(2)
+        cell.roads.let_go(owner.name)
+        cell.run(2)
+        cell.roads.cuts.clear()
+        cell.run(5)
+        cell.resume(owner)
+        cell.run(5)
+        self.assertEqual(len(cell.find_runs("job")), 4)
+
+
+class ClaimTest(unittest.TestCase):
+    """A slice changes its owner."""
+
+    def test_owner_is_killed(self) -> None:
+        # Its slice places new work within 5 s; running tasks go on and are adopted.
+        cell = Cell(entries=2, zones=1)
+        cell.run(3)
+        cell.submit(make_job("old", 4, run_ms=60_000))
+        cell.run(2)
+        before = cell.find_runs("old")
+        self.assertEqual(len(before), 4)
+        killed = cell.clock.seconds()
+        cell.kill(cell.get_owner("z0/0"))
+        told = cell.submit(make_job("new", 2, run_ms=60_000), retries=50)
+        self.assertTrue(cell.run(10, until=lambda: len(cell.find_runs("new")) == 2))
+        self.assertLessEqual(cell.clock.seconds() - killed, TAKEOVER_SECONDS)
+        self.assertIs(told.outcome, Outcome.DONE)
+        cell.run(40)
+        self.assertEqual(cell.find_runs("old"), before)
+        self.assertEqual(set(cell.checks.starts.values()), {1})
+        tasks = cell.get_owner("z0/0").entry.slices["z0/0"].tasks
+        self.assertEqual({get_task(run) for run in tasks}, set(cell.checks.starts))
+
+    def test_all_are_killed(self) -> None:
+        # The cell comes back by itself once entry instances start; tasks keep running.
+        cell = Cell(entries=2, zones=2)
+        cell.run(3)
+        cell.submit(make_job("old", 6, run_ms=300_000))
+        cell.run(2)
+        before = cell.find_runs("old")
+        for node in cell.list_ready():
+            cell.kill(node)
+        cell.run(10)
+        for zone in cell.zones:
+            cell.start(zone)
+        self.assertTrue(cell.run(10, until=lambda: cell.list_owners("z1/0")))
+        cell.run(60)
+        self.assertEqual(cell.find_runs("old"), before)
+        cell.submit(make_job("new", 4, run_ms=60_000))
+        self.assertTrue(cell.run(5, until=lambda: len(cell.find_runs("new")) == 4))
+        self.assertEqual(set(cell.checks.starts.values()), {1})
+
+    def test_store_outage_keeps_owners(self) -> None:
+        # Rows that nobody could rewrite during an outage are no sign of a death.
+        cell = Cell(entries=3, zones=1, workers=6, racks_per_slice=1)
+        cell.run(8)
+        # The survivors share the slices of the one that is killed.
+        cell.kill(cell.get_owner("z0/0"))
+        cell.run(8)
+        before = {name: (worker.owner, worker.epoch) for name, worker in cell.workers.items()}
+        self.assertEqual(len({owner for owner, _ in before.values()}), 2)
+        for slow in (False, True):
+            with self.subTest(slow=slow):
+                # The outage begins at different times of the renewals.
+                for _ in range(5):
+                    self._interrupt(cell, slow)
+                    cell.run(10.2)
+                    after = {n: (w.owner, w.epoch) for n, w in cell.workers.items()}
+                    self.assertEqual(after, before)
+
+    def _interrupt(self, cell: Cell, slow: bool) -> None:
+        if slow:
+            # Each reading of the rows comes long after the one before.
+            cell.table.faults.delay_s = 5.0
+            cell.run(30)
+            cell.table.faults.delay_s = 0.0
+        else:
+            cell.table.faults.down = True
+            cell.run(60.3)
+            cell.table.faults.down = False
+
+    def test_claims_again_with_a_higher_term(self) -> None:
+        # An owner that dropped a slice without the table must not resume its old term: what it
+        # started before would count as never started.
+        cell = Cell(entries=2, zones=1)
+        cell.run(3)
+        owner = cell.get_owner("z0/0")
+        (other,) = [node for node in cell.list_ready() if node is not owner]
+        cell.submit(make_job("job", 4, run_ms=60_000))
+        cell.run(2)
+        self.assertEqual(len(cell.find_runs("job")), 4)
+        # The other one takes one worker locally, the owner learns of it and drops the slice.
+        cell.table.faults.down = True
+        cell.set_cut(owner, other)
+        cell.roads.cuts.add((owner.name, "z0w0"))
+        cell.roads.cuts.add((other.name, "z0w1"))
+        self.assertTrue(cell.run(15, until=lambda: cell.workers["z0w0"].owner == other.name))
+        cell.roads.cuts.discard((owner.name, "z0w0"))
+        self.assertTrue(cell.run(5, until=lambda: "z0/0" not in owner.entry.slices))
+        cell.table.faults.down = False
+        cell.run(15)
+        self.assertEqual(set(cell.checks.starts.values()), {1})
+        self.assertEqual(len(cell.find_runs("job")), 4)
+
+
+class LocalTakeoverTest(unittest.TestCase):
+    """The owner is killed while the store is down."""
+
+    def test_serves_calls(self) -> None:
+        cell = Cell(entries=2, zones=1)
+        cell.run(3)
+        cell.declare_service(2)
+        self.assertTrue(cell.run(10, until=lambda: len(cell.find_runs("declared.echo")) == 2))
+        cell.run(1)
+        cell.table.faults.down = True
+        cell.run(5)
+        cell.kill(cell.get_owner("z0/0"))
+        cell.run(8)
+        calls = [cell.call() for _ in range(10)]
+        cell.run(6)
+        self.assertEqual({told.outcome for told in calls}, {Outcome.DONE})
+        cell.run(60)
+        self.assertEqual(len(cell.find_runs("declared.echo")), 2)
+        cell.table.faults.down = False
+        cell.run(20)
+        self.assertEqual(set(cell.checks.starts.values()), {1})
+        told = cell.call(idempotent=False)
+        cell.run(3)
+        self.assertIs(told.outcome, Outcome.DONE)
+
+
+class LostAcknowledgementTest(unittest.TestCase):
+    """A write of the ownership took effect and its acknowledgement was lost."""
+
+    def test_owner_appears(self) -> None:
+        for writer_dies in (False, True):
+            for lost in range(1, 8):
+                with self.subTest(lost=lost, writer_dies=writer_dies):
+                    cell = Cell(entries=1, zones=1, services=[ECHO])
+                    cell.run(1.0)
+                    cell.table.faults.lose_next = lost
+                    if writer_dies:
+                        cell.run(0.5)
+                        cell.kill(cell.list_ready()[0])
+                        cell.start(cell.zones[0])
+                    cell.run(12)
+                    cell.submit(make_job("job", 4, run_ms=60_000))
+                    self.assertTrue(
+                        cell.run(8, until=lambda: len(cell.find_runs("job")) == 4)  # noqa: B023
+                    )
+
+
+if __name__ == "__main__":
+    unittest.main()
