Clean old rows, wait for owners, name unknown services

Cause: liveness rows, ended jobs and bindings were never removed; calls during a takeover were refused at once; an undeclared service looked like one without replicas. Change: a cleaner with shared parts, a bounded wait of at most 5 s for an owner, and an error that names the nearest declared service.

--- a/lavenderstall/calls.py
+++ b/lavenderstall/calls.py
@@ -31,7 +31,11 @@
 SILENCE_SECONDS = 2.5
 CHECK_SECONDS = 0.5
 REPEAT_SECONDS = 0.05
+PAUSING_CALLS = 500
 STEP = "route call"
+# A takeover is to end within 5 s.
+SETTLE_SECONDS = 5.0
+MOVING_REASONS = frozenset({"", "moved", "unreachable", "draining", "no_replica", "answer_lost"})
 
 
 class CallRequest(msgspec.Struct, frozen=True):
@@ -150,6 +154,7 @@
     ) -> None:
         self.in_flight = 0
         self.late_answers = 0
+        self._pausing = 0
         self._clock = clock
         self._links = links
         self._directory = directory
@@ -197,6 +202,10 @@
         """Return the slice for the next attempt."""
         return self._directory.choose_slice(service, tried, self._random)
 
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self._clock.seconds()
+
     def find_owner(self, name: SliceName) -> EntryId | None:
         """Return the owner of a slice."""
         return self._directory.find_owner(name)
@@ -216,9 +225,16 @@
             )
         return binding
 
-    def pause(self) -> "Deferred[None]":
-        """Wait before the next attempt."""
-        return sleep(self._clock, REPEAT_SECONDS)
+    async def pause(self) -> bool:
+        """Wait before the next attempt, unless too many calls wait so already."""
+        if self._pausing >= PAUSING_CALLS:
+            return False
+        self._pausing += 1
+        try:
+            await sleep(self._clock, REPEAT_SECONDS)
+        finally:
+            self._pausing -= 1
+        return True
 
     async def forward(
         self,
@@ -269,6 +285,7 @@
         self._call = call
         self._binding = router.find_binding(call)
         self._tried: set[SliceName] = set()
+        self._started = router.now()
         # Set once an attempt may have run, so that a later refusal is not "not run".
         self._uncertain = call.retry
         self._last: CallAnswer | None = None
@@ -278,15 +295,27 @@
         while self._router.get_remaining_ms(self._call.deadline) > 0:
             target = self._choose()
             if target is None:
-                if self._uncertain and not self._call.idempotent:
-                    await self._router.pause()
-                    continue
-                return self._conclude()
+                if not await self._may_wait():
+                    return self._conclude()
+                continue
             answer = await self._attempt(*target)
             if answer is not None:
                 return answer
         return self._conclude()
 
+    async def _may_wait(self) -> bool:
+        """Wait for an owner to appear; tell whether another try makes sense.
+
+        A request that may have run waits until its deadline for its worker's record. Others wait
+        while slices change owners, which takes a few seconds.
+        """
+        settled = self._router.now() - self._started >= SETTLE_SECONDS
+        refused = self._last is not None and self._last.reason not in MOVING_REASONS
+        if not (self._uncertain and not self._call.idempotent) and (settled or refused):
+            return False
+        self._tried.clear()
+        return await self._router.pause()
+
     def _choose(self) -> tuple[EntryId, SliceName] | None:
         if self._binding is not None:
             owner = self._router.find_owner(self._binding.slice)
@@ -335,8 +364,7 @@
             if answer.reason in {"incarnation", "expired"}:
                 return answer
             # The same request may be sent again: its worker runs it once.
-            await self._router.pause()
-            return None
+            return None if await self._router.pause() else answer
         self._tried.add(name)
         return None if self._router.take_retry() else answer
 
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -9,14 +9,23 @@
 import msgspec
 from twisted.internet.defer import Deferred, DeferredList
 
+from lavenderstall import cleaning
 from lavenderstall.access import Access
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.calls import CallRequest, CallRouter, Directory
+from lavenderstall.cleaning import Cleaner
 from lavenderstall.clocks import Clock, make_loop, sleep
 from lavenderstall.commits import GroupCommit
 from lavenderstall.configuration import Configuration, ConfigurationReader, ConfigurationView
+from lavenderstall.declarations import find_nearest
 from lavenderstall.directives import apply_commands, apply_policy, apply_teams, find_commands
-from lavenderstall.errors import LavenderstallError, Outcome, PeerUnavailableError, RefusedError
+from lavenderstall.errors import (
+    BadRequestError,
+    LavenderstallError,
+    Outcome,
+    PeerUnavailableError,
+    RefusedError,
+)
 from lavenderstall.fleet import LeaseTerms
 from lavenderstall.identifiers import (
     EntryId,
@@ -146,6 +155,15 @@
             self.view,
             lambda seconds: sleep(self.clock, seconds),
         )
+        self.cleaner = Cleaner(
+            self.entry,
+            self.store,
+            self.commits,
+            self.clock.seconds,
+            self.read_unix,
+            lambda: self.ownership.peers,
+            self.slices.values,
+        )
         self.refusals = RefusalLog()
         self.queries = QueryDesk(self)
         self._polling_members = False
@@ -157,6 +175,7 @@
             (make_loop(self.clock, self.refresh_configuration), CONFIG_SECONDS),
             (make_loop(self.clock, self.router.check_silence), SILENCE_SECONDS),
             (make_loop(self.clock, self.reconciler.step), RECONCILE_SECONDS),
+            (make_loop(self.clock, self.cleaner.step), cleaning.STEP_SECONDS),
         ]
 
     # Life
@@ -458,12 +477,24 @@
                 outcome=Outcome.UNKNOWN if request.retry else Outcome.NOT_RUN,
                 retry_after_ms=100,
             )
+        self._check_service(request.service)
         started = self.clock.seconds()
         answer = await self.router.route(request)
         self.metrics.record(f"call_{request.service}", self.clock.seconds() - started)
         self.metrics.count(f"calls_{answer.outcome.value}")
         return answer
 
+    def _check_service(self, name: ServiceName) -> None:
+        """Raise for a service that the configuration in force does not declare."""
+        if self.view.version and self.view.get("service", name) is None:
+            known = [service.name for service in self.view.list_kind("service")]
+            nearest = find_nearest(name, known)
+            hint = f"; did you mean {nearest!r}?" if nearest else ""
+            raise BadRequestError(
+                f"service {name[:80]!r} is not declared{hint} (declared: {', '.join(known)})",
+                step="find service",
+            )
+
     def issue_request(self, service: ServiceName) -> RequestId:
         """Return a request id bound to a worker of an owned slice, or raise."""
         for server in self.slices.values():
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -1,6 +1,7 @@
 """Rows that the system keeps in the table service."""
 
 from typing import TypeVar
+from zlib import crc32
 
 import msgspec
 
@@ -31,6 +32,8 @@
 PREFIX_CHANGE = "change/"
 KEY_CONFIG_HEAD = "config/head"
 
+ONCE_BUCKETS = 256
+
 
 class EntryRow(msgspec.Struct):
     """Show that an entry instance is alive; `beat` grows with each renewal."""
@@ -120,6 +123,7 @@
     worker: WorkerId
     incarnation: Incarnation
     nonce: str
+    bound_unix: float = 0.0
 
 
 class HeadRow(msgspec.Struct):
@@ -166,4 +170,10 @@
 
 def make_once_key(team: TeamName, request: RequestId) -> str:
     """Return the key of the binding of a non-idempotent request."""
-    return f"{PREFIX_ONCE}{team}/{request}"
+    bucket = crc32(request.encode()) % ONCE_BUCKETS
+    return f"{make_once_prefix(bucket)}{team}/{request}"
+
+
+def make_once_prefix(bucket: int) -> str:
+    """Return the prefix of one part of the bindings, so that cleaning reads few at a time."""
+    return f"{PREFIX_ONCE}{bucket:02x}/"
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -189,6 +189,7 @@
             environment.clock,
             environment.random,
             environment.make_nonce,
+            environment.read_unix,
         )
         self.automation = Automation(self, environment.journal, environment.read_unix)
         self.state.find_hold = self.automation.is_held_back
--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -69,6 +69,7 @@
         clock: Clock,
         random: Random,
         make_nonce: Callable[[], str],
+        read_unix: Callable[[], float],
     ) -> None:
         self.name = name
         self.in_flight = 0
@@ -81,6 +82,7 @@
         self._clock = clock
         self._random = random
         self._make_nonce = make_nonce
+        self._read_unix = read_unix
         self._limits = ServiceLimits(total=0)
         self._waiting: dict[str, Deferred[None]] = {}
         self._latencies: dict[WorkerId, PeakLatency] = {}
@@ -262,7 +264,14 @@
         """Commit which worker runs a request; tell whether an earlier attempt did so."""
         link = self._choose(forward.service)
         key = make_once_key(forward.team, forward.request)
-        row = OnceRow(forward.request, self.name, link.id, link.incarnation, self._make_nonce())
+        row = OnceRow(
+            forward.request,
+            self.name,
+            link.id,
+            link.incarnation,
+            self._make_nonce(),
+            self._read_unix(),
+        )
         try:
             await self._commits.submit(
                 [Condition(key, 0)], [Put(key, encode_row(row))], timeout=BIND_SECONDS
