Charge more for jobs known only from short tasks

Change: until one task of a job was observed for 20 s without a rise, its siblings are charged 1.5 times what was observed.

--- a/lavenderstall/usage.py
+++ b/lavenderstall/usage.py
@@ -24,6 +24,8 @@
 # A task is known once its peak has not risen by more than `RISE` for this long.
 SETTLE_S = 20.0
 RISE = 0.05
+# The last reports of a short task do not cover its end, while its use may still rise.
+UNSETTLED_FACTOR = 1.5
 SHAPES_REMEMBERED = 20_000
 # A throttled task gets this long to shrink before it is moved.
 THROTTLE_GRACE_S = 15.0
@@ -170,6 +172,19 @@
         return self.has_report and now - self.last_rise >= SETTLE_S
 
 
+class _Siblings:
+    """Hold what the tasks of one shape used."""
+
+    def __init__(self) -> None:
+        self.observed = Observed()
+        self.is_settled = False
+
+    def get_peak(self) -> Resources:
+        """Return the peak use, with a supplement while no task was observed long enough."""
+        peak = self.observed.get()
+        return peak if self.is_settled else scale(peak, UNSETTLED_FACTOR)
+
+
 class Usage:
     """Learn what tasks use and what their siblings will use."""
 
@@ -178,7 +193,7 @@
     ) -> None:
         self._unknown_factor = unknown_factor
         self._headroom = headroom
-        self._shapes: OrderedDict[str, Observed] = OrderedDict()
+        self._shapes: OrderedDict[str, _Siblings] = OrderedDict()
         self._tasks: dict[TaskId, _Task] = {}
         # Running tasks of shapes that are not known yet.
         self._first_tasks: dict[str, set[TaskId]] = {}
@@ -191,7 +206,7 @@
         """Return what a task is charged that is not started yet, at most the capacity."""
         siblings = self._shapes.get(shape.get_key())
         if siblings is not None:
-            return self._charge(declared, siblings.get(), capacity, ChargeReason.SIBLINGS)
+            return self._charge(declared, siblings.get_peak(), capacity, ChargeReason.SIBLINGS)
         assumed = scale(declared, self._get_factor(shape.team))
         return Charge(bound_charge(declared, assumed, capacity), ChargeReason.UNKNOWN)
 
@@ -341,9 +356,11 @@
             ratios = self._ratios.setdefault(entry.shape.team, deque(maxlen=TRUSTED_JOBS))
             ratios.append(compute_ratio(peak, entry.declared))
             self._first_tasks.pop(key, None)
-            self._shapes[key] = Observed()
-            self._shapes[key].record(peak, now)
-        self._shapes[key].record(entry.last_used, now)
+            self._shapes[key] = _Siblings()
+            self._shapes[key].observed.record(peak, now)
+        siblings = self._shapes[key]
+        siblings.observed.record(entry.last_used, now)
+        siblings.is_settled = siblings.is_settled or entry.is_settled(now)
         self._shapes.move_to_end(key)
         if len(self._shapes) > SHAPES_REMEMBERED:
             self._shapes.popitem(last=False)
