--- a/lavenderstall/usage.py
+++ b/lavenderstall/usage.py
@@ -337,9 +337,9 @@
     def _charge(
         self, declared: Resources, observed: Resources, capacity: Resources, reason: ChargeReason
     ) -> Charge:
-        if observed.fits(declared):
-            return Charge(declared, ChargeReason.DECLARED)
         needed = scale(observed, 1 + self._headroom)
+        if needed.fits(declared):
+            return Charge(declared, ChargeReason.DECLARED)
         return Charge(bound_charge(declared, needed, capacity), reason)
 
     def _get_factor(self, team: TeamName) -> float:
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -52,6 +52,7 @@
         for shape, used, reason, expected in [
             (SHAPE, None, ChargeReason.UNKNOWN, Resources(10_000, 20_000, 1)),
             (SHAPE, Resources(100, 100), ChargeReason.DECLARED, DECLARED),
+            (SHAPE, Resources(900, 1900), ChargeReason.SIBLINGS, Resources(1125, 2375, 1)),
             (first, Resources(500, 4000), ChargeReason.SIBLINGS, Resources(1000, 5000, 1)),
             (first, Resources(15_000, 4000), ChargeReason.SIBLINGS, Resources(16_000, 5000, 1)),
         ]:
