Refuse waiting calls that are likely to be late

Cause: calls were started with just the time of the shortest call left, and most of those ended late. Change: calls that wait need the smoothed latency before their deadline; calls that start at once need only the latency of the shortest recent calls.

--- a/lavenderstall/limits.py
+++ b/lavenderstall/limits.py
@@ -317,7 +317,7 @@
         if is_full and queue.is_team_over_share(call.team):
             raise _refuse(LimitReason.QUEUE_FULL, call, service.estimate_drain_ms())
         wait_s = service.estimate_wait_s(queue.count_ahead(call.team))
-        _require_time(call, wait_s, service.limit.shortest_s, now)
+        _require_time(call, wait_s, service.limit.latency_s, now)
         displaced = None
         if is_full:
             retry_ms = service.estimate_drain_ms()
@@ -345,7 +345,8 @@
             queue = service.queue
             while len(queue) and self._has_room(service, now):
                 call = queue.pop()
-                if call.deadline.allows(service.limit.shortest_s, now):
+                # A call that is likely to be late would take the place of one in time.
+                if call.deadline.allows(service.limit.latency_s, now):
                     self._start(service, now)
                     started.append(call)
                 else:
