Record owners of calls and refused work at stand-in workers

The demo has to tell which owner started work after a kill, and whether a leaving worker was still sent work. A stand-in worker refuses work while it leaves, so that its records showed nothing in either case. Calls now carry owner and epoch in the record, and refused calls and starts are recorded with their reason.

--- a/standins/truth.py
+++ b/standins/truth.py
@@ -13,8 +13,9 @@
     TaskId,
     WorkerId,
 )
-from lavenderstall.protocol import TaskState
+from lavenderstall.protocol import RefusalReason, TaskState
 from lavenderstall.resources import NOTHING, Resources
+from standins.calls import Call
 
 
 class TaskStarted(msgspec.Struct, frozen=True, tag="task_started"):
@@ -42,7 +43,7 @@
 
 
 class CallBegun(msgspec.Struct, frozen=True, tag="call_begun"):
-    """A call began to run."""
+    """A call began to run; `owner` and `epoch` are those that the worker obeyed."""
 
     at: float
     incarnation: Incarnation
@@ -50,6 +51,8 @@
     attempt: AttemptId
     service: ServiceName
     idempotent: bool
+    owner: EntryId = EntryId("")
+    epoch: Epoch = Epoch(0)
 
 
 class CallEnded(msgspec.Struct, frozen=True, tag="call_ended"):
@@ -63,6 +66,15 @@
     outcome: str
 
 
+class WorkRefused(msgspec.Struct, frozen=True, tag="work_refused"):
+    """A call or a task start arrived and was not run; `work` is its request or task."""
+
+    at: float
+    incarnation: Incarnation
+    work: str
+    reason: RefusalReason
+
+
 class Left(msgspec.Struct, frozen=True, tag="left"):
     """The worker began to leave."""
 
@@ -76,7 +88,7 @@
     incarnation: Incarnation
 
 
-Record = TaskStarted | TaskEnded | CallBegun | CallEnded | Left | Crashed
+Record = TaskStarted | TaskEnded | CallBegun | CallEnded | WorkRefused | Left | Crashed
 
 
 class Truth(msgspec.Struct):
@@ -98,3 +110,22 @@
     """Return the larger of each component."""
     names = Resources.__struct_fields__
     return Resources(*(max(getattr(one, name), getattr(other, name)) for name in names))
+
+
+def make_call_begun(now: float, incarnation: Incarnation, call: Call) -> CallBegun:
+    """Return the record of a call that begins."""
+    return CallBegun(
+        now,
+        incarnation,
+        call.request,
+        call.attempt,
+        call.service,
+        call.idempotent,
+        call.owner,
+        call.epoch,
+    )
+
+
+def make_call_ended(now: float, incarnation: Incarnation, call: Call, outcome: str) -> CallEnded:
+    """Return the record of a call that no longer runs."""
+    return CallEnded(now, incarnation, call.request, call.attempt, call.idempotent, outcome)
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -44,13 +44,14 @@
 from standins.faults import WorkerFaults
 from standins.tasks import Inventory, Task, read_payload
 from standins.truth import (
-    CallBegun,
-    CallEnded,
     Crashed,
     Left,
     TaskEnded,
     TaskStarted,
     Truth,
+    WorkRefused,
+    make_call_begun,
+    make_call_ended,
 )
 
 T = TypeVar("T")
@@ -321,6 +322,7 @@
         """Start a task unless it has to be refused."""
         refusal = self._find_refusal(start)
         if refusal:
+            self._log_refusal(start.task, refusal[0])
             return TaskResult(start.task, False, *refusal)
         now = self._clock.seconds()
         task = Task(start, now)
@@ -409,6 +411,11 @@
             TaskEnded(now, self.incarnation, start.task, start.resources, state, detail)
         )
 
+    def _log_refusal(self, work: str, reason: RefusalReason) -> None:
+        """Add work that was not run to the truth log."""
+        now = self._clock.seconds()
+        self.truth.records.append(WorkRefused(now, self.incarnation, work, reason))
+
     # Calls
 
     def call(self, call: Call) -> Deferred[CallAnswer]:
@@ -422,7 +429,11 @@
             raise CallRefusedError(RefusalReason.VOID, "request was made void")
         if record:
             return record.wait()
-        self._check_call(call)
+        try:
+            self._check_call(call)
+        except CallRefusedError as error:
+            self._log_refusal(call.request, error.reason)
+            raise
         return self._begin(call)
 
     def void(self, request: RequestId, owner: EntryId, epoch: Epoch) -> RequestState:
@@ -461,11 +472,7 @@
         self.calls.connections += 1
         if not call.idempotent:
             self.calls.records[call.request] = RequestRecord(RequestState.RUNNING)
-        self.truth.records.append(
-            CallBegun(
-                now, self.incarnation, call.request, call.attempt, call.service, call.idempotent
-            )
-        )
+        self.truth.records.append(make_call_begun(now, self.incarnation, call))
         self._note_use()
         payload = read_payload(call.body)
         run_ms = self.shape.call_ms if payload.run_ms is None else payload.run_ms
@@ -485,13 +492,5 @@
 
     def _log_call_end(self, call: Call, outcome: str) -> None:
         """Add the end of a call to the truth log."""
-        self.truth.records.append(
-            CallEnded(
-                self._clock.seconds(),
-                self.incarnation,
-                call.request,
-                call.attempt,
-                call.idempotent,
-                outcome,
-            )
-        )
+        now = self._clock.seconds()
+        self.truth.records.append(make_call_ended(now, self.incarnation, call, outcome))
