Retry idempotent calls of a silent owner outside the budget

Cause: calls in flight at a paused or killed owner all needed retries at once; the budget, which guards workers, refused most of them as unknown. Change: a peer that is silent for 1.5 s fails its attempts with an error of its own, and their retries are free; each slice is tried once. Conclusion: the budget still bounds retries of calls that workers failed.

--- a/lavenderstall/calls.py
+++ b/lavenderstall/calls.py
@@ -11,7 +11,13 @@
 from lavenderstall.bindings import Binding, find_binding, is_expired
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.contracts import Deadline, RetryBudget
-from lavenderstall.errors import AnswerLostError, Outcome, PeerUnavailableError, RefusedError
+from lavenderstall.errors import (
+    AnswerLostError,
+    Outcome,
+    PeerSilentError,
+    PeerUnavailableError,
+    RefusedError,
+)
 from lavenderstall.identifiers import (
     AttemptId,
     EntryId,
@@ -28,14 +34,18 @@
 logger = logging.getLogger(__name__)
 
 SUMMARY_SECONDS = 3.0
-SILENCE_SECONDS = 2.5
+# Summaries arrive five times a second.
+SILENCE_SECONDS = 1.5
 CHECK_SECONDS = 0.5
 REPEAT_SECONDS = 0.05
 PAUSING_CALLS = 500
 STEP = "route call"
+REASON_SILENT = "owner_silent"
 # A takeover is to end within 5 s.
 SETTLE_SECONDS = 5.0
-MOVING_REASONS = frozenset({"", "moved", "unreachable", "draining", "no_replica", "answer_lost"})
+MOVING_REASONS = frozenset(
+    {"", "moved", "unreachable", "draining", "no_replica", "answer_lost", REASON_SILENT}
+)
 
 
 class CallRequest(msgspec.Struct, frozen=True):
@@ -176,12 +186,13 @@
         """Give up attempts at peers that are silent."""
         for call, pending in list(self._pending.items()):
             if self._directory.is_silent(pending.peer):
-                self._give_up(call, "the owner is silent")
+                error = PeerSilentError("the owner is silent", step=STEP, peer=pending.peer)
+                self._give_up(call, error)
 
-    def _give_up(self, call: AttemptId, detail: str) -> None:
+    def _give_up(self, call: AttemptId, error: AnswerLostError) -> None:
         pending = self._pending.pop(call, None)
         if pending is not None:
-            pending.answer.errback(AnswerLostError(detail, step=STEP, peer=pending.peer))
+            pending.answer.errback(error)
 
     async def route(self, call: CallRequest) -> CallAnswer:
         """Return the outcome of a call before its deadline."""
@@ -265,9 +276,8 @@
             message.incarnation = binding.incarnation
         answer: Deferred[CallAnswer] = Deferred()
         self._pending[attempt] = _Pending(owner, answer)
-        timer = self._clock.callLater(
-            remaining / 1000, self._give_up, attempt, "the deadline passed"
-        )
+        late = AnswerLostError("the deadline passed", step=STEP, peer=owner)
+        timer = self._clock.callLater(remaining / 1000, self._give_up, attempt, late)
         try:
             self._links.send(owner, message)
             return await answer
@@ -335,6 +345,8 @@
                 AttemptId(""), Outcome.NOT_RUN, "unreachable", str(error), retry_after_ms=100
             )
             return None
+        except PeerSilentError as error:
+            answer = CallAnswer(AttemptId(""), Outcome.UNKNOWN, REASON_SILENT, str(error))
         except AnswerLostError as error:
             answer = CallAnswer(AttemptId(""), Outcome.UNKNOWN, "answer_lost", str(error))
         return await self._judge(answer, name)
@@ -366,7 +378,10 @@
             # The same request may be sent again: its worker runs it once.
             return None if await self._router.pause() else answer
         self._tried.add(name)
-        return None if self._router.take_retry() else answer
+        # The budget guards workers against retries; a silent owner adds no load to them.
+        if answer.reason == REASON_SILENT or self._router.take_retry():
+            return None
+        return answer
 
     def _conclude(self) -> CallAnswer:
         last = self._last or CallAnswer(
--- a/lavenderstall/errors.py
+++ b/lavenderstall/errors.py
@@ -62,6 +62,10 @@
     """A message was sent and its answer did not arrive whole."""
 
 
+class PeerSilentError(AnswerLostError):
+    """A peer that was sent a message has fallen silent altogether."""
+
+
 class StoreUnavailableError(LavenderstallError):
     """The store took no effect from this call."""
 
