Fix sums, room counts and anti-affinity of the slice state

Cause: new tests of the state found that sums of teams stayed behind at zero, that a worker over its size in one component still counted as room for work that needs none of it, and that anti-affinity of a task without a service was not kept for later arrivals.

--- a/lavenderstall/machines.py
+++ b/lavenderstall/machines.py
@@ -72,6 +72,7 @@
         self.workers: dict[WorkerId, WorkerState] = {}
         self.groups: dict[GroupKey, Group] = {}
         self.racks: dict[RackName, Rack] = {}
+        self.zones: dict[ZoneName, dict[ServiceName, int]] = {}
         self.hosts: dict[ServiceName, dict[WorkerId, WorkerState]] = {}
         self.capacity = NOTHING
         self.used = NOTHING
@@ -154,8 +155,7 @@
         charge = make_charge(task, what, now)
         worker.tasks[task] = charge
         self._use(worker, charge, charge.resources)
-        if charge.service:
-            self._count_service(worker, charge, 1)
+        self._count_service(worker, charge, 1)
 
     def release(self, worker_id: WorkerId, task: TaskId) -> Resources:
         """Give back what a task took; return it."""
@@ -164,8 +164,7 @@
         if charge is None:
             raise StateError(f"task {task} is not charged", step="release", peer=worker_id)
         self._use(worker, charge, NOTHING.subtract(charge.resources))
-        if charge.service:
-            self._count_service(worker, charge, -1)
+        self._count_service(worker, charge, -1)
         self.freed[worker_id] = worker
         return charge.resources
 
@@ -271,26 +270,28 @@
             worker.group.index.move(worker)
         if charge.kind is not None:
             team, kind = charge.team, charge.kind
-            self.team_used[team] = self.team_used.get(team, NOTHING).add(amount)
-            lane = (kind, team)
-            self.kind_used[kind] = self.kind_used.get(kind, NOTHING).add(amount)
-            self.lane_used[lane] = self.lane_used.get(lane, NOTHING).add(amount)
+            add_up(self.team_used, team, amount)
+            add_up(self.kind_used, kind, amount)
+            add_up(self.lane_used, (kind, team), amount)
             self.touched_teams[team] = None
 
     def _count_service(self, worker: WorkerState, charge: Charge, step: int) -> None:
         rack = self.racks[worker.rack]
+        target = rack.repelled if charge.repels_rack else worker.repelled
+        for other in charge.repels:
+            count_up(target, other, step)
         name = charge.service
+        if not name:
+            return
         count_up(worker.services, name, step)
         count_up(rack.services, name, step)
+        count_up(self.zones.setdefault(worker.zone, {}), name, step)
         if name in worker.services:
             self.hosts.setdefault(name, {})[worker.id] = worker
         else:
             self.hosts[name].pop(worker.id, None)
             if not self.hosts[name]:
                 del self.hosts[name]
-        target = rack.repelled if charge.repels_rack else worker.repelled
-        for other in charge.repels:
-            count_up(target, other, step)
 
 
 def make_charge(task: TaskId, what: TaskRequest | Resources, now: float) -> Charge:
--- a/lavenderstall/rooms.py
+++ b/lavenderstall/rooms.py
@@ -127,13 +127,18 @@
 
 
 def count_fits(need: Resources, room: Resources, limit: int) -> int:
-    """Return how many times a need fits into a room, at most `limit`."""
+    """Return how many times a need fits into a room, at most `limit`.
+
+    A room that is negative in any component takes nothing.
+    """
+    if not need.fits(room):
+        return 0
     count = limit
     for name in need.__struct_fields__:
         amount = getattr(need, name)
         if amount:
             count = min(count, getattr(room, name) // amount)
-    return max(count, 0)
+    return count
 
 
 class RoomIndex:
--- /dev/null
+++ b/tests/test_reasons.py
@@ -0,0 +1,47 @@
+"""Tests of the log of reasons."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lavenderstall.reasons import Alternative, Reason, ReasonLog, Record
+from lavenderstall.resources import Resources
+
+
+def make_record(at: float, task: str = "t", worker: str = "w") -> Record:
+    """Return a record about one task on one worker."""
+    return Record(at, "placed", Reason("rule"), (task,), "job", (worker,), "request")
+
+
+class ReasonLogTest(unittest.TestCase):
+    """Guards against a log that grows without bound or loses a subject."""
+
+    def test_lookup_by_each_subject(self) -> None:
+        log = ReasonLog()
+        record = make_record(1.0)
+        log.add(record)
+        for found in (
+            log.find_task("t"),
+            log.find_job("job"),
+            log.find_worker("w"),
+            log.find_request("request"),
+        ):
+            self.assertEqual(found, (record,))
+        self.assertEqual(log.find_task("job"), ())
+
+    @given(st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from("xyz"))), st.integers(1, 5))
+    def test_latest_records_are_kept(self, draws: list[tuple[str, str]], size: int) -> None:
+        log = ReasonLog(size)
+        records = [make_record(float(at), *draw) for at, draw in enumerate(draws)]
+        for record in records:
+            log.add(record)
+        kept = records[-size:]
+        self.assertEqual((len(log), log.dropped), (len(kept), len(records) - len(kept)))
+        for task in "abc":
+            expected = tuple(record for record in kept if record.tasks == (task,))
+            self.assertEqual(log.find_task(task), expected)
+
+    def test_alternative_tells_its_shortage(self) -> None:
+        text = Alternative("w", shortage=Resources(2000, 5), tasks=3).why_not
+        self.assertEqual(text, "short of cores_milli by 2000, memory_mb by 5; 3 tasks run there")
