Test the headroom under a flood

Change: a test floods a slice from one team at both ends of priority and expects work of four other teams to start at once. Measured: passes with the headroom. Conclusion: a lost headroom now fails the tests.

--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -123,6 +123,20 @@
         kinds = [request.kind for request in self.dispatch(queue, dispatcher, 1.0)]
         self.assertEqual((kinds.count(Kind.BATCH), kinds.count(Kind.SERVICE)), (4, 12))
 
+    def test_flood_of_one_team_leaves_headroom_for_others(self) -> None:
+        """Work of others must start at once while a flood takes all it can get."""
+        for priority in (0, 9):
+            with self.subTest(priority):
+                queue, state = FairQueue(), make_state(10)
+                dispatcher = Dispatcher(queue, state)
+                fill(queue, *(make_request(team=f"t{n % 4}", kind=Kind.BATCH) for n in range(64)))
+                self.assertEqual(len(self.dispatch(queue, dispatcher, 0.0)), 64)
+                fill(queue, *(make_request(team="flood", priority=priority) for _ in range(500)))
+                flood = self.dispatch(queue, dispatcher, 1.0)
+                self.assertGreater(len(flood), 70)
+                fill(queue, *(make_request(team=f"t{n}") for n in range(4)))
+                self.assertEqual(len(self.dispatch(queue, dispatcher, 2.0)), 4)
+
     def test_small_work_passes_large_work_that_does_not_fit(self) -> None:
         queue, state = FairQueue(), make_state(1)
         dispatcher = Dispatcher(queue, state)
