Spread services over racks before workers

Cause: the policy compared the 12 roomiest workers, which need not include the rack with fewest tasks of the service; a request for racks that the slice does not have waited for ever.

--- a/lavenderstall/decisions.py
+++ b/lavenderstall/decisions.py
@@ -138,32 +138,54 @@
     """
     if not state.workers:
         return None
-    need = request.resources
-    wanted = len(request.tasks)
     groups = state.match_groups(request)
-    places = 0
-    for group in groups:
-        for capacity, count in group.capacities.items():
-            if need.fits(capacity):
-                places += count if wanted == 1 else count * count_fits(need, capacity, wanted)
-                if places >= wanted:
-                    return None
+    places = count_places(state, request, groups)
+    if places >= len(request.tasks):
+        return None
     return Never(request, explain_never(state, request, groups, places))
 
 
+def count_places(state: SliceState, request: TaskRequest, groups: list[Group]) -> int:
+    """Return how many tasks of a request fit on empty workers, at least those it has if all do."""
+    need, wanted = request.resources, len(request.tasks)
+    places = 0
+    for capacity, count in list_capacities(state, request, groups):
+        if need.fits(capacity):
+            places += count if wanted == 1 else count * count_fits(need, capacity, wanted)
+            if places >= wanted:
+                break
+    return places
+
+
+def list_capacities(
+    state: SliceState, request: TaskRequest, groups: list[Group]
+) -> Iterator[tuple[Resources, int]]:
+    """Yield the capacities of the workers that meet a request's pool, labels, zones and racks."""
+    racks = request.constraints.racks
+    if not racks:
+        for group in groups:
+            yield from group.capacities.items()
+        return
+    for rack in (state.racks[name] for name in racks if name in state.racks):
+        for worker in rack.workers.values():
+            if worker.group in groups:
+                yield worker.capacity, 1
+
+
 def explain_never(
     state: SliceState, request: TaskRequest, groups: list[Group], places: int
 ) -> Reason:
     """Return what would have to change for a request to fit."""
-    if not groups:
+    capacities = [capacity for capacity, _ in list_capacities(state, request, groups)]
+    if not capacities:
         labels = ", ".join(sorted(request.constraints.labels)) or "any"
-        detail = f"no worker in pool {request.pool or 'any'} with labels {labels}"
+        racks = ", ".join(sorted(request.constraints.racks)) or "any"
+        detail = f"no worker in pool {request.pool or 'any'}, racks {racks}, labels {labels}"
         return Reason("no worker meets the constraints", detail)
     if places:
         numbers = {"places": float(places), "tasks": float(len(request.tasks))}
         detail = f"the slice holds {places} of {len(request.tasks)} tasks when empty"
         return Reason("gang is larger than the slice", detail, numbers=numbers)
-    capacities = [capacity for group in groups for capacity in group.capacities]
     nearest = min(capacities, key=lambda size: len(request.resources.find_shortages(size)))
     changes = "; ".join(
         f"{name} from {getattr(request.resources, name)} to {getattr(nearest, name)}"
@@ -192,7 +214,9 @@
 ) -> Plan | Wait:
     """Return the placement of a request of one task."""
     for groups in list_passes(state, request):
-        found = find_candidates(state, request, policy, groups, now)
+        found = policy.find_workers(
+            state, request, groups, lambda worker: admits(state, request, worker, now)
+        )
         if found:
             scored = sorted(
                 ((policy.score(state, request, worker, name), worker) for worker, name in found),
@@ -208,25 +232,6 @@
     return Wait(request, explain_wait(state, request, now))
 
 
-def find_candidates(
-    state: SliceState, request: TaskRequest, policy: Policy, groups: list[Group], now: float
-) -> list[tuple[WorkerState, str]]:
-    """Return workers with room that admit a request, each with its group's scarcest resource."""
-    found: list[tuple[WorkerState, str]] = []
-    need = request.resources
-    for group in groups:
-        scarcest = group.find_scarcest(need)
-        workers = group.index.find_fits(
-            need,
-            scarcest,
-            policy.candidates,
-            lambda worker: admits(state, request, worker, now),
-            roomiest=policy.roomiest,
-        )
-        found.extend((worker, scarcest) for worker in workers)
-    return found
-
-
 def decide_gang(state: SliceState, request: TaskRequest, policy: Policy, now: float) -> Plan | Wait:
     """Return placements for all tasks of a gang, or none."""
     wanted = len(request.tasks)
--- a/lavenderstall/machines.py
+++ b/lavenderstall/machines.py
@@ -85,6 +85,8 @@
         self.topology = 0
         self.freed: dict[WorkerId, WorkerState] = {}
         self.touched_teams: dict[TeamName, None] = {}
+        self._rack_ring: list[Rack] = []
+        self._rack_cursor = 0
         self._matches: dict[tuple[str, frozenset[str], frozenset[ZoneName]], list[Group]] = {}
         for worker in workers:
             self.add_worker(worker)
@@ -99,6 +101,7 @@
         rack = self.racks.get(worker.rack)
         if rack is None:
             rack = self.racks[worker.rack] = Rack(worker.rack, worker.zone)
+            self._rack_ring.append(rack)
         rack.workers[worker.id] = worker
         self._enter_group(worker)
 
@@ -113,6 +116,7 @@
         del rack.workers[worker_id]
         if not rack.workers:
             del self.racks[worker.rack]
+            self._rack_ring.remove(rack)
         del self.workers[worker_id]
         self.freed.pop(worker_id, None)
         self.reserved.pop(worker_id, None)
@@ -198,6 +202,15 @@
             ]
         return found
 
+    def list_racks(self, limit: int) -> list[Rack]:
+        """Return all racks, or the next ones in turn if there are more than the limit."""
+        ring = self._rack_ring
+        if len(ring) <= limit:
+            return ring
+        begin = self._rack_cursor % len(ring)
+        self._rack_cursor = begin + limit
+        return ring[begin : begin + limit] + ring[: max(begin + limit - len(ring), 0)]
+
     def reserve(self, kind: Kind, reservation: Reservation) -> None:
         """Hold workers for a request in place of the earlier one of that kind."""
         self.cancel_reservation(kind)
--- a/lavenderstall/placement/base.py
+++ b/lavenderstall/placement/base.py
@@ -1,10 +1,12 @@
 """The contract of placement policies."""
 
+from collections.abc import Callable
+
 from lavenderstall.machines import SliceState
 from lavenderstall.protocol import Kind
 from lavenderstall.requests import Spread, TaskRequest
 from lavenderstall.resources import Resources
-from lavenderstall.rooms import WorkerState
+from lavenderstall.rooms import Group, WorkerState
 
 
 class Policy:
@@ -23,6 +25,26 @@
     rule = ""
     """Sentence that explains the choice."""
 
+    def find_workers(
+        self,
+        state: SliceState,
+        request: TaskRequest,
+        groups: list[Group],
+        admit: Callable[[WorkerState], bool],
+    ) -> list[tuple[WorkerState, str]]:
+        """Return workers with room, each with its group's scarcest resource.
+
+        The result is empty only if no admitted worker of the groups has room.
+        """
+        found: list[tuple[WorkerState, str]] = []
+        for group in groups:
+            scarcest = group.find_scarcest(request.resources)
+            workers = group.index.find_fits(
+                request.resources, scarcest, self.candidates, admit, roomiest=self.roomiest
+            )
+            found.extend((worker, scarcest) for worker in workers)
+        return found
+
     def score(
         self, state: SliceState, request: TaskRequest, worker: WorkerState, scarcest: str
     ) -> tuple[float, ...]:
--- a/lavenderstall/placement/service.py
+++ b/lavenderstall/placement/service.py
@@ -1,10 +1,16 @@
 """Spreads the tasks of services over racks and zones."""
 
-from lavenderstall.machines import SliceState
+from collections.abc import Callable
+
+from lavenderstall.identifiers import ServiceName
+from lavenderstall.machines import Rack, SliceState
 from lavenderstall.placement.base import Policy
 from lavenderstall.protocol import Kind
 from lavenderstall.requests import Spread, TaskRequest
-from lavenderstall.rooms import WorkerState
+from lavenderstall.rooms import Group, WorkerState
+
+RACKS = 8
+"""Racks that are compared; a slice has fewer, a larger state is searched in turns."""
 
 
 class ServicePolicy(Policy):
@@ -16,20 +22,56 @@
     spread = Spread.RACK
     rule = "fewest tasks of the service in the rack, then on the worker, then most room"
 
+    def find_workers(
+        self,
+        state: SliceState,
+        request: TaskRequest,
+        groups: list[Group],
+        admit: Callable[[WorkerState], bool],
+    ) -> list[tuple[WorkerState, str]]:
+        """Return the workers with room in the first rack that has any, by tasks of the service."""
+        spread = request.spread or self.spread
+        if spread is Spread.NONE:
+            return super().find_workers(state, request, groups, admit)
+        need, name = request.resources, request.service
+        scarcest = {group: group.find_scarcest(need) for group in groups}
+        for rack in sorted(
+            state.list_racks(RACKS), key=lambda rack: count_near(state, rack, name, spread)
+        ):
+            found = [
+                (worker, scarcest[worker.group])
+                for worker in rack.workers.values()
+                if need.fits(worker.room)
+                and worker.in_service
+                and worker.group in scarcest
+                and admit(worker)
+            ]
+            if found:
+                return found
+        return super().find_workers(state, request, groups, admit)
+
     def score(
         self, state: SliceState, request: TaskRequest, worker: WorkerState, scarcest: str
     ) -> tuple[float, ...]:
-        """Return the counts of the service in rack and worker, and the part in use."""
+        """Return the counts of the service in zone, rack and worker, and the free part below 0."""
         name = request.service
         spread = request.spread or self.spread
-        in_rack = 0 if spread is Spread.NONE else state.racks[worker.rack].services.get(name, 0)
+        near = count_near(state, state.racks[worker.rack], name, spread)
         total = getattr(worker.capacity, scarcest) or 1
-        return (in_rack, worker.services.get(name, 0), -getattr(worker.room, scarcest) / total)
+        free = getattr(worker.room, scarcest) / total
+        return (*near, worker.services.get(name, 0), -free)
 
     def describe(self, score: tuple[float, ...], chosen: tuple[float, ...]) -> str:
         """Return the first number in which the worker is worse."""
-        if score[0] > chosen[0]:
-            return f"rack runs {score[0]:.0f} tasks of the service, the chosen one {chosen[0]:.0f}"
-        if score[1] > chosen[1]:
-            return f"runs {score[1]:.0f} tasks of the service, the chosen one {chosen[1]:.0f}"
-        return f"has {-score[2]:.3f} of its scarcest resource free, the chosen one {-chosen[2]:.3f}"
+        for place, mine, best in zip(("zone", "rack", "worker"), score, chosen, strict=False):
+            if mine > best:
+                return f"{place} runs {mine:.0f} tasks of the service, the chosen one {best:.0f}"
+        return f"has {-score[3]:.3f} of its scarcest resource free, the chosen one {-chosen[3]:.3f}"
+
+
+def count_near(state: SliceState, rack: Rack, name: ServiceName, spread: Spread) -> tuple[int, int]:
+    """Return how many tasks of a service run in the zone and the rack, 0 if not to be spread."""
+    if spread is Spread.NONE:
+        return (0, 0)
+    zone = state.zones.get(rack.zone, {}).get(name, 0) if spread is Spread.ZONE else 0
+    return (zone, rack.services.get(name, 0))
