Withdraw cancelled requests lazily in order of arrival

Change: a level is a deque with a flag on each request; it is rebuilt in order of arrival when more than half is withdrawn.

--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import heapq
-from collections import OrderedDict
+from collections import deque
 from math import inf
 
 import msgspec
@@ -15,6 +15,8 @@
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.rooms import quantise
 
+COMPACT_AT = 32
+"""A level is rebuilt when more requests than this and half of all are withdrawn."""
 DURATION_BITS = 4
 """Run times are often declared wrong by a factor of ten, so finer shapes would not differ."""
 
@@ -33,47 +35,76 @@
     rank: float
     shape: Shape
     lane: Lane
+    alive: bool = True
+
+
+class Level:
+    """Requests of one priority in order of arrival; withdrawn ones are skipped later.
+
+    Rebuilding in order of arrival reads memory in sequence, unlike removal in random order.
+    """
+
+    __slots__ = ("requests", "withdrawn")
+
+    def __init__(self) -> None:
+        self.requests: deque[Waiting] = deque()
+        self.withdrawn = 0
+
+    def withdraw_one(self) -> bool:
+        """Count a withdrawn request; tell whether any other is left."""
+        self.withdrawn += 1
+        size = len(self.requests)
+        if self.withdrawn > COMPACT_AT and self.withdrawn * 2 > size:
+            self.requests = deque(waiting for waiting in self.requests if waiting.alive)
+            self.withdrawn = 0
+            return bool(self.requests)
+        return self.withdrawn < size
+
+    def peek(self) -> Waiting:
+        """Return the first request that waits; there must be one."""
+        requests = self.requests
+        while not requests[0].alive:
+            requests.popleft()
+            self.withdrawn -= 1
+        return requests[0]
 
 
 class Backlog:
-    """Requests in order of arrival by priority; removal touches no other request."""
+    """Requests in order of arrival by priority."""
 
     __slots__ = ("levels",)
 
     def __init__(self) -> None:
-        self.levels: dict[int, OrderedDict[Waiting, None]] = {}
+        self.levels: dict[int, Level] = {}
 
     def add(self, waiting: Waiting) -> None:
         """Add a request at the end, or at the start if it is older than all others."""
-        priority = waiting.priority
-        level = self.levels.get(priority)
+        level = self.levels.get(waiting.priority)
         if level is None:
-            level = self.levels[priority] = OrderedDict()
-        older = bool(level) and waiting.since < next(iter(level)).since
-        level[waiting] = None
-        if older:
-            level.move_to_end(waiting, last=False)
+            level = self.levels[waiting.priority] = Level()
+        elif waiting.since < level.peek().since:
+            level.requests.appendleft(waiting)
+            return
+        level.requests.append(waiting)
 
     def remove(self, waiting: Waiting) -> None:
-        """Remove a request."""
-        priority = waiting.priority
-        level = self.levels[priority]
-        del level[waiting]
-        if not level:
-            del self.levels[priority]
+        """Withdraw a request."""
+        waiting.alive = False
+        if not self.levels[waiting.priority].withdraw_one():
+            del self.levels[waiting.priority]
 
     def peek(self) -> Waiting | None:
         """Return the request with the lowest rank."""
         best: Waiting | None = None
         for level in self.levels.values():
-            head = next(iter(level))
+            head = level.peek()
             if best is None or head.rank < best.rank:
                 best = head
         return best
 
     def find_oldest(self) -> float:
         """Return since when the oldest request waits, infinity without any."""
-        return min((next(iter(level)).since for level in self.levels.values()), default=inf)
+        return min((level.peek().since for level in self.levels.values()), default=inf)
 
 
 class ShapeKey(msgspec.Struct, frozen=True):
