Refuse calls that were not sent before their deadline

Cause: a call that waited for a slot or for its binding was refused at its deadline, when its caller had just been told that the outcome is unknown. Change: the wait ends after 0.8 of the remaining time.

--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -32,6 +32,9 @@
 REASON_VOID = "void"
 REPEAT_SECONDS = 0.05
 BIND_SECONDS = 2.0
+# Share of the time to the deadline that a call may wait before it is sent; a refusal after that
+# still reaches the caller before the deadline makes the outcome unknown.
+WAIT_SHARE = 0.8
 
 OUTCOMES = {
     Outcome.DONE: CallOutcome.COMPLETE,
@@ -165,7 +168,7 @@
         waiting: Deferred[None] = Deferred()
         self._waiting[call.attempt] = waiting
         remaining = call.deadline.get_remaining_ms(self._clock.seconds()) / 1000
-        timer = self._clock.callLater(remaining, self._expire, call)
+        timer = self._clock.callLater(WAIT_SHARE * remaining, self._expire, call)
         try:
             await waiting
         finally:
@@ -203,7 +206,7 @@
         if forward.worker:
             binding = Binding(self.name, forward.worker, forward.incarnation)
         else:
-            binding, bound_before = await self._bind(forward)
+            binding, bound_before = await self._bind(forward, deadline)
             repeated = repeated or bound_before
         if binding.slice != self.name:
             return CallAnswer(
@@ -258,14 +261,16 @@
             content_type=answer.content_type,
         )
 
-    async def _bind(self, forward: CallForward) -> tuple[Binding, bool]:
+    async def _bind(self, forward: CallForward, deadline: Deadline) -> tuple[Binding, bool]:
         """Commit which worker runs a request; tell whether an earlier attempt did so."""
         link = self._choose(forward.service)
         key = make_once_key(forward.team, forward.request)
         row = OnceRow(forward.request, self.name, link.id, link.incarnation, self._make_nonce())
+        remaining = deadline.get_remaining_ms(self._clock.seconds()) / 1000
+        timeout = min(BIND_SECONDS, WAIT_SHARE * remaining)
         try:
             await self._commits.submit(
-                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=BIND_SECONDS
+                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=timeout
             )
         except ConflictError:
             return await self._read_binding(forward.team, forward.request), True
