Give replicas that come back new indices

Cause: a service that shrank and grew again got the indices back that its rows listed as stopped, and one that was withdrawn and declared again kept its cancelled row; in both cases replicas were never started. Change: each replica gets an index that was never used (`issued` in the job's row), and a cancelled row of a declared service is replaced.

--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -1,7 +1,7 @@
 """Moves the jobs in the table towards what is declared."""
 
 import logging
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from zlib import crc32
 
 import msgspec
@@ -71,19 +71,26 @@
     )
 
 
+def choose_kept(spec: JobSpec, works: Iterable[WorkRow]) -> list[int]:
+    """Return the replicas of a service that stay when its declaration changes."""
+    current = [index for work in works if not work.cancelled for index in work.list_open()]
+    return sorted(current)[: spec.tasks]
+
+
 def resize_rows(
-    spec: JobSpec, works: Mapping[SliceName, WorkRow], grown: Mapping[SliceName, list[int]]
+    spec: JobSpec,
+    works: Mapping[SliceName, WorkRow],
+    kept: Collection[int],
+    grown: Mapping[SliceName, list[int]],
 ) -> dict[SliceName, WorkRow]:
-    """Return the rows of a service after its number of replicas or its size changed."""
+    """Return the rows of a service that differ after its declaration changed."""
     rows: dict[SliceName, WorkRow] = {}
     for name in sorted(works.keys() | grown.keys()):
         old = works.get(name)
-        kept = [index for index in old.tasks if index < spec.tasks] if old else []
-        tasks = sorted({*kept, *grown.get(name, [])})
-        if old is None:
+        stay = [index for index in old.tasks if index in kept] if old else []
+        tasks = sorted({*stay, *grown.get(name, [])})
+        if old is None or old.tasks != tasks or old.spec != spec or old.cancelled:
             rows[name] = WorkRow(spec, name, tasks, "")
-        elif old.tasks != tasks or old.spec != spec:
-            rows[name] = msgspec.structs.replace(old, spec=spec, tasks=tasks)
     return rows
 
 
@@ -154,7 +161,7 @@
             if known is None:
                 summaries = self._directory.list_summaries()
                 await self._desk.write(spec, assign_tasks(spec, summaries))
-            elif known[1].spec != spec and not known[1].cancelled:
+            elif spec.kind is Kind.SERVICE and (known[1].spec != spec or known[1].cancelled):
                 await self._resize(spec, *known)
         except ConflictError:
             logger.info("job %s was written by another entry instance", spec.id)
@@ -164,14 +171,17 @@
     async def _resize(self, spec: JobSpec, stored: Row, row: JobRow) -> None:
         _, _, works = await self._desk.read_rows(spec.id)
         have = {work.slice: work for _, work in works}
-        added = range(row.spec.tasks, spec.tasks)
+        kept = choose_kept(spec, have.values())
+        # A replica that was removed may still be stopping, so that its index is not used again.
+        issued = max(row.issued, row.spec.tasks)
+        added = range(issued, issued + spec.tasks - len(kept))
         summaries = self._directory.list_summaries()
         grown = assign_tasks(spec, summaries, list(added)) if added else {}
-        rows = resize_rows(spec, have, grown)
+        rows = resize_rows(spec, have, kept, grown)
         versions = {work.slice: each.version for each, work in works}
         nonce = self._make_nonce()
         slices = sorted(have.keys() | rows.keys())
-        job = JobRow(spec, slices, nonce)
+        job = JobRow(spec, slices, nonce, issued=added.stop)
         puts = [Put(stored.key, encode_row(job))]
         conditions = [Condition(stored.key, stored.version)]
         for name, work in rows.items():
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -80,12 +80,16 @@
 
 
 class JobRow(msgspec.Struct, omit_defaults=True):
-    """Hold an accepted job and the slices that its tasks were assigned to."""
+    """Hold an accepted job and the slices that its tasks were assigned to.
+
+    `issued` counts the indices that a service's replicas ever had; none is used twice.
+    """
 
     spec: JobSpec
     slices: list[SliceName]
     nonce: str
     cancelled: bool = False
+    issued: int = 0
 
 
 class WorkRow(msgspec.Struct, omit_defaults=True):
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -32,7 +32,7 @@
 )
 from lavenderstall.ownership import Identity
 from lavenderstall.protocol import EntryMember, Kind, MemberState, TaskState, WorkerMember
-from lavenderstall.records import JobSpec
+from lavenderstall.records import JobSpec, WorkRow, decode_row
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Item, Service
 from lavenderstall.traces import Traces
@@ -412,3 +412,10 @@
         idempotent=idempotent,
         payload=payload,
     )
+
+
+def read_open(cell: Cell, job: str) -> list[int]:
+    """Return the tasks of a job that have not ended, as the table holds them."""
+    rows = cell.table._scan("work/").rows
+    works = [decode_row(row, WorkRow) for row in rows if row.key.endswith(f"/{job}")]
+    return [index for work in works for index in work.list_open()]
