--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -30,8 +30,12 @@
 logger = logging.getLogger(__name__)
 
 REASON_VOID = "void"
+REASON_INCARNATION = "incarnation"
 REPEAT_SECONDS = 0.05
 BIND_SECONDS = 2.0
+# Share of the time to the deadline that a call may wait before it is sent; a refusal after that
+# still reaches the caller before the deadline makes the outcome unknown.
+WAIT_SHARE = 0.8
 
 OUTCOMES = {
     Outcome.DONE: CallOutcome.COMPLETE,
@@ -167,7 +171,7 @@
         waiting: Deferred[None] = Deferred()
         self._waiting[call.attempt] = waiting
         remaining = call.deadline.get_remaining_ms(self._clock.seconds()) / 1000
-        timer = self._clock.callLater(remaining, self._expire, call)
+        timer = self._clock.callLater(WAIT_SHARE * remaining, self._expire, call)
         try:
             await waiting
         finally:
@@ -205,7 +209,7 @@
         if forward.worker:
             binding = Binding(self.name, forward.worker, forward.incarnation)
         else:
-            binding, bound_before = await self._bind(forward)
+            binding, bound_before = await self._bind(forward, deadline)
             repeated = repeated or bound_before
         if binding.slice != self.name:
             return CallAnswer(
@@ -260,7 +264,7 @@
             content_type=answer.content_type,
         )
 
-    async def _bind(self, forward: CallForward) -> tuple[Binding, bool]:
+    async def _bind(self, forward: CallForward, deadline: Deadline) -> tuple[Binding, bool]:
         """Commit which worker runs a request; tell whether an earlier attempt did so."""
         link = self._choose(forward.service)
         key = make_once_key(forward.team, forward.request)
@@ -272,9 +276,11 @@
             self._make_nonce(),
             self._read_unix(),
         )
+        remaining = deadline.get_remaining_ms(self._clock.seconds()) / 1000
+        timeout = min(BIND_SECONDS, WAIT_SHARE * remaining)
         try:
             await self._commits.submit(
-                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=BIND_SECONDS
+                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=timeout
             )
         except ConflictError:
             return await self._read_binding(forward.team, forward.request), True
@@ -313,13 +319,7 @@
         while True:
             link = self._links.get(binding.worker)
             if link is not None and link.incarnation not in {"", binding.incarnation}:
-                raise RefusedError(
-                    "the worker lost its record of the request",
-                    step="send",
-                    peer=binding.worker,
-                    reason="incarnation",
-                    outcome=Outcome.UNKNOWN,
-                )
+                raise refuse_restarted(binding)
             try:
                 if link is None:
                     raise RefusedError(
@@ -336,7 +336,9 @@
                     raise
                 if not repeated:
                     raise
-                if link is not None and await self._is_void(link, forward.request):
+                if error.reason == REASON_INCARNATION:
+                    raise refuse_restarted(binding) from error
+                if link is not None and await self._is_void(link, forward.request, binding):
                     raise RefusedError(
                         "the worker refuses this request from now on",
                         step="send",
@@ -350,10 +352,25 @@
             raise AnswerLostError("the deadline passed", step="await answer")
         await sleep(self._clock, REPEAT_SECONDS)
 
-    async def _is_void(self, link: WorkerLink, request: RequestId) -> bool:
-        """Tell whether the worker now refuses the request for good."""
+    async def _is_void(self, link: WorkerLink, request: RequestId, binding: Binding) -> bool:
+        """Tell whether the bound worker incarnation now refuses the request for good."""
         try:
-            return await link.void_request(request) == "void"
+            return await link.void_request(request, binding.incarnation) == "void"
+        except RefusedError as error:
+            if error.reason == REASON_INCARNATION:
+                raise refuse_restarted(binding) from error
+            return False
         except LavenderstallError as error:
             logger.info("void of %s: %s", request, error)
             return False
+
+
+def refuse_restarted(binding: Binding) -> RefusedError:
+    """Return the refusal of a request whose worker has lost its record of it."""
+    return RefusedError(
+        "the worker lost its record of the request",
+        step="send",
+        peer=binding.worker,
+        reason=REASON_INCARNATION,
+        outcome=Outcome.UNKNOWN,
+    )
