Refuse calls to bind at once while the store takes no writes

A non-idempotent call with its caller's own id waited up to 2 s for the table with a slot of its service's limit, and its refusal counted as overload, which lowered the limit. The owner now refuses such a call as not run when its group commit is stalled, and the limit counts only what workers do.

--- a/lavenderstall/commits.py
+++ b/lavenderstall/commits.py
@@ -113,6 +113,13 @@
         """Return the number of writes that wait to be sent."""
         return len(self._queue)
 
+    def is_stalled(self) -> bool:
+        """Tell whether writes wait because the table service took none of late.
+
+        Without waiting writes nothing would notice its recovery, so that one more is let in.
+        """
+        return self._backoff_s > 0 and bool(self._queue or self._in_flight)
+
     def compute_rate(self) -> float:
         """Return the transactions a second that this entry instance may send.
 
--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -44,6 +44,9 @@
 class Commits(Protocol):
     """Write rows through the group commit."""
 
+    def is_stalled(self) -> bool:
+        """Tell whether writes wait because the table service took none of late."""
+
     def submit(
         self,
         conditions: Iterable[Condition] = (),
@@ -143,7 +146,14 @@
         started = self._clock.seconds()
         outcome = Outcome.FAILED
         try:
-            answer = await self._run(forward, deadline)
+            bound = None if forward.idempotent else await self._find_binding(forward)
+        except RefusedError:
+            # What the table service does tells nothing about the load of the workers.
+            self._finish(call, started, outcome)
+            raise
+        started = self._clock.seconds()
+        try:
+            answer = await self._run(forward, bound, deadline)
             outcome = answer.outcome
             return answer
         except RefusedError as error:
@@ -153,8 +163,11 @@
             outcome = Outcome.UNKNOWN
             raise
         finally:
-            now = self._clock.seconds()
-            self._apply(self._limits.finish(call.service, OUTCOMES[outcome], now - started, now))
+            self._finish(call, started, outcome)
+
+    def _finish(self, call: Call, started: float, outcome: Outcome) -> None:
+        now = self._clock.seconds()
+        self._apply(self._limits.finish(call.service, OUTCOMES[outcome], now - started, now))
 
     async def _admit(self, call: Call) -> None:
         admitted = self._limits.admit(call, self._clock.seconds())
@@ -196,15 +209,19 @@
             if waiting is not None:
                 waiting.callback(None)
 
-    async def _run(self, forward: CallForward, deadline: Deadline) -> CallAnswer:
-        if forward.idempotent:
-            return await self._send(forward, self._choose(forward.service), deadline)
-        repeated = forward.retry
+    async def _find_binding(self, forward: CallForward) -> tuple[Binding, bool]:
+        """Return the worker that runs a request, and whether an earlier attempt may have run."""
         if forward.worker:
-            binding = Binding(self.name, forward.worker, forward.incarnation)
-        else:
-            binding, bound_before = await self._bind(forward)
-            repeated = repeated or bound_before
+            return Binding(self.name, forward.worker, forward.incarnation), forward.retry
+        binding, bound_before = await self._bind(forward)
+        return binding, forward.retry or bound_before
+
+    async def _run(
+        self, forward: CallForward, bound: tuple[Binding, bool] | None, deadline: Deadline
+    ) -> CallAnswer:
+        if bound is None:
+            return await self._send(forward, self._choose(forward.service), deadline)
+        binding, repeated = bound
         if binding.slice != self.name:
             return CallAnswer(
                 forward.call,
@@ -260,6 +277,14 @@
 
     async def _bind(self, forward: CallForward) -> tuple[Binding, bool]:
         """Commit which worker runs a request; tell whether an earlier attempt did so."""
+        if self._commits.is_stalled():
+            # Calls that waited here in an outage held the slots of calls that need no row.
+            raise RefusedError(
+                "the table service takes no writes",
+                step="bind",
+                reason="store_unavailable",
+                retry_after_ms=1000,
+            )
         link = self._choose(forward.service)
         key = make_once_key(forward.team, forward.request)
         row = OnceRow(forward.request, self.name, link.id, link.incarnation, self._make_nonce())
