Report health only once callers can be served

It now reports 503 until it has read the configuration and heard every live peer, for at most 3 s, so that an outage does not keep a cell from serving.

--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -47,7 +47,7 @@
 )
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
-from lavenderstall.peers import Peers, export_snapshot, import_snapshot
+from lavenderstall.peers import Peers, Readiness, export_snapshot, import_snapshot
 from lavenderstall.protocol import Members, MemberState, WorkerMember
 from lavenderstall.queries import QueryDesk
 from lavenderstall.reconciler import Reconciler
@@ -113,6 +113,7 @@
         self.metrics = Metrics()
         self.access = Access()
         self.peers = Peers(self.clock)
+        self.readiness = Readiness(self.clock)
         self._member_list = outside.members
         self.commits = GroupCommit(self.store, self.clock, self.make_nonce, self._count_entries)
         self.ownership = Ownership(
@@ -395,7 +396,18 @@
             hop.note(outcome=answer.outcome.value, reason=answer.reason, worker=answer.worker)
         self._send(sender, answer)
 
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send callers here."""
+        return not self.draining and self.readiness.is_ready()
+
+    def _review_readiness(self) -> None:
+        known = self.peers.list_peers().keys() | {self.entry}
+        alive = self.ownership.peers.keys()
+        read = self.view.age_ms is not None and self.entry in alive
+        self.readiness.review(complete=read and alive <= known)
+
     def _send_summaries(self) -> None:
+        self._review_readiness()
         summaries = self.directory.list_summaries()
         teams = self.view.list_kind("team")
         for server in self.slices.values():
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -39,6 +39,7 @@
     """Describe an entry instance to the balancer and to operators."""
 
     entry: EntryId
+    ready: bool
     draining: bool
     version: Version
     version_age_ms: int | None
@@ -204,6 +205,7 @@
         entry = self._entry
         return Health(
             entry.entry,
+            entry.is_ready(),
             entry.draining,
             entry.view.version,
             entry.view.age_ms,
--- a/lavenderstall/peers.py
+++ b/lavenderstall/peers.py
@@ -9,6 +9,8 @@
 from lavenderstall.messages import ConfigPart, Heartbeat
 from lavenderstall.schemas import Item
 
+READY_SECONDS = 3.0
+
 
 class Peer(msgspec.Struct):
     """Hold the latest heartbeat of a peer and when anything was last heard from it."""
@@ -43,6 +45,33 @@
         return dict(self._peers)
 
 
+class Readiness:
+    """Tell whether an entry instance knows enough of its cell to serve callers.
+
+    It starts without slices and tokens, and rejected what callers sent it in its first second.
+    `READY_SECONDS` after the start it is ready all the same, so that an outage of the store or a
+    silent peer does not keep a cell from serving.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._started = clock.seconds()
+        self._complete = False
+        self._ready = False
+
+    def review(self, *, complete: bool) -> None:
+        """Note once a round of summaries whether tokens and all peers are known.
+
+        A peer's summaries may come after its first heartbeat, so that two rounds are needed.
+        """
+        self._ready = self._ready or (complete and self._complete)
+        self._complete = complete
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self._ready or self._clock.seconds() - self._started >= READY_SECONDS
+
+
 def export_snapshot(snapshot: Snapshot) -> ConfigPart:
     """Return a configuration as a message."""
     items = {
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -320,8 +320,8 @@
         return make_json(200, await self._entry.queries.collect_trace(request))
 
     async def _check_health(self, exchange: Exchange) -> Reply:
-        ready = not self._entry.draining
-        return make_json(200 if ready else 503, self._operations.describe_health())
+        status = 200 if self._entry.is_ready() else 503
+        return make_json(status, self._operations.describe_health())
 
     async def _read_metrics(self, exchange: Exchange) -> Reply:
         return Reply(200, self._entry.metrics.write_page().encode(), TEXT)
