--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -263,7 +263,8 @@
                 self._sightings[entry] = _Sighting(row, now)
         for entry in self._sightings.keys() - found.keys():
             del self._sightings[entry]
-        limit = MISSED_RENEWALS * self.get_interval()
+        # Steps are not exactly a tick apart, so that a row is silent half a tick early.
+        limit = MISSED_RENEWALS * self.get_interval() - TICK_SECONDS / 2
         peers = {e: s.row for e, s in self._sightings.items() if now - s.seen < limit}
         if peers != self.peers:
             self.peers = peers
@@ -326,8 +327,14 @@
         return [make_slice_name(self.identity.zone, i) for i in sorted(set(self.racks.values()))]
 
     def _list_candidates(self) -> list[EntryId]:
+        """Return the live entry instances of the zone, without new ones if there are others.
+
+        A new one takes the rows of instances that just died for live ones and claims nothing.
+        """
         zone = self.identity.zone
-        return [entry for entry, row in self.peers.items() if row.zone == zone]
+        found = {entry: row.beat for entry, row in self.peers.items() if row.zone == zone}
+        known = [entry for entry, beat in found.items() if beat > MISSED_RENEWALS + 1]
+        return known or list(found)
 
     async def _claim_wanted(self) -> None:
         if self.draining:
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -3,7 +3,9 @@
 import unittest
 
 from lavenderstall.errors import Outcome
-from lavenderstall.identifiers import get_task
+from lavenderstall.identifiers import EntryId, SliceName, get_task
+from lavenderstall.ownership import rank_candidates
+from standins.faults import TableFaults
 from tests.cells import ECHO, Cell, Node, make_job
 
 TAKEOVER_SECONDS = 5.0
@@ -205,5 +207,40 @@
                     )
 
 
+class ReplacementTest(unittest.TestCase):
+    """An owner is killed, and its replacement starts before peers count it as silent."""
+
+    def _measure_takeover(self, seed: int, after: float) -> float:
+        """Return the seconds from a kill until another entry instance owns the slice."""
+        cell = Cell(entries=2, zones=1, seed=seed)
+        cell.table.faults = TableFaults(delay_s=0.02)
+        cell.run(8)
+        owner = cell.get_owner("z0/0")
+        cell.kill(owner)
+        killed = cell.clock.seconds()
+        # Reads get faster, so that two readings of a row lie less than three ticks apart.
+        cell.table.faults = TableFaults()
+        (other,) = cell.list_ready()
+        name = SliceName("z0/0")
+        replacement = next(
+            entry
+            for entry in (EntryId(f"new{number}") for number in range(100))
+            if rank_candidates(name, [entry, other.name])[0] == entry
+        )
+        cell.run(after)
+        if not cell.list_owners(name):
+            cell.start(cell.zones[0], replacement)
+        cell.run(8, until=lambda: cell.list_owners(name))
+        return cell.clock.seconds() - killed
+
+    def test_replacement_does_not_delay_the_takeover(self) -> None:
+        # The replacement ranked first but counted the killed owner's row as alive for 3 s, and
+        # its peer waited for it, so that work started again after 6 s.
+        for seed in range(1, 7):
+            for after in (0.5, 1.5, 2.5, 3.5):
+                with self.subTest(seed=seed, after=after):
+                    self.assertLess(self._measure_takeover(seed, after), TAKEOVER_SECONDS - 0.5)
+
+
 if __name__ == "__main__":
     unittest.main()
