--- a/lavenderstall/views.py
+++ b/lavenderstall/views.py
@@ -111,7 +111,7 @@
         cores_milli=need.cores_milli,
         memory_mb=need.memory_mb,
         accelerators=need.accelerators,
-        age_ms=int((now - task.accepted) * 1000),
+        age_ms=int((now - task.created) * 1000),
         wait_ms=max(0, int((begun - task.since) * 1000)),
         reason=find_reason(server, task),
     )
@@ -140,7 +140,7 @@
         failed=len(row.failed),
         cancelled=len(row.stopped),
         unknown=len(row.unknown),
-        age_ms=int((now - min((t.accepted for t in live), default=now)) * 1000),
+        age_ms=int((now - min((t.created for t in live), default=now)) * 1000),
         reason=next((find_reason(server, task) for task in live if not task.worker), ""),
     )
 
