--- a/tests/test_declarations.py
+++ b/tests/test_declarations.py
@@ -14,7 +14,8 @@
     find_dangling,
     read_declarations,
 )
-from lavenderstall.schemas import Action, Mode, Policy, Service, Team, export_schema
+from lavenderstall.resources import Resources
+from lavenderstall.schemas import Action, Batch, Mode, Policy, Service, Team, export_schema
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 WORKERS = {"routing": (16, 64, 0), "vision": (32, 64, 8)}
@@ -120,6 +121,25 @@
                 self.assertLess(amounts.memory_mb, memory_gb * 1024)
                 self.assertLessEqual(amounts.accelerators, accelerators)
 
+    def test_quotas_cover_services_and_jobs(self) -> None:
+        # A team whose services alone exceed its quota never gets a task started.
+        for cell in ("aguaclara", "trust"):
+            files = sorted((EXAMPLES / cell).glob("*.yaml"))
+            declared = read_declarations(Source(str(p), p.read_text("utf-8")) for p in files)
+            values = [each.value for each in declared]
+            used: dict[str, Resources] = {}
+            for value in values:
+                count = 1 if isinstance(value, Batch) else getattr(value, "tasks", 0)
+                count = value.replicas if isinstance(value, Service) else count
+                for _ in range(count):
+                    used[value.team] = used.get(value.team, Resources()).add(value.resources)
+            for team in (value for value in values if isinstance(value, Team)):
+                bound = team.quota.resources
+                for name in ("cores_milli", "memory_mb", "accelerators"):
+                    limit = getattr(bound, name) or float("inf")
+                    need = getattr(used.get(team.name, Resources()), name)
+                    self.assertLessEqual(need, limit, f"{cell} {team.name} {name}")
+
     def test_dangling_references_are_found(self) -> None:
         self.assertIn("team 't'", find_dangling(read_text(BATCH))[0])
 
