Keep a demo cell running on request

A flag that is on or off may now be given without a value.

Run by hand: ten processes started, the addresses were printed after 1.1 s, and none of the processes was left 2 s after Ctrl-C.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CELL ?= aguaclara
 BIN := .venv/bin
 
-.PHONY: venv demo test lint bench report
+.PHONY: venv demo cell test lint bench report
 
 venv: .venv/.ready
 
@@ -15,6 +15,9 @@
 demo: venv
 	$(BIN)/python -m demo --cell $(CELL)
 
+cell: venv
+	$(BIN)/python -m demo --cell $(CELL) --hold
+
 test: venv
 	$(BIN)/python -m tests
 
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -12,6 +12,7 @@
 
 from demo.balancer import Balancer
 from demo.faults import Faults, World, apply, list_presences
+from demo.hold import describe_cell
 from demo.load import Load, make_scene
 from demo.processes import ROOT, Children, make_member, start_entry, start_standins
 from demo.shapes import SHAPES, DemoShape, find_examples, list_workers
@@ -22,10 +23,10 @@
 from lavenderstall.declarations import Source, read_declarations
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import get_task
-from lavenderstall.options import Option, OptionError, parse_options, read_choice
+from lavenderstall.options import Option, OptionError, parse_options, read_choice, read_flag
 from lavenderstall.protocol import Members
 from lavenderstall.reconciler import make_declared_id
-from lavenderstall.schemas import Service, Team
+from lavenderstall.schemas import Declaration, Service, Team
 from standins.cell import CellShape
 from standins.members import LAG_S
 from standins.truth import TaskStarted, Truth
@@ -35,7 +36,10 @@
 # A difference of clocks below this is the time that the comparison takes.
 CLOCK_TOLERANCE_SECONDS = 0.05
 
-OPTIONS = (Option("cell", read_choice(*SHAPES), f"one of {', '.join(SHAPES)}", "aguaclara"),)
+OPTIONS = (
+    Option("cell", read_choice(*SHAPES), f"one of {', '.join(SHAPES)}", "aguaclara"),
+    Option("hold", read_flag, "keep the cell running without load until Ctrl-C", "no"),
+)
 
 
 class Demo:
@@ -56,8 +60,16 @@
         seconds = time.monotonic() - self._started
         print(f"{seconds:5.1f} s  {text}", file=sys.stderr, flush=True)
 
-    async def run(self) -> dict[str, Any]:
-        """Return the fields of the last line."""
+    async def hold(self) -> None:
+        """Start the cell and keep it until the process is told to end."""
+        world, _ = await self._prepare()
+        world.balancer.stop()
+        addresses = [entry.member.http for entry in world.entries.values()]
+        print(describe_cell(addresses, world.ready.platform), flush=True)
+        await Deferred()
+
+    async def _prepare(self) -> tuple[World, list[Declaration]]:
+        """Start the cell and apply the example declarations."""
         world = await self._start()
         sources = [
             Source(path.name, path.read_text(encoding="utf-8"))
@@ -66,6 +78,11 @@
         declared = [each.value for each in read_declarations(sources)]
         answer = await apply(world, "\n---\n".join(source.text for source in sources))
         self.say(f"version {answer.version} of the configuration is applied")
+        return world, declared
+
+    async def run(self) -> dict[str, Any]:
+        """Return the fields of the last line."""
+        world, declared = await self._prepare()
         services = [each for each in declared if isinstance(each, Service)]
         await self._await_replicas(world, services)
         load = Load(
@@ -182,7 +199,7 @@
     results: list[Any] = []
 
     def begin() -> None:
-        done = Deferred.fromCoroutine(demo.run())
+        done = Deferred.fromCoroutine(demo.hold() if values["hold"] else demo.run())
         done.addBoth(results.append)
         done.addBoth(lambda _: reactor.stop() if reactor.running else None)
 
@@ -191,6 +208,8 @@
     reactor.callWhenRunning(begin)
     reactor.run()
     result = results[0] if results else None
+    if values["hold"] and result is None:
+        return 0
     if not isinstance(result, dict):
         print(f"demo: {result or 'interrupted'}", file=sys.stderr)
         return 2
--- a/lavenderstall/options.py
+++ b/lavenderstall/options.py
@@ -136,11 +136,14 @@
     parser = _Parser(prog=program, add_config_file_help=False, add_env_var_help=True)
     rows = tuple(table)
     for option in rows:
+        # A flag that is on or off may be given without a value.
+        bare: dict[str, Any] = {"nargs": "?", "const": "yes"} if option.read is read_flag else {}
         parser.add_argument(
             option.flag,
             env_var=option.variable,
             default=option.default,
             help=f"{option.help} (default: {option.default or 'none'})",
+            **bare,
         )
     found = vars(parser.parse_args(sys.argv[1:] if arguments is None else list(arguments)))
     values: dict[str, Any] = {}
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -24,6 +24,8 @@
 GOOD = (
     (["--port", "80"], {}, {"port": 80, "lease": 3.0, "trace": False, "table": None}),
     (["--port", "80"], {"LAVENDERSTALL_PORT": "81"}, {"port": 80}),
+    (["--trace", "--port", "80"], {}, {"port": 80, "trace": True}),
+    (["--port", "80", "--trace", "no"], {}, {"port": 80, "trace": False}),
     ([], {"LAVENDERSTALL_PORT": "81", "LAVENDERSTALL_TRACE": "on"}, {"port": 81, "trace": True}),
 )
 
