--- a/lavenderstall/cmdline.py
+++ b/lavenderstall/cmdline.py
@@ -128,7 +128,7 @@
     parser.add_argument("--data", metavar="FILE", help="body; - reads standard input")
     parser.add_argument("--id", help="request id; the same id finds the first response")
     parser.add_argument("--once", action="store_true", help="the request is not idempotent")
-    parser.add_argument("--deadline-ms", type=_read(read_integer(1, 3_600_000)), default=10_000)
+    parser.add_argument("--deadline-ms", type=_read(read_integer(1, 600_000)), default=10_000)
     add("trace", commands.trace).add_argument("request", metavar="REQUEST")
 
 
