--- a/lavenderstall/cmdline.py
+++ b/lavenderstall/cmdline.py
@@ -99,6 +99,8 @@
     for name, run in (("check", commands.check), ("diff", commands.diff)):
         add(name, run).add_argument("files", nargs="+", metavar="FILE")
     add("schema", commands.schema)
+    parser = add("token", commands.token)
+    parser.add_argument("name", metavar="NAME", help="name of the operator or team")
     parser = add("apply", commands.apply)
     parser.add_argument("files", nargs="+", metavar="FILE")
     parser.add_argument("--reason", default="", help="reason, kept in the history")
--- a/lavenderstall/commands.py
+++ b/lavenderstall/commands.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lavenderstall.access import make_token
 from lavenderstall.bodies import ApplyAnswer, ApplyRequest, JobRequest, SpanInfo, TraceAnswer
 from lavenderstall.client import Client
 from lavenderstall.declarations import Declared, Source, find_dangling, read_declarations
@@ -106,6 +107,13 @@
     return Status.OK
 
 
+def token(session: Session, options: Namespace) -> Status:
+    """Make a token for an operator or team, and the hash that declares it."""
+    made, hashed = make_token(options.name)
+    session.print({"token": made, "hash": hashed}, f"token: {made}\nhash: {hashed}\n")
+    return Status.OK
+
+
 def _preview(session: Session, options: Namespace) -> tuple[str, ApplyAnswer]:
     """Return the text of the declarations and what applying it would change."""
     sources = read_sources(options.files)
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -15,6 +15,7 @@
 from twisted.internet.task import Clock
 
 from lavenderstall import cmdline
+from lavenderstall.access import matches_hash
 from lavenderstall.bodies import (
     ApplyAnswer,
     ApplyRequest,
@@ -242,6 +243,12 @@
             ["call e1 2.50ms service=s", "  forward e2 1.50ms"],
         )
 
+    def test_token_matches_its_hash(self) -> None:
+        status, out, _ = self.main("token", "ana")
+        token, hashed = (line.partition(": ")[2] for line in out.splitlines())
+        self.assertEqual((status, matches_hash(token, hashed)), (Status.OK, True))
+        self.assertTrue(token.startswith("ana."))
+
     def test_wait_and_watch(self) -> None:
         file = self.write("team.yaml", TEAM.format(1))
         status, _, err = self.main("apply", file, "--wait")
