Preview an undo, and find workers of all zones

'undo change N preview' was answered with an internal error: statements that only read were sent to the evaluation of rows, which does not know undo. 'drain worker W' was refused as unless the asked entry instance owned the worker's slice, because the check knew the workers of own slices only; it now looks at the membership list too, which covers the cell.

tests/test_web.py sends statements through the HTTP handlers of a simulated cell of two zones; both faults failed there before.

--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -25,7 +25,7 @@
 from lavenderstall.query.fields import Reach
 from lavenderstall.query.parser import parse_statement
 from lavenderstall.query.reach import SliceFacts, find_slices, get_reach, get_right
-from lavenderstall.query.statements import Show, ShowChange, Statement, Topic
+from lavenderstall.query.statements import Count, Show, ShowChange, Statement, Topic
 from lavenderstall.schemas import Right
 from lavenderstall.views import list_entries, make_inventory
 
@@ -55,7 +55,7 @@
         if reach is Reach.ENTRIES:
             peers = sorted({*self._entry.ownership.peers, self._entry.entry})
             return await self._ask(text, statement, {peer: [] for peer in peers}, [])
-        if isinstance(statement, Show | ShowChange) or get_right(statement) is Right.READ:
+        if isinstance(statement, Show | ShowChange | Count):
             return await self._answer_locally(statement)
         return await execute(
             statement,
@@ -64,6 +64,7 @@
             unix_ms=self._entry.read_unix_ms,
             seen=seen,
             slices=self._list_facts(),
+            members=self._entry.members.workers,
         )
 
     def _list_facts(self) -> list[SliceFacts]:
--- a/lavenderstall/query/execution.py
+++ b/lavenderstall/query/execution.py
@@ -1,7 +1,7 @@
 """Carries out commands as configuration changes."""
 
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from functools import singledispatch
 from typing import Any
 
@@ -17,6 +17,7 @@
 )
 from lavenderstall.identifiers import Version
 from lavenderstall.inventory import Answer, make_change_info
+from lavenderstall.protocol import WorkerMember
 from lavenderstall.query.fields import UNITS, read_number
 from lavenderstall.query.reach import SliceFacts
 from lavenderstall.query.statements import (
@@ -107,7 +108,10 @@
 
 
 def check_scope(
-    statement: Statement, slices: Iterable[SliceFacts], items: Mapping[ItemKey, Item]
+    statement: Statement,
+    slices: Iterable[SliceFacts],
+    items: Mapping[ItemKey, Item],
+    members: Collection[WorkerMember] = (),
 ) -> None:
     """Raise `QueryError` if a directive names a place or work that does not exist."""
     if not isinstance(statement, Direct):
@@ -115,8 +119,8 @@
     facts = tuple(slices)
     target, _, name = statement.scope.partition("/")
     known: dict[str, set[str]] = {
-        "worker": {worker for each in facts for worker in each.workers},
-        "rack": {rack for each in facts for rack in each.racks},
+        "worker": {str(m.id) for m in members}.union(*(each.workers for each in facts)),
+        "rack": {str(m.rack) for m in members}.union(*(each.racks for each in facts)),
         "zone": {str(each.zone) for each in facts},
         "slice": {str(each.slice) for each in facts},
         "service": {key.name for key in items if key.kind == "service"},
@@ -148,6 +152,7 @@
     author: str,
     seen: Version | None,
     slices: Iterable[SliceFacts],
+    members: Collection[WorkerMember],
 ) -> Applied:
     if isinstance(statement, Undo):
         return await configuration.undo(
@@ -162,7 +167,7 @@
         return await act(statement.number, author=author, reason=statement.reason)
     if isinstance(statement, SetFields | Direct):
         base = await configuration.refresh()
-        check_scope(statement, slices, base.items)
+        check_scope(statement, slices, base.items, members)
         draft = Draft(author, statement.reason, draft_items(statement, base.items))
         return await configuration.apply(draft, seen=seen, based_on=base)
     raise TypeError(f"{type(statement).__name__} is not a command")
@@ -176,10 +181,13 @@
     unix_ms: Callable[[], int],
     seen: Version | None = None,
     slices: Iterable[SliceFacts] = (),
+    members: Collection[WorkerMember] = (),
 ) -> Answer:
     """Carry out a command and return the change it made.
 
+    `members` are the workers of the whole cell, as `slices` names only those that are owned here.
+
     Raises `QueryError`, `OvertakenError`, `ChangeRefusedError` or a store error.
     """
-    applied = await _apply(statement, configuration, author, seen, slices)
+    applied = await _apply(statement, configuration, author, seen, slices, members)
     return _make_answer(applied, unix_ms())
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,81 @@
+"""Tests of the HTTP interface of an entry instance, without sockets."""
+
+import unittest
+from io import BytesIO
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+
+from lavenderstall.access import hash_token
+from lavenderstall.bodies import Rejection
+from lavenderstall.changes import ItemKey
+from lavenderstall.inventory import Answer
+from lavenderstall.schemas import Operator, Right, Team
+from lavenderstall.web import Gate, Reply
+from tests.cells import Cell
+
+SALT = bytes(16)
+OPERATOR = Operator("ana", hash_token("ana.a", SALT), Right.CHANGE)
+TEAM = Team("t", weight=2, tokens=(hash_token("t.t", SALT),))
+ITEMS = {ItemKey("operator", "ana"): OPERATOR, ItemKey("team", "t"): TEAM}
+
+
+class FakeRequest:
+    """Hold what `Gate` reads of a request."""
+
+    def __init__(self, method: str, path: str, body: bytes, token: str) -> None:
+        self.method = method.encode()
+        self.path = path.encode()
+        self.content = BytesIO(body)
+        self.args: dict[bytes, list[bytes]] = {}
+        self.oversized = False
+        self.requestHeaders = Headers({"Authorization": [f"Bearer {token}"]})
+
+
+class WebCase(unittest.TestCase):
+    """Send requests to one entry instance of a simulated cell of two zones."""
+
+    def setUp(self) -> None:
+        self.cell = Cell(entries=1)
+        self.assertTrue(self.cell.run(20, lambda: len(self.cell.list_ready()) == 2))
+        self.node = self.cell.list_ready("z0")[0]
+        self.cell.run(5)
+        self.cell.declare(self.node, dict(ITEMS))
+        self.cell.run(5)
+        self.gate = Gate(self.node.entry)
+
+    def send(self, method: str, path: str, body: Any = None, token: str = "ana.a") -> Reply:
+        request: Any = FakeRequest(method, path, msgspec.json.encode(body), token)
+        replies: list[Reply] = []
+        Deferred.fromCoroutine(self.gate._answer(request)).addCallback(replies.append)
+        self.cell.run(10, lambda: bool(replies))
+        return replies[0]
+
+    def ask(self, text: str) -> tuple[int, Any]:
+        reply = self.send("POST", "/v1/query", {"text": text})
+        kind: type = Answer if reply.status == 200 else Rejection
+        return reply.status, msgspec.json.decode(reply.body, type=kind)
+
+
+class QueryTest(WebCase):
+    """Guards against statements that parse and that an entry instance cannot answer."""
+
+    def test_preview_of_an_undo(self) -> None:
+        status, answer = self.ask('set team t weight = 3 because "x"')
+        self.assertEqual(status, 200, answer)
+        status, answer = self.ask(f"undo change {answer.change.id} preview")
+        self.assertEqual((status, answer.committed), (200, False), answer)
+        self.assertEqual([str(each.key) for each in answer.differences], ["team/t"])
+
+    def test_places_of_other_zones_are_known(self) -> None:
+        for text in ("drain worker z1w0", "drain rack z1r0"):
+            status, answer = self.ask(f'{text} because "x"')
+            self.assertEqual((status, answer.committed), (200, True), answer)
+        status, answer = self.ask('drain worker z1w9 because "x"')
+        self.assertEqual((status, answer.detail), (400, "no worker is named 'z1w9'"))
+
+
+if __name__ == "__main__":
+    unittest.main()
