Say whose token a rejected request carried

'the token of operator' at the end of a sentence about teams read like a broken sentence. Two summaries of subcommands told how they work inside.

--- a/lavenderstall/access.py
+++ b/lavenderstall/access.py
@@ -157,5 +157,8 @@
         """Return the team whose token sent a header, or raise `AccessError`."""
         caller = self.get_caller(header)
         if not caller.team:
-            raise AccessError(f"{caller.name!r} is not the token of a team", status=403)
+            raise AccessError(
+                f"a team's token is required; this is the token of operator {caller.name!r}",
+                status=403,
+            )
         return caller.team
--- a/lavenderstall/commands.py
+++ b/lavenderstall/commands.py
@@ -171,7 +171,7 @@
 
 
 def query(session: Session, options: Namespace) -> Status:
-    """Send a statement; it is parsed here first, so that mistakes are told at once."""
+    """Send a statement, after a check here that it can be parsed."""
     reads = get_right(parse_statement(options.text)) is Right.READ
     return session.print_answer(session.client.query(options.text, reads=reads, seen=options.seen))
 
@@ -205,7 +205,7 @@
 
 
 def submit(session: Session, options: Namespace) -> Status:
-    """Submit a job; the id is printed first, so that it can be submitted again."""
+    """Submit a job; submitting the printed id again finds it."""
     job = _choose_job(read_declarations(read_sources([options.file])), options.name)
     job_id = JobId(options.id or f"{job.name}-{session.make_id()[:12]}")
     session.err.write(f"submitting job {job_id}\n")
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -105,7 +105,8 @@
         job = JobId(check_request_id(wanted.id))
         if wanted.job.team != caller.team:
             raise AccessError(
-                f"the job is of team {wanted.job.team!r}, the token of {caller.name!r}", status=403
+                f"the job is of team {wanted.job.team!r}, but the token is that of {caller.name!r}",
+                status=403,
             )
         spec = make_spec(job, wanted.job, entry.read_unix_ms())
         demand = Demand(spec.kind.value)
