Tell what waiting work is short of

'why' answered 'no room; ' and cut the workers it considered at 80 characters, 'why job' showed none of the reasons of the job's tasks, and a job that was refused gave 'no rows'. The reason now names the shortage at the nearest worker, a job shows why its first waiting task waits, the workers considered are lines below their row, and an empty answer says where to look.

--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -25,7 +25,7 @@
 from lavenderstall.query.fields import Reach
 from lavenderstall.query.parser import parse_statement
 from lavenderstall.query.reach import SliceFacts, find_slices, get_reach, get_right
-from lavenderstall.query.statements import Count, Show, ShowChange, Statement, Topic
+from lavenderstall.query.statements import Count, Show, ShowChange, Statement, Topic, Why
 from lavenderstall.schemas import Right
 from lavenderstall.views import list_entries, make_inventory
 
@@ -37,6 +37,16 @@
 PART_SECONDS = 1.0
 
 
+def explain_nothing(statement: Statement, answer: Answer) -> Answer:
+    """Return an answer that tells where to look when nothing is known of a subject."""
+    if not isinstance(statement, Why) or answer.rows or answer.note:
+        return answer
+    note = f"nothing is recorded about {statement.subject} {statement.id}"
+    if statement.subject == "job":
+        note += f"; if its submission was refused: why request {statement.id}"
+    return msgspec.structs.replace(answer, note=note)
+
+
 class QueryDesk:
     """Answer statements on any entry instance."""
 
@@ -51,10 +61,11 @@
             raise AccessError(f"{caller.name!r} may read but not change", status=403)
         reach = get_reach(statement)
         if reach is Reach.OWNERS:
-            return await self._ask_owners(text, statement)
+            return explain_nothing(statement, await self._ask_owners(text, statement))
         if reach is Reach.ENTRIES:
             peers = sorted({*self._entry.ownership.peers, self._entry.entry})
-            return await self._ask(text, statement, {peer: [] for peer in peers}, [])
+            answer = await self._ask(text, statement, {peer: [] for peer in peers}, [])
+            return explain_nothing(statement, answer)
         if isinstance(statement, Show | ShowChange | Count):
             return await self._answer_locally(statement)
         return await execute(
--- a/lavenderstall/query/evaluation.py
+++ b/lavenderstall/query/evaluation.py
@@ -184,7 +184,7 @@
 def _describe(row: AnyInfo) -> str:
     """Return the present state of the subject of a question."""
     if isinstance(row, RefusalInfo):
-        return f"{row.id} was rejected: {row.reason} {row.detail}".strip()
+        return f"{row.id} was rejected ({row.reason}): {row.detail}"
     assert isinstance(row, TaskInfo | JobInfo | WorkerInfo)
     reason = f": {row.reason}" if row.reason else ""
     return f"{row.id} is {row.state.value}{reason}"
--- a/lavenderstall/query/formatters/table.py
+++ b/lavenderstall/query/formatters/table.py
@@ -6,13 +6,15 @@
 from typing import Any
 
 from lavenderstall.changes import Difference, DifferenceAction
-from lavenderstall.inventory import Answer, AnyInfo, ChangeInfo, CountInfo
+from lavenderstall.inventory import Answer, AnyInfo, ChangeInfo, CountInfo, ReasonInfo
 from lavenderstall.query.formatters import Formatter
 
 MAX_WIDTH = 80
 UNITS_MS = ((86_400_000, "d"), (3_600_000, "h"), (60_000, "m"), (1_000, "s"))
 # Control characters of declared or reported texts must not reach a terminal.
 CONTROL = re.compile(r"[\x00-\x1f\x7f-\x9f\u2028\u2029\u202a-\u202e\u2066-\u2069]")
+# Shown as lines below their row.
+BELOW = frozenset({"alternatives"})
 RESET = "\x1b[0m"
 BOLD, RED, GREEN, YELLOW = "\x1b[1m", "\x1b[31m", "\x1b[32m", "\x1b[33m"
 COLOURS = {
@@ -87,6 +89,12 @@
         yield "  ".join(line).rstrip()
 
 
+def _list_alternatives(row: AnyInfo) -> Iterable[str]:
+    """Yield the workers that were not chosen, which are too long for a column."""
+    if isinstance(row, ReasonInfo):
+        yield from (f"    {_clean(text)}" for text in row.alternatives)
+
+
 def format_differences(differences: Iterable[Difference], *, colour: bool = False) -> str:
     """Return one line for each item and field that differs."""
     lines = []
@@ -139,9 +147,13 @@
         if answer.change:
             lines += _format_change(answer.change, answer.committed)
         elif answer.rows:
-            grid = [_make_cells(row, answer.columns) for row in answer.rows]
-            titles = [_make_title(name) for name in answer.columns]
-            lines += _format_grid(titles, grid, colour)
+            columns = [name for name in answer.columns if name not in BELOW]
+            grid = [_make_cells(row, columns) for row in answer.rows]
+            titles = [_make_title(name) for name in columns]
+            head, *body = _format_grid(titles, grid, colour)
+            lines.append(head)
+            for row, line in zip(answer.rows, body, strict=True):
+                lines += [line, *_list_alternatives(row)]
         elif not answer.note:
             lines.append("no rows")
         text = "".join(f"{line}\n" for line in lines)
--- a/lavenderstall/reasons.py
+++ b/lavenderstall/reasons.py
@@ -11,6 +11,12 @@
 CAPACITY = 4096
 
 
+def describe_shortage(shortage: Resources) -> str:
+    """Return what is missing, by name and amount."""
+    amounts = (f"{name} by {getattr(shortage, name)}" for name in shortage.find_shortages(NOTHING))
+    return f"short of {', '.join(amounts)}"
+
+
 class Alternative(msgspec.Struct, frozen=True, omit_defaults=True):
     """A worker that was considered and not chosen.
 
@@ -27,11 +33,7 @@
         """Return why the worker was not chosen."""
         if self.cause:
             return self.cause
-        amounts = ", ".join(
-            f"{name} by {getattr(self.shortage, name)}"
-            for name in self.shortage.find_shortages(NOTHING)
-        )
-        return f"short of {amounts}; {self.tasks} tasks run there"
+        return f"{describe_shortage(self.shortage)}; tasks there: {self.tasks}"
 
 
 class Reason(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -43,6 +45,12 @@
     shortage: Resources = NOTHING
     numbers: dict[str, float] = {}
 
+    def __str__(self) -> str:
+        shortage = ""
+        if not self.detail and self.shortage != NOTHING:
+            shortage = f"the nearest worker is {describe_shortage(self.shortage)}"
+        return "; ".join(part for part in (self.rule, self.detail, shortage) if part)
+
 
 class Record(msgspec.Struct, frozen=True):
     """A reason with its time in seconds, its outcome and what it concerns."""
--- a/lavenderstall/views.py
+++ b/lavenderstall/views.py
@@ -23,7 +23,7 @@
 )
 from lavenderstall.protocol import Kind, TaskState
 from lavenderstall.query.statements import Statement, Why
-from lavenderstall.reasons import Record
+from lavenderstall.reasons import Reason, Record
 from lavenderstall.schemas import Demand
 from lavenderstall.slices import SliceServer, Task
 from lavenderstall.work import Job
@@ -83,12 +83,11 @@
         passed = server.queue.find_passed_over(task.spec.team)
         reason = passed or (waiting.shape.reason if waiting is not None else None)
         if reason is not None:
-            return f"{reason.rule}; {reason.detail}".rstrip("; ")
+            return str(reason)
     records = server.reasons.find_task(task.id)
     if not records:
         return ""
-    last = records[-1].reason
-    return f"{last.rule}; {last.detail}".rstrip("; ")
+    return str(records[-1].reason)
 
 
 def make_task_info(server: SliceServer, task: Task, now: float) -> TaskInfo:
@@ -223,6 +222,13 @@
     )
 
 
+def find_wait(server: SliceServer, name: str) -> Reason | None:
+    """Return why a task waits, or the first task of a job that does."""
+    own = [task.id for task in server.tasks.values() if name in (task.id, task.spec.id)]
+    found = (waiting for task in own if (waiting := server.queue.find(task)) is not None)
+    return next((each.shape.reason for each in found if each.shape.reason), None)
+
+
 def list_reasons(server: SliceServer, why: Why, unix: float) -> Iterator[ReasonInfo]:
     """Yield the recorded decisions about a subject, and why it waits now."""
     log, name = server.reasons, why.id
@@ -232,7 +238,7 @@
     for record in found:
         reason = record.reason
         numbers = ", ".join(f"{key} {value:g}" for key, value in reason.numbers.items())
-        text = "; ".join(part for part in (reason.rule, reason.detail, numbers) if part)
+        text = "; ".join(part for part in (str(reason), numbers) if part)
         yield ReasonInfo(
             id=name,
             step="decide",
@@ -243,14 +249,13 @@
             alternatives=tuple(f"{a.worker}: {a.why_not}" for a in reason.alternatives),
             age_ms=max(0, int((unix - record.at) * 1000)),
         )
-    waiting = server.queue.find(TaskId(name))
-    current = waiting.shape.reason if waiting is not None else None
+    current = find_wait(server, name)
     if current is not None:
         yield ReasonInfo(
             id=name,
             step="wait",
             outcome="waiting",
-            reason=f"{current.rule}; {current.detail}",
+            reason=str(current),
             slice=server.name,
             owner=server.owner,
             alternatives=tuple(f"{a.worker}: {a.why_not}" for a in current.alternatives),
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -20,6 +20,7 @@
 OPERATOR = Operator("ana", hash_token("ana.a", SALT), Right.CHANGE)
 TEAM = Team("t", weight=2, tokens=(hash_token("t.t", SALT),))
 ITEMS = {ItemKey("operator", "ana"): OPERATOR, ItemKey("team", "t"): TEAM}
+BATCH = {"kind": "batch", "name": "b", "team": "t", "tasks": 1, "resources": {}}
 
 
 class FakeRequest:
@@ -76,6 +77,28 @@
         status, answer = self.ask('drain worker z1w9 because "x"')
         self.assertEqual((status, answer.detail), (400, "no worker is named 'z1w9'"))
 
+    def test_why_without_a_record_tells_where_to_look(self) -> None:
+        status, answer = self.ask("why job j")
+        self.assertEqual(status, 200)
+        self.assertIn("nothing is recorded about job j", answer.note)
+        self.assertIn("why request j", answer.note)
+
+    def test_why_a_job_waits(self) -> None:
+        job = {**BATCH, "tasks": 40, "resources": {"cores_milli": 1000}}
+        reply = self.send("POST", "/v1/jobs", {"id": "j", "job": job}, "t.t")
+        self.assertEqual(reply.status, 202, reply.body)
+        self.cell.run(3)
+        _, answer = self.ask("why job j")
+        waits = [row for row in answer.rows if row.outcome == "waiting"]
+        self.assertTrue(waits, answer)
+        self.assertIn("no room; the nearest worker is short of cores_milli by", waits[0].reason)
+        self.assertTrue(waits[0].alternatives)
+
+    def test_job_of_another_team(self) -> None:
+        reply = self.send("POST", "/v1/jobs", {"id": "j", "job": BATCH}, "ana.a")
+        self.assertEqual(reply.status, 403)
+        self.assertIn(b"of team 't', but the token is that of 'ana'", reply.body)
+
 
 if __name__ == "__main__":
     unittest.main()
