Write metric names that collectors accept

The latency of a service is in a metric named after it, and names such as donor-desk hold a hyphen, which collectors reject in names. Other characters than letters, digits and underscores become underscores.

--- a/lavenderstall/metrics.py
+++ b/lavenderstall/metrics.py
@@ -1,5 +1,6 @@
 """Counters and latency histograms, written as a text page."""
 
+import re
 from collections import Counter
 from collections.abc import Callable, Iterator
 
@@ -11,6 +12,11 @@
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
+def make_name(name: str) -> str:
+    """Return the name of a value on the page."""
+    return f"lavenderstall_{re.sub(r'[^A-Za-z0-9_]', '_', name)}"
+
+
 class Metrics:
     """Hold the counters and histograms of one entry instance."""
 
@@ -42,17 +48,21 @@
         return histogram.get_value_at_percentile(percentile) / 1e6 if histogram else 0.0
 
     def write_page(self) -> str:
-        """Return all values in the text format of common collectors."""
+        """Return all values in the text format of common collectors.
+
+        Names of services and reasons may hold characters that collectors reject in names.
+        """
         return "\n".join([*self._list_lines(), ""])
 
     def _list_lines(self) -> Iterator[str]:
         for name, amount in sorted(self.counters.items()):
-            yield f"lavenderstall_{name}_total {amount}"
+            yield f"{make_name(name)}_total {amount}"
         for name, read in sorted(self._gauges.items()):
-            yield f"lavenderstall_{name} {read():g}"
-        for name, histogram in sorted(self._histograms.items()):
+            yield f"{make_name(name)} {read():g}"
+        for key, histogram in sorted(self._histograms.items()):
+            name = make_name(key)
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
                 label = f'quantile="{percentile / 100:g}"'
-                yield f"lavenderstall_{name}_seconds{{{label}}} {value:g}"
-            yield f"lavenderstall_{name}_seconds_count {histogram.get_total_count()}"
+                yield f"{name}_seconds{{{label}}} {value:g}"
+            yield f"{name}_seconds_count {histogram.get_total_count()}"
