Hold back paused work

pause was accepted for a service, team, job or kind, was listed as a change, and had no effect: only the scopes of slices and zones were read, which the language does not allow for pause. The queue now passes over requests in a paused scope, as it does over teams at their quota, and 'why' names the scope.

pause no longer applies to a job: requests of one shape wait in one queue, so that the first of a paused job would block those of other jobs. 'kind calls' is refused, because calls do not wait in this queue.

Both new tests fail without the change to the queue.

--- a/lavenderstall/directives.py
+++ b/lavenderstall/directives.py
@@ -30,7 +30,7 @@
 
 
 def apply_commands(server: SliceServer, commands: Mapping[str, Command]) -> None:
-    """Drain, quarantine and cancel what the commands name, and lift what they no longer name."""
+    """Drain, quarantine, pause and cancel what the commands name; lift what they do not name."""
     for worker in list(server.state.workers):
         if worker not in server.fleet.links:
             continue
@@ -50,6 +50,9 @@
             ],
             "cancelled by an operator",
         )
+    held = {scope for scope, command in commands.items() if command.paused}
+    if server.queue.set_paused(frozenset(held)):
+        server.request_schedule()
     server.paused = any(
         commands[scope].paused
         for scope in (f"slice/{server.name}", f"zone/{server.zone}")
--- a/lavenderstall/query/execution.py
+++ b/lavenderstall/query/execution.py
@@ -17,7 +17,7 @@
 )
 from lavenderstall.identifiers import Version
 from lavenderstall.inventory import Answer, make_change_info
-from lavenderstall.protocol import WorkerMember
+from lavenderstall.protocol import Kind, WorkerMember
 from lavenderstall.query.fields import UNITS, read_number
 from lavenderstall.query.reach import SliceFacts
 from lavenderstall.query.statements import (
@@ -31,7 +31,7 @@
 )
 from lavenderstall.query.verbs import get_verb
 from lavenderstall.query.verbs.directive import DirectVerb
-from lavenderstall.schemas import Demand, Item
+from lavenderstall.schemas import Item
 
 INTEGER = re.compile(r"-?\d{1,18}\Z", re.ASCII)
 TRUTH = {"true": True, "yes": True, "false": False, "no": False}
@@ -125,7 +125,7 @@
         "slice": {str(each.slice) for each in facts},
         "service": {key.name for key in items if key.kind == "service"},
         "team": {key.name for key in items if key.kind == "team"},
-        "kind": {demand.value for demand in Demand},
+        "kind": {kind.value for kind in Kind},
     }
     # Commands on a thing that is gone must still be cleared.
     if ItemKey("command", statement.scope) in items or not known.get(target):
--- a/lavenderstall/query/verbs/directive.py
+++ b/lavenderstall/query/verbs/directive.py
@@ -7,7 +7,9 @@
 from lavenderstall.query.verbs import Parsed, Verb, read_reason
 
 PLACES = ("worker", "rack", "zone", "slice")
-WORK = ("service", "team", "job", "kind")
+# A job alone is not paused: requests of one shape wait in one queue, and the first would block
+# those of other jobs.
+WORK = ("service", "team", "kind")
 MAX_ID_LENGTH = 150
 
 
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -56,6 +56,7 @@
         self.opened: dict[Shape, None] = {}
         self.accelerators_waiting = 0
         self._teams: dict[TeamName, Team] = {}
+        self._paused: frozenset[str] = frozenset()
         self._tasks: dict[TaskId, Waiting] = {}
         self._jobs: dict[JobId, dict[Waiting, None]] = {}
         self._numbers = count()
@@ -76,6 +77,15 @@
         self._teams[name] = Team(weight, quota)
         self._changed[name] = None
 
+    def set_paused(self, scopes: frozenset[str]) -> bool:
+        """Hold back the work in scopes such as `team/t`; tell whether that is a change."""
+        if scopes == self._paused:
+            return False
+        self._paused = scopes
+        for kind in self.kinds.values():
+            self._changed.update(dict.fromkeys(kind.lanes))
+        return True
+
     def push(self, request: TaskRequest, now: float) -> None:
         """Add a request."""
         self.requeue(request, now)
@@ -329,8 +339,20 @@
                 lane.passed_over = reason
         return best
 
+    def _find_pause(self, request: TaskRequest) -> Reason | None:
+        """Return which command holds a request back, or none."""
+        scopes = (
+            f"kind/{request.kind.value}",
+            f"team/{request.team}",
+            f"service/{request.service}",
+        )
+        found = next((scope for scope in scopes if scope in self._paused), None)
+        return Reason("paused by an operator", found) if found else None
+
     def check_quota(self, request: TaskRequest, state: SliceState) -> Reason | None:
-        """Return why a request would exceed its team's quota, or none."""
+        """Return why a request is paused or would exceed its team's quota, or none."""
+        if self._paused and (pause := self._find_pause(request)) is not None:
+            return pause
         team = self._teams.get(request.team)
         if team is None or team.quota is None:
             return None
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -41,6 +41,20 @@
         queue.push(urgent, 11.0)
         self.assertEqual(self.pop_all(queue, 11.0), [old, urgent])
 
+    def test_paused_work_waits_until_it_is_resumed(self) -> None:
+        for scope in ("kind/batch", "team/t", "service/s"):
+            with self.subTest(scope=scope):
+                queue, state = FairQueue(), make_state(1)
+                paused = make_request(team="t", service="s")
+                other = make_request(kind=Kind.GANG, team="u")
+                fill(queue, paused, other)
+                self.assertTrue(queue.set_paused(frozenset({scope})))
+                self.assertEqual(queue.pop_next(0.0, state).request, other)
+                self.assertIsNone(queue.pop_next(0.0, state))
+                self.assertEqual(queue.find_passed_over("t").detail, scope)
+                queue.set_paused(frozenset())
+                self.assertEqual(queue.pop_next(0.0, state).request, paused)
+
     def test_duplicate_is_rejected(self) -> None:
         queue = FairQueue()
         request = make_request()
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -94,6 +94,15 @@
         self.assertIn("no room; the nearest worker is short of cores_milli by", waits[0].reason)
         self.assertTrue(waits[0].alternatives)
 
+    def test_paused_kind_does_not_start(self) -> None:
+        self.assertEqual(self.ask('pause kind batch because "x"')[0], 200)
+        self.cell.run(3)
+        self.send("POST", "/v1/jobs", {"id": "j", "job": BATCH}, "t.t")
+        self.cell.run(5)
+        self.assertIn("paused by an operator; kind/batch", self.ask("why task j.0")[1].note)
+        self.ask('resume kind batch because "x"')
+        self.assertTrue(self.cell.run(5, lambda: self.cell.find_runs("j")))
+
     def test_job_of_another_team(self) -> None:
         reply = self.send("POST", "/v1/jobs", {"id": "j", "job": BATCH}, "ana.a")
         self.assertEqual(reply.status, 403)
