--- a/lavenderstall/cmdline.py
+++ b/lavenderstall/cmdline.py
@@ -99,6 +99,8 @@
     for name, run in (("check", commands.check), ("diff", commands.diff)):
         add(name, run).add_argument("files", nargs="+", metavar="FILE")
     add("schema", commands.schema)
+    parser = add("token", commands.token)
+    parser.add_argument("name", metavar="NAME", help="name of the operator or team")
     parser = add("apply", commands.apply)
     parser.add_argument("files", nargs="+", metavar="FILE")
     parser.add_argument("--reason", default="", help="reason, kept in the history")
@@ -128,7 +130,7 @@
     parser.add_argument("--data", metavar="FILE", help="body; - reads standard input")
     parser.add_argument("--id", help="request id; the same id finds the first response")
     parser.add_argument("--once", action="store_true", help="the request is not idempotent")
-    parser.add_argument("--deadline-ms", type=_read(read_integer(1, 3_600_000)), default=10_000)
+    parser.add_argument("--deadline-ms", type=_read(read_integer(1, 600_000)), default=10_000)
     add("trace", commands.trace).add_argument("request", metavar="REQUEST")
 
 
--- a/lavenderstall/commands.py
+++ b/lavenderstall/commands.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from lavenderstall.access import make_token
 from lavenderstall.bodies import ApplyAnswer, ApplyRequest, JobRequest, SpanInfo, TraceAnswer
 from lavenderstall.client import Client
 from lavenderstall.declarations import Declared, Source, find_dangling, read_declarations
@@ -106,6 +107,13 @@
     return Status.OK
 
 
+def token(session: Session, options: Namespace) -> Status:
+    """Make a token for an operator or team, and the hash that declares it."""
+    made, hashed = make_token(options.name)
+    session.print({"token": made, "hash": hashed}, f"token: {made}\nhash: {hashed}\n")
+    return Status.OK
+
+
 def _preview(session: Session, options: Namespace) -> tuple[str, ApplyAnswer]:
     """Return the text of the declarations and what applying it would change."""
     sources = read_sources(options.files)
@@ -163,7 +171,7 @@
 
 
 def query(session: Session, options: Namespace) -> Status:
-    """Send a statement; it is parsed here first, so that mistakes are told at once."""
+    """Send a statement, after a check here that it can be parsed."""
     reads = get_right(parse_statement(options.text)) is Right.READ
     return session.print_answer(session.client.query(options.text, reads=reads, seen=options.seen))
 
@@ -197,7 +205,7 @@
 
 
 def submit(session: Session, options: Namespace) -> Status:
-    """Submit a job; the id is printed first, so that it can be submitted again."""
+    """Submit a job; submitting the printed id again finds it."""
     job = _choose_job(read_declarations(read_sources([options.file])), options.name)
     job_id = JobId(options.id or f"{job.name}-{session.make_id()[:12]}")
     session.err.write(f"submitting job {job_id}\n")
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -15,6 +15,7 @@
 from twisted.internet.task import Clock
 
 from lavenderstall import cmdline
+from lavenderstall.access import matches_hash
 from lavenderstall.bodies import (
     ApplyAnswer,
     ApplyRequest,
@@ -236,12 +237,18 @@
         self.assertEqual(self.main("submit", job, "--id", "n1")[:2], (0, "accepted job n1\n"))
         body = self.write("body", "abc")
         self.assertEqual(self.main("call", "echo", "--data", body, "--once")[:2], (0, "cba"))
-        self.assertEqual(self.entry.seen[-1].headers["X-Idempotent"], "false")
+        self.assertEqual(self.entry.seen[-1].headers["X-Idempotent"], "no")
         self.assertEqual(
             self.main("trace", "q")[1].splitlines(),
             ["call e1 2.50ms service=s", "  forward e2 1.50ms"],
         )
 
+    def test_token_matches_its_hash(self) -> None:
+        status, out, _ = self.main("token", "ana")
+        token, hashed = (line.partition(": ")[2] for line in out.splitlines())
+        self.assertEqual((status, matches_hash(token, hashed)), (Status.OK, True))
+        self.assertTrue(token.startswith("ana."))
+
     def test_wait_and_watch(self) -> None:
         file = self.write("team.yaml", TEAM.format(1))
         status, _, err = self.main("apply", file, "--wait")
