Show traffic, workers and tasks on the metrics page

Cause: what control costs on the network could not be read from a running entry instance, and gauges above a million lost digits in the page. Change: bytes and messages of the links, bytes of the worker client, held workers and running tasks are gauges; gauges have twelve digits.

--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 import time
+from functools import partial
 from pathlib import Path
 from random import SystemRandom
 from typing import Any
@@ -16,6 +17,7 @@
 from lavenderstall.identifiers import EntryId, Incarnation, ZoneName
 from lavenderstall.links import NngLinks
 from lavenderstall.logs import configure_logs
+from lavenderstall.metrics import Metrics
 from lavenderstall.options import (
     Option,
     OptionError,
@@ -74,25 +76,36 @@
     trace_file = values["trace-file"]
     file = Path(trace_file).open("a", encoding="utf-8") if trace_file else None  # noqa: SIM115
     agent = make_agent(reactor)
+    links = NngLinks(reactor, entry, incarnation, values["link"])
+    client = HttpTargetClient(reactor)
     outside = Outside(
         clock=reactor,
         random=random,
         store=HttpTableStore(agent, reactor, values["platform"]),
         members=HttpMemberList(agent, reactor, values["platform"]),
-        links=NngLinks(reactor, entry, incarnation, values["link"]),
-        client=HttpTargetClient(reactor),
+        links=links,
+        client=client,
         read_unix=time.time,
         traces=Traces(entry, file),
     )
     terms = LeaseTerms(values["ownership-lease"], values["task-lease"], values["outage-limit"])
     settings = Settings(values["racks-per-slice"], terms, values["config-stale-limit"])
     instance = Entry(identity, outside, settings)
+    watch_traffic(instance.metrics, links, client)
     if values["operator-hash"]:
         first = Operator(name="operator", token=values["operator-hash"], right=Right.CHANGE)
         instance.access.replace([first])
     return instance
 
 
+def watch_traffic(metrics: Metrics, links: NngLinks, client: HttpTargetClient) -> None:
+    """Show the traffic with peers and workers on the metrics page."""
+    for name in ("bytes_sent", "bytes_received", "messages_sent", "messages_received"):
+        metrics.watch(f"link_{name}", partial(getattr, links, name))
+    for name in ("bytes_sent", "bytes_received"):
+        metrics.watch(f"worker_{name}", partial(getattr, client, name))
+
+
 def run_entry(instance: Entry, reactor: Any) -> None:
     """Serve until the process is told to end; a second signal ends it at once."""
     address = instance.identity.http.removeprefix("http://")
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -47,7 +47,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
 from lavenderstall.peers import Peers, export_snapshot, import_snapshot
-from lavenderstall.protocol import Members, MemberState, WorkerMember
+from lavenderstall.protocol import Members, MemberState, TaskState, WorkerMember
 from lavenderstall.queries import QueryDesk
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
@@ -147,6 +147,8 @@
         )
         self.refusals = RefusalLog()
         self.queries = QueryDesk(self)
+        self.metrics.watch("workers_held", self._count_workers)
+        self.metrics.watch("tasks_running", self._count_tasks)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -230,6 +232,16 @@
     def _count_entries(self) -> int:
         return max(len(self.ownership.peers), len(self.members.entries), 1)
 
+    def _count_workers(self) -> int:
+        return sum(len(server.state.workers) for server in self.slices.values())
+
+    def _count_tasks(self) -> int:
+        return sum(
+            task.state is TaskState.RUNNING
+            for server in self.slices.values()
+            for task in server.tasks.values()
+        )
+
     # Ownership
 
     def gain_slice(self, tenure: Tenure) -> None:
--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -97,6 +97,8 @@
         reactor.addReader(self._reader)
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.messages_sent = 0
+        self.messages_received = 0
 
     def set_receiver(self, receiver: Receiver) -> None:
         """Deliver messages to a function."""
@@ -167,6 +169,7 @@
             outbox.restore(batch)
             return False
         self.bytes_sent += len(data)
+        self.messages_sent += len(batch)
         return True
 
     def _receive(self) -> None:
@@ -181,6 +184,7 @@
             except msgspec.MsgspecError as error:
                 logger.warning("envelope discarded: %s", error)
                 continue
+            self.messages_received += len(envelope.messages)
             for message in envelope.messages:
                 self._deliver(envelope.sender, message)
 
--- a/lavenderstall/metrics.py
+++ b/lavenderstall/metrics.py
@@ -49,7 +49,7 @@
         for name, amount in sorted(self.counters.items()):
             yield f"lavenderstall_{name}_total {amount}"
         for name, read in sorted(self._gauges.items()):
-            yield f"lavenderstall_{name} {read():g}"
+            yield f"lavenderstall_{name} {read():.12g}"
         for name, histogram in sorted(self._histograms.items()):
             for percentile in PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile) / 1e6
