Measure the cost of control on entry instance processes

Cause: memory, processor time and traffic of the real daemon were unknown, so nothing said whether the size of two years can be carried. Change: bench daemon starts stand-ins and entry instances as processes on loopback, loads them and reads /proc, the metrics pages and the table's counters; group commit with liveness rows and query fan-out run in one process at 9 and 150 entry instances.

--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -6,6 +6,7 @@
 
 BENCHES = {
     "cancel": "bench.cancel",
+    "daemon": "bench.daemon",
     "decide": "bench.decide",
     "floods": "bench.floods",
     "packing": "bench.packing",
