--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -18,7 +18,13 @@
 from lavenderstall.commits import GroupCommit
 from lavenderstall.configuration import Configuration, ConfigurationReader, ConfigurationView
 from lavenderstall.declarations import find_nearest
-from lavenderstall.directives import apply_commands, apply_policy, apply_teams, find_commands
+from lavenderstall.directives import (
+    apply_commands,
+    apply_policy,
+    apply_teams,
+    find_commands,
+    sum_teams,
+)
 from lavenderstall.errors import (
     BadRequestError,
     LavenderstallError,
@@ -57,7 +63,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
 from lavenderstall.peers import Peers, Readiness, export_snapshot, import_snapshot
-from lavenderstall.protocol import Members, MemberState, WorkerMember
+from lavenderstall.protocol import Members, MemberState, TaskState, WorkerMember
 from lavenderstall.queries import QueryDesk
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
@@ -167,6 +173,8 @@
         )
         self.refusals = RefusalLog()
         self.queries = QueryDesk(self)
+        self.metrics.watch("workers_held", self._count_workers)
+        self.metrics.watch("tasks_running", self._count_tasks)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -259,6 +267,16 @@
     def _count_entries(self) -> int:
         return max(len(self.ownership.peers), len(self.members.entries), 1)
 
+    def _count_workers(self) -> int:
+        return sum(len(server.state.workers) for server in self.slices.values())
+
+    def _count_tasks(self) -> int:
+        return sum(
+            task.state is TaskState.RUNNING
+            for server in self.slices.values()
+            for task in server.tasks.values()
+        )
+
     # Ownership
 
     def gain_slice(self, tenure: Tenure) -> None:
@@ -429,9 +447,14 @@
         self._review_readiness()
         summaries = self.directory.list_summaries()
         teams = self.view.list_kind("team")
+        totals = sum_teams(summaries)
+        own = {
+            summary.slice: summary.teams for summary in summaries if summary.slice in self.slices
+        }
+        commands = find_commands(self.view)
         for server in self.slices.values():
-            apply_teams(server, teams, summaries)
-            apply_commands(server, find_commands(self.view))
+            apply_teams(server, teams, totals, own.get(server.name, {}))
+            apply_commands(server, commands)
             summary = server.summarize()
             self.directory.update(summary)
             self.links.broadcast(summary)
