Refuse impossible requests whose shape was closed unseen

Cause: a failed fit closed larger shapes that had never been decided on, so a request larger than any worker waited for ever; the same held for one that lost its only fitting worker. A test of the log of reasons showed it. Change: only shapes known to fit an empty slice are closed by others, and a change of the workers opens all shapes again. Conclusion: every request is decided on at least once for each set of workers.

--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -145,9 +145,22 @@
 
 
 class Shape:
-    """Waiting requests of one shape; it is closed after one of them did not fit."""
+    """Waiting requests of one shape; it is closed after one of them did not fit.
 
-    __slots__ = ("closed_since", "key", "kind", "lanes", "missing", "need", "open", "waiting")
+    It is `possible` once a decision found that it fits the slice when empty.
+    """
+
+    __slots__ = (
+        "closed_since",
+        "key",
+        "kind",
+        "lanes",
+        "missing",
+        "need",
+        "open",
+        "possible",
+        "waiting",
+    )
 
     def __init__(self, key: ShapeKey, kind: KindLanes, need: Resources) -> None:
         self.key = key
@@ -155,6 +168,7 @@
         self.need = need
         self.lanes: dict[Lane, Backlog] = {}
         self.open = True
+        self.possible = False
         self.waiting = 0
         self.missing = 0
         self.closed_since = inf
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -61,6 +61,7 @@
         self._numbers = count()
         self._waiting = 0
         self._accelerators_waited = False
+        self._topology = 0
         self._changed: dict[TeamName, None] = {}
 
     def __len__(self) -> int:
@@ -147,6 +148,7 @@
 
     def close(self, shape: Shape, now: float, missing: int = 1) -> None:
         """Leave a shape out until so many more of its tasks may fit."""
+        shape.possible = True
         shape.missing = max(missing, 1)
         shape.closed_since = min(shape.closed_since, now)
         if shape.open:
@@ -156,9 +158,14 @@
             del self.opened[shape]
 
     def close_larger(self, waiting: Waiting, now: float) -> None:
-        """Leave out the shapes that need at least as much as a request that has no room."""
+        """Leave out the shapes that need at least as much as a request that has no room.
+
+        A shape that may never fit stays open, so that it is refused rather than kept waiting.
+        """
         need, key = waiting.request.resources, waiting.shape.key
-        larger = (other for other in self.opened if implies_misfit(need, key, other))
+        larger = (
+            other for other in self.opened if other.possible and implies_misfit(need, key, other)
+        )
         for other in list(larger):
             self.close(other, now)
 
@@ -259,6 +266,9 @@
                 if not shape.key.accelerators:
                     self.open(shape)
         self._accelerators_waited = self.accelerators_waiting > 0
+        if self._topology != state.topology:
+            self._topology = state.topology
+            self._follow_topology()
         if state.freed:
             for worker in state.take_freed():
                 self._open_for(worker)
@@ -270,6 +280,12 @@
         state.touched_teams.clear()
         self._changed.clear()
 
+    def _follow_topology(self) -> None:
+        """Have all shapes decided on again, because some may now fit or never fit."""
+        for shape in self.shapes.values():
+            shape.possible = False
+            self.open(shape)
+
     def _follow_team(self, team: TeamName, state: SliceState) -> None:
         """Give the lanes of a team their place by what it uses now."""
         settings = self._teams.get(team)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -11,7 +11,7 @@
 from lavenderstall.queues import DuplicateRequestError, FairQueue
 from lavenderstall.requests import TaskRequest
 from lavenderstall.resources import Resources
-from tests.fixtures import make_request, make_state
+from tests.fixtures import make_request, make_state, make_worker
 
 
 def fill(queue: FairQueue, *requests: TaskRequest, now: float = 0.0) -> None:
@@ -93,6 +93,18 @@
         self.assertIsInstance(found[0].decision, Never)
         self.assertEqual(len(queue), 0)
 
+    def test_request_that_no_longer_fits_the_slice_is_refused(self) -> None:
+        """A request must not wait for a worker that was removed."""
+        queue, state = FairQueue(), make_state(1)
+        state.add_worker(make_worker("large", Resources(64000, 65536)))
+        state.charge("large", "x", Resources(64000))
+        fill(queue, make_request(32000))
+        dispatcher = Dispatcher(queue, state)
+        self.assertEqual(list(dispatcher.dispatch(0.0)), [])
+        state.remove_worker("large")
+        found = list(dispatcher.dispatch(1.0))
+        self.assertIsInstance(found[0].decision, Never)
+
     def test_team_at_quota_is_passed_over_with_a_reason(self) -> None:
         queue, state = FairQueue(), make_state(1)
         queue.set_team("a", quota=Resources(1000, 4096))
