Record decisions of the dispatcher in the log of reasons

Cause: operators ask why a request was placed, waits or was refused. Change: a dispatcher with a log adds one record for each decision. Conclusion: the cost of a record was not measured.

--- a/lavenderstall/dispatcher.py
+++ b/lavenderstall/dispatcher.py
@@ -10,6 +10,7 @@
 from lavenderstall.machines import SliceState
 from lavenderstall.protocol import Kind
 from lavenderstall.queues import FairQueue
+from lavenderstall.reasons import ReasonLog, Record
 from lavenderstall.reservations import plan_reservation
 
 LIMIT = 256
@@ -31,9 +32,10 @@
 class Dispatcher:
     """Serve a queue over a slice; plans it yields are already applied."""
 
-    def __init__(self, queue: FairQueue, state: SliceState) -> None:
+    def __init__(self, queue: FairQueue, state: SliceState, log: ReasonLog | None = None) -> None:
         self.queue = queue
         self.state = state
+        self.log = log
         self._reviewed = -inf
 
     def dispatch(self, now: float, limit: int = LIMIT) -> Iterator[Dispatched]:
@@ -44,6 +46,8 @@
             if waiting is None:
                 break
             decision = decide(self.state, waiting.request, now)
+            if self.log is not None:
+                self.log.add(make_record(decision, now))
             if isinstance(decision, Wait):
                 self._keep_waiting(waiting, decision, now)
                 continue
@@ -116,6 +120,21 @@
             self.state.reserve(kind, reservation)
 
 
+def make_record(decision: Decision, now: float) -> Record:
+    """Return the record of a decision for the log of reasons."""
+    request = decision.request
+    placements = decision.placements if isinstance(decision, Plan) else ()
+    return Record(
+        now,
+        type(decision).__name__.lower(),
+        decision.reason,
+        request.tasks,
+        request.job,
+        tuple({placement.worker: None for placement in placements}),
+        request.request or None,
+    )
+
+
 def find_first(shape: Shape) -> Waiting:
     """Return the request of lowest rank of a shape that requests wait with."""
     heads = (backlog.peek() for backlog in shape.lanes.values())
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -9,6 +9,7 @@
 from lavenderstall.dispatcher import Dispatcher
 from lavenderstall.protocol import Kind
 from lavenderstall.queues import DuplicateRequestError, FairQueue
+from lavenderstall.reasons import ReasonLog
 from lavenderstall.requests import TaskRequest
 from lavenderstall.resources import Resources
 from tests.fixtures import make_request, make_state, make_worker
@@ -93,6 +94,15 @@
         self.assertIsInstance(found[0].decision, Never)
         self.assertEqual(len(queue), 0)
 
+    def test_decisions_are_logged_by_job_and_worker(self) -> None:
+        queue, log = FairQueue(), ReasonLog()
+        placed, waits, never = make_request(16000), make_request(), make_request(10**6)
+        fill(queue, placed, waits, never)
+        list(Dispatcher(queue, make_state(1), log).dispatch(0.0))
+        for request, outcome in ((placed, "plan"), (waits, "wait"), (never, "never")):
+            self.assertEqual([one.outcome for one in log.find_job(request.job)], [outcome])
+        self.assertEqual([one.job for one in log.find_worker("w0")], [placed.job])
+
     def test_request_that_no_longer_fits_the_slice_is_refused(self) -> None:
         """A request must not wait for a worker that was removed."""
         queue, state = FairQueue(), make_state(1)
