--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -1,13 +1,14 @@
-"""Parts of the fair queue: heaps with lazy removal, shapes, teams and kinds."""
+"""Parts of the fair queue: backlogs, shapes, teams and kinds."""
 
 from __future__ import annotations
 
 import heapq
+from collections import deque
 from math import inf
 
 import msgspec
 
-from lavenderstall.identifiers import TeamName
+from lavenderstall.identifiers import JobId, TaskId, TeamName
 from lavenderstall.protocol import Kind
 from lavenderstall.reasons import Reason
 from lavenderstall.requests import Constraints, TaskRequest
@@ -15,52 +16,95 @@
 from lavenderstall.rooms import quantise
 
 COMPACT_AT = 32
-"""A heap is rebuilt when more entries than this and half of all are withdrawn."""
-
+"""A level is rebuilt when more requests than this and half of all are withdrawn."""
 DURATION_BITS = 4
 """Run times are often declared wrong by a factor of ten, so finer shapes would not differ."""
 
 
 class Waiting(msgspec.Struct, eq=False, gc=False):
-    """A waiting request; `since` is when it was first pushed, the lowest rank goes first."""
+    """A waiting request; `since` is when it was first pushed, the lowest rank goes first.
+
+    Ids are kept beside the request, because a wave of cancellations is bound by memory access.
+    """
 
     request: TaskRequest
+    tasks: tuple[TaskId, ...]
+    job: JobId
+    priority: int
     since: float
     rank: float
-    number: int
     shape: Shape
     lane: Lane
     alive: bool = True
 
 
-class LazyHeap:
-    """A heap that removes withdrawn entries when it meets them or when they are too many."""
+class Level:
+    """Requests of one priority in order of arrival; withdrawn ones are skipped later.
+
+    Rebuilding in order of arrival reads memory in sequence, unlike removal in random order.
+    """
 
-    __slots__ = ("_dead", "_heap")
+    __slots__ = ("requests", "withdrawn")
 
     def __init__(self) -> None:
-        self._heap: list[tuple[float, int, Waiting]] = []
-        self._dead = 0
+        self.requests: deque[Waiting] = deque()
+        self.withdrawn = 0
+
+    def withdraw_one(self) -> bool:
+        """Count a withdrawn request; tell whether any other is left."""
+        self.withdrawn += 1
+        size = len(self.requests)
+        if self.withdrawn > COMPACT_AT and self.withdrawn * 2 > size:
+            self.requests = deque(waiting for waiting in self.requests if waiting.alive)
+            self.withdrawn = 0
+            return bool(self.requests)
+        return self.withdrawn < size
+
+    def peek(self) -> Waiting:
+        """Return the first request that waits; there must be one."""
+        requests = self.requests
+        while not requests[0].alive:
+            requests.popleft()
+            self.withdrawn -= 1
+        return requests[0]
 
-    def push(self, key: float, waiting: Waiting) -> None:
-        """Add an entry."""
-        heapq.heappush(self._heap, (key, waiting.number, waiting))
+
+class Backlog:
+    """Requests in order of arrival by priority."""
+
+    __slots__ = ("levels",)
+
+    def __init__(self) -> None:
+        self.levels: dict[int, Level] = {}
+
+    def add(self, waiting: Waiting) -> None:
+        """Add a request at the end, or at the start if it is older than all others."""
+        level = self.levels.get(waiting.priority)
+        if level is None:
+            level = self.levels[waiting.priority] = Level()
+        elif waiting.since < level.peek().since:
+            level.requests.appendleft(waiting)
+            return
+        level.requests.append(waiting)
+
+    def remove(self, waiting: Waiting) -> None:
+        """Withdraw a request."""
+        waiting.alive = False
+        if not self.levels[waiting.priority].withdraw_one():
+            del self.levels[waiting.priority]
 
     def peek(self) -> Waiting | None:
-        """Return the entry with the lowest key."""
-        heap = self._heap
-        while heap and not heap[0][2].alive:
-            heapq.heappop(heap)
-            self._dead -= 1
-        return heap[0][2] if heap else None
-
-    def note_withdrawn(self) -> None:
-        """Count an entry whose `alive` was cleared."""
-        self._dead += 1
-        if self._dead > COMPACT_AT and self._dead * 2 > len(self._heap):
-            self._heap = [entry for entry in self._heap if entry[2].alive]
-            heapq.heapify(self._heap)
-            self._dead = 0
+        """Return the request with the lowest rank."""
+        best: Waiting | None = None
+        for level in self.levels.values():
+            head = level.peek()
+            if best is None or head.rank < best.rank:
+                best = head
+        return best
+
+    def find_oldest(self) -> float:
+        """Return since when the oldest request waits, infinity without any."""
+        return min((level.peek().since for level in self.levels.values()), default=inf)
 
 
 class ShapeKey(msgspec.Struct, frozen=True):
@@ -119,7 +163,7 @@
         self.key = key
         self.kind = kind
         self.need = need
-        self.lanes: dict[Lane, LazyHeap] = {}
+        self.lanes: dict[Lane, Backlog] = {}
         self.open = True
         self.waiting = 0
         self.missing = 0
@@ -154,7 +198,7 @@
     def __init__(self, kind: KindLanes, team: TeamName) -> None:
         self.kind = kind
         self.team = team
-        self.shapes: dict[Shape, LazyHeap] = {}
+        self.shapes: dict[Shape, Backlog] = {}
         self.waiting = 0
         self.stamp = 0
         self.parked = True
@@ -164,7 +208,7 @@
 class KindLanes:
     """Lanes of one kind in order of their weighted use."""
 
-    __slots__ = ("active", "ages", "heap", "held", "kind", "lanes", "open_waiting", "waiting")
+    __slots__ = ("active", "heap", "held", "kind", "lanes", "open_waiting", "waiting")
 
     def __init__(self, kind: Kind) -> None:
         self.kind = kind
@@ -172,7 +216,6 @@
         self.heap: list[tuple[float, int, int, Lane]] = []
         self.active: dict[TeamName, float] = {}
         self.held: dict[Lane, None] = {}
-        self.ages = LazyHeap()
         self.open_waiting = 0
         self.waiting = 0
 
