Tell a refused retry of a job as unknown

Cause: a job was accepted, its acknowledgement was lost with the entry instance, and the retry was refused as `not_run` because the table was down or no slice was known yet; the job ran all the same (invariant 4). A conflict whose row could not be read was told as `not_run` as well. Change: a retry, marked by `X-Attempt` as with calls, is refused as `unknown`; so is a conflict, which shows that the job exists. Conclusion: a job that is told `not_run` does not run.

--- a/lavenderstall/errors.py
+++ b/lavenderstall/errors.py
@@ -44,6 +44,17 @@
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
 
+    def doubt(self) -> "RefusedError":
+        """Return the same refusal of work that may have run before."""
+        return RefusedError(
+            self.detail,
+            step=self.step,
+            peer=self.peer,
+            reason=self.reason,
+            outcome=Outcome.UNKNOWN,
+            retry_after_ms=self.retry_after_ms,
+        )
+
 
 class FencedError(LavenderstallError):
     """A worker refused a message because it obeys a higher epoch."""
--- a/lavenderstall/jobs.py
+++ b/lavenderstall/jobs.py
@@ -10,7 +10,6 @@
     BadRequestError,
     ConflictError,
     LavenderstallError,
-    Outcome,
     PeerUnavailableError,
     RefusedError,
     StoreOutcomeUnknownError,
@@ -178,6 +177,13 @@
     return shares
 
 
+def refuse_store(detail: str) -> RefusedError:
+    """Return the refusal of a job that the table did not take."""
+    return RefusedError(
+        detail, step="accept", reason="store_unavailable", retry_after_ms=STORE_RETRY_MS
+    )
+
+
 class JobDesk:
     """Accept, describe and cancel jobs on any entry instance."""
 
@@ -195,8 +201,19 @@
         self._links = links
         self._make_nonce = make_nonce
 
-    async def submit(self, spec: JobSpec) -> JobStatus:
-        """Accept a job once it is durable; a repeated id returns the first job."""
+    async def submit(self, spec: JobSpec, *, retry: bool = False) -> JobStatus:
+        """Accept a job once it is durable; a repeated id returns the first job.
+
+        A refused retry has an unknown outcome, as an earlier attempt may have been accepted.
+        """
+        try:
+            return await self._submit(spec)
+        except RefusedError as error:
+            if retry:
+                raise error.doubt() from error
+            raise
+
+    async def _submit(self, spec: JobSpec) -> JobStatus:
         if not 1 <= spec.tasks <= MAX_TASKS:
             raise BadRequestError(
                 f"tasks is {spec.tasks}, must be 1 to {MAX_TASKS}", step="check job"
@@ -206,26 +223,22 @@
         try:
             await self.write(spec, assigned)
         except ConflictError:
-            return await self.read_status(spec.id)
+            return await self._find_accepted(spec)
         except StoreOutcomeUnknownError as error:
-            raise RefusedError(
-                str(error),
-                step="accept",
-                reason="store_unavailable",
-                outcome=Outcome.UNKNOWN,
-                retry_after_ms=STORE_RETRY_MS,
-            ) from error
+            raise refuse_store(str(error)).doubt() from error
         except RefusedError:
             raise
         except LavenderstallError as error:
-            raise RefusedError(
-                f"the job could not be made durable: {error}",
-                step="accept",
-                reason="store_unavailable",
-                retry_after_ms=STORE_RETRY_MS,
-            ) from error
+            raise refuse_store(f"the job could not be made durable: {error}") from error
         return JobStatus(spec.id, spec.kind, spec.tasks, spec.tasks, slices=sorted(assigned))
 
+    async def _find_accepted(self, spec: JobSpec) -> JobStatus:
+        """Return the job that was accepted with the same id."""
+        try:
+            return await self.read_status(spec.id)
+        except LavenderstallError as error:
+            raise refuse_store(f"the job was accepted before: {error}").doubt() from error
+
     async def write(self, spec: JobSpec, assigned: Mapping[SliceName, list[int]]) -> None:
         """Write a new job and its assignment in one transaction."""
         nonce = self._make_nonce()
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -99,7 +99,7 @@
     def __init__(self, entry: "Entry") -> None:
         self._entry = entry
 
-    async def submit(self, wanted: JobRequest, caller: Caller) -> JobAnswer:
+    async def submit(self, wanted: JobRequest, caller: Caller, *, retry: bool = False) -> JobAnswer:
         """Accept a job, or raise `RefusedError` when it was not accepted."""
         entry = self._entry
         job = JobId(check_request_id(wanted.id))
@@ -110,8 +110,8 @@
         spec = make_spec(job, wanted.job, entry.read_unix_ms())
         demand = Demand(spec.kind.value)
         try:
-            self._check_ready()
-            status = await entry.desk.submit(spec)
+            self._check_ready(retry)
+            status = await entry.desk.submit(spec, retry=retry)
         except RefusedError as error:
             now = entry.clock.seconds()
             entry.refusals.add(now, RequestId(job), spec.team, demand, error, spec.service)
@@ -120,13 +120,14 @@
         entry.metrics.count("jobs_accepted")
         return make_job_answer(status, spec.team)
 
-    def _check_ready(self) -> None:
+    def _check_ready(self, retry: bool) -> None:
         entry = self._entry
         if entry.draining or not entry.may_accept_jobs():
             reason = "draining" if entry.draining else "config_stale"
-            raise RefusedError(
+            error = RefusedError(
                 "no jobs are accepted here now", step="accept", reason=reason, retry_after_ms=1000
             )
+            raise error.doubt() if retry else error
 
     async def read_job(self, job: JobId, caller: Caller, wait: float = 0.0) -> JobAnswer:
         """Return the state of a job, after its end or after a time in seconds."""
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -277,7 +277,8 @@
     async def _submit(self, exchange: Exchange) -> Reply:
         caller = self._get_caller(exchange)
         wanted = exchange.decode(JobRequest)
-        return make_json(202, await self._operations.submit(wanted, caller))
+        number = exchange.get_integer(protocol.HEADER_ATTEMPT_NUMBER, 1, 1, 1000)
+        return make_json(202, await self._operations.submit(wanted, caller, retry=number > 1))
 
     async def _read_job(self, exchange: Exchange) -> Reply:
         caller = self._get_caller(exchange)
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -325,7 +325,8 @@
         self.jobs.append(told)
 
         def ask(target: Node) -> "Deferred[Any]":
-            return Deferred.fromCoroutine(target.entry.desk.submit(spec))
+            retry = told.attempts > 1
+            return Deferred.fromCoroutine(target.entry.desk.submit(spec, retry=retry))
 
         self._ask(told, ask, node, retries)
         return told
