Claim a dropped slice with a higher term

Cause: an owner that had dropped a slice without the table resumed it at its old term once it read the row. A slice that its owner had dropped for a local takeover also stayed without owner when that candidate died before the store returned. Conclusion: a term is served by one slice server from its claim to its loss.

--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -335,7 +335,7 @@
 
         Links stay open to workers that the list dropped, as the list may be wrong.
         """
-        for worker in members.keys() - self.links.keys():
+        for worker in sorted(members.keys() - self.links.keys()):
             link = self._make_link(members[worker])
             self.links[worker] = link
             # Spreads the heartbeats over the interval.
--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -306,13 +306,14 @@
             if held is not None and (not held.local or found.owner in self.peers):
                 self._drop(found.slice, f"the table names {found.owner or 'no owner'}")
             return
-        if held is not None and held.term == found.term and not held.local:
+        if held is None or held.local:
+            # Claimed next with a higher term: what was started under this one may not be known.
+            return
+        if held.term == found.term:
             held.confirmed = asked
             held.workers = frozenset(found.workers)
-            return
-        if held is not None:
+        else:
             self._drop(found.slice, f"superseded by term {found.term}")
-        self._gain(found, row.version)
 
     def _gain(self, row: SliceRow, version: int) -> None:
         now = self._clock.seconds()
@@ -359,7 +360,7 @@
                 self._orphaned.pop(name, None)
                 continue
             since = self._orphaned.setdefault(name, now)
-            mine = candidate == self.identity.entry
+            mine = self.identity.entry in {candidate, self._find_owner(name)}
             # Another candidate steps in when the wanted one does not claim in time.
             if mine or now - since >= ORPHAN_SECONDS:
                 await self._claim(name)
@@ -369,9 +370,16 @@
         if entry is None or not entry[0].owner:
             return True
         row = entry[0]
+        if row.owner == self.identity.entry:
+            held = self.tenures.get(name)
+            return held is None or held.local
         owner = self.peers.get(row.owner)
         return owner is None or owner.incarnation != row.incarnation
 
+    def _find_owner(self, name: SliceName) -> EntryId:
+        """Return the owner that the slice row names, if any."""
+        return self._rows[name][0].owner if name in self._rows else EntryId("")
+
     async def _claim(self, name: SliceName, least_term: int = 0) -> None:
         last, version = self._rows.get(name, (None, 0))
         term = max((last.term if last else 0) + 1, least_term)
@@ -474,9 +482,11 @@
         known = {e for e, s in self._sightings.items() if s.row.zone == zone}
         candidates = (alive & known) | {self.identity.entry}
         for name in self.list_slices():
-            owner = self._rows[name][0].owner if name in self._rows else EntryId("")
+            owner = self._find_owner(name)
             first = next(islice(rank_candidates(name, candidates), 1))
-            if name not in self.tenures and owner not in alive and first == self.identity.entry:
+            dropped = owner == self.identity.entry
+            orphaned = owner not in alive and first == self.identity.entry
+            if name not in self.tenures and (dropped or orphaned):
                 self._take_locally(name, now)
 
     def _take_locally(self, name: SliceName, now: float) -> None:
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -296,8 +296,12 @@
         seconds: float = 5.0,
         retries: int = 0,
         again: bool = False,
+        persist: bool = False,
     ) -> Told:
-        """Send a call and keep what its caller is told; unknown outcomes are retried."""
+        """Send a call and keep what its caller is told; unknown outcomes are retried.
+
+        A caller that persists retries after `not_run` as well.
+        """
         request = name or f"call-{len(self.calls)}"
         body = msgspec.json.encode({"run_ms": run_ms, "name": request})
         told = Told(request, body, idempotent, again=again, asked=self.clock.seconds())
@@ -316,7 +320,7 @@
             )
             return Deferred.fromCoroutine(target.entry.call(request))
 
-        self._ask(told, ask, node, retries)
+        self._ask(told, ask, node, retries, persist)
         return told
 
     def submit(self, spec: JobSpec, node: Node | None = None, *, retries: int = 0) -> Told:
@@ -338,12 +342,20 @@
         return told
 
     def _ask(
-        self, told: Told, ask: Callable[[Node], "Deferred[Any]"], node: Node | None, retries: int
+        self,
+        told: Told,
+        ask: Callable[[Node], "Deferred[Any]"],
+        node: Node | None,
+        retries: int,
+        persist: bool = False,
     ) -> None:
         """Ask an entry instance, and another one when the outcome stays unknown."""
         ready = self.list_ready()
         target = node or (self.random.choice(ready) if ready else None)
         told.attempts += 1
+        if target is None and told.attempts <= retries:
+            self.clock.callLater(RETRY_SECONDS, self._ask, told, ask, None, retries, persist)
+            return
         if target is None:
             told.outcome = Outcome.NOT_RUN if told.attempts == 1 else Outcome.UNKNOWN
             return
@@ -351,8 +363,9 @@
 
         def settle(value: Any) -> None:
             outcome, reason, answer = read_result(value)
-            if outcome is Outcome.UNKNOWN and told.attempts <= retries:
-                self.clock.callLater(RETRY_SECONDS, self._ask, told, ask, None, retries)
+            again = outcome is Outcome.UNKNOWN or (persist and outcome is Outcome.NOT_RUN)
+            if again and told.attempts <= retries:
+                self.clock.callLater(RETRY_SECONDS, self._ask, told, ask, None, retries, persist)
                 return
             told.outcome, told.reason, told.answer = outcome, reason, answer
             told.ended = self.clock.seconds()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -141,21 +141,25 @@
         cell.run(3)
         owner = cell.get_owner("z0/0")
         (other,) = [node for node in cell.list_ready() if node is not owner]
-        cell.submit(make_job("job", 4, run_ms=60_000))
+        cell.submit(make_job("job", 6, run_ms=600_000))
         cell.run(2)
-        self.assertEqual(len(cell.find_runs("job")), 4)
+        places = list(cell.find_runs("job").values())
+        full = max(cell.workers, key=places.count)
+        (rest,) = cell.workers.keys() - {full}
         # The other one takes one worker locally, the owner learns of it and drops the slice.
         cell.table.faults.down = True
         cell.set_cut(owner, other)
-        cell.roads.cuts.add((owner.name, "z0w0"))
-        cell.roads.cuts.add((other.name, "z0w1"))
-        self.assertTrue(cell.run(15, until=lambda: cell.workers["z0w0"].owner == other.name))
-        cell.roads.cuts.discard((owner.name, "z0w0"))
+        cell.roads.cuts.update(((owner.name, full), (other.name, rest)))
+        self.assertTrue(cell.run(15, until=lambda: cell.workers[full].owner == other.name))
+        cell.roads.cuts.discard((owner.name, full))
         self.assertTrue(cell.run(5, until=lambda: "z0/0" not in owner.entry.slices))
+        cell.roads.cuts.add((owner.name, full))
         cell.table.faults.down = False
         cell.run(15)
+        cell.roads.cuts.clear()
+        cell.run(15)
+        self.assertEqual(len(cell.find_runs("job")), 6)
         self.assertEqual(set(cell.checks.starts.values()), {1})
-        self.assertEqual(len(cell.find_runs("job")), 4)
 
 
 class LocalTakeoverTest(unittest.TestCase):
@@ -183,6 +187,22 @@
         cell.run(3)
         self.assertIs(told.outcome, Outcome.DONE)
 
+    def test_dropped_slice(self) -> None:
+        # Its owner dropped it for a local takeover and that one dies: the owner takes it back.
+        cell = Cell(entries=2, zones=1)
+        cell.run(3)
+        owner = cell.get_owner("z0/0")
+        (other,) = [node for node in cell.list_ready() if node is not owner]
+        cell.table.faults.down = True
+        cell.pause(owner)
+        self.assertTrue(cell.run(15, until=lambda: cell.list_owners("z0/0") == [owner, other]))
+        cell.run(5)
+        cell.resume(owner)
+        self.assertTrue(cell.run(5, until=lambda: "z0/0" not in owner.entry.slices))
+        cell.kill(other)
+        cell.run(12)
+        self.assertEqual({worker.owner for worker in cell.workers.values()}, {owner.name})
+
 
 class LostAcknowledgementTest(unittest.TestCase):
     """A write of the ownership took effect and its acknowledgement was lost."""
