Bound a graceful shutdown and place work meanwhile

Cause: the two waits for calls took up to 15 s each, the release of slices and the removal of the liveness row had no limit, so that a shutdown with a long call took 33 s and more; and the slices of an instance that waits for its calls placed nothing. Change: both waits share 13 s, the other steps have limits that add up to 20 s, and slices place work until they are released. Conclusion: a shutdown ends within 20 s and cuts off no call that ends within 13 s.

--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -75,8 +75,11 @@
 CONFIG_SECONDS = 0.5
 SILENCE_SECONDS = 0.25
 RECONCILE_SECONDS = 1.0
-DRAIN_SECONDS = 15.0
+# The steps of a shutdown, which takes 20 s at most in all.
+DRAIN_SECONDS = 13.0
 FLUSH_SECONDS = 3.0
+RELEASE_SECONDS = 2.0
+LEAVE_SECONDS = 1.0
 POLL_SECONDS = 0.05
 
 
@@ -195,22 +198,29 @@
             server.draining = True
         self._send_heartbeat()
         self._send_summaries()
-        await self._wait_for(lambda: self.router.in_flight == 0, DRAIN_SECONDS)
+        limit = self.clock.seconds() + DRAIN_SECONDS
+        await self._wait_until(lambda: self.router.in_flight == 0, limit)
         for server in self.slices.values():
             server.calls.draining = True
-        await self._wait_for(self._is_idle, DRAIN_SECONDS)
-        for server in self.slices.values():
-            await DeferredList(server.book.flush(), consumeErrors=True)
-        flushing = self.commits.flush()
-        flushing.addTimeout(FLUSH_SECONDS, cast("Any", self.clock))
-        await DeferredList([flushing], consumeErrors=True)
-        for name in list(self.slices):
-            await self._release(name)
+        await self._wait_until(self._is_idle, limit)
+        ends = [flush for server in self.slices.values() for flush in server.book.flush()]
+        await self._finish([*ends, self.commits.flush()], FLUSH_SECONDS)
+        releases = [Deferred.fromCoroutine(self._release(name)) for name in list(self.slices)]
+        await self._finish(releases, RELEASE_SECONDS)
+        await self._finish([Deferred.fromCoroutine(self._leave())], LEAVE_SECONDS)
+        self.stop()
+
+    async def _finish(self, steps: "list[Deferred[None]]", seconds: float) -> None:
+        """Wait for steps of the shutdown, but not longer than their share of its time."""
+        done = DeferredList(steps, consumeErrors=True)
+        done.addTimeout(seconds, cast("Any", self.clock))
+        await DeferredList([done], consumeErrors=True)
+
+    async def _leave(self) -> None:
         try:
             await self.ownership.leave()
         except LavenderstallError as error:
             logger.warning("liveness row stays: %s", error)
-        self.stop()
 
     def stop(self) -> None:
         """Stop all periodic work at once."""
@@ -222,8 +232,7 @@
             server.stop()
         self.slices.clear()
 
-    async def _wait_for(self, is_done: Callable[[], bool], seconds: float) -> None:
-        limit = self.clock.seconds() + seconds
+    async def _wait_until(self, is_done: Callable[[], bool], limit: float) -> None:
         while not is_done() and self.clock.seconds() < limit:
             await sleep(self.clock, POLL_SECONDS)
 
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -949,7 +949,7 @@
 
     def _schedule(self) -> None:
         self._scheduled = False
-        if self.stopped or self.draining or self.tenure.local:
+        if self.stopped or self.tenure.local:
             return
         age = self._clock.seconds() - self.tenure.confirmed
         if age >= self._env.terms.outage_limit:
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -323,7 +323,14 @@
         self._ask(told, ask, node, retries, persist)
         return told
 
-    def submit(self, spec: JobSpec, node: Node | None = None, *, retries: int = 0) -> Told:
+    def submit(
+        self,
+        spec: JobSpec,
+        node: Node | None = None,
+        *,
+        retries: int = 0,
+        persist: bool = False,
+    ) -> Told:
         """Submit a job and keep what its caller is told."""
         told = Told(spec.id, asked=self.clock.seconds())
         self.jobs.append(told)
@@ -332,7 +339,7 @@
             retry = told.attempts > 1
             return Deferred.fromCoroutine(target.entry.desk.submit(spec, retry=retry))
 
-        self._ask(told, ask, node, retries)
+        self._ask(told, ask, node, retries, persist)
         return told
 
     def cancel(self, job: str, node: Node | None = None) -> Told:
