Spread liveness renewals of a large fleet that starts together

Cause: 150 entry instances that start within a second renew their rows every 3 s, all in the same second, so that the table saw 300 writes in one second at full load; at most 200 are allowed. Change: once an entry instance has seen that the interval is above one second, one renewal comes at another time, by the rank of a hash of its name. Small fleets renew every second as before.

--- a/bench/store_writes.py
+++ b/bench/store_writes.py
@@ -37,7 +37,7 @@
 class Writer:
     """An entry instance without slices' work: its liveness row, ownership and group commit."""
 
-    def __init__(self, number: int, table: Table, clock: Clock, random: Random) -> None:
+    def __init__(self, number: int, table: Table, clock: Clock, delay: float) -> None:
         name = EntryId(f"entry-{number}")
         zone = ZoneName(f"z{number % ZONES + 1}")
         identity = Identity(name, Incarnation(f"{name}.1"), zone, f"tcp://{name}", f"http://{name}")
@@ -55,7 +55,7 @@
         )
         self._numbers = count()
         # Processes do not start in the same instant.
-        clock.callLater(random.random(), self.ownership.start)
+        clock.callLater(delay, self.ownership.start)
 
     def fill(self, result: object = None) -> None:
         """Keep one write waiting, so that each transaction that may be sent is sent."""
@@ -68,7 +68,7 @@
     clock, random = Clock(), Random(seed)
     table = Table(clock, UNBOUNDED, UNBOUNDED)
     for number in range(entries):
-        writer = Writer(number, table, clock, random)
+        writer = Writer(number, table, clock, random.random())
         # Work comes once the entry instances have seen each other's rows.
         clock.callLater(2 + random.random(), writer.fill)
     while clock.seconds() < seconds:
--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -166,7 +166,7 @@
         self._racks_version = 0
         self._listed_racks: frozenset[RackName] = frozenset()
         self._beat = 0
-        self._beat_version = 0
+        self._is_spread = False
         self._last_beat = float("-inf")
         self._running = False
         self._loop = make_loop(clock, self.step)
@@ -224,8 +224,7 @@
             self._running = False
 
     async def _renew(self) -> None:
-        now = self._clock.seconds()
-        if now - self._last_beat < self.get_interval() - TICK_SECONDS / 2:
+        if (now := self._clock.seconds()) - self._last_beat < self._get_pause():
             return
         self._beat += 1
         me = self.identity
@@ -237,8 +236,22 @@
             # A renewal that took effect twice is harmless, so the next tick renews again.
             logger.info("renewal: %s", error)
             return
+        self._is_spread = self.get_interval() > TICK_SECONDS
         self._last_beat = now
 
+    def _get_pause(self) -> float:
+        """Return the seconds from the last renewal to the next.
+
+        Large fleets that start together would renew in the same second from then on, so that
+        one renewal comes at another time, by the rank of a hash.
+        """
+        interval = self.get_interval()
+        if self._beat and not self._is_spread and interval > TICK_SECONDS:
+            ranked = sorted(self._sightings, key=lambda entry: crc32(entry.encode()))
+            rank = ranked.index(self.identity.entry) + 0.5
+            return TICK_SECONDS + interval * rank / len(ranked)
+        return interval - TICK_SECONDS / 2
+
     async def _read_rows(self) -> None:
         entries = await self._store.scan(PREFIX_ENTRY)
         # The slice rows are read after anything that was read before this step.
