Show previews, traces and open jobs without false statements

The preview of an undo said 'change 4, done', though nothing was done; it now says 'would be change 4'. status showed the open tasks of a job as waiting while they ran, because the table holds ends only; a note says so and names the query that tells them apart. Traces listed attributes without a value, and diff said '1 item differ'.

--- a/lavenderstall/commands.py
+++ b/lavenderstall/commands.py
@@ -11,7 +11,14 @@
 import msgspec
 
 from lavenderstall.access import make_token
-from lavenderstall.bodies import ApplyAnswer, ApplyRequest, JobRequest, SpanInfo, TraceAnswer
+from lavenderstall.bodies import (
+    ApplyAnswer,
+    ApplyRequest,
+    JobAnswer,
+    JobRequest,
+    SpanInfo,
+    TraceAnswer,
+)
 from lavenderstall.client import Client
 from lavenderstall.declarations import Declared, Source, find_dangling, read_declarations
 from lavenderstall.errors import BadRequestError
@@ -133,7 +140,9 @@
 
 def _count(answer: ApplyAnswer) -> str:
     number = len(answer.differences)
-    return "no item differs" if not number else f"{number} item{'s' * (number > 1)} differ"
+    if number > 1:
+        return f"{number} items differ"
+    return f"{number or 'no'} item differs"
 
 
 def apply(session: Session, options: Namespace) -> Status:
@@ -214,11 +223,22 @@
     return Status.OK
 
 
+def describe_open(answer: JobAnswer) -> str:
+    """Return what the counts of a job leave open, since the table holds ends of tasks only."""
+    if answer.job is None:
+        return f"job {answer.id} is accepted; no owner reports on it yet"
+    if not answer.job.waiting:
+        return ""
+    return (
+        f"{answer.job.waiting} have not ended; to see which run: show jobs where id = {answer.id}"
+    )
+
+
 def status(session: Session, options: Namespace) -> Status:
     """Show the state of a job."""
     answer = session.client.get_job(JobId(options.job))
     rows = (answer.job,) if answer.job else ()
-    note = "" if answer.job else f"job {answer.id} is accepted; no owner reports on it yet"
+    note = describe_open(answer)
     table = Answer(
         JobInfo.COLUMNS, rows, len(rows), parts=answer.parts, missing=answer.missing, note=note
     )
@@ -265,7 +285,7 @@
     stack = [(0, span) for span in reversed(children.pop("", []))]
     while stack:
         depth, span = stack.pop()
-        details = " ".join(f"{name}={value}" for name, value in span.attributes.items())
+        details = " ".join(f"{name}={value}" for name, value in span.attributes.items() if value)
         where = f" {span.owner}" if span.owner else ""
         line = f"{'  ' * depth}{span.name}{where} {span.duration_us / 1000:.2f}ms {details}"
         lines.append(line.rstrip())
--- a/lavenderstall/inventory.py
+++ b/lavenderstall/inventory.py
@@ -304,7 +304,8 @@
     """Answer a statement.
 
     `total` counts the rows before the limit. A command sets `change` and `differences`;
-    `committed` is false for previews and for commands that changed nothing.
+    `committed` is false for previews and for commands that changed nothing; `preview` tells that
+    `change` is what would be made.
     """
 
     columns: tuple[str, ...] = ()
@@ -317,6 +318,7 @@
     committed: bool = False
     version: Version = Version(0)
     note: str = ""
+    preview: bool = False
 
 
 def make_change_info(change: Change, now_unix_ms: int) -> ChangeInfo:
--- a/lavenderstall/query/execution.py
+++ b/lavenderstall/query/execution.py
@@ -143,6 +143,7 @@
         committed=applied.committed,
         version=applied.version,
         note=note if applied.change else "nothing to change",
+        preview=applied.change is not None and not applied.committed,
     )
 
 
--- a/lavenderstall/query/formatters/table.py
+++ b/lavenderstall/query/formatters/table.py
@@ -144,7 +144,9 @@
     def format(self, answer: Answer, *, colour: bool = False) -> str:
         """Return the lines of an answer."""
         lines: list[str] = []
-        if answer.change:
+        if answer.change and answer.preview:
+            lines.append(f"would be change {answer.change.id}")
+        elif answer.change:
             lines += _format_change(answer.change, answer.committed)
         elif answer.rows:
             columns = [name for name in answer.columns if name not in BELOW]
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -28,19 +28,21 @@
 )
 from lavenderstall.changes import ChangeRefusedError, ItemKey, OvertakenError
 from lavenderstall.cmdline import join_words, main
-from lavenderstall.commands import HELP, Session, Status
+from lavenderstall.commands import HELP, Session, Status, describe_open
 from lavenderstall.configuration import Configuration, ConfigurationView, Draft
 from lavenderstall.declarations import Source, read_declarations
 from lavenderstall.errors import Outcome
-from lavenderstall.identifiers import EntryId, RequestId, ZoneName
+from lavenderstall.identifiers import EntryId, JobId, RequestId, TeamName, ZoneName
 from lavenderstall.inventory import (
     Answer,
     EntryInfo,
     EntryState,
     Inventory,
+    JobInfo,
     MissingPart,
     make_change_info,
 )
+from lavenderstall.protocol import Kind, TaskState
 from lavenderstall.query.evaluation import evaluate
 from lavenderstall.query.execution import execute
 from lavenderstall.query.parser import parse_statement
@@ -55,7 +57,14 @@
     RequestId("q"),
     (
         SpanInfo("forward", "2", "1", EntryId("e2"), start_unix_us=5, duration_us=1500),
-        SpanInfo("call", "1", "", EntryId("e1"), duration_us=2500, attributes={"service": "s"}),
+        SpanInfo(
+            "call",
+            "1",
+            "",
+            EntryId("e1"),
+            duration_us=2500,
+            attributes={"service": "s", "reason": ""},
+        ),
     ),
 )
 
@@ -159,6 +168,7 @@
         for arguments, status, words in (
             (("check", file), 0, "1 declarations are valid"),
             (("diff", file), 1, "+ team/t"),
+            (("diff", file), 1, "1 item differs from version 0"),
             (("apply", file, "--reason", "new team"), 0, "accepted as change 1"),
             (("apply", file), 0, "nothing to change from version 1"),
             (("diff", file), 0, "no item differs from version 1"),
@@ -169,6 +179,7 @@
                 "weight: 1 -> 3",
             ),
             (("query", "show change 2"), 0, "reason: it grows"),
+            (("undo", "2", "--preview"), 0, "would be change 3\n~ team/t"),
             (("undo", "2", "--preview"), 0, "preview: nothing was changed"),
             (("undo", "1", "--reason", "x"), 3, "change 2 by ana (it grows) touches team/t"),
             (("undo", "2", "--reason", "too early"), 0, "weight: 3 -> 1"),
@@ -243,6 +254,14 @@
             ["call e1 2.50ms service=s", "  forward e2 1.50ms"],
         )
 
+    def test_status_of_a_job_that_has_not_ended(self) -> None:
+        job = JobInfo(JobId("n1"), TeamName("t"), Kind.BATCH, TaskState.WAITING, tasks=3, waiting=2)
+        text = describe_open(JobAnswer(job.id, job))
+        self.assertIn("2 have not ended", text)
+        parse_statement(text.partition(": ")[2])
+        ended = msgspec.structs.replace(job, waiting=0)
+        self.assertEqual(describe_open(JobAnswer(job.id, ended)), "")
+
     def test_token_matches_its_hash(self) -> None:
         status, out, _ = self.main("token", "ana")
         token, hashed = (line.partition(": ")[2] for line in out.splitlines())
