--- a/lavenderstall/machines.py
+++ b/lavenderstall/machines.py
@@ -72,6 +72,7 @@
         self.workers: dict[WorkerId, WorkerState] = {}
         self.groups: dict[GroupKey, Group] = {}
         self.racks: dict[RackName, Rack] = {}
+        self.zones: dict[ZoneName, dict[ServiceName, int]] = {}
         self.hosts: dict[ServiceName, dict[WorkerId, WorkerState]] = {}
         self.capacity = NOTHING
         self.used = NOTHING
@@ -85,6 +86,8 @@
         self.find_hold: Callable[[WorkerId, TaskRequest, float], bool] | None = None
         self.freed: dict[WorkerId, WorkerState] = {}
         self.touched_teams: dict[TeamName, None] = {}
+        self._rack_ring: list[Rack] = []
+        self._rack_cursor = 0
         self._matches: dict[tuple[str, frozenset[str], frozenset[ZoneName]], list[Group]] = {}
         for worker in workers:
             self.add_worker(worker)
@@ -99,6 +102,7 @@
         rack = self.racks.get(worker.rack)
         if rack is None:
             rack = self.racks[worker.rack] = Rack(worker.rack, worker.zone)
+            self._rack_ring.append(rack)
         rack.workers[worker.id] = worker
         self._enter_group(worker)
 
@@ -113,6 +117,7 @@
         del rack.workers[worker_id]
         if not rack.workers:
             del self.racks[worker.rack]
+            self._rack_ring.remove(rack)
         del self.workers[worker_id]
         self.freed.pop(worker_id, None)
         self.reserved.pop(worker_id, None)
@@ -157,8 +162,7 @@
         charge = make_charge(task, what, now)
         worker.tasks[task] = charge
         self._use(worker, charge, charge.resources)
-        if charge.service:
-            self._count_service(worker, charge, 1)
+        self._count_service(worker, charge, 1)
 
     def release(self, worker_id: WorkerId, task: TaskId) -> Resources:
         """Give back what a task took; return it."""
@@ -167,8 +171,7 @@
         if charge is None:
             raise StateError(f"task {task} is not charged", step="release", peer=worker_id)
         self._use(worker, charge, NOTHING.subtract(charge.resources))
-        if charge.service:
-            self._count_service(worker, charge, -1)
+        self._count_service(worker, charge, -1)
         self.freed[worker_id] = worker
         return charge.resources
 
@@ -202,6 +205,15 @@
             ]
         return found
 
+    def list_racks(self, limit: int) -> list[Rack]:
+        """Return all racks, or the next ones in turn if there are more than the limit."""
+        ring = self._rack_ring
+        if len(ring) <= limit:
+            return ring
+        begin = self._rack_cursor % len(ring)
+        self._rack_cursor = begin + limit
+        return ring[begin : begin + limit] + ring[: max(begin + limit - len(ring), 0)]
+
     def reserve(self, kind: Kind, reservation: Reservation) -> None:
         """Hold workers for a request in place of the earlier one of that kind."""
         self.cancel_reservation(kind)
@@ -274,26 +286,28 @@
             worker.group.index.move(worker)
         if charge.kind is not None:
             team, kind = charge.team, charge.kind
-            self.team_used[team] = self.team_used.get(team, NOTHING).add(amount)
-            lane = (kind, team)
-            self.kind_used[kind] = self.kind_used.get(kind, NOTHING).add(amount)
-            self.lane_used[lane] = self.lane_used.get(lane, NOTHING).add(amount)
+            add_up(self.team_used, team, amount)
+            add_up(self.kind_used, kind, amount)
+            add_up(self.lane_used, (kind, team), amount)
             self.touched_teams[team] = None
 
     def _count_service(self, worker: WorkerState, charge: Charge, step: int) -> None:
         rack = self.racks[worker.rack]
+        target = rack.repelled if charge.repels_rack else worker.repelled
+        for other in charge.repels:
+            count_up(target, other, step)
         name = charge.service
+        if not name:
+            return
         count_up(worker.services, name, step)
         count_up(rack.services, name, step)
+        count_up(self.zones.setdefault(worker.zone, {}), name, step)
         if name in worker.services:
             self.hosts.setdefault(name, {})[worker.id] = worker
         else:
             self.hosts[name].pop(worker.id, None)
             if not self.hosts[name]:
                 del self.hosts[name]
-        target = rack.repelled if charge.repels_rack else worker.repelled
-        for other in charge.repels:
-            count_up(target, other, step)
 
 
 def make_charge(task: TaskId, what: TaskRequest | Resources, now: float) -> Charge:
--- a/lavenderstall/metrics.py
+++ b/lavenderstall/metrics.py
@@ -58,7 +58,7 @@
         for name, amount in sorted(self.counters.items()):
             yield f"{make_name(name)}_total {amount}"
         for name, read in sorted(self._gauges.items()):
-            yield f"{make_name(name)} {read():g}"
+            yield f"{make_name(name)} {read():.12g}"
         for key, histogram in sorted(self._histograms.items()):
             name = make_name(key)
             for percentile in PERCENTILES:
--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -30,8 +30,12 @@
 logger = logging.getLogger(__name__)
 
 REASON_VOID = "void"
+REASON_INCARNATION = "incarnation"
 REPEAT_SECONDS = 0.05
 BIND_SECONDS = 2.0
+# Share of the time to the deadline that a call may wait before it is sent; a refusal after that
+# still reaches the caller before the deadline makes the outcome unknown.
+WAIT_SHARE = 0.8
 
 OUTCOMES = {
     Outcome.DONE: CallOutcome.COMPLETE,
@@ -44,6 +48,9 @@
 class Commits(Protocol):
     """Write rows through the group commit."""
 
+    def is_stalled(self) -> bool:
+        """Tell whether writes wait because the table service took none of late."""
+
     def submit(
         self,
         conditions: Iterable[Condition] = (),
@@ -145,7 +152,14 @@
         started = self._clock.seconds()
         outcome = Outcome.FAILED
         try:
-            answer = await self._run(forward, deadline)
+            bound = None if forward.idempotent else await self._find_binding(forward, deadline)
+        except Exception:
+            # What the table service does tells nothing about the load of the workers.
+            self._finish(call, started, outcome)
+            raise
+        started = self._clock.seconds()
+        try:
+            answer = await self._run(forward, bound, deadline)
             outcome = answer.outcome
             return answer
         except RefusedError as error:
@@ -155,8 +169,11 @@
             outcome = Outcome.UNKNOWN
             raise
         finally:
-            now = self._clock.seconds()
-            self._apply(self._limits.finish(call.service, OUTCOMES[outcome], now - started, now))
+            self._finish(call, started, outcome)
+
+    def _finish(self, call: Call, started: float, outcome: Outcome) -> None:
+        now = self._clock.seconds()
+        self._apply(self._limits.finish(call.service, OUTCOMES[outcome], now - started, now))
 
     async def _admit(self, call: Call) -> None:
         admitted = self._limits.admit(call, self._clock.seconds())
@@ -167,7 +184,7 @@
         waiting: Deferred[None] = Deferred()
         self._waiting[call.attempt] = waiting
         remaining = call.deadline.get_remaining_ms(self._clock.seconds()) / 1000
-        timer = self._clock.callLater(remaining, self._expire, call)
+        timer = self._clock.callLater(WAIT_SHARE * remaining, self._expire, call)
         try:
             await waiting
         finally:
@@ -198,15 +215,19 @@
             if waiting is not None:
                 waiting.callback(None)
 
-    async def _run(self, forward: CallForward, deadline: Deadline) -> CallAnswer:
-        if forward.idempotent:
-            return await self._send(forward, self._choose(forward.service), deadline)
-        repeated = forward.retry
+    async def _find_binding(self, forward: CallForward, deadline: Deadline) -> tuple[Binding, bool]:
+        """Return the worker that runs a request, and whether an earlier attempt may have run."""
         if forward.worker:
-            binding = Binding(self.name, forward.worker, forward.incarnation)
-        else:
-            binding, bound_before = await self._bind(forward)
-            repeated = repeated or bound_before
+            return Binding(self.name, forward.worker, forward.incarnation), forward.retry
+        binding, bound_before = await self._bind(forward, deadline)
+        return binding, forward.retry or bound_before
+
+    async def _run(
+        self, forward: CallForward, bound: tuple[Binding, bool] | None, deadline: Deadline
+    ) -> CallAnswer:
+        if bound is None:
+            return await self._send(forward, self._choose(forward.service), deadline)
+        binding, repeated = bound
         if binding.slice != self.name:
             return CallAnswer(
                 forward.call,
@@ -260,8 +281,16 @@
             content_type=answer.content_type,
         )
 
-    async def _bind(self, forward: CallForward) -> tuple[Binding, bool]:
+    async def _bind(self, forward: CallForward, deadline: Deadline) -> tuple[Binding, bool]:
         """Commit which worker runs a request; tell whether an earlier attempt did so."""
+        if self._commits.is_stalled():
+            # Calls that waited here in an outage held the slots of calls that need no row.
+            raise RefusedError(
+                "the table service takes no writes",
+                step="bind",
+                reason="store_unavailable",
+                retry_after_ms=1000,
+            )
         link = self._choose(forward.service)
         key = make_once_key(forward.team, forward.request)
         row = OnceRow(
@@ -272,9 +301,11 @@
             self._make_nonce(),
             self._read_unix(),
         )
+        remaining = deadline.get_remaining_ms(self._clock.seconds()) / 1000
+        timeout = min(BIND_SECONDS, WAIT_SHARE * remaining)
         try:
             await self._commits.submit(
-                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=BIND_SECONDS
+                [Condition(key, 0)], [Put(key, encode_row(row))], timeout=timeout
             )
         except ConflictError:
             return await self._read_binding(forward.team, forward.request), True
@@ -313,13 +344,7 @@
         while True:
             link = self._links.get(binding.worker)
             if link is not None and link.incarnation not in {"", binding.incarnation}:
-                raise RefusedError(
-                    "the worker lost its record of the request",
-                    step="send",
-                    peer=binding.worker,
-                    reason="incarnation",
-                    outcome=Outcome.UNKNOWN,
-                )
+                raise refuse_restarted(binding)
             try:
                 if link is None:
                     raise RefusedError(
@@ -336,7 +361,9 @@
                     raise
                 if not repeated:
                     raise
-                if link is not None and await self._is_void(link, forward.request):
+                if error.reason == REASON_INCARNATION:
+                    raise refuse_restarted(binding) from error
+                if link is not None and await self._is_void(link, forward.request, binding):
                     raise RefusedError(
                         "the worker refuses this request from now on",
                         step="send",
@@ -350,10 +377,25 @@
             raise AnswerLostError("the deadline passed", step="await answer")
         await sleep(self._clock, REPEAT_SECONDS)
 
-    async def _is_void(self, link: WorkerLink, request: RequestId) -> bool:
-        """Tell whether the worker now refuses the request for good."""
+    async def _is_void(self, link: WorkerLink, request: RequestId, binding: Binding) -> bool:
+        """Tell whether the bound worker incarnation now refuses the request for good."""
         try:
-            return await link.void_request(request) == "void"
+            return await link.void_request(request, binding.incarnation) == "void"
+        except RefusedError as error:
+            if error.reason == REASON_INCARNATION:
+                raise refuse_restarted(binding) from error
+            return False
         except LavenderstallError as error:
             logger.info("void of %s: %s", request, error)
             return False
+
+
+def refuse_restarted(binding: Binding) -> RefusedError:
+    """Return the refusal of a request whose worker has lost its record of it."""
+    return RefusedError(
+        "the worker lost its record of the request",
+        step="send",
+        peer=binding.worker,
+        reason=REASON_INCARNATION,
+        outcome=Outcome.UNKNOWN,
+    )
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -32,7 +32,7 @@
 )
 from lavenderstall.ownership import Identity
 from lavenderstall.protocol import EntryMember, Kind, MemberState, TaskState, WorkerMember
-from lavenderstall.records import JobSpec
+from lavenderstall.records import JobSpec, WorkRow, decode_row
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Item, Service
 from lavenderstall.traces import Traces
@@ -295,11 +295,12 @@
         run_ms: int = 20,
         seconds: float = 5.0,
         retries: int = 0,
+        again: bool = False,
     ) -> Told:
         """Send a call and keep what its caller is told; unknown outcomes are retried."""
         request = name or f"call-{len(self.calls)}"
         body = msgspec.json.encode({"run_ms": run_ms, "name": request})
-        told = Told(request, body, idempotent, asked=self.clock.seconds())
+        told = Told(request, body, idempotent, again=again, asked=self.clock.seconds())
         self.calls.append(told)
 
         def ask(target: Node) -> "Deferred[Any]":
@@ -311,7 +312,7 @@
                 deadline,
                 body,
                 idempotent,
-                told.attempts > 1,
+                again or told.attempts > 1,
             )
             return Deferred.fromCoroutine(target.entry.call(request))
 
@@ -412,3 +413,10 @@
         idempotent=idempotent,
         payload=payload,
     )
+
+
+def read_open(cell: Cell, job: str) -> list[int]:
+    """Return the tasks of a job that have not ended, as the table holds them."""
+    rows = cell.table._scan("work/").rows
+    works = [decode_row(row, WorkRow) for row in rows if row.key.endswith(f"/{job}")]
+    return [index for work in works for index in work.list_open()]
