Bound the work that headroom causes in each pass

Cause: with 470 teams an event took 48 ms, because a kind over its share counted each of its teams as beyond its fair part even if no other kind ran, and each was asked again at every event. It also kept room free for nobody. Change: a kind keeps headroom for other kinds only, a team from 5% of the slice on; the amount is measured once for each team, and after 16 teams are held the rest of the kind waits for the next event. Figures of floods and waits at 95% are unchanged.

--- a/lavenderstall/headroom.py
+++ b/lavenderstall/headroom.py
@@ -1,7 +1,5 @@
 """Room that work beyond its fair part leaves free for the arrivals of others."""
 
-from collections.abc import Mapping
-
 from lavenderstall.identifiers import TeamName
 from lavenderstall.lanes import measure_dominant
 from lavenderstall.machines import SliceState
@@ -20,31 +18,42 @@
 KIND_OVER = 1.5
 """A kind is beyond its fair part at this many times its share."""
 
+LEAST_USE = 0.05
+"""Part of the slice from which a team may be flooding; one task of many teams is no flood."""
 FLOOD_WAITING = 8
 """Waiting requests from which a team may be flooding; few large gangs are no flood."""
 
 
-def is_beyond(
-    state: SliceState, kind: Kind, team: TeamName, weights: Mapping[TeamName, float], share: float
-) -> bool:
-    """Tell whether a team, or its kind as a whole, uses far more than others that are active."""
-    used = measure_dominant(state.kind_used.get(kind, NOTHING), state.capacity)
+def measure_kept(
+    state: SliceState, kind: Kind, team: TeamName, weights: tuple[float, float], share: float
+) -> float:
+    """Return the part that a team leaves free for others, 0 within its fair part.
+
+    The weights are that of the team and the sum of those of all active teams of the kind.
+    """
+    of_kind = state.kind_used.get(kind, NOTHING)
+    used = measure_dominant(of_kind, state.capacity)
+    kept = 0.0
     if used > share * KIND_OVER:
-        return True
-    mine = measure_dominant(state.lane_used.get((kind, team), NOTHING), state.capacity)
-    weight = weights.get(team, 0.0)
-    others = sum(weights.values()) - weight
-    if not weight or others <= 0:
-        return False
-    return mine / weight > TEAM_OVER * max(used - mine, 0.0) / others
+        kept = measure_others(state, of_kind)
+    of_team = state.lane_used.get((kind, team), NOTHING)
+    mine = measure_dominant(of_team, state.capacity)
+    weight, others = weights[0], weights[1] - weights[0]
+    if mine >= LEAST_USE and others > 0:
+        mean = max(used - mine, 0.0) / others
+        if mine / weight > TEAM_OVER * mean:
+            kept = max(kept, measure_others(state, of_team))
+    return kept
+
+
+def measure_others(state: SliceState, used: Resources) -> float:
+    """Return the headroom that what others use asks for."""
+    others = measure_dominant(state.used.subtract(used), state.capacity)
+    return min(HEADROOM, PART_OF_OTHERS * others)
 
 
-def check_headroom(state: SliceState, request: TaskRequest) -> Reason | None:
+def check_headroom(state: SliceState, request: TaskRequest, kept: float) -> Reason | None:
     """Return why a request beyond its fair part has to wait for others, or none."""
-    lane = (request.kind, request.team)
-    mine = state.lane_used.get(lane, NOTHING)
-    others = measure_dominant(state.used.subtract(mine), state.capacity)
-    kept = min(HEADROOM, PART_OF_OTHERS * others)
     free = measure_free(request.resources, list_groups(state, request))
     if free >= kept:
         return None
--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -211,17 +211,35 @@
 class KindLanes:
     """Lanes of one kind in order of their weighted use."""
 
-    __slots__ = ("active", "heap", "held", "kind", "lanes", "open_waiting", "waiting")
+    __slots__ = (
+        "active",
+        "active_weight",
+        "heap",
+        "held",
+        "kind",
+        "lanes",
+        "open_waiting",
+        "waiting",
+    )
 
     def __init__(self, kind: Kind) -> None:
         self.kind = kind
         self.lanes: dict[TeamName, Lane] = {}
         self.heap: list[tuple[float, int, int, Lane]] = []
         self.active: dict[TeamName, float] = {}
+        self.active_weight = 0.0
         self.held: dict[Lane, None] = {}
         self.open_waiting = 0
         self.waiting = 0
 
+    def set_active(self, team: TeamName, weight: float) -> None:
+        """Note the weight of a team that uses something, 0 if it does not any more."""
+        self.active_weight += weight - self.active.pop(team, 0.0)
+        if weight:
+            self.active[team] = weight
+        if not self.active:
+            self.active_weight = 0.0
+
     def enter(self, lane: Lane, key: float, number: int) -> None:
         """Give a lane a place in the order, and void its earlier one."""
         lane.stamp += 1
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -5,7 +5,7 @@
 from math import inf
 
 from lavenderstall.errors import LavenderstallError
-from lavenderstall.headroom import FLOOD_WAITING, check_headroom, is_beyond
+from lavenderstall.headroom import FLOOD_WAITING, check_headroom, measure_kept
 from lavenderstall.identifiers import JobId, TaskId, TeamName
 from lavenderstall.lanes import (
     Backlog,
@@ -31,6 +31,8 @@
 SHARES = {Kind.SERVICE: 0.4, Kind.BATCH: 0.3, Kind.GANG: 0.3}
 """Guaranteed part of the slice for each kind."""
 
+HELD_LANES = 16
+"""Teams of a kind that are asked to leave headroom before the others have to wait as well."""
 EXACT_SHAPES = 512
 """Beyond this number shapes are rounded, because each event compares room with all closed ones.
 
@@ -290,10 +292,9 @@
         """Give the lanes of a team their place by what it uses now."""
         settings = self._teams.get(team)
         for kind in self.kinds.values():
-            if (kind.kind, team) in state.lane_used:
-                kind.active[team] = settings.weight if settings else 1.0
-            else:
-                kind.active.pop(team, None)
+            uses = (kind.kind, team) in state.lane_used
+            weight = settings.weight if settings else 1.0
+            kind.set_active(team, weight if uses else 0.0)
             lane = kind.lanes.get(team)
             if lane is not None:
                 kind.enter(lane, self._measure_lane(lane, state), next(self._numbers))
@@ -330,26 +331,33 @@
                 kind.enter(lane, key, next(self._numbers))
                 return waiting
             lane.parked = True
+            if len(kind.held) >= HELD_LANES:
+                break
         return None
 
+    def _measure_kept(self, lane: Lane, state: SliceState) -> float:
+        """Return the part of the slice that a team with a backlog leaves free."""
+        if lane.waiting < FLOOD_WAITING:
+            return 0.0
+        kind = lane.kind
+        weights = (kind.active.get(lane.team, 0.0) or 1.0, kind.active_weight)
+        share = self.shares.get(kind.kind, 0.0)
+        return measure_kept(state, kind.kind, lane.team, weights, share)
+
     def _find_head(self, lane: Lane, state: SliceState) -> Waiting | None:
         """Return the request of lowest rank among the open shapes of a team under its quota."""
         best: Waiting | None = None
         lane.passed_over = None
-        kind = lane.kind
-        share = self.shares.get(kind.kind, 0.0)
-        beyond = lane.waiting >= FLOOD_WAITING and is_beyond(
-            state, kind.kind, lane.team, kind.active, share
-        )
+        kept = self._measure_kept(lane, state)
         for shape, backlog in lane.shapes.items():
             head = backlog.peek() if shape.open else None
             if head is None or (best is not None and best.rank <= head.rank):
                 continue
             reason = self.check_quota(head.request, state)
-            if reason is None and beyond:
-                reason = check_headroom(state, head.request)
+            if reason is None and kept:
+                reason = check_headroom(state, head.request, kept)
                 if reason is not None:
-                    kind.held[lane] = None
+                    lane.kind.held[lane] = None
             if reason is None:
                 best = head
             else:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -159,6 +159,12 @@
                 fill(queue, *(make_request(team=f"t{n}") for n in range(4)))
                 self.assertEqual(len(self.dispatch(queue, dispatcher, 2.0)), 4)
 
+    def test_no_headroom_is_kept_if_no_other_kind_runs(self) -> None:
+        """A kind alone takes the whole slice, however many teams it has."""
+        queue, state = FairQueue(), make_state(4)
+        fill(queue, *(make_request(team=f"t{number % 20}") for number in range(400)))
+        self.assertEqual(len(self.dispatch(queue, Dispatcher(queue, state), 0.0)), 64)
+
     def test_small_work_passes_large_work_that_does_not_fit(self) -> None:
         queue, state = FairQueue(), make_state(1)
         dispatcher = Dispatcher(queue, state)
