--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,82 @@
+"""Tests of moves of waiting tasks between slices."""
+
+import unittest
+
+import msgspec
+
+from lavenderstall.identifiers import EntryId, Epoch, JobId, SliceName
+from lavenderstall.messages import PoolSummary, SliceSummary
+from lavenderstall.moves import choose_target
+from lavenderstall.protocol import Kind
+from lavenderstall.records import JobSpec
+from lavenderstall.resources import Resources
+from tests.cells import TEAM, Cell, make_job
+
+CORE = Resources(1000)
+
+
+def make_summary(name: str, free: int, waiting: int = 0) -> SliceSummary:
+    """Return a slice of two workers of four cores with some of them free."""
+    pool = PoolSummary(2, Resources(free), Resources(min(free, 4000)), Resources(4000))
+    return SliceSummary(
+        SliceName(name), EntryId("e"), Epoch(1000), {"pool": pool}, waiting={"batch": waiting}
+    )
+
+
+class ChooseTargetTest(unittest.TestCase):
+    """Guards against moves to slices that are as full."""
+
+    def test_choice(self) -> None:
+        cases = (
+            (Kind.BATCH, 5, [make_summary("z/1", 0)], None),
+            (Kind.BATCH, 5, [make_summary("z/1", 2000)], ("z/1", 2)),
+            (Kind.BATCH, 5, [make_summary("z/1", 2000), make_summary("z/2", 4000)], ("z/2", 4)),
+            (Kind.BATCH, 5, [make_summary("z/1", 4000, 4)], None),
+            (Kind.BATCH, 1, [make_summary("z/0", 8000)], None),
+            (Kind.GANG, 5, [make_summary("z/1", 4000)], None),
+            (Kind.GANG, 5, [make_summary("z/1", 8000)], ("z/1", 5)),
+        )
+        for kind, count, summaries, expected in cases:
+            with self.subTest(kind=kind, expected=expected):
+                spec = JobSpec(JobId("j"), TEAM, kind, 5, CORE)
+                found = choose_target(spec, count, SliceName("z/0"), summaries)
+                self.assertEqual(found, expected)
+
+
+class MoverTest(unittest.TestCase):
+    """Guards against work that waits beside a free slice, and work that two slices start."""
+
+    def fill(self, cell: Cell) -> None:
+        """Fill both zones with work of different length, and let more wait."""
+        cell.run(4)
+        cell.submit(make_job("fill", 8, run_ms=4000))
+        cell.run(1)
+        cell.submit(make_job("more", 8, run_ms=2000))
+        cell.run(1)
+
+    def test_waiting_work_follows_the_room(self) -> None:
+        cell = Cell(entries=1, zones=2, workers=1)
+        self.fill(cell)
+        cell.set_worker("z0w0", leaving=True)
+        cell.run(20)
+        rows = cell.table.scan("work/").result.rows
+        self.assertTrue(rows)
+        done = sum(len(msgspec.json.decode(row.value).get("done", [])) for row in rows)
+        self.assertEqual(done, 16)
+
+    def test_outcome_of_a_move_is_unknown(self) -> None:
+        # The store fails while moves are committed; no task is lost or started in both slices.
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                cell = Cell(entries=1, zones=2, workers=1, seed=seed)
+                self.fill(cell)
+                cell.set_worker("z0w0", leaving=True)
+                cell.table.faults = msgspec.structs.replace(cell.table.faults, lose_next=3)
+                cell.run(2.5)
+                cell.table.faults = msgspec.structs.replace(cell.table.faults, down=True)
+                cell.run(7)
+                cell.table.faults = msgspec.structs.replace(cell.table.faults, down=False)
+                cell.run(30)
+                rows = cell.table.scan("work/").result.rows
+                done = sum(len(msgspec.json.decode(row.value).get("done", [])) for row in rows)
+                self.assertEqual(done, 16)
