Answer all requests in flight before a graceful shutdown ends

Every HTTP request in flight is now counted and answered, a wait for a job ends early with its present state, and answers to requests that came during the shutdown are written before the process ends.

--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -8,7 +8,7 @@
 from random import SystemRandom
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 
 from lavenderstall.clients import HttpMemberList, HttpTableStore, make_agent
 from lavenderstall.entry import Entry, Outside, Settings
@@ -28,6 +28,7 @@
 )
 from lavenderstall.ownership import Identity
 from lavenderstall.schemas import Operator, Right
+from lavenderstall.shutdown import finish_requests
 from lavenderstall.targets import HttpTargetClient
 from lavenderstall.traces import Traces
 from lavenderstall.web import make_site
@@ -99,6 +100,11 @@
     host, _, port = address.rpartition(":")
     listening = reactor.listenTCP(int(port), make_site(instance), 512, host)
 
+    async def end() -> None:
+        await instance.shut_down()
+        await maybeDeferred(listening.stopListening)
+        await finish_requests(instance)
+
     def finish(result: object) -> None:
         logger.info("entry instance ends: %s", result)
         instance.traces.close()
@@ -108,7 +114,7 @@
         if instance.draining:
             reactor.callFromThread(reactor.stop)
             return
-        reactor.callFromThread(lambda: Deferred.fromCoroutine(instance.shut_down()).addBoth(finish))
+        reactor.callFromThread(lambda: Deferred.fromCoroutine(end()).addBoth(finish))
 
     instance.start()
     reactor.addSystemEventTrigger("before", "shutdown", listening.stopListening)
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatchmethod
 from random import Random
-from typing import Any, cast
+from typing import Any
 
 import msgspec
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import Deferred
 
-from lavenderstall import cleaning
+from lavenderstall import cleaning, shutdown
 from lavenderstall.access import Access
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.calls import CallRequest, CallRouter, Directory
@@ -75,9 +75,6 @@
 CONFIG_SECONDS = 0.5
 SILENCE_SECONDS = 0.25
 RECONCILE_SECONDS = 1.0
-DRAIN_SECONDS = 15.0
-FLUSH_SECONDS = 3.0
-POLL_SECONDS = 0.05
 
 
 class Outside(msgspec.Struct):
@@ -117,12 +114,13 @@
         self.terms = settings.terms
         self.settings = settings
         self.draining = False
+        self.requests = 0
         self.slices: dict[SliceName, SliceServer] = {}
         self.members = Members(0.0)
         self.metrics = Metrics()
         self.access = Access()
         self.peers = Peers(self.clock)
-        self.readiness = Readiness(self.clock)
+        self.readiness = Readiness(self)
         self._member_list = outside.members
         self.commits = GroupCommit(self.store, self.clock, self.make_nonce, self._count_entries)
         self.ownership = Ownership(
@@ -190,28 +188,25 @@
 
     async def shut_down(self) -> None:
         """Finish requests in flight, hand over the slices and stop, in a bounded time."""
+        await shutdown.shut_down(self)
+
+    def begin_drain(self) -> None:
+        """Take no new work and tell the peers."""
         self.draining = True
         self.ownership.draining = True
         for server in self.slices.values():
             server.draining = True
         self._send_heartbeat()
         self._send_summaries()
-        await self._wait_for(lambda: self.router.in_flight == 0, DRAIN_SECONDS)
-        for server in self.slices.values():
-            server.calls.draining = True
-        await self._wait_for(self._is_idle, DRAIN_SECONDS)
-        for server in self.slices.values():
-            await DeferredList(server.book.flush(), consumeErrors=True)
-        flushing = self.commits.flush()
-        flushing.addTimeout(FLUSH_SECONDS, cast("Any", self.clock))
-        await DeferredList([flushing], consumeErrors=True)
-        for name in list(self.slices):
-            await self._release(name)
-        try:
-            await self.ownership.leave()
-        except LavenderstallError as error:
-            logger.warning("liveness row stays: %s", error)
-        self.stop()
+
+    def track(self, answer: "Deferred[Any]") -> None:
+        """Let a graceful shutdown wait until a request is answered."""
+        self.requests += 1
+        answer.addBoth(self._finish_request)
+
+    def _finish_request(self, result: Any) -> Any:
+        self.requests -= 1
+        return result
 
     def stop(self) -> None:
         """Stop all periodic work at once."""
@@ -223,23 +218,6 @@
             server.stop()
         self.slices.clear()
 
-    async def _wait_for(self, is_done: Callable[[], bool], seconds: float) -> None:
-        limit = self.clock.seconds() + seconds
-        while not is_done() and self.clock.seconds() < limit:
-            await sleep(self.clock, POLL_SECONDS)
-
-    def _is_idle(self) -> bool:
-        return all(server.calls.in_flight == 0 for server in self.slices.values())
-
-    async def _release(self, name: SliceName) -> None:
-        tenure = self.slices[name].tenure
-        try:
-            await self.ownership.release(name)
-        except LavenderstallError as error:
-            logger.warning("slice %s is left to its takeover: %s", name, error)
-            return
-        self.links.broadcast(Handover(name, tenure.epoch))
-
     def make_nonce(self) -> str:
         """Return a text that is never used twice."""
         return f"{self.random.getrandbits(96):024x}"
@@ -419,14 +397,8 @@
         """Tell whether the balancer may send callers here."""
         return not self.draining and self.readiness.is_ready()
 
-    def _review_readiness(self) -> None:
-        known = self.peers.list_peers().keys() | {self.entry}
-        alive = self.ownership.peers.keys()
-        read = self.view.age_ms is not None and self.entry in alive
-        self.readiness.review(complete=read and alive <= known)
-
     def _send_summaries(self) -> None:
-        self._review_readiness()
+        self.readiness.review()
         summaries = self.directory.list_summaries()
         teams = self.view.list_kind("team")
         for server in self.slices.values():
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -132,11 +132,13 @@
 
     async def read_job(self, job: JobId, caller: Caller, wait: float = 0.0) -> JobAnswer:
         """Return the state of a job, after its end or after a time in seconds."""
-        limit = self._entry.clock.seconds() + wait
+        clock = self._entry.clock
+        limit = clock.seconds() + wait
         team = await self._check_team(job, caller)
         status = await self._entry.desk.read_status(job)
-        while not status.is_finished and self._entry.clock.seconds() < limit:
-            await sleep(self._entry.clock, JOB_POLL_SECONDS)
+        # A caller that waits learns the state early when the entry instance shuts down.
+        while not (status.is_finished or self._entry.draining or clock.seconds() >= limit):
+            await sleep(clock, JOB_POLL_SECONDS)
             try:
                 status = await self._entry.desk.read_status(job)
             except LavenderstallError:
--- a/lavenderstall/peers.py
+++ b/lavenderstall/peers.py
@@ -1,5 +1,7 @@
 """What an entry instance knows about the others from their heartbeats."""
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from lavenderstall.changes import ItemKey
@@ -9,6 +11,9 @@
 from lavenderstall.messages import ConfigPart, Heartbeat
 from lavenderstall.schemas import Item
 
+if TYPE_CHECKING:
+    from lavenderstall.entry import Entry
+
 READY_SECONDS = 3.0
 
 
@@ -53,23 +58,27 @@
     silent peer does not keep a cell from serving.
     """
 
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._started = clock.seconds()
+    def __init__(self, entry: "Entry") -> None:
+        self._entry = entry
+        self._started = entry.clock.seconds()
         self._complete = False
         self._ready = False
 
-    def review(self, *, complete: bool) -> None:
+    def review(self) -> None:
         """Note once a round of summaries whether tokens and all peers are known.
 
         A peer's summaries may come after its first heartbeat, so that two rounds are needed.
         """
+        entry = self._entry
+        known = entry.peers.list_peers().keys() | {entry.entry}
+        alive = entry.ownership.peers.keys()
+        complete = entry.view.age_ms is not None and entry.entry in alive and alive <= known
         self._ready = self._ready or (complete and self._complete)
         self._complete = complete
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return self._ready or self._clock.seconds() - self._started >= READY_SECONDS
+        return self._ready or self._entry.clock.seconds() - self._started >= READY_SECONDS
 
 
 def export_snapshot(snapshot: Snapshot) -> ConfigPart:
