--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -33,9 +33,14 @@
 
 LOAD_SECONDS = 50.0
 READY_SECONDS = 15.0
+# Callers that have no answer by then are counted as they are, so that a run ends in 90 s.
+END_SECONDS = 83.0
 # A difference of clocks below this is the time that the comparison takes.
 CLOCK_TOLERANCE_SECONDS = 0.05
 
+# Services start first, because jobs that run already delay them until they have ended.
+JOBS_FILE = "jobs.yaml"
+
 OPTIONS = (
     Option("cell", read_choice(*SHAPES), f"one of {', '.join(SHAPES)}", "aguaclara"),
     Option("hold", read_flag, "keep the cell running without load until Ctrl-C", "no"),
@@ -95,9 +100,14 @@
         await sleep(self._clock, LOAD_SECONDS)
         await faults.wait()
         self.say("load ends")
-        await load.stop()
+        await load.stop(max(0.0, END_SECONDS - (time.monotonic() - self._started)))
         return await self._judge(world)
 
+    async def _apply(self, world: World, sources: Sequence[Source]) -> None:
+        answer = await apply(world, "\n---\n".join(source.text for source in sources))
+        files = ", ".join(source.file for source in sources)
+        self.say(f"version {answer.version} of the configuration: {files}")
+
     async def _start(self) -> World:
         """Start all processes and wait until every zone has an owner."""
         zones = self._shape.zones
--- a/demo/load.py
+++ b/demo/load.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import msgspec
-from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.defer import CancelledError, Deferred, DeferredList
 from twisted.internet.task import LoopingCall
 
 from demo.balancer import Balancer
@@ -32,7 +32,7 @@
 CALL_DEADLINE_MS = 5_000
 CALL_TIMEOUT_SECONDS = 6.0
 # A caller gives up when it got no answer for this long.
-PATIENCE_SECONDS = 25.0
+PATIENCE_SECONDS = 20.0
 RETRY_SECONDS = 0.1
 JOB_WAIT_MS = 4_000
 # Some calls take long, so that calls are in flight at each fault.
@@ -109,6 +109,7 @@
         self._random = random
         self._prefix = f"demo-{random.getrandbits(32):08x}"
         self._numbers = count(1)
+        self._given_up = False
         self._pending: list[Deferred[None]] = []
         self._loops: list[tuple[LoopingCall, float]] = [
             (make_loop(clock, self._start_call), 1 / CALLS_PER_SECOND),
@@ -121,12 +122,27 @@
         for loop, seconds in self._loops:
             loop.start(seconds, now=True)
 
-    def stop(self) -> Deferred[Any]:
-        """Send nothing new; the result fires when all callers are done."""
+    async def stop(self, seconds: float) -> None:
+        """Send nothing new and wait for the callers; those still waiting then give up."""
         for loop, _ in self._loops:
             if loop.running:
                 loop.stop()
-        return DeferredList(self._pending, consumeErrors=False)
+        timer = self._clock.callLater(seconds, self._give_up)
+        results: list[Any] = await DeferredList(self._pending, consumeErrors=True)
+        if timer.active():
+            timer.cancel()
+        failures = [result for succeeded, result in results if not succeeded]
+        for failure in failures:
+            if not failure.check(CancelledError):
+                failure.raiseException()
+
+    def _give_up(self) -> None:
+        self._given_up = True
+        for caller in self._pending:
+            caller.cancel()
+
+    def _is_patient(self, limit: float) -> bool:
+        return not self._given_up and self._clock.seconds() < limit
 
     def _make_id(self) -> str:
         return f"{self._prefix}.{next(self._numbers)}"
@@ -174,7 +190,7 @@
 
     async def _call_with_issued_id(self, service: str, team: TeamName, body: bytes) -> None:
         limit = self._clock.seconds() + PATIENCE_SECONDS
-        while self._clock.seconds() < limit:
+        while self._is_patient(limit):
             entry = self._balancer.choose()
             try:
                 if entry is not None:
@@ -196,7 +212,7 @@
         """Send until there is an answer; each attempt has a higher number."""
         limit = self._clock.seconds() + PATIENCE_SECONDS
         attempt = 0
-        while self._clock.seconds() < limit:
+        while self._is_patient(limit):
             entry = self._balancer.choose()
             if entry is not None:
                 attempt += 1
@@ -289,7 +305,7 @@
         """Ask for the state of a job until it has ended or patience runs out."""
         path = f"/v1/jobs/{work.id}?wait_ms={JOB_WAIT_MS}"
         limit = self._clock.seconds() + PATIENCE_SECONDS
-        while work.told is Told.ACCEPTED and self._clock.seconds() < limit:
+        while work.told is Told.ACCEPTED and self._is_patient(limit):
             answer = await self._insist(work, "GET", path, None, headers)
             if answer is not None and answer.status == 200:
                 info = msgspec.json.decode(answer.body, type=JobAnswer).job
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -358,6 +358,7 @@
     """Return the fields of the last line."""
     told = Counter(work.told for work in run.works)
     recoveries = [find_recovery(kill, truths) for kill in run.kills]
+    full_recoveries = [find_full_recovery(kill, truths) for kill in run.kills]
     forces = measure_force(run)
     return {
         "submitted": len(run.works),
@@ -376,17 +377,41 @@
         "false_completions": count_false_completions(run.works, truths),
         "cut_off_in_shutdown": count_cut_off(run),
         "config_reverts": count_reverts(run),
+        "refused_at_workers": count_refusals_at_workers(truths),
         "wait_ms": {
             kind: summarize(values)
             for kind, values in sorted(measure_waits(run.works, truths, offset).items())
         },
         "config_in_force_s": round_finite(max(forces, default=None)),
-        "recovery_s": round_finite(
-            None if not recoveries or None in recoveries else max(filter(None, recoveries))
-        ),
+        "recovery_s": round_finite(find_longest(recoveries)),
+        "recovery_all_workers_s": round_finite(find_longest(full_recoveries)),
     }
 
 
+def find_longest(values: Sequence[float | None]) -> float | None:
+    """Return the longest time, or none if there is none or one never came."""
+    known = [value for value in values if value is not None]
+    return max(known) if known and len(known) == len(values) else None
+
+
+def find_full_recovery(kill: Kill, truths: Iterable[Truth]) -> float | None:
+    """Return the seconds until work started again on every worker of a killed owner."""
+    found = list(measure_recovery(kill, truths).values())
+    return None if None in found else max((each for each in found if each), default=None)
+
+
+def count_refusals_at_workers(truths: Iterable[Truth]) -> dict[str, int]:
+    """Return how much work reached a worker that refused it, by reason."""
+    return dict(
+        Counter(
+            record.reason.value
+            for truth in truths
+            for record in truth.records
+            if isinstance(record, WorkRefused)
+        )
+    )
+
+
 def round_finite(value: float | None) -> float | None:
     """Return a time to the millisecond, or none if it never came."""
     return None if value is None or value == float("inf") else round(value, 3)
--- a/demo/web.py
+++ b/demo/web.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import msgspec
+from twisted.internet.defer import CancelledError
 from twisted.internet.error import ConnectError
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
@@ -58,6 +59,8 @@
         sent.addTimeout(timeout_s, self._reactor)
         try:
             return await sent
+        except CancelledError:
+            raise
         except ConnectError as error:
             raise PeerUnavailableError(str(error), step="connect", peer=url) from error
         except Exception as error:
