--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -81,15 +81,15 @@
             for path in find_examples(ROOT, self._shape.name)
         ]
         declared = [each.value for each in read_declarations(sources)]
-        answer = await apply(world, "\n---\n".join(source.text for source in sources))
-        self.say(f"version {answer.version} of the configuration is applied")
+        services = [each for each in declared if isinstance(each, Service)]
+        await self._apply(world, [source for source in sources if source.file != JOBS_FILE])
+        await self._await_replicas(world, services)
+        await self._apply(world, [source for source in sources if source.file == JOBS_FILE])
         return world, declared
 
     async def run(self) -> dict[str, Any]:
         """Return the fields of the last line."""
         world, declared = await self._prepare()
-        services = [each for each in declared if isinstance(each, Service)]
-        await self._await_replicas(world, services)
         load = Load(
             make_scene(declared), world.balancer, self._web, self._clock, self._random, self._run
         )
--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -145,7 +145,10 @@
 
 
 class Shape:
-    """Waiting requests of one shape; it is closed after one of them did not fit."""
+    """Waiting requests of one shape; it is closed after one of them did not fit.
+
+    It is `possible` once a decision found that it fits the slice when empty.
+    """
 
     __slots__ = (
         "closed_since",
@@ -156,6 +159,7 @@
         "need",
         "open",
         "reason",
+        "possible",
         "waiting",
     )
 
@@ -165,6 +169,7 @@
         self.need = need
         self.lanes: dict[Lane, Backlog] = {}
         self.open = True
+        self.possible = False
         self.waiting = 0
         self.missing = 0
         self.closed_since = inf
