Choose ports of the demo below those of outgoing connections

In one of ten runs an entry instance could not listen, because an outgoing connection had been given the port between its release and the start of the process, and the demo ended with status 2. Ports are now chosen at random from a range that systems do not give to outgoing connections.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -4,7 +4,9 @@
 import signal
 import socket
 import sys
+from contextlib import ExitStack
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 import msgspec
@@ -20,6 +22,9 @@
 from standins.server import Ready
 
 ROOT = Path(__file__).resolve().parent.parent
+# Below the ports that systems give to outgoing connections, one of which took a port that had
+# been found free before its entry instance could listen on it.
+PORTS = range(20_000, 32_000)
 
 
 class ChildError(LavenderstallError):
@@ -113,14 +118,16 @@
 
 def find_ports(count: int) -> list[int]:
     """Return free ports; all are held at once, so that they differ."""
-    held = [socket.socket() for _ in range(count)]
-    try:
-        for each in held:
-            each.bind((HOST, 0))
-        return [each.getsockname()[1] for each in held]
-    finally:
-        for each in held:
-            each.close()
+    found: list[int] = []
+    with ExitStack() as held:
+        while len(found) < count:
+            port = SystemRandom().choice(PORTS)
+            try:
+                held.enter_context(socket.socket()).bind((HOST, port))
+            except OSError:
+                continue
+            found.append(port)
+    return found
 
 
 def make_member(name: str, zone: str) -> EntryMember:
