Charge a service that holds its declaration no more than that

Headroom of 25% was added to the measured use of a service even where the use stayed within the declaration. In the demo each replica takes 7/8 of its worker and uses all of it, so that the owner counted the whole worker as taken once the use had been reported, 5 s after the start: batch tasks stood still in that slice for up to 18.7 s, until another owner took it or the tasks were moved. A service is now charged its declaration while its peak stays within it; headroom beyond it, and for all other work, is as before.

--- a/lavenderstall/usage.py
+++ b/lavenderstall/usage.py
@@ -206,7 +206,8 @@
         """Return what a task is charged that is not started yet, at most the capacity."""
         siblings = self._shapes.get(shape.get_key())
         if siblings is not None:
-            return self._charge(declared, siblings.get_peak(), capacity, ChargeReason.SIBLINGS)
+            peak = siblings.get_peak()
+            return self._charge(shape, declared, peak, capacity, ChargeReason.SIBLINGS)
         assumed = scale(declared, self._get_factor(shape.team))
         return Charge(bound_charge(declared, assumed, capacity), ChargeReason.UNKNOWN)
 
@@ -258,8 +259,9 @@
         """Return what a running task is charged now, at most the capacity of its worker."""
         entry = self._tasks[task]
         start = self.compute_start_charge(entry.shape, entry.declared, entry.capacity)
+        peak = entry.observed.get()
         observed = self._charge(
-            entry.declared, entry.observed.get(), entry.capacity, ChargeReason.OBSERVED
+            entry.shape, entry.declared, peak, entry.capacity, ChargeReason.OBSERVED
         )
         if start.resources.fits(observed.resources):
             return observed
@@ -339,10 +341,18 @@
         return compute_ratio(entry.last_used, entry.declared)
 
     def _charge(
-        self, declared: Resources, observed: Resources, capacity: Resources, reason: ChargeReason
+        self,
+        shape: Shape,
+        declared: Resources,
+        observed: Resources,
+        capacity: Resources,
+        reason: ChargeReason,
     ) -> Charge:
         needed = scale(observed, 1 + self._headroom)
-        if needed.fits(declared):
+        # A service may use all it declares for ever; headroom on top would keep other work from
+        # the rest of its worker.
+        holds = bool(shape.service) and observed.fits(declared)
+        if holds or needed.fits(declared):
             return Charge(declared, ChargeReason.DECLARED)
         return Charge(bound_charge(declared, needed, capacity), reason)
 
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -2,12 +2,14 @@
 
 import unittest
 
+from lavenderstall.changes import ItemKey
 from lavenderstall.errors import Outcome
 from lavenderstall.identifiers import JobId, WorkerId
 from lavenderstall.protocol import Kind
 from lavenderstall.records import WorkRow, decode_row, make_work_key
 from lavenderstall.resources import Resources
-from tests.cells import Cell, make_job
+from lavenderstall.schemas import Service
+from tests.cells import ECHO, TEAM, Cell, make_job
 
 HOUR_MS = 3_600_000
 
@@ -269,5 +271,22 @@
         self.assertEqual({told.outcome for told in calls}, {Outcome.DONE})
 
 
+class MeasuredServiceTest(unittest.TestCase):
+    """Short tasks run beside a service that uses all it declares."""
+
+    def test_measured_service_leaves_the_rest_of_its_worker(self) -> None:
+        # Once the use was reported, 5 s after the start, the service was charged the whole
+        # worker, and the tasks waited until the slice had another owner.
+        cell = Cell(entries=1, zones=1)
+        cell.run(5)
+        service = Service(ECHO, TEAM, "pool", 2, Resources(3500, 3584))
+        cell.declare(cell.list_ready()[0], {ItemKey("service", ECHO): service})
+        cell.run(15)
+        self.assertEqual(len(cell.find_runs(f"declared.{ECHO}")), 2)
+        job = make_job("job", 4, run_ms=60_000, resources=Resources(250, 256))
+        cell.submit(job)
+        self.assertTrue(cell.run(3, until=lambda: len(cell.find_runs("job")) == 4))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -64,6 +64,22 @@
                 charge = self.usage.compute_start_charge(later, DECLARED, CAPACITY)
                 self.assertEqual((charge.reason, charge.resources), (reason, expected))
 
+    def test_service_that_holds_its_declaration_is_charged_no_more(self) -> None:
+        # Headroom on top charged a whole worker for a service that uses all it declares, so that
+        # nothing else started beside it once its use had been reported.
+        shape = Shape(TEAM, JobId("k"), ServiceName("s"))
+        for used, expected in [
+            (Resources(900, 1900), DECLARED),
+            (DECLARED, DECLARED),
+            (Resources(1001, 2000), Resources(1252, 2500, 1)),
+        ]:
+            with self.subTest(used=used):
+                self.usage = Usage()
+                self.observe(used, shape=shape)
+                start = self.usage.compute_start_charge(shape, DECLARED, CAPACITY)
+                self.assertEqual(start.resources, expected)
+                self.assertEqual(self.usage.get_charge(TASK).resources, expected)
+
     def test_rising_use_does_not_count_as_known(self) -> None:
         self.usage.record_start(TASK, SHAPE, DECLARED, CAPACITY, 0.0)
         for step in range(1, 9):
