Bound the records of decisions per entry instance

Cause: each owned slice kept 4096 records, and the index held a deque of 624 bytes for each task, so that memory grew with starts far beyond what 64 MB leave: 54.7 MB before and 84.5 MB after 4000 starts in 7 slices. Change: an entry instance divides 4096 records among its slices; the index holds lists, by kind of subject.

--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -29,6 +29,7 @@
     read_url,
 )
 from lavenderstall.ownership import Identity
+from lavenderstall.protocol import TaskState
 from lavenderstall.schemas import Operator, Right
 from lavenderstall.targets import HttpTargetClient
 from lavenderstall.traces import Traces
@@ -92,6 +93,8 @@
     settings = Settings(values["racks-per-slice"], terms, values["config-stale-limit"])
     instance = Entry(identity, outside, settings)
     watch_traffic(instance.metrics, links, client)
+    instance.metrics.watch("workers_held", partial(count_workers, instance))
+    instance.metrics.watch("tasks_running", partial(count_tasks, instance))
     if values["operator-hash"]:
         first = Operator(name="operator", token=values["operator-hash"], right=Right.CHANGE)
         instance.access.replace([first])
@@ -106,6 +109,20 @@
         metrics.watch(f"worker_{name}", partial(getattr, client, name))
 
 
+def count_workers(instance: Entry) -> int:
+    """Return the workers of the owned slices that take work."""
+    return sum(len(server.state.workers) for server in instance.slices.values())
+
+
+def count_tasks(instance: Entry) -> int:
+    """Return the tasks that run in the owned slices."""
+    return sum(
+        task.state is TaskState.RUNNING
+        for server in instance.slices.values()
+        for task in server.tasks.values()
+    )
+
+
 def run_entry(instance: Entry, reactor: Any) -> None:
     """Serve until the process is told to end; a second signal ends it at once."""
     address = instance.identity.http.removeprefix("http://")
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet.defer import Deferred, DeferredList
 
+from lavenderstall import reasons
 from lavenderstall.access import Access
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.calls import CallRequest, CallRouter, Directory
@@ -53,7 +54,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
 from lavenderstall.peers import Peers, export_snapshot, import_snapshot
-from lavenderstall.protocol import Members, MemberState, TaskState, WorkerMember
+from lavenderstall.protocol import Members, MemberState, WorkerMember
 from lavenderstall.queries import QueryDesk
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
@@ -74,6 +75,8 @@
 DRAIN_SECONDS = 15.0
 FLUSH_SECONDS = 3.0
 POLL_SECONDS = 0.05
+# A record takes about 1 KB, and an entry instance has some 10 MB for all its state.
+REASONS_KEPT = 4096
 
 
 class Outside(msgspec.Struct):
@@ -153,8 +156,6 @@
         )
         self.refusals = RefusalLog()
         self.queries = QueryDesk(self)
-        self.metrics.watch("workers_held", self._count_workers)
-        self.metrics.watch("tasks_running", self._count_tasks)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -238,16 +239,6 @@
     def _count_entries(self) -> int:
         return max(len(self.ownership.peers), len(self.members.entries), 1)
 
-    def _count_workers(self) -> int:
-        return sum(len(server.state.workers) for server in self.slices.values())
-
-    def _count_tasks(self) -> int:
-        return sum(
-            task.state is TaskState.RUNNING
-            for server in self.slices.values()
-            for task in server.tasks.values()
-        )
-
     # Ownership
 
     def gain_slice(self, tenure: Tenure) -> None:
@@ -257,6 +248,7 @@
         apply_policy(server, self.view.list_kind("policy"))
         server.set_members(self._list_workers(tenure.slice))
         server.start()
+        self._share_reasons()
         self.metrics.count("slices_gained")
 
     def lose_slice(self, name: SliceName, reason: str) -> None:
@@ -264,9 +256,15 @@
         server = self.slices.pop(name, None)
         if server is not None:
             server.stop()
+            self._share_reasons()
             self.metrics.count("slices_lost")
         self.directory.drop(name, self.entry)
 
+    def _share_reasons(self) -> None:
+        """Divide the records of decisions that fit in memory among the slices."""
+        for server in self.slices.values():
+            server.reasons.limit(min(reasons.CAPACITY, REASONS_KEPT // len(self.slices)))
+
     def change_peers(self, peers: Mapping[EntryId, EntryRow]) -> None:
         """Open links to the entry instances that are alive."""
         self._set_links()
--- a/lavenderstall/reasons.py
+++ b/lavenderstall/reasons.py
@@ -1,6 +1,7 @@
 """Why decisions were made, kept in a bounded ring with lookup by subject."""
 
 from collections import deque
+from collections.abc import Iterator
 
 import msgspec
 
@@ -9,6 +10,7 @@
 
 ALTERNATIVES = 5
 CAPACITY = 4096
+SUBJECTS = ("task", "worker", "job", "request")
 
 
 class Alternative(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -55,15 +57,16 @@
     workers: tuple[WorkerId, ...] = ()
     request: RequestId | None = None
 
-    def list_subjects(self) -> frozenset[tuple[str, str]]:
-        """Return the kind and id of all that the record concerns."""
-        found = {("task", str(task)) for task in self.tasks}
-        found.update(("worker", str(worker)) for worker in self.workers)
+    def list_subjects(self) -> Iterator[tuple[str, str]]:
+        """Yield the kind and id of all that the record concerns, each once."""
+        for task in dict.fromkeys(self.tasks):
+            yield "task", task
+        for worker in dict.fromkeys(self.workers):
+            yield "worker", worker
         if self.job:
-            found.add(("job", str(self.job)))
+            yield "job", self.job
         if self.request:
-            found.add(("request", str(self.request)))
-        return frozenset(found)
+            yield "request", self.request
 
 
 class ReasonLog:
@@ -72,7 +75,8 @@
     def __init__(self, capacity: int = CAPACITY) -> None:
         self._capacity = capacity
         self._records: deque[Record] = deque()
-        self._subjects: dict[tuple[str, str], deque[Record]] = {}
+        # Most subjects have two or three records, for which a list takes a sixth of a deque.
+        self._subjects: dict[str, dict[str, list[Record]]] = {kind: {} for kind in SUBJECTS}
         self.dropped = 0
 
     def __len__(self) -> int:
@@ -81,11 +85,17 @@
     def add(self, record: Record) -> None:
         """Keep a record and drop the oldest beyond the capacity."""
         self._records.append(record)
-        for subject in record.list_subjects():
-            self._subjects.setdefault(subject, deque()).append(record)
+        for kind, name in record.list_subjects():
+            self._subjects[kind].setdefault(name, []).append(record)
         if len(self._records) > self._capacity:
             self._drop_oldest()
 
+    def limit(self, capacity: int) -> None:
+        """Keep at most this number of records from now on."""
+        self._capacity = capacity
+        while len(self._records) > capacity:
+            self._drop_oldest()
+
     def find_task(self, task: TaskId) -> tuple[Record, ...]:
         """Return the records about a task, oldest first."""
         return self._find("task", task)
@@ -103,14 +113,14 @@
         return self._find("request", request)
 
     def _find(self, kind: str, name: str) -> tuple[Record, ...]:
-        return tuple(self._subjects.get((kind, name), ()))
+        return tuple(self._subjects[kind].get(name, ()))
 
     def _drop_oldest(self) -> None:
         """Drop one record; it is the oldest of each of its subjects."""
         record = self._records.popleft()
         self.dropped += 1
-        for subject in record.list_subjects():
-            records = self._subjects[subject]
-            records.popleft()
+        for kind, name in record.list_subjects():
+            records = self._subjects[kind][name]
+            del records[0]
             if not records:
-                del self._subjects[subject]
+                del self._subjects[kind][name]
