Keep rows without the responses that they were read from

Cause: raw fields refer to the buffer that they were decoded from, so that the payload of each job kept the whole response of the scan that read it; memory grew with the square of a slice's jobs. Change: the value of a row is copied before it is decoded.

--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -135,8 +135,12 @@
 
 
 def decode_row(row: Row, kind: type[T]) -> T:
-    """Decode the value of a row."""
-    return msgspec.json.decode(row.value, type=kind)
+    """Decode the value of a row.
+
+    Raw fields refer to the buffer that they were decoded from, which without the copy is the
+    whole response with all other rows.
+    """
+    return msgspec.json.decode(bytes(row.value), type=kind)
 
 
 def make_entry_key(entry: EntryId) -> str:
