--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -45,3 +45,21 @@
     def test_alternative_tells_its_shortage(self) -> None:
         text = Alternative("w", shortage=Resources(2000, 5), tasks=3).why_not
         self.assertEqual(text, "short of cores_milli by 2000, memory_mb by 5; tasks there: 3")
+
+    def test_bound(self) -> None:
+        """Only the latest records may be kept, in each index too."""
+        cases = (("below", 10, 10, 4), ("at once", 3, 3, 9), ("limited later", 10, 2, 9))
+        for name, first, later, added in cases:
+            with self.subTest(name):
+                log = ReasonLog(first)
+                for number in range(added):
+                    log.add(make_record(float(number), f"j.{number}"))
+                log.limit(later)
+                kept = [float(number) for number in range(added)][-later:]
+                self.assertEqual(len(log), len(kept))
+                self.assertEqual([r.at for r in log.find_job("job")], kept)
+                self.assertEqual([r.at for r in log.find_worker("w")], kept)
+                found = [r.at for n in range(added) for r in log.find_task(f"j.{n}")]
+                self.assertEqual(found, kept)
+                log.limit(0)
+                self.assertEqual(log.find_job("job"), ())
