Hedge slow idempotent calls of services that declare it

Cause: the hedging policy was decided by a pure module that nothing called. Conclusion: off by default, set by calls.hedged of a service.

--- a/lavenderstall/calls.py
+++ b/lavenderstall/calls.py
@@ -18,6 +18,7 @@
     PeerUnavailableError,
     RefusedError,
 )
+from lavenderstall.hedging import Hedges
 from lavenderstall.identifiers import (
     AttemptId,
     EntryId,
@@ -59,6 +60,7 @@
     idempotent: bool = True
     retry: bool = False
     trace: str = ""
+    hedged: bool = False
 
 
 class _Summary(msgspec.Struct):
@@ -172,6 +174,7 @@
         self._make_nonce = make_nonce
         self._read_unix = read_unix
         self._budget = RetryBudget(clock.seconds())
+        self.hedges = Hedges(clock, self._budget)
         self._pending: dict[AttemptId, _Pending] = {}
 
     def receive(self, sender: EntryId, answer: CallAnswer) -> None:
@@ -336,9 +339,7 @@
     async def _attempt(self, owner: EntryId, name: SliceName) -> CallAnswer | None:
         """Send one attempt; return the outcome unless another attempt should follow."""
         try:
-            answer = await self._router.forward(
-                owner, name, self._call, self._binding, retry=self._uncertain
-            )
+            answer = await self._send(owner, name)
         except PeerUnavailableError as error:
             self._tried.add(name)
             self._last = CallAnswer(
@@ -351,6 +352,30 @@
             answer = CallAnswer(AttemptId(""), Outcome.UNKNOWN, "answer_lost", str(error))
         return await self._judge(answer, name)
 
+    async def _send(self, owner: EntryId, name: SliceName) -> CallAnswer:
+        """Send one attempt; a slow one of a hedged call is joined by another elsewhere."""
+        if not (self._call.hedged and self._call.idempotent):
+            return await self._router.forward(
+                owner, name, self._call, self._binding, retry=self._uncertain
+            )
+        return await self._router.hedges.race(
+            self._call.service,
+            self._call.deadline,
+            lambda: self._router.forward(owner, name, self._call, None, retry=False),
+            lambda: self._send_elsewhere(name),
+        )
+
+    async def _send_elsewhere(self, name: SliceName) -> CallAnswer:
+        """Send an attempt to another slice, or to the same one if there is no other."""
+        avoided = {*self._tried, name}
+        summary = self._router.choose_slice(self._call.service, avoided)
+        summary = summary or self._router.choose_slice(self._call.service, self._tried)
+        if summary is None:
+            raise PeerUnavailableError("no other slice serves the call", step=STEP)
+        return await self._router.forward(
+            summary.owner, summary.slice, self._call, None, retry=False
+        )
+
     async def _judge(self, answer: CallAnswer, name: SliceName) -> CallAnswer | None:
         if answer.bound:
             self._binding = Binding(answer.bound, answer.worker, answer.incarnation)
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -505,6 +505,11 @@
                 step="find service",
             )
 
+    def is_hedged(self, name: str) -> bool:
+        """Tell whether slow idempotent calls of a service get a second attempt."""
+        declared = self.view.get("service", name)
+        return declared is not None and declared.calls.hedged
+
     def issue_request(self, service: ServiceName) -> RequestId:
         """Return a request id bound to a worker of an owned slice, or raise."""
         for server in self.slices.values():
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -243,6 +243,7 @@
                 idempotent,
                 number > 1,
                 hop.parent,
+                self._entry.is_hedged(exchange.path[0]),
             )
             answer = await self._entry.call(call)
             hop.note(outcome=answer.outcome.value, reason=answer.reason, team=team)
