Send summaries to other zones once a second in large fleets

Cause: every entry instance sends a summary of each slice to every other one five times a second and a heartbeat twice. Its processor time grows by 0.19% of a core a peer, 28% at 150 entry instances, which is half of all control at that size. Change: from 32 entry instances on, peers of other zones get these messages in every second turn, at most every fifth summary and second heartbeat, so once a second. Below that and while draining all peers get all of them. Dividing the records of decisions moves to the module of the records. Free slots of other zones are up to 1 s old in large fleets; calls prefer the own zone and try the next owner when refused.

--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -9,7 +9,6 @@
 import msgspec
 from twisted.internet.defer import Deferred, DeferredList
 
-from lavenderstall import reasons
 from lavenderstall.access import Access
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.calls import CallRequest, CallRouter, Directory
@@ -53,9 +52,10 @@
 )
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
-from lavenderstall.peers import Peers, export_snapshot, import_snapshot
+from lavenderstall.peers import Pace, Peers, export_snapshot, import_snapshot
 from lavenderstall.protocol import Members, MemberState, WorkerMember
 from lavenderstall.queries import QueryDesk
+from lavenderstall.reasons import share_capacity
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
 from lavenderstall.slices import SliceServer
@@ -75,8 +75,9 @@
 DRAIN_SECONDS = 15.0
 FLUSH_SECONDS = 3.0
 POLL_SECONDS = 0.05
-# A record takes about 1 KB, and an entry instance has some 10 MB for all its state.
-REASONS_KEPT = 4096
+# Peers of other zones hear once a second in a large fleet.
+FAR_SUMMARY_TURNS = 5
+FAR_HEARTBEAT_TURNS = 2
 
 
 class Outside(msgspec.Struct):
@@ -121,6 +122,8 @@
         self.metrics = Metrics()
         self.access = Access()
         self.peers = Peers(self.clock)
+        self._summary_pace = Pace(identity.zone, FAR_SUMMARY_TURNS)
+        self._heartbeat_pace = Pace(identity.zone, FAR_HEARTBEAT_TURNS)
         self._member_list = outside.members
         self.commits = GroupCommit(self.store, self.clock, self.make_nonce, self._count_entries)
         self.ownership = Ownership(
@@ -248,7 +251,7 @@
         apply_policy(server, self.view.list_kind("policy"))
         server.set_members(self._list_workers(tenure.slice))
         server.start()
-        self._share_reasons()
+        share_capacity([server.reasons for server in self.slices.values()])
         self.metrics.count("slices_gained")
 
     def lose_slice(self, name: SliceName, reason: str) -> None:
@@ -256,15 +259,10 @@
         server = self.slices.pop(name, None)
         if server is not None:
             server.stop()
-            self._share_reasons()
+            share_capacity([server.reasons for server in self.slices.values()])
             self.metrics.count("slices_lost")
         self.directory.drop(name, self.entry)
 
-    def _share_reasons(self) -> None:
-        """Divide the records of decisions that fit in memory among the slices."""
-        for server in self.slices.values():
-            server.reasons.limit(min(reasons.CAPACITY, REASONS_KEPT // len(self.slices)))
-
     def change_peers(self, peers: Mapping[EntryId, EntryRow]) -> None:
         """Open links to the entry instances that are alive."""
         self._set_links()
@@ -412,12 +410,13 @@
             summary.slice: summary.teams for summary in summaries if summary.slice in self.slices
         }
         commands = find_commands(self.view)
+        peers = None if self.draining else self._summary_pace.next_peers(self.ownership.peers)
         for server in self.slices.values():
             apply_teams(server, teams, totals, own.get(server.name, {}))
             apply_commands(server, commands)
             summary = server.summarize()
             self.directory.update(summary)
-            self.links.broadcast(summary)
+            self.links.broadcast(summary, peers)
 
     def _send_heartbeat(self) -> None:
         beat = Heartbeat(
@@ -428,7 +427,8 @@
             self.draining,
             int(self.ownership.get_store_age() * 1000),
         )
-        self.links.broadcast(beat)
+        peers = None if self.draining else self._heartbeat_pace.next_peers(self.ownership.peers)
+        self.links.broadcast(beat, peers)
 
     # Configuration
 
--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Any, Protocol
 
 import msgspec
@@ -30,8 +30,8 @@
     def send(self, peer: EntryId, message: Message) -> None:
         """Queue a message, or raise `PeerUnavailableError` when the peer takes no more."""
 
-    def broadcast(self, message: Message) -> None:
-        """Queue a hint for every peer that takes it."""
+    def broadcast(self, message: Message, peers: Collection[EntryId] | None = None) -> None:
+        """Queue a hint for every peer that takes it, or for some peers."""
 
     def set_peers(self, addresses: Mapping[EntryId, str]) -> None:
         """Open links to new peers and close those to peers that left."""
@@ -130,9 +130,11 @@
         outbox.push(message)
         self._schedule()
 
-    def broadcast(self, message: Message) -> None:
-        """Queue a hint for every peer that takes it."""
-        for outbox in self._outboxes.values():
+    def broadcast(self, message: Message, peers: Collection[EntryId] | None = None) -> None:
+        """Queue a hint for every peer that takes it, or for some peers."""
+        for peer, outbox in self._outboxes.items():
+            if peers is not None and peer not in peers:
+                continue
             try:
                 outbox.push(message)
             except PeerUnavailableError as error:
--- a/lavenderstall/peers.py
+++ b/lavenderstall/peers.py
@@ -1,14 +1,20 @@
 """What an entry instance knows about the others from their heartbeats."""
 
+from collections.abc import Collection, Mapping
+
 import msgspec
 
 from lavenderstall.changes import ItemKey
 from lavenderstall.clocks import Clock
 from lavenderstall.configuration import Snapshot
-from lavenderstall.identifiers import EntryId, Version
+from lavenderstall.identifiers import EntryId, Version, ZoneName
 from lavenderstall.messages import ConfigPart, Heartbeat
+from lavenderstall.records import EntryRow
 from lavenderstall.schemas import Item
 
+# Up to twice this size, a fleet sends everything to all in each turn.
+EACH_TURN_PEERS = 16
+
 
 class Peer(msgspec.Struct):
     """Hold the latest heartbeat of a peer and when anything was last heard from it."""
@@ -43,6 +49,27 @@
         return dict(self._peers)
 
 
+class Pace:
+    """Choose the peers that get a message sent at intervals.
+
+    The messages of a fleet grow with the square of its size. Peers of other zones need the
+    state of a slice less often, and get each message only in every few turns of a large fleet.
+    """
+
+    def __init__(self, zone: ZoneName, most_turns: int) -> None:
+        self._zone = zone
+        self._most_turns = most_turns
+        self._turn = 0
+
+    def next_peers(self, peers: Mapping[EntryId, EntryRow]) -> Collection[EntryId] | None:
+        """Return the peers of this turn, or none for all."""
+        self._turn += 1
+        turns = min(self._most_turns, max(1, len(peers) // EACH_TURN_PEERS))
+        if self._turn % turns == 0:
+            return None
+        return {entry for entry, row in peers.items() if row.zone == self._zone}
+
+
 def export_snapshot(snapshot: Snapshot) -> ConfigPart:
     """Return a configuration as a message."""
     items = {
--- a/lavenderstall/reasons.py
+++ b/lavenderstall/reasons.py
@@ -1,7 +1,7 @@
 """Why decisions were made, kept in a bounded ring with lookup by subject."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 import msgspec
 
@@ -9,6 +9,7 @@
 from lavenderstall.resources import NOTHING, Resources
 
 ALTERNATIVES = 5
+# A record takes about 1 KB, and an entry instance has some 10 MB for all its state.
 CAPACITY = 4096
 SUBJECTS = ("task", "worker", "job", "request")
 
@@ -124,3 +125,9 @@
             del records[0]
             if not records:
                 del self._subjects[kind][name]
+
+
+def share_capacity(logs: Collection[ReasonLog]) -> None:
+    """Divide the records that fit in memory among the slices of an entry instance."""
+    for log in logs:
+        log.limit(CAPACITY // len(logs))
--- a/standins/links.py
+++ b/standins/links.py
@@ -1,6 +1,6 @@
 """Links between entry instances of one process, with cuts."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from lavenderstall.clocks import Clock
 from lavenderstall.errors import PeerUnavailableError
@@ -31,10 +31,10 @@
             raise PeerUnavailableError("the peer is not known", step="send", peer=peer)
         self._hub.deliver(self._clock, self._entry, peer, message)
 
-    def broadcast(self, message: Message) -> None:
-        """Queue a hint for every peer that takes it."""
+    def broadcast(self, message: Message, peers: Collection[EntryId] | None = None) -> None:
+        """Queue a hint for every peer that takes it, or for some peers."""
         for peer in list(self._hub.members):
-            if peer != self._entry:
+            if peer != self._entry and (peers is None or peer in peers):
                 self._hub.deliver(self._clock, self._entry, peer, message)
 
 
