Connect to workers by address without checking host names

Cause: the agent makes an endpoint for each request, and the usual one checks the host as an internationalised name each time, also when a pooled connection serves the request. Change: the worker client makes plain TCP endpoints; workers are given by IP address.

--- a/lavenderstall/clients.py
+++ b/lavenderstall/clients.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from twisted.internet.defer import Deferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import (
     ConnectError,
     ConnectingCancelledError,
@@ -19,7 +20,7 @@
     RequestNotSent,
     ResponseDone,
 )
-from twisted.web.iweb import IBodyProducer
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from lavenderstall.clocks import Clock
@@ -90,6 +91,24 @@
     return Agent(reactor, pool=pool)
 
 
+@implementer(IAgentEndpointFactory)
+class AddressEndpoints:
+    """Connect to hosts that are given by IP address.
+
+    An agent makes an endpoint for each request, also when a connection is open; the usual one
+    checks the host as an internationalised name each time.
+    """
+
+    def __init__(self, reactor: Any, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+
+    def endpointForURI(self, uri: Any) -> TCP4ClientEndpoint:  # noqa: N802
+        """Return the endpoint of a URI."""
+        host = uri.host.decode("ascii")
+        return TCP4ClientEndpoint(self._reactor, host, uri.port, timeout=self._timeout_s)
+
+
 class HttpPeer:
     """Send requests to one HTTP service at `url`, with a timeout in seconds.
 
--- a/lavenderstall/targets.py
+++ b/lavenderstall/targets.py
@@ -10,6 +10,7 @@
 from twisted.web.client import Agent, FileBodyProducer, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
+from lavenderstall.clients import AddressEndpoints
 from lavenderstall.errors import (
     AnswerLostError,
     FencedError,
@@ -119,7 +120,8 @@
         pool.maxPersistentPerHost = 16
         # The pool must not send a call a second time by itself.
         pool.retryAutomatically = False
-        self._agent = Agent(reactor, connectTimeout=CONNECT_SECONDS, pool=pool)
+        endpoints = AddressEndpoints(reactor, CONNECT_SECONDS)
+        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
         self.bytes_sent = 0
         self.bytes_received = 0
 
