Take ports below the range of outgoing connections in benches

Change: ports come from 14000 to 29999, and a child that has ended is told with the end of its log instead of a time-out. Conclusion: a failure from now on names the process and its error.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from random import Random
 from types import TracebackType
 from typing import Any
 
@@ -32,6 +33,7 @@
 START_SECONDS = 30.0
 STOP_SECONDS = 5.0
 RACK_WORKERS = 4
+PORTS = range(14_000, 30_000)
 CAPACITY = Resources(64_000, 262_144, 8, 8, 64)
 TEAM = "drivers"
 SERVICE = "echo"
@@ -70,14 +72,21 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Return ports that were free a moment ago.
+
+    They lie below the range that outgoing connections of other processes are given.
+    """
+    found: list[int] = []
+    for port in Random().sample(PORTS, len(PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            break
+    return found
 
 
 def fetch(url: str, path: str) -> bytes:
@@ -101,6 +110,8 @@
         try:
             if done():
                 return time.perf_counter() - begin
+        except ChildProcessError:
+            raise
         except (OSError, RuntimeError, http.client.HTTPException):
             pass
         if time.perf_counter() - begin > seconds:
@@ -193,9 +204,18 @@
             arguments = self._list_arguments(member)
             self.processes.append(Process(member.id, arguments, base / f"{member.id}.log"))
         workers = len(self.shape.workers)
-        wait_for(lambda: self.sum_metric("workers_held") == workers, "the claim of all workers")
+        wait_for(lambda: self._check_running() == workers, "the claim of all workers")
         self.apply(self.write_declarations())
 
+    def _check_running(self) -> float:
+        """Return the workers that are held; raise `ChildProcessError` if a process has ended."""
+        for process in self.processes:
+            if process.child.poll() is not None:
+                log = Path(self._directory.name) / f"{process.name}.log"
+                text = log.read_text("utf-8", "replace")[-500:]
+                raise ChildProcessError(f"{process.name} has ended: {text}")
+        return self.sum_metric("workers_held")
+
     def _list_arguments(self, member: EntryMember) -> list[str]:
         return [
             *("-m", "lavenderstall.daemon", "--entry", member.id, "--zone", member.zone),
