--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -63,9 +63,10 @@
 )
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
-from lavenderstall.peers import Peers, Readiness, export_snapshot, import_snapshot
-from lavenderstall.protocol import Members, MemberState, TaskState, WorkerMember
+from lavenderstall.peers import Pace, Peers, Readiness, export_snapshot, import_snapshot
+from lavenderstall.protocol import Members, MemberState, WorkerMember
 from lavenderstall.queries import QueryDesk
+from lavenderstall.reasons import share_capacity
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
 from lavenderstall.slices import SliceServer
@@ -82,6 +83,9 @@
 CONFIG_SECONDS = 0.5
 SILENCE_SECONDS = 0.25
 RECONCILE_SECONDS = 1.0
+# Peers of other zones hear once a second in a large fleet.
+FAR_SUMMARY_TURNS = 5
+FAR_HEARTBEAT_TURNS = 2
 
 
 class Outside(msgspec.Struct):
@@ -128,6 +132,8 @@
         self.access = Access()
         self.peers = Peers(self.clock)
         self.readiness = Readiness(self)
+        self._summary_pace = Pace(identity.zone, FAR_SUMMARY_TURNS)
+        self._heartbeat_pace = Pace(identity.zone, FAR_HEARTBEAT_TURNS)
         self._member_list = outside.members
         self.commits = GroupCommit(self.store, self.clock, self.make_nonce, self._count_entries)
         self.ownership = Ownership(
@@ -173,8 +179,6 @@
         self.gatekeeper = Gatekeeper(self.clock)
         self.refusals = RefusalLog()
         self.queries = QueryDesk(self)
-        self.metrics.watch("workers_held", self._count_workers)
-        self.metrics.watch("tasks_running", self._count_tasks)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -247,16 +251,6 @@
     def _count_entries(self) -> int:
         return max(len(self.ownership.peers), len(self.members.entries), 1)
 
-    def _count_workers(self) -> int:
-        return sum(len(server.state.workers) for server in self.slices.values())
-
-    def _count_tasks(self) -> int:
-        return sum(
-            task.state is TaskState.RUNNING
-            for server in self.slices.values()
-            for task in server.tasks.values()
-        )
-
     # Ownership
 
     def gain_slice(self, tenure: Tenure) -> None:
@@ -266,6 +260,7 @@
         apply_policy(server, self.view.list_kind("policy"))
         server.set_members(self._list_workers(tenure.slice))
         server.start()
+        share_capacity([server.reasons for server in self.slices.values()])
         self.metrics.count("slices_gained")
 
     def lose_slice(self, name: SliceName, reason: str) -> None:
@@ -273,6 +268,7 @@
         server = self.slices.pop(name, None)
         if server is not None:
             server.stop()
+            share_capacity([server.reasons for server in self.slices.values()])
             self.metrics.count("slices_lost")
         self.directory.drop(name, self.entry)
 
@@ -289,7 +285,7 @@
         return {
             worker.id: worker
             for worker in self.members.workers
-            if worker.zone == self.identity.zone and self.ownership.find_slice(worker.rack) == name
+            if self.ownership.find_slice(worker.rack) == name
         }
 
     def _poll_members(self) -> None:
@@ -299,14 +295,16 @@
 
     async def _read_members(self) -> None:
         try:
-            self.members = await self._member_list.list_members()
+            members = await self._member_list.list_members()
         except LavenderstallError as error:
             logger.info("membership list: %s", error)
             return
         finally:
             self._polling_members = False
-        zone = self.identity.zone
-        self.ownership.list_racks(w.rack for w in self.members.workers if w.zone == zone)
+        # Only the workers of the zone are used, and the list may name those of a whole cell.
+        own = [worker for worker in members.workers if worker.zone == self.identity.zone]
+        self.members = msgspec.structs.replace(members, workers=own)
+        self.ownership.list_racks(worker.rack for worker in own)
         self._set_links()
         leaving = {w.id for w in self.members.workers if w.state is MemberState.LEAVING}
         for name, server in self.slices.items():
@@ -427,12 +425,13 @@
             summary.slice: summary.teams for summary in summaries if summary.slice in self.slices
         }
         commands = find_commands(self.view)
+        peers = None if self.draining else self._summary_pace.next_peers(self.ownership.peers)
         for server in self.slices.values():
             apply_teams(server, teams, totals, own.get(server.name, {}))
             apply_commands(server, commands)
             summary = server.summarize()
             self.directory.update(summary)
-            self.links.broadcast(summary)
+            self.links.broadcast(summary, peers)
 
     def _send_heartbeat(self) -> None:
         beat = Heartbeat(
@@ -443,7 +442,8 @@
             self.draining,
             int(self.ownership.get_store_age() * 1000),
         )
-        self.links.broadcast(beat)
+        peers = None if self.draining else self._heartbeat_pace.next_peers(self.ownership.peers)
+        self.links.broadcast(beat, peers)
 
     # Configuration
 
@@ -506,6 +506,11 @@
                 step="find service",
             )
 
+    def is_hedged(self, name: str) -> bool:
+        """Tell whether slow idempotent calls of a service get a second attempt."""
+        declared = self.view.get("service", name)
+        return declared is not None and declared.calls.hedged
+
     def issue_request(self, service: ServiceName) -> RequestId:
         """Return a request id bound to a worker of an owned slice, or raise."""
         for server in self.slices.values():
