Run all benches at once and notice what is missing

Cause: four benches were not in the mapping and yielded rows of another form, and a run that lost a figure looked complete.

Change: each bench names the figures that a complete run yields. A failing bench or a missing name is reported at the end and makes the exit status 1, the other benches still run, and a missed target does not count as a failure. All rows have the same fields; `--previous` adds the figure of an earlier run, and `--only` runs one bench in place of the names given before.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,27 +1,29 @@
-"""Runs benches and prints one JSON object a line."""
+"""Runs benches, prints one JSON object a line."""
 
 import argparse
 import sys
+from functools import partial
+from pathlib import Path
 
-import msgspec
-
-from bench import BENCHES, get_bench
 from bench.figures import SEED
+from bench.modules import BENCHES
+from bench.runner import BenchRun, print_figures, read_previous
 
 
 def main() -> int:
-    """Run the benches named on the command line, or all."""
+    """Run all benches or one; return 1 if one fails or misses a required figure."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
-    parser.add_argument("names", nargs="*", metavar="NAME", help=f"one of {', '.join(BENCHES)}")
+    parser.add_argument("--only", action="append", choices=list(BENCHES), metavar="NAME")
     parser.add_argument("--seed", type=int, default=SEED)
+    parser.add_argument("--previous", type=Path, metavar="FILE", help="JSON lines to compare with")
     options = parser.parse_args()
-    unknown = set(options.names) - set(BENCHES)
-    if unknown:
-        parser.error(f"no bench {', '.join(sorted(unknown))}; known are {', '.join(BENCHES)}")
-    for name in options.names or BENCHES:
-        for figure in get_bench(name)(options.seed):
-            print(msgspec.json.encode(figure).decode(), flush=True)
-    return 0
+    previous = read_previous(options.previous) if options.previous else None
+    chosen = [(name, BENCHES[name]) for name in options.only or BENCHES]
+    run = BenchRun(options.seed, previous)
+    print_figures(run.run(chosen), partial(print, flush=True))
+    for fault in run.faults:
+        print(fault, file=sys.stderr)
+    return 1 if run.faults else 0
 
 
 if __name__ == "__main__":
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -8,8 +8,11 @@
 SEED = 20260401
 
 
-class Figure(msgspec.Struct, omit_defaults=True):
-    """One measured value; `target` is what the design page asks for, `met` whether it holds."""
+class Figure(msgspec.Struct):
+    """One measured value; `target` is what the design page asks for, `met` whether it holds.
+
+    `previous` is the value of an earlier run, left out if none was given.
+    """
 
     name: str
     value: float
@@ -17,8 +20,9 @@
     baseline: float | None
     ratio: float | None
     seed: int
-    target: str = ""
+    target: str | None = None
     met: bool | None = None
+    previous: float | None | msgspec.UnsetType = msgspec.UNSET
 
 
 Bench: TypeAlias = Callable[[int], Iterator[Figure]]
@@ -37,7 +41,7 @@
     """Return a figure with its ratio to the baseline, rounded for print."""
     ratio = round(value / baseline, 4) if baseline else None
     shown = None if baseline is None else round(baseline, 4)
-    return Figure(name, round(value, 4), unit, shown, ratio, seed, target, met)
+    return Figure(name, round(value, 4), unit, shown, ratio, seed, target or None, met)
 
 
 def find_percentile(values: Sequence[float], part: float) -> float:
--- a/bench/health_bench.py
+++ b/bench/health_bench.py
@@ -2,11 +2,13 @@
 
 import heapq
 from collections import deque
+from collections.abc import Iterator
 from random import Random
 from typing import Any
 
 import msgspec
 
+from bench.figures import Figure, make_figure
 from lavenderstall.health import FailJob, Health, Quarantine
 from lavenderstall.identifiers import JobId, WorkerId
 
@@ -20,6 +22,8 @@
 # The slower a worker fails, the less it draws from the baseline within the run.
 SLOW_FAIL_AFTER_S = 1.0
 BAD_JOB_SHARE = 0.1
+SHARE = 0.01
+"""Largest part of its usual starts that a worker that fails all of them may still draw."""
 # A slot, a free worker or a pause is looked at again this often.
 TICK_S = 0.1
 REPORT_S = 1.0
@@ -174,8 +178,8 @@
     return simulate(seed, None, fail_after_s), simulate(seed, Health(names), fail_after_s)
 
 
-def run(seed: int) -> list[dict[str, Any]]:
-    """Return the rows of this benchmark."""
+def run(seed: int) -> Iterator[Figure]:
+    """Yield the part of its usual work that a failing worker draws, and wrong measures."""
     plain, guarded = compare(seed, FAIL_AFTER_S)
     drawn, sent = plain.starts[plain.bad_worker], guarded.starts[plain.bad_worker]
     share = sent / max(1, drawn)
@@ -183,13 +187,14 @@
     slow_share = slow.starts[plain.bad_worker] / max(1, slow_plain.starts[plain.bad_worker])
     healthy = len((guarded.quarantined | slow.quarantined) - {plain.bad_worker})
     wrongly_failed = sum(not job.startswith("bad") for job in guarded.failed_jobs)
-    rows = [
-        ("bad_worker_share", share, "ratio", 1.0, share),
-        ("bad_worker_share_slow_failure", slow_share, "ratio", 1.0, slow_share),
-        ("bad_worker_starts", sent, "starts", drawn, share),
-        ("healthy_workers_quarantined", healthy, "workers", 0, None),
-        ("good_jobs_failed", wrongly_failed, "jobs", 0, None),
-        ("tasks_done", guarded.done, "tasks", plain.done, guarded.done / max(1, plain.done)),
-    ]
-    keys = ("name", "value", "unit", "baseline", "ratio")
-    return [dict(zip(keys, row, strict=True)) | {"seed": seed} for row in rows]
+    target = f"at most {SHARE}"
+    for name, value in (
+        ("bad_worker_share", share),
+        ("bad_worker_share_slow_failure", slow_share),
+    ):
+        met = value <= SHARE
+        yield make_figure(name, value, "ratio", seed, baseline=1.0, target=target, met=met)
+    yield make_figure("bad_worker_starts", sent, "starts", seed, baseline=drawn)
+    yield make_figure("healthy_workers_quarantined", healthy, "workers", seed, baseline=0)
+    yield make_figure("good_jobs_failed", wrongly_failed, "jobs", seed, baseline=0)
+    yield make_figure("tasks_done", guarded.done, "tasks", seed, baseline=plain.done)
--- a/bench/limits_bench.py
+++ b/bench/limits_bench.py
@@ -2,12 +2,13 @@
 
 import heapq
 from collections import deque
+from collections.abc import Iterator
 from random import Random
 from time import perf_counter
-from typing import Any
 
 import msgspec
 
+from bench.figures import Figure, make_figure
 from lavenderstall.contracts import Deadline
 from lavenderstall.errors import RefusedError
 from lavenderstall.identifiers import AttemptId, ServiceName, TeamName
@@ -25,6 +26,7 @@
 FLOOD_START_S = 20.0
 FLOOD_END_S = 40.0
 REFUSALS = 20_000
+KEPT = 0.98
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -158,17 +160,21 @@
     return elapsed / REFUSALS * 1e6
 
 
-def run(seed: int) -> list[dict[str, Any]]:
-    """Return the rows of this benchmark."""
+def run(seed: int) -> Iterator[Figure]:
+    """Yield what another service keeps, and the cost of a refusal."""
     arrivals = draw_arrivals(Random(seed))
     plain = simulate(arrivals, PlainQueue())
     limited = simulate(arrivals, LimitedQueue())
     kept, plain_kept = compute_kept(arrivals, limited), compute_kept(arrivals, plain)
     flooded, plain_flooded = count_flooded(limited), count_flooded(plain)
-    rows = [
-        ("call_flood_kept", kept, "ratio", plain_kept, kept),
-        ("flooded_calls_met", flooded, "calls", plain_flooded, flooded / max(1, plain_flooded)),
-        ("refusal_cost", measure_refusal_us(), "us", None, None),
-    ]
-    keys = ("name", "value", "unit", "baseline", "ratio")
-    return [dict(zip(keys, row, strict=True)) | {"seed": seed} for row in rows]
+    yield make_figure(
+        "call_flood_kept",
+        kept,
+        "ratio",
+        seed,
+        baseline=plain_kept,
+        target=f"at least {KEPT}",
+        met=kept >= KEPT,
+    )
+    yield make_figure("flooded_calls_met", flooded, "calls", seed, baseline=plain_flooded)
+    yield make_figure("refusal_cost", measure_refusal_us(), "us", seed)
--- a/bench/retry_bench.py
+++ b/bench/retry_bench.py
@@ -1,11 +1,12 @@
 """Measures attempts per call while a tenth of the workers fails each call."""
 
 import heapq
+from collections.abc import Iterator
 from random import Random
-from typing import Any
 
 import msgspec
 
+from bench.figures import Figure, make_figure
 from lavenderstall.balancing import CallTarget, choose_target
 from lavenderstall.contracts import Deadline, RetryBudget
 from lavenderstall.identifiers import WorkerId
@@ -19,6 +20,7 @@
 FAIL_AFTER_S = 0.005
 DEADLINE_S = 1.0
 DURATION_S = 30.0
+AMPLIFICATION = 1.1
 
 
 class Call(msgspec.Struct):
@@ -129,22 +131,30 @@
     end_until(float("inf"))
 
 
-def run(seed: int) -> list[dict[str, Any]]:
-    """Return the rows of this benchmark."""
+def run(seed: int) -> Iterator[Figure]:
+    """Yield the attempts of a call and the part of calls done."""
     random = Random(seed)
     failing = set(random.sample(range(WORKERS), int(WORKERS * FAILING_SHARE)))
     plain_calls = draw_calls(Random(seed))
     simulate(plain_calls, Fleet(failing))
     calls = draw_calls(Random(seed))
     simulate(calls, BalancedFleet(failing, random))
-    values = [
-        ("retry_amplification", "attempts/call", lambda call: call.attempts),
-        ("retry_calls_done", "ratio", lambda call: call.done),
-    ]
-    rows: list[dict[str, Any]] = []
-    for name, unit, measure in values:
-        value, baseline = (sum(map(measure, each)) / len(each) for each in (calls, plain_calls))
-        ratio = value / baseline if baseline else None
-        row = {"name": name, "value": value, "unit": unit, "baseline": baseline}
-        rows.append(row | {"ratio": ratio, "seed": seed})
-    return rows
+    amplification, plain_amplification = (count_attempts(each) for each in (calls, plain_calls))
+    yield make_figure(
+        "retry_amplification",
+        amplification,
+        "attempts/call",
+        seed,
+        baseline=plain_amplification,
+        target=f"at most {AMPLIFICATION}",
+        met=amplification <= AMPLIFICATION,
+    )
+    done, plain_done = (
+        sum(call.done for call in each) / len(each) for each in (calls, plain_calls)
+    )
+    yield make_figure("retry_calls_done", done, "ratio", seed, baseline=plain_done)
+
+
+def count_attempts(calls: list[Call]) -> float:
+    """Return the mean attempts of a call."""
+    return sum(call.attempts for call in calls) / len(calls)
--- a/bench/usage_bench.py
+++ b/bench/usage_bench.py
@@ -2,12 +2,13 @@
 
 import math
 from collections import deque
+from collections.abc import Iterator
 from random import Random
 from statistics import fmean
-from typing import Any
 
 import msgspec
 
+from bench.figures import Figure, make_figure
 from lavenderstall.identifiers import JobId, TaskId, TeamName, make_task_id
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.usage import Move, Shape, Throttle, Usage
@@ -194,28 +195,22 @@
     return fleet
 
 
-def run(seed: int) -> list[dict[str, Any]]:
-    """Return the rows of this benchmark."""
+def run(seed: int) -> Iterator[Figure]:
+    """Yield the instances that were overrun and what learning costs."""
     plain = simulate(seed, None)
     learning = simulate(seed, Usage())
     overrun = len(plain.overrun)
-    rows = [
-        (
-            "misdeclared_overrun",
-            len(learning.overrun),
-            "instances",
-            overrun,
-            len(learning.overrun) / max(1, overrun),
-        ),
-        (
-            "misdeclared_tasks_done",
-            learning.done,
-            "tasks",
-            plain.done,
-            learning.done / max(1, plain.done),
-        ),
-        ("misdeclared_mean_wait", fmean(learning.waits), "s", fmean(plain.waits), None),
-        ("misdeclared_moves", learning.moves, "tasks", 0, None),
-    ]
-    keys = ("name", "value", "unit", "baseline", "ratio")
-    return [dict(zip(keys, row, strict=True)) | {"seed": seed} for row in rows]
+    found = len(learning.overrun)
+    yield make_figure(
+        "misdeclared_overrun",
+        found,
+        "instances",
+        seed,
+        baseline=overrun,
+        target="0",
+        met=found == 0,
+    )
+    yield make_figure("misdeclared_tasks_done", learning.done, "tasks", seed, baseline=plain.done)
+    wait, plain_wait = fmean(learning.waits), fmean(plain.waits)
+    yield make_figure("misdeclared_mean_wait", wait, "s", seed, baseline=plain_wait)
+    yield make_figure("misdeclared_moves", learning.moves, "tasks", seed, baseline=0)
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,130 @@
+"""Tests of what a run of benches notices, with made-up modules."""
+
+import sys
+import tempfile
+import unittest
+from collections.abc import Callable, Iterator
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
+from pathlib import Path
+from types import ModuleType
+from unittest import mock
+
+import msgspec
+
+from bench.__main__ import main
+from bench.figures import Figure, make_figure
+from bench.modules import BENCHES, BenchModule, get_bench
+from bench.runner import BenchRun, read_previous
+
+Bench = Callable[[int], Iterator[Figure]]
+FIELDS = ("name", "value", "unit", "baseline", "ratio", "seed", "target", "met")
+
+
+def run_good(seed: int) -> Iterator[Figure]:
+    """Yield a figure whose target is missed, and another."""
+    yield make_figure("slow_rate", 3.0, "1/s", seed, baseline=6.0, target="at least 5", met=False)
+    yield make_figure("size", 2.0, "MB", seed)
+
+
+def run_failing(seed: int) -> Iterator[Figure]:
+    """Fail after the first figure."""
+    yield make_figure("first", 1.0, "s", seed)
+    raise RuntimeError("no fleet")
+
+
+def make_module(name: str, run: Bench) -> ModuleType:
+    """Return a module that defines `run`."""
+    module = ModuleType(name)
+    module.run = run  # type: ignore[attr-defined]
+    return module
+
+
+class BenchRunTest(unittest.TestCase):
+    """Guards against a run that looks complete although a figure was never measured."""
+
+    def setUp(self) -> None:
+        modules = {"made_up_good": run_good, "made_up_failing": run_failing}
+        loaded = {name: make_module(name, run) for name, run in modules.items()}
+        patch = mock.patch.dict(sys.modules, loaded)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def run_main(self, benches: dict[str, BenchModule], *arguments: str) -> tuple[int, str, str]:
+        """Return the exit status, the output and the errors of a run."""
+        out, errors = StringIO(), StringIO()
+        with (
+            mock.patch("bench.__main__.BENCHES", benches),
+            mock.patch.object(sys, "argv", ["bench", *arguments]),
+            redirect_stdout(out),
+            redirect_stderr(errors),
+        ):
+            status = main()
+        return status, out.getvalue(), errors.getvalue()
+
+    def test_missed_target_is_no_failure(self) -> None:
+        """A missed target is a reported figure, so the run must still succeed."""
+        good = BenchModule("made_up_good", ("slow_rate", "size"))
+        status, out, errors = self.run_main({"good": good}, "--seed", "7")
+        self.assertEqual((status, errors), (0, ""))
+        rows = [msgspec.json.decode(line) for line in out.splitlines()]
+        self.assertEqual([row["name"] for row in rows], ["slow_rate", "size"])
+        for row in rows:
+            self.assertEqual(tuple(row), FIELDS)
+            self.assertEqual(row["seed"], 7)
+        self.assertEqual((rows[0]["met"], rows[0]["ratio"]), (False, 0.5))
+
+    def test_missing_name(self) -> None:
+        """A required figure that is not yielded must fail the run and be named."""
+        good = BenchModule("made_up_good", ("size", "speed", "slow_rate", "reach"))
+        status, out, errors = self.run_main({"good": good})
+        self.assertEqual(status, 1)
+        self.assertEqual(errors, "bench good did not yield speed, reach\n")
+        self.assertEqual(len(out.splitlines()), 2)
+
+    def test_failing_module(self) -> None:
+        """A bench that raises must fail the run, and the ones after it must still run."""
+        benches = {
+            "failing": BenchModule("made_up_failing", ("first", "second")),
+            "absent": BenchModule("made_up_absent", ()),
+            "good": BenchModule("made_up_good", ("size",)),
+        }
+        status, out, errors = self.run_main(benches)
+        self.assertEqual(status, 1)
+        self.assertIn("bench failing failed: RuntimeError('no fleet')", errors)
+        self.assertIn("bench failing did not yield second", errors)
+        self.assertIn("bench absent failed: ModuleNotFoundError", errors)
+        names = [msgspec.json.decode(line)["name"] for line in out.splitlines()]
+        self.assertEqual(names, ["first", "slow_rate", "size"])
+
+    def test_only(self) -> None:
+        """A run of one bench must not run, or ask for figures of, another."""
+        benches = {
+            "failing": BenchModule("made_up_failing", ("first",)),
+            "good": BenchModule("made_up_good", ("size",)),
+        }
+        status, out, _ = self.run_main(benches, "--only", "good")
+        self.assertEqual((status, len(out.splitlines())), (0, 2))
+        with self.assertRaises(SystemExit) as caught:
+            self.run_main(benches, "--only", "unknown")
+        self.assertNotEqual(caught.exception.code, 0)
+
+    def test_previous(self) -> None:
+        """Each figure must be compared with the one of its own name, or with none."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "earlier.jsonl"
+            earlier = make_figure("size", 4.0, "MB", 7)
+            path.write_text(msgspec.json.encode(earlier).decode() + "\n\n", encoding="utf-8")
+            run = BenchRun(7, read_previous(path))
+        figures = list(run.run([("good", BenchModule("made_up_good", ()))]))
+        found = {figure.name: figure.previous for figure in figures}
+        self.assertEqual(found, {"slow_rate": None, "size": 4.0})
+
+
+class BenchModulesTest(unittest.TestCase):
+    """Guards against a name in the mapping without a bench behind it."""
+
+    def test_all_import(self) -> None:
+        for name in BENCHES:
+            with self.subTest(bench=name):
+                self.assertTrue(callable(get_bench(name)))
