--- a/tests/cells.py
+++ b/tests/cells.py
@@ -236,7 +236,6 @@
 
     def shut_down(self, node: Node) -> None:
         """Begin a graceful shutdown; the process ends once it is done."""
-
         began = self.clock.seconds()
 
         def end(_: object) -> None:
