--- a/bench/control_costs.py
+++ b/bench/control_costs.py
@@ -22,8 +22,9 @@
     make_slice_name,
 )
 from lavenderstall.messages import Envelope, PoolSummary, SliceSummary
-from lavenderstall.protocol import Members, WorkerMember
+from lavenderstall.protocol import Members, Row, Rows, WorkerMember
 from lavenderstall.queues import FairQueue
+from lavenderstall.records import EntryRow, decode_row, encode_row, make_entry_key
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Quota, Team
 from lavenderstall.slices import SliceServer
@@ -34,6 +35,7 @@
 SLICE_COUNTS = (32, 128, 750)
 TEAM_COUNTS = (32, 128, 470)
 SUMMARY_TEAMS = (0, 20, 60)
+LIVENESS_ROWS = (9, 60, 150)
 USED = Resources(4000, 8192)
 
 
@@ -45,6 +47,8 @@
     list_wire: Slope
     summary_cpu: Slope
     summary_wire: Slope
+    liveness_cpu: Slope
+    liveness_wire: Slope
     quotas: list[tuple[int, int, float]]
 
 
@@ -119,6 +123,26 @@
     return measure_cpu(work) / 750, sum(map(len, envelopes)) // 750
 
 
+def measure_liveness(entries: int) -> tuple[float, int]:
+    """Return processor seconds to read the liveness rows of a fleet, and their bytes."""
+    rows = []
+    for number in range(entries):
+        name = EntryId(f"entry-{number}")
+        address = f"10.0.0.{number}"
+        zone = ZoneName(f"z{number % 6 + 1}")
+        row = EntryRow(
+            name, Incarnation("0" * 16), zone, f"tcp://{address}:7000", f"http://{address}:80", 999
+        )
+        rows.append(Row(make_entry_key(name), 123_456, encode_row(row)))
+    data = msgspec.json.encode(Rows(123_456, rows))
+
+    def work() -> None:
+        for row in msgspec.json.decode(data, type=Rows).rows:
+            decode_row(row, EntryRow)
+
+    return measure_cpu(work), len(data)
+
+
 class QuotaServer:
     """The part of a slice that quotas are set on."""
 
@@ -150,12 +174,15 @@
     """Return all costs, each as a line through three sizes."""
     lists = [(size, *measure_list(size)) for size in LIST_SIZES]
     summaries = [(teams, *measure_summary(teams)) for teams in SUMMARY_TEAMS]
+    liveness = [(entries, *measure_liveness(entries)) for entries in LIVENESS_ROWS]
     return Costs(
         fit_slope([(size, cpu) for size, cpu, _, _ in lists]),
         fit_slope([(size, used) for size, _, used, _ in lists]),
         fit_slope([(size, wire) for size, _, _, wire in lists]),
         fit_slope([(teams, cpu) for teams, cpu, _ in summaries]),
         fit_slope([(teams, wire) for teams, _, wire in summaries]),
+        fit_slope([(entries, cpu) for entries, cpu, _ in liveness]),
+        fit_slope([(entries, wire) for entries, _, wire in liveness]),
         [
             (teams, slices, measure_quotas(teams, slices))
             for teams, slices in zip(TEAM_COUNTS, SLICE_COUNTS, strict=True)
--- a/bench/daemon.py
+++ b/bench/daemon.py
@@ -261,12 +261,13 @@
     """Print figures, or with `--slopes` the measurements at all sizes."""
     parser = argparse.ArgumentParser(prog="python -m bench.daemon", description=__doc__)
     parser.add_argument("--slopes", action="store_true", help="longer runs at more sizes")
+    parser.add_argument("--costs", action="store_true", help="slopes that need no processes")
     parser.add_argument("--seed", type=int, default=SEED)
     options = parser.parse_args()
-    if options.slopes:
+    if options.slopes or options.costs:
         from bench import daemon_slopes  # noqa: PLC0415  (it imports this module)
 
-        daemon_slopes.show_slopes()
+        daemon_slopes.show_slopes(short=options.costs)
         return 0
     for figure in run(options.seed):
         print(msgspec.json.encode(figure).decode(), flush=True)
--- a/bench/daemon_slopes.py
+++ b/bench/daemon_slopes.py
@@ -111,15 +111,19 @@
     show_slope("list_wire", costs.list_wire)
     show_slope("summary_cpu_per_team", costs.summary_cpu)
     show_slope("summary_wire_per_team", costs.summary_wire)
+    show_slope("liveness_cpu", costs.liveness_cpu)
+    show_slope("liveness_wire", costs.liveness_wire)
     show("list_12000", cpu_ms=costs.list_cpu.extrapolate(NODES) * 1e3)
     for teams, slices, cpu in costs.quotas:
         show("quotas", teams=teams, slices=slices, cpu_ms=cpu * 1e3)
 
 
-def show_slopes() -> None:
-    """Print all measurements and slopes."""
+def show_slopes(*, short: bool = False) -> None:
+    """Print all measurements and slopes, or those that need no processes."""
     costs = control_costs.measure_costs()
     show_costs(costs)
+    if short:
+        return
     slopes = measure_slopes(FULL)
     for name in slopes.__struct_fields__:
         show_slope(name, getattr(slopes, name))
