--- a/tests/cells.py
+++ b/tests/cells.py
@@ -13,7 +13,7 @@
 from lavenderstall.changes import ItemKey, OvertakenError
 from lavenderstall.configuration import Applied, Draft
 from lavenderstall.contracts import Deadline
-from lavenderstall.entry import DRAIN_SECONDS, Entry, Outside, Settings
+from lavenderstall.entry import Entry, Outside, Settings
 from lavenderstall.errors import LavenderstallError, Outcome, RefusedError
 from lavenderstall.identifiers import (
     EntryId,
@@ -35,6 +35,7 @@
 from lavenderstall.records import JobSpec, WorkRow, decode_row
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Item, Service
+from lavenderstall.shutdown import DRAIN_SECONDS
 from lavenderstall.traces import Traces
 from standins.faults import ServiceFaults, TableFaults, WorkerFaults
 from standins.links import LocalHub
