Reject unknown fields in requests

A job submitted over HTTP with 'idempotant: false' was accepted and run as idempotent, and 'cors_milli' as a size of 0, because the structs ignore unknown fields: stored rows share them and must stay readable for older programs. The handlers of jobs, queries and applies now reject them and name their path, as the reader of declarations does. Seen on a held cell; the test fails without it.

--- a/lavenderstall/bodies.py
+++ b/lavenderstall/bodies.py
@@ -20,6 +20,25 @@
 PATH_TRACES = "/v1/traces"
 
 
+def list_unknown_fields(value: Any, kind: Any, path: str = "$") -> list[str]:
+    """Return the paths of fields that a type from `msgspec.inspect` does not have.
+
+    The structs ignore them, because rows that a newer program wrote must stay readable; in a
+    request they are mistakes, such as a job that is meant to be non-idempotent and is not.
+    """
+    if isinstance(kind, msgspec.inspect.UnionType) and isinstance(value, dict):
+        structs = [each for each in kind.types if isinstance(each, msgspec.inspect.StructType)]
+        tagged = [each for each in structs if value.get(each.tag_field) == each.tag]
+        return list_unknown_fields(value, tagged[0], path) if tagged else []
+    if isinstance(kind, msgspec.inspect.StructType) and isinstance(value, dict):
+        known = {field.encode_name: field.type for field in kind.fields}
+        found = [f"{path}.{name}" for name in value.keys() - known.keys() - {kind.tag_field}]
+        for name in value.keys() & known.keys():
+            found += list_unknown_fields(value[name], known[name], f"{path}.{name}")
+        return sorted(found)
+    return []
+
+
 class QueryRequest(msgspec.Struct, omit_defaults=True):
     """Ask for the answer to a statement; `seen` is the version that a command is based on."""
 
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -16,7 +16,7 @@
 from lavenderstall import protocol
 from lavenderstall.access import Caller
 from lavenderstall.bindings import check_request_id
-from lavenderstall.bodies import ApplyRequest, JobRequest, QueryRequest
+from lavenderstall.bodies import ApplyRequest, JobRequest, QueryRequest, list_unknown_fields
 from lavenderstall.calls import CallRequest
 from lavenderstall.contracts import Deadline
 from lavenderstall.entry import Entry
@@ -113,9 +113,15 @@
     def decode(self, kind: type) -> Any:
         """Return the body as a typed value, or raise an error that names the field."""
         try:
-            return msgspec.json.decode(self.body, type=kind)
+            value: Any = msgspec.json.decode(self.body, type=kind)
         except msgspec.MsgspecError as error:
             raise BadRequestError(str(error), step="read body") from error
+        unknown = list_unknown_fields(
+            msgspec.json.decode(self.body), msgspec.inspect.type_info(kind)
+        )
+        if unknown:
+            raise BadRequestError(f"unknown fields: {', '.join(unknown)[:300]}", step="read body")
+        return value
 
 
 Handler = Callable[[Exchange], Awaitable[Reply]]
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -103,6 +103,19 @@
         self.ask('resume kind batch because "x"')
         self.assertTrue(self.cell.run(5, lambda: self.cell.find_runs("j")))
 
+    def test_misspelt_fields_of_a_job(self) -> None:
+        for job, path in (
+            ({**BATCH, "idempotant": False}, "$.job.idempotant"),
+            ({**BATCH, "resources": {"cors_milli": 5}}, "$.job.resources.cors_milli"),
+            ({**BATCH, "constraints": {"zone": ["z1"]}}, "$.job.constraints.zone"),
+        ):
+            with self.subTest(path=path):
+                reply = self.send("POST", "/v1/jobs", {"id": "j", "job": job}, "t.t")
+                rejection = msgspec.json.decode(reply.body, type=Rejection)
+                self.assertEqual((reply.status, rejection.detail), (400, f"unknown fields: {path}"))
+        job = {**BATCH, "payload": {"any": {"thing": 1}}}
+        self.assertEqual(self.send("POST", "/v1/jobs", {"id": "j", "job": job}, "t.t").status, 202)
+
     def test_job_of_another_team(self) -> None:
         reply = self.send("POST", "/v1/jobs", {"id": "j", "job": BATCH}, "ana.a")
         self.assertEqual(reply.status, 403)
