--- a/lavenderstall/cmdline.py
+++ b/lavenderstall/cmdline.py
@@ -13,7 +13,7 @@
 from lavenderstall import commands, completion
 from lavenderstall.client import DEFAULT_TIMEOUT_S, Client, RejectedError
 from lavenderstall.commands import HELP, Session, Status
-from lavenderstall.declarations import DeclarationError
+from lavenderstall.declarations import DeclarationError, find_nearest
 from lavenderstall.errors import (
     AnswerLostError,
     LavenderstallError,
@@ -28,10 +28,13 @@
     read_seconds,
     read_url,
 )
-from lavenderstall.query.statements import QueryError
-from lavenderstall.query.verbs import get_verb, list_words
+from lavenderstall.query.fields import list_names
+from lavenderstall.query.statements import QueryError, Topic
+from lavenderstall.query.verbs import Verb, get_verb, list_words
 
 PROGRAM = "lavenderstall"
+FILE_HELP = "YAML file of declarations"
+TEXT_HELP = "a statement, such as: show waiting"
 MAX_TOKEN_LENGTH = 256
 PLAIN_WORD = re.compile(r"[\x21-\x7e]+\Z")
 STATUS_DENIED = frozenset({401, 403})
@@ -43,7 +46,7 @@
     """Raise an `OptionError` where argparse would end the process."""
 
     def error(self, message: str) -> NoReturn:
-        raise OptionError(message, step="arguments")
+        raise OptionError(f"{message}; see {self.prog} --help", step="arguments")
 
 
 def _read(reader: Callable[[str], Any]) -> Callable[[str], Any]:
@@ -73,17 +76,21 @@
         "--token-file",
         env_var=f"{environment}TOKEN_FILE",
         metavar="FILE",
-        help="file that holds the token",
+        help=f"file that holds the token (environment {environment}TOKEN_FILE)",
     )
     parser.add_argument(
-        "--output", type=_read(read_choice("table", "json")), default="table", help="table or json"
+        "--output",
+        type=_read(read_choice("table", "json")),
+        default="table",
+        help="table or json (default: table)",
     )
     parser.add_argument(
         "--timeout",
         env_var=f"{environment}TIMEOUT",
         type=_read(read_seconds(0.1, 3600)),
         default=DEFAULT_TIMEOUT_S,
-        help="seconds to wait for each entry instance",
+        help="seconds to wait for each entry instance "
+        f"(environment {environment}TIMEOUT, default: {DEFAULT_TIMEOUT_S:g})",
     )
 
 
@@ -97,41 +104,61 @@
 
 def _add_declaration_commands(add: Callable[[str, Run], Any]) -> None:
     for name, run in (("check", commands.check), ("diff", commands.diff)):
-        add(name, run).add_argument("files", nargs="+", metavar="FILE")
+        add(name, run).add_argument("files", nargs="+", metavar="FILE", help=FILE_HELP)
     add("schema", commands.schema)
     parser = add("token", commands.token)
     parser.add_argument("name", metavar="NAME", help="name of the operator or team")
     parser = add("apply", commands.apply)
-    parser.add_argument("files", nargs="+", metavar="FILE")
+    parser.add_argument("files", nargs="+", metavar="FILE", help=FILE_HELP)
     parser.add_argument("--reason", default="", help="reason, kept in the history")
     parser.add_argument("--wait", action="store_true", help="wait until it is in effect everywhere")
-    parser.add_argument("--wait-timeout", type=_read(read_seconds(0, 3600)), default=30.0)
+    parser.add_argument(
+        "--wait-timeout",
+        type=_read(read_seconds(0, 3600)),
+        default=30.0,
+        help="seconds after which --wait gives up (default: 30)",
+    )
     _add_seen(parser)
 
 
 def _add_query_commands(add: Callable[[str, Run], Any]) -> None:
     parser = add("query", commands.query)
-    parser.add_argument("words", nargs="+", metavar="TEXT")
+    parser.add_argument("words", nargs="+", metavar="TEXT", help=TEXT_HELP)
     _add_seen(parser)
     parser = add("watch", commands.watch)
-    parser.add_argument("words", nargs="+", metavar="TEXT")
-    parser.add_argument("--interval", type=_read(read_seconds(0.2, 3600)), default=2.0)
-    parser.add_argument("--times", type=_read(read_integer(1, 10**6)))
+    parser.add_argument("words", nargs="+", metavar="TEXT", help=TEXT_HELP)
+    parser.add_argument(
+        "--interval",
+        type=_read(read_seconds(0.2, 3600)),
+        default=2.0,
+        help="seconds between two answers (default: 2)",
+    )
+    parser.add_argument(
+        "--times",
+        type=_read(read_integer(1, 10**6)),
+        help="number of answers (default: until Ctrl-C)",
+    )
 
 
 def _add_work_commands(add: Callable[[str, Run], Any]) -> None:
     parser = add("submit", commands.submit)
-    parser.add_argument("file", metavar="FILE")
+    parser.add_argument("file", metavar="FILE", help="declaration of a batch job or gang")
     parser.add_argument("--name", help="name of the job, if the file declares several")
     parser.add_argument("--id", help="id; submitting it again finds the first submission")
-    add("status", commands.status).add_argument("job", metavar="JOB")
+    add("status", commands.status).add_argument("job", metavar="JOB", help="id of the job")
     parser = add("call", commands.call)
-    parser.add_argument("service", metavar="SERVICE")
+    parser.add_argument("service", metavar="SERVICE", help="name of the service")
     parser.add_argument("--data", metavar="FILE", help="body; - reads standard input")
     parser.add_argument("--id", help="request id; the same id finds the first response")
     parser.add_argument("--once", action="store_true", help="the request is not idempotent")
-    parser.add_argument("--deadline-ms", type=_read(read_integer(1, 600_000)), default=10_000)
-    add("trace", commands.trace).add_argument("request", metavar="REQUEST")
+    parser.add_argument(
+        "--deadline-ms",
+        type=_read(read_integer(1, 600_000)),
+        default=10_000,
+        help="milliseconds until the response is of no use (default: 10000)",
+    )
+    parser = add("trace", commands.trace)
+    parser.add_argument("request", metavar="REQUEST", help="id of the request")
 
 
 def make_parsers() -> tuple[Any, dict[str, Any]]:
@@ -141,7 +168,10 @@
         prog=PROGRAM,
         description=__doc__,
         epilog=f"Any statement may be given directly, such as: {PROGRAM} show waiting\n"
-        f"verbs: {', '.join(list_words())}\n\nexit statuses:\n{statuses}",
+        f"verbs: {', '.join(list_words())}\n{PROGRAM} VERB --help explains one.\n\n"
+        f"Entry instances and token are given with --entry and --token-file after the command,\n"
+        f"or in {ENVIRONMENT_PREFIX}ENTRY and {ENVIRONMENT_PREFIX}TOKEN_FILE.\n\n"
+        f"exit statuses:\n{statuses}",
         formatter_class=configargparse.RawDescriptionHelpFormatter,
         add_config_file_help=False,
         add_env_var_help=False,
@@ -182,6 +212,15 @@
     return " ".join(head)
 
 
+def describe_verb(verb: Verb) -> str:
+    """Return what a verb does, an example, and the fields that it may name."""
+    lines = [f"{verb.name}: {verb.summary}", f"example: {verb.example}"]
+    if verb.name in ("show", "count"):
+        lines.append("operators: = != < <= > >= ~ (matches a part), in (A, B), and, or, not")
+        lines += [f"fields of {topic.value}: {', '.join(list_names(topic))}" for topic in Topic]
+    return "\n".join([*lines, ""])
+
+
 def _read_statement(arguments: Sequence[str]) -> Namespace:
     """Return the options of a statement that is given directly."""
     parser = _Parser(prog=PROGRAM, allow_abbrev=False, add_help=False)
@@ -192,7 +231,7 @@
     options, words = parser.parse_known_args(arguments)
     if not {"-h", "--help"}.isdisjoint(words):
         verb = get_verb(words[0])
-        options.script = f"{verb.name}: {verb.summary}\nexample: {verb.example}\n"
+        options.script = describe_verb(verb)
     if words[0] in ("undo", "revert", "approve", "reject") and words[1:2] != ["change"]:
         words.insert(1, "change")
     if options.preview:
@@ -209,6 +248,12 @@
     if arguments and arguments[0] in list_words():
         return _read_statement(arguments)
     parser, children = make_parsers()
+    if arguments and not arguments[0].startswith("-") and arguments[0] not in children:
+        known = [*children, *list_words()]
+        nearest = find_nearest(arguments[0], known)
+        hint = f"; did you mean {nearest!r}?" if nearest else ""
+        detail = f"no command {arguments[0]!r}{hint} (known: {', '.join(known)})"
+        raise OptionError(detail, step="arguments")
     options: Namespace = parser.parse_args(list(arguments))
     if options.command == "completion":
         flags = {
--- a/lavenderstall/options.py
+++ b/lavenderstall/options.py
@@ -129,6 +129,11 @@
     return read
 
 
+def describe_default(option: Option) -> str:
+    """Return what holds when a setting is not given."""
+    return "required" if option.required else f"default: {option.default or 'none'}"
+
+
 def parse_options(
     program: str, table: Iterable[Option], arguments: Sequence[str] | None = None
 ) -> dict[str, Any]:
@@ -142,7 +147,7 @@
             option.flag,
             env_var=option.variable,
             default=option.default,
-            help=f"{option.help} (default: {option.default or 'none'})",
+            help=f"{option.help} ({describe_default(option)})",
             **bare,
         )
     found = vars(parser.parse_args(sys.argv[1:] if arguments is None else list(arguments)))
