Keep the first operator until another may change the cell

The first applied configuration replaced the operator that an empty cell is started with. One that declared no operator with the right to change, such as a file of teams alone, left nobody who could change the cell again. The first operator is now accepted as long as no such operator is declared. The new test fails without the condition.

--- a/lavenderstall/access.py
+++ b/lavenderstall/access.py
@@ -89,14 +89,23 @@
         self._key = random(HASH_BYTES)
         self._cache: OrderedDict[bytes, bool] = OrderedDict()
         self._hashes: dict[str, list[tuple[str, Caller]]] = {}
+        self._first: tuple[Operator, ...] = ()
 
     def __repr__(self) -> str:
         return f"Access(names={len(self._hashes)}, cached={len(self._cache)})"
 
+    def set_first(self, operator: Operator) -> None:
+        """Accept an operator while no declared one may change the configuration."""
+        self._first = (operator,)
+        self.replace([])
+
     def replace(self, declared: Iterable[Declaration]) -> None:
         """Use the operators and teams of a newer configuration."""
+        values = list(declared)
+        if not any(isinstance(each, Operator) and each.right is Right.CHANGE for each in values):
+            values += self._first
         hashes: dict[str, list[tuple[str, Caller]]] = {}
-        for value in declared:
+        for value in values:
             if isinstance(value, Operator):
                 caller = Caller(value.name, value.right)
                 hashes.setdefault(value.name, []).append((value.token, caller))
--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -59,7 +59,11 @@
         "age of the configuration in seconds at which no jobs are accepted",
         "900",
     ),
-    Option("operator-hash", read_text, "token hash of the operator of an empty configuration"),
+    Option(
+        "operator-hash",
+        read_text,
+        "token hash of the operator until one with the right to change is declared",
+    ),
     Option("trace-file", read_text, "file that spans are appended to as JSON lines"),
     Option("log-level", read_choice(*LEVELS), f"one of {', '.join(LEVELS)}", "info"),
 )
@@ -94,7 +98,7 @@
     watch_traffic(instance.metrics, links, client)
     if values["operator-hash"]:
         first = Operator(name="operator", token=values["operator-hash"], right=Right.CHANGE)
-        instance.access.replace([first])
+        instance.access.set_first(first)
     return instance
 
 
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -54,6 +54,15 @@
                         self.assertNotIn("ana.a", str(error))
                     self.assertEqual(found, status)
 
+    def test_first_operator_holds_until_another_may_change(self) -> None:
+        first = Operator("operator", hash_token("operator.x", SALT), Right.CHANGE)
+        self.access.set_first(first)
+        ana, ben, team = DECLARED
+        for declared, expected in (((), True), ((ben, team), True), ((ana, team), False)):
+            with self.subTest(declared=declared):
+                self.access.replace(declared)
+                self.assertEqual(self.access.find_caller("operator.x") is not None, expected)
+
     def test_second_check_is_cached_until_the_hash_is_replaced(self) -> None:
         with mock.patch.object(access, "matches_hash", wraps=access.matches_hash) as hashed:
             for _ in range(5):
