--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -113,6 +113,7 @@
         demand = Demand(spec.kind.value)
         try:
             self._check_ready(retry)
+            entry.gatekeeper.admit(spec, retry=retry)
             status = await entry.desk.submit(spec, retry=retry)
         except RefusedError as error:
             now = entry.clock.seconds()
@@ -133,11 +134,13 @@
 
     async def read_job(self, job: JobId, caller: Caller, wait: float = 0.0) -> JobAnswer:
         """Return the state of a job, after its end or after a time in seconds."""
-        limit = self._entry.clock.seconds() + wait
+        clock = self._entry.clock
+        limit = clock.seconds() + wait
         team = await self._check_team(job, caller)
         status = await self._entry.desk.read_status(job)
-        while not status.is_finished and self._entry.clock.seconds() < limit:
-            await sleep(self._entry.clock, JOB_POLL_SECONDS)
+        # A caller that waits learns the state early when the entry instance shuts down.
+        while not (status.is_finished or self._entry.draining or clock.seconds() >= limit):
+            await sleep(clock, JOB_POLL_SECONDS)
             try:
                 status = await self._entry.desk.read_status(job)
             except LavenderstallError:
--- /dev/null
+++ b/tests/test_queries.py
@@ -0,0 +1,126 @@
+"""Tests of statements and submissions through the HTTP handlers of a simulated cell."""
+
+import unittest
+from io import BytesIO
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.http_headers import Headers
+
+from lavenderstall.access import hash_token
+from lavenderstall.bodies import Rejection
+from lavenderstall.changes import ItemKey
+from lavenderstall.inventory import Answer
+from lavenderstall.schemas import Operator, Right, Team
+from lavenderstall.web import Gate, Reply
+from tests.cells import Cell
+
+SALT = bytes(16)
+OPERATOR = Operator("ana", hash_token("ana.a", SALT), Right.CHANGE)
+TEAM = Team("t", weight=2, tokens=(hash_token("t.t", SALT),))
+ITEMS = {ItemKey("operator", "ana"): OPERATOR, ItemKey("team", "t"): TEAM}
+BATCH = {"kind": "batch", "name": "b", "team": "t", "tasks": 1, "resources": {}}
+
+
+class FakeRequest:
+    """Hold what `Gate` reads of a request."""
+
+    def __init__(self, method: str, path: str, body: bytes, token: str) -> None:
+        self.method = method.encode()
+        self.path = path.encode()
+        self.content = BytesIO(body)
+        self.args: dict[bytes, list[bytes]] = {}
+        self.oversized = False
+        self.requestHeaders = Headers({"Authorization": [f"Bearer {token}"]})
+
+
+class WebCase(unittest.TestCase):
+    """Send requests to one entry instance of a simulated cell of two zones."""
+
+    def setUp(self) -> None:
+        self.cell = Cell(entries=1)
+        self.assertTrue(self.cell.run(20, lambda: len(self.cell.list_ready()) == 2))
+        self.node = self.cell.list_ready("z0")[0]
+        self.cell.run(5)
+        self.cell.declare(self.node, dict(ITEMS))
+        self.cell.run(5)
+        self.gate = Gate(self.node.entry)
+
+    def send(self, method: str, path: str, body: Any = None, token: str = "ana.a") -> Reply:
+        request: Any = FakeRequest(method, path, msgspec.json.encode(body), token)
+        replies: list[Reply] = []
+        Deferred.fromCoroutine(self.gate._answer(request)).addCallback(replies.append)
+        self.cell.run(10, lambda: bool(replies))
+        return replies[0]
+
+    def ask(self, text: str) -> tuple[int, Any]:
+        reply = self.send("POST", "/v1/query", {"text": text})
+        kind: type = Answer if reply.status == 200 else Rejection
+        return reply.status, msgspec.json.decode(reply.body, type=kind)
+
+
+class QueryTest(WebCase):
+    """Guards against statements that parse and that an entry instance cannot answer."""
+
+    def test_preview_of_an_undo(self) -> None:
+        status, answer = self.ask('set team t weight = 3 because "x"')
+        self.assertEqual(status, 200, answer)
+        status, answer = self.ask(f"undo change {answer.change.id} preview")
+        self.assertEqual((status, answer.committed), (200, False), answer)
+        self.assertEqual([str(each.key) for each in answer.differences], ["team/t"])
+
+    def test_places_of_other_zones_are_known(self) -> None:
+        for text in ("drain worker z1w0", "drain rack z1r0"):
+            status, answer = self.ask(f'{text} because "x"')
+            self.assertEqual((status, answer.committed), (200, True), answer)
+        status, answer = self.ask('drain worker z1w9 because "x"')
+        self.assertEqual((status, answer.detail), (400, "no worker is named 'z1w9'"))
+
+    def test_why_without_a_record_tells_where_to_look(self) -> None:
+        status, answer = self.ask("why job j")
+        self.assertEqual(status, 200)
+        self.assertIn("nothing is recorded about job j", answer.note)
+        self.assertIn("why request j", answer.note)
+
+    def test_why_a_job_waits(self) -> None:
+        job = {**BATCH, "tasks": 40, "resources": {"cores_milli": 1000}}
+        reply = self.send("POST", "/v1/jobs", {"id": "j", "job": job}, "t.t")
+        self.assertEqual(reply.status, 202, reply.body)
+        self.cell.run(3)
+        _, answer = self.ask("why job j")
+        waits = [row for row in answer.rows if row.outcome == "waiting"]
+        self.assertTrue(waits, answer)
+        self.assertIn("no room; the nearest worker is short of cores_milli by", waits[0].reason)
+        self.assertTrue(waits[0].alternatives)
+
+    def test_paused_kind_does_not_start(self) -> None:
+        self.assertEqual(self.ask('pause kind batch because "x"')[0], 200)
+        self.cell.run(3)
+        self.send("POST", "/v1/jobs", {"id": "j", "job": BATCH}, "t.t")
+        self.cell.run(5)
+        self.assertIn("paused by an operator; kind/batch", self.ask("why task j.0")[1].note)
+        self.ask('resume kind batch because "x"')
+        self.assertTrue(self.cell.run(5, lambda: self.cell.find_runs("j")))
+
+    def test_misspelt_fields_of_a_job(self) -> None:
+        for job, path in (
+            ({**BATCH, "idempotant": False}, "$.job.idempotant"),
+            ({**BATCH, "resources": {"cors_milli": 5}}, "$.job.resources.cors_milli"),
+            ({**BATCH, "constraints": {"zone": ["z1"]}}, "$.job.constraints.zone"),
+        ):
+            with self.subTest(path=path):
+                reply = self.send("POST", "/v1/jobs", {"id": "j", "job": job}, "t.t")
+                rejection = msgspec.json.decode(reply.body, type=Rejection)
+                self.assertEqual((reply.status, rejection.detail), (400, f"unknown fields: {path}"))
+        job = {**BATCH, "payload": {"any": {"thing": 1}}}
+        self.assertEqual(self.send("POST", "/v1/jobs", {"id": "j", "job": job}, "t.t").status, 202)
+
+    def test_job_of_another_team(self) -> None:
+        reply = self.send("POST", "/v1/jobs", {"id": "j", "job": BATCH}, "ana.a")
+        self.assertEqual(reply.status, 403)
+        self.assertIn(b"of team 't', but the token is that of 'ana'", reply.body)
+
+
+if __name__ == "__main__":
+    unittest.main()
