Say which bound a refused job exceeds

'50 gang tasks of team maintenance exceed a bound by 50' named neither the bound nor what would have to change. The detail now names the quota's components and amounts, or which waiting count is full and by how many tasks.

--- a/lavenderstall/admission.py
+++ b/lavenderstall/admission.py
@@ -146,7 +146,7 @@
         if refusal is not None:
             reason, excess = refusal
             raise RefusedError(
-                f"{count} {kind.value} tasks of team {team} exceed a bound by {excess}",
+                self._describe(kind, team, count, unit, refusal),
                 step=STEP,
                 reason=reason.value,
                 retry_after_ms=self._estimate_retry_ms(kind, reason, excess, now),
@@ -180,6 +180,34 @@
         """Drop waiting tasks; these say nothing about the drain rate."""
         self._queues[kind].remove(team, count)
 
+    def _describe(
+        self,
+        kind: Kind,
+        team: TeamName,
+        count: int,
+        unit: Resources,
+        refusal: tuple[AdmissionReason, int],
+    ) -> str:
+        """Return which bound is exceeded and by how much."""
+        reason, excess = refusal
+        tasks = f"{count} {kind.value} tasks of team {team}"
+        if reason is AdmissionReason.UNKNOWN_TEAM:
+            return f"team {team} is not declared"
+        if reason is AdmissionReason.LARGER_THAN_QUOTA:
+            bound = self._quotas[team].running or NOTHING
+            parts = (
+                f"{name} is {getattr(unit, name)}, at most {getattr(bound, name)}"
+                for name in unit.find_shortages(bound)
+            )
+            what = "all tasks of the gang" if kind is Kind.GANG else "one task"
+            return f"{what} would exceed the quota of team {team}: {', '.join(parts)}"
+        bounds = {
+            AdmissionReason.TEAM_WAITING_QUOTA: "the waiting quota of the team",
+            AdmissionReason.TEAM_QUEUE_FULL: f"what may wait of one team and kind {kind.value}",
+            AdmissionReason.KIND_QUEUE_FULL: f"what may wait of kind {kind.value}",
+        }
+        return f"{tasks} exceed {bounds[reason]} by {excess}"
+
     def _find_refusal(
         self, kind: Kind, team: TeamName, count: int, unit: Resources
     ) -> tuple[AdmissionReason, int] | None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -29,14 +29,22 @@
         return caught.exception
 
     def test_reasons(self) -> None:
-        for team, count, unit, reason in [
-            (TeamName("x"), 1, CORE, AdmissionReason.UNKNOWN_TEAM),
-            (A, 1, Resources(4001), AdmissionReason.LARGER_THAN_QUOTA),
-            (A, 9, CORE, AdmissionReason.TEAM_WAITING_QUOTA),
-            (B, 17, CORE, AdmissionReason.TEAM_QUEUE_FULL),
+        for team, count, unit, reason, words in [
+            (TeamName("x"), 1, CORE, AdmissionReason.UNKNOWN_TEAM, "x is not declared"),
+            (
+                A,
+                1,
+                Resources(4001),
+                AdmissionReason.LARGER_THAN_QUOTA,
+                "team a: cores_milli is 4001, at most 4000",
+            ),
+            (A, 9, CORE, AdmissionReason.TEAM_WAITING_QUOTA, "the waiting quota of the team by 1"),
+            (B, 17, CORE, AdmissionReason.TEAM_QUEUE_FULL, "team and kind batch by 1"),
         ]:
             with self.subTest(reason=reason):
-                self.assertEqual(self.refuse(team, count, unit).reason, reason.value)
+                refusal = self.refuse(team, count, unit)
+                self.assertEqual(refusal.reason, reason.value)
+                self.assertIn(words, refusal.detail)
         self.assertEqual(self.admission.count_waiting(Kind.BATCH), 0)
 
     def test_flooding_teams_leave_places_for_another(self) -> None:
