--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -9,7 +9,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from lavenderstall import cleaning, shutdown
+from lavenderstall import cleaning, reasons, shutdown
 from lavenderstall.access import Access
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.calls import CallRequest, CallRouter, Directory
@@ -64,7 +64,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
 from lavenderstall.peers import Peers, Readiness, export_snapshot, import_snapshot
-from lavenderstall.protocol import Members, MemberState, TaskState, WorkerMember
+from lavenderstall.protocol import Members, MemberState, WorkerMember
 from lavenderstall.queries import QueryDesk
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
@@ -82,6 +82,8 @@
 CONFIG_SECONDS = 0.5
 SILENCE_SECONDS = 0.25
 RECONCILE_SECONDS = 1.0
+# A record takes about 1 KB, and an entry instance has some 10 MB for all its state.
+REASONS_KEPT = 4096
 
 
 class Outside(msgspec.Struct):
@@ -173,8 +175,6 @@
         self.gatekeeper = Gatekeeper(self.clock)
         self.refusals = RefusalLog()
         self.queries = QueryDesk(self)
-        self.metrics.watch("workers_held", self._count_workers)
-        self.metrics.watch("tasks_running", self._count_tasks)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -247,16 +247,6 @@
     def _count_entries(self) -> int:
         return max(len(self.ownership.peers), len(self.members.entries), 1)
 
-    def _count_workers(self) -> int:
-        return sum(len(server.state.workers) for server in self.slices.values())
-
-    def _count_tasks(self) -> int:
-        return sum(
-            task.state is TaskState.RUNNING
-            for server in self.slices.values()
-            for task in server.tasks.values()
-        )
-
     # Ownership
 
     def gain_slice(self, tenure: Tenure) -> None:
@@ -266,6 +256,7 @@
         apply_policy(server, self.view.list_kind("policy"))
         server.set_members(self._list_workers(tenure.slice))
         server.start()
+        self._share_reasons()
         self.metrics.count("slices_gained")
 
     def lose_slice(self, name: SliceName, reason: str) -> None:
@@ -273,9 +264,15 @@
         server = self.slices.pop(name, None)
         if server is not None:
             server.stop()
+            self._share_reasons()
             self.metrics.count("slices_lost")
         self.directory.drop(name, self.entry)
 
+    def _share_reasons(self) -> None:
+        """Divide the records of decisions that fit in memory among the slices."""
+        for server in self.slices.values():
+            server.reasons.limit(min(reasons.CAPACITY, REASONS_KEPT // len(self.slices)))
+
     def change_peers(self, peers: Mapping[EntryId, EntryRow]) -> None:
         """Open links to the entry instances that are alive."""
         self._set_links()
@@ -289,7 +286,7 @@
         return {
             worker.id: worker
             for worker in self.members.workers
-            if worker.zone == self.identity.zone and self.ownership.find_slice(worker.rack) == name
+            if self.ownership.find_slice(worker.rack) == name
         }
 
     def _poll_members(self) -> None:
@@ -299,14 +296,16 @@
 
     async def _read_members(self) -> None:
         try:
-            self.members = await self._member_list.list_members()
+            members = await self._member_list.list_members()
         except LavenderstallError as error:
             logger.info("membership list: %s", error)
             return
         finally:
             self._polling_members = False
-        zone = self.identity.zone
-        self.ownership.list_racks(w.rack for w in self.members.workers if w.zone == zone)
+        # Only the workers of the zone are used, and the list may name those of a whole cell.
+        own = [worker for worker in members.workers if worker.zone == self.identity.zone]
+        self.members = msgspec.structs.replace(members, workers=own)
+        self.ownership.list_racks(worker.rack for worker in own)
         self._set_links()
         leaving = {w.id for w in self.members.workers if w.state is MemberState.LEAVING}
         for name, server in self.slices.items():
@@ -506,6 +505,11 @@
                 step="find service",
             )
 
+    def is_hedged(self, name: str) -> bool:
+        """Tell whether slow idempotent calls of a service get a second attempt."""
+        declared = self.view.get("service", name)
+        return declared is not None and declared.calls.hedged
+
     def issue_request(self, service: ServiceName) -> RequestId:
         """Return a request id bound to a worker of an owned slice, or raise."""
         for server in self.slices.values():
