Read the membership list for directives on other zones

The list is now read when a directive names a place; while it cannot be read, names of workers and racks are not checked, so that operators can still drain them.

--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -294,6 +294,10 @@
             self._polling_members = True
             Deferred.fromCoroutine(self._read_members())
 
+    async def list_cell_workers(self) -> list[WorkerMember]:
+        """Return the workers of all zones as the membership list names them now."""
+        return (await self._member_list.list_members()).workers
+
     async def _read_members(self) -> None:
         try:
             members = await self._member_list.list_members()
--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -20,12 +20,13 @@
 )
 from lavenderstall.inventory import Answer, Inventory, MissingPart, Part, make_change_info
 from lavenderstall.messages import QueryAsk, QueryPart, TraceAsk
+from lavenderstall.protocol import WorkerMember
 from lavenderstall.query.evaluation import evaluate, merge_answers
 from lavenderstall.query.execution import execute
 from lavenderstall.query.fields import Reach
 from lavenderstall.query.parser import parse_statement
 from lavenderstall.query.reach import SliceFacts, find_slices, get_reach, get_right
-from lavenderstall.query.statements import Count, Show, ShowChange, Statement, Topic, Why
+from lavenderstall.query.statements import Count, Direct, Show, ShowChange, Statement, Topic, Why
 from lavenderstall.schemas import Right
 from lavenderstall.views import list_entries, make_inventory
 
@@ -75,9 +76,19 @@
             unix_ms=self._entry.read_unix_ms,
             seen=seen,
             slices=self._list_facts(),
-            members=self._entry.members.workers,
+            members=await self._list_members(statement),
         )
 
+    async def _list_members(self, statement: Statement) -> Collection[WorkerMember] | None:
+        """Return the workers that a directive may name, or none if they cannot be read."""
+        if not isinstance(statement, Direct):
+            return ()
+        try:
+            return await self._entry.list_cell_workers()
+        except LavenderstallError as error:
+            logger.info("names of workers are not checked: %s", error)
+            return None
+
     def _list_facts(self) -> list[SliceFacts]:
         """Return what is known of each slice, also of those without an owner."""
         entry = self._entry
--- a/lavenderstall/query/execution.py
+++ b/lavenderstall/query/execution.py
@@ -111,16 +111,17 @@
     statement: Statement,
     slices: Iterable[SliceFacts],
     items: Mapping[ItemKey, Item],
-    members: Collection[WorkerMember] = (),
+    members: Collection[WorkerMember] | None = (),
 ) -> None:
     """Raise `QueryError` if a directive names a place or work that does not exist."""
     if not isinstance(statement, Direct):
         return
     facts = tuple(slices)
+    listed = members or ()
     target, _, name = statement.scope.partition("/")
     known: dict[str, set[str]] = {
-        "worker": {str(m.id) for m in members}.union(*(each.workers for each in facts)),
-        "rack": {str(m.rack) for m in members}.union(*(each.racks for each in facts)),
+        "worker": {str(m.id) for m in listed}.union(*(each.workers for each in facts)),
+        "rack": {str(m.rack) for m in listed}.union(*(each.racks for each in facts)),
         "zone": {str(each.zone) for each in facts},
         "slice": {str(each.slice) for each in facts},
         "service": {key.name for key in items if key.kind == "service"},
@@ -130,6 +131,8 @@
     # Commands on a thing that is gone must still be cleared.
     if ItemKey("command", statement.scope) in items or not known.get(target):
         return
+    if members is None and target in ("worker", "rack"):
+        return
     if name not in known[target]:
         nearest = find_nearest(name, known[target])
         raise QueryError(f"no {target} is named {name!r}", nearest=nearest)
@@ -153,7 +156,7 @@
     author: str,
     seen: Version | None,
     slices: Iterable[SliceFacts],
-    members: Collection[WorkerMember],
+    members: Collection[WorkerMember] | None,
 ) -> Applied:
     if isinstance(statement, Undo):
         return await configuration.undo(
@@ -182,11 +185,12 @@
     unix_ms: Callable[[], int],
     seen: Version | None = None,
     slices: Iterable[SliceFacts] = (),
-    members: Collection[WorkerMember] = (),
+    members: Collection[WorkerMember] | None = (),
 ) -> Answer:
     """Carry out a command and return the change it made.
 
-    `members` are the workers of the whole cell, as `slices` names only those that are owned here.
+    `members` are the workers of the whole cell, as `slices` names only those that are owned here;
+    none means that they are not known and names of workers and racks are not checked.
 
     Raises `QueryError`, `OvertakenError`, `ChangeRefusedError` or a store error.
     """
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -77,6 +77,11 @@
         status, answer = self.ask('drain worker z1w9 because "x"')
         self.assertEqual((status, answer.detail), (400, "no worker is named 'z1w9'"))
 
+    def test_directive_while_the_membership_list_is_down(self) -> None:
+        self.cell.members.faults.down = True
+        status, answer = self.ask('drain worker z1w0 because "x"')
+        self.assertEqual((status, getattr(answer, "committed", answer)), (200, True))
+
     def test_why_without_a_record_tells_where_to_look(self) -> None:
         status, answer = self.ask("why job j")
         self.assertEqual(status, 200)
