--- a/lavenderstall/shutdown.py
+++ b/lavenderstall/shutdown.py
@@ -31,7 +31,7 @@
     """Finish requests in flight, hand over the slices and stop."""
     entry.begin_drain()
     limit = entry.clock.seconds() + DRAIN_SECONDS
-    await _wait_until(entry, lambda: entry.requests == 0 and entry.router.in_flight == 0, limit)
+    await _wait_until(entry, lambda: _is_answered(entry), limit)
     for server in entry.slices.values():
         server.calls.draining = True
     await _wait_until(entry, lambda: _is_idle(entry), limit)
@@ -62,6 +62,10 @@
     await DeferredList([done], consumeErrors=True)
 
 
+def _is_answered(entry: "Entry") -> bool:
+    return entry.requests + entry.router.in_flight + entry.desk.in_flight == 0
+
+
 def _is_idle(entry: "Entry") -> bool:
     return all(server.calls.in_flight == 0 for server in entry.slices.values())
 
