--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -61,7 +61,11 @@
         "age of the configuration in seconds at which no jobs are accepted",
         "900",
     ),
-    Option("operator-hash", read_text, "token hash of the operator of an empty configuration"),
+    Option(
+        "operator-hash",
+        read_text,
+        "token hash of the operator until one with the right to change is declared",
+    ),
     Option("trace-file", read_text, "file that spans are appended to as JSON lines"),
     Option("log-level", read_choice(*LEVELS), f"one of {', '.join(LEVELS)}", "info"),
 )
@@ -98,7 +102,7 @@
     instance.metrics.watch("tasks_running", partial(count_tasks, instance))
     if values["operator-hash"]:
         first = Operator(name="operator", token=values["operator-hash"], right=Right.CHANGE)
-        instance.access.replace([first])
+        instance.access.set_first(first)
     return instance
 
 
