--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,9 +1,12 @@
 """Tests of the demo's verdict: each kind of broken promise is found in made-up records."""
 
 import unittest
+from collections import Counter
 from collections.abc import Sequence
 from typing import Any
 
+from demo.processes import ROOT
+from demo.shapes import SHAPES, find_examples, list_workers
 from demo.verdict import (
     COUNTS,
     LIMITS,
@@ -20,6 +23,7 @@
     list_broken,
     measure_waits,
 )
+from lavenderstall.declarations import Source, read_declarations
 from lavenderstall.identifiers import (
     AttemptId,
     EntryId,
@@ -33,6 +37,8 @@
 )
 from lavenderstall.protocol import RefusalReason, TaskState
 from lavenderstall.resources import Resources
+from lavenderstall.rooms import count_fits
+from lavenderstall.schemas import Gang, Service
 from standins.truth import (
     CallBegun,
     CallEnded,
@@ -384,5 +390,26 @@
         self.assertEqual((result["recovery_s"], result["recovery_all_workers_s"]), (2.0, 4.0))
 
 
+class ExamplesTest(unittest.TestCase):
+    """Guards against example gangs that wait for ever beside the services of their cell."""
+
+    def test_gangs_fit_beside_services(self) -> None:
+        for name, shape in SHAPES.items():
+            sources = [
+                Source(str(path), path.read_text("utf-8")) for path in find_examples(ROOT, name)
+            ]
+            declared = [each.value for each in read_declarations(sources)]
+            services = {each.pool: each for each in declared if isinstance(each, Service)}
+            for gang in (each for each in declared if isinstance(each, Gang)):
+                with self.subTest(cell=name, gang=gang.name):
+                    # Each zone of today's cells is one slice, and a gang stays in a slice.
+                    fits: Counter[str] = Counter()
+                    for worker in list_workers(shape):
+                        if worker.pool == gang.pool:
+                            room = worker.capacity.subtract(services[worker.pool].resources)
+                            fits[worker.zone] += count_fits(gang.resources, room, gang.tasks)
+                    self.assertGreaterEqual(max(fits.values()), gang.tasks)
+
+
 if __name__ == "__main__":
     unittest.main()
