--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -15,6 +15,7 @@
 from bench.__main__ import main
 from bench.figures import Figure, make_figure
 from bench.modules import BENCHES, BenchModule, get_bench
+from bench.report import make_page
 from bench.runner import BenchRun, read_previous
 
 Bench = Callable[[int], Iterator[Figure]]
@@ -120,6 +121,23 @@
         found = {figure.name: figure.previous for figure in figures}
         self.assertEqual(found, {"slow_rate": None, "size": 4.0})
 
+    def test_report(self) -> None:
+        """The page must mark missed targets, show faults, and escape what it is given."""
+        rows = [make_figure("a<b", 1.0, "s", 7, target="at most 2", met=True), *run_good(7)]
+        page = make_page(rows, ["bench x failed: <lost>"])
+        self.assertIn("1 of 2 targets are met", page)
+        self.assertEqual(page.count('<tr class="missed">'), 1)
+        self.assertIn("bench x failed: &lt;lost&gt;", page)
+        self.assertNotIn("a<b", page)
+
+    def test_report_plots(self) -> None:
+        """Each plot must be part of the page, since it is to be read without other files."""
+        rows = [make_figure("decide_rate_28", 30.0, "1/s", 7, baseline=60.0)]
+        page = make_page(rows, [])
+        self.assertEqual(page.count("<svg"), 1)
+        self.assertNotIn("<?xml", page)
+        self.assertIn("</svg>", page)
+
 
 class BenchModulesTest(unittest.TestCase):
     """Guards against a name in the mapping without a bench behind it."""
