Ask only the owner of a named worker or rack

Cause: a query that names a worker asked 149 of 150 owners, since only own slices knew their workers. Change: summaries carry the racks of a slice, a coarse index as in work on distributed hash tables; the membership list maps a named worker to its rack when a query needs it, and an unknown worker is still looked for everywhere. Conclusion: no state is kept for other zones' workers.

--- a/lavenderstall/messages.py
+++ b/lavenderstall/messages.py
@@ -9,6 +9,7 @@
     Epoch,
     Incarnation,
     JobId,
+    RackName,
     RequestId,
     ServiceName,
     SliceName,
@@ -53,6 +54,7 @@
     teams: dict[TeamName, Resources] = {}
     waiting_teams: dict[str, dict[TeamName, int]] = {}
     started: dict[str, int] = {}
+    racks: list[RackName] = []
 
 
 class CallForward(msgspec.Struct, tag="call", omit_defaults=True):
--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -25,7 +25,13 @@
 from lavenderstall.query.execution import execute
 from lavenderstall.query.fields import Reach
 from lavenderstall.query.parser import parse_statement
-from lavenderstall.query.reach import SliceFacts, find_slices, get_reach, get_right
+from lavenderstall.query.reach import (
+    SliceFacts,
+    find_slices,
+    get_reach,
+    get_right,
+    list_named_workers,
+)
 from lavenderstall.query.statements import Count, Direct, Show, ShowChange, Statement, Topic, Why
 from lavenderstall.schemas import Right
 from lavenderstall.views import list_entries, make_inventory
@@ -89,29 +95,44 @@
             logger.info("names of workers are not checked: %s", error)
             return None
 
-    def _list_facts(self) -> list[SliceFacts]:
-        """Return what is known of each slice, also of those without an owner."""
+    async def _find_named(self, statement: Statement) -> Collection[WorkerMember]:
+        """Return the cell's workers if a query names one that the list knows, else none."""
+        named = list_named_workers(statement)
+        if not named:
+            return ()
+        try:
+            members = await self._entry.list_cell_workers()
+        except LavenderstallError as error:
+            logger.info("all owners are asked: %s", error)
+            return ()
+        return members if named <= {str(member.id) for member in members} else ()
+
+    def _list_facts(self, members: Collection[WorkerMember] = ()) -> list[SliceFacts]:
+        """Return what is known of each slice, also of those without an owner.
+
+        Racks come from summaries. Workers of other slices come from the membership list, which
+        may lag, so that a worker it does not name is looked for everywhere.
+        """
         entry = self._entry
-        names = {summary.slice for summary in entry.directory.list_summaries()}
-        names |= set(entry.ownership.list_slices()) | entry.directory.list_known()
-        facts = []
-        for name in sorted(names):
-            server = entry.slices.get(name)
-            links = server.fleet.links.values() if server else ()
-            facts.append(
-                SliceFacts(
-                    name,
-                    get_slice_zone(name),
-                    frozenset(str(link.member.rack) for link in links),
-                    frozenset(str(link.id) for link in links),
-                )
+        racks = {summary.slice: summary.racks for summary in entry.directory.list_summaries()}
+        names = {*racks, *entry.ownership.list_slices(), *entry.directory.list_known()}
+        workers: dict[str, set[str]] = {}
+        for member in members:
+            workers.setdefault(member.rack, set()).add(member.id)
+        return [
+            SliceFacts(
+                name,
+                get_slice_zone(name),
+                frozenset(map(str, racks.get(name, ()))),
+                frozenset().union(*(workers.get(rack, ()) for rack in racks.get(name, ()))),
             )
-        return facts
+            for name in sorted(names)
+        ]
 
     async def _ask_owners(self, text: str, statement: Statement) -> Answer:
         owners: dict[EntryId, list[SliceName]] = {}
         missing: list[MissingPart] = []
-        for name in find_slices(statement, self._list_facts()):
+        for name in find_slices(statement, self._list_facts(await self._find_named(statement))):
             owner = self._entry.directory.find_owner(name)
             if owner is None:
                 missing.append(MissingPart("no owner is reachable", EntryId(""), (name,)))
--- a/lavenderstall/query/reach.py
+++ b/lavenderstall/query/reach.py
@@ -9,8 +9,12 @@
 from lavenderstall.query.fields import TOPICS, Reach
 from lavenderstall.query.filters import decide
 from lavenderstall.query.statements import (
+    Comparison,
     Condition,
     Count,
+    Either,
+    Every,
+    Negation,
     Show,
     ShowChange,
     Statement,
@@ -60,6 +64,25 @@
     return decide(where, known) is not False
 
 
+def _list_values(where: Condition | None, fields: frozenset[str]) -> set[str]:
+    """Return the values that a condition compares some fields with."""
+    if isinstance(where, Comparison):
+        return {str(value) for value in where.values} if where.field in fields else set()
+    if isinstance(where, Every | Either):
+        return {v for each in where.conditions for v in _list_values(each, fields)}
+    return _list_values(where.condition, fields) if isinstance(where, Negation) else set()
+
+
+def list_named_workers(statement: Statement) -> set[str]:
+    """Return the workers that a query names, so that they can be looked up."""
+    if isinstance(statement, Why):
+        return {statement.id} if statement.subject == "worker" else set()
+    if not isinstance(statement, Show | Count):
+        return set()
+    fields = {"worker", "id"} if statement.topic is Topic.WORKERS else {"worker"}
+    return _list_values(statement.where, frozenset(fields))
+
+
 @singledispatch
 def find_slices(statement: Statement, slices: Iterable[SliceFacts]) -> tuple[SliceName, ...]:
     """Return the slices whose owners must be asked; none for what owners do not hold."""
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -1125,6 +1125,7 @@
             },
             {kind: self.queue.count_kind_teams(Kind(kind)) for kind in waiting},
             {kind.value: number for kind, number in self.started.items()},
+            sorted({link.member.rack for link in self.fleet.links.values()}),
         )
 
     def _summarize_pools(self) -> dict[str, PoolSummary]:
