Put declared calls, constraints, spread, limits and retention in force

Cause: these fields were checked and stored but nothing read them; leases and rack groups stood in the declarations although settings decide them. Change: the deciders, call servers, routers and the cleaner read them; the cell's declaration keeps zones and retention; old changes go to the object store. The retry budget is now per service and earned from its first call on, so the test of cut answers sends one call first. Conclusion: shares of calls and proposals of other actions remain open.

--- a/lavenderstall/calls.py
+++ b/lavenderstall/calls.py
@@ -31,6 +31,7 @@
 )
 from lavenderstall.links import Links
 from lavenderstall.messages import CallAnswer, CallForward, SliceSummary
+from lavenderstall.schemas import MILLI, Calls
 
 logger = logging.getLogger(__name__)
 
@@ -163,6 +164,7 @@
         random: Random,
         make_nonce: Callable[[], str],
         read_unix: Callable[[], float],
+        find_calls: Callable[[ServiceName], Calls],
     ) -> None:
         self.in_flight = 0
         self.late_answers = 0
@@ -173,8 +175,9 @@
         self._random = random
         self._make_nonce = make_nonce
         self._read_unix = read_unix
-        self._budget = RetryBudget(clock.seconds())
-        self.hedges = Hedges(clock, self._budget)
+        self._find_calls = find_calls
+        self._budgets: dict[ServiceName, tuple[int, RetryBudget]] = {}
+        self.hedges = Hedges(clock, self.get_budget)
         self._pending: dict[AttemptId, _Pending] = {}
 
     def receive(self, sender: EntryId, answer: CallAnswer) -> None:
@@ -200,15 +203,24 @@
     async def route(self, call: CallRequest) -> CallAnswer:
         """Return the outcome of a call before its deadline."""
         self.in_flight += 1
-        self._budget.record_call(self._clock.seconds())
+        self.get_budget(call.service).record_call(self._clock.seconds())
         try:
             return await _Route(self, call).run()
         finally:
             self.in_flight -= 1
 
-    def take_retry(self) -> bool:
-        """Take a retry from the budget."""
-        return self._budget.take_retry(self._clock.seconds())
+    def get_budget(self, service: ServiceName) -> RetryBudget:
+        """Return the retry budget of a service at the share that is declared for it."""
+        share = self._find_calls(service).retry_budget_milli
+        known = self._budgets.get(service)
+        if known is None or known[0] != share:
+            budget = RetryBudget(self._clock.seconds(), ratio=share / MILLI)
+            known = self._budgets[service] = (share, budget)
+        return known[1]
+
+    def take_retry(self, service: ServiceName) -> bool:
+        """Take a retry from the budget of a service."""
+        return self.get_budget(service).take_retry(self._clock.seconds())
 
     def choose_slice(
         self, service: ServiceName, tried: Collection[SliceName]
@@ -387,7 +399,7 @@
         if answer.outcome is Outcome.UNKNOWN:
             return await self._judge_unknown(answer, name)
         if answer.outcome is Outcome.FAILED:
-            retry = self._call.idempotent and self._router.take_retry()
+            retry = self._call.idempotent and self._router.take_retry(self._call.service)
             self._tried.add(name)
             return None if retry else answer
         if self._binding is not None or answer.reason == "void":
@@ -404,7 +416,7 @@
             return None if await self._router.pause() else answer
         self._tried.add(name)
         # The budget guards workers against retries; a silent owner adds no load to them.
-        if answer.reason == REASON_SILENT or self._router.take_retry():
+        if answer.reason == REASON_SILENT or self._router.take_retry(self._call.service):
             return None
         return answer
 
--- a/lavenderstall/cleaning.py
+++ b/lavenderstall/cleaning.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred
 
+from lavenderstall.archives import ChangeArchive
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, JobId, SliceName
 from lavenderstall.ownership import rank_candidates
@@ -21,6 +22,7 @@
     make_once_prefix,
     make_work_key,
 )
+from lavenderstall.schemas import Retention
 from lavenderstall.storage import TableStore
 
 if TYPE_CHECKING:
@@ -31,9 +33,6 @@
 
 STEP_SECONDS = 5.0
 ENTRY_SECONDS = 600.0
-JOB_SECONDS = 3600.0
-# A caller that retries its own request id later than this may run it a second time.
-ONCE_SECONDS = 24 * 3600.0
 DELETES_AT_ONCE = 50
 COMMIT_SECONDS = 5.0
 
@@ -50,6 +49,8 @@
         read_unix: Callable[[], float],
         list_entries: Callable[[], Iterable[EntryId]],
         list_servers: Callable[[], "Iterable[SliceServer]"],
+        get_retention: Callable[[], Retention],
+        archive: ChangeArchive | None = None,
     ) -> None:
         self._entry = entry
         self._store = store
@@ -58,6 +59,8 @@
         self._read_unix = read_unix
         self._list_entries = list_entries
         self._list_servers = list_servers
+        self._get_retention = get_retention
+        self._archive = archive
         self._seen: dict[str, tuple[int, float]] = {}
         self._ended: dict[tuple[SliceName, JobId], float] = {}
         self._bucket = 0
@@ -75,6 +78,8 @@
             await self._clean_jobs()
             if self._is_mine("entries"):
                 await self._clean_entries()
+            if self._archive is not None and self._is_mine("changes"):
+                await self._archive.archive(self._get_retention().changes)
             self._bucket = (self._bucket + 1) % ONCE_BUCKETS
             if self._is_mine(f"once {self._bucket}"):
                 await self._clean_once(self._bucket)
@@ -106,20 +111,21 @@
         await self._delete(row for row in rows if now - self._seen[row.key][1] > ENTRY_SECONDS)
 
     async def _clean_once(self, bucket: int) -> None:
-        limit = self._read_unix() - ONCE_SECONDS
+        limit = self._read_unix() - self._get_retention().requests_ms / 1000
         rows = (await self._store.scan(make_once_prefix(bucket))).rows
         await self._delete(row for row in rows if decode_row(row, OnceRow).bound_unix < limit)
 
     async def _clean_jobs(self) -> None:
         """Delete the rows of submitted jobs that ended long ago."""
         now = self._now()
+        kept = self._get_retention().jobs_ms / 1000
         for server in self._list_servers():
             for job in list(server.book.jobs.values()):
                 key = (server.name, job.row.spec.id)
                 declared = job.row.spec.id.startswith(DECLARED_PREFIX)
                 if declared or not job.is_finished() or job.dirty or job.committing:
                     self._ended.pop(key, None)
-                elif now - self._ended.setdefault(key, now) > JOB_SECONDS:
+                elif now - self._ended.setdefault(key, now) > kept:
                     del self._ended[key]
                     await self._delete_job(server.name, job.row.spec.id)
                     return
--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -11,7 +11,7 @@
 
 from twisted.internet.defer import Deferred, maybeDeferred
 
-from lavenderstall.clients import HttpMemberList, HttpTableStore, make_agent
+from lavenderstall.clients import HttpMemberList, HttpObjectStore, HttpTableStore, make_agent
 from lavenderstall.entry import Entry, Outside, Settings
 from lavenderstall.fleet import LeaseTerms
 from lavenderstall.identifiers import EntryId, Incarnation, ZoneName
@@ -93,6 +93,7 @@
         client=client,
         read_unix=time.time,
         traces=Traces(entry, file),
+        objects=HttpObjectStore(agent, reactor, values["platform"]),
     )
     terms = LeaseTerms(values["ownership-lease"], values["task-lease"], values["outage-limit"])
     settings = Settings(values["racks-per-slice"], terms, values["config-stale-limit"])
--- a/lavenderstall/directives.py
+++ b/lavenderstall/directives.py
@@ -71,6 +71,8 @@
         shares = {demand.value: share / MILLI for demand, share in policy.shares.items()}
         server.queue.shares.update({kind: shares.get(kind.value, 0.0) for kind in Kind})
         server.automation.policy = policy
+        server.automation.budget.set_per_minute(policy.limits.preemptions_per_minute)
+        server.automation.health.set_limit(policy.limits.quarantined_milli)
 
 
 @lru_cache(maxsize=ALLOWANCES_KEPT)
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -11,6 +11,7 @@
 
 from lavenderstall import cleaning, shutdown
 from lavenderstall.access import Access
+from lavenderstall.archives import ChangeArchive
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.calls import CallRequest, CallRouter, Directory
 from lavenderstall.cleaning import Cleaner
@@ -69,8 +70,9 @@
 from lavenderstall.reasons import share_capacity
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
+from lavenderstall.schemas import Calls, Retention
 from lavenderstall.slices import SliceServer
-from lavenderstall.storage import MemberList, TableStore
+from lavenderstall.storage import MemberList, ObjectStore, TableStore
 from lavenderstall.targets import TargetClient
 from lavenderstall.traces import Traces
 from lavenderstall.views import RefusalLog
@@ -83,6 +85,7 @@
 CONFIG_SECONDS = 0.5
 SILENCE_SECONDS = 0.25
 RECONCILE_SECONDS = 1.0
+DEFAULT_CALLS = Calls()
 # Peers of other zones hear once a second in a large fleet.
 FAR_SUMMARY_TURNS = 5
 FAR_HEARTBEAT_TURNS = 2
@@ -99,6 +102,7 @@
     client: TargetClient
     read_unix: Callable[[], float]
     traces: Traces
+    objects: ObjectStore | None = None
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -141,7 +145,13 @@
         )
         self.directory = Directory(self.clock, self.entry, identity.zone)
         self.router = CallRouter(
-            self.clock, self.links, self.directory, self.random, self.make_nonce, self.read_unix
+            self.clock,
+            self.links,
+            self.directory,
+            self.random,
+            self.make_nonce,
+            self.read_unix,
+            self.find_calls,
         )
         self.view = ConfigurationView(self.clock)
         self.view.listen(self._use_configuration)
@@ -175,6 +185,8 @@
             self.read_unix,
             lambda: self.ownership.peers,
             self.slices.values,
+            self._get_retention,
+            ChangeArchive(self.store, outside.objects) if outside.objects else None,
         )
         self.gatekeeper = Gatekeeper(self.clock)
         self.refusals = RefusalLog()
@@ -510,10 +522,14 @@
                 step="find service",
             )
 
-    def is_hedged(self, name: str) -> bool:
-        """Tell whether slow idempotent calls of a service get a second attempt."""
-        declared = self.view.get("service", name)
-        return declared is not None and declared.calls.hedged
+    def _get_retention(self) -> Retention:
+        cells = self.view.list_kind("cell")
+        return cells[0].retention if cells else Retention()
+
+    def find_calls(self, service: ServiceName) -> Calls:
+        """Return how the calls of a service are handled."""
+        declared = self.view.get("service", service)
+        return declared.calls if declared is not None else DEFAULT_CALLS
 
     def issue_request(self, service: ServiceName) -> RequestId:
         """Return a request id bound to a worker of an owned slice, or raise."""
--- a/lavenderstall/health.py
+++ b/lavenderstall/health.py
@@ -22,6 +22,8 @@
 # A third of a slice's workers at most is quarantined automatically: beyond that, a cause outside
 # the workers is more likely.
 QUARANTINE_PART = 3
+MILLI = 1000
+ROUNDING = 1e-9
 
 # Probability that a task fails on a worker that fails what it starts.
 BAD_WORKER_FAILURE = 0.95
@@ -140,6 +142,11 @@
         self._workers = {worker: WorkerRecord() for worker in workers}
         self._jobs: OrderedDict[JobId, JobRecord] = OrderedDict()
         self._outcomes = OutcomeShare()
+        self._limit = 1 / QUARANTINE_PART
+
+    def set_limit(self, milli: int) -> None:
+        """Replace the part of the workers that may be quarantined, in thousandths."""
+        self._limit = milli / MILLI
 
     def set_workers(self, workers: Collection[WorkerId]) -> None:
         """Replace the list of workers; those that stay keep their state."""
@@ -422,10 +429,15 @@
         automatic = pending + sum(
             each.is_quarantined and not each.is_held_by_operator for each in self._workers.values()
         )
-        if automatic >= len(self._workers) // QUARANTINE_PART:
+        if automatic >= self._count_allowed():
             return [WithheldQuarantine(worker, HealthReason.QUARANTINE_LIMIT, evidence)]
         return [Quarantine(worker, HealthReason.FAILS_ACROSS_JOBS, evidence, tuple(jobs))]
 
+    def _count_allowed(self) -> int:
+        """Return how many workers may be quarantined automatically, one in a small slice."""
+        count = len(self._workers)
+        return max(int(count * self._limit + ROUNDING), int(count >= QUARANTINE_PART))
+
     def _excuse_job(self, job: JobId, workers: list[WorkerId], now: float) -> list[HealthAction]:
         """Assess the workers on which a job failed, since it has run elsewhere after that."""
         for worker in workers:
--- a/lavenderstall/hedging.py
+++ b/lavenderstall/hedging.py
@@ -19,10 +19,10 @@
 class Hedges:
     """Hold the hedging policy of each service on the receiving side."""
 
-    def __init__(self, clock: Clock, budget: RetryBudget) -> None:
+    def __init__(self, clock: Clock, get_budget: Callable[[ServiceName], RetryBudget]) -> None:
         self.sent = 0
         self._clock = clock
-        self._budget = budget
+        self._get_budget = get_budget
         self._policies: dict[ServiceName, HedgePolicy] = {}
 
     async def race(
@@ -32,7 +32,8 @@
         policy = self._policies.get(service)
         if policy is None:
             policy = self._policies[service] = HedgePolicy(self._clock.seconds())
-        return await _Race(self, self._clock, self._budget, policy, deadline).run(first, second)
+        budget = self._get_budget(service)
+        return await _Race(self, self._clock, budget, policy, deadline).run(first, second)
 
 
 class _Race:
--- a/lavenderstall/jobs.py
+++ b/lavenderstall/jobs.py
@@ -14,7 +14,7 @@
     RefusedError,
     StoreOutcomeUnknownError,
 )
-from lavenderstall.identifiers import JobId, SliceName
+from lavenderstall.identifiers import JobId, SliceName, get_slice_zone
 from lavenderstall.links import Links
 from lavenderstall.messages import PoolSummary, SliceSummary, WorkAssigned
 from lavenderstall.protocol import Condition, Kind, Put, Row
@@ -27,6 +27,7 @@
     make_job_key,
     make_work_key,
 )
+from lavenderstall.requests import ANYWHERE
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.rooms import count_fits, find_larger
 from lavenderstall.slots import Commits
@@ -87,6 +88,8 @@
     """Return the slices that can ever hold a task of a job."""
     places = []
     for summary in summaries:
+        if not is_allowed(spec, summary):
+            continue
         pool = merge_pools(summary, spec.pool)
         fits = count_fits(spec.resources, pool.capacity, spec.tasks)
         if not pool.workers or not fits:
@@ -99,6 +102,14 @@
     return sorted(places, key=lambda place: place.slice)
 
 
+def is_allowed(spec: JobSpec, summary: SliceSummary) -> bool:
+    """Tell whether the constraints of a job admit some worker of a slice."""
+    wanted = spec.constraints
+    if wanted.zones and get_slice_zone(summary.slice) not in wanted.zones:
+        return False
+    return not wanted.racks or not wanted.racks.isdisjoint(summary.racks)
+
+
 def find_largest(summaries: Sequence[SliceSummary], pool: str) -> Resources:
     """Return the most that one worker has of each resource."""
     largest = NOTHING
@@ -136,6 +147,12 @@
         )
     largest = find_largest(summaries, spec.pool)
     short = spec.resources.find_shortages(largest)
+    if spec.constraints != ANYWHERE and not short:
+        return RefusedError(
+            f"no slice meets the constraints {spec.constraints}",
+            step="assign",
+            reason="never_fits",
+        )
     changes = ", ".join(
         f"{name} is {getattr(spec.resources, name)}, at most {getattr(largest, name)}"
         for name in short
--- a/lavenderstall/limits.py
+++ b/lavenderstall/limits.py
@@ -304,6 +304,10 @@
         """Bound the calls in flight of all services together."""
         self._total = total
 
+    def set_queue_bound(self, service: ServiceName, bound: int) -> None:
+        """Bound the calls of a service that wait."""
+        self._get(service).queue.bound = bound
+
     def set_maximum(self, service: ServiceName, slots: int) -> None:
         """Bound a service's concurrency by the slots that its workers have."""
         self._get(service).limit.set_maximum(slots)
--- a/lavenderstall/preemption.py
+++ b/lavenderstall/preemption.py
@@ -86,6 +86,10 @@
         self._jobs: deque[tuple[float, JobId]] = deque()
         self._counts: dict[JobId, int] = {}
 
+    def set_per_minute(self, per_minute: int) -> None:
+        """Replace the bound per minute."""
+        self._per_minute = per_minute
+
     def get_left(self, now: float) -> int:
         """Return how many preemptions are left in this minute."""
         self._expire(now)
--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -24,12 +24,17 @@
     encode_row,
     make_work_key,
 )
-from lavenderstall.schemas import Batch, Gang, Service
+from lavenderstall.requests import Constraints
+from lavenderstall.requests import Spread as Placed
+from lavenderstall.schemas import Batch, Gang, Service, Spread
+from lavenderstall.schemas import Constraints as Declared
 from lavenderstall.slots import Commits
 from lavenderstall.storage import TableStore
 
 logger = logging.getLogger(__name__)
 
+# A slice lies in one zone; its share of the replicas is spread over racks or by room.
+SPREADS = {Spread.ZONE: Placed.ZONE, Spread.RACK: Placed.RACK, Spread.WORKER: Placed.NONE}
 DECLARED_PREFIX = "declared."
 COMMIT_SECONDS = 5.0
 SETTLE_SECONDS = 3.0
@@ -43,6 +48,16 @@
     return JobId(f"{DECLARED_PREFIX}{item.name}.{digest:08x}")
 
 
+def make_constraints(declared: Declared) -> Constraints:
+    """Return declared constraints as a decider takes them."""
+    return Constraints(
+        zones=frozenset(declared.zones),
+        racks=frozenset(declared.racks),
+        affinity=frozenset(declared.near),
+        anti_affinity=frozenset(declared.apart),
+    )
+
+
 def make_spec(item: Service | Batch | Gang) -> JobSpec:
     """Return the job that a declaration asks for."""
     if isinstance(item, Service):
@@ -55,6 +70,8 @@
             service=ServiceName(item.name),
             pool=item.pool,
             priority=item.priority,
+            constraints=make_constraints(item.constraints),
+            spread=SPREADS[item.spread],
         )
     return JobSpec(
         id=make_declared_id(item),
@@ -68,6 +85,7 @@
         idempotent=item.idempotent,
         expected_ms=item.expected_ms,
         payload=item.payload,
+        constraints=make_constraints(item.constraints),
     )
 
 
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -19,6 +19,7 @@
     ZoneName,
 )
 from lavenderstall.protocol import Kind, Row
+from lavenderstall.requests import ANYWHERE, Constraints, Spread
 from lavenderstall.resources import Resources
 
 T = TypeVar("T")
@@ -79,6 +80,8 @@
     expected_ms: int = 0
     deadline_unix_ms: int = 0
     max_attempts: int = 3
+    constraints: Constraints = ANYWHERE
+    spread: Spread | None = None
     payload: dict[str, msgspec.Raw] = {}
 
 
--- a/lavenderstall/schemas.py
+++ b/lavenderstall/schemas.py
@@ -230,36 +230,23 @@
     region: str = ""
 
 
-class Leases(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Set lease durations; `margin_milli` extends the task lease before work is placed again."""
-
-    ownership_ms: Milliseconds = 3_000
-    renew_ms: Milliseconds = 1_000
-    tasks_ms: Milliseconds = 30_000
-    margin_milli: Milli = 100
-
-    def __post_init__(self) -> None:
-        if not self.renew_ms < self.ownership_ms <= self.tasks_ms:
-            raise ValueError("must satisfy renew_ms < ownership_ms <= tasks_ms")
-
-
 class Retention(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Set how long records are kept; `changes` is a count of rows."""
+    """Set how long records are kept; `changes` is a count of rows.
+
+    A caller that retries its own request id later than `requests_ms` may run it a second time.
+    """
 
-    requests_ms: Milliseconds = 3_600_000
-    jobs_ms: Milliseconds = 7 * 24 * 3_600_000
+    requests_ms: Milliseconds = 24 * 3_600_000
+    jobs_ms: Milliseconds = 3_600_000
     changes: Positive = 1_000
 
 
 class Cell(msgspec.Struct, frozen=True, omit_defaults=True, tag_field="kind", tag="cell"):
-    """Declare the cell: its zones, slices, leases and retention."""
+    """Declare the cell: its zones and how long records are kept."""
 
     name: Name
     zones: Annotated[tuple[Zone, ...], msgspec.Meta(min_length=1)]
-    racks_per_slice: Positive = 4
-    leases: Leases = Leases()
     retention: Retention = Retention()
-    config_stale_ms: Milliseconds = 900_000
     description: str = ""
 
     def __post_init__(self) -> None:
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -66,6 +66,7 @@
 from lavenderstall.requests import TaskRequest
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.rooms import WorkerState, find_larger
+from lavenderstall.schemas import Calls
 from lavenderstall.slots import CallServer, Commits
 from lavenderstall.storage import TableStore
 from lavenderstall.targets import TargetClient
@@ -135,6 +136,9 @@
     def make_nonce(self) -> str:
         """Return a text that is never used twice."""
 
+    def find_calls(self, service: ServiceName) -> Calls:
+        """Return how the calls of a service are handled."""
+
     def list_summaries(self) -> list[SliceSummary]:
         """Return what is known of all slices."""
 
@@ -196,6 +200,7 @@
             environment.random,
             environment.make_nonce,
             environment.read_unix,
+            environment.find_calls,
         )
         self.automation = Automation(self, environment.journal, environment.read_unix)
         self.state.find_hold = self.automation.is_held_back
@@ -939,6 +944,8 @@
             priority=spec.priority,
             idempotent=spec.idempotent,
             expected_ms=spec.expected_ms,
+            constraints=spec.constraints,
+            spread=spec.spread,
         )
 
     # Decisions
--- a/lavenderstall/slots.py
+++ b/lavenderstall/slots.py
@@ -1,6 +1,7 @@
 """Calls on the owner's side: admission, a slot on a worker, binding, dispatch."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Protocol
@@ -26,6 +27,7 @@
 from lavenderstall.messages import CallAnswer, CallForward
 from lavenderstall.protocol import Committed, Condition, Put, Row
 from lavenderstall.records import OnceRow, decode_row, encode_row, make_once_key
+from lavenderstall.schemas import Calls
 
 logger = logging.getLogger(__name__)
 
@@ -77,6 +79,7 @@
         random: Random,
         make_nonce: Callable[[], str],
         read_unix: Callable[[], float],
+        find_calls: Callable[[ServiceName], Calls],
     ) -> None:
         self.name = name
         self.in_flight = 0
@@ -90,25 +93,29 @@
         self._random = random
         self._make_nonce = make_nonce
         self._read_unix = read_unix
+        self._find_calls = find_calls
         self._limits = ServiceLimits(total=0)
         self._waiting: dict[str, Deferred[None]] = {}
+        self._running: Counter[tuple[WorkerId, ServiceName]] = Counter()
         self._latencies: dict[WorkerId, PeakLatency] = {}
 
     def list_targets(self, service: ServiceName) -> list[CallTarget]:
         """Return what is known of the workers with a replica of a service."""
         return [
-            self._make_target(self._links[worker])
+            self._make_target(self._links[worker], service)
             for worker in sorted(self._find_replicas(service))
             if worker in self._links
         ]
 
-    def _make_target(self, link: WorkerLink) -> CallTarget:
+    def _make_target(self, link: WorkerLink, service: ServiceName) -> CallTarget:
         free = link.free_slots if link.usable else 0
+        declared = self._find_calls(service)
+        running = self._running[link.id, service]
         return CallTarget(
             worker=link.id,
-            slots=link.capacity.slots,
-            free_slots=free,
-            free_connections=free,
+            slots=min(link.capacity.slots, declared.slots),
+            free_slots=min(free, declared.slots - running),
+            free_connections=min(free, declared.connections - running),
             is_leaving=link.leaving,
             is_quarantined=self._is_quarantined(link.id),
             latency=self._latencies.setdefault(link.id, PeakLatency()),
@@ -176,6 +183,7 @@
         self._apply(self._limits.finish(call.service, OUTCOMES[outcome], now - started, now))
 
     async def _admit(self, call: Call) -> None:
+        self._limits.set_queue_bound(call.service, self._find_calls(call.service).waiting)
         admitted = self._limits.admit(call, self._clock.seconds())
         if admitted.displaced is not None:
             self._apply(Released([], [admitted.displaced]))
@@ -254,6 +262,7 @@
     async def _send(self, forward: CallForward, link: WorkerLink, deadline: Deadline) -> CallAnswer:
         started = self._clock.seconds()
         latency = self._latencies.setdefault(link.id, PeakLatency())
+        self._running[link.id, forward.service] += 1
         try:
             answer = await link.call(
                 forward.service,
@@ -270,6 +279,8 @@
             now = self._clock.seconds()
             latency.record_failure(now - started, now)
             raise
+        finally:
+            self._running[link.id, forward.service] -= 1
         now = self._clock.seconds()
         latency.record(now - started, now)
         return CallAnswer(
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -30,7 +30,6 @@
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_DEADLINE_MS = 600_000
-DEFAULT_DEADLINE_MS = 10_000
 JOB_POLL_SECONDS = 0.1
 JSON = "application/json"
 TEXT = "text/plain; charset=utf-8"
@@ -226,9 +225,9 @@
     async def _call(self, exchange: Exchange) -> Reply:
         team = self._get_team(exchange)
         number = exchange.get_integer(protocol.HEADER_ATTEMPT_NUMBER, 1, 1, 1000)
-        remaining = exchange.get_integer(
-            protocol.HEADER_DEADLINE, DEFAULT_DEADLINE_MS, 1, MAX_DEADLINE_MS
-        )
+        calls = self._entry.find_calls(ServiceName(exchange.path[0]))
+        usual = min(calls.deadline_ms, MAX_DEADLINE_MS)
+        remaining = exchange.get_integer(protocol.HEADER_DEADLINE, usual, 1, MAX_DEADLINE_MS)
         idempotent = exchange.get_flag(protocol.HEADER_IDEMPOTENT, default=False)
         given = exchange.get_header(protocol.HEADER_REQUEST)
         if not given and not idempotent:
@@ -249,7 +248,7 @@
                 idempotent,
                 number > 1,
                 hop.parent,
-                self._entry.is_hedged(exchange.path[0]),
+                calls.hedged,
             )
             answer = await self._entry.call(call)
             hop.note(outcome=answer.outcome.value, reason=answer.reason, team=team)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -59,6 +59,9 @@
             for cut in (1, 2):
                 with self.subTest(idempotent=idempotent, cut=cut):
                     cell = make_cell(entries=1, zones=1, workers=1)
+                    # A service earns its retry budget from its first call on.
+                    cell.call()
+                    cell.run(10)
                     cell.set_worker("z0w0", truncate_next=cut)
                     told = cell.call(idempotent=idempotent)
                     cell.run(6)
