Let time pass in a test cell without timers

Cause: with all entry instances dead and no timer left, the test cell waited for its next event for ever. Change: the time then advances to its end.

--- a/tests/cells.py
+++ b/tests/cells.py
@@ -1,6 +1,7 @@
 """One cell in one process on a clock that tests advance, with faults."""
 
 from collections.abc import Callable, Iterable
+from math import inf
 from random import Random
 from typing import Any
 
@@ -173,7 +174,7 @@
                 self.check()
                 return True
             calls = self.clock.getDelayedCalls()
-            following = min((call.getTime() for call in calls), default=end)
+            following = min((call.getTime() for call in calls), default=inf)
             if following > end:
                 self.clock.advance(max(0.0, end - self.clock.seconds()))
                 self.check()
