Heal the membership list of a test cell after pending removals

Cause: a removal under way came after the cell had been healed, so that no worker was listed and the last job was refused; an artefact of the test cell. Change: workers are listed again with the usual lag. Conclusion: no fault of the scheduler.

--- a/tests/cells.py
+++ b/tests/cells.py
@@ -155,13 +155,13 @@
         self.workers[name] = Worker(shape, self.clock)
         self._list_worker(self.workers[name])
 
-    def _list_worker(self, worker: Worker) -> None:
+    def _list_worker(self, worker: Worker, lag_s: float | None = 0) -> None:
         """Put a worker on the membership list."""
         shape = worker.shape
         zone, rack = ZoneName(shape.zone), RackName(shape.rack)
         state = MemberState.LEAVING if worker.faults.leaving else MemberState.LIVE
         member = WorkerMember(shape.id, zone, rack, "memory", shape.pool, state)
-        self.members.set_worker(member, lag_s=0)
+        self.members.set_worker(member, lag_s=lag_s)
 
     # Time
 
@@ -268,7 +268,8 @@
         self.members.faults = ServiceFaults()
         for name, worker in self.workers.items():
             self.clear_worker(name)
-            self._list_worker(worker)
+            # With the usual lag, so that a removal still under way does not come later.
+            self._list_worker(worker, lag_s=None)
         for node in self.nodes.values():
             node.store.view.cut_off = False
             if node.gate.paused:
