Give the usage of a running task slots instead of dictionaries

Cause: what is learned of each running task took about 700 bytes, mostly in the instance dictionaries of four small objects. Change: these classes have slots.

--- a/lavenderstall/usage.py
+++ b/lavenderstall/usage.py
@@ -102,6 +102,8 @@
 class Peak:
     """Hold the peak use of one component, which decays towards later use."""
 
+    __slots__ = ("_updated", "_value")
+
     def __init__(self) -> None:
         self._value = 0.0
         self._updated = -math.inf
@@ -125,6 +127,8 @@
 class Observed:
     """Hold the peak use of cores and memory; other components are enforced by the worker."""
 
+    __slots__ = ("_cores", "_memory")
+
     def __init__(self) -> None:
         self._cores = Peak()
         self._memory = Peak()
@@ -142,6 +146,19 @@
 class _Task:
     """Hold what is known of one running task."""
 
+    __slots__ = (
+        "capacity",
+        "cores_before",
+        "declared",
+        "has_report",
+        "last_rise",
+        "last_used",
+        "observed",
+        "settled_peak",
+        "shape",
+        "throttled",
+    )
+
     def __init__(self, shape: Shape, declared: Resources, capacity: Resources, now: float) -> None:
         self.shape = shape
         self.declared = declared
