Send the idempotent header as entry instances read it

Cause: the client sent X-Idempotent as true or false, and an entry instance accepts yes and no only, so that every call of the client was rejected: header X-Idempotent is 'true', must be yes or no. Change: the client sends yes and no.

--- a/lavenderstall/client.py
+++ b/lavenderstall/client.py
@@ -249,7 +249,7 @@
         headers = {
             "Content-Type": "application/octet-stream",
             HEADER_REQUEST: request_id,
-            HEADER_IDEMPOTENT: "true" if idempotent else "false",
+            HEADER_IDEMPOTENT: "yes" if idempotent else "no",
             HEADER_DEADLINE: str(deadline_ms),
         }
         path = f"{PATH_CALLS}/{quote(service, safe='')}"
