Send no work over a link whose last answer is old

Cause: an owner that went on after a pause trusted the state that its links had before, and sent a call to a worker that had been leaving for 20 s (invariant 6). Change: a link is usable only while its last answer is younger than the ownership lease. Conclusion: after a pause the owner waits for the next heartbeat's answer.

--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -131,7 +131,9 @@
     @property
     def usable(self) -> bool:
         """Tell whether new work may be sent."""
-        return self.state is LinkState.HELD and not self.leaving
+        # After a pause of this process the state is as old as the last answer.
+        age = self._clock.seconds() - self._last_answer
+        return self.state is LinkState.HELD and not self.leaving and age < self._terms.ownership
 
     @property
     def free_slots(self) -> int:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -66,5 +66,25 @@
         self.assertEqual({worker.owner for worker in cell.workers.values()}, {first.name})
 
 
+class PausedOwnerTest(unittest.TestCase):
+    """An owner goes on after a pause in which its workers changed."""
+
+    def test_sends_nothing_to_a_leaving_worker(self) -> None:
+        # Its links look as they did before the pause.
+        cell = Cell(entries=1, zones=1, workers=1, services=[ECHO])
+        cell.run(3)
+        cell.declare_service(1)
+        cell.run(3)
+        owner = cell.get_owner("z0/0")
+        cell.pause(owner)
+        cell.run(1)
+        cell.set_worker("z0w0", leaving=True)
+        cell.run(20)
+        link = owner.entry.slices["z0/0"].fleet.links["z0w0"]
+        cell.resume(owner)
+        self.assertFalse(link.usable)
+        cell.run(5)
+
+
 if __name__ == "__main__":
     unittest.main()
