Let gangs pass a reservation that is younger than ten seconds

Declared run times are off by a factor of ten, so the expected start is wrong.

Change: a gang still gets a reservation as soon as it does not fit, so that other work does not take the room, but other gangs may start there until it has waited ten seconds. Then it holds the workers against gangs as well, as before.

--- a/lavenderstall/decisions.py
+++ b/lavenderstall/decisions.py
@@ -10,6 +10,7 @@
 from lavenderstall.machines import SliceState
 from lavenderstall.placement import get_policy
 from lavenderstall.placement.base import Policy
+from lavenderstall.protocol import Kind
 from lavenderstall.reasons import ALTERNATIVES, Alternative, Reason
 from lavenderstall.requests import Constraints, Scope, Spread, TaskRequest
 from lavenderstall.resources import NOTHING, Resources
@@ -130,6 +131,8 @@
     reservation = state.reserved.get(worker.id)
     if reservation is None or reservation.request.tasks == request.tasks:
         return True
+    if reservation.yields_to_gangs and request.kind is Kind.GANG:
+        return True
     return 0 < request.expected_ms <= (reservation.start - now) * 1000
 
 
--- a/lavenderstall/dispatcher.py
+++ b/lavenderstall/dispatcher.py
@@ -17,6 +17,11 @@
 """Decisions in one call, so that a call takes a few tens of milliseconds at most."""
 RESERVE_AFTER_S = 5.0
 """Wait after which a single task that is passed by smaller ones gets a reservation."""
+GANG_PASSES_S = 10.0
+"""Wait of a gang up to which other gangs may take the workers reserved for it.
+
+Expected ends are often wrong by a factor of ten, so reserved accelerators stand idle for long.
+"""
 REPLAN_AFTER_S = 10.0
 """Age at which a reservation is planned anew, because declared run times are often wrong."""
 REVIEW_EVERY_S = 0.5
@@ -84,7 +89,7 @@
         if wanted == 1 and not depends_on_reservation(self.state, waiting.request):
             self.queue.close_larger(waiting, now)
         if waiting.request.kind is Kind.GANG and Kind.GANG not in self.state.reservations:
-            self._reserve(waiting, now)
+            self._reserve(waiting, now, yields_to_gangs=True)
 
     def _drop_reservations(self) -> None:
         """Give up reservations of requests that do not wait any more."""
@@ -101,23 +106,33 @@
         """Plan a reservation for the first request of each kind that is being passed by."""
         for kind in Kind:
             held = self.state.reservations.get(kind)
-            if held is not None and now - held.made < REPLAN_AFTER_S:
+            is_fresh = held is not None and now - held.made < REPLAN_AFTER_S
+            if held is not None and is_fresh and not held.yields_to_gangs:
                 continue
-            patience = 0.0 if kind is Kind.GANG else RESERVE_AFTER_S
-            late = [
-                shape
-                for shape in self.queue.closed
-                if shape.key.kind is kind and now - shape.closed_since >= patience
-            ]
-            first = min(map(find_first, late), key=lambda waiting: waiting.rank, default=None)
+            patience = GANG_PASSES_S if kind is Kind.GANG else RESERVE_AFTER_S
+            first = self._find_passed_by(kind, now - patience)
             if first is not None:
                 self._reserve(first, now)
-
-    def _reserve(self, waiting: Waiting, now: float) -> None:
+            elif kind is Kind.GANG and not is_fresh:
+                first = self._find_passed_by(kind, now)
+                if first is not None:
+                    self._reserve(first, now, yields_to_gangs=True)
+
+    def _find_passed_by(self, kind: Kind, before: float) -> Waiting | None:
+        """Return the request of lowest rank among the shapes of a kind closed before a time."""
+        late = (
+            shape
+            for shape in self.queue.closed
+            if shape.key.kind is kind and shape.closed_since <= before
+        )
+        return min(map(find_first, late), key=lambda waiting: waiting.rank, default=None)
+
+    def _reserve(self, waiting: Waiting, now: float, *, yields_to_gangs: bool = False) -> None:
         kind = waiting.request.kind
         self.state.cancel_reservation(kind)
         reservation = plan_reservation(self.state, waiting.request, now)
         if reservation is not None:
+            reservation = msgspec.structs.replace(reservation, yields_to_gangs=yields_to_gangs)
             self.state.reserve(kind, reservation)
 
 
--- a/lavenderstall/machines.py
+++ b/lavenderstall/machines.py
@@ -39,12 +39,16 @@
 
 
 class Reservation(msgspec.Struct):
-    """Keep workers for a request that does not fit yet, from `start` in seconds on."""
+    """Keep workers for a request that does not fit yet, from `start` in seconds on.
+
+    Gangs may still start on the workers if it yields to them.
+    """
 
     request: TaskRequest
     workers: frozenset[WorkerId]
     start: float
     made: float
+    yields_to_gangs: bool = False
 
 
 def count_up(counts: dict[ServiceName, int], name: ServiceName, step: int) -> None:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from lavenderstall.decisions import Never, Plan
-from lavenderstall.dispatcher import Dispatcher
+from lavenderstall.dispatcher import GANG_PASSES_S, Dispatcher
 from lavenderstall.protocol import Kind
 from lavenderstall.queues import DuplicateRequestError, FairQueue
 from lavenderstall.reasons import ReasonLog
@@ -212,6 +212,25 @@
         state.release("w0", running.tasks[0])
         self.assertEqual(self.dispatch(queue, dispatcher, 10.0), [gang])
 
+    def test_gang_passes_a_reservation_for_a_limited_time(self) -> None:
+        """Reserved room must neither stand idle at once nor be taken by gangs for ever."""
+        queue, state = FairQueue(), make_state(1)
+        dispatcher = Dispatcher(queue, state)
+        state.charge("w0", "x", Resources(8000))
+        large = make_request(4000, tasks=4)
+        early, late = (make_request(1000, tasks=2, expected_ms=600_000) for _ in range(2))
+        fill(queue, large)
+        self.assertEqual(self.dispatch(queue, dispatcher, 0.0), [])
+        fill(queue, early)
+        self.assertEqual(self.dispatch(queue, dispatcher, 1.0), [early])
+        self.dispatch(queue, dispatcher, GANG_PASSES_S + 0.5)
+        for task in early.tasks:
+            state.release("w0", task)
+        fill(queue, late)
+        self.assertEqual(self.dispatch(queue, dispatcher, GANG_PASSES_S + 1.0), [])
+        state.release("w0", "x")
+        self.assertEqual(self.dispatch(queue, dispatcher, GANG_PASSES_S + 1.5), [large])
+
     def test_gangs_do_not_deadlock(self) -> None:
         queue, state = FairQueue(), make_state(2)
         dispatcher = Dispatcher(queue, state)
