Show the least p99 wait that the drawn gangs allow

Change: the row wait_p99_gang_95_bound is a lower bound computed from the draws. A gang that starts within some seconds of its arrival fills a part of any interval whatever its start; where these parts exceed the 64 accelerators, a counted number of gangs has to start later. The bound assumes known run times and a single pool of accelerators.

--- a/bench/modules.py
+++ b/bench/modules.py
@@ -43,7 +43,7 @@
 BENCHES = {
     "decide": BenchModule("bench.decide", DECIDE_NAMES),
     "cancel": BenchModule("bench.cancel", ("cancel_wave",)),
-    "waits": BenchModule("bench.waits", WAIT_NAMES),
+    "waits": BenchModule("bench.waits", (*WAIT_NAMES, "wait_p99_gang_95_bound")),
     "packing": BenchModule("bench.packing", ("packing",)),
     "floods": BenchModule("bench.floods", FLOOD_NAMES),
     "health": BenchModule("bench.health_bench", ("bad_worker_share",)),
--- a/bench/notes.py
+++ b/bench/notes.py
@@ -11,8 +11,9 @@
 
 
 CANCEL = Note(
-    "The requests of a queue of 100,000 do not fit the processor's cache, those of 1,000 do.",
-    "Read fewer objects for each withdrawal; measure with the garbage collector off.",
+    "Garbage collection is not the cause: with it off the ratio is higher, because small queues "
+    "gain more. Memory access to 100,000 requests is the likely cause, but is not measured.",
+    "Count cache misses, then read fewer objects for each withdrawal.",
 )
 ENTRY_CPU = Note(
     "A nearly fixed cost of each entry instance, 3.3% of a core with 28 workers and 5.3% with 100; "
@@ -22,8 +23,11 @@
 
 NOTES: dict[str, Note] = {
     "wait_p99_gang_95": Note(
-        "Gangs of up to 16 tasks ask for 76% of 64 accelerators, and bursts exceed them.",
-        "Plan reservations with the room that the reserved gang leaves over.",
+        "No order of starts goes below wait_p99_gang_95_bound, even with all run times known and "
+        "one pool of accelerators; it lies just below the target. First come, first served on "
+        "such a pool has the same p99 as the baseline, and shortest first is hardly better.",
+        "Give away the room that a reserved gang leaves over on its workers; correct declared run "
+        "times by those observed.",
     ),
     "cancel_wave": CANCEL,
     "cancel_wave_in_order": CANCEL,
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -13,10 +13,16 @@
 import msgspec
 
 from bench.__main__ import main
+from bench.bounds import count_late, find_least_p99
+from bench.events import Arrival
 from bench.figures import Figure, make_figure
 from bench.modules import BENCHES, BenchModule, get_bench
 from bench.report import make_page
 from bench.runner import BenchRun, read_previous
+from lavenderstall.identifiers import JobId, TaskId, TeamName
+from lavenderstall.protocol import Kind
+from lavenderstall.requests import TaskRequest
+from lavenderstall.resources import Resources
 
 Bench = Callable[[int], Iterator[Figure]]
 FIELDS = ("name", "value", "unit", "baseline", "ratio", "seed", "target", "met")
@@ -139,6 +145,36 @@
         self.assertIn("</svg>", page)
 
 
+class BoundTest(unittest.TestCase):
+    """Guards against a bound that is too high and would excuse a missed target."""
+
+    def make_gangs(self, count: int, tasks: int, run_s: float) -> list[Arrival]:
+        """Return gangs that all arrive at 10 s."""
+        need = Resources(1000, 1024, 1)
+        names = [[TaskId(f"g{n}.{index}") for index in range(tasks)] for n in range(count)]
+        team = TeamName("t")
+        return [
+            Arrival(10.0, TaskRequest(tuple(ids), JobId(ids[0]), team, Kind.GANG, need), run_s)
+            for ids in names
+        ]
+
+    def test_gangs_that_fit_together(self) -> None:
+        self.assertEqual(count_late(self.make_gangs(4, 16, 30.0), 64, 0.0, 100.0), 0)
+
+    def test_count_of_late_gangs(self) -> None:
+        """Of gangs that overfill all accelerators, those beyond them are late, and no more."""
+        gangs = self.make_gangs(6, 16, 30.0)
+        for wait, late in ((5.0, 2), (25.0, 2), (30.0, 0), (31.0, 0)):
+            with self.subTest(wait=wait):
+                self.assertEqual(count_late(gangs, 64, wait, 100.0), late)
+
+    def test_least_p99(self) -> None:
+        """The bound must stay below the p99 of a run in which two gangs wait for 8 s."""
+        bound = find_least_p99(self.make_gangs(6, 16, 8.0), 64, 100.0)
+        self.assertLessEqual(bound, 8.0)
+        self.assertGreater(bound, 5.0)
+
+
 class BenchModulesTest(unittest.TestCase):
     """Guards against a name in the mapping without a bench behind it."""
 
