--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -19,7 +19,6 @@
     make_slice_name,
 )
 from lavenderstall.inventory import Answer
-from lavenderstall.ownership import Identity, Tenure
 from lavenderstall.protocol import LeaseAnswer, LeaseRequest, WorkerMember
 from lavenderstall.records import EntryRow
 from lavenderstall.resources import Resources
@@ -27,6 +26,7 @@
 from lavenderstall.schemas import Right
 from lavenderstall.slices import SliceServer
 from lavenderstall.targets import HttpTargetClient
+from lavenderstall.tenures import Identity, Tenure
 from lavenderstall.traces import Traces
 from standins.links import LocalHub
 from standins.members import MembershipList
--- a/bench/store_writes.py
+++ b/bench/store_writes.py
@@ -12,8 +12,9 @@
 from bench.figures import Figure, make_figure
 from lavenderstall.commits import GroupCommit
 from lavenderstall.identifiers import EntryId, Incarnation, RackName, ZoneName
-from lavenderstall.ownership import Identity, Observer, Ownership
+from lavenderstall.ownership import Ownership
 from lavenderstall.protocol import Put
+from lavenderstall.tenures import Identity, Observer
 from standins.table import Table, TableView
 
 FLEETS = (9, 150)
--- a/lavenderstall/adoption.py
+++ b/lavenderstall/adoption.py
@@ -7,28 +7,10 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderstall.errors import (
-    FencedError,
-    LavenderstallError,
-)
-from lavenderstall.fleet import (
-    LEASE_MARGIN,
-    WorkerLink,
-    describe_fence,
-)
-from lavenderstall.identifiers import (
-    ServiceName,
-    TaskId,
-    WorkerId,
-    get_task,
-)
-from lavenderstall.protocol import (
-    Kind,
-    LeaseAnswer,
-    TaskReport,
-    TaskState,
-    WorkerMember,
-)
+from lavenderstall.errors import FencedError, LavenderstallError
+from lavenderstall.fleet import LEASE_MARGIN, WorkerLink, describe_fence
+from lavenderstall.identifiers import ServiceName, TaskId, WorkerId, get_task
+from lavenderstall.protocol import Kind, LeaseAnswer, TaskReport, TaskState, WorkerMember
 from lavenderstall.reasons import Reason
 from lavenderstall.rooms import WorkerState
 from lavenderstall.starts import Starter
--- a/lavenderstall/assignment.py
+++ b/lavenderstall/assignment.py
@@ -6,22 +6,11 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.adoption import Adopter
-from lavenderstall.errors import (
-    LavenderstallError,
-)
-from lavenderstall.identifiers import (
-    get_task,
-    make_task_id,
-)
-from lavenderstall.protocol import (
-    Kind,
-    TaskState,
-    TaskStop,
-)
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import get_task, make_task_id
+from lavenderstall.protocol import Kind, TaskState, TaskStop
 from lavenderstall.records import PREFIX_WORK
-from lavenderstall.tasks import (
-    Task,
-)
+from lavenderstall.tasks import Task
 from lavenderstall.work import Job
 
 logger = logging.getLogger(__name__)
--- a/lavenderstall/bindings.py
+++ b/lavenderstall/bindings.py
@@ -5,12 +5,7 @@
 import msgspec
 
 from lavenderstall.errors import BadRequestError
-from lavenderstall.identifiers import (
-    Incarnation,
-    RequestId,
-    SliceName,
-    WorkerId,
-)
+from lavenderstall.identifiers import Incarnation, RequestId, SliceName, WorkerId
 
 SEPARATOR = "~"
 RETENTION_SECONDS = 3600
--- a/lavenderstall/board.py
+++ b/lavenderstall/board.py
@@ -10,14 +10,8 @@
 
 from lavenderstall.automation import Automation
 from lavenderstall.dispatcher import Dispatcher
-from lavenderstall.errors import (
-    LavenderstallError,
-)
-from lavenderstall.fleet import (
-    Fleet,
-    FleetObserver,
-    WorkerLink,
-)
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.fleet import Fleet, FleetObserver, WorkerLink
 from lavenderstall.identifiers import (
     Incarnation,
     JobId,
@@ -29,26 +23,15 @@
     get_task,
 )
 from lavenderstall.machines import SliceState
-from lavenderstall.ownership import Tenure
-from lavenderstall.protocol import (
-    Kind,
-    TaskReport,
-    TaskState,
-    TaskStop,
-    TaskThrottle,
-)
+from lavenderstall.protocol import Kind, TaskReport, TaskState, TaskStop, TaskThrottle
 from lavenderstall.queues import FairQueue
 from lavenderstall.reasons import Reason, ReasonLog, Record
 from lavenderstall.requests import TaskRequest
 from lavenderstall.resources import Resources
 from lavenderstall.rooms import WorkerState
 from lavenderstall.slots import CallServer
-from lavenderstall.tasks import (
-    LIVE,
-    Ending,
-    Environment,
-    Task,
-)
+from lavenderstall.tasks import LIVE, Ending, Environment, Task
+from lavenderstall.tenures import Tenure
 from lavenderstall.work import WorkBook
 
 logger = logging.getLogger(__name__)
--- a/lavenderstall/cleaning.py
+++ b/lavenderstall/cleaning.py
@@ -9,7 +9,6 @@
 from lavenderstall.archives import ChangeArchive
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, JobId, SliceName
-from lavenderstall.ownership import rank_candidates
 from lavenderstall.protocol import Condition, Row
 from lavenderstall.reconciler import DECLARED_PREFIX
 from lavenderstall.records import (
@@ -24,6 +23,7 @@
 )
 from lavenderstall.schemas import Retention
 from lavenderstall.storage import TableStore
+from lavenderstall.tenures import rank_candidates
 
 if TYPE_CHECKING:
     from lavenderstall.slices import SliceServer
--- a/lavenderstall/client.py
+++ b/lavenderstall/client.py
@@ -26,12 +26,7 @@
     Rejection,
     TraceAnswer,
 )
-from lavenderstall.errors import (
-    AnswerLostError,
-    LavenderstallError,
-    Outcome,
-    PeerUnavailableError,
-)
+from lavenderstall.errors import AnswerLostError, LavenderstallError, Outcome, PeerUnavailableError
 from lavenderstall.identifiers import JobId, RequestId, ServiceName, Version
 from lavenderstall.inventory import Answer
 from lavenderstall.protocol import (
--- a/lavenderstall/clients.py
+++ b/lavenderstall/clients.py
@@ -6,11 +6,7 @@
 import msgspec
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import (
-    ConnectError,
-    ConnectingCancelledError,
-    ConnectionDone,
-)
+from twisted.internet.error import ConnectError, ConnectingCancelledError, ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web.client import (
--- a/lavenderstall/cmdline.py
+++ b/lavenderstall/cmdline.py
@@ -14,12 +14,7 @@
 from lavenderstall.client import DEFAULT_TIMEOUT_S, Client, RejectedError
 from lavenderstall.commands import HELP, Session, Status
 from lavenderstall.declarations import DeclarationError, find_nearest
-from lavenderstall.errors import (
-    AnswerLostError,
-    LavenderstallError,
-    Outcome,
-    PeerUnavailableError,
-)
+from lavenderstall.errors import AnswerLostError, LavenderstallError, Outcome, PeerUnavailableError
 from lavenderstall.options import (
     ENVIRONMENT_PREFIX,
     OptionError,
--- a/lavenderstall/configuration.py
+++ b/lavenderstall/configuration.py
@@ -28,13 +28,7 @@
 )
 from lavenderstall.identifiers import ChangeNumber, Version
 from lavenderstall.protocol import Condition, Put, Transaction
-from lavenderstall.records import (
-    KEY_CONFIG_HEAD,
-    PREFIX_CHANGE,
-    HeadRow,
-    decode_row,
-    encode_row,
-)
+from lavenderstall.records import KEY_CONFIG_HEAD, PREFIX_CHANGE, HeadRow, decode_row, encode_row
 from lavenderstall.schemas import Item
 from lavenderstall.snapshots import Clock, ConfigurationReader, ConfigurationView, Snapshot
 from lavenderstall.storage import TableStore
--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -28,11 +28,11 @@
     read_text,
     read_url,
 )
-from lavenderstall.ownership import Identity
 from lavenderstall.protocol import TaskState
 from lavenderstall.schemas import Operator, Right
 from lavenderstall.shutdown import finish_requests
 from lavenderstall.targets import HttpTargetClient
+from lavenderstall.tenures import Identity
 from lavenderstall.traces import Traces
 from lavenderstall.web import make_site
 
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -2,7 +2,6 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
-from functools import singledispatchmethod
 from random import Random
 from typing import Any
 
@@ -35,6 +34,7 @@
 )
 from lavenderstall.fleet import LeaseTerms
 from lavenderstall.gatekeeping import Gatekeeper
+from lavenderstall.handlers import handle
 from lavenderstall.identifiers import (
     EntryId,
     JobId,
@@ -52,19 +52,13 @@
     CallForward,
     ConfigAsk,
     ConfigChanged,
-    ConfigPart,
-    Handover,
     Heartbeat,
     Message,
-    QueryAsk,
-    QueryPart,
     SliceSummary,
-    TraceAsk,
-    WorkAssigned,
 )
 from lavenderstall.metrics import Metrics
-from lavenderstall.ownership import Identity, Observer, Ownership, Tenure
-from lavenderstall.peers import Pace, Peers, Readiness, export_snapshot, import_snapshot
+from lavenderstall.ownership import Ownership
+from lavenderstall.peers import Pace, Peers, Readiness
 from lavenderstall.protocol import Members, MemberState, WorkerMember
 from lavenderstall.queries import QueryDesk
 from lavenderstall.reasons import share_capacity
@@ -74,6 +68,7 @@
 from lavenderstall.slices import SliceServer
 from lavenderstall.storage import MemberList, ObjectStore, TableStore
 from lavenderstall.targets import TargetClient
+from lavenderstall.tenures import Identity, Observer, Tenure
 from lavenderstall.traces import Traces
 from lavenderstall.views import RefusalLog
 
@@ -333,83 +328,24 @@
         """Handle a message from a peer or from this entry instance."""
         self.directory.hear(sender)
         self.peers.hear(sender)
-        self._handle(message, sender)
-
-    @singledispatchmethod
-    def _handle(self, message: object, sender: EntryId) -> None:
-        logger.warning("message of type %s is not handled", type(message).__name__)
-
-    @_handle.register
-    def _(self, message: Heartbeat, sender: EntryId) -> None:
-        self.peers.update(message)
-        if message.zone == self.identity.zone:
-            self.ownership.hear_peer(sender)
-        if message.version > self.view.version:
-            self._follow_version(sender, message.version)
-
-    @_handle.register
-    def _(self, message: SliceSummary, sender: EntryId) -> None:
-        self.directory.update(message)
-
-    @_handle.register
-    def _(self, message: CallForward, sender: EntryId) -> None:
-        Deferred.fromCoroutine(self._serve(sender, message))
-
-    @_handle.register
-    def _(self, message: CallAnswer, sender: EntryId) -> None:
-        self.router.receive(sender, message)
-
-    @_handle.register
-    def _(self, message: WorkAssigned, sender: EntryId) -> None:
-        server = self.slices.get(message.slice)
-        if server is not None:
-            server.request_reload()
-
-    @_handle.register
-    def _(self, message: ConfigChanged, sender: EntryId) -> None:
-        if message.version > self.view.version:
-            self._follow_version(sender, message.version)
-
-    @_handle.register
-    def _(self, message: ConfigAsk, sender: EntryId) -> None:
-        if self.view.version > message.version:
-            self._send(sender, export_snapshot(self.view.snapshot))
-
-    @_handle.register
-    def _(self, message: ConfigPart, sender: EntryId) -> None:
-        self.view.accept(import_snapshot(message))
-
-    @_handle.register
-    def _(self, message: QueryAsk, sender: EntryId) -> None:
-        self._send(sender, self.queries.serve(message))
-
-    @_handle.register
-    def _(self, message: QueryPart, sender: EntryId) -> None:
-        self.queries.receive(message)
-
-    @_handle.register
-    def _(self, message: TraceAsk, sender: EntryId) -> None:
-        self._send(sender, self.queries.serve_trace(message))
-
-    @_handle.register
-    def _(self, message: Handover, sender: EntryId) -> None:
-        self.directory.drop(message.slice, sender)
-        self.ownership.step()
+        handle(message, self, sender)
 
-    def _follow_version(self, sender: EntryId, version: Version) -> None:
+    def follow_version(self, sender: EntryId, version: Version) -> None:
         """Read a newer configuration from the table, or from the peer while it cannot be read."""
         if self.ownership.get_store_age() > MEMBERS_SECONDS * 2:
-            self._send(sender, ConfigAsk(self.view.version))
+            self.send(sender, ConfigAsk(self.view.version))
         else:
             self.refresh_configuration()
 
-    def _send(self, peer: EntryId, message: Message) -> None:
+    def send(self, peer: EntryId, message: Message) -> None:
+        """Send a message, or drop it when the peer takes no more."""
         try:
             self.links.send(peer, message)
         except PeerUnavailableError as error:
             logger.info("message dropped: %s", error)
 
-    async def _serve(self, sender: EntryId, forward: CallForward) -> None:
+    async def serve(self, sender: EntryId, forward: CallForward) -> None:
+        """Run a call that was forwarded to an owned slice and answer its sender."""
         server = self.slices.get(forward.slice)
         with self.traces.hop("serve call", forward.request, forward.trace) as hop:
             if server is None:
@@ -425,7 +361,7 @@
                 answer = await server.calls.serve(forward)
                 self.metrics.record("serve_call", self.clock.seconds() - started)
             hop.note(outcome=answer.outcome.value, reason=answer.reason, worker=answer.worker)
-        self._send(sender, answer)
+        self.send(sender, answer)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send callers here."""
--- a/lavenderstall/fleet.py
+++ b/lavenderstall/fleet.py
@@ -9,12 +9,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.clocks import Clock, make_loop
-from lavenderstall.errors import (
-    FencedError,
-    LavenderstallError,
-    PeerUnavailableError,
-    RefusedError,
-)
+from lavenderstall.errors import FencedError, LavenderstallError, PeerUnavailableError, RefusedError
 from lavenderstall.identifiers import (
     AttemptId,
     EntryId,
@@ -28,7 +23,6 @@
     get_term,
     make_epoch,
 )
-from lavenderstall.ownership import Tenure
 from lavenderstall.protocol import (
     LeaseAnswer,
     LeaseRequest,
@@ -41,6 +35,7 @@
 )
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.targets import TargetClient, VoidRequest, WorkerAnswer, WorkerCall
+from lavenderstall.tenures import Tenure
 
 logger = logging.getLogger(__name__)
 
--- /dev/null
+++ b/lavenderstall/handlers.py
@@ -0,0 +1,104 @@
+"""What an entry instance does with each message from a peer."""
+
+import logging
+from functools import singledispatch
+from typing import TYPE_CHECKING
+
+from twisted.internet.defer import Deferred
+
+from lavenderstall.identifiers import EntryId
+from lavenderstall.messages import (
+    CallAnswer,
+    CallForward,
+    ConfigAsk,
+    ConfigChanged,
+    ConfigPart,
+    Handover,
+    Heartbeat,
+    QueryAsk,
+    QueryPart,
+    SliceSummary,
+    TraceAsk,
+    WorkAssigned,
+)
+from lavenderstall.peers import export_snapshot, import_snapshot
+
+if TYPE_CHECKING:
+    from lavenderstall.entry import Entry
+
+logger = logging.getLogger(__name__)
+
+
+@singledispatch
+def handle(message: object, entry: "Entry", sender: EntryId) -> None:
+    """Handle a message from a peer."""
+    logger.warning("message of type %s is not handled", type(message).__name__)
+
+
+@handle.register(Heartbeat)
+def _(message: Heartbeat, entry: "Entry", sender: EntryId) -> None:
+    entry.peers.update(message)
+    if message.zone == entry.identity.zone:
+        entry.ownership.hear_peer(sender)
+    if message.version > entry.view.version:
+        entry.follow_version(sender, message.version)
+
+
+@handle.register(SliceSummary)
+def _(message: SliceSummary, entry: "Entry", sender: EntryId) -> None:
+    entry.directory.update(message)
+
+
+@handle.register(CallForward)
+def _(message: CallForward, entry: "Entry", sender: EntryId) -> None:
+    Deferred.fromCoroutine(entry.serve(sender, message))
+
+
+@handle.register(CallAnswer)
+def _(message: CallAnswer, entry: "Entry", sender: EntryId) -> None:
+    entry.router.receive(sender, message)
+
+
+@handle.register(WorkAssigned)
+def _(message: WorkAssigned, entry: "Entry", sender: EntryId) -> None:
+    server = entry.slices.get(message.slice)
+    if server is not None:
+        server.request_reload()
+
+
+@handle.register(ConfigChanged)
+def _(message: ConfigChanged, entry: "Entry", sender: EntryId) -> None:
+    if message.version > entry.view.version:
+        entry.follow_version(sender, message.version)
+
+
+@handle.register(ConfigAsk)
+def _(message: ConfigAsk, entry: "Entry", sender: EntryId) -> None:
+    if entry.view.version > message.version:
+        entry.send(sender, export_snapshot(entry.view.snapshot))
+
+
+@handle.register(ConfigPart)
+def _(message: ConfigPart, entry: "Entry", sender: EntryId) -> None:
+    entry.view.accept(import_snapshot(message))
+
+
+@handle.register(QueryAsk)
+def _(message: QueryAsk, entry: "Entry", sender: EntryId) -> None:
+    entry.send(sender, entry.queries.serve(message))
+
+
+@handle.register(QueryPart)
+def _(message: QueryPart, entry: "Entry", sender: EntryId) -> None:
+    entry.queries.receive(message)
+
+
+@handle.register(TraceAsk)
+def _(message: TraceAsk, entry: "Entry", sender: EntryId) -> None:
+    entry.send(sender, entry.queries.serve_trace(message))
+
+
+@handle.register(Handover)
+def _(message: Handover, entry: "Entry", sender: EntryId) -> None:
+    entry.directory.drop(message.slice, sender)
+    entry.ownership.step()
--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -1,7 +1,7 @@
 """Ownership of slices: claims through the table, takeovers without it, and handovers."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from itertools import islice
 from math import ceil
 from typing import Any
@@ -17,17 +17,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from lavenderstall.identifiers import (
-    EntryId,
-    Epoch,
-    Incarnation,
-    RackName,
-    SliceName,
-    WorkerId,
-    ZoneName,
-    make_epoch,
-    make_slice_name,
-)
+from lavenderstall.identifiers import EntryId, RackName, SliceName, WorkerId, make_slice_name
 from lavenderstall.protocol import Condition, Put, Row, Rows, Transaction
 from lavenderstall.records import (
     PREFIX_ENTRY,
@@ -42,6 +32,14 @@
     make_slice_key,
 )
 from lavenderstall.storage import TableStore
+from lavenderstall.tenures import (
+    Identity,
+    Observer,
+    Tenure,
+    assign_slices,
+    extend_racks,
+    rank_candidates,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -59,91 +57,11 @@
 PEER_SILENCE_SECONDS = 3.0
 
 
-class Identity(msgspec.Struct, frozen=True):
-    """Name an entry instance, its zone and its addresses."""
-
-    entry: EntryId
-    incarnation: Incarnation
-    zone: ZoneName
-    link: str
-    http: str
-
-
-class Tenure(msgspec.Struct):
-    """Hold the right to send work to a slice.
-
-    `revision` is the version of the slice row at the claim, `confirmed` the time in seconds of
-    the last reading that named this owner; `local` tenures were taken without the table.
-    """
-
-    slice: SliceName
-    term: int
-    revision: int
-    confirmed: float
-    started: float
-    workers: frozenset[WorkerId] = frozenset()
-    local: bool = False
-
-    @property
-    def epoch(self) -> Epoch:
-        """Return the first epoch of the term."""
-        return make_epoch(self.term)
-
-
-class Observer:
-    """Receive the changes of ownership; the entry instance implements it."""
-
-    def gain_slice(self, tenure: Tenure) -> None:
-        """Start to serve a slice."""
-
-    def lose_slice(self, name: SliceName, reason: str) -> None:
-        """Stop to serve a slice at once."""
-
-    def change_peers(self, peers: Mapping[EntryId, EntryRow]) -> None:
-        """Learn which entry instances are alive."""
-
-
 class _Sighting(msgspec.Struct):
     row: EntryRow
     seen: float
 
 
-def rank_candidates(name: SliceName, entries: Iterable[EntryId]) -> list[EntryId]:
-    """Return entry instances in the order in which they should own a slice."""
-    return sorted(entries, key=lambda entry: crc32(f"{name}:{entry}".encode()))
-
-
-def assign_slices(
-    slices: Iterable[SliceName], entries: Iterable[EntryId]
-) -> dict[SliceName, EntryId]:
-    """Return the wanted owner of each slice, the same on every entry instance."""
-    names = sorted(slices)
-    candidates = sorted(entries)
-    if not candidates:
-        return {}
-    limit = -(-len(names) // len(candidates))
-    counts = dict.fromkeys(candidates, 0)
-    wanted: dict[SliceName, EntryId] = {}
-    for name in names:
-        ranked = rank_candidates(name, candidates)
-        owner = next(entry for entry in ranked if counts[entry] < limit)
-        counts[owner] += 1
-        wanted[name] = owner
-    return wanted
-
-
-def extend_racks(
-    known: Mapping[RackName, int], racks: Iterable[RackName], per_slice: int
-) -> dict[RackName, int]:
-    """Return the assignment of racks to slices with new racks added at the end."""
-    assigned = dict(known)
-    for rack in sorted(set(racks) - known.keys()):
-        last = max(assigned.values(), default=0)
-        full = sum(index == last for index in assigned.values()) >= per_slice
-        assigned[rack] = last + 1 if full else last
-    return assigned
-
-
 class Ownership:
     """Claim, confirm, take over and release the slices of one zone."""
 
@@ -288,17 +206,23 @@
         peers = {
             entry: sighting.row
             for entry, sighting in self._sightings.items()
-            if now - sighting.seen < self._count_allowed(entry, now) * self.get_interval()
+            if now - sighting.seen < self._get_patience(entry, now)
         }
         if peers != self.peers:
             self.peers = peers
             self._observer.change_peers(peers)
 
-    def _count_allowed(self, entry: EntryId, now: float) -> int:
-        """Return the renewals that an entry instance may miss."""
-        heard = self._heard.get(entry)
-        silent = heard is not None and now - heard >= LINK_SILENCE_SECONDS
-        return SILENT_RENEWALS if silent else MISSED_RENEWALS
+    def _get_patience(self, entry: EntryId, now: float) -> float:
+        """Return the seconds for which a liveness row may stay unchanged.
+
+        Rows change seldom in a large fleet. A peer of the zone that is silent on its link too
+        counts as dead sooner; if it lives all the same, its workers' epochs keep that safe.
+        """
+        interval = self.get_interval()
+        silence = now - self._heard.get(entry, now)
+        if silence >= min(LINK_SILENCE_SECONDS * interval, PEER_SILENCE_SECONDS):
+            return SILENT_RENEWALS * RENEWAL_SECONDS
+        return MISSED_RENEWALS * interval
 
     def _observe_slices(self, rows: Rows, asked: float) -> None:
         racks_key = make_racks_key(self.identity.zone)
--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -13,7 +13,6 @@
 from lavenderstall.errors import ConflictError, LavenderstallError
 from lavenderstall.identifiers import EntryId, JobId, ServiceName, SliceName
 from lavenderstall.jobs import JobDesk, assign_tasks
-from lavenderstall.ownership import rank_candidates
 from lavenderstall.protocol import Condition, Kind, Put, Row
 from lavenderstall.records import (
     PREFIX_JOB,
@@ -30,6 +29,7 @@
 from lavenderstall.schemas import Constraints as Declared
 from lavenderstall.slots import Commits
 from lavenderstall.storage import TableStore
+from lavenderstall.tenures import rank_candidates
 
 logger = logging.getLogger(__name__)
 
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -5,28 +5,16 @@
 from lavenderstall.assignment import Assignee
 from lavenderstall.automation import Automation
 from lavenderstall.clocks import make_loop
-from lavenderstall.fleet import (
-    Fleet,
-)
-from lavenderstall.identifiers import (
-    Epoch,
-    ServiceName,
-    WorkerId,
-    ZoneName,
-    get_slice_zone,
-)
+from lavenderstall.fleet import Fleet
+from lavenderstall.identifiers import Epoch, ServiceName, WorkerId, ZoneName, get_slice_zone
 from lavenderstall.messages import PoolSummary, SliceSummary
 from lavenderstall.moves import STEP_SECONDS, Mover
-from lavenderstall.ownership import Tenure
-from lavenderstall.protocol import (
-    Kind,
-    TaskState,
-    TaskStop,
-)
+from lavenderstall.protocol import Kind, TaskState, TaskStop
 from lavenderstall.resources import NOTHING
 from lavenderstall.rooms import find_larger
 from lavenderstall.slots import CallServer
 from lavenderstall.tasks import Environment
+from lavenderstall.tenures import Tenure
 from lavenderstall.work import WorkBook
 
 logger = logging.getLogger(__name__)
--- a/lavenderstall/starts.py
+++ b/lavenderstall/starts.py
@@ -6,27 +6,11 @@
 
 from lavenderstall.board import TaskBoard
 from lavenderstall.decisions import Never, Plan
-from lavenderstall.errors import (
-    AnswerLostError,
-    FencedError,
-    PeerUnavailableError,
-)
-from lavenderstall.identifiers import (
-    JobId,
-    TaskId,
-    WorkerId,
-    make_run_id,
-)
-from lavenderstall.protocol import (
-    TaskState,
-)
+from lavenderstall.errors import AnswerLostError, FencedError, PeerUnavailableError
+from lavenderstall.identifiers import JobId, TaskId, WorkerId, make_run_id
+from lavenderstall.protocol import TaskState
 from lavenderstall.reasons import Reason
-from lavenderstall.tasks import (
-    LIVE,
-    Ending,
-    Task,
-    make_start,
-)
+from lavenderstall.tasks import LIVE, Ending, Task, make_start
 
 logger = logging.getLogger(__name__)
 
--- a/lavenderstall/tasks.py
+++ b/lavenderstall/tasks.py
@@ -10,23 +10,11 @@
 
 from lavenderstall.automation import Journal
 from lavenderstall.clocks import Clock
-from lavenderstall.fleet import (
-    LeaseTerms,
-)
-from lavenderstall.identifiers import (
-    EntryId,
-    JobId,
-    ServiceName,
-    SliceName,
-    TaskId,
-    WorkerId,
-)
+from lavenderstall.fleet import LeaseTerms
+from lavenderstall.identifiers import EntryId, JobId, ServiceName, SliceName, TaskId, WorkerId
 from lavenderstall.messages import SliceSummary
 from lavenderstall.ownership import Ownership
-from lavenderstall.protocol import (
-    TaskStart,
-    TaskState,
-)
+from lavenderstall.protocol import TaskStart, TaskState
 from lavenderstall.reasons import Reason
 from lavenderstall.records import JobSpec
 from lavenderstall.resources import NOTHING, Resources
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -15,8 +15,6 @@
     Epoch,
     Incarnation,
     RequestId,
-    ServiceName,
-    WorkerId,
 )
 from lavenderstall.protocol import (
     Kind,
@@ -42,6 +40,7 @@
     make_answer,
 )
 from standins.faults import WorkerFaults
+from standins.shapes import WorkerShape
 from standins.tasks import Inventory, Task, read_payload
 from standins.truth import (
     Crashed,
@@ -56,8 +55,6 @@
 
 T = TypeVar("T")
 
-USAGE_LAG_S = 5.0
-CALL_MS = 20
 # A worker that fails every task ends each one this long after its start.
 FAIL_AFTER_S = 0.01
 # Sequence numbers of two incarnations never overlap, so that `known` of an earlier incarnation
@@ -66,21 +63,6 @@
 ANY_INCARNATION = Incarnation("")
 
 
-class WorkerShape(msgspec.Struct, forbid_unknown_fields=True):
-    """Declare a worker; `services` are served without a replica task."""
-
-    id: WorkerId
-    capacity: Resources
-    zone: str = ""
-    rack: str = ""
-    pool: str = ""
-    services: list[ServiceName] = []
-    usage_lag_s: float = USAGE_LAG_S
-    call_ms: int = CALL_MS
-    stop_s: float = 0.0
-    port: int = 0
-
-
 class Worker:
     """Run tasks and calls for the owner that holds its lease.
 
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -31,12 +31,12 @@
     ZoneName,
     get_task,
 )
-from lavenderstall.ownership import Identity
 from lavenderstall.protocol import EntryMember, Kind, MemberState, TaskState, WorkerMember
 from lavenderstall.records import JobSpec, WorkRow, decode_row
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Item, Service
 from lavenderstall.shutdown import DRAIN_SECONDS
+from lavenderstall.tenures import Identity
 from lavenderstall.traces import Traces
 from standins.faults import ServiceFaults, TableFaults, WorkerFaults
 from standins.links import LocalHub
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -4,7 +4,7 @@
 
 from lavenderstall.errors import Outcome
 from lavenderstall.identifiers import EntryId, SliceName, get_task
-from lavenderstall.ownership import rank_candidates
+from lavenderstall.tenures import rank_candidates
 from standins.faults import TableFaults
 from tests.cells import ECHO, Cell, Node, make_job
 
