--- a/bench/fanout.py
+++ b/bench/fanout.py
@@ -43,6 +43,7 @@
 QUESTIONS = (
     ("slice", "show workers where slice = 'z1/0'"),
     ("zone", "show workers where zone = 'z1'"),
+    ("rack", "show workers where rack = 'z1-0'"),
     ("worker", "show workers where id = 'z1-0-w0'"),
     ("all", "show workers"),
 )
@@ -104,15 +105,17 @@
         links.set_receiver(entry.receive)
         self.entries.append(entry)
         for index in range(number // ZONES * SLICES, (number // ZONES + 1) * SLICES):
-            self._own(entry, zone, index)
+            self._own(entry, zone, index, members)
 
-    def _own(self, entry: Entry, zone: ZoneName, index: int) -> None:
+    def _own(self, entry: Entry, zone: ZoneName, index: int, members: MembershipList) -> None:
         rack = RackName(f"{zone}-{index}")
         entry.ownership.racks[rack] = index
         workers = [
             WorkerMember(WorkerId(f"{rack}-w{n}"), zone, rack, "", "pool")
             for n in range(SLICE_WORKERS)
         ]
+        for worker in workers:
+            members.set_worker(worker, lag_s=0)
         name = make_slice_name(zone, index)
         tenure = Tenure(name, 1, 1, 0.0, 0.0, frozenset())
         entry.ownership.tenures[name] = tenure
--- a/lavenderstall/cleaning.py
+++ b/lavenderstall/cleaning.py
@@ -34,6 +34,7 @@
 STEP_SECONDS = 5.0
 ENTRY_SECONDS = 600.0
 DELETES_AT_ONCE = 50
+JOBS_AT_ONCE = 20
 COMMIT_SECONDS = 5.0
 
 
@@ -119,6 +120,7 @@
         """Delete the rows of submitted jobs that ended long ago."""
         now = self._now()
         kept = self._get_retention().jobs_ms / 1000
+        deleted = 0
         for server in self._list_servers():
             for job in list(server.book.jobs.values()):
                 key = (server.name, job.row.spec.id)
@@ -128,7 +130,9 @@
                 elif now - self._ended.setdefault(key, now) > kept:
                     del self._ended[key]
                     await self._delete_job(server.name, job.row.spec.id)
-                    return
+                    deleted += 1
+                    if deleted >= JOBS_AT_ONCE:
+                        return
 
     async def _delete_job(self, name: SliceName, job: JobId) -> None:
         """Delete a slice's part of a job, and the job's row with the last part."""
--- a/lavenderstall/jobs.py
+++ b/lavenderstall/jobs.py
@@ -38,6 +38,7 @@
 ACCEPT_SECONDS = 5.0
 CANCEL_ATTEMPTS = 5
 MAX_TASKS = 100_000
+BATCH_SLICES = 16
 STORE_RETRY_MS = 2000
 
 
@@ -128,6 +129,8 @@
     wanted = list(range(spec.tasks)) if indices is None else list(indices)
     if spec.kind is Kind.GANG:
         return {choose_gang_slice(spec, places): wanted}
+    if spec.kind is Kind.BATCH:
+        places = choose_batch_places(spec, places)
     weights = [weigh_place(spec, place) for place in places]
     shares = split_evenly(len(wanted), weights)
     assigned: dict[SliceName, list[int]] = {}
@@ -176,6 +179,12 @@
     return min(ready or able, key=lambda place: (place.waiting, -place.now, place.slice)).slice
 
 
+def choose_batch_places(spec: JobSpec, places: Sequence[Place]) -> list[Place]:
+    """Return the slices with most to offer, as each costs a row in the job's transaction."""
+    best = sorted(places, key=lambda place: (-weigh_place(spec, place), place.slice))
+    return sorted(best[:BATCH_SLICES], key=lambda place: place.slice)
+
+
 def weigh_place(spec: JobSpec, place: Place) -> float:
     """Return the share of a job that a slice should get."""
     if spec.kind is Kind.SERVICE:
--- /dev/null
+++ b/tests/test_cleaning.py
@@ -0,0 +1,60 @@
+"""Tests of the removal of old rows."""
+
+import unittest
+from zlib import crc32
+
+from twisted.internet.defer import Deferred
+
+from lavenderstall.changes import ItemKey
+from lavenderstall.records import ONCE_BUCKETS
+from lavenderstall.schemas import Cell as CellItem
+from lavenderstall.schemas import Retention, Zone
+from tests.cells import Cell, make_job
+
+
+class CleanerTest(unittest.TestCase):
+    """Guards against rows that stay for ever, and rows that are removed while needed."""
+
+    def make_cell(self, **retention: int) -> Cell:
+        cell = Cell(entries=2, zones=1)
+        cell.run(4)
+        item = CellItem("cell", (Zone("z0"),), Retention(**retention))
+        cell.declare(cell.list_ready()[0], {ItemKey("cell", "cell"): item})
+        cell.run(1)
+        return cell
+
+    def count(self, cell: Cell, prefix: str) -> int:
+        return len(cell.table.scan(prefix).result.rows)
+
+    def test_ended_jobs_go_and_open_ones_stay(self) -> None:
+        cell = self.make_cell(jobs_ms=5000)
+        for number in range(25):
+            cell.submit(make_job(f"short-{number}", 1, run_ms=100))
+        cell.submit(make_job("long", 1, run_ms=100_000))
+        cell.run(4)
+        self.assertEqual(self.count(cell, "job/"), 26)
+        cell.run(40)
+        self.assertEqual(self.count(cell, "job/"), 1)
+        self.assertEqual(self.count(cell, "work/"), 1)
+
+    def test_declared_jobs_stay(self) -> None:
+        # Without its row, a declared batch run would be started a second time.
+        cell = self.make_cell(jobs_ms=1000)
+        cell.submit(make_job("declared.night", 1, run_ms=100))
+        cell.run(30)
+        self.assertEqual(self.count(cell, "work/"), 1)
+
+    def test_bindings_go_after_their_retention(self) -> None:
+        cell = self.make_cell(requests_ms=20_000)
+        cell.declare_service(2)
+        cell.run(8)
+        cell.call(name="stop-1", idempotent=False)
+        cell.run(2)
+        self.assertEqual(self.count(cell, "once/"), 1)
+        node = cell.list_ready()[0]
+        bucket = crc32(b"stop-1") % ONCE_BUCKETS
+        for wait, left in ((1, 1), (20, 0)):
+            cell.run(wait)
+            Deferred.fromCoroutine(node.entry.cleaner._clean_once(bucket))
+            cell.run(2)
+            self.assertEqual(self.count(cell, "once/"), left)
