Use the terms of the field for some names

Cause: names such as limbo, stray, gatekeeper, desk and board were figurative. Conclusion: behaviour is unchanged.

--- a/lavenderstall/adoption.py
+++ b/lavenderstall/adoption.py
@@ -13,7 +13,7 @@
 from lavenderstall.protocol import Kind, LeaseAnswer, TaskReport, TaskState, WorkerMember
 from lavenderstall.reasons import Reason
 from lavenderstall.rooms import WorkerState
-from lavenderstall.starts import Starter
+from lavenderstall.starts import TaskStarter
 from lavenderstall.tasks import LIVE, Ending, Task
 
 logger = logging.getLogger(__name__)
@@ -23,7 +23,7 @@
 RESTART_MAXIMUM_SECONDS = 60.0
 
 
-class Adopter(Starter):
+class TaskAdopter(TaskStarter):
     """Compare the tasks of a slice with what its workers report."""
 
     def set_members(self, members: Mapping[WorkerId, WorkerMember]) -> None:
@@ -73,7 +73,7 @@
             self._take_end(worker, report)
         self._end_gone(worker)
         self.calls.update_total()
-        self._release_limbo()
+        self._release_unresolved()
         self.request_schedule()
 
     def _add_worker(self, link: WorkerLink) -> None:
@@ -134,12 +134,14 @@
             # A run that began after the worker was asked is missing for that reason only.
             if task.state in LIVE and task.accepted < link.asked:
                 self._end_run(task, "the worker no longer lists the task")
-        self._drop_strays(link.id, listed)
+        self._drop_unmatched(link.id, listed)
 
-    def _drop_strays(self, worker: WorkerId, listed: Collection[TaskId] = ()) -> None:
+    def _drop_unmatched(self, worker: WorkerId, listed: Collection[TaskId] = ()) -> None:
         """Forget reports of a worker that it would not make now."""
-        self.stray = {
-            run: found for run, found in self.stray.items() if found[0] != worker or run in listed
+        self.unmatched = {
+            run: found
+            for run, found in self.unmatched.items()
+            if found[0] != worker or run in listed
         }
 
     def _end_gone(self, link: WorkerLink) -> None:
@@ -156,7 +158,7 @@
         name = get_task(report.task)
         task = self.tasks.get(name)
         if task is None or (task.run and task.run != report.task):
-            self.stray[report.task] = (link.id, report)
+            self.unmatched[report.task] = (link.id, report)
             if self.loaded:
                 self.request_reload()
             return
@@ -173,7 +175,7 @@
         """Take over a task that was started by an earlier owner."""
         if task.queued:
             self._withdraw(task)
-        self._limbo.discard(task.id)
+        self._unresolved.discard(task.id)
         task.worker = worker
         task.run = report.task
         task.state = report.state
@@ -200,9 +202,9 @@
         if task is None:
             if self.loaded:
                 # The end may be noted and not committed yet.
-                self.book.call_after(report.job, acknowledge)
+                self.work.call_after(report.job, acknowledge)
             else:
-                self.stray[report.task] = (link.id, report)
+                self.unmatched[report.task] = (link.id, report)
         elif task.run == report.task:
             self._finish(task, report, acknowledge)
         elif task.run:
@@ -280,7 +282,7 @@
         if not confirmed or self.stopped or not link.lost:
             return
         logger.warning("worker %s is lost", link.id)
-        self._drop_strays(link.id)
+        self._drop_unmatched(link.id)
         for task in self._list_live(link):
             self._end_run(task, "the worker is lost")
         if link.id in self.state.workers:
@@ -373,12 +375,12 @@
         """Return the workers that run a replica of a service."""
         running = self.replicas.get(service, {}).values()
         known = {task.worker for task in running if task.state is TaskState.RUNNING}
-        strays = {
+        unmatched = {
             worker
-            for worker, report in self.stray.values()
+            for worker, report in self.unmatched.values()
             if report.service == service and report.state is TaskState.RUNNING
         }
-        return frozenset(known | strays)
+        return frozenset(known | unmatched)
 
     def _list_replicas(self) -> Iterable[tuple[ServiceName, WorkerId]]:
         """Yield the service and the worker of each replica that runs.
@@ -389,7 +391,7 @@
         for task in chain.from_iterable(each.values() for each in self.replicas.values()):
             if task.state is TaskState.RUNNING:
                 yield task.spec.service, task.worker
-        for worker, report in self.stray.values():
+        for worker, report in self.unmatched.values():
             if report.kind is Kind.SERVICE and report.state is TaskState.RUNNING:
                 yield report.service, worker
 
--- a/lavenderstall/assignment.py
+++ b/lavenderstall/assignment.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderstall.adoption import Adopter
+from lavenderstall.adoption import TaskAdopter
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import get_task, make_task_id
 from lavenderstall.protocol import Kind, TaskState, TaskStop
@@ -16,7 +16,7 @@
 logger = logging.getLogger(__name__)
 
 
-class Assignee(Adopter):
+class AssignmentReader(TaskAdopter):
     """Read the work rows of a slice and act on their changes."""
 
     def request_reload(self) -> None:
@@ -36,12 +36,12 @@
             # slice is thereby never acted on.
             if not await self._env.ownership.confirm(self.name) or self.stopped:
                 return
-            changed, gone = self.book.load(rows)
+            changed, gone = self.work.load(rows)
             self.loaded = True
             self._take_changed(changed)
             self._drop_gone(gone)
-            self._place_strays()
-            self._release_limbo()
+            self._match_reports()
+            self._release_unresolved()
             self.request_schedule()
         except LavenderstallError as error:
             logger.info("rows of %s: %s", self.name, error)
@@ -72,7 +72,7 @@
                 for task in added:
                     self._queue(task)
             else:
-                self._limbo.update(task.id for task in added)
+                self._unresolved.update(task.id for task in added)
             listed = set(row.tasks)
             mine = [task for task in self.tasks.values() if task.spec.id == spec.id]
             moved = [task for task in mine if task.index not in listed]
@@ -88,10 +88,10 @@
         surplus = [task for task in self.tasks.values() if task.spec.id in names]
         self.cancel_tasks(surplus, "the job was removed")
 
-    def _place_strays(self) -> None:
+    def _match_reports(self) -> None:
         """Match reported tasks with rows; stop those that no row asks for."""
-        strays, self.stray = self.stray, {}
-        for run, (worker, report) in strays.items():
+        unmatched, self.unmatched = self.unmatched, {}
+        for run, (worker, report) in unmatched.items():
             link = self.fleet.links.get(worker)
             if link is None:
                 continue
@@ -103,18 +103,18 @@
             elif task is None or task.run != run:
                 self._send_stops(link, [TaskStop(run, "no row asks for the task")])
 
-    def _release_limbo(self) -> None:
+    def _release_unresolved(self) -> None:
         """Queue older tasks that no worker runs, once that is certain."""
-        if not self._limbo or not self.loaded or not self._is_roster_claimed():
+        if not self._unresolved or not self.loaded or not self._is_roster_claimed():
             return
-        limbo, self._limbo = self._limbo, set()
-        for name in limbo:
+        unresolved, self._unresolved = self._unresolved, set()
+        for name in unresolved:
             task = self.tasks.get(name)
             if task is not None and not task.run:
                 self._resume(task)
 
     def _resume(self, task: Task) -> None:
-        job = self.book.jobs.get(task.spec.id)
+        job = self.work.jobs.get(task.spec.id)
         if job is not None and task.index in job.row.bound:
             # An earlier owner bound the task, so it may have run before.
             self._close(task, "unknown")
--- a/lavenderstall/cleaning.py
+++ b/lavenderstall/cleaning.py
@@ -122,7 +122,7 @@
         kept = self._get_retention().jobs_ms / 1000
         deleted = 0
         for server in self._list_servers():
-            for job in list(server.book.jobs.values()):
+            for job in list(server.work.jobs.values()):
                 key = (server.name, job.row.spec.id)
                 declared = job.row.spec.id.startswith(DECLARED_PREFIX)
                 if declared or not job.is_finished() or job.dirty or job.committing:
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -33,7 +33,6 @@
     RefusedError,
 )
 from lavenderstall.fleet import LeaseTerms
-from lavenderstall.gatekeeping import Gatekeeper
 from lavenderstall.handlers import handle
 from lavenderstall.identifiers import (
     EntryId,
@@ -44,7 +43,7 @@
     Version,
     WorkerId,
 )
-from lavenderstall.jobs import JobDesk
+from lavenderstall.jobs import JobService
 from lavenderstall.journal import ChangeJournal
 from lavenderstall.links import Links
 from lavenderstall.messages import (
@@ -60,13 +59,14 @@
 from lavenderstall.ownership import Ownership
 from lavenderstall.peers import Pace, Peers, Readiness
 from lavenderstall.protocol import Members, MemberState, WorkerMember
-from lavenderstall.queries import QueryDesk
+from lavenderstall.queries import QueryService
 from lavenderstall.reasons import share_capacity
 from lavenderstall.reconciler import Reconciler
 from lavenderstall.records import EntryRow
 from lavenderstall.schemas import Calls, Retention
 from lavenderstall.slices import SliceServer
 from lavenderstall.storage import MemberList, ObjectStore, TableStore
+from lavenderstall.submission import AdmissionController
 from lavenderstall.targets import TargetClient
 from lavenderstall.tenures import Identity, Observer, Tenure
 from lavenderstall.traces import Traces
@@ -154,13 +154,15 @@
         self.configuration = Configuration(
             self.store, self.view, self.clock, self.read_unix_ms, self.make_nonce
         )
-        self.desk = JobDesk(self.store, self.commits, self.directory, self.links, self.make_nonce)
+        self.jobs = JobService(
+            self.store, self.commits, self.directory, self.links, self.make_nonce
+        )
         self.reconciler = Reconciler(
             self.entry,
             self.view,
             self.store,
             self.commits,
-            self.desk,
+            self.jobs,
             self.directory,
             self.clock,
             self.make_nonce,
@@ -183,9 +185,9 @@
             self._get_retention,
             ChangeArchive(self.store, outside.objects) if outside.objects else None,
         )
-        self.gatekeeper = Gatekeeper(self.clock)
+        self.admission = AdmissionController(self.clock)
         self.refusals = RefusalLog()
-        self.queries = QueryDesk(self)
+        self.queries = QueryService(self)
         self._polling_members = False
         self._refreshing = False
         self._loops = [
@@ -249,7 +251,7 @@
 
     def hint_work(self, job: JobId, slices: Iterable[SliceName]) -> None:
         """Tell owners to read their rows."""
-        self.desk.hint(job, list(slices))
+        self.jobs.hint(job, list(slices))
 
     def read_unix_ms(self) -> int:
         """Return the wall clock in milliseconds."""
@@ -372,7 +374,7 @@
         summaries = self.directory.list_summaries()
         teams = self.view.list_kind("team")
         totals = sum_teams(summaries)
-        self.gatekeeper.observe(summaries)
+        self.admission.observe(summaries)
         own = {
             summary.slice: summary.teams for summary in summaries if summary.slice in self.slices
         }
@@ -416,7 +418,7 @@
     def _use_configuration(self, view: ConfigurationView) -> None:
         declared = [*view.list_kind("operator"), *view.list_kind("team")]
         self.access.replace(declared)
-        self.gatekeeper.use_configuration(view)
+        self.admission.use_configuration(view)
         for server in self.slices.values():
             apply_policy(server, view.list_kind("policy"))
         self.links.broadcast(ConfigChanged(view.version))
--- a/lavenderstall/jobs.py
+++ b/lavenderstall/jobs.py
@@ -210,7 +210,7 @@
     )
 
 
-class JobDesk:
+class JobService:
     """Accept, describe and cancel jobs on any entry instance."""
 
     def __init__(
--- a/lavenderstall/moves.py
+++ b/lavenderstall/moves.py
@@ -94,7 +94,7 @@
             return None
         summaries = self._list_summaries()
         for job_id, tasks in stuck.items():
-            job = self._server.book.jobs.get(job_id)
+            job = self._server.work.jobs.get(job_id)
             spec = tasks[0].spec
             whole = spec.kind is not Kind.GANG or len(tasks) == spec.tasks
             if job is None or job.committing or job.row.cancelled or not whole:
@@ -117,7 +117,7 @@
             # The write may still take effect. A later commit of the own row rules that out, since
             # the move depends on the row's version; only then do the tasks wait here again.
             logger.info("move of %s to %s: %s", job.row.spec.id, target, error)
-            server.book.commit_before(job, lambda: server.return_tasks(tasks))
+            server.work.commit_before(job, lambda: server.return_tasks(tasks))
             return
         finally:
             job.committing = False
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -115,8 +115,8 @@
         demand = Demand(spec.kind.value)
         try:
             self._check_ready(retry)
-            entry.gatekeeper.admit(spec, retry=retry)
-            status = await entry.desk.submit(spec, retry=retry)
+            entry.admission.admit(spec, retry=retry)
+            status = await entry.jobs.submit(spec, retry=retry)
         except RefusedError as error:
             now = entry.clock.seconds()
             entry.refusals.add(now, RequestId(job), spec.team, demand, error, spec.service)
@@ -139,12 +139,12 @@
         clock = self._entry.clock
         limit = clock.seconds() + wait
         team = await self._check_team(job, caller)
-        status = await self._entry.desk.read_status(job)
+        status = await self._entry.jobs.read_status(job)
         # A caller that waits learns the state early when the entry instance shuts down.
         while not (status.is_finished or self._entry.draining or clock.seconds() >= limit):
             await sleep(clock, JOB_POLL_SECONDS)
             try:
-                status = await self._entry.desk.read_status(job)
+                status = await self._entry.jobs.read_status(job)
             except LavenderstallError:
                 # The job is known, so an outage of the store only delays the answer.
                 continue
@@ -153,10 +153,10 @@
     async def cancel_job(self, job: JobId, caller: Caller) -> JobAnswer:
         """Cancel a job of the caller's team."""
         team = await self._check_team(job, caller)
-        return make_job_answer(await self._entry.desk.cancel(job), team)
+        return make_job_answer(await self._entry.jobs.cancel(job), team)
 
     async def _check_team(self, job: JobId, caller: Caller) -> TeamName:
-        _, row, _ = await self._entry.desk.read_rows(job)
+        _, row, _ = await self._entry.jobs.read_rows(job)
         if caller.right is None and row.spec.team != caller.team:
             raise AccessError(f"job {job} belongs to another team", status=403)
         return row.spec.team
--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -54,7 +54,7 @@
     return msgspec.structs.replace(answer, note=note)
 
 
-class QueryDesk:
+class QueryService:
     """Answer statements on any entry instance."""
 
     def __init__(self, entry: "Entry") -> None:
--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -12,7 +12,7 @@
 from lavenderstall.configuration import ConfigurationView
 from lavenderstall.errors import ConflictError, LavenderstallError
 from lavenderstall.identifiers import EntryId, JobId, ServiceName, SliceName
-from lavenderstall.jobs import JobDesk, assign_tasks
+from lavenderstall.jobs import JobService, assign_tasks
 from lavenderstall.protocol import Condition, Kind, Put, Row
 from lavenderstall.records import (
     PREFIX_JOB,
@@ -121,7 +121,7 @@
         view: ConfigurationView,
         store: TableStore,
         commits: Commits,
-        desk: JobDesk,
+        jobs: JobService,
         directory: Directory,
         clock: Clock,
         make_nonce: Callable[[], str],
@@ -131,7 +131,7 @@
         self._view = view
         self._store = store
         self._commits = commits
-        self._desk = desk
+        self._jobs = jobs
         self._directory = directory
         self._clock = clock
         self._make_nonce = make_nonce
@@ -178,7 +178,7 @@
         try:
             if known is None:
                 summaries = self._directory.list_summaries()
-                await self._desk.write(spec, assign_tasks(spec, summaries))
+                await self._jobs.write(spec, assign_tasks(spec, summaries))
             elif spec.kind is Kind.SERVICE and (known[1].spec != spec or known[1].cancelled):
                 await self._resize(spec, *known)
         except ConflictError:
@@ -187,7 +187,7 @@
             logger.info("job %s: %s", spec.id, error)
 
     async def _resize(self, spec: JobSpec, stored: Row, row: JobRow) -> None:
-        _, _, works = await self._desk.read_rows(spec.id)
+        _, _, works = await self._jobs.read_rows(spec.id)
         have = {work.slice: work for _, work in works}
         kept = choose_kept(spec, have.values())
         # A replica that was removed may still be stopping, so that its index is not used again.
@@ -208,13 +208,13 @@
             puts.append(Put(key, encode_row(work)))
             conditions.append(Condition(key, versions.get(name, 0)))
         await self._commits.submit(conditions, puts, timeout=COMMIT_SECONDS)
-        self._desk.hint(spec.id, slices)
+        self._jobs.hint(spec.id, slices)
 
     async def _withdraw(self, stored: Row, row: JobRow) -> None:
         """Remove a job that is no longer declared; its tasks are stopped by their owners."""
         if row.cancelled:
             return
         try:
-            await self._desk.cancel(row.spec.id)
+            await self._jobs.cancel(row.spec.id)
         except LavenderstallError as error:
             logger.info("withdrawal of %s: %s", stored.key, error)
--- a/lavenderstall/shutdown.py
+++ b/lavenderstall/shutdown.py
@@ -35,7 +35,7 @@
     for server in entry.slices.values():
         server.calls.draining = True
     await _wait_until(entry, lambda: _is_idle(entry), limit)
-    ends = [flush for server in entry.slices.values() for flush in server.book.flush()]
+    ends = [flush for server in entry.slices.values() for flush in server.work.flush()]
     await _finish(entry, [*ends, entry.commits.flush()], FLUSH_SECONDS)
     releases = [Deferred.fromCoroutine(_release(entry, name)) for name in list(entry.slices)]
     await _finish(entry, releases, RELEASE_SECONDS)
@@ -63,7 +63,7 @@
 
 
 def _is_answered(entry: "Entry") -> bool:
-    return entry.requests + entry.router.in_flight + entry.desk.in_flight == 0
+    return entry.requests + entry.router.in_flight + entry.jobs.in_flight == 0
 
 
 def _is_idle(entry: "Entry") -> bool:
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from lavenderstall.assignment import Assignee
+from lavenderstall.assignment import AssignmentReader
 from lavenderstall.automation import Automation
 from lavenderstall.clocks import make_loop
 from lavenderstall.fleet import Fleet
@@ -15,7 +15,7 @@
 from lavenderstall.slots import CallServer
 from lavenderstall.tasks import Environment
 from lavenderstall.tenures import Tenure
-from lavenderstall.work import WorkBook
+from lavenderstall.work import WorkRows
 
 logger = logging.getLogger(__name__)
 
@@ -26,12 +26,12 @@
 CONFIRM_SECONDS = 3.0
 
 
-class SliceServer(Assignee):
+class SliceServer(AssignmentReader):
     """Place the work of one slice on its workers while the tenure lasts."""
 
     def __init__(self, environment: Environment, tenure: Tenure) -> None:
         super().__init__(environment, tenure)
-        self.book = WorkBook(
+        self.work = WorkRows(
             self.name, environment.commits, environment.make_nonce, self.request_reload
         )
         self.fleet = Fleet(
@@ -68,7 +68,7 @@
         )
         self._loops = [
             (make_loop(self._clock, self.request_reload), RELOAD_SECONDS),
-            (make_loop(self._clock, self.book.flush), FLUSH_SECONDS),
+            (make_loop(self._clock, self.work.flush), FLUSH_SECONDS),
             (make_loop(self._clock, self._review), REVIEW_SECONDS),
             (make_loop(self._clock, self.mover.step), STEP_SECONDS),
         ]
@@ -103,7 +103,7 @@
             self._send_stops(self.fleet.links[worker], stops)
         self.automation.review(now)
         self._expire_waiting()
-        self._release_limbo()
+        self._release_unresolved()
         self.request_schedule()
 
     def summarize(self) -> SliceSummary:
--- a/lavenderstall/starts.py
+++ b/lavenderstall/starts.py
@@ -4,18 +4,18 @@
 
 from twisted.internet.defer import Deferred
 
-from lavenderstall.board import TaskBoard
 from lavenderstall.decisions import Never, Plan
 from lavenderstall.errors import AnswerLostError, FencedError, PeerUnavailableError
 from lavenderstall.identifiers import JobId, TaskId, WorkerId, make_run_id
 from lavenderstall.protocol import TaskState
 from lavenderstall.reasons import Reason
 from lavenderstall.tasks import LIVE, Ending, Task, make_start
+from lavenderstall.tracking import TaskTracker
 
 logger = logging.getLogger(__name__)
 
 
-class Starter(TaskBoard):
+class TaskStarter(TaskTracker):
     """Decide on waiting tasks and start them on workers."""
 
     def start_probe(self, task: Task, worker: WorkerId) -> None:
@@ -120,7 +120,7 @@
             if not task.spec.idempotent:
                 once.setdefault(task.spec.id, []).append(task)
         for job, listed in once.items():
-            if await self.book.bind(job, [task.index for task in listed], worker):
+            if await self.work.bind(job, [task.index for task in listed], worker):
                 ready += listed
             else:
                 for task in listed:
@@ -133,7 +133,7 @@
             return
         self._release_room(task)
         if not task.spec.idempotent:
-            self.book.unbind(task.spec.id, task.index)
+            self.work.unbind(task.spec.id, task.index)
         if task.ending is Ending.CANCEL:
             self._close(task, "stopped")
             return
--- a/lavenderstall/gatekeeping.py
+++ b/lavenderstall/submission.py
@@ -33,7 +33,7 @@
     return reduce(Resources.add, [spec.resources] * spec.tasks)
 
 
-class Gatekeeper:
+class AdmissionController:
     """Refuse jobs early that exceed a bound, on any entry instance."""
 
     def __init__(self, clock: Clock) -> None:
--- a/lavenderstall/board.py
+++ b/lavenderstall/tracking.py
@@ -32,19 +32,19 @@
 from lavenderstall.slots import CallServer
 from lavenderstall.tasks import LIVE, Ending, Environment, Task
 from lavenderstall.tenures import Tenure
-from lavenderstall.work import WorkBook
+from lavenderstall.work import WorkRows
 
 logger = logging.getLogger(__name__)
 
 
-class TaskBoard(FleetObserver):
+class TaskTracker(FleetObserver):
     """Hold the tasks of a slice and let them wait, stop and end.
 
     Contract: later parts decide, start tasks and read rows through the methods below that raise.
     """
 
     # Set by `SliceServer`, whose parts share them.
-    book: WorkBook
+    work: WorkRows
     fleet: Fleet
     calls: CallServer
     automation: Automation
@@ -58,7 +58,7 @@
         self.tasks: dict[TaskId, Task] = {}
         self.started: Counter[Kind] = Counter()
         self.replicas: dict[ServiceName, dict[TaskId, Task]] = {}
-        self.stray: dict[TaskId, tuple[WorkerId, TaskReport]] = {}
+        self.unmatched: dict[TaskId, tuple[WorkerId, TaskReport]] = {}
         self.loaded = False
         self.draining = False
         self.stopped = False
@@ -73,7 +73,7 @@
         self._reloading = False
         self._reload_again = False
         self._rostering = False
-        self._limbo: set[TaskId] = set()
+        self._unresolved: set[TaskId] = set()
         self._held: set[WorkerId] = set()
         self._lifted: set[WorkerId] = set()
         self._admitted: set[Incarnation] = set()
@@ -86,20 +86,20 @@
         """Read the rows soon."""
         raise NotImplementedError
 
-    def _release_limbo(self) -> None:
+    def _release_unresolved(self) -> None:
         """Queue older tasks that no worker runs, once that is certain."""
         raise NotImplementedError
 
     def _is_wanted(self, task: Task) -> bool:
         """Tell whether the row asks for the task."""
-        job = self.book.jobs.get(task.spec.id)
+        job = self.work.jobs.get(task.spec.id)
         return job is not None and not job.row.cancelled and task.index in job.row.tasks
 
     def _complete_gang(self, job: JobId) -> None:
         """Stop a gang of which some members run and others surely do not."""
         members = [task for task in self.tasks.values() if task.spec.id == job]
         waiting = [task for task in members if task.state is TaskState.WAITING]
-        if waiting and not any(task.id in self._limbo for task in waiting):
+        if waiting and not any(task.id in self._unresolved for task in waiting):
             self._queue_gang(job)
 
     def _end_run(self, task: Task, detail: str) -> None:
@@ -141,7 +141,7 @@
         if live:
             self.stop_tasks(live, Ending.RETRY, "a member of the gang does not run")
             return
-        ready = [task for task in members if not task.queued and task.id not in self._limbo]
+        ready = [task for task in members if not task.queued and task.id not in self._unresolved]
         if len(ready) == len(members):
             for task in members:
                 task.queued = True
@@ -158,11 +158,11 @@
         """Note the end of a task."""
         if task.queued:
             self._withdraw(task)
-        self._limbo.discard(task.id)
+        self._unresolved.discard(task.id)
         del self.tasks[task.id]
         self.replicas.get(task.spec.service, {}).pop(task.id, None)
         self._explain(field, Reason("task ended", field), task)
-        self.book.note_end(task.spec.id, task.index, field, after)
+        self.work.note_end(task.spec.id, task.index, field, after)
 
     def _withdraw(self, task: Task) -> None:
         for request in self.queue.cancel(task.id):
@@ -179,13 +179,13 @@
         """Stop tasks for good; those that have not started end at once."""
         listed = list(tasks)
         for task in listed:
-            if task.state is TaskState.WAITING and task.id not in self._limbo:
+            if task.state is TaskState.WAITING and task.id not in self._unresolved:
                 self._close(task, "stopped")
         self.stop_tasks([t for t in listed if t.state in LIVE], Ending.CANCEL, reason)
 
     def _is_idle(self, task: Task) -> bool:
         """Tell whether a task waits and surely runs nowhere."""
-        return task.state is TaskState.WAITING and task.id not in self._limbo
+        return task.state is TaskState.WAITING and task.id not in self._unresolved
 
     def list_waiting(self) -> list[Task]:
         """Return tasks that wait, also those that can never run here."""
@@ -205,7 +205,7 @@
     def return_tasks(self, tasks: Iterable[Task]) -> None:
         """Let withdrawn tasks wait again that the row still lists."""
         for task in tasks:
-            job = self.book.jobs.get(task.spec.id)
+            job = self.work.jobs.get(task.spec.id)
             if self.tasks.get(task.id) is not task or not self._is_idle(task):
                 continue
             task.moving = False
--- a/lavenderstall/views.py
+++ b/lavenderstall/views.py
@@ -183,7 +183,7 @@
 
 def list_services(server: SliceServer) -> Iterator[ServiceInfo]:
     """Yield the rows of the services that a slice runs."""
-    for job in server.book.jobs.values():
+    for job in server.work.jobs.values():
         spec = job.row.spec
         if spec.kind is not Kind.SERVICE:
             continue
@@ -270,7 +270,7 @@
     inventory = Inventory()
     for server in servers:
         inventory.tasks += [make_task_info(server, task, now) for task in server.tasks.values()]
-        inventory.jobs += [make_job_info(server, job, now) for job in server.book.jobs.values()]
+        inventory.jobs += [make_job_info(server, job, now) for job in server.work.jobs.values()]
         inventory.workers += list_workers(server, now)
         inventory.services += list_services(server)
         inventory.slices.append(make_slice_info(server, now))
--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -140,7 +140,7 @@
     return make_json(status, rejection, **headers)
 
 
-class Gate(Resource):
+class ApiResource(Resource):
     """Dispatch requests by method and path."""
 
     isLeaf = True  # noqa: N815  (name set by twisted.web)
@@ -348,4 +348,4 @@
 
 def make_site(entry: Entry) -> Site:
     """Return the site that serves an entry instance."""
-    return Site(Gate(entry), requestFactory=BoundedRequest)
+    return Site(ApiResource(entry), requestFactory=BoundedRequest)
--- a/lavenderstall/work.py
+++ b/lavenderstall/work.py
@@ -42,7 +42,7 @@
     return msgspec.structs.replace(stored, bound=stored.bound | mine.bound, **ended)
 
 
-class WorkBook:
+class WorkRows:
     """Hold the work rows of one slice; its owner is the only one that notes ends."""
 
     def __init__(
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -243,7 +243,7 @@
         def end(_: object) -> None:
             # Requests that take longer than the drain are cut off, as the shutdown is bounded.
             in_time = self.clock.seconds() < began + DRAIN_SECONDS
-            if node.entry.router.in_flight + node.entry.desk.in_flight and in_time:
+            if node.entry.router.in_flight + node.entry.jobs.in_flight and in_time:
                 self.checks.fail(f"{node.name} ended with requests in flight")
             node.left = True
             self.kill(node)
@@ -370,7 +370,7 @@
 
         def ask(target: Node) -> "Deferred[Any]":
             retry = told.attempts > 1
-            return Deferred.fromCoroutine(target.entry.desk.submit(spec, retry=retry))
+            return Deferred.fromCoroutine(target.entry.jobs.submit(spec, retry=retry))
 
         self._ask(told, ask, node, retries, persist)
         return told
@@ -378,7 +378,7 @@
     def cancel(self, job: str, node: Node | None = None) -> Told:
         """Cancel a job."""
         told = Told(f"cancel {job}")
-        self._ask(told, lambda n: Deferred.fromCoroutine(n.entry.desk.cancel(JobId(job))), node, 0)
+        self._ask(told, lambda n: Deferred.fromCoroutine(n.entry.jobs.cancel(JobId(job))), node, 0)
         return told
 
     def _ask(
--- a/tests/test_automation.py
+++ b/tests/test_automation.py
@@ -56,7 +56,7 @@
         starts = count_starts(cell, "z0w0")
         (server,) = cell.get_owner("z0/0").entry.slices.values()
         self.assertTrue(server.state.workers["z0w0"].quarantined)
-        done = sum(len(job.row.done) for job in server.book.jobs.values())
+        done = sum(len(job.row.done) for job in server.work.jobs.values())
         self.assertEqual(done, 24 * 4)
         self.assertLess(starts, 24)
         recorded = [c for c in list_changes(cell) if c.automatic]
@@ -105,7 +105,7 @@
         cell.run(60)
         (server,) = cell.get_owner("z0/0").entry.slices.values()
         self.assertFalse(any(worker.quarantined for worker in server.state.workers.values()))
-        bad = [job.row for job in server.book.jobs.values() if job.row.spec.id.startswith("bad")]
+        bad = [job.row for job in server.work.jobs.values() if job.row.spec.id.startswith("bad")]
         self.assertTrue(all(row.failed and not row.done for row in bad))
 
 
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -13,7 +13,7 @@
 from lavenderstall.changes import ItemKey
 from lavenderstall.inventory import Answer
 from lavenderstall.schemas import Operator, Right, Team
-from lavenderstall.web import Gate, Reply
+from lavenderstall.web import ApiResource, Reply
 from tests.cells import Cell
 
 SALT = bytes(16)
@@ -45,12 +45,12 @@
         self.cell.run(5)
         self.cell.declare(self.node, dict(ITEMS))
         self.cell.run(5)
-        self.gate = Gate(self.node.entry)
+        self.api = ApiResource(self.node.entry)
 
     def send(self, method: str, path: str, body: Any = None, token: str = "ana.a") -> Reply:
         request: Any = FakeRequest(method, path, msgspec.json.encode(body), token)
         replies: list[Reply] = []
-        Deferred.fromCoroutine(self.gate._answer(request)).addCallback(replies.append)
+        Deferred.fromCoroutine(self.api._answer(request)).addCallback(replies.append)
         self.cell.run(10, lambda: bool(replies))
         return replies[0]
 
--- a/tests/test_gatekeeping.py
+++ b/tests/test_submission.py
@@ -7,13 +7,13 @@
 from lavenderstall.changes import ItemKey
 from lavenderstall.configuration import ConfigurationView, Snapshot
 from lavenderstall.errors import Outcome, RefusedError
-from lavenderstall.gatekeeping import Gatekeeper
 from lavenderstall.identifiers import EntryId, Epoch, JobId, SliceName, TeamName, Version
 from lavenderstall.messages import SliceSummary
 from lavenderstall.protocol import Kind
 from lavenderstall.records import JobSpec
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Demand, Limits, Policy, Quota, Team
+from lavenderstall.submission import AdmissionController
 
 TEAM = TeamName("drivers")
 CORE = Resources(1000, 100)
@@ -35,22 +35,22 @@
     )
 
 
-class GatekeeperTest(unittest.TestCase):
+class AdmissionControllerTest(unittest.TestCase):
     """Guards against queues without bound and refusals that are not true."""
 
     def setUp(self) -> None:
         self.clock = Clock()
-        self.gatekeeper = Gatekeeper(self.clock)
+        self.admission = AdmissionController(self.clock)
         view = ConfigurationView(self.clock)
         limits = Limits(waiting={Demand.BATCH: 20}, tasks_per_job=12)
         items = [Team(TEAM, quota=Quota(Resources(4000), 30)), Policy("default", limits=limits)]
         keys = [ItemKey("team", TEAM), ItemKey("policy", "default")]
         view.accept(Snapshot(Version(1), 1, dict(zip(keys, items, strict=True))), 0.0)
-        self.gatekeeper.use_configuration(view)
+        self.admission.use_configuration(view)
 
     def observe(self, *summaries: SliceSummary) -> None:
         self.clock.advance(1)
-        self.gatekeeper.observe(summaries)
+        self.admission.observe(summaries)
 
     def test_refusals(self) -> None:
         cases = (
@@ -64,29 +64,29 @@
             for retry, outcome in ((False, Outcome.NOT_RUN), (True, Outcome.UNKNOWN)):
                 with self.subTest(reason=reason, retry=retry):
                     with self.assertRaises(RefusedError) as caught:
-                        self.gatekeeper.admit(spec, retry=retry)
+                        self.admission.admit(spec, retry=retry)
                     self.assertEqual(caught.exception.reason, reason)
                     self.assertIs(caught.exception.outcome, outcome)
 
     def test_bound_grows_with_the_slices(self) -> None:
         self.observe(make_summary(0, 14))
         with self.assertRaises(RefusedError) as caught:
-            self.gatekeeper.admit(make_spec(tasks=10))
+            self.admission.admit(make_spec(tasks=10))
         self.assertEqual(caught.exception.reason, "kind_queue_full")
         self.observe(make_summary(0, 14), make_summary(1, 0))
-        self.gatekeeper.admit(make_spec(tasks=10))
+        self.admission.admit(make_spec(tasks=10))
 
     def test_accepted_tasks_count_until_owners_report(self) -> None:
         self.observe(make_summary(0, 0), make_summary(1, 0))
-        self.gatekeeper.admit(make_spec(tasks=12))
-        self.gatekeeper.admit(make_spec(tasks=12))
+        self.admission.admit(make_spec(tasks=12))
+        self.admission.admit(make_spec(tasks=12))
         with self.assertRaises(RefusedError):
-            self.gatekeeper.admit(make_spec(tasks=12))
+            self.admission.admit(make_spec(tasks=12))
 
     def test_time_to_come_back_follows_starts(self) -> None:
         for step in range(20):
             self.observe(make_summary(0, 14, started=step * 5))
         with self.assertRaises(RefusedError) as caught:
-            self.gatekeeper.admit(make_spec(tasks=10))
+            self.admission.admit(make_spec(tasks=10))
         self.assertLess(caught.exception.retry_after_ms, 5000)
         self.assertGreater(caught.exception.retry_after_ms, 0)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -11,7 +11,7 @@
 from lavenderstall.changes import ItemKey
 from lavenderstall.errors import Outcome
 from lavenderstall.schemas import Operator, Quota, Right, Team
-from lavenderstall.web import MAX_BODY_BYTES, BoundedRequest, Gate
+from lavenderstall.web import MAX_BODY_BYTES, ApiResource, BoundedRequest
 from tests.cells import TEAM, Cell, make_job
 from tests.memory import MemoryNetwork, Response
 
@@ -51,7 +51,7 @@
         self.cell.run(1)
         self.cell.declare_service(1)
         self.cell.run(CELL_SECONDS)
-        gate = Gate(self.node.entry)
+        gate = ApiResource(self.node.entry)
         self.network = MemoryNetwork(self.cell.clock, gate, BoundedRequest)
 
     def fetch(
@@ -185,7 +185,7 @@
 
     @settings(max_examples=60)
     @given(
-        st.sampled_from([row[1] for row in Gate.routes if "{" not in row[1]]),
+        st.sampled_from([row[1] for row in ApiResource.routes if "{" not in row[1]]),
         st.sampled_from(["GET", "POST", "DELETE", "PUT"]),
         st.one_of(
             st.binary(max_size=60),
