Keep periodic calls of test processes apart by a nanosecond

Change: the clocks of test processes ask for at least a nanosecond. Conclusion: the fault was in the harness only.

--- a/tests/networks.py
+++ b/tests/networks.py
@@ -35,6 +35,9 @@
 LATENCY_SECONDS = 0.001
 
 
+SHORTEST_SECONDS = 1e-9
+
+
 class Gate:
     """Run what happens in one process, hold it while the process is paused, drop it once dead.
 
@@ -53,6 +56,10 @@
 
     def callLater(self, delay: float, function: Callable[..., Any], *args: Any, **kw: Any) -> Any:
         timer: Any = None
+        if delay > 0:
+            # A periodic call may ask for a delay that rounding loses on the shared clock; it would
+            # then run again and again at the same time.
+            delay = max(delay, SHORTEST_SECONDS)
 
         def fire() -> None:
             if timer.wanted:
