Carry a peer's configuration with the one packing there is

The one in use dropped the version of the head's row, so an entry instance that had taken its configuration from a peer met a conflict with each change it tried. Conclusion: the copy was the fault.

--- a/lavenderstall/calls.py
+++ b/lavenderstall/calls.py
@@ -1,7 +1,7 @@
 """Calls on the receiving side: choice of an owner, forwarding, retries, answers."""
 
 import logging
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection
 from itertools import groupby
 from random import Random
 
@@ -433,11 +433,3 @@
         if outcome is Outcome.NOT_RUN and not certain:
             outcome = Outcome.UNKNOWN
         return msgspec.structs.replace(last, outcome=outcome)
-
-
-def list_services(summaries: Collection[SliceSummary]) -> Iterator[ServiceName]:
-    """Yield the services that some slice serves."""
-    seen: set[ServiceName] = set()
-    for summary in summaries:
-        yield from summary.free_slots.keys() - seen
-        seen |= summary.free_slots.keys()
--- a/lavenderstall/handlers.py
+++ b/lavenderstall/handlers.py
@@ -4,6 +4,7 @@
 from functools import singledispatch
 from typing import TYPE_CHECKING
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from lavenderstall.identifiers import EntryId
@@ -21,7 +22,7 @@
     TraceAsk,
     WorkAssigned,
 )
-from lavenderstall.peers import export_snapshot, import_snapshot
+from lavenderstall.snapshots import SnapshotBody, pack_snapshot, unpack_snapshot
 
 if TYPE_CHECKING:
     from lavenderstall.entry import Entry
@@ -75,12 +76,13 @@
 @handle.register(ConfigAsk)
 def _(message: ConfigAsk, entry: "Entry", sender: EntryId) -> None:
     if entry.view.version > message.version:
-        entry.send(sender, export_snapshot(entry.view.snapshot))
+        entry.send(sender, ConfigPart(msgspec.json.encode(pack_snapshot(entry.view.snapshot))))
 
 
 @handle.register(ConfigPart)
 def _(message: ConfigPart, entry: "Entry", sender: EntryId) -> None:
-    entry.view.accept(import_snapshot(message))
+    body = msgspec.json.decode(message.body, type=SnapshotBody)
+    entry.view.accept(unpack_snapshot(body))
 
 
 @handle.register(QueryAsk)
--- a/lavenderstall/messages.py
+++ b/lavenderstall/messages.py
@@ -109,10 +109,9 @@
 
 
 class ConfigPart(msgspec.Struct, tag="config_part"):
-    """Carry a whole configuration as JSON by key."""
+    """Carry a whole configuration as JSON, since payloads of jobs are kept as JSON."""
 
-    version: Version
-    items: dict[str, bytes]
+    body: bytes
 
 
 class QueryAsk(msgspec.Struct, tag="query_ask"):
--- a/lavenderstall/peers.py
+++ b/lavenderstall/peers.py
@@ -5,13 +5,10 @@
 
 import msgspec
 
-from lavenderstall.changes import ItemKey
 from lavenderstall.clocks import Clock
-from lavenderstall.configuration import Snapshot
 from lavenderstall.identifiers import EntryId, Version, ZoneName
-from lavenderstall.messages import ConfigPart, Heartbeat
+from lavenderstall.messages import Heartbeat
 from lavenderstall.records import EntryRow
-from lavenderstall.schemas import Item
 
 if TYPE_CHECKING:
     from lavenderstall.entry import Entry
@@ -104,20 +101,3 @@
         if self._turn % turns == 0:
             return None
         return {entry for entry, row in peers.items() if row.zone == self._zone}
-
-
-def export_snapshot(snapshot: Snapshot) -> ConfigPart:
-    """Return a configuration as a message."""
-    items = {
-        f"{key.kind}/{key.name}": msgspec.json.encode(item) for key, item in snapshot.items.items()
-    }
-    return ConfigPart(snapshot.version, items)
-
-
-def import_snapshot(part: ConfigPart) -> Snapshot:
-    """Return the configuration that a message carries."""
-    items: dict[ItemKey, Item] = {}
-    for name, encoded in part.items.items():
-        kind, _, rest = name.partition("/")
-        items[ItemKey(kind, rest)] = msgspec.json.decode(encoded, type=Item)
-    return Snapshot(part.version, 0, items)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,6 +9,27 @@
 from standins.faults import TableFaults
 from tests.cells import Cell
 
+
+class PeerSnapshotTest(unittest.TestCase):
+    """An entry instance that took its configuration from a peer can change it."""
+
+    def test_change_after_an_outage(self) -> None:
+        # A snapshot from a peer lost the version of the head's row, so each change conflicted.
+        cell = Cell(entries=2, zones=1)
+        cell.run(5)
+        cell.declare_service(1)
+        cell.run(2)
+        cell.table.faults.down = True
+        node = cell.start(cell.zones[0])
+        cell.run(8)
+        self.assertEqual(node.entry.view.version, 1)
+        cell.table.faults.down = False
+        cell.run(5)
+        results = cell.declare_service(2, node=node)
+        cell.run(3)
+        self.assertTrue(results[0].committed)
+
+
 ZONES = 6
 
 
