--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -43,9 +43,12 @@
 class Outbox:
     """Hold messages for one peer, dropping the oldest hints when full."""
 
-    def __init__(self, peer: EntryId, limit: int = QUEUE_MESSAGES) -> None:
+    def __init__(
+        self, peer: EntryId, limit: int = QUEUE_MESSAGES, hints: tuple[type, ...] = HINTS
+    ) -> None:
         self.peer = peer
         self._limit = limit
+        self._hints = hints
         self._messages: deque[Message] = deque()
 
     def __len__(self) -> int:
@@ -69,16 +72,27 @@
 
     def _drop_hint(self) -> bool:
         for index, message in enumerate(self._messages):
-            if isinstance(message, HINTS):
+            if isinstance(message, self._hints):
                 del self._messages[index]
                 return True
         return False
 
 
 class NngLinks:
-    """Carry envelopes over pynng PUSH and PULL sockets, one dialer a peer."""
-
-    def __init__(self, reactor: Any, entry: EntryId, incarnation: Incarnation, listen: str) -> None:
+    """Carry envelopes over pynng PUSH and PULL sockets, one dialer a peer.
+
+    `envelope` is the type that carries messages, and `hints` those that may be dropped.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        entry: EntryId,
+        incarnation: Incarnation,
+        listen: str,
+        envelope: type = Envelope,
+        hints: tuple[type, ...] = HINTS,
+    ) -> None:
         # Imported here so that tests of other modules need no sockets.
         import pynng  # noqa: PLC0415  (import on first use)
 
@@ -88,7 +102,9 @@
         self._incarnation = incarnation
         self._receiver: Receiver = lambda sender, message: None
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Envelope)
+        self._envelope = envelope
+        self._hints = hints
+        self._decoder = msgspec.msgpack.Decoder(envelope)
         self._dialers: dict[EntryId, tuple[str, Any]] = {}
         self._outboxes: dict[EntryId, Outbox] = {}
         self._flush_call: Any = None
@@ -112,12 +128,22 @@
             self._outboxes.pop(peer, None)
             dialer.close()
         for peer in wanted.keys() - self._dialers.keys():
-            dialer = self._pynng.Push0(send_buffer_size=SOCKET_BUFFER)
-            dialer.reconnect_time_min = 50
-            dialer.reconnect_time_max = 1000
-            dialer.dial(wanted[peer], block=False)
-            self._dialers[peer] = (wanted[peer], dialer)
-            self._outboxes[peer] = Outbox(peer)
+            self._dialers[peer] = (wanted[peer], self._dial(wanted[peer]))
+            self._outboxes[peer] = Outbox(peer, hints=self._hints)
+
+    def _dial(self, url: str) -> Any:
+        dialer = self._pynng.Push0(send_buffer_size=SOCKET_BUFFER)
+        dialer.reconnect_time_min = 50
+        dialer.reconnect_time_max = 1000
+        dialer.dial(url, block=False)
+        return dialer
+
+    def redial(self, peer: EntryId) -> None:
+        """Replace the connection to a peer, which may be silent without having been reset."""
+        if peer in self._dialers:
+            url, dialer = self._dialers[peer]
+            dialer.close()
+            self._dialers[peer] = (url, self._dial(url))
 
     def send(self, peer: EntryId, message: Message) -> None:
         """Queue a message, or raise `PeerUnavailableError` when the peer takes no more."""
@@ -163,7 +189,7 @@
 
     def _send_batch(self, peer: EntryId, outbox: Outbox) -> bool:
         batch = outbox.take(BATCH_MESSAGES)
-        data = self._encoder.encode(Envelope(self._entry, self._incarnation, batch))
+        data = self._encoder.encode(self._envelope(self._entry, self._incarnation, batch))
         try:
             self._dialers[peer][1].send(data, block=False)
         except self._pynng.exceptions.NNGException:
--- a/lavenderstall/logs.py
+++ b/lavenderstall/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -9,10 +10,10 @@
 RENAMED = {"asctime": "time", "levelname": "level", "name": "module"}
 
 
-def configure_logs(entry: str, level: str) -> None:
-    """Send all logs of the process to standard error."""
+def configure_logs(entry: str, level: str, stream: TextIO = sys.stderr) -> None:
+    """Send all logs of the process to a stream."""
     formatter = JsonFormatter(list(FIELDS), rename_fields=RENAMED, static_fields={"entry": entry})
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/lavenderstall/pools/dispatch.py
@@ -0,0 +1,391 @@
+"""Choice of what starts next and where, and of when to ask for advice."""
+
+import logging
+from collections.abc import Iterator
+from itertools import groupby, islice
+from typing import NamedTuple
+
+from lavenderstall.pools.effects import AskAdvice, StartRun
+from lavenderstall.pools.job import Job, Run, StepState
+from lavenderstall.pools.pool import RUNS_PER_TERM, Pool
+from lavenderstall.pools.tickets import MOST_NAMED, StepAdvice, get_duration
+from lavenderstall.pools.work import Group, Queue, Step, Task
+from lavenderstall.pools.workers import Worker
+from lavenderstall.resources import Resources
+
+logger = logging.getLogger(__name__)
+
+# Lease of a first start; looks extend it while the owner lives.
+START_LEASE_MS = 2500
+# A worker that has left looks unanswered for this long gets nothing new.
+SILENCE_S = 1.2
+# Steps for which advice is renewed or sought while they wait for room, at most.
+MOST_BLOCKED = 24
+# Gangs that may hold room back while they wait for the rest of it.
+MOST_RESERVING = 2
+# After this multiple of its objective a job earns nothing, and goes behind all others.
+HOPELESS_FACTOR = 3.0
+# Tickets beyond the tasks that wait, to allow for workers that fill up meanwhile.
+SPARE_TICKETS = 4
+# Advice for a step is sought this long before its turn, beyond the duration of the call.
+AHEAD_S = 0.25
+# A run is expected to need this multiple of its declared duration while nothing is known.
+USUAL_RATIO = 1.3
+
+
+class Turn(NamedTuple):
+    """Hold a step whose tasks wait, with what its place in the order depends on."""
+
+    hopeless: bool
+    priority: int
+    deadline: float
+    group: Group
+    job: Job
+    queue: Queue
+
+
+class Offer(NamedTuple):
+    """Hold a worker that may take a task, ordered by how well it suits."""
+
+    score: float
+    room: int
+    worker: Worker
+    ticket: str
+
+
+def estimate_chain_ms(job: Job) -> float:
+    """Return the declared duration of the longest chain of steps."""
+    longest: list[float] = []
+    for step in job.spec.steps:
+        before = max((longest[earlier] for earlier in step.after), default=0.0)
+        longest.append(before + step.expected_ms)
+    return max(longest)
+
+
+def get_deadline(job: Job, queue: Queue) -> tuple[float, float]:
+    """Return when a job is late and when it has lost all benefit."""
+    objective_s = (queue.slack * estimate_chain_ms(job) + queue.objective_ms) / 1000
+    return job.seen_at + objective_s, job.seen_at + HOPELESS_FACTOR * objective_s
+
+
+class Dispatcher:
+    """Start the tasks of a pool that may start, most urgent first."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self._held: set[str] = set()
+        self._blocked = 0
+        self._reserving = 0
+
+    def dispatch(self) -> None:
+        """Start what fits, and ask for the advice that is missing."""
+        self._held = set()
+        self._blocked = 0
+        self._reserving = 0
+        usable = [worker for worker in self.pool.workers.values() if self._is_usable(worker)]
+        for turn in sorted(self._list_turns(), key=lambda turn: turn[:4]):
+            self._serve(turn, usable)
+            if self._blocked >= MOST_BLOCKED:
+                break
+        self._look_ahead(usable)
+
+    def _list_turns(self) -> Iterator[Turn]:
+        for group, job in self.pool.list_waiting():
+            queue = self.pool.get_queue(job)
+            if queue is None or queue.pool != self.pool.name:
+                continue
+            deadline, end = get_deadline(job, queue)
+            lasting = job.spec.steps[group.step].lasting
+            hopeless = end < self.pool.now and not lasting
+            yield Turn(hopeless, queue.priority, deadline, group, job, queue)
+
+    def _is_usable(self, worker: Worker) -> bool:
+        now = self.pool.now
+        return (
+            worker.claimed
+            and worker.listed
+            and worker.key in self.pool.roster
+            and not worker.draining
+            and worker.avoid_until <= now
+            and (worker.silent_since < 0 or now - worker.silent_since < SILENCE_S)
+        )
+
+    def _serve(self, turn: Turn, usable: list[Worker]) -> None:
+        step = turn.job.spec.steps[turn.group.step]
+        state = turn.job.get_step(turn.group.occurrence, turn.group.step)
+        if step.gang and any(state.live.values()):
+            return
+        waiting = sorted(state.waiting)
+        free = [worker for worker in usable if worker.key.id not in self._held]
+        placed = self._place(turn, step, state, waiting, free)
+        missing = len(waiting) - len(placed)
+        if step.gang and missing:
+            self._blocked += 1
+            self._seek_advice(turn, step, state, free, len(waiting))
+            self._reserve(turn, step, usable)
+            return
+        for index, offer in placed:
+            self._start(turn, step, state, index, offer)
+        if missing:
+            self._blocked += 1
+            self._seek_advice(turn, step, state, free, missing)
+
+    def _place(
+        self, turn: Turn, step: Step, state: StepState, waiting: list[int], free: list[Worker]
+    ) -> list[tuple[int, Offer]]:
+        """Choose a worker for each waiting task, as far as they fit."""
+        offers = self._list_offers(turn, step, free)
+        if step.gang and len(waiting) > 1:
+            return self._place_gang(step, waiting, offers)
+        return self._fill(step, state, waiting, offers)
+
+    def _place_gang(
+        self, step: Step, waiting: list[int], offers: list[Offer]
+    ) -> list[tuple[int, Offer]]:
+        """Choose workers of one rack if one holds the gang, else of as few as possible."""
+        racks = [
+            list(members)
+            for _, members in groupby(
+                sorted(offers, key=lambda offer: offer.worker.entry.rack),
+                key=lambda offer: offer.worker.entry.rack,
+            )
+        ]
+        choices = [self._fill(step, None, waiting, sorted(rack, key=lambda offer: offer[:2])) for rack in racks]
+        whole = [choice for choice in choices if len(choice) == len(waiting)]
+        if whole:
+            return min(whole, key=lambda choice: sum(offer.score for _, offer in choice))
+        return self._fill(step, None, waiting, offers)
+
+    def _fill(
+        self, step: Step, state: StepState | None, waiting: list[int], offers: list[Offer]
+    ) -> list[tuple[int, Offer]]:
+        beside = count_beside(state)
+        rooms: dict[str, Resources] = {}
+        placed: list[tuple[int, Offer]] = []
+        left = iter(waiting)
+        index = next(left, None)
+        for offer in offers:
+            worker = offer.worker
+            room = rooms.get(worker.key.id) or worker.get_room()
+            while index is not None and step.charge.fits(room):
+                if step.max_per_worker and beside.get(worker.key.id, 0) >= step.max_per_worker:
+                    break
+                placed.append((index, offer))
+                beside[worker.key.id] = beside.get(worker.key.id, 0) + 1
+                room = room.subtract(step.charge)
+                index = next(left, None)
+            rooms[worker.key.id] = room
+            if index is None:
+                break
+        return placed
+
+    def _list_offers(self, turn: Turn, step: Step, free: list[Worker]) -> list[Offer]:
+        """Return the workers that may run a task of a step now, best first."""
+        advice = self.pool.advice.get(turn.group)
+        offers = []
+        for worker in free:
+            if not step.charge.fits(worker.get_room()) or not self._suits(step, worker):
+                continue
+            ticket = ""
+            if turn.queue.advising is not None:
+                found = advice.get_ticket(worker.key.id, self.pool.now) if advice else None
+                if found is None:
+                    continue
+                ticket = found
+            offers.append(
+                Offer(self._score(step, worker), worker.get_room().cores_milli, worker, ticket)
+            )
+        return sorted(offers, key=lambda offer: offer[:2])
+
+    def _suits(self, step: Step, worker: Worker) -> bool:
+        if step.label and step.label not in worker.entry.labels:
+            return False
+        if not step.fills and not (step.lasting and step.target_ms):
+            return True
+        return not self._disturbs(step, worker)
+
+    def _disturbs(self, step: Step, worker: Worker) -> bool:
+        """Tell whether filling and serving tasks would meet on a worker."""
+        for run in worker.runs.values():
+            job = self.pool.jobs.get(run.task.job)
+            if job is None:
+                continue
+            other = job.spec.steps[run.task.step]
+            if step.fills and other.lasting and other.target_ms:
+                return True
+            if step.lasting and other.fills:
+                return True
+        return False
+
+    def _score(self, step: Step, worker: Worker) -> float:
+        entry = worker.entry
+        score = self.pool.speeds.estimate(step.image, entry.kind, entry.id)
+        if step.data_rack and step.data_rack != entry.rack:
+            score *= 1.5
+        return round(score, 1)
+
+    def _start(self, turn: Turn, step: Step, state: StepState, index: int, offer: Offer) -> None:
+        pool = self.pool
+        worker = offer.worker
+        task = Task(turn.job.id, turn.group.occurrence, turn.group.step, index)
+        number = max(state.last_run, (pool.term - 1) * RUNS_PER_TERM) + 1
+        if step.gang and any(state.live.values()):
+            number = state.last_run
+        deadline_ms = worker.estimate_clock(pool.now) + START_LEASE_MS
+        run = Run(task, number, worker.key, pool.now, deadline_ms=deadline_ms)
+        run.checkpoint = turn.job.get_checkpoint(task)
+        turn.job.add_run(run)
+        worker.add_run(run, step.charge)
+        worker.note_lease(deadline_ms)
+        pool.counts["starts"] += 1
+        if turn.job.progress.state == "queued":
+            pool.dirty.add(turn.job.id)
+        pool.effects.append(
+            StartRun(
+                worker.key,
+                task,
+                number,
+                turn.job.spec.payload,
+                int(deadline_ms),
+                run.checkpoint,
+                offer.ticket,
+            )
+        )
+        logger.info(
+            "start ordered",
+            extra={
+                "job": task.job,
+                "task": list(task),
+                "run": number,
+                "worker": worker.key.id,
+                "score": offer.score,
+                "waited_ms": round((pool.now - state.ready_at) * 1000),
+                "clock_age_ms": round((pool.now - worker.clock_at) * 1000),
+            },
+        )
+
+    # Gangs
+
+    def _reserve(self, turn: Turn, step: Step, usable: list[Worker]) -> None:
+        """Hold back the workers on which a waiting gang will soonest have room."""
+        if self._reserving >= MOST_RESERVING:
+            return
+        advice = self.pool.advice.get(turn.group)
+        suited = [
+            worker
+            for worker in usable
+            if step.charge.fits(worker.entry.capacity)
+            and worker.key.id not in self._held
+            and (turn.queue.advising is None or (advice and worker.key.id in advice.allowed))
+        ]
+        suited.sort(key=lambda worker: -worker.get_room().accelerators)
+        room = 0
+        for worker in suited:
+            self._held.add(worker.key.id)
+            room += count_fitting(step.charge, worker.entry.capacity)
+            if room >= step.count:
+                break
+        self._reserving += 1
+
+    # Advice
+
+    def _seek_advice(
+        self, turn: Turn, step: Step, state: StepState, free: list[Worker], missing: int
+    ) -> None:
+        """Ask for tickets of workers that have room, unless an answer is on its way."""
+        advising = turn.queue.advising
+        if advising is None:
+            return
+        pool = self.pool
+        advice = pool.advice.setdefault(turn.group, StepAdvice())
+        if advice.is_waiting(pool.now):
+            return
+        beside = count_beside(state)
+        candidates = []
+        for worker in free:
+            name = worker.key.id
+            if name in advice.denied or advice.get_ticket(name, pool.now) is not None:
+                continue
+            if step.max_per_worker and beside.get(name, 0) >= step.max_per_worker:
+                continue
+            if not self._suits(step, worker):
+                continue
+            fitting = worker.get_room() if not step.gang else worker.entry.capacity
+            if step.charge.fits(fitting):
+                candidates.append(worker)
+        if not candidates:
+            return
+        unknown = [worker for worker in candidates if worker.key.id not in advice.allowed]
+        known = [worker for worker in candidates if worker.key.id in advice.allowed]
+        known.sort(key=lambda worker: self._score(step, worker))
+        chosen = known if step.gang else known[: missing + SPARE_TICKETS]
+        if len(known) < missing + SPARE_TICKETS:
+            unknown.sort(key=lambda worker: self._score(step, worker))
+            chosen = [*chosen, *unknown]
+        named = tuple(worker.key.id for worker in islice(chosen, MOST_NAMED))
+        advice.note_asked(named, advising, pool.now)
+        pool.effects.append(
+            AskAdvice(turn.group, named, get_duration(advising, len(named)) * 1000)
+        )
+
+    def _look_ahead(self, usable: list[Worker]) -> None:
+        """Ask for advice on steps whose turn comes soon."""
+        pool = self.pool
+        for job in pool.jobs.values():
+            if job.ended or not job.started or len(job.spec.steps) == 1:
+                continue
+            queue = pool.get_queue(job)
+            if queue is None or queue.advising is None:
+                continue
+            for occurrence in job.list_due(pool.unix_ms):
+                self._look_ahead_in(job, occurrence, queue, usable)
+
+    def _look_ahead_in(
+        self, job: Job, occurrence: int, queue: Queue, usable: list[Worker]
+    ) -> None:
+        for number, step in enumerate(job.spec.steps):
+            if not step.after or job.is_step_open(occurrence, number):
+                continue
+            group = Group(job.id, occurrence, number)
+            advice = self.pool.advice.get(group)
+            if advice is not None and (advice.tickets or advice.is_waiting(self.pool.now)):
+                continue
+            assert queue.advising is not None
+            ahead = get_duration(queue.advising, len(usable)) + AHEAD_S
+            if self._estimate_turn(job, occurrence, step) > ahead:
+                continue
+            turn = Turn(False, queue.priority, 0.0, group, job, queue)
+            self._seek_advice(turn, step, job.get_step(occurrence, number), usable, step.count)
+
+    def _estimate_turn(self, job: Job, occurrence: int, step: Step) -> float:
+        """Return in how many seconds a step's turn is expected, from the runs before it."""
+        latest = 0.0
+        for earlier in step.after:
+            state = job.steps.get((occurrence, earlier))
+            spec = job.spec.steps[earlier]
+            if state is None or state.waiting:
+                return float("inf")
+            expected_s = spec.expected_ms / 1000 * USUAL_RATIO
+            for runs in state.live.values():
+                left = min(run.ordered_at + expected_s - self.pool.now for run in runs)
+                latest = max(latest, left)
+        return latest
+
+
+def count_beside(state: StepState | None) -> dict[str, int]:
+    """Return how many tasks of a step run on each worker."""
+    counts: dict[str, int] = {}
+    if state is not None:
+        for runs in state.live.values():
+            for run in runs:
+                counts[run.worker.id] = counts.get(run.worker.id, 0) + 1
+    return counts
+
+
+def count_fitting(charge: Resources, room: Resources) -> int:
+    """Return how many tasks of one size fit into a room."""
+    count = 0
+    while charge.fits(room) and count < 64:
+        room = room.subtract(charge)
+        count += 1
+    return count
--- /dev/null
+++ b/lavenderstall/pools/instance.py
@@ -0,0 +1,463 @@
+"""One entry instance of a cell that schedules pools: its parts and the messages between them."""
+
+import logging
+from collections.abc import Callable, Mapping
+from functools import singledispatchmethod
+from random import Random
+from typing import Any
+from zlib import crc32
+
+import msgspec
+
+from lavenderstall.clocks import Clock, sleep
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.links import NngLinks
+from lavenderstall.metrics import Metrics
+from lavenderstall.pools.background import launch
+from lavenderstall.pools.claims import Claim, Claimer
+from lavenderstall.pools.effects import Advice, AskAdvice
+from lavenderstall.pools.intake import Intake
+from lavenderstall.pools.messages import (
+    AdviceAnswer,
+    AdviceAsk,
+    CancelHint,
+    EntryBeat,
+    JobHint,
+    OwnerBeat,
+    PoolReleased,
+    StateAnswer,
+    StateAsk,
+    WriteAnswer,
+    WriteAsk,
+)
+from lavenderstall.pools.owner import PoolOwner
+from lavenderstall.pools.peers import PeerRequests, PeerSight, make_pending
+from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.ports import (
+    Adviser,
+    Change,
+    Put,
+    Registry,
+    Row,
+    RowStore,
+    SettingsSource,
+    WorkerClient,
+)
+from lavenderstall.pools.records import ENTRIES, EntryRecord, decode_job, encode
+from lavenderstall.pools.watch import TableWatch
+from lavenderstall.pools.work import PoolName, Settings, Task
+from lavenderstall.pools.writer import OwnerWriter
+
+logger = logging.getLogger(__name__)
+
+# Owners and peers tell that they live this often.
+BEAT_S = 0.25
+# A pool without an owner that is heard is looked after this often.
+CLAIM_S = 0.2
+# The instance that a pool suits best claims first; each other waits this much longer.
+CLAIM_STEP_S = 0.15
+MOST_CLAIM_STEPS = 6
+# An instance's row is written again this often, so that others do not forget it.
+RECORD_S = 10.0
+RECORD_RETRY_S = 0.5
+# A peer that has not heard this instance for this long needs a new connection.
+LOST_MS = 1500
+REDIAL_S = 2.0
+OPERATOR = "op"
+SETTINGS_KEY = "config"
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Name an entry instance and where peers reach it."""
+
+    entry: EntryId
+    incarnation: Incarnation
+    zone: str
+    link: str
+
+
+class Outside(msgspec.Struct):
+    """Hold all that an instance reaches outside itself."""
+
+    clock: Clock
+    random: Random
+    store: RowStore
+    registry: Registry
+    workers: WorkerClient
+    adviser: Adviser
+    settings: SettingsSource
+    links: NngLinks
+    read_uptime: Callable[[], float]
+    read_unix_ms: Callable[[], float]
+
+
+class Instance:
+    """Accept jobs for callers and own pools."""
+
+    def __init__(self, identity: Identity, outside: Outside) -> None:
+        self.identity = identity
+        self.metrics = Metrics()
+        self.settings = Settings(0)
+        self.owned: dict[PoolName, PoolOwner] = {}
+        self.draining = False
+        self.requests = 0
+        self._outside = outside
+        self._clock = outside.clock
+        self._read_uptime = outside.read_uptime
+        self.read_uptime = outside.read_uptime
+        self.peers = PeerRequests(
+            identity.entry,
+            identity.zone,
+            outside.links,
+            outside.clock,
+            outside.random,
+            outside.read_uptime,
+        )
+        self.peers.local_state = self.get_local_state
+        self.intake = Intake(outside.store, self.peers, outside.read_unix_ms, self.metrics)
+        self._claimer = Claimer(
+            outside.store, identity.entry, identity.incarnation, outside.read_uptime
+        )
+        self._watches = [
+            TableWatch(outside.store, outside.clock, OPERATOR, self._use_operator_rows),
+            TableWatch(outside.store, outside.clock, ENTRIES, self._use_entries),
+        ]
+        self._claiming: set[PoolName] = set()
+        self._running = False
+
+    # Life
+
+    def start(self) -> None:
+        """Begin all work."""
+        self._running = True
+        self._outside.links.set_receiver(self.receive)
+        for watch in self._watches:
+            watch.start()
+        for step in (self._beat, self._look_after_pools, self._write_record):
+            launch(self._repeat(step))
+
+    async def _repeat(self, step: Callable[[], Any]) -> None:
+        while self._running:
+            try:
+                await step()
+            except LavenderstallError as error:
+                logger.info("step failed", extra={"error": str(error)})
+                await sleep(self._clock, RECORD_RETRY_S)
+            except Exception:
+                logger.exception("step failed")
+                await sleep(self._clock, RECORD_RETRY_S)
+
+    async def shut_down(self) -> None:
+        """Give all pools up and stop."""
+        self.draining = True
+        self._send_beats()
+        for pool, owner in list(self.owned.items()):
+            await self._give_up(pool, owner, "shutdown", release=True)
+        self._running = False
+        for watch in self._watches:
+            watch.stop()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return not self.draining and self.settings.version > 0
+
+    async def _write_record(self) -> None:
+        identity = self.identity
+        record = EntryRecord(
+            identity.entry, identity.incarnation, identity.zone, identity.link, self.draining
+        )
+        put = Put(ENTRIES, identity.entry, encode(record))
+        await self._outside.store.commit(Change("", (), (put,)))
+        await sleep(self._clock, RECORD_S)
+
+    # Configuration and peers
+
+    def _use_operator_rows(self, rows: Mapping[str, Row]) -> None:
+        row = rows.get(SETTINGS_KEY)
+        if row is None:
+            return
+        try:
+            settings = self._outside.settings.decode(row.value)
+        except ValueError as error:
+            self.metrics.count("settings_rejected")
+            logger.warning("configuration not used", extra={"error": str(error)})
+            return
+        if settings.version <= self.settings.version:
+            return
+        logger.info(
+            "configuration in force",
+            extra={"version": settings.version, "before": self.settings.version},
+        )
+        self.settings = settings
+        for owner in self.owned.values():
+            owner.pool.set_settings(settings)
+            owner.schedule()
+
+    def _use_entries(self, rows: Mapping[str, Row]) -> None:
+        records = {}
+        for row in rows.values():
+            try:
+                record = msgspec.msgpack.decode(row.value, type=EntryRecord)
+            except msgspec.MsgspecError as error:
+                logger.warning("entry row not used", extra={"key": row.key, "error": str(error)})
+                continue
+            records[record.entry] = record
+        self._outside.links.set_peers({name: record.link for name, record in records.items()})
+        for name, record in records.items():
+            self.peers.peers.setdefault(name, PeerSight(record.zone))
+        for name in self.peers.peers.keys() - records.keys() - {self.identity.entry}:
+            del self.peers.peers[name]
+
+    async def _beat(self) -> None:
+        self._send_beats()
+        await sleep(self._clock, BEAT_S)
+
+    def _send_beats(self) -> None:
+        now = self._read_uptime()
+        for name, owner in self.owned.items():
+            beat = OwnerBeat(name, owner.pool.term, make_pending(owner.pool.count_pending()))
+            self._outside.links.broadcast(beat)  # type: ignore[arg-type]
+            self.peers.note_owner(self.identity.entry, beat)
+        others = {
+            sight.entry: sight.heard_at
+            for sight in self.peers.owners.values()
+            if sight.entry != self.identity.entry
+        }
+        for entry, heard_at in others.items():
+            age_ms = int((now - heard_at) * 1000)
+            self.peers.send(entry, EntryBeat(self.identity.zone, age_ms, self.draining))
+
+    # Ownership
+
+    async def _look_after_pools(self) -> None:
+        for pool in self.settings.pools:
+            if pool not in self._claiming and pool not in self.owned and not self.draining:
+                self._claiming.add(pool)
+                launch(self._look_after(pool))
+        await sleep(self._clock, CLAIM_S)
+
+    async def _look_after(self, pool: PoolName) -> None:
+        try:
+            if self.peers.find_owner(pool) is not None:
+                return
+            sight = await self._claimer.look(pool)
+            if not sight.is_vacant():
+                return
+            await sleep(self._clock, self._get_rank(pool) * CLAIM_STEP_S)
+            if self.peers.find_owner(pool) is not None or self.draining:
+                return
+            sight = await self._claimer.look(pool)
+            if sight.is_vacant():
+                await self._claim(pool, sight)
+        except LavenderstallError as error:
+            logger.info("owner not read", extra={"pool": pool, "error": str(error)})
+        finally:
+            self._claiming.discard(pool)
+
+    def _get_rank(self, pool: PoolName) -> int:
+        """Return how many known instances the pool suits better than this one."""
+        live = {*self.peers.peers, self.identity.entry}
+        order = sorted(live, key=lambda entry: (len_owned(self, entry), weigh(pool, entry)))
+        return min(order.index(self.identity.entry), MOST_CLAIM_STEPS)
+
+    async def _claim(self, pool: PoolName, sight: Any) -> None:
+        claim = await self._claimer.claim(pool, sight)
+        if claim is None:
+            return
+        owner = self._make_owner(pool, claim)
+        await owner.load()
+        if self.draining or not self._running:
+            return
+        self.owned[pool] = owner
+        self.metrics.count("pools_claimed")
+        owner.start()
+        self._send_beats()
+
+    def _make_owner(self, name: PoolName, claim: Claim) -> PoolOwner:
+        outside = self._outside
+        pool = Pool(name, claim.owner.term, self._read_uptime() + claim.settle_s)
+        pool.set_settings(self.settings)
+        writer = OwnerWriter(
+            outside.store,
+            outside.clock,
+            pool,
+            claim.owner,
+            claim.version,
+            claim.committed,
+            outside.read_uptime,
+            self.metrics,
+            claim.sent_at,
+        )
+        owner = PoolOwner(
+            pool,
+            writer,
+            outside.store,
+            outside.registry,
+            outside.workers,
+            outside.clock,
+            outside.read_uptime,
+            outside.read_unix_ms,
+            lambda order: self._ask_advice(owner, order),
+            self.metrics,
+        )
+        owner.deposed = lambda reason: self._note_deposed(name, owner, reason)
+        return owner
+
+    def _note_deposed(self, pool: PoolName, owner: PoolOwner, reason: str) -> None:
+        if self.owned.get(pool) is owner:
+            del self.owned[pool]
+        self.metrics.count("pools_lost")
+        logger.warning(
+            "pool lost", extra={"pool": pool, "term": owner.pool.term, "reason": reason}
+        )
+
+    async def _give_up(
+        self, pool: PoolName, owner: PoolOwner, reason: str, *, release: bool
+    ) -> None:
+        self._note_deposed(pool, owner, reason)
+        await owner.stop(release=release)
+        self._outside.links.broadcast(PoolReleased(pool, owner.pool.term))  # type: ignore[arg-type]
+        self.peers.forget_owner(pool, owner.pool.term)
+
+    # Advice
+
+    def _ask_advice(self, owner: PoolOwner, order: AskAdvice) -> None:
+        launch(self._fetch_advice(owner, order))
+
+    async def _fetch_advice(self, owner: PoolOwner, order: AskAdvice) -> None:
+        peer = self.peers.choose_adviser(order.expected_ms / 1000)
+        began = self._read_uptime()
+        if peer == self.identity.entry:
+            advice = await self._call_adviser(
+                Task(*order.group, 0), order.workers, order.expected_ms
+            )
+        else:
+            advice = await self.peers.ask_advice(peer, order)
+        took = self._read_uptime() - began
+        self.metrics.record("advice", took)
+        logger.info(
+            "advice",
+            extra={
+                "job": order.group.job,
+                "step": order.group.step,
+                "adviser": peer,
+                "named": len(order.workers),
+                "allowed": None if advice is None else len(advice.allowed),
+                "took_ms": round(took * 1000),
+                "expected_ms": round(order.expected_ms),
+            },
+        )
+        if owner.running:
+            owner.note_advice(order, advice)
+
+    async def _call_adviser(
+        self, step: Task, workers: tuple[str, ...], expected_ms: float
+    ) -> Advice | None:
+        try:
+            return await self._outside.adviser.ask(step, workers, expected_ms / 1000)
+        except LavenderstallError as error:
+            self.metrics.count("advice_failed")
+            logger.info("no advice", extra={"job": step.job, "error": str(error)})
+            return None
+
+    # Messages
+
+    def receive(self, sender: EntryId, message: Any) -> None:
+        """Handle a message from a peer."""
+        sight = self.peers.peers.get(sender)
+        if sight is not None:
+            sight.heard_at = self._read_uptime()
+        self.handle(message, sender)
+
+    @singledispatchmethod
+    def handle(self, message: Any, sender: EntryId) -> None:
+        """Act on a message."""
+        raise TypeError(f"{type(message).__name__} is no message")
+
+    @handle.register
+    def _(self, message: OwnerBeat, sender: EntryId) -> None:
+        self.peers.note_owner(sender, message)
+
+    @handle.register
+    def _(self, message: EntryBeat, sender: EntryId) -> None:
+        sight = self.peers.peers.get(sender)
+        if sight is None:
+            return
+        sight.draining = message.draining
+        if message.heard_ms > LOST_MS and self._read_uptime() - sight.redialed_at > REDIAL_S:
+            sight.redialed_at = self._read_uptime()
+            logger.info("connection replaced", extra={"peer": sender, "age_ms": message.heard_ms})
+            self._outside.links.redial(sender)
+
+    @handle.register
+    def _(self, message: PoolReleased, sender: EntryId) -> None:
+        self.peers.forget_owner(message.pool, message.term)
+
+    @handle.register
+    def _(self, message: JobHint, sender: EntryId) -> None:
+        owner = self.owned.get(message.pool)
+        if owner is not None:
+            owner.take_job(decode_job(message.row))
+
+    @handle.register
+    def _(self, message: CancelHint, sender: EntryId) -> None:
+        owner = self.owned.get(message.pool)
+        if owner is not None:
+            owner.take_cancel(message.job)
+
+    @handle.register
+    def _(self, message: StateAsk, sender: EntryId) -> None:
+        found = self.get_local_state(message.pool, message.job)
+        self.peers.send(sender, msgspec.structs.replace(found, number=message.number))
+
+    @handle.register
+    def _(self, message: AdviceAsk, sender: EntryId) -> None:
+        launch(self._answer_advice(message, sender))
+
+    async def _answer_advice(self, message: AdviceAsk, sender: EntryId) -> None:
+        step = Task(message.job, message.occurrence, message.step, 0)
+        advice = await self._call_adviser(step, message.workers, message.expected_ms)
+        if advice is None:
+            self.peers.send(sender, AdviceAnswer(message.number, given=False))
+        else:
+            self.peers.send(
+                sender,
+                AdviceAnswer(
+                    message.number, given=True, allowed=advice.allowed, valid_ms=advice.valid_ms
+                ),
+            )
+
+    @handle.register
+    def _(self, message: WriteAsk, sender: EntryId) -> None:
+        launch(self._answer_write(message, sender))
+
+    async def _answer_write(self, message: WriteAsk, sender: EntryId) -> None:
+        outcome = await self.intake.add_row(
+            message.table, PoolName(message.part), message.key, message.value
+        )
+        self.peers.send(sender, WriteAnswer(message.number, outcome.value))
+
+    @handle.register(StateAnswer)
+    @handle.register(AdviceAnswer)
+    @handle.register(WriteAnswer)
+    def _(self, message: Any, sender: EntryId) -> None:
+        self.peers.note_answer(sender, message)
+
+    def get_local_state(self, pool: PoolName, job: JobId) -> StateAnswer:
+        """Return the state of a job of an owned pool."""
+        owner = self.owned.get(pool)
+        if owner is None:
+            return StateAnswer(0, owned=False)
+        state = owner.pool.get_state(job)
+        return StateAnswer(0, owned=True, state=state.value if state else "")
+
+
+def weigh(pool: PoolName, entry: EntryId) -> int:
+    """Return a number that differs between instances and pools, lowest for the best suited."""
+    return crc32(f"{pool}/{entry}".encode())
+
+
+def len_owned(instance: Instance, entry: EntryId) -> int:
+    """Return how many pools an instance owns, as far as is known."""
+    return sum(sight.entry == entry for sight in instance.peers.owners.values())
--- /dev/null
+++ b/lavenderstall/pools/intake.py
@@ -0,0 +1,140 @@
+"""Jobs at an entry instance: accepting, cancelling and telling their state."""
+
+import logging
+from collections.abc import Callable
+
+from lavenderstall.errors import (
+    LavenderstallError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from lavenderstall.identifiers import JobId
+from lavenderstall.metrics import Metrics
+from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.peers import PeerRequests
+from lavenderstall.pools.ports import Change, Condition, Put, Row, RowConflictError, RowStore
+from lavenderstall.pools.records import (
+    CANCELS,
+    JOBS,
+    PROGRESS,
+    Presence,
+    decode_job,
+    decode_progress,
+    encode,
+)
+from lavenderstall.pools.work import ENDED, JobSpec, JobState, PoolName, Queue
+
+logger = logging.getLogger(__name__)
+
+
+class Intake:
+    """Accept jobs into the store and pass them to the owners of their pools."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        peers: PeerRequests,
+        read_unix_ms: Callable[[], float],
+        metrics: Metrics,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._read_unix_ms = read_unix_ms
+        self._metrics = metrics
+
+    async def submit(self, queue: Queue, job: JobId, spec: JobSpec) -> Presence:
+        """Make a job durable and hand it to the owner of its pool."""
+        row = AcceptedJob(job, queue.name, spec, int(self._read_unix_ms()))
+        value = encode(row)
+        outcome = await self.add_row(JOBS, queue.pool, job, value)
+        if outcome is Presence.UNKNOWN or outcome is Presence.ABSENT:
+            outcome = await self._pass_on(JOBS, queue.pool, job, value, outcome)
+        logger.info("job submitted", extra={"job": job, "queue": queue.name,
+                    "pool": queue.pool, "outcome": outcome.value})  # fmt: skip
+        if outcome is Presence.PRESENT:
+            self._peers.hint_job(queue.pool, value)
+        return outcome
+
+    async def add_row(self, table: str, part: PoolName, key: str, value: bytes) -> Presence:
+        """Add a row that may be there already."""
+        change = Change(part, (Condition(table, key, 0),), (Put(table, key, value),))
+        try:
+            await self._store.commit(change)
+        except RowConflictError:
+            return Presence.PRESENT
+        except StoreUnavailableError as error:
+            logger.info("row not added", extra={"key": key, "error": str(error)})
+            return Presence.ABSENT
+        except StoreOutcomeUnknownError as error:
+            logger.info("row in doubt", extra={"key": key, "error": str(error)})
+            return await self._find_row(table, part, key)
+        return Presence.PRESENT
+
+    async def _find_row(self, table: str, part: PoolName, key: str) -> Presence:
+        """Look for a row whose write was not answered; it may still come."""
+        try:
+            row = await self.read_row(table, part, key)
+        except LavenderstallError:
+            return Presence.UNKNOWN
+        return Presence.PRESENT if row else Presence.UNKNOWN
+
+    async def read_row(self, table: str, part: PoolName, key: str) -> Row | None:
+        """Return one row, or none if it is absent."""
+        page = await self._store.read(table, part, key, 1)
+        return next((row for row in page.rows if row.key == key), None)
+
+    async def _pass_on(
+        self, table: str, part: PoolName, key: str, value: bytes, before: Presence
+    ) -> Presence:
+        """Ask peers that may reach the store to add a row."""
+        doubtful = before is Presence.UNKNOWN
+        for peer in self._peers.choose_writers():
+            answer = await self._peers.ask_write(peer, table, part, key, value)
+            if answer is Presence.PRESENT:
+                self._metrics.count("rows_passed_on")
+                return answer
+            doubtful = doubtful or answer is Presence.UNKNOWN
+        return Presence.UNKNOWN if doubtful else Presence.ABSENT
+
+    async def cancel(self, queue: Queue, job: JobId) -> bool | None:
+        """Cancel a job; returns false if there is none, and none if that is not known."""
+        try:
+            known = await self.read_row(JOBS, queue.pool, job)
+        except LavenderstallError as error:
+            logger.info("job not read", extra={"job": job, "error": str(error)})
+            state = await self._peers.ask_state(queue.pool, job)
+            if state is None:
+                return None
+            known = Row(JOBS, queue.pool, job)
+        if known is None:
+            return False
+        outcome = await self.add_row(CANCELS, queue.pool, job, b"\x01")
+        if outcome is not Presence.PRESENT:
+            outcome = await self._pass_on(CANCELS, queue.pool, job, b"\x01", outcome)
+        logger.info("job cancelled", extra={"job": job, "outcome": outcome.value})
+        if outcome is Presence.PRESENT:
+            self._peers.hint_cancel(queue.pool, job)
+            return True
+        return None
+
+    async def get_state(self, queue: Queue, job: JobId) -> JobState | None:
+        """Return the state of a job, or none if there is no such job."""
+        state = await self._peers.ask_state(queue.pool, job)
+        if state is not None:
+            return state
+        return await self._read_state(queue, job)
+
+    async def _read_state(self, queue: Queue, job: JobId) -> JobState | None:
+        row = await self.read_row(JOBS, queue.pool, job)
+        if row is None:
+            return None
+        self._peers.hint_job(queue.pool, row.value)
+        progress = await self.read_row(PROGRESS, queue.pool, job)
+        state = JobState(decode_progress(progress.value).state) if progress else JobState.QUEUED
+        if state not in ENDED and await self.read_row(CANCELS, queue.pool, job) is not None:
+            return JobState.CANCELLED
+        return state
+
+    def check_same(self, row: Row, spec: JobSpec) -> bool:
+        """Tell whether a row holds the job that is submitted again."""
+        return decode_job(row.value).spec == spec
--- /dev/null
+++ b/lavenderstall/pools/job.py
@@ -0,0 +1,239 @@
+"""State of one accepted job: its steps, attempts and ends."""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.work import ENDED, Cause, Group, JobSpec, JobState, Queue, Task
+
+
+class AcceptedJob(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Hold a job row: what was submitted, where and when (Unix milliseconds)."""
+
+    id: JobId
+    queue: str
+    spec: JobSpec
+    accepted_ms: int = 0
+
+
+class StepProgress(msgspec.Struct, omit_defaults=True):
+    """Hold the durable progress of one step of one occurrence.
+
+    `done` holds indexes of tasks; `failures` maps an index to the runs that failed, and a gang
+    counts under index 0. `checkpoints` maps an index to run and checkpoint.
+    """
+
+    done: set[int] = set()
+    failures: dict[int, list[int]] = {}
+    checkpoints: dict[int, tuple[int, str]] = {}
+
+
+class JobProgress(msgspec.Struct, omit_defaults=True):
+    """Hold the durable progress of a job, steps keyed by `occurrence.step`."""
+
+    state: str = JobState.QUEUED.value
+    steps: dict[str, StepProgress] = {}
+
+
+class Run(msgspec.Struct, eq=False):
+    """Describe one start of a task on a worker; times are in seconds of uptime."""
+
+    task: Task
+    number: int
+    worker: WorkerKey
+    ordered_at: float
+    deadline_ms: float = 0.0
+    confirmed_at: float = -1.0
+    lost_at: float = -1.0
+    stopping: bool = False
+    stop_sent_at: float = -1.0
+    percent: float = 0.0
+    percent_at: float = 0.0
+    pace: int = 100
+    checkpoint: str = ""
+    load: float = 0.0
+    seen_at: float = -1.0
+    void_at: float = -1.0
+
+
+class StepState:
+    """Hold the tasks of one step of one occurrence."""
+
+    def __init__(self, group: Group, progress: StepProgress, count: int) -> None:
+        self.group = group
+        self.progress = progress
+        self.live: dict[int, list[Run]] = {}
+        self.last_run = 0
+        self.waiting: set[int] = set(range(count)) - progress.done
+        self.ready_at = -1.0
+
+
+class Job:
+    """Track the progress of one accepted job."""
+
+    def __init__(self, row: AcceptedJob, seen_at: float, progress: JobProgress | None) -> None:
+        self.row = row
+        self.id = row.id
+        self.spec = row.spec
+        self.seen_at = seen_at
+        self.progress = progress or JobProgress()
+        self.state = JobState(self.progress.state)
+        self.steps: dict[tuple[int, int], StepState] = {}
+        self.started = bool(self.progress.steps)
+        self.inherited = False
+        self.durable_state = self.state
+        self.cancelling = self.state is JobState.CANCELLED
+        for key, progress_row in self.progress.steps.items():
+            occurrence, _, step = key.partition(".")
+            self._make_step(int(occurrence), int(step), progress_row)
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether nothing of the job may start any more."""
+        return self.cancelling or self.state in ENDED
+
+    def get_step(self, occurrence: int, step: int) -> StepState:
+        """Return the state of a step, made on first use."""
+        found = self.steps.get((occurrence, step))
+        return found or self._make_step(occurrence, step, None)
+
+    def _make_step(self, occurrence: int, step: int, found: StepProgress | None) -> StepState:
+        key = f"{occurrence}.{step}"
+        progress = found or self.progress.steps.get(key) or StepProgress()
+        self.progress.steps[key] = progress
+        group = Group(self.id, occurrence, step)
+        state = StepState(group, progress, self.spec.steps[step].count)
+        self.steps[occurrence, step] = state
+        return state
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Tell whether all tasks of a step have ended as done."""
+        progress = self.progress.steps.get(f"{occurrence}.{step}")
+        return progress is not None and len(progress.done) >= self.spec.steps[step].count
+
+    def is_step_open(self, occurrence: int, step: int) -> bool:
+        """Tell whether the tasks of a step may start."""
+        return all(self.is_step_done(occurrence, earlier) for earlier in self.spec.steps[step].after)
+
+    def list_due(self, unix_ms: float) -> Iterator[int]:
+        """Yield the occurrences whose time has come."""
+        repeat = self.spec.repeat
+        if repeat is None:
+            yield 0
+            return
+        for number in range(repeat.count):
+            if repeat.start_ms + number * repeat.interval_ms > unix_ms:
+                return
+            yield number
+
+    def list_runs(self) -> list[Run]:
+        """Return all runs that have not ended."""
+        return [
+            run for step in self.steps.values() for runs in step.live.values() for run in runs
+        ]
+
+    def add_run(self, run: Run) -> None:
+        """Note that a task was ordered to start, or was found running."""
+        step = self.get_step(run.task.occurrence, run.task.step)
+        step.live.setdefault(run.task.index, []).append(run)
+        step.last_run = max(step.last_run, run.number)
+        step.waiting.discard(run.task.index)
+        self.started = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
+    def end_run(self, task: Task, number: int, cause: Cause, queue: Queue | None) -> bool:
+        """Apply the end of a run and tell whether durable progress changed.
+
+        Applying the same end twice changes nothing.
+        """
+        spec = self.spec.steps[task.step]
+        step = self.get_step(task.occurrence, task.step)
+        self._drop_run(step, task.index, number)
+        step.last_run = max(step.last_run, number)
+        changed = False
+        if cause is Cause.DONE and not spec.lasting:
+            changed = self._note_done(step, task.index, gang=spec.gang, count=spec.count)
+        elif cause is Cause.FAILED and not spec.lasting:
+            changed = self._note_failure(step, task.index, number, gang=spec.gang)
+            self._check_attempts(step, task.index, queue, gang=spec.gang)
+        if (
+            not spec.gang
+            and task.index not in step.progress.done
+            and not step.live.get(task.index)
+        ):
+            step.waiting.add(task.index)
+        if spec.gang and not any(step.live.values()) and not step.progress.done:
+            step.waiting = set(range(spec.count))
+        self._check_completed()
+        return changed
+
+    def _drop_run(self, step: StepState, index: int, number: int) -> None:
+        runs = [run for run in step.live.get(index, []) if run.number != number]
+        if runs:
+            step.live[index] = runs
+        else:
+            step.live.pop(index, None)
+
+    def _note_done(self, step: StepState, index: int, *, gang: bool, count: int) -> bool:
+        before = len(step.progress.done)
+        step.progress.done |= set(range(count)) if gang else {index}
+        step.waiting -= step.progress.done
+        return len(step.progress.done) > before
+
+    def _note_failure(self, step: StepState, index: int, number: int, *, gang: bool) -> bool:
+        runs = step.progress.failures.setdefault(0 if gang else index, [])
+        if number in runs:
+            return False
+        runs.append(number)
+        return True
+
+    def _check_attempts(
+        self, step: StepState, index: int, queue: Queue | None, *, gang: bool
+    ) -> None:
+        if queue is None or index in step.progress.done or self.state in ENDED:
+            return
+        runs = step.progress.failures.get(0 if gang else index, [])
+        if len(runs) >= queue.max_attempts:
+            self.state = JobState.FAILED
+
+    def _check_completed(self) -> None:
+        if self.state in ENDED or self.cancelling:
+            return
+        if any(step.lasting for step in self.spec.steps):
+            return
+        if all(
+            self.is_step_done(occurrence, step)
+            for occurrence in range(self.spec.occurrences)
+            for step in range(len(self.spec.steps))
+        ):
+            self.state = JobState.COMPLETED
+
+    def keep_checkpoint(self, task: Task, number: int, checkpoint: str) -> None:
+        """Remember the newest checkpoint of a task, or of its gang."""
+        if not checkpoint:
+            return
+        spec = self.spec.steps[task.step]
+        key = 0 if spec.gang else task.index
+        kept = self.get_step(task.occurrence, task.step).progress.checkpoints
+        if key not in kept or kept[key][0] <= number:
+            kept[key] = (number, checkpoint)
+
+    def get_checkpoint(self, task: Task) -> str:
+        """Return the checkpoint that the next run of a task starts from, or an empty text."""
+        key = 0 if self.spec.steps[task.step].gang else task.index
+        found = self.get_step(task.occurrence, task.step).progress.checkpoints.get(key)
+        return found[1] if found else ""
+
+    def cancel(self) -> None:
+        """Let nothing start any more."""
+        self.cancelling = True
+        if self.state not in ENDED:
+            self.state = JobState.CANCELLED
+
+    def make_progress(self) -> JobProgress:
+        """Return the durable progress with the state as it is now."""
+        self.progress.state = self.state.value
+        return self.progress
--- /dev/null
+++ b/lavenderstall/pools/owner.py
@@ -0,0 +1,419 @@
+"""The owner of a pool: performs what the pool decides and feeds back what happens."""
+
+import logging
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+
+from lavenderstall.clocks import Clock, sleep
+from lavenderstall.errors import LavenderstallError, PeerUnavailableError
+from lavenderstall.identifiers import JobId
+from lavenderstall.metrics import Metrics
+from lavenderstall.pools.background import launch
+from lavenderstall.pools.dispatch import Dispatcher
+from lavenderstall.pools.effects import AskAdvice, PaceRun, Refusal, StartRun, StopRun
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.ports import (
+    HistoryLostError,
+    Lease,
+    Page,
+    Registry,
+    Row,
+    RowStore,
+    WorkerClient,
+)
+from lavenderstall.pools.records import (
+    CANCELS,
+    JOBS,
+    OWNERS,
+    PROGRESS,
+    ROSTER_KEY,
+    RosterRow,
+    decode_job,
+    decode_progress,
+)
+from lavenderstall.pools.workers import Worker
+from lavenderstall.pools.writer import DeposedError, OwnerWriter
+
+logger = logging.getLogger(__name__)
+
+# A lease lasts at most this long at a worker.
+LEASE_MS = 6000
+# An owner that has not confirmed its ownership for this long extends nothing any more.
+ACT_S = 7.0
+# A look waits this long at the worker for an end.
+LOOK_WAIT_MS = 800
+# Pause before a worker that left a look unanswered is looked at again.
+LOOK_RETRY_S = 0.15
+# The registry is read this often.
+REGISTRY_S = 0.7
+# Leases, repeated stops and times of jobs are reviewed this often.
+REVIEW_S = 0.1
+# Changes of one reactor turn, and of a little longer, share a dispatch.
+DISPATCH_S = 0.003
+# A feed of rows waits this long for a change.
+FOLLOW_MS = 1000
+FOLLOW_RETRY_S = 0.2
+PAGE_ROWS = 500
+
+AskAdviceFunction = Callable[[AskAdvice], None]
+
+
+class PoolOwner:
+    """Run one pool for as long as this entry instance owns it."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        writer: OwnerWriter,
+        store: RowStore,
+        registry: Registry,
+        workers: WorkerClient,
+        clock: Clock,
+        read_uptime: Callable[[], float],
+        read_unix_ms: Callable[[], float],
+        ask_advice: AskAdviceFunction,
+        metrics: Metrics,
+    ) -> None:
+        self.pool = pool
+        self.writer = writer
+        self.dispatcher = Dispatcher(pool)
+        self._store = store
+        self._registry = registry
+        self._client = workers
+        self._clock = clock
+        self._read_uptime = read_uptime
+        self._read_unix_ms = read_unix_ms
+        self._ask_advice = ask_advice
+        self._metrics = metrics
+        self._looking: set[WorkerKey] = set()
+        self._dispatch_call: Any = None
+        self._following = 0
+        self.running = False
+        self.deposed: Callable[[str], None] = lambda reason: None
+
+    # Life
+
+    async def load(self) -> None:
+        """Read all rows of the pool, so that nothing accepted is unknown."""
+        self._advance()
+        roster = await self._read_all(OWNERS)
+        progress = {
+            row.key: decode_progress(row.value) for row in self._note(await self._read_all(PROGRESS))
+        }
+        self._note(roster)
+        for row in roster:
+            if row.key == ROSTER_KEY:
+                entries = msgspec.msgpack.decode(row.value, type=RosterRow).workers
+                self.writer.set_roster(tuple(entries))
+                for entry in entries:
+                    worker = self.pool.add_worker(entry)
+                    worker.listed = False
+                    self.pool.roster.add(worker.key)
+        page = await self._store.read(JOBS, self.pool.name)
+        self._following = page.version
+        for row in await self._read_rest(page, JOBS):
+            job = decode_job(row.value)
+            self.pool.add_job(job, progress.get(row.key), inherited=True)
+        for row in await self._read_all(CANCELS):
+            self.pool.cancel_job(JobId(row.key))
+        logger.info(
+            "pool loaded",
+            extra={
+                "pool": self.pool.name,
+                "term": self.pool.term,
+                "jobs": len(self.pool.jobs),
+                "roster": len(self.pool.roster),
+                "version": page.version,
+            },
+        )
+
+    def _note(self, rows: list[Row]) -> list[Row]:
+        self.writer.learn_versions(tuple(rows))
+        return rows
+
+    async def _read_all(self, table: str) -> list[Row]:
+        page = await self._store.read(table, self.pool.name)
+        return await self._read_rest(page, table)
+
+    async def _read_rest(self, page: Page, table: str) -> list[Row]:
+        rows = list(page.rows)
+        while page.more:
+            page = await self._store.read(table, self.pool.name, rows[-1].key + "\0")
+            rows.extend(page.rows)
+        return rows
+
+    def start(self) -> None:
+        """Begin to serve the pool."""
+        self.running = True
+        for loop in (self._write, self._watch_registry, self._review, self._follow_jobs):
+            launch(self._keep(loop))
+        launch(self._keep(self._follow_cancels))
+
+    async def stop(self, *, release: bool) -> None:
+        """Stop all orders; give the pool up if asked to."""
+        self.running = False
+        if release:
+            await self.writer.release()
+
+    async def _keep(self, step: Callable[[], Any]) -> None:
+        """Repeat a step until the pool is given up."""
+        while self.running:
+            try:
+                await step()
+            except DeposedError as error:
+                self._depose(str(error))
+            except LavenderstallError as error:
+                logger.info("step failed", extra={"error": str(error), "pool": self.pool.name})
+                await sleep(self._clock, FOLLOW_RETRY_S)
+            except Exception:
+                logger.exception("step failed", extra={"pool": self.pool.name})
+                await sleep(self._clock, FOLLOW_RETRY_S)
+
+    def _depose(self, reason: str) -> None:
+        if self.running:
+            self.running = False
+            self.deposed(reason)
+
+    def may_act(self) -> bool:
+        """Tell whether ownership was confirmed recently enough to extend leases."""
+        return self.running and self._read_uptime() - self.writer.confirmed_at < ACT_S
+
+    def _advance(self) -> None:
+        self.pool.advance(self._read_uptime(), self._read_unix_ms())
+
+    # Loops
+
+    async def _write(self) -> None:
+        await self.writer.step()
+
+    async def _watch_registry(self) -> None:
+        entries = await self._registry.list_workers()
+        self._advance()
+        self.pool.set_workers(entry for entry in entries if entry.pool == self.pool.name)
+        self.schedule()
+        await sleep(self._clock, REGISTRY_S)
+
+    async def _review(self) -> None:
+        self._advance()
+        self.pool.review()
+        self._look_around()
+        self._dispatch()
+        await sleep(self._clock, REVIEW_S)
+
+    async def _follow_jobs(self) -> None:
+        try:
+            page = await self._store.follow(JOBS, self._following, FOLLOW_MS)
+        except HistoryLostError:
+            page = await self._store.read(JOBS, self.pool.name)
+            rows = await self._read_rest(page, JOBS)
+            page = msgspec.structs.replace(page, rows=tuple(rows))
+        self._following = page.version
+        for row in page.rows:
+            if row.part == self.pool.name and row.version:
+                self.take_job(decode_job(row.value))
+
+    async def _follow_cancels(self) -> None:
+        await sleep(self._clock, FOLLOW_MS / 1000)
+        for row in await self._read_all(CANCELS):
+            self.take_cancel(JobId(row.key))
+
+    # Events from entry instances
+
+    def take_job(self, row: AcceptedJob) -> None:
+        """Take a job that has been accepted."""
+        self._advance()
+        if self.pool.add_job(row):
+            logger.info("job taken", extra={"job": row.id, "pool": self.pool.name})
+            self.schedule()
+
+    def take_cancel(self, job: JobId) -> None:
+        """Cancel a job."""
+        self._advance()
+        if self.pool.cancel_job(job):
+            self.schedule()
+
+    def note_advice(self, order: AskAdvice, advice: Any) -> None:
+        """Take advice, or none if it did not come."""
+        self._advance()
+        if advice is None:
+            self.pool.note_no_advice(order.group)
+        else:
+            self.pool.note_advice(order.group, advice, order.workers)
+        self.schedule()
+
+    # Decisions and orders
+
+    def schedule(self) -> None:
+        """Dispatch soon."""
+        if self._dispatch_call is None and self.running:
+            self._dispatch_call = self._clock.callLater(DISPATCH_S, self._dispatch_now)
+
+    def _dispatch_now(self) -> None:
+        self._dispatch_call = None
+        if self.running:
+            self._advance()
+            self._dispatch()
+
+    def _dispatch(self) -> None:
+        if self.may_act():
+            started = self._read_uptime()
+            self.dispatcher.dispatch()
+            self._metrics.record("dispatch", self._read_uptime() - started)
+        for effect in self.pool.take_effects():
+            self.perform(effect)
+        self._look_around()
+
+    @singledispatchmethod
+    def perform(self, effect: Any) -> None:
+        """Carry out one effect."""
+        raise TypeError(f"{type(effect).__name__} is no effect")
+
+    @perform.register
+    def _(self, effect: AskAdvice) -> None:
+        self._ask_advice(effect)
+
+    @perform.register
+    def _(self, effect: StartRun) -> None:
+        launch(self._start_run(effect))
+
+    @perform.register
+    def _(self, effect: StopRun) -> None:
+        launch(self._stop_run(effect))
+
+    @perform.register
+    def _(self, effect: PaceRun) -> None:
+        launch(self._pace_run(effect))
+
+    async def _start_run(self, order: StartRun) -> None:
+        worker = self.pool.workers.get(order.worker)
+        if worker is None:
+            return
+        began = self._read_uptime()
+        try:
+            answer = await self._client.start(worker.entry, self.pool.term, order)
+        except PeerUnavailableError as error:
+            self._advance()
+            self.pool.note_refused(
+                order.worker, order.task, order.number, Refusal("unreachable")
+            )
+            logger.info("start not sent", extra={"job": order.task.job, "error": str(error)})
+        except LavenderstallError as error:
+            self._advance()
+            self.pool.note_unanswered(order.worker, order.task, order.number)
+            logger.info(
+                "start unanswered",
+                extra={
+                    "job": order.task.job,
+                    "task": list(order.task),
+                    "run": order.number,
+                    "worker": order.worker.id,
+                    "error": str(error),
+                },
+            )
+        else:
+            self._advance()
+            self._metrics.record("start_run", self.pool.now - began)
+            if not isinstance(answer, Refusal):
+                self.pool.note_started(order.worker, order.task, order.number, answer)
+            elif not self._check_fence(answer):
+                self.pool.note_refused(order.worker, order.task, order.number, answer)
+        self.schedule()
+
+    def _check_fence(self, refusal: Refusal) -> bool:
+        """Give the pool up if a worker has seen a later owner."""
+        if refusal.reason != "fence":
+            return False
+        self._depose("a worker has seen a higher fencing token")
+        return True
+
+    async def _stop_run(self, order: StopRun) -> None:
+        worker = self.pool.workers.get(order.worker)
+        if worker is None or not self.running:
+            return
+        try:
+            answer = await self._client.stop(worker.entry, self.pool.term, order)
+        except LavenderstallError as error:
+            logger.info("stop failed", extra={"job": order.task.job, "error": str(error)})
+            return
+        self._advance()
+        if not isinstance(answer, Refusal):
+            self.pool.note_stopped(order.worker, order.task, order.number, answer)
+        else:
+            self._check_fence(answer)
+
+    async def _pace_run(self, order: PaceRun) -> None:
+        worker = self.pool.workers.get(order.worker)
+        if worker is None or not self.running:
+            return
+        try:
+            answer = await self._client.pace(worker.entry, self.pool.term, order)
+        except LavenderstallError as error:
+            logger.info("pace failed", extra={"job": order.task.job, "error": str(error)})
+            return
+        if isinstance(answer, Refusal):
+            self._check_fence(answer)
+
+    # Looks
+
+    def _look_around(self) -> None:
+        for worker in list(self.pool.workers.values()):
+            if worker.key not in self._looking and self.pool.needs_look(worker):
+                self._looking.add(worker.key)
+                launch(self._look(worker))
+
+    async def _look(self, worker: Worker) -> None:
+        try:
+            while (
+                self.running
+                and self.pool.workers.get(worker.key) is worker
+                and self.pool.needs_look(worker)
+            ):
+                await self._look_once(worker)
+        finally:
+            self._looking.discard(worker.key)
+
+    async def _look_once(self, worker: Worker) -> None:
+        asked_at = self._read_uptime()
+        hurried = not worker.claimed or any(run.lost_at >= 0 for run in worker.runs.values())
+        lease = self._make_lease(worker, asked_at)
+        try:
+            answer = await self._client.look(
+                worker.entry,
+                self.pool.term,
+                worker.committed_seq,
+                lease,
+                0 if hurried else LOOK_WAIT_MS,
+            )
+        except LavenderstallError as error:
+            self._advance()
+            self.pool.note_silence(worker.key)
+            self._metrics.count("looks_failed")
+            logger.info("look failed", extra={"worker": worker.key.id, "error": str(error)})
+            await sleep(self._clock, LOOK_RETRY_S)
+            return
+        if isinstance(answer, Refusal):
+            self._check_fence(answer)
+            self.pool.note_silence(worker.key)
+            await sleep(self._clock, LOOK_RETRY_S)
+            return
+        if not self.running:
+            return
+        self._advance()
+        self.pool.note_look(worker.key, answer, asked_at)
+        self._metrics.record("look", self.pool.now - asked_at)
+        self.schedule()
+        if hurried or worker.applied_seq > worker.committed_seq:
+            await sleep(self._clock, DISPATCH_S * 4)
+
+    def _make_lease(self, worker: Worker, now: float) -> Lease | None:
+        """Return the lease to ask for, none while ownership is in doubt or the clock unknown."""
+        if not self.may_act() or worker.clock_at < 0:
+            return None
+        deadline = int(worker.estimate_clock(now)) + LEASE_MS
+        worker.note_lease(deadline)
+        return Lease(deadline)
--- /dev/null
+++ b/lavenderstall/pools/peers.py
@@ -0,0 +1,265 @@
+"""Other entry instances: who lives, who owns which pool, and requests to them."""
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred
+
+from lavenderstall.clocks import Clock
+from lavenderstall.errors import PeerUnavailableError
+from lavenderstall.identifiers import EntryId, JobId
+from lavenderstall.links import NngLinks
+from lavenderstall.pools.effects import Advice, AskAdvice
+from lavenderstall.pools.messages import (
+    AdviceAnswer,
+    AdviceAsk,
+    CancelHint,
+    JobHint,
+    Message,
+    OwnerBeat,
+    StateAnswer,
+    StateAsk,
+    WriteAnswer,
+    WriteAsk,
+)
+from lavenderstall.pools.records import Presence
+from lavenderstall.pools.work import JobState, PoolName
+
+logger = logging.getLogger(__name__)
+
+# An owner or peer that was not heard for this long is not relied on.
+SILENCE_S = 0.8
+PEER_SILENCE_S = 2.0
+STATE_TIMEOUT_S = 0.35
+WRITE_TIMEOUT_S = 0.8
+ADVICE_SLACK_S = 0.4
+# Peers that are asked to add a row, one after the other.
+MOST_WRITERS = 2
+# Requests that a peer may leave unanswered before its connection is replaced.
+MOST_UNANSWERED = 2
+# An adviser that gave no answer gets no call for this long.
+ADVISER_PENALTY_S = 1.5
+
+
+class OwnerSight(msgspec.Struct):
+    """Hold the owner of a pool as last heard."""
+
+    entry: EntryId
+    term: int
+    heard_at: float
+    pending: dict[str, int]
+
+
+class PeerSight(msgspec.Struct):
+    """Hold an entry instance as last heard; `busy_until` estimates its advice calls."""
+
+    zone: str
+    heard_at: float = -1.0
+    busy_until: float = 0.0
+    draining: bool = False
+    unanswered: int = 0
+    redialed_at: float = -10.0
+
+
+class PeerRequests:
+    """Send requests to peers and match their answers."""
+
+    def __init__(
+        self,
+        entry: EntryId,
+        zone: str,
+        links: NngLinks,
+        clock: Clock,
+        random: Random,
+        read_uptime: Callable[[], float],
+    ) -> None:
+        self.entry = entry
+        self.zone = zone
+        self.links = links
+        self.owners: dict[PoolName, OwnerSight] = {}
+        self.peers: dict[EntryId, PeerSight] = {}
+        self._clock = clock
+        self._random = random
+        self._read_uptime = read_uptime
+        self._numbers = count(1)
+        self._waiting: dict[int, tuple[EntryId, Deferred[Any]]] = {}
+        self.local_state: Callable[[PoolName, JobId], StateAnswer] = (
+            lambda pool, job: StateAnswer(0, owned=False)
+        )
+
+    # Owners
+
+    def note_owner(self, sender: EntryId, beat: OwnerBeat) -> None:
+        """Note the owner of a pool unless a later one is known."""
+        known = self.owners.get(beat.pool)
+        if known is None or known.term <= beat.term:
+            if known is None or known.entry != sender:
+                logger.info(
+                    "owner known",
+                    extra={"pool": beat.pool, "owner": sender, "term": beat.term},
+                )
+            self.owners[beat.pool] = OwnerSight(
+                sender, beat.term, self._read_uptime(), beat.pending
+            )
+
+    def forget_owner(self, pool: PoolName, term: int) -> None:
+        """Forget an owner that has given its pool up."""
+        known = self.owners.get(pool)
+        if known is not None and known.term <= term:
+            del self.owners[pool]
+
+    def find_owner(self, pool: PoolName) -> EntryId | None:
+        """Return the owner of a pool that was heard lately."""
+        known = self.owners.get(pool)
+        if known is None or self._read_uptime() - known.heard_at > SILENCE_S:
+            return None
+        return known.entry
+
+    def get_pending(self, pool: PoolName, queue: str, age_s: float) -> int | None:
+        """Return how many jobs of a queue wait, or none if that is not known well enough."""
+        known = self.owners.get(pool)
+        if known is None or self._read_uptime() - known.heard_at > age_s:
+            return None
+        return known.pending.get(queue, 0)
+
+    def list_live(self) -> list[EntryId]:
+        """Return the peers that were heard lately."""
+        limit = self._read_uptime() - PEER_SILENCE_S
+        return [peer for peer, sight in self.peers.items() if sight.heard_at > limit]
+
+    # Hints
+
+    def hint_job(self, pool: PoolName, value: bytes) -> None:
+        """Hand a job row to the owner of its pool."""
+        self._hint(pool, JobHint(pool, value))
+
+    def hint_cancel(self, pool: PoolName, job: JobId) -> None:
+        """Tell the owner of a pool that a job was cancelled."""
+        self._hint(pool, CancelHint(pool, job))
+
+    def _hint(self, pool: PoolName, message: Message) -> None:
+        owner = self.owners.get(pool)
+        if owner is not None:
+            self.send(owner.entry, message)
+
+    def send(self, peer: EntryId, message: Any) -> bool:
+        """Send a message and tell whether the peer's queue took it."""
+        try:
+            self.links.send(peer, message)
+        except PeerUnavailableError as error:
+            logger.info("message dropped", extra={"peer": peer, "error": str(error)})
+            return False
+        return True
+
+    # Requests
+
+    def _ask(self, peer: EntryId, message: Any, timeout_s: float) -> Deferred[Any]:
+        """Send a request; the answer is none if it does not come in time."""
+        answer: Deferred[Any] = Deferred()
+        self._waiting[message.number] = (peer, answer)
+        timer = self._clock.callLater(timeout_s, self._give_up, message.number)
+
+        def finish(result: Any) -> Any:
+            if timer.active():
+                timer.cancel()
+            return result
+
+        answer.addBoth(finish)
+        if not self.send(peer, message):
+            self._give_up(message.number)
+        return answer
+
+    def _give_up(self, number: int) -> None:
+        peer, answer = self._waiting.pop(number, (None, None))
+        if peer is None or answer is None:
+            return
+        sight = self.peers.get(peer)
+        if sight is not None:
+            sight.unanswered += 1
+            if sight.unanswered >= MOST_UNANSWERED:
+                sight.unanswered = 0
+                logger.info("connection replaced", extra={"peer": peer})
+                self.links.redial(peer)
+        answer.callback(None)
+
+    def note_answer(self, sender: EntryId, message: Any) -> None:
+        """Match an answer with its request."""
+        sight = self.peers.get(sender)
+        if sight is not None:
+            sight.unanswered = 0
+        _, answer = self._waiting.pop(message.number, (None, None))
+        if answer is not None:
+            answer.callback(message)
+
+    async def ask_state(self, pool: PoolName, job: JobId) -> JobState | None:
+        """Return the state of a job as its owner knows it, or none."""
+        owner = self.find_owner(pool)
+        if owner is None:
+            return None
+        number = next(self._numbers)
+        if owner == self.entry:
+            answer: StateAnswer | None = self.local_state(pool, job)
+        else:
+            answer = await self._ask(owner, StateAsk(number, pool, job), STATE_TIMEOUT_S)
+        if answer is None or not answer.owned or not answer.state:
+            return None
+        return JobState(answer.state)
+
+    def choose_writers(self) -> list[EntryId]:
+        """Return live peers to ask for a write, at random."""
+        live = self.list_live()
+        return self._random.sample(live, min(MOST_WRITERS, len(live)))
+
+    async def ask_write(
+        self, peer: EntryId, table: str, part: PoolName, key: str, value: bytes
+    ) -> Presence:
+        """Ask a peer to add a row."""
+        number = next(self._numbers)
+        message = WriteAsk(number, table, part, key, value)
+        answer: WriteAnswer | None = await self._ask(peer, message, WRITE_TIMEOUT_S)
+        return Presence(answer.outcome) if answer else Presence.UNKNOWN
+
+    def choose_adviser(self, expected_s: float) -> EntryId:
+        """Return the instance whose advice calls end first, and count one more."""
+        now = self._read_uptime()
+        live = [peer for peer in self.list_live() if not self.peers[peer].draining]
+        own = self.peers.setdefault(self.entry, PeerSight(self.zone))
+        own.heard_at = now
+        if self.entry not in live:
+            live.append(self.entry)
+        chosen = min(
+            live,
+            key=lambda peer: (
+                max(self.peers[peer].busy_until, now),
+                self.peers[peer].zone != self.zone,
+                peer != self.entry,
+            ),
+        )
+        sight = self.peers[chosen]
+        sight.busy_until = max(sight.busy_until, now) + expected_s
+        return chosen
+
+    async def ask_advice(self, peer: EntryId, order: AskAdvice) -> Advice | None:
+        """Ask a peer to call the placement service; returns none if it gave no advice."""
+        number = next(self._numbers)
+        message = AdviceAsk(
+            number, order.group.job, order.group.occurrence, order.group.step,
+            order.workers, order.expected_ms,
+        )  # fmt: skip
+        sight = self.peers[peer]
+        queued_s = max(0.0, sight.busy_until - self._read_uptime())
+        answer: AdviceAnswer | None = await self._ask(peer, message, queued_s + ADVICE_SLACK_S)
+        if answer is None or not answer.given:
+            sight.busy_until = self._read_uptime() + ADVISER_PENALTY_S
+            return None
+        return Advice(answer.allowed, answer.valid_ms)
+
+
+def make_pending(counts: Counter[Any]) -> dict[str, int]:
+    """Return counts as they are sent to peers."""
+    return {str(queue): number for queue, number in counts.items()}
--- /dev/null
+++ b/lavenderstall/pools/records.py
@@ -0,0 +1,71 @@
+"""Rows of the pool scheduler: tables, keys and values."""
+
+from enum import Enum
+
+import msgspec
+
+from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.pools.job import AcceptedJob, JobProgress
+from lavenderstall.pools.workers import WorkerEntry
+
+JOBS = "jobs"
+PROGRESS = "progress"
+CANCELS = "cancels"
+OWNERS = "owners"
+ENTRIES = "entries"
+OWNER_KEY = "owner"
+ROSTER_KEY = "roster"
+
+
+class Presence(Enum):
+    """What is known of a row that was to be added."""
+
+    PRESENT = "present"
+    ABSENT = "absent"
+    UNKNOWN = "unknown"
+
+
+class OwnerRow(msgspec.Struct, omit_defaults=True):
+    """Name the owner of a pool; `store_ms` is the store's clock when it last renewed."""
+
+    entry: EntryId
+    incarnation: Incarnation
+    term: int
+    store_ms: float = 0.0
+    released: bool = False
+
+
+class RosterRow(msgspec.Struct, omit_defaults=True):
+    """List the workers on which owners of a pool may have started tasks."""
+
+    workers: list[WorkerEntry] = []
+
+
+class EntryRecord(msgspec.Struct, omit_defaults=True):
+    """Describe an entry instance: where peers reach it."""
+
+    entry: EntryId
+    incarnation: Incarnation
+    zone: str
+    link: str
+    left: bool = False
+
+
+def encode(value: msgspec.Struct) -> bytes:
+    """Return a row's value."""
+    return msgspec.msgpack.encode(value)
+
+
+def decode_job(value: bytes) -> AcceptedJob:
+    """Return a job row's content."""
+    return msgspec.msgpack.decode(value, type=AcceptedJob)
+
+
+def decode_progress(value: bytes) -> JobProgress:
+    """Return a progress row's content."""
+    return msgspec.msgpack.decode(value, type=JobProgress)
+
+
+def decode_owner(value: bytes) -> OwnerRow:
+    """Return an owner row's content."""
+    return msgspec.msgpack.decode(value, type=OwnerRow)
--- /dev/null
+++ b/lavenderstall/pools/work.py
@@ -0,0 +1,168 @@
+"""Declared work: jobs, steps, tasks and queues."""
+
+from enum import Enum
+from typing import NamedTuple, NewType
+
+import msgspec
+
+from lavenderstall.identifiers import JobId
+from lavenderstall.resources import NOTHING, Resources
+
+PoolName = NewType("PoolName", str)
+QueueName = NewType("QueueName", str)
+
+MAX_TASKS = 5000
+MAX_STEPS = 64
+
+
+class InvalidJobError(Exception):
+    """A submitted job is malformed."""
+
+
+class Task(NamedTuple):
+    """Name one task of one occurrence of a job."""
+
+    job: JobId
+    occurrence: int
+    step: int
+    index: int
+
+
+class Group(NamedTuple):
+    """Name one step of one occurrence of a job."""
+
+    job: JobId
+    occurrence: int
+    step: int
+
+
+def get_group(task: Task) -> Group:
+    """Return the step that a task belongs to."""
+    return Group(task.job, task.occurrence, task.step)
+
+
+class Cause(Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    LOST = "lost"
+
+
+class JobState(Enum):
+    """What a caller is told about a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+ENDED = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
+
+
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Declare a step; durations are in milliseconds, `after` holds numbers of earlier steps."""
+
+    count: int
+    need: Resources = NOTHING
+    expected_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    data_rack: str = ""
+    max_per_worker: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    max_missing: int = 0
+
+    @property
+    def charge(self) -> Resources:
+        """Return what a running task takes of its worker."""
+        if not self.fills:
+            return self.need
+        return Resources(memory_mb=self.need.memory_mb, accelerators=self.need.accelerators)
+
+
+class Repeat(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Declare occurrences: the first due at a Unix time, the others at an interval."""
+
+    count: int
+    start_ms: int = 0
+    interval_ms: int = 0
+
+
+class JobSpec(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Declare a job; `payload` is handed to its tasks unread."""
+
+    payload: str
+    steps: tuple[Step, ...]
+    repeat: Repeat | None = None
+
+    @property
+    def occurrences(self) -> int:
+        """Return how often the steps run."""
+        return self.repeat.count if self.repeat else 1
+
+
+def check_job(spec: JobSpec) -> None:
+    """Raise an error if steps are missing, empty or wait for later ones."""
+    if not 1 <= len(spec.steps) <= MAX_STEPS:
+        raise InvalidJobError(f"a job has 1 to {MAX_STEPS} steps, not {len(spec.steps)}")
+    for number, step in enumerate(spec.steps):
+        if not 1 <= step.count <= MAX_TASKS:
+            raise InvalidJobError(f"step {number} has {step.count} tasks, not 1 to {MAX_TASKS}")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise InvalidJobError(f"step {number} waits for a step that is not an earlier one")
+        if min(step.need.cores_milli, step.need.memory_mb, step.need.accelerators) < 0:
+            raise InvalidJobError(f"step {number} asks for a negative amount")
+
+
+class Advising(msgspec.Struct, frozen=True):
+    """Describe a queue's advice: base and per-worker time of a call, validity of a ticket."""
+
+    base_ms: float
+    per_worker_ms: float
+    valid_ms: float
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """Describe a queue as configured; priority 0 goes first."""
+
+    name: QueueName
+    host: str
+    prefix: str
+    pool: PoolName
+    priority: int = 0
+    max_attempts: int = 1
+    slack: float = 1.0
+    objective_ms: float = 0.0
+    advising: Advising | None = None
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """Hold one version of the configuration."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    guarded: frozenset[PoolName] = frozenset()
+    pools: frozenset[PoolName] = frozenset()
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest prefix of a path, or none."""
+        fitting = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
+        return max(fitting, key=lambda queue: len(queue.prefix), default=None)
+
+    def find_named(self, name: QueueName) -> Queue | None:
+        """Return a queue by name, or none."""
+        return next((queue for queue in self.queues if queue.name == name), None)
--- /dev/null
+++ b/lavenderstall/pools/workers.py
@@ -0,0 +1,100 @@
+"""What is known of a worker: its clock, lease, room and runs."""
+
+from enum import Enum
+
+import msgspec
+
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import Run
+from lavenderstall.pools.work import PoolName, Task
+from lavenderstall.resources import NOTHING, Resources
+
+# A worker's clock runs at least at this rate of ours.
+SLOWEST_CLOCK = 0.98
+# Time for a process on the worker to be seen as gone after its lease.
+LAPSE_MARGIN_S = 0.15
+
+
+class WorkerState(Enum):
+    """Whether a worker takes work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class WorkerEntry(msgspec.Struct, frozen=True):
+    """Describe a worker as it reports itself to the registry."""
+
+    id: str
+    born: int
+    pool: PoolName
+    address: str
+    zone: str
+    state: WorkerState
+    capacity: Resources
+    kind: str = ""
+    rack: str = ""
+    labels: tuple[str, ...] = ()
+    remaining_ms: float | None = None
+
+
+class Worker:
+    """Keep the ledger of one life of a worker; times are in seconds of uptime."""
+
+    def __init__(self, entry: WorkerEntry) -> None:
+        self.entry = entry
+        self.key = WorkerKey(entry.id, entry.born)
+        self.runs: dict[tuple[Task, int], Run] = {}
+        self.used = NOTHING
+        self.claimed = False
+        self.clock_ms = 0.0
+        self.clock_at = -1.0
+        self.lease_ms = 0.0
+        self.answered_at = -1.0
+        self.applied_seq = 0
+        self.committed_seq = 0
+        self.avoid_until = 0.0
+        self.listed = True
+        self.listed_at = 0.0
+        self.strikes = 0
+        self.silent_since = -1.0
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether the worker is leaving."""
+        return self.entry.state is WorkerState.DRAINING
+
+    def set_clock(self, clock_ms: float, now: float) -> None:
+        """Note a reading of the worker's clock that has just arrived."""
+        self.clock_ms = clock_ms
+        self.clock_at = now
+        self.answered_at = now
+
+    def estimate_clock(self, now: float) -> float:
+        """Return the worker's clock in milliseconds, as far as it is known."""
+        return self.clock_ms + max(0.0, now - self.clock_at) * 1000
+
+    def note_lease(self, deadline_ms: float) -> None:
+        """Note that an order with a deadline on the worker's clock was sent."""
+        self.lease_ms = max(self.lease_ms, deadline_ms)
+
+    def get_lapse(self) -> float:
+        """Return when everything that runs there has lapsed at the latest."""
+        left_ms = max(0.0, self.lease_ms - self.clock_ms)
+        return self.clock_at + left_ms / 1000 / SLOWEST_CLOCK + LAPSE_MARGIN_S
+
+    def add_run(self, run: Run, charge: Resources) -> None:
+        """Reserve the room of a run."""
+        self.runs[run.task, run.number] = run
+        self.used = self.used.add(charge)
+
+    def drop_run(self, task: Task, number: int, charge: Resources) -> Run | None:
+        """Free the room of a run that has ended."""
+        run = self.runs.pop((task, number), None)
+        if run is not None:
+            self.used = self.used.subtract(charge)
+        return run
+
+    def get_room(self) -> Resources:
+        """Return the free capacity."""
+        return self.entry.capacity.subtract(self.used)
