Keep one advice call in flight for each adviser, and look again only after a commit

A look at a worker with unacknowledged ends returns at once, so looks ran in a circle until the commit. Ruled out: lost job rows (all jobs were loaded after the claim).

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections.abc import Iterator
-from itertools import groupby, islice
+from itertools import groupby
 from typing import NamedTuple
 
 from lavenderstall.pools.effects import AskAdvice, StartRun
@@ -74,12 +74,16 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self._held: set[str] = set()
+        self._advisers = 0
+        self._spoken: dict[str, Resources] = {}
         self._blocked = 0
         self._reserving = 0
 
-    def dispatch(self) -> None:
-        """Start what fits, and ask for the advice that is missing."""
+    def dispatch(self, advisers: int) -> None:
+        """Start what fits, and ask for as much advice as there are idle advisers."""
         self._held = set()
+        self._advisers = advisers
+        self._spoken = {}
         self._blocked = 0
         self._reserving = 0
         usable = [worker for worker in self.pool.workers.values() if self._is_usable(worker)]
@@ -298,36 +302,66 @@
             return
         pool = self.pool
         advice = pool.advice.setdefault(turn.group, StepAdvice())
-        if advice.is_waiting(pool.now):
+        if advice.asked:
+            asked = set(advice.asked)
+            self._speak_for(step, [w for w in free if w.key.id in asked], missing)
             return
-        beside = count_beside(state)
-        candidates = []
-        for worker in free:
-            name = worker.key.id
-            if name in advice.denied or advice.get_ticket(name, pool.now) is not None:
-                continue
-            if step.max_per_worker and beside.get(name, 0) >= step.max_per_worker:
-                continue
-            if not self._suits(step, worker):
-                continue
-            fitting = worker.get_room() if not step.gang else worker.entry.capacity
-            if step.charge.fits(fitting):
-                candidates.append(worker)
+        candidates = self._list_candidates(step, state, advice, free)
         if not candidates:
             return
-        unknown = [worker for worker in candidates if worker.key.id not in advice.allowed]
         known = [worker for worker in candidates if worker.key.id in advice.allowed]
         known.sort(key=lambda worker: self._score(step, worker))
         chosen = known if step.gang else known[: missing + SPARE_TICKETS]
         if len(known) < missing + SPARE_TICKETS:
+            unknown = [worker for worker in candidates if worker.key.id not in advice.allowed]
             unknown.sort(key=lambda worker: self._score(step, worker))
             chosen = [*chosen, *unknown]
-        named = tuple(worker.key.id for worker in islice(chosen, MOST_NAMED))
-        advice.note_asked(named, advising, pool.now)
+        chosen = chosen[:MOST_NAMED]
+        self._speak_for(step, chosen, missing)
+        if self._advisers <= 0:
+            return
+        self._advisers -= 1
+        named = tuple(worker.key.id for worker in chosen)
+        advice.note_asked(named)
         pool.effects.append(
             AskAdvice(turn.group, named, get_duration(advising, len(named)) * 1000)
         )
 
+    def _list_candidates(
+        self, step: Step, state: StepState, advice: StepAdvice, free: list[Worker]
+    ) -> list[Worker]:
+        """Return the workers that have room for a step and of which a ticket is missing."""
+        beside = count_beside(state)
+        candidates = []
+        for worker in free:
+            name = worker.key.id
+            if name in advice.denied or advice.get_ticket(name, self.pool.now) is not None:
+                continue
+            if step.max_per_worker and beside.get(name, 0) >= step.max_per_worker:
+                continue
+            if not self._suits(step, worker):
+                continue
+            room = worker.entry.capacity if step.gang else self._get_unspoken(worker)
+            if step.charge.fits(room):
+                candidates.append(worker)
+        return candidates
+
+    def _get_unspoken(self, worker: Worker) -> Resources:
+        """Return the room of a worker that no more urgent step is about to use."""
+        found = self._spoken.get(worker.key.id)
+        return worker.get_room() if found is None else found
+
+    def _speak_for(self, step: Step, workers: list[Worker], missing: int) -> None:
+        """Count on a step to use room, so that less urgent ones seek no tickets for it."""
+        for worker in workers:
+            room = self._get_unspoken(worker)
+            while missing > 0 and step.charge.fits(room):
+                room = room.subtract(step.charge)
+                missing -= 1
+            self._spoken[worker.key.id] = room
+            if missing <= 0:
+                return
+
     def _look_ahead(self, usable: list[Worker]) -> None:
         """Ask for advice on steps whose turn comes soon."""
         pool = self.pool
@@ -348,7 +382,7 @@
                 continue
             group = Group(job.id, occurrence, number)
             advice = self.pool.advice.get(group)
-            if advice is not None and (advice.tickets or advice.is_waiting(self.pool.now)):
+            if advice is not None and (advice.tickets or advice.asked):
                 continue
             assert queue.advising is not None
             ahead = get_duration(queue.advising, len(usable)) + AHEAD_S
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -64,6 +64,9 @@
 # A peer that has not heard this instance for this long needs a new connection.
 LOST_MS = 1500
 REDIAL_S = 2.0
+# The placement service serves an instance's calls in turn, and two owners may share an instance.
+ADVICE_TURNS = 2
+ADVICE_SLACK_S = 0.5
 OPERATOR = "op"
 SETTINGS_KEY = "config"
 
@@ -299,6 +302,7 @@
             outside.read_uptime,
             outside.read_unix_ms,
             lambda order: self._ask_advice(owner, order),
+            self.peers.count_idle_advisers,
             self.metrics,
         )
         owner.deposed = lambda reason: self._note_deposed(name, owner, reason)
@@ -326,14 +330,17 @@
         launch(self._fetch_advice(owner, order))
 
     async def _fetch_advice(self, owner: PoolOwner, order: AskAdvice) -> None:
-        peer = self.peers.choose_adviser(order.expected_ms / 1000)
+        limit_s = ADVICE_TURNS * order.expected_ms / 1000 + ADVICE_SLACK_S
+        peer = self.peers.choose_adviser(limit_s)
+        if peer is None:
+            owner.note_advice(order, None)
+            return
         began = self._read_uptime()
         if peer == self.identity.entry:
-            advice = await self._call_adviser(
-                Task(*order.group, 0), order.workers, order.expected_ms
-            )
+            advice = await self._call_adviser(Task(*order.group, 0), order.workers, limit_s)
         else:
-            advice = await self.peers.ask_advice(peer, order)
+            advice = await self.peers.ask_advice(peer, order, limit_s)
+        self.peers.free_adviser(peer, answered=advice is not None)
         took = self._read_uptime() - began
         self.metrics.record("advice", took)
         logger.info(
@@ -352,10 +359,10 @@
             owner.note_advice(order, advice)
 
     async def _call_adviser(
-        self, step: Task, workers: tuple[str, ...], expected_ms: float
+        self, step: Task, workers: tuple[str, ...], timeout_s: float
     ) -> Advice | None:
         try:
-            return await self._outside.adviser.ask(step, workers, expected_ms / 1000)
+            return await self._outside.adviser.ask(step, workers, timeout_s)
         except LavenderstallError as error:
             self.metrics.count("advice_failed")
             logger.info("no advice", extra={"job": step.job, "error": str(error)})
@@ -417,7 +424,7 @@
 
     async def _answer_advice(self, message: AdviceAsk, sender: EntryId) -> None:
         step = Task(message.job, message.occurrence, message.step, 0)
-        advice = await self._call_adviser(step, message.workers, message.expected_ms)
+        advice = await self._call_adviser(step, message.workers, message.timeout_s)
         if advice is None:
             self.peers.send(sender, AdviceAnswer(message.number, given=False))
         else:
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -70,7 +70,7 @@
     occurrence: int
     step: int
     workers: tuple[str, ...]
-    expected_ms: float
+    timeout_s: float
 
 
 class AdviceAnswer(msgspec.Struct, tag=True, frozen=True):
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from twisted.internet.defer import Deferred
+
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.errors import LavenderstallError, PeerUnavailableError
 from lavenderstall.identifiers import JobId
@@ -47,6 +49,10 @@
 ACT_S = 7.0
 # A look waits this long at the worker for an end.
 LOOK_WAIT_MS = 800
+# A worker whose ends are not durable yet is looked at again after this long.
+COMMIT_WAIT_S = 0.25
+# Pause between looks that find out about a run in doubt.
+HURRY_S = 0.02
 # Pause before a worker that left a look unanswered is looked at again.
 LOOK_RETRY_S = 0.15
 # The registry is read this often.
@@ -77,6 +83,7 @@
         read_uptime: Callable[[], float],
         read_unix_ms: Callable[[], float],
         ask_advice: AskAdviceFunction,
+        count_advisers: Callable[[], int],
         metrics: Metrics,
     ) -> None:
         self.pool = pool
@@ -89,10 +96,13 @@
         self._read_uptime = read_uptime
         self._read_unix_ms = read_unix_ms
         self._ask_advice = ask_advice
+        self._count_advisers = count_advisers
         self._metrics = metrics
         self._looking: set[WorkerKey] = set()
         self._dispatch_call: Any = None
         self._following = 0
+        self._awaiting_commit: list[Deferred[None]] = []
+        writer.listeners.append(self._note_commit)
         self.running = False
         self.deposed: Callable[[str], None] = lambda reason: None
 
@@ -262,7 +272,7 @@
     def _dispatch(self) -> None:
         if self.may_act():
             started = self._read_uptime()
-            self.dispatcher.dispatch()
+            self.dispatcher.dispatch(self._count_advisers())
             self._metrics.record("dispatch", self._read_uptime() - started)
         for effect in self.pool.take_effects():
             self.perform(effect)
@@ -407,8 +417,29 @@
         self.pool.note_look(worker.key, answer, asked_at)
         self._metrics.record("look", self.pool.now - asked_at)
         self.schedule()
-        if hurried or worker.applied_seq > worker.committed_seq:
-            await sleep(self._clock, DISPATCH_S * 4)
+        if worker.applied_seq > worker.committed_seq:
+            # Until its ends are acknowledged, a worker answers every look at once.
+            await self._wait_for_commit()
+        elif hurried:
+            await sleep(self._clock, HURRY_S)
+
+    def _wait_for_commit(self) -> Deferred[None]:
+        """Return a deferred that fires with the next commit, or after a time."""
+        waiting: Deferred[None] = Deferred()
+        self._awaiting_commit.append(waiting)
+        timer = self._clock.callLater(COMMIT_WAIT_S, self._end_wait, waiting)
+        waiting.addCallback(lambda _: timer.cancel() if timer.active() else None)
+        return waiting
+
+    def _end_wait(self, waiting: Deferred[None]) -> None:
+        if waiting in self._awaiting_commit:
+            self._awaiting_commit.remove(waiting)
+            waiting.callback(None)
+
+    def _note_commit(self) -> None:
+        waiting, self._awaiting_commit = self._awaiting_commit, []
+        for each in waiting:
+            each.callback(None)
 
     def _make_lease(self, worker: Worker, now: float) -> Lease | None:
         """Return the lease to ask for, none while ownership is in doubt or the clock unknown."""
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -37,7 +37,6 @@
 PEER_SILENCE_S = 2.0
 STATE_TIMEOUT_S = 0.35
 WRITE_TIMEOUT_S = 0.8
-ADVICE_SLACK_S = 0.4
 # Peers that are asked to add a row, one after the other.
 MOST_WRITERS = 2
 # Requests that a peer may leave unanswered before its connection is replaced.
@@ -224,38 +223,54 @@
         answer: WriteAnswer | None = await self._ask(peer, message, WRITE_TIMEOUT_S)
         return Presence(answer.outcome) if answer else Presence.UNKNOWN
 
-    def choose_adviser(self, expected_s: float) -> EntryId:
-        """Return the instance whose advice calls end first, and count one more."""
+    def _list_advisers(self) -> list[EntryId]:
         now = self._read_uptime()
-        live = [peer for peer in self.list_live() if not self.peers[peer].draining]
         own = self.peers.setdefault(self.entry, PeerSight(self.zone))
         own.heard_at = now
-        if self.entry not in live:
-            live.append(self.entry)
+        live = {*self.list_live(), self.entry}
+        return [
+            peer
+            for peer in live
+            if not self.peers[peer].draining and self.peers[peer].busy_until <= now
+        ]
+
+    def count_idle_advisers(self) -> int:
+        """Return how many instances have no advice call of this one in flight."""
+        return len(self._list_advisers())
+
+    def choose_adviser(self, limit_s: float) -> EntryId | None:
+        """Take an instance without an advice call, for at most a time; none if all are busy."""
+        idle = self._list_advisers()
+        if not idle:
+            return None
         chosen = min(
-            live,
+            idle,
             key=lambda peer: (
-                max(self.peers[peer].busy_until, now),
+                self.peers[peer].busy_until,
                 self.peers[peer].zone != self.zone,
                 peer != self.entry,
             ),
         )
-        sight = self.peers[chosen]
-        sight.busy_until = max(sight.busy_until, now) + expected_s
+        self.peers[chosen].busy_until = self._read_uptime() + limit_s
         return chosen
 
-    async def ask_advice(self, peer: EntryId, order: AskAdvice) -> Advice | None:
+    def free_adviser(self, peer: EntryId, *, answered: bool) -> None:
+        """Note that an advice call has ended."""
+        sight = self.peers.get(peer)
+        if sight is not None:
+            sight.busy_until = self._read_uptime() + (0.0 if answered else ADVISER_PENALTY_S)
+
+    async def ask_advice(
+        self, peer: EntryId, order: AskAdvice, timeout_s: float
+    ) -> Advice | None:
         """Ask a peer to call the placement service; returns none if it gave no advice."""
         number = next(self._numbers)
         message = AdviceAsk(
             number, order.group.job, order.group.occurrence, order.group.step,
-            order.workers, order.expected_ms,
+            order.workers, timeout_s,
         )  # fmt: skip
-        sight = self.peers[peer]
-        queued_s = max(0.0, sight.busy_until - self._read_uptime())
-        answer: AdviceAnswer | None = await self._ask(peer, message, queued_s + ADVICE_SLACK_S)
+        answer: AdviceAnswer | None = await self._ask(peer, message, timeout_s)
         if answer is None or not answer.given:
-            sight.busy_until = self._read_uptime() + ADVISER_PENALTY_S
             return None
         return Advice(answer.allowed, answer.valid_ms)
 
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -161,19 +161,14 @@
 
     def note_committed(
         self, states: dict[JobId, JobState], ends: dict[WorkerKey, int]
-    ) -> list[JobId]:
-        """Note what has become durable and return the jobs that thereby ended."""
+    ) -> None:
+        """Note what has become durable."""
         for key, seq in ends.items():
             worker = self.workers.get(key)
             if worker is not None:
                 worker.committed_seq = max(worker.committed_seq, seq)
-        ended = []
         for job_id, state in states.items():
-            job = self.jobs[job_id]
-            if state in ENDED and job.durable_state not in ENDED:
-                ended.append(job_id)
-            job.durable_state = state
-        return ended
+            self.jobs[job_id].durable_state = state
 
     def note_uncommitted(self, jobs: Iterable[JobId]) -> None:
         """Note that progress has not become durable as far as is known."""
--- a/lavenderstall/pools/watch.py
+++ b/lavenderstall/pools/watch.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable, Mapping
 
-
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.pools.background import launch
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -42,7 +42,7 @@
 # Jobs in one transaction; each takes a condition and a write of the store's hundred entries.
 BATCH_JOBS = 45
 # Progress that ends no job waits this long for more of its kind.
-GATHER_S = 0.08
+GATHER_S = 0.03
 # Pause after a failed transaction.
 RETRY_S = 0.2
 POLL_S = 0.01
@@ -83,7 +83,7 @@
         self._renewed_at = sent_at
         self._gathered_at = 0.0
         self._lost_store = False
-        self.listeners: list[Callable[[list[JobId]], None]] = []
+        self.listeners: list[Callable[[], None]] = []
 
     def learn_versions(self, rows: tuple[Row, ...]) -> None:
         """Note the versions of rows that were read."""
@@ -184,9 +184,9 @@
         self._pool.roster = {key for key in self._pool.workers if tuple(key) in present}
 
     def _finish(self, states: dict[JobId, JobState], ends: dict[WorkerKey, int]) -> None:
-        ended = self._pool.note_committed(states, ends)
+        self._pool.note_committed(states, ends)
         for listener in self.listeners:
-            listener(ended)
+            listener()
 
     def _note_failure(self, error: LavenderstallError) -> None:
         self._metrics.count("commits_failed")
