--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -104,7 +104,7 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._envelope = envelope
         self._hints = hints
-        self._decoder = msgspec.msgpack.Decoder(envelope)
+        self._decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(envelope)
         self._dialers: dict[EntryId, tuple[str, Any]] = {}
         self._outboxes: dict[EntryId, Outbox] = {}
         self._flush_call: Any = None
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -154,7 +154,10 @@
                 key=lambda offer: offer.worker.entry.rack,
             )
         ]
-        choices = [self._fill(step, None, waiting, sorted(rack, key=lambda offer: offer[:2])) for rack in racks]
+        choices = [
+            self._fill(step, None, waiting, sorted(rack, key=lambda offer: offer[:2]))
+            for rack in racks
+        ]
         whole = [choice for choice in choices if len(choice) == len(waiting)]
         if whole:
             return min(whole, key=lambda choice: sum(offer.score for _, offer in choice))
@@ -323,9 +326,7 @@
         self._advisers -= 1
         named = tuple(worker.key.id for worker in chosen)
         advice.note_asked(named)
-        pool.effects.append(
-            AskAdvice(turn.group, named, get_duration(advising, len(named)) * 1000)
-        )
+        pool.effects.append(AskAdvice(turn.group, named, get_duration(advising, len(named)) * 1000))
 
     def _list_candidates(
         self, step: Step, state: StepState, advice: StepAdvice, free: list[Worker]
@@ -374,9 +375,7 @@
             for occurrence in job.list_due(pool.unix_ms):
                 self._look_ahead_in(job, occurrence, queue, usable)
 
-    def _look_ahead_in(
-        self, job: Job, occurrence: int, queue: Queue, usable: list[Worker]
-    ) -> None:
+    def _look_ahead_in(self, job: Job, occurrence: int, queue: Queue, usable: list[Worker]) -> None:
         for number, step in enumerate(job.spec.steps):
             if not step.after or job.is_step_open(occurrence, number):
                 continue
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -312,9 +312,7 @@
         if self.owned.get(pool) is owner:
             del self.owned[pool]
         self.metrics.count("pools_lost")
-        logger.warning(
-            "pool lost", extra={"pool": pool, "term": owner.pool.term, "reason": reason}
-        )
+        logger.warning("pool lost", extra={"pool": pool, "term": owner.pool.term, "reason": reason})
 
     async def _give_up(
         self, pool: PoolName, owner: PoolOwner, reason: str, *, release: bool
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -115,7 +115,9 @@
 
     def is_step_open(self, occurrence: int, step: int) -> bool:
         """Tell whether the tasks of a step may start."""
-        return all(self.is_step_done(occurrence, earlier) for earlier in self.spec.steps[step].after)
+        return all(
+            self.is_step_done(occurrence, earlier) for earlier in self.spec.steps[step].after
+        )
 
     def list_due(self, unix_ms: float) -> Iterator[int]:
         """Yield the occurrences whose time has come."""
@@ -130,16 +132,14 @@
 
     def list_runs(self) -> list[Run]:
         """Return all runs that have not ended."""
-        return [
-            run for step in self.steps.values() for runs in step.live.values() for run in runs
-        ]
+        return [run for step in self.steps.values() for runs in step.live.values() for run in runs]
 
     def add_run(self, run: Run) -> None:
         """Note that a task was ordered to start, or was found running."""
         step = self.get_step(run.task.occurrence, run.task.step)
-        step.live.setdefault(run.task.index, []).append(run)
+        step.live.setdefault(run.task.number, []).append(run)
         step.last_run = max(step.last_run, run.number)
-        step.waiting.discard(run.task.index)
+        step.waiting.discard(run.task.number)
         self.started = True
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
@@ -151,20 +151,20 @@
         """
         spec = self.spec.steps[task.step]
         step = self.get_step(task.occurrence, task.step)
-        self._drop_run(step, task.index, number)
+        self._drop_run(step, task.number, number)
         step.last_run = max(step.last_run, number)
         changed = False
         if cause is Cause.DONE and not spec.lasting:
-            changed = self._note_done(step, task.index, gang=spec.gang, count=spec.count)
+            changed = self._note_done(step, task.number, gang=spec.gang, count=spec.count)
         elif cause is Cause.FAILED and not spec.lasting:
-            changed = self._note_failure(step, task.index, number, gang=spec.gang)
-            self._check_attempts(step, task.index, queue, gang=spec.gang)
+            changed = self._note_failure(step, task.number, number, gang=spec.gang)
+            self._check_attempts(step, task.number, queue, gang=spec.gang)
         if (
             not spec.gang
-            and task.index not in step.progress.done
-            and not step.live.get(task.index)
+            and task.number not in step.progress.done
+            and not step.live.get(task.number)
         ):
-            step.waiting.add(task.index)
+            step.waiting.add(task.number)
         if spec.gang and not any(step.live.values()) and not step.progress.done:
             step.waiting = set(range(spec.count))
         self._check_completed()
@@ -216,14 +216,14 @@
         if not checkpoint:
             return
         spec = self.spec.steps[task.step]
-        key = 0 if spec.gang else task.index
+        key = 0 if spec.gang else task.number
         kept = self.get_step(task.occurrence, task.step).progress.checkpoints
         if key not in kept or kept[key][0] <= number:
             kept[key] = (number, checkpoint)
 
     def get_checkpoint(self, task: Task) -> str:
         """Return the checkpoint that the next run of a task starts from, or an empty text."""
-        key = 0 if self.spec.steps[task.step].gang else task.index
+        key = 0 if self.spec.steps[task.step].gang else task.number
         found = self.get_step(task.occurrence, task.step).progress.checkpoints.get(key)
         return found[1] if found else ""
 
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import msgspec
-
 from twisted.internet.defer import Deferred
 
 from lavenderstall.clocks import Clock, sleep
@@ -113,7 +112,8 @@
         self._advance()
         roster = await self._read_all(OWNERS)
         progress = {
-            row.key: decode_progress(row.value) for row in self._note(await self._read_all(PROGRESS))
+            row.key: decode_progress(row.value)
+            for row in self._note(await self._read_all(PROGRESS))
         }
         self._note(roster)
         for row in roster:
@@ -308,9 +308,7 @@
             answer = await self._client.start(worker.entry, self.pool.term, order)
         except PeerUnavailableError as error:
             self._advance()
-            self.pool.note_refused(
-                order.worker, order.task, order.number, Refusal("unreachable")
-            )
+            self.pool.note_refused(order.worker, order.task, order.number, Refusal("unreachable"))
             logger.info("start not sent", extra={"job": order.task.job, "error": str(error)})
         except LavenderstallError as error:
             self._advance()
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -87,8 +87,8 @@
         self._read_uptime = read_uptime
         self._numbers = count(1)
         self._waiting: dict[int, tuple[EntryId, Deferred[Any]]] = {}
-        self.local_state: Callable[[PoolName, JobId], StateAnswer] = (
-            lambda pool, job: StateAnswer(0, owned=False)
+        self.local_state: Callable[[PoolName, JobId], StateAnswer] = lambda pool, job: StateAnswer(
+            0, owned=False
         )
 
     # Owners
@@ -260,9 +260,7 @@
         if sight is not None:
             sight.busy_until = self._read_uptime() + (0.0 if answered else ADVISER_PENALTY_S)
 
-    async def ask_advice(
-        self, peer: EntryId, order: AskAdvice, timeout_s: float
-    ) -> Advice | None:
+    async def ask_advice(self, peer: EntryId, order: AskAdvice, timeout_s: float) -> Advice | None:
         """Ask a peer to call the placement service; returns none if it gave no advice."""
         number = next(self._numbers)
         message = AdviceAsk(
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -159,9 +159,7 @@
         )
         return {job_id: self.jobs[job_id].make_progress() for job_id in taken}, ends
 
-    def note_committed(
-        self, states: dict[JobId, JobState], ends: dict[WorkerKey, int]
-    ) -> None:
+    def note_committed(self, states: dict[JobId, JobState], ends: dict[WorkerKey, int]) -> None:
         """Note what has become durable."""
         for key, seq in ends.items():
             worker = self.workers.get(key)
@@ -291,9 +289,7 @@
             ratio = (self.now - run.ordered_at) * 1000 / step.expected_ms
             self.speeds.learn(step.image, worker.entry.kind, worker.key.id, ratio)
 
-    def _end(
-        self, worker: Worker, task: Task, number: int, cause: Cause, checkpoint: str
-    ) -> None:
+    def _end(self, worker: Worker, task: Task, number: int, cause: Cause, checkpoint: str) -> None:
         job = self.jobs.get(task.job)
         if job is None or task.step >= len(job.spec.steps):
             worker.drop_run(task, number, Resources())
@@ -315,8 +311,8 @@
 
     def _stop_copies(self, job: Job, task: Task) -> None:
         state = job.get_step(task.occurrence, task.step)
-        if task.index in state.progress.done and not job.spec.steps[task.step].gang:
-            for run in state.live.get(task.index, []):
+        if task.number in state.progress.done and not job.spec.steps[task.step].gang:
+            for run in state.live.get(task.number, []):
                 self.stop(run)
 
     def _apply_running(self, worker: Worker, row: RunningRow) -> None:
@@ -347,8 +343,8 @@
         step = job.spec.steps[row.task.step]
         worker.add_run(run, step.charge)
         state = job.get_step(row.task.occurrence, row.task.step)
-        taken = row.task.index in state.progress.done or (
-            bool(state.live.get(row.task.index)) and not step.speculative
+        taken = row.task.number in state.progress.done or (
+            bool(state.live.get(row.task.number)) and not step.speculative
         )
         job.add_run(run)
         logger.info("run adopted", extra={**describe_run(run), "superfluous": taken})
@@ -356,9 +352,7 @@
             self.stop(run)
         return run
 
-    def _drop_absent(
-        self, worker: Worker, present: set[tuple[Task, int]], asked_at: float
-    ) -> None:
+    def _drop_absent(self, worker: Worker, present: set[tuple[Task, int]], asked_at: float) -> None:
         """End the runs that a worker neither runs nor lists as ended."""
         for key, run in list(worker.runs.items()):
             if key in present:
--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -25,7 +25,7 @@
     job: JobId
     occurrence: int
     step: int
-    index: int
+    number: int
 
 
 class Group(NamedTuple):
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -102,9 +102,7 @@
         now = self._read_uptime()
         renew = now - self._renewed_at >= RENEW_S
         roster = self._find_roster()
-        urgent = any(
-            self._pool.jobs[job].state in ENDED for job in self._pool.dirty
-        )
+        urgent = any(self._pool.jobs[job].state in ENDED for job in self._pool.dirty)
         gathered = bool(self._pool.dirty) and now - self._gathered_at >= GATHER_S
         if not (renew or roster or urgent or gathered):
             await sleep(self._clock, POLL_S)
@@ -127,9 +125,7 @@
         known = {(entry.id, entry.born) for entry in self._roster}
         return workers if {(entry.id, entry.born) for entry in workers} != known else None
 
-    async def _write(
-        self, now: float, renew: bool, roster: tuple[WorkerEntry, ...] | None
-    ) -> None:
+    async def _write(self, now: float, renew: bool, roster: tuple[WorkerEntry, ...] | None) -> None:
         progress, ends = self._pool.take_dirty(BATCH_JOBS)
         states = {job: self._pool.jobs[job].state for job in progress}
         conditions = [Condition(OWNERS, OWNER_KEY, self._version)]
@@ -226,9 +222,7 @@
             progress, ends = self._pool.take_dirty(BATCH_JOBS)
             last = not self._pool.dirty
             conditions = [Condition(OWNERS, OWNER_KEY, self._version)]
-            conditions += [
-                Condition(PROGRESS, job, self._versions.get(job, 0)) for job in progress
-            ]
+            conditions += [Condition(PROGRESS, job, self._versions.get(job, 0)) for job in progress]
             puts = [Put(PROGRESS, job, encode(value)) for job, value in progress.items()]
             if last:
                 puts.append(Put(OWNERS, OWNER_KEY, encode(self._owner)))
@@ -245,4 +239,3 @@
             self._note_success(self._read_uptime(), change, committed)
             if last:
                 return
-
--- /dev/null
+++ b/tests/pools/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pool scheduler."""
--- /dev/null
+++ b/tests/pools/builders.py
@@ -0,0 +1,177 @@
+"""Builders of jobs, workers and pools for tests."""
+
+from collections.abc import Iterable
+
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.dispatch import Dispatcher
+from lavenderstall.pools.effects import (
+    Advice,
+    AskAdvice,
+    Effect,
+    EndRow,
+    LookAnswer,
+    RunningRow,
+    StartRun,
+)
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import AcceptedJob, JobProgress
+from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.work import (
+    Advising,
+    Cause,
+    JobSpec,
+    PoolName,
+    Queue,
+    QueueName,
+    Settings,
+    Step,
+    Task,
+)
+from lavenderstall.pools.workers import WorkerEntry, WorkerState
+from lavenderstall.resources import Resources
+
+POOL = PoolName("routing")
+QUEUE = QueueName("stops")
+JOB = JobId("00000000000000a1")
+CORE = Resources(cores_milli=1000, memory_mb=1000)
+CAPACITY = Resources(cores_milli=4000, memory_mb=16000, accelerators=8)
+START_CLOCK_MS = 50_000.0
+
+
+def make_queue(**fields: object) -> Queue:
+    """Return a queue of the pool."""
+    values: dict[str, object] = {
+        "name": QUEUE,
+        "host": "h",
+        "prefix": "/stops/",
+        "pool": POOL,
+        "max_attempts": 2,
+        "slack": 1.5,
+        "objective_ms": 250.0,
+    }
+    return Queue(**(values | fields))  # type: ignore[arg-type]
+
+
+def make_step(count: int = 1, **fields: object) -> Step:
+    """Return a step whose tasks need a core each."""
+    values: dict[str, object] = {"need": CORE, "expected_ms": 500}
+    return Step(count, **(values | fields))  # type: ignore[arg-type]
+
+
+def make_job(*steps: Step, job: JobId = JOB, queue: QueueName = QUEUE) -> AcceptedJob:
+    """Return an accepted job."""
+    return AcceptedJob(job, queue, JobSpec("payload", steps or (make_step(),)))
+
+
+def make_entry(name: str, born: int = 1, **fields: object) -> WorkerEntry:
+    """Return a worker of the pool."""
+    values: dict[str, object] = {
+        "id": name,
+        "born": born,
+        "pool": POOL,
+        "address": f"{name}:80",
+        "zone": "quito-1",
+        "state": WorkerState.READY,
+        "capacity": CAPACITY,
+        "kind": "a",
+        "rack": "r1",
+        "labels": ("a", "r1"),
+    }
+    return WorkerEntry(**(values | fields))  # type: ignore[arg-type]
+
+
+class Bench:
+    """Drive a pool with events and an advancing time, and play its workers."""
+
+    def __init__(self, *workers: WorkerEntry, term: int = 1, queue: Queue | None = None) -> None:
+        self.now = 100.0
+        self.pool = Pool(POOL, term, settle_at=self.now)
+        self.dispatcher = Dispatcher(self.pool)
+        self.pool.set_settings(
+            Settings(1, (queue or make_queue(),), frozenset(), frozenset({POOL}))
+        )
+        self.pool.advance(self.now, 0.0)
+        self.pool.review()
+        if workers:
+            self.register(*workers)
+
+    def register(self, *workers: WorkerEntry) -> None:
+        """List workers and let each answer its first look."""
+        self.pool.set_workers(workers)
+        for entry in workers:
+            self.look(entry)
+        self.pool.roster = set(self.pool.workers)
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass."""
+        self.now += seconds
+        self.pool.advance(self.now, 0.0)
+        self.pool.review()
+
+    def clock_ms(self) -> float:
+        """Return the clock of all workers."""
+        return START_CLOCK_MS + (self.now - 100.0) * 1000
+
+    def look(
+        self,
+        entry: WorkerEntry,
+        running: Iterable[RunningRow] = (),
+        ended: Iterable[EndRow] = (),
+        born: int | None = None,
+    ) -> None:
+        """Let a worker answer a look."""
+        answer = LookAnswer(
+            self.clock_ms(), entry.born if born is None else born, tuple(running), tuple(ended)
+        )
+        self.pool.note_look(WorkerKey(entry.id, entry.born), answer, self.now)
+
+    def dispatch(self, advisers: int = 4) -> list[Effect]:
+        """Dispatch and return what is to be done."""
+        self.dispatcher.dispatch(advisers)
+        return self.pool.take_effects()
+
+    def start(self, advisers: int = 4) -> list[StartRun]:
+        """Dispatch, confirm all starts and return them."""
+        starts = [effect for effect in self.dispatch(advisers) if isinstance(effect, StartRun)]
+        for order in starts:
+            self.pool.note_started(order.worker, order.task, order.number, self.clock_ms())
+        return starts
+
+    def end(self, order: StartRun, cause: Cause, seq: int, entry: WorkerEntry) -> None:
+        """Let a run end."""
+        self.now += 0.01
+        self.pool.advance(self.now, 0.0)
+        others = [
+            RunningRow(task, number, "", 10.0)
+            for task, number in self.pool.workers[order.worker].runs
+            if (task, number) != (order.task, order.number)
+        ]
+        self.look(entry, others, [EndRow(seq, order.task, order.number, cause)])
+
+
+def allow(bench: Bench, effects: list[Effect], *names: str, valid_ms: float = 2000.0) -> None:
+    """Answer all requests for advice with tickets for some workers."""
+    for effect in effects:
+        if isinstance(effect, AskAdvice):
+            rows = tuple((name, f"t-{name}") for name in names if name in effect.workers)
+            bench.pool.note_advice(effect.group, Advice(rows, valid_ms), effect.workers)
+
+
+ADVISED = Advising(base_ms=10.0, per_worker_ms=1.0, valid_ms=2000.0)
+
+__all__ = [
+    "ADVISED",
+    "CAPACITY",
+    "CORE",
+    "JOB",
+    "POOL",
+    "QUEUE",
+    "Bench",
+    "JobProgress",
+    "Task",
+    "allow",
+    "make_entry",
+    "make_job",
+    "make_queue",
+    "make_step",
+]
--- /dev/null
+++ b/tests/pools/test_dispatch.py
@@ -0,0 +1,221 @@
+"""Tests of what starts next, where, and of the advice that is sought."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavenderstall.pools.effects import AskAdvice, StartRun
+from lavenderstall.pools.work import Cause, QueueName, Settings, Step
+from lavenderstall.resources import NOTHING, Resources
+from tests.pools.builders import (
+    ADVISED,
+    CAPACITY,
+    POOL,
+    Bench,
+    allow,
+    make_entry,
+    make_job,
+    make_queue,
+    make_step,
+)
+
+steps = st.builds(
+    make_step,
+    st.integers(1, 6),
+    need=st.builds(
+        Resources,
+        cores_milli=st.integers(0, 5000),
+        memory_mb=st.integers(0, 20000),
+        accelerators=st.integers(0, 9),
+    ),
+    gang=st.booleans(),
+    fills=st.booleans(),
+    lasting=st.booleans(),
+    target_ms=st.sampled_from((0, 100)),
+    max_per_worker=st.integers(0, 3),
+    label=st.sampled_from(("", "a", "b")),
+)
+
+
+def starts(bench: Bench, advisers: int = 4) -> list[StartRun]:
+    """Dispatch and return the starts."""
+    return [effect for effect in bench.dispatch(advisers) if isinstance(effect, StartRun)]
+
+
+class BoundsTest(unittest.TestCase):
+    """What no choice may exceed, on drawn work."""
+
+    @settings(deadline=None, max_examples=150)
+    @given(st.lists(steps, min_size=1, max_size=8), st.integers(1, 4))
+    def test_drawn_work_stays_within_bounds(self, drawn: list[Step], workers: int) -> None:
+        entries = [
+            make_entry(f"w{n}", kind="ab"[n % 2], labels=("ab"[n % 2], "r1"))
+            for n in range(workers)
+        ]
+        bench = Bench(*entries)
+        for number, step in enumerate(drawn):
+            bench.pool.add_job(make_job(step, job=f"{number:016x}"))  # type: ignore[arg-type]
+        orders = starts(bench)
+        for worker in bench.pool.workers.values():
+            self.assertTrue(worker.used.fits(CAPACITY))
+        per_worker: dict[tuple[str, str], int] = {}
+        for order in orders:
+            step = bench.pool.jobs[order.task.job].spec.steps[0]
+            name = order.worker.id
+            self.assertIn(step.label, ("", *bench.pool.workers[order.worker].entry.labels))
+            per_worker[order.task.job, name] = per_worker.get((order.task.job, name), 0) + 1
+            if step.max_per_worker:
+                self.assertLessEqual(per_worker[order.task.job, name], step.max_per_worker)
+        for job in bench.pool.jobs.values():
+            begun = sum(order.task.job == job.id for order in orders)
+            if job.spec.steps[0].gang:
+                self.assertIn(begun, (0, job.spec.steps[0].count))
+        self.assertFalse(self.find_mixed(bench))
+
+    def find_mixed(self, bench: Bench) -> list[str]:
+        """Return the workers on which filling and serving work meet."""
+        mixed = []
+        for worker in bench.pool.workers.values():
+            found = [bench.pool.jobs[task.job].spec.steps[0] for task, _ in worker.runs]
+            fills = any(step.fills for step in found)
+            if fills and any(step.lasting and step.target_ms and not step.fills for step in found):
+                mixed.append(worker.key.id)
+        return mixed
+
+
+class OrderTest(unittest.TestCase):
+    """The order in which waiting work is served."""
+
+    def test_urgent_before_late_before_hopeless(self) -> None:
+        small = make_entry("w1", capacity=Resources(1000, 1000))
+        urgent = make_queue(priority=0, name=QueueName("urgent"))
+        usual = make_queue(priority=2)
+        rows = (
+            # (queue, waits for s) of two jobs, and which of them starts
+            ((usual, 0.2), (urgent, 0.0), 1),
+            ((usual, 0.2), (usual, 0.5), 1),
+            ((urgent, 60.0), (usual, 0.0), 1),
+        )
+        for first, second, winner in rows:
+            with self.subTest(first=first[0].name, winner=winner):
+                bench = Bench(small)
+                bench.pool.set_settings(
+                    Settings(2, (urgent, usual), frozenset(), frozenset({POOL}))
+                )
+                for number, (queue, age) in enumerate((first, second)):
+                    row = make_job(job=f"{number:016x}", queue=queue.name)  # type: ignore[arg-type]
+                    bench.pool.add_job(row)
+                    bench.pool.jobs[row.id].seen_at -= age
+                (order,) = starts(bench)
+                self.assertEqual(order.task.job, f"{winner:016x}")
+
+    def test_a_later_step_waits_for_the_earlier_one(self) -> None:
+        entry = make_entry("w1")
+        bench = Bench(entry)
+        bench.pool.add_job(make_job(make_step(2), make_step(1, after=(0,))))
+        first = bench.start()
+        self.assertEqual({order.task.step for order in first}, {0})
+        bench.end(first[0], Cause.DONE, 1, entry)
+        self.assertEqual(starts(bench), [])
+        bench.end(first[1], Cause.DONE, 2, entry)
+        self.assertEqual([order.task.step for order in starts(bench)], [1])
+
+    def test_a_waiting_gang_keeps_its_place(self) -> None:
+        entries = [make_entry("w1"), make_entry("w2")]
+        bench = Bench(*entries)
+        whole = Resources(accelerators=8)
+        half = Resources(accelerators=5)
+        bench.pool.add_job(make_job(make_step(need=half), job="0" * 16))  # type: ignore[arg-type]
+        (running,) = bench.start()
+        gang = make_step(2, need=whole, gang=True)
+        bench.pool.add_job(make_job(gang, job="1" * 16))  # type: ignore[arg-type]
+        bench.pool.jobs["1" * 16].seen_at -= 1.0  # type: ignore[index]
+        bench.pool.add_job(make_job(make_step(need=half), job="2" * 16))  # type: ignore[arg-type]
+        self.assertEqual(starts(bench), [])
+        bench.end(running, Cause.DONE, 1, entries[0 if running.worker.id == "w1" else 1])
+        self.assertEqual({order.task.job for order in starts(bench)}, {"1" * 16})
+
+
+class AdviceTest(unittest.TestCase):
+    """Advice that steps need before they start."""
+
+    def make_bench(self, count: int = 3) -> Bench:
+        """Return a pool whose queue needs advice."""
+        entries = [make_entry(f"w{n}") for n in range(count)]
+        return Bench(*entries, queue=make_queue(advising=ADVISED))
+
+    def test_a_step_starts_only_where_it_is_allowed(self) -> None:
+        bench = self.make_bench()
+        bench.pool.add_job(make_job(make_step(2)))
+        effects = bench.dispatch()
+        self.assertEqual([type(effect) for effect in effects], [AskAdvice])
+        allow(bench, effects, "w1")
+        self.assertEqual({(o.worker.id, o.ticket) for o in starts(bench)}, {("w1", "t-w1")})
+
+    def test_an_expired_ticket_is_asked_for_again_where_it_was_allowed(self) -> None:
+        bench = self.make_bench()
+        bench.pool.add_job(make_job())
+        allow(bench, bench.dispatch(), "w1", valid_ms=100.0)
+        bench.advance(0.2)
+        (ask,) = bench.dispatch()
+        assert isinstance(ask, AskAdvice)
+        self.assertEqual(ask.workers, ("w1",))
+
+    def test_no_more_calls_than_idle_advisers_and_most_urgent_first(self) -> None:
+        bench = self.make_bench()
+        for number in range(5):
+            row = make_job(job=f"{number:016x}")  # type: ignore[arg-type]
+            bench.pool.add_job(row)
+            bench.pool.jobs[row.id].seen_at -= number * 0.5
+        asks = [e for e in bench.dispatch(advisers=2) if isinstance(e, AskAdvice)]
+        self.assertEqual([ask.group.job for ask in asks], [f"{4:016x}", f"{3:016x}"])
+
+    def test_room_that_is_spoken_for_is_not_asked_about(self) -> None:
+        bench = Bench(make_entry("w1"), queue=make_queue(advising=ADVISED))
+        for number in range(3):
+            whole = make_step(need=Resources(CAPACITY.cores_milli, 1))
+            bench.pool.add_job(make_job(whole, job=f"{number:016x}"))  # type: ignore[arg-type]
+        asks = [e for e in bench.dispatch(advisers=9) if isinstance(e, AskAdvice)]
+        self.assertEqual(len(asks), 1)
+
+    def test_a_failed_call_is_repeated(self) -> None:
+        bench = self.make_bench()
+        bench.pool.add_job(make_job())
+        (ask,) = bench.dispatch()
+        assert isinstance(ask, AskAdvice)
+        self.assertEqual(bench.dispatch(), [])
+        bench.pool.note_no_advice(ask.group)
+        self.assertEqual(len(bench.dispatch()), 1)
+
+    def test_the_next_step_is_asked_for_ahead(self) -> None:
+        bench = self.make_bench()
+        bench.pool.add_job(make_job(make_step(), make_step(1, after=(0,))))
+        allow(bench, bench.dispatch(), "w0", "w1", "w2")
+        bench.start()
+        self.assertEqual(bench.dispatch(), [])
+        bench.advance(0.5)
+        (ask,) = bench.dispatch()
+        assert isinstance(ask, AskAdvice)
+        self.assertEqual(ask.group.step, 1)
+
+
+class ChargeTest(unittest.TestCase):
+    """What a run takes of its worker."""
+
+    def test_filling_work_takes_no_cores(self) -> None:
+        step = make_step(fills=True, need=Resources(9000, 500, 1))
+        self.assertEqual(step.charge, Resources(memory_mb=500, accelerators=1))
+
+    def test_all_room_comes_back(self) -> None:
+        entry = make_entry("w1")
+        bench = Bench(entry)
+        bench.pool.add_job(make_job(make_step(3)))
+        for seq, order in enumerate(bench.start(), start=1):
+            bench.end(order, Cause.FAILED, seq, entry)
+        (worker,) = bench.pool.workers.values()
+        self.assertEqual(worker.used, NOTHING)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/pools/test_job.py
@@ -0,0 +1,170 @@
+"""Tests of the state of a job."""
+
+import unittest
+
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import Job, JobProgress, Run
+from lavenderstall.pools.work import (
+    Cause,
+    InvalidJobError,
+    JobSpec,
+    JobState,
+    Repeat,
+    Step,
+    Task,
+    check_job,
+)
+from tests.pools.builders import JOB, make_job, make_queue, make_step
+
+WORKER = WorkerKey("w1", 1)
+
+
+def run_task(job: Job, step: int, index: int, number: int) -> Task:
+    """Add a run of a task."""
+    task = Task(JOB, 0, step, index)
+    job.add_run(Run(task, number, WORKER, 0.0))
+    return task
+
+
+class EndTest(unittest.TestCase):
+    """Ends of runs and what they change."""
+
+    def test_cause_decides_what_follows(self) -> None:
+        rows = (
+            # cause, state afterwards, waits again, counts as an attempt
+            (Cause.DONE, JobState.COMPLETED, False, 0),
+            (Cause.FAILED, JobState.RUNNING, True, 1),
+            (Cause.STOPPED, JobState.RUNNING, True, 0),
+            (Cause.LAPSED, JobState.RUNNING, True, 0),
+            (Cause.LOST, JobState.RUNNING, True, 0),
+            (Cause.BROKEN, JobState.RUNNING, True, 0),
+            (Cause.ALONE, JobState.RUNNING, True, 0),
+        )
+        for cause, state, waits, attempts in rows:
+            with self.subTest(cause=cause):
+                job = Job(make_job(), 0.0, None)
+                task = run_task(job, 0, 0, 1)
+                job.end_run(task, 1, cause, make_queue())
+                step = job.get_step(0, 0)
+                self.assertIs(job.state, state)
+                self.assertEqual(0 in step.waiting, waits)
+                self.assertEqual(len(step.progress.failures.get(0, [])), attempts)
+
+    def test_same_failure_counts_once(self) -> None:
+        job = Job(make_job(), 0.0, None)
+        task = run_task(job, 0, 0, 1)
+        self.assertTrue(job.end_run(task, 1, Cause.FAILED, make_queue()))
+        self.assertFalse(job.end_run(task, 1, Cause.FAILED, make_queue()))
+        self.assertIs(job.state, JobState.RUNNING)
+
+    def test_last_attempt_fails_the_job(self) -> None:
+        job = Job(make_job(), 0.0, None)
+        for number in (1, 2):
+            job.end_run(run_task(job, 0, 0, number), number, Cause.FAILED, make_queue())
+        self.assertIs(job.state, JobState.FAILED)
+
+    def test_attempts_survive_a_change_of_owner(self) -> None:
+        job = Job(make_job(), 0.0, None)
+        job.end_run(run_task(job, 0, 0, 1), 1, Cause.FAILED, make_queue())
+        heir = Job(make_job(), 0.0, job.make_progress())
+        heir.end_run(Task(JOB, 0, 0, 0), 1, Cause.FAILED, make_queue())
+        self.assertIs(heir.state, JobState.RUNNING)
+        heir.end_run(run_task(heir, 0, 0, 1001), 1001, Cause.FAILED, make_queue())
+        self.assertIs(heir.state, JobState.FAILED)
+
+    def test_lasting_task_never_uses_up_attempts(self) -> None:
+        job = Job(make_job(make_step(lasting=True)), 0.0, None)
+        for number, cause in enumerate((Cause.FAILED, Cause.DONE, Cause.FAILED), start=1):
+            job.end_run(run_task(job, 0, 0, number), number, cause, make_queue())
+            self.assertIn(0, job.get_step(0, 0).waiting)
+        self.assertIs(job.state, JobState.RUNNING)
+
+    def test_late_end_of_a_lost_run_leaves_the_other_copy(self) -> None:
+        job = Job(make_job(), 0.0, None)
+        task = run_task(job, 0, 0, 1)
+        job.end_run(task, 1, Cause.LOST, make_queue())
+        run_task(job, 0, 0, 2)
+        job.end_run(task, 1, Cause.LAPSED, make_queue())
+        self.assertNotIn(0, job.get_step(0, 0).waiting)
+
+
+class GangTest(unittest.TestCase):
+    """Steps whose tasks end together."""
+
+    def test_one_done_member_ends_all(self) -> None:
+        job = Job(make_job(make_step(3, gang=True)), 0.0, None)
+        tasks = [run_task(job, 0, index, 1) for index in range(3)]
+        job.end_run(tasks[1], 1, Cause.DONE, make_queue())
+        self.assertIs(job.state, JobState.COMPLETED)
+
+    def test_a_gang_fails_once_a_run(self) -> None:
+        job = Job(make_job(make_step(3, gang=True)), 0.0, None)
+        tasks = [run_task(job, 0, index, 1) for index in range(3)]
+        job.end_run(tasks[0], 1, Cause.FAILED, make_queue())
+        job.end_run(tasks[1], 1, Cause.FAILED, make_queue())
+        self.assertIs(job.state, JobState.RUNNING)
+        self.assertEqual(job.get_step(0, 0).waiting, set())
+        job.end_run(tasks[2], 1, Cause.BROKEN, make_queue())
+        self.assertEqual(job.get_step(0, 0).waiting, {0, 1, 2})
+
+    def test_members_share_the_newest_checkpoint(self) -> None:
+        job = Job(make_job(make_step(2, gang=True)), 0.0, None)
+        job.keep_checkpoint(Task(JOB, 0, 0, 1), 2, "new")
+        job.keep_checkpoint(Task(JOB, 0, 0, 0), 1, "old")
+        self.assertEqual(
+            [job.get_checkpoint(Task(JOB, 0, 0, index)) for index in (0, 1)], ["new", "new"]
+        )
+
+
+class StepTest(unittest.TestCase):
+    """Order among steps and occurrences."""
+
+    def test_step_opens_with_the_last_end_before_it(self) -> None:
+        job = Job(make_job(make_step(2), make_step(1, after=(0,))), 0.0, None)
+        for index, opened in ((0, False), (1, True)):
+            job.end_run(run_task(job, 0, index, 1), 1, Cause.DONE, make_queue())
+            self.assertEqual(job.is_step_open(0, 1), opened)
+
+    def test_occurrences_come_due_at_their_times(self) -> None:
+        spec = JobSpec("", (make_step(),), Repeat(3, start_ms=1000, interval_ms=500))
+        job = Job(make_job().__class__(JOB, "stops", spec), 0.0, None)
+        rows = ((999, []), (1000, [0]), (1499, [0]), (1500, [0, 1]), (9000, [0, 1, 2]))
+        for unix_ms, due in rows:
+            with self.subTest(unix_ms=unix_ms):
+                self.assertEqual(list(job.list_due(unix_ms)), due)
+
+    def test_progress_round_trip_keeps_what_is_done(self) -> None:
+        job = Job(make_job(make_step(2)), 0.0, None)
+        job.end_run(run_task(job, 0, 1, 1), 1, Cause.DONE, make_queue())
+        heir = Job(make_job(make_step(2)), 0.0, job.make_progress())
+        self.assertEqual(heir.get_step(0, 0).waiting, {0})
+
+
+class CheckTest(unittest.TestCase):
+    """Malformed jobs."""
+
+    def test_bad_jobs_are_named(self) -> None:
+        rows: tuple[tuple[tuple[Step, ...], str], ...] = (
+            ((), "1 to"),
+            ((make_step(0),), "0 tasks"),
+            ((make_step(1, after=(0,)),), "not an earlier"),
+            ((make_step(1, after=(-1,)),), "not an earlier"),
+        )
+        for steps, text in rows:
+            with self.subTest(text=text), self.assertRaisesRegex(InvalidJobError, text):
+                check_job(JobSpec("", steps))
+
+
+class CancelTest(unittest.TestCase):
+    """Cancelling."""
+
+    def test_cancelled_job_stays_cancelled(self) -> None:
+        job = Job(make_job(), 0.0, JobProgress())
+        task = run_task(job, 0, 0, 1)
+        job.cancel()
+        job.end_run(task, 1, Cause.DONE, make_queue())
+        self.assertIs(job.state, JobState.CANCELLED)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/pools/test_pool.py
@@ -0,0 +1,306 @@
+"""Tests of what a pool makes of the events that it is told."""
+
+import unittest
+
+from lavenderstall.pools.effects import EndRow, PaceRun, Refusal, RunningRow, StartRun, StopRun
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.pool import STOP_RETRY_S, Pool
+from lavenderstall.pools.work import Cause, JobState, Settings, Task
+from lavenderstall.pools.workers import WorkerState
+from lavenderstall.resources import NOTHING
+from tests.pools.builders import (
+    JOB,
+    POOL,
+    Bench,
+    make_entry,
+    make_job,
+    make_queue,
+    make_step,
+)
+
+FIRST = make_entry("w1")
+SECOND = make_entry("w2")
+TASK = Task(JOB, 0, 0, 0)
+
+
+class EndTest(unittest.TestCase):
+    """Ends that workers list."""
+
+    def test_end_frees_room_and_completes(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job())
+        (order,) = bench.start()
+        bench.end(order, Cause.DONE, 1, FIRST)
+        self.assertEqual(bench.pool.workers[order.worker].used, NOTHING)
+        self.assertIs(bench.pool.jobs[JOB].state, JobState.COMPLETED)
+
+    def test_a_final_state_is_told_only_when_durable(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job())
+        (order,) = bench.start()
+        bench.end(order, Cause.DONE, 1, FIRST)
+        self.assertIs(bench.pool.get_state(JOB), JobState.RUNNING)
+        progress, ends = bench.pool.take_dirty(10)
+        bench.pool.note_committed({job: JobState(row.state) for job, row in progress.items()}, ends)
+        self.assertIs(bench.pool.get_state(JOB), JobState.COMPLETED)
+
+    def test_ends_are_acknowledged_only_when_all_are_durable(self) -> None:
+        bench = Bench(FIRST)
+        for number in range(3):
+            bench.pool.add_job(make_job(job=f"{number:016x}"))  # type: ignore[arg-type]
+        for seq, order in enumerate(bench.start(), start=1):
+            bench.end(order, Cause.DONE, seq, FIRST)
+        worker = bench.pool.workers[WorkerKey("w1", 1)]
+        progress, ends = bench.pool.take_dirty(2)
+        bench.pool.note_committed({job: JobState(row.state) for job, row in progress.items()}, ends)
+        self.assertEqual(worker.committed_seq, 0)
+        progress, ends = bench.pool.take_dirty(2)
+        bench.pool.note_committed({job: JobState(row.state) for job, row in progress.items()}, ends)
+        self.assertEqual(worker.committed_seq, 3)
+
+    def test_unknown_jobs_change_nothing(self) -> None:
+        bench = Bench(FIRST)
+        bench.look(FIRST, ended=[EndRow(1, TASK, 1, Cause.DONE)])
+        self.assertEqual(bench.pool.jobs, {})
+
+
+class DoubtTest(unittest.TestCase):
+    """Orders that were not answered."""
+
+    def start(self, bench: Bench) -> StartRun:
+        """Order a start that is left unanswered."""
+        (order,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+        bench.advance(0.1)
+        bench.pool.note_unanswered(order.worker, order.task, order.number)
+        return order
+
+    def test_an_unanswered_start_keeps_its_room_and_is_not_repeated(self) -> None:
+        bench = Bench(FIRST, SECOND)
+        bench.pool.add_job(make_job())
+        order = self.start(bench)
+        self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+        self.assertNotEqual(bench.pool.workers[order.worker].used, NOTHING)
+
+    def test_a_look_that_shows_the_run_settles_it(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job())
+        order = self.start(bench)
+        bench.advance(0.1)
+        bench.look(FIRST, [RunningRow(order.task, order.number, "", 5.0)])
+        run = bench.pool.workers[order.worker].runs[order.task, order.number]
+        self.assertGreaterEqual(run.confirmed_at, 0)
+        self.assertFalse(run.stopping)
+
+    def test_a_look_without_the_run_makes_sure_that_it_never_starts(self) -> None:
+        bench = Bench(FIRST, SECOND)
+        bench.pool.add_job(make_job())
+        order = self.start(bench)
+        entry = FIRST if order.worker.id == "w1" else SECOND
+        bench.advance(0.1)
+        bench.look(entry)
+        stops = [e for e in bench.pool.take_effects() if isinstance(e, StopRun)]
+        self.assertEqual([(e.task, e.number) for e in stops], [(order.task, order.number)])
+        bench.advance(0.01)
+        bench.pool.note_stopped(order.worker, order.task, order.number, bench.clock_ms())
+        bench.advance(0.01)
+        bench.look(entry)
+        (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+        self.assertGreater(again.number, order.number)
+
+    def test_past_its_deadline_an_absent_run_is_over(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job())
+        order = self.start(bench)
+        bench.advance(2.6)
+        bench.look(FIRST)
+        self.assertNotIn((order.task, order.number), bench.pool.workers[order.worker].runs)
+
+    def test_a_lease_that_must_have_lapsed_frees_the_task(self) -> None:
+        bench = Bench(FIRST, SECOND)
+        bench.pool.add_job(make_job())
+        order = self.start(bench)
+        entry = SECOND if order.worker.id == "w1" else FIRST
+        bench.pool.set_workers([entry])
+        bench.advance(1.0)
+        self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+        bench.advance(2.0)
+        (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+        self.assertEqual(again.worker.id, entry.id)
+
+    def test_refusals_let_the_task_start_elsewhere(self) -> None:
+        for reason in ("room", "unhealthy", "ticket", "unreachable"):
+            with self.subTest(reason=reason):
+                bench = Bench(FIRST, SECOND)
+                bench.pool.add_job(make_job())
+                (order,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+                bench.pool.note_refused(
+                    order.worker, order.task, order.number, Refusal(reason, bench.clock_ms())
+                )
+                (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+                self.assertGreater(again.number, order.number)
+
+    def test_a_stop_is_repeated_until_the_run_has_ended(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job())
+        (order,) = bench.start()
+        bench.pool.cancel_job(JOB)
+        self.assertEqual(len(bench.pool.take_effects()), 1)
+        bench.advance(STOP_RETRY_S / 2)
+        self.assertEqual(bench.pool.take_effects(), [])
+        bench.advance(STOP_RETRY_S)
+        self.assertEqual(len(bench.pool.take_effects()), 1)
+        bench.end(order, Cause.STOPPED, 1, FIRST)
+        bench.advance(STOP_RETRY_S * 2)
+        self.assertEqual(bench.pool.take_effects(), [])
+
+
+class LifeTest(unittest.TestCase):
+    """Workers that come, go and come back."""
+
+    def test_a_newer_life_frees_what_the_older_one_ran(self) -> None:
+        for how in ("registered", "answered"):
+            with self.subTest(how=how):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                bench.start()
+                if how == "registered":
+                    bench.pool.set_workers([make_entry("w1", born=2)])
+                else:
+                    bench.look(FIRST, born=2)
+                self.assertEqual(list(bench.pool.workers), [WorkerKey("w1", 2)])
+                self.assertEqual(bench.pool.jobs[JOB].get_step(0, 0).waiting, {0})
+
+    def test_a_worker_gets_nothing_before_it_was_looked_at(self) -> None:
+        bench = Bench()
+        bench.pool.set_workers([FIRST])
+        bench.pool.roster = set(bench.pool.workers)
+        bench.pool.add_job(make_job())
+        self.assertEqual(bench.dispatch(), [])
+
+    def test_a_worker_gets_nothing_before_the_roster_names_it(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.roster.clear()
+        bench.pool.add_job(make_job())
+        self.assertEqual(bench.dispatch(), [])
+
+    def test_a_leaving_worker_gets_nothing(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.set_workers([make_entry("w1", state=WorkerState.DRAINING)])
+        bench.pool.add_job(make_job())
+        self.assertEqual(bench.dispatch(), [])
+
+    def test_a_worker_that_vanished_from_the_list_gets_nothing(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.set_workers([])
+        bench.pool.add_job(make_job())
+        self.assertEqual(bench.dispatch(), [])
+
+
+class TakeoverTest(unittest.TestCase):
+    """What a new owner does with the work of an earlier one."""
+
+    def take_over(self) -> Bench:
+        """Return a pool whose roster names two workers that were not heard yet."""
+        bench = Bench()
+        bench.pool = pool = Pool(POOL, 2, settle_at=bench.now + 10.0)
+        bench.dispatcher.pool = pool
+        pool.set_settings(Settings(1, (make_queue(),), frozenset(), frozenset({POOL})))
+        pool.advance(bench.now, 0.0)
+        for entry in (FIRST, SECOND):
+            pool.add_worker(entry)
+        pool.roster = set(pool.workers)
+        pool.add_job(make_job(), inherited=True)
+        return bench
+
+    def test_inherited_work_waits_until_all_workers_were_heard(self) -> None:
+        bench = self.take_over()
+        bench.look(FIRST)
+        self.assertEqual(bench.dispatch(), [])
+        bench.look(SECOND)
+        self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
+
+    def test_inherited_work_starts_once_older_leases_have_lapsed(self) -> None:
+        bench = self.take_over()
+        bench.look(FIRST)
+        bench.advance(9.0)
+        self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+        bench.advance(2.0)
+        self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
+
+    def test_new_work_starts_at_once(self) -> None:
+        bench = self.take_over()
+        bench.look(FIRST)
+        bench.pool.add_job(make_job(job="00000000000000b2"))  # type: ignore[arg-type]
+        (order,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+        self.assertEqual(order.task.job, "00000000000000b2")
+
+    def test_a_run_that_is_found_is_adopted(self) -> None:
+        bench = self.take_over()
+        bench.look(FIRST, [RunningRow(TASK, 1, "cp", 40.0)])
+        bench.look(SECOND)
+        self.assertEqual(bench.dispatch(), [])
+        self.assertIs(bench.pool.jobs[JOB].state, JobState.RUNNING)
+        self.assertEqual(bench.pool.jobs[JOB].get_checkpoint(TASK), "cp")
+
+    def test_a_second_copy_and_unknown_work_are_stopped(self) -> None:
+        bench = self.take_over()
+        bench.look(FIRST, [RunningRow(TASK, 1, "", 40.0)])
+        stranger = Task("ffffffffffffffff", 0, 0, 0)  # type: ignore[arg-type]
+        bench.look(SECOND, [RunningRow(TASK, 2, "", 10.0), RunningRow(stranger, 1, "", 1.0)])
+        stops = {(e.task, e.number) for e in bench.pool.take_effects() if isinstance(e, StopRun)}
+        self.assertEqual(stops, {(TASK, 2), (stranger, 1)})
+
+    def test_runs_of_a_new_term_are_numbered_above_older_ones(self) -> None:
+        bench = self.take_over()
+        bench.look(FIRST)
+        bench.look(SECOND)
+        (order,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+        self.assertGreater(order.number, 1000)
+
+
+class GangTest(unittest.TestCase):
+    """Gangs that do not come together."""
+
+    def test_a_refused_member_stops_the_others(self) -> None:
+        bench = Bench(FIRST, SECOND)
+        bench.pool.add_job(make_job(make_step(6, gang=True)))
+        orders = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+        self.assertEqual(len(orders), 6)
+        self.assertEqual(len({order.number for order in orders}), 1)
+        for order in orders[1:]:
+            bench.pool.note_started(order.worker, order.task, order.number, bench.clock_ms())
+        refused = orders[0]
+        bench.pool.note_refused(
+            refused.worker, refused.task, refused.number, Refusal("room", bench.clock_ms())
+        )
+        stopped = {e.task for e in bench.pool.take_effects() if isinstance(e, StopRun)}
+        self.assertEqual(stopped, {order.task for order in orders[1:]})
+
+
+class PaceTest(unittest.TestCase):
+    """Filling work beside serving work."""
+
+    def test_a_tail_over_its_target_stops_the_filling(self) -> None:
+        rows = ((150.0, 0), (90.0, 50), (70.0, None), (20.0, None))
+        for tail, pace in rows:
+            with self.subTest(tail=tail):
+                bench = Bench(FIRST)
+                fill, serve = "00000000000000f1", "00000000000000f2"
+                bench.pool.add_job(make_job(make_step(fills=True), job=fill))  # type: ignore[arg-type]
+                bench.pool.add_job(
+                    make_job(make_step(lasting=True, target_ms=100), job=serve)  # type: ignore[arg-type]
+                )
+                tasks = [Task(job, 0, 0, 0) for job in (fill, serve)]  # type: ignore[arg-type]
+                bench.look(
+                    FIRST,
+                    [
+                        RunningRow(tasks[0], 1, "", 10.0, 500.0),
+                        RunningRow(tasks[1], 1, "", 100.0, tail),
+                    ],
+                )
+                paces = [e for e in bench.pool.take_effects() if isinstance(e, PaceRun)]
+                self.assertEqual([e.percent for e in paces], [] if pace is None else [pace])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/pools/test_writer.py
@@ -0,0 +1,218 @@
+"""Tests of an owner's writes and of claims."""
+
+import unittest
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.metrics import Metrics
+from lavenderstall.pools.claims import EXPIRY_MS, Claim, Claimer, get_settle_s
+from lavenderstall.pools.effects import EndRow, RunningRow
+from lavenderstall.pools.records import (
+    OWNER_KEY,
+    OWNERS,
+    PROGRESS,
+    OwnerRow,
+    decode_owner,
+    decode_progress,
+)
+from lavenderstall.pools.work import Cause, JobState, Task
+from lavenderstall.pools.writer import DeposedError, OwnerWriter
+from tests.pools.builders import JOB, POOL, Bench, make_entry, make_job, make_step
+from tests.pools.rowstore import MemoryRows
+
+ENTRY = make_entry("w1")
+# Long after any renewal of a test, on the store's clock.
+LATER_MS = 60_000.0
+
+
+class Owner:
+    """Hold a claimed pool with its writer."""
+
+    def __init__(self, rows: MemoryRows, name: str = "entry-1") -> None:
+        self.clock = Clock()
+        self.uptime = 100.0
+        self.claimer = Claimer(rows, EntryId(name), Incarnation(name), lambda: self.uptime)
+        self.bench = Bench()
+        claim = self.claim()
+        assert claim is not None
+        self.writer = OwnerWriter(
+            rows,
+            self.clock,
+            self.bench.pool,
+            claim.owner,
+            claim.version,
+            claim.committed,
+            lambda: self.uptime,
+            Metrics(),
+            claim.sent_at,
+        )
+
+    def claim(self) -> Claim | None:
+        """Claim the pool if it is vacant."""
+        found: list[Claim | None] = []
+
+        async def claim() -> None:
+            sight = await self.claimer.look(POOL)
+            found.append(await self.claimer.claim(POOL, sight) if sight.is_vacant() else None)
+
+        Deferred.fromCoroutine(claim())
+        return found[0]
+
+    def step(self, seconds: float = 1.0) -> BaseException | None:
+        """Let time pass, write once, and return the error if there was one."""
+        self.uptime += seconds
+        failures: list[BaseException] = []
+        done = Deferred.fromCoroutine(self.writer.step())
+        done.addErrback(lambda failure: failures.append(failure.value))
+        self.clock.advance(seconds)
+        return failures[0] if failures else None
+
+    def finish_task(self, index: int, seq: int) -> None:
+        """Let a task of the job run and end as done."""
+        task = Task(JOB, 0, 0, index)
+        self.bench.look(ENTRY, [RunningRow(task, 1, "", 1.0)])
+        self.bench.look(ENTRY, [], [EndRow(seq, task, 1, Cause.DONE)])
+
+
+def make_owner(rows: MemoryRows, tasks: int = 3) -> Owner:
+    """Return the owner of a pool with one worker and one job."""
+    owner = Owner(rows)
+    owner.bench.register(ENTRY)
+    owner.bench.pool.add_job(make_job(make_step(tasks)))
+    owner.step()
+    return owner
+
+
+def read_done(rows: MemoryRows) -> set[int]:
+    """Return the tasks of the job that are durably done."""
+    return decode_progress(rows.rows[PROGRESS, POOL, JOB].value).steps["0.0"].done
+
+
+class CommitTest(unittest.TestCase):
+    """Progress under faults of the store."""
+
+    def test_ends_become_durable(self) -> None:
+        rows = MemoryRows()
+        owner = make_owner(rows)
+        owner.finish_task(0, 1)
+        owner.step()
+        self.assertEqual(read_done(rows), {0})
+
+    def test_lost_answers_and_outages_lose_nothing(self) -> None:
+        for fault in ("mute", "away"):
+            with self.subTest(fault=fault):
+                rows = MemoryRows()
+                owner = make_owner(rows)
+                setattr(rows, fault, True)
+                owner.finish_task(0, 1)
+                owner.step()
+                owner.step()
+                setattr(rows, fault, False)
+                owner.finish_task(1, 2)
+                for _ in range(4):
+                    self.assertIsNone(owner.step())
+                self.assertEqual(read_done(rows), {0, 1})
+
+    def test_a_write_carried_out_late_does_not_undo_a_later_one(self) -> None:
+        rows = MemoryRows()
+        owner = make_owner(rows)
+        rows.delay = True
+        owner.finish_task(0, 1)
+        owner.step()
+        rows.delay = False
+        owner.finish_task(1, 2)
+        owner.step()
+        for change in rows.late:
+            try:
+                rows.apply(change)
+            except Exception as error:
+                self.assertIn("differ", str(error))
+        self.assertEqual(read_done(rows), {0, 1})
+        owner.finish_task(2, 3)
+        for _ in range(4):
+            self.assertIsNone(owner.step())
+        self.assertEqual(read_done(rows), {0, 1, 2})
+
+    def test_a_deposed_owner_writes_nothing(self) -> None:
+        rows = MemoryRows()
+        owner = make_owner(rows)
+        rows.store_ms = LATER_MS
+        self.assertIsNotNone(Owner(rows, "entry-2"))
+        owner.finish_task(0, 1)
+        self.assertIsInstance(owner.step(), DeposedError)
+        self.assertNotIn((PROGRESS, POOL, JOB), rows.rows)
+
+    def test_a_final_state_shows_after_its_commit(self) -> None:
+        rows = MemoryRows()
+        owner = make_owner(rows, tasks=1)
+        rows.away = True
+        owner.finish_task(0, 1)
+        owner.step()
+        self.assertIs(owner.bench.pool.get_state(JOB), JobState.RUNNING)
+        rows.away = False
+        owner.step()
+        owner.step()
+        self.assertIs(owner.bench.pool.get_state(JOB), JobState.COMPLETED)
+
+    def test_confirmation_ages_while_the_store_is_away(self) -> None:
+        rows = MemoryRows()
+        owner = make_owner(rows)
+        confirmed = owner.writer.confirmed_at
+        rows.away = True
+        owner.step()
+        self.assertEqual(owner.writer.confirmed_at, confirmed)
+
+
+class ClaimTest(unittest.TestCase):
+    """Who may own a pool."""
+
+    def test_only_a_vacant_pool_is_claimed(self) -> None:
+        rows = MemoryRows()
+        make_owner(rows)
+        table = ((0.0, False), (EXPIRY_MS, False), (EXPIRY_MS + 1, True))
+        for passed_ms, vacant in table:
+            with self.subTest(passed_ms=passed_ms):
+                other = Claimer(rows, EntryId("e2"), Incarnation("e2"), lambda: 0.0)
+                row = decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value)
+                rows.store_ms = row.store_ms + passed_ms
+                seen: list[bool] = []
+                Deferred.fromCoroutine(other.look(POOL)).addCallback(
+                    lambda sight, seen=seen: seen.append(sight.is_vacant())
+                )
+                self.assertEqual(seen, [vacant])
+
+    def test_one_of_two_claims_wins(self) -> None:
+        rows = MemoryRows()
+        claimers = [
+            Claimer(rows, EntryId(name), Incarnation(name), lambda: 0.0) for name in ("e1", "e2")
+        ]
+        sights: list[object] = []
+        for claimer in claimers:
+            Deferred.fromCoroutine(claimer.look(POOL)).addCallback(sights.append)
+        won: list[Claim | None] = []
+        for claimer, sight in zip(claimers, sights, strict=True):
+            Deferred.fromCoroutine(claimer.claim(POOL, sight)).addCallback(won.append)  # type: ignore[arg-type]
+        self.assertEqual([claim is not None for claim in won], [True, False])
+
+    def test_older_runs_are_given_their_whole_lease(self) -> None:
+        owner = OwnerRow(EntryId("e"), Incarnation("i"), 1)
+        released = OwnerRow(EntryId("e"), Incarnation("i"), 1, released=True)
+        table = ((None, 0.0, 0.0), (released, 6.1, 7.0), (owner, 13.1, 14.0))
+        for before, low, high in table:
+            with self.subTest(before=before):
+                self.assertTrue(low <= get_settle_s(before) <= high)
+
+    def test_a_released_pool_is_vacant_at_once(self) -> None:
+        rows = MemoryRows()
+        owner = make_owner(rows)
+        owner.finish_task(0, 1)
+        Deferred.fromCoroutine(owner.writer.release())
+        self.assertEqual(read_done(rows), {0})
+        heir = Owner(rows, "entry-2")
+        self.assertEqual(heir.claim(), None)
+
+
+if __name__ == "__main__":
+    unittest.main()
