Let leases of silent workers lapse, and play whole cells on a stand-in of the platform

Cause: a look that a silent worker may still carry out extended its lease in the owner's books each time, so tasks of an unreachable worker were never given up (found by the new test of a silent worker: unfinished after 14 s). Change: looks at a silent worker carry no lease. Run numbers count a task, not a step.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -235,9 +235,9 @@
         pool = self.pool
         worker = offer.worker
         task = Task(turn.job.id, turn.group.occurrence, turn.group.step, index)
-        number = max(state.last_run, (pool.term - 1) * RUNS_PER_TERM) + 1
-        if step.gang and any(state.live.values()):
-            number = state.last_run
+        last = turn.job.get_last_run(task)
+        together = step.gang and any(state.live.values())
+        number = last if together else max(last, (pool.term - 1) * RUNS_PER_TERM) + 1
         deadline_ms = worker.estimate_clock(pool.now) + START_LEASE_MS
         run = Run(task, number, worker.key, pool.now, deadline_ms=deadline_ms)
         run.checkpoint = turn.job.get_checkpoint(task)
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -65,7 +65,7 @@
         self.group = group
         self.progress = progress
         self.live: dict[int, list[Run]] = {}
-        self.last_run = 0
+        self.last_runs: dict[int, int] = {}
         self.waiting: set[int] = set(range(count)) - progress.done
         self.ready_at = -1.0
 
@@ -138,12 +138,25 @@
         """Note that a task was ordered to start, or was found running."""
         step = self.get_step(run.task.occurrence, run.task.step)
         step.live.setdefault(run.task.number, []).append(run)
-        step.last_run = max(step.last_run, run.number)
+        self._note_number(step, run.task, run.number)
         step.waiting.discard(run.task.number)
         self.started = True
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
 
+    def _get_key(self, task: Task) -> int:
+        """Return the index under which a task counts; the members of a gang share one."""
+        return 0 if self.spec.steps[task.step].gang else task.number
+
+    def _note_number(self, step: StepState, task: Task, number: int) -> None:
+        key = self._get_key(task)
+        step.last_runs[key] = max(step.last_runs.get(key, 0), number)
+
+    def get_last_run(self, task: Task) -> int:
+        """Return the highest number of a run of a task, or of its gang."""
+        step = self.get_step(task.occurrence, task.step)
+        return step.last_runs.get(self._get_key(task), 0)
+
     def end_run(self, task: Task, number: int, cause: Cause, queue: Queue | None) -> bool:
         """Apply the end of a run and tell whether durable progress changed.
 
@@ -152,7 +165,7 @@
         spec = self.spec.steps[task.step]
         step = self.get_step(task.occurrence, task.step)
         self._drop_run(step, task.number, number)
-        step.last_run = max(step.last_run, number)
+        self._note_number(step, task, number)
         changed = False
         if cause is Cause.DONE and not spec.lasting:
             changed = self._note_done(step, task.number, gang=spec.gang, count=spec.count)
@@ -215,15 +228,14 @@
         """Remember the newest checkpoint of a task, or of its gang."""
         if not checkpoint:
             return
-        spec = self.spec.steps[task.step]
-        key = 0 if spec.gang else task.number
+        key = self._get_key(task)
         kept = self.get_step(task.occurrence, task.step).progress.checkpoints
         if key not in kept or kept[key][0] <= number:
             kept[key] = (number, checkpoint)
 
     def get_checkpoint(self, task: Task) -> str:
         """Return the checkpoint that the next run of a task starts from, or an empty text."""
-        key = 0 if self.spec.steps[task.step].gang else task.number
+        key = self._get_key(task)
         found = self.get_step(task.occurrence, task.step).progress.checkpoints.get(key)
         return found[1] if found else ""
 
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -440,8 +440,11 @@
             each.callback(None)
 
     def _make_lease(self, worker: Worker, now: float) -> Lease | None:
-        """Return the lease to ask for, none while ownership is in doubt or the clock unknown."""
-        if not self.may_act() or worker.clock_at < 0:
+        """Return the lease to ask for, none while ownership, clock or contact is in doubt.
+
+        Looks that a silent worker may still carry out would put off the end of its leases.
+        """
+        if not self.may_act() or worker.clock_at < 0 or worker.silent_since >= 0:
             return None
         deadline = int(worker.estimate_clock(now)) + LEASE_MS
         worker.note_lease(deadline)
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -45,7 +45,7 @@
 GATHER_S = 0.03
 # Pause after a failed transaction.
 RETRY_S = 0.2
-POLL_S = 0.01
+POLL_S = 0.02
 
 
 class DeposedError(Exception):
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,497 @@
+"""A stand-in of the users' platform in memory: store, workers, placement service."""
+
+import json
+from base64 import b64encode
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from lavenderstall.clients import Reply
+from lavenderstall.errors import AnswerLostError, PeerUnavailableError
+
+STORE = "10.200.1.7:8142"
+ADVISER = "10.200.1.9:8142"
+STORE_S = 0.004
+WORKER_S = 0.001
+HOLD_POLL_S = 0.04
+MAX_HOLD_MS = 6000
+STOP_S = 0.1
+# Ends in one answer.
+MOST_ENDS = 500
+
+
+class Task:
+    """Hold one run on a worker; `left_s` is the work that it still needs."""
+
+    def __init__(self, name: str, run: int, left_s: float, charge: dict[str, int]) -> None:
+        self.name = name
+        self.run = run
+        self.left_s = left_s
+        self.whole_s = max(left_s, 0.001)
+        self.charge = charge
+        self.stop_at = -1.0
+        self.hangs = False
+        self.checkpoint = ""
+
+
+class Worker:
+    """Play one worker that starts whatever it is told."""
+
+    def __init__(self, platform: "Platform", name: str, pool: str, address: str, rack: str) -> None:
+        self.platform = platform
+        self.name = name
+        self.pool = pool
+        self.address = address
+        self.rack = rack
+        self.capacity = {"cpu": 16000, "taskMemoryMb": 65536, "gpu": 8}
+        self.state = "ready"
+        self.speed = 1.0
+        self.hangs = False
+        self.fails = False
+        self.up = True
+        self.born = 0
+        self.restart()
+
+    def restart(self) -> None:
+        """Begin a new life that knows nothing of before."""
+        self.born += 1000
+        self.began = self.platform.clock.seconds()
+        self.at = self.began
+        self.token = 0
+        self.lease_ms = 0.0
+        self.running: dict[str, Task] = {}
+        self.ended: list[list[Any]] = []
+        self.count = 0
+        self.highest: dict[str, int] = {}
+        self.up = True
+
+    def clock_ms(self) -> float:
+        """Return the worker's own clock."""
+        return 1000 + (self.platform.clock.seconds() - self.began) * 1000
+
+    def advance(self) -> None:
+        """Let the tasks work until now."""
+        now = self.platform.clock.seconds()
+        passed = now - self.at
+        self.at = now
+        if self.running and self.clock_ms() > self.lease_ms:
+            for task in list(self.running.values()):
+                self.end(task, "lapsed")
+            return
+        for task in list(self.running.values()):
+            if 0 <= task.stop_at <= now:
+                self.end(task, "stopped")
+                continue
+            if not task.hangs:
+                task.left_s -= passed / self.speed
+            if task.left_s <= 0:
+                self.end(task, "failed" if self.fails else "done")
+
+    def end(self, task: Task, how: str) -> None:
+        """End a run and list its end."""
+        del self.running[task.name]
+        self.count += 1
+        self.ended.append([self.count, task.name, task.run, how, task.checkpoint])
+        self.highest[task.name] = max(self.highest.get(task.name, 0), task.run)
+        self.platform.judge.note_end(task.name, how)
+
+    def serve(self, path: str, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Carry out one order."""
+        self.advance()
+        token = body.get("fencingToken", 0)
+        if token < self.token:
+            return 409, {"clockMs": self.clock_ms(), "reason": "fence"}
+        self.token = token
+        if path == "/v1/run-start":
+            return self.start(body)
+        if path == "/v1/run-stop":
+            return self.stop(body)
+        if path == "/v1/pace":
+            return 200, {"clockMs": self.clock_ms()}
+        return self.hold(body)
+
+    def extend(self, body: dict[str, Any]) -> None:
+        """Extend the lease of all that runs."""
+        wanted = min(body.get("deadlineMs", 0), self.clock_ms() + MAX_HOLD_MS)
+        self.lease_ms = max(self.lease_ms, wanted)
+
+    def start(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Start a task."""
+        name, run = body["task"], body["run"]
+        clock = {"clockMs": self.clock_ms()}
+        if body["deadlineMs"] <= self.clock_ms():
+            return 409, {**clock, "reason": "late"}
+        if name in self.running and self.running[name].run == run:
+            return 200, clock
+        if run <= self.highest.get(name, 0):
+            return 409, {**clock, "reason": "old"}
+        self.extend(body)
+        step = self.platform.judge.note_start(self, name, body["spec"])
+        task = Task(name, run, step.get("estimatedDurationMs", 100) / 1000, charge_of(step))
+        task.hangs = self.hangs
+        self.running[name] = task
+        self.platform.judge.check_room(self)
+        return 200, clock
+
+    def stop(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Stop a run, or make sure that it never starts."""
+        name, run = body["task"], body["run"]
+        self.highest[name] = max(self.highest.get(name, 0), run)
+        task = self.running.get(name)
+        if task is not None and task.run <= run and task.stop_at < 0:
+            task.stop_at = self.platform.clock.seconds() + STOP_S
+        return 200, {"clockMs": self.clock_ms()}
+
+    def hold(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        """Extend the lease and list what runs and what has ended."""
+        self.extend(body)
+        seen = body.get("lastSeen", 0)
+        for seq, name, _, how, _ in self.ended:
+            if seq <= seen:
+                self.platform.judge.note_taken(name, how)
+        self.ended = [end for end in self.ended if end[0] > seen]
+        running = [
+            [task.name, task.run, task.checkpoint, int(100 * (1 - task.left_s / task.whole_s)), 0]
+            for task in self.running.values()
+        ]
+        return 200, {
+            "clockMs": self.clock_ms(),
+            "born": self.born,
+            "running": running,
+            "finished": self.ended[:MOST_ENDS],
+        }
+
+    def entry(self) -> dict[str, Any]:
+        """Return what the worker registers."""
+        return {
+            "service": self.pool,
+            "address": self.address,
+            "zone": "z",
+            "state": self.state,
+            "capacity": self.capacity,
+            "labels": ["a", self.rack],
+            "born": self.born,
+            "clockMs": self.clock_ms(),
+            "sequence": 1,
+        }
+
+
+def charge_of(step: dict[str, Any]) -> dict[str, int]:
+    """Return what a task of a step takes."""
+    names = ("cpu", "taskMemoryMb", "gpu")
+    return {
+        name: 0 if name == "cpu" and step.get("fills") else step.get(name, 0) for name in names
+    }
+
+
+class Judge:
+    """Check the promises from what workers are told to do."""
+
+    def __init__(self, platform: "Platform") -> None:
+        self.platform = platform
+        self.jobs: dict[str, dict[str, Any]] = {}
+        self.cancelled: dict[str, float] = {}
+        self.done: set[str] = set()
+        self.taken: set[str] = set()
+        self.failures: dict[str, int] = {}
+        self.broken: list[str] = []
+        self.starts = 0
+
+    def note_start(self, worker: Worker, name: str, spec: str) -> dict[str, Any]:
+        """Check a start and return the step's declaration."""
+        self.starts += 1
+        job, _, step, _ = name.split(".")
+        found = self.jobs.get(job)
+        if found is None:
+            self.broken.append(f"UNASKED {name}")
+            return {}
+        if found["spec"] != spec:
+            self.broken.append(f"UNASKED {name} with another spec")
+        others = [w for w in self.platform.workers.values() if w.up and w is not worker]
+        for other in others:
+            other.advance()
+            if name in other.running:
+                self.broken.append(f"TWICE {name} on {worker.name} and {other.name}")
+        if name in self.taken:
+            self.broken.append(f"TWICE {name} after its end was taken note of")
+        declared = found["steps"][int(step)]
+        for earlier in declared.get("after", ()):
+            names = {f"{job}.0.{earlier}.{n}" for n in range(found["steps"][earlier]["count"])}
+            if not names <= self.done:
+                self.broken.append(f"ORDER {name}")
+        return dict(declared)
+
+    def check_room(self, worker: Worker) -> None:
+        """Check that a worker has room for all that it runs."""
+        for kind, most in worker.capacity.items():
+            if sum(task.charge[kind] for task in worker.running.values()) > most:
+                self.broken.append(f"LIMIT {worker.name} {kind}")
+
+    def note_end(self, name: str, how: str) -> None:
+        """Note an end."""
+        if how == "done":
+            self.done.add(name)
+        if how == "failed":
+            self.failures[name] = self.failures.get(name, 0) + 1
+
+    def note_taken(self, name: str, how: str) -> None:
+        """Note that an end was acknowledged."""
+        if how == "done":
+            self.taken.add(name)
+
+    def list_unfinished(self) -> list[str]:
+        """Return the jobs of which a task has not ended as done."""
+        return [
+            job
+            for job, found in self.jobs.items()
+            if job not in self.cancelled
+            and any(
+                f"{job}.0.{number}.{index}" not in self.done
+                for number, step in enumerate(found["steps"])
+                for index in range(step["count"])
+            )
+        ]
+
+
+class Platform:
+    """Hold all services; `store_mode` is one of up, busy, silent, mute."""
+
+    def __init__(self, clock: Clock, seed: int = 1) -> None:
+        self.clock = clock
+        self.random = Random(seed)
+        self.judge = Judge(self)
+        self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
+        self.feed: list[dict[str, Any]] = []
+        self.version = 0
+        self.oldest = 0
+        self.store_mode = "up"
+        self.workers: dict[str, Worker] = {}
+        self.calls = 0
+        self.allowed_share = 1.0
+
+    def add_worker(self, worker: Worker) -> None:
+        """Add a worker and register it."""
+        self.workers[worker.address] = worker
+        self.register()
+
+    def register(self) -> None:
+        """Write the registry rows of all workers."""
+        for worker in self.workers.values():
+            if worker.up:
+                self.put("servers", "", worker.name, worker.entry())
+            else:
+                self.rows.pop(("servers", "", worker.name), None)
+
+    def put(self, table: str, part: str, key: str, value: Any) -> None:
+        """Write a row on behalf of a worker or the operator."""
+        self.version += 1
+        data = b64encode(json.dumps(value).encode()).decode()
+        self.write(table, part, key, data)
+
+    def write(self, table: str, part: str, key: str, data: str) -> None:
+        """Write a row at the present version."""
+        row = {
+            "table": table,
+            "part": part,
+            "key": key,
+            "value": data,
+            "schemaVersion": self.version,
+        }
+        self.rows[table, part, key] = row
+        self.feed.append(row)
+
+    def serve_store(self, path: str, query: dict[str, str], body: Any) -> tuple[int, Any]:
+        """Carry out one call to the store."""
+        base = {"schemaVersion": self.version, "nowMs": self.clock.seconds() * 1000}
+        if path == "/v1/rows-tx":
+            return self.transact(body)
+        if path == "/v1/rows-get":
+            rows = sorted(
+                (
+                    row
+                    for (table, part, key), row in self.rows.items()
+                    if table == query["table"]
+                    and part == query.get("part", "")
+                    and key >= query.get("from", "")
+                ),
+                key=lambda row: row["key"],
+            )
+            limit = int(query.get("limit", 500))
+            return 200, {**base, "rows": rows[:limit], "hasMore": len(rows) > limit}
+        if int(query["after"]) < self.oldest:
+            return 410, {}
+        rows = [
+            row
+            for row in self.feed
+            if row["table"] == query["table"] and row["schemaVersion"] > int(query["after"])
+        ]
+        return 200, {**base, "rows": rows}
+
+    def transact(self, body: Any) -> tuple[int, Any]:
+        """Apply a transaction."""
+        found = []
+        holds = True
+        for condition in body["expectedRevision"]:
+            key = (condition["table"], condition["part"], condition["key"])
+            row = self.rows.get(key, {**condition, "value": "", "schemaVersion": 0})
+            found.append(row)
+            holds = holds and row["schemaVersion"] == condition["schemaVersion"]
+        if not holds:
+            return 412, {"rows": found}
+        self.version += 1
+        for put in body["writes"]:
+            self.write(put["table"], put["part"], put["key"], put["value"])
+        for gone in body["deletes"]:
+            self.rows.pop((gone["table"], gone["part"], gone["key"]), None)
+            self.feed.append({**gone, "deleted": True, "schemaVersion": self.version})
+        return 200, {"schemaVersion": self.version, "nowMs": self.clock.seconds() * 1000}
+
+    def advise(self, body: Any) -> tuple[int, Any]:
+        """Return tickets; whether a worker is allowed never changes for a step."""
+        allowed = [
+            [name, f"t-{name}"]
+            for name in body["workers"]
+            if Random(body["step"] + name).random() < self.allowed_share
+        ]
+        return 200, {"allowed": allowed, "validityMs": 2000}
+
+
+class GatedClock:
+    """Hold timers back while an instance is frozen, and drop them once it is dead."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.frozen = False
+        self.dead = False
+        self._held: list[Any] = []
+
+    def seconds(self) -> float:
+        """Return the time."""
+        return self._clock.seconds()
+
+    def callLater(self, delay: float, callable: Any, *args: Any, **kw: Any) -> Any:  # noqa: N802
+        """Schedule a call."""
+        return self._clock.callLater(delay, self._fire, callable, args, kw)
+
+    def _fire(self, function: Any, args: Any, kw: Any) -> None:
+        if self.dead:
+            return
+        if self.frozen:
+            self._held.append((function, args, kw))
+        else:
+            function(*args, **kw)
+
+    def thaw(self) -> None:
+        """Run what was held back."""
+        self.frozen = False
+        held, self._held = self._held, []
+        for function, args, kw in held:
+            self._fire(function, args, kw)
+
+
+class StandinCaller:
+    """Carry the calls of one instance to the platform; `cut` holds unreachable addresses."""
+
+    def __init__(self, platform: Platform, clock: GatedClock) -> None:
+        self._platform = platform
+        self._clock = clock
+        self.cut: set[str] = set()
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float = 1.0,
+        headers: dict[bytes, list[bytes]] | None = None,
+    ) -> Deferred[Reply]:
+        """Send one request and return its response."""
+        self._platform.calls += 1
+        answer: Deferred[Reply] = Deferred()
+        timer = self._clock.callLater(timeout_s, self._fail, answer, address, path)
+        answer.addBoth(lambda result: (timer.active() and timer.cancel(), result)[1])
+        decoded = None if body is None else json.loads(body)
+        parts = urlsplit(path)
+        query = {key: values[-1] for key, values in parse_qs(parts.query).items()}
+        arrive = (answer, address, parts.path, query, decoded, self._clock.seconds())
+        delay = STORE_S if address == STORE else WORKER_S
+        self._platform.clock.callLater(delay, self._arrive, *arrive)
+        return answer
+
+    def _fail(self, answer: Deferred[Reply], address: str, path: str) -> None:
+        if not answer.called:
+            answer.errback(AnswerLostError("no answer", step=path, peer=address))
+
+    def _arrive(
+        self,
+        answer: Deferred[Reply],
+        address: str,
+        path: str,
+        query: dict[str, str],
+        body: Any,
+        sent_at: float,
+    ) -> None:
+        platform = self._platform
+        if self._clock.dead or address in self.cut:
+            return
+        if address == STORE:
+            self._serve_store(answer, path, query, body, sent_at)
+            return
+        if address == ADVISER:
+            self._reply(answer, *platform.advise(body), delay=0.02)
+            return
+        worker = platform.workers.get(address)
+        if worker is None or not worker.up:
+            self._clock.callLater(0, self._refuse, answer, address, path)
+            return
+        status, found = worker.serve(path, body)
+        waits = body.get("waitMs", 0) / 1000
+        waiting = path == "/v1/hold" and status == 200 and not found["finished"]
+        if waiting and platform.clock.seconds() - sent_at < waits:
+            platform.clock.callLater(
+                HOLD_POLL_S, self._arrive, answer, address, path, query, body, sent_at
+            )
+            return
+        self._reply(answer, status, found)
+
+    def _serve_store(
+        self, answer: Deferred[Reply], path: str, query: dict[str, str], body: Any, sent_at: float
+    ) -> None:
+        platform = self._platform
+        if platform.store_mode == "silent":
+            return
+        if platform.store_mode == "busy":
+            self._reply(answer, 503, {})
+            return
+        status, found = platform.serve_store(path, query, body)
+        waits = int(query.get("waitMs", 0)) / 1000
+        if (
+            path == "/v1/rows-feed"
+            and status == 200
+            and not found["rows"]
+            and platform.clock.seconds() - sent_at < waits
+        ):
+            platform.clock.callLater(
+                HOLD_POLL_S, self._arrive, answer, STORE, path, query, body, sent_at
+            )
+            return
+        if platform.store_mode == "mute" and path == "/v1/rows-tx":
+            return
+        self._reply(answer, status, found)
+
+    def _refuse(self, answer: Deferred[Reply], address: str, path: str) -> None:
+        if not answer.called:
+            answer.errback(PeerUnavailableError("refused", step=path, peer=address))
+
+    def _reply(self, answer: Deferred[Reply], status: int, body: Any, delay: float = 0.001) -> None:
+        data = json.dumps(body).encode()
+
+        def deliver() -> None:
+            if not answer.called:
+                answer.callback(Reply(status, data))
+
+        self._clock.callLater(delay, deliver)
--- /dev/null
+++ b/tests/platform/test_faults.py
@@ -0,0 +1,284 @@
+"""Tests of whole cells on the stand-in platform under faults."""
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lavenderstall.pools.records import Presence
+from lavenderstall.pools.work import JobState
+from tests.platform.standin import STORE
+from tests.platform.world import POOLS, World
+
+STEP = {"count": 3, "cpu": 2000, "taskMemoryMb": 500, "estimatedDurationMs": 400}
+NEXT = {"count": 2, "cpu": 1000, "taskMemoryMb": 500, "estimatedDurationMs": 300, "after": [0]}
+LONG = {"count": 4, "cpu": 4000, "taskMemoryMb": 500, "estimatedDurationMs": 3000}
+GANG = {"count": 2, "gpu": 6, "taskMemoryMb": 500, "estimatedDurationMs": 500, "gang": True}
+
+
+def make_name(number: int) -> str:
+    """Return a job's name."""
+    return f"{number:016x}"
+
+
+def start_world(nodes: int = 3, workers: int = 4) -> World:
+    """Return a cell that has settled."""
+    world = World(nodes, workers)
+    assert world.run_until(lambda: all(world.find_owner(pool) for pool in POOLS), 3.0)
+    world.run(1.5)
+    return world
+
+
+def cut_busy(world: World) -> None:
+    """Cut the worker that runs something from all instances."""
+    address = next(a for a, worker in world.platform.workers.items() if worker.running)
+    for node in world.nodes.values():
+        node.caller.cut.add(address)
+
+
+class CalmTest(unittest.TestCase):
+    """A cell without faults."""
+
+    def test_jobs_run_to_their_end_and_are_shown_so(self) -> None:
+        world = start_world()
+        for number, steps in enumerate(([STEP], [STEP, NEXT], [GANG], [LONG])):
+            outcome = world.submit(
+                "entry-0", POOLS[number % 2], make_name(number), [dict(step) for step in steps]
+            )
+            world.run(0.05)
+            self.assertEqual(outcome, [Presence.PRESENT])
+        world.run(6.0)
+        self.assertEqual(world.platform.judge.list_unfinished(), [])
+        self.assertEqual(world.platform.judge.broken, [])
+        for number in range(4):
+            state = world.get_state("entry-1", POOLS[number % 2], make_name(number))
+            world.run(0.1)
+            self.assertEqual(state, [JobState.COMPLETED])
+
+    def test_a_cancelled_job_is_gone_soon(self) -> None:
+        world = start_world()
+        world.submit("entry-0", "routing", make_name(1), [dict(LONG)])
+        world.run(1.0)
+        self.assertEqual(world.cancel("entry-1", "routing", make_name(1)), [])
+        world.run(1.0)
+        self.assertFalse(any(w.running for w in world.platform.workers.values()))
+
+    def test_unknown_jobs_are_told_so(self) -> None:
+        world = start_world()
+        state = world.get_state("entry-0", "routing", make_name(9))
+        known = world.cancel("entry-0", "routing", make_name(9))
+        world.run(0.5)
+        self.assertEqual((state, known), ([None], [False]))
+
+    def test_a_resubmitted_job_stays_one(self) -> None:
+        world = start_world()
+        outcomes = [
+            world.submit(node, "routing", make_name(1), [dict(STEP)])
+            for node in ("entry-0", "entry-1", "entry-0")
+        ]
+        world.run(3.0)
+        self.assertEqual(outcomes, [[Presence.PRESENT]] * 3)
+        self.assertEqual(world.platform.judge.starts, 3)
+
+
+class TakeoverTest(unittest.TestCase):
+    """An owner that goes away while its work runs."""
+
+    def test_running_tasks_are_adopted(self) -> None:
+        def kill(world: World, name: str) -> None:
+            world.kill(name)
+
+        def freeze(world: World, name: str) -> None:
+            world.freeze(name)
+
+        def cut(world: World, name: str) -> None:
+            world.nodes[name].caller.cut.add(STORE)
+
+        for fault in (kill, freeze, cut):
+            with self.subTest(fault=fault.__name__):
+                world = start_world()
+                world.submit("entry-0", "routing", make_name(1), [dict(LONG), dict(NEXT)])
+                world.run(1.0)
+                owner = world.find_owner("routing")
+                assert owner is not None
+                fault(world, owner)
+                world.run(5.0)
+                if owner in world.nodes and world.nodes[owner].clock.frozen:
+                    world.thaw(owner)
+                world.run(4.0)
+                judge = world.platform.judge
+                self.assertEqual((judge.broken, judge.list_unfinished()), ([], []))
+                self.assertEqual(judge.starts, 6)
+
+    def test_a_worker_that_the_heir_cannot_reach_delays_only_its_work(self) -> None:
+        world = start_world()
+        world.submit("entry-0", "routing", make_name(1), [{**LONG, "estimatedDurationMs": 9000}])
+        world.run(1.0)
+        owner = world.find_owner("routing")
+        assert owner is not None
+        world.kill(owner)
+        cut_busy(world)
+        world.run(3.0)
+        entry = next(iter(world.nodes))
+        world.submit(entry, "routing", make_name(2), [dict(STEP)])
+        world.run(3.0)
+        self.assertEqual(world.platform.judge.list_unfinished(), [make_name(1)])
+        world.run(20.0)
+        self.assertEqual(world.platform.judge.broken, [])
+        self.assertEqual(world.platform.judge.list_unfinished(), [])
+
+
+class StoreTest(unittest.TestCase):
+    """A store that is away while work runs."""
+
+    def test_work_goes_on_and_nothing_is_lost(self) -> None:
+        for mode in ("busy", "silent", "mute"):
+            with self.subTest(mode=mode):
+                world = start_world()
+                world.submit("entry-0", "routing", make_name(1), [dict(STEP), dict(NEXT)])
+                world.run(0.1)
+                world.platform.store_mode = mode
+                world.run(4.0)
+                self.assertEqual(world.platform.judge.list_unfinished(), [])
+                world.platform.store_mode = "up"
+                world.run(3.0)
+                state = world.get_state("entry-2", "routing", make_name(1))
+                world.run(1.0)
+                self.assertEqual(state, [JobState.COMPLETED])
+                self.assertEqual(world.platform.judge.broken, [])
+
+    def test_a_rejected_job_never_runs(self) -> None:
+        world = start_world()
+        world.platform.store_mode = "busy"
+        outcome = world.submit("entry-0", "routing", make_name(1), [dict(STEP)])
+        world.run(1.0)
+        self.assertEqual(outcome, [Presence.ABSENT])
+        world.platform.store_mode = "up"
+        world.run(4.0)
+        self.assertEqual(world.platform.judge.starts, 0)
+
+    def test_an_instance_without_the_store_passes_jobs_on(self) -> None:
+        world = start_world()
+        owner = world.find_owner("routing")
+        name = next(node for node in world.nodes if node != owner)
+        world.nodes[name].caller.cut.add(STORE)
+        outcome = world.submit(name, "routing", make_name(1), [dict(STEP)])
+        world.run(4.0)
+        self.assertEqual(outcome, [Presence.PRESENT])
+        self.assertEqual(world.platform.judge.list_unfinished(), [])
+
+    def test_lost_history_is_read_again(self) -> None:
+        world = start_world()
+        world.platform.oldest = world.platform.version + 1
+        world.put_settings(2)
+        world.platform.oldest = world.platform.version + 1
+        world.run(2.5)
+        self.assertEqual({n.instance.settings.version for n in world.nodes.values()}, {2})
+
+
+class WorkerTest(unittest.TestCase):
+    """Workers that fail their tasks in several ways."""
+
+    def test_a_worker_that_restarts_under_its_name_loses_its_tasks(self) -> None:
+        world = start_world()
+        world.submit("entry-0", "routing", make_name(1), [dict(LONG)])
+        world.run(1.0)
+        world.platform.workers["10.1.0.0:80"].restart()
+        world.platform.register()
+        world.run(8.0)
+        self.assertEqual(world.platform.judge.broken, [])
+        self.assertEqual(world.platform.judge.list_unfinished(), [])
+
+    def test_a_silent_worker_is_waited_out(self) -> None:
+        world = start_world()
+        world.submit("entry-0", "routing", make_name(1), [dict(LONG)])
+        world.run(1.0)
+        cut_busy(world)
+        world.run(14.0)
+        self.assertEqual(world.platform.judge.broken, [])
+        self.assertEqual(world.platform.judge.list_unfinished(), [])
+
+
+class DrawnTest(unittest.TestCase):
+    """Drawn sequences of faults; each ends with everything back."""
+
+    @settings(max_examples=12)
+    @given(st.integers(0, 10_000))
+    def test_no_promise_breaks(self, seed: int) -> None:
+        play(self, seed)
+
+
+def play(case: unittest.TestCase, seed: int) -> None:
+    """Play one drawn sequence and check every promise."""
+    random = Random(seed)
+    world = start_world(3, 6)
+    steps = ([STEP], [STEP, NEXT], [GANG], [LONG], [LONG, NEXT])
+    frozen: list[str] = []
+    for number in range(24):
+        live = [name for name in world.nodes if name not in frozen]
+        if live:
+            pool = random.choice(POOLS)
+            world.submit(
+                random.choice(live), pool, make_name(number), [dict(s) for s in random.choice(steps)]
+            )
+        disturb(world, random, frozen)
+        world.run(random.uniform(0.05, 0.8))
+    world.platform.store_mode = "up"
+    for name in frozen:
+        world.thaw(name)
+    for node in world.nodes.values():
+        node.caller.cut.clear()
+    for number in range(3):
+        if f"entry-{number}" not in world.nodes:
+            world.start(f"entry-{number}")
+    world.severed.clear()
+    world.run(45.0)
+    judge = world.platform.judge
+    case.assertEqual(judge.broken, [], f"seed {seed}")
+    absent = {
+        job
+        for job in judge.list_unfinished()
+        if not any(row[0] == "jobs" and row[2] == job for row in world.platform.rows)
+    }
+    case.assertEqual(set(judge.list_unfinished()) - absent, set(), f"seed {seed}")
+
+
+def disturb(world: World, random: Random, frozen: list[str]) -> None:
+    """Do one drawn thing to the cell, or nothing."""
+    live = [name for name in world.nodes if name not in frozen]
+    worker = random.choice(sorted(world.platform.workers))
+    match random.randrange(12):
+        case 0 if len(live) > 1:
+            world.kill(random.choice(live))
+        case 1 if len(live) > 1:
+            frozen.append(random.choice(live))
+            world.freeze(frozen[-1])
+        case 2 if frozen:
+            world.thaw(frozen.pop())
+        case 3:
+            world.platform.store_mode = random.choice(("busy", "silent", "mute", "up"))
+        case 4:
+            world.platform.store_mode = "up"
+        case 5 if live:
+            world.nodes[random.choice(live)].caller.cut.add(random.choice((STORE, worker)))
+        case 6:
+            for node in world.nodes.values():
+                node.caller.cut.clear()
+        case 7:
+            world.platform.workers[worker].restart()
+            world.platform.register()
+        case 8:
+            for number in range(3):
+                if f"entry-{number}" not in world.nodes:
+                    world.start(f"entry-{number}")
+        case 9 if len(live) > 1:
+            world.sever(*random.sample(live, 2))
+        case 10:
+            world.severed.clear()
+        case _:
+            pass
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/world.py
@@ -0,0 +1,224 @@
+"""Entry instances on the stand-in platform, driven by one clock."""
+
+import json
+from random import Random
+from typing import Any
+
+import msgspec
+from adapter.store import PlatformStore
+from adapter.wire import SettingsDecoder, WireJob
+from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkers
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.pools.instance import Identity, Instance, Outside
+from lavenderstall.pools.messages import Envelope
+from lavenderstall.pools.records import Presence
+from tests.platform.standin import (
+    ADVISER,
+    STORE,
+    GatedClock,
+    Platform,
+    StandinCaller,
+    Worker,
+)
+
+POOLS = ("routing", "vision")
+LINK_S = 0.001
+STEP_S = 0.02
+
+
+class StandinLinks:
+    """Carry messages between instances, encoded as on the wire."""
+
+    def __init__(self, world: "World", entry: str) -> None:
+        self._world = world
+        self._entry = EntryId(entry)
+        self._receiver: Any = lambda sender, message: None
+
+    def set_receiver(self, receiver: Any) -> None:
+        """Deliver messages to a function."""
+        self._receiver = receiver
+
+    def set_peers(self, addresses: Any) -> None:
+        """Ignore addresses, as names are enough here."""
+
+    def redial(self, peer: str) -> None:
+        """Ignore the state of connections."""
+
+    def send(self, peer: str, message: Any) -> None:
+        """Send one message."""
+        data = msgspec.msgpack.encode(Envelope(self._entry, Incarnation("i"), [message]))
+        self._world.clock.callLater(LINK_S, self._world.deliver, self._entry, peer, data)
+
+    def broadcast(self, message: Any, peers: Any = None) -> None:
+        """Send one message to all other instances."""
+        for peer in self._world.nodes:
+            if peer != self._entry:
+                self.send(peer, message)
+
+    def take(self, envelope: Envelope) -> None:
+        """Hand a message over."""
+        for message in envelope.messages:
+            self._receiver(envelope.sender, message)
+
+
+class Node:
+    """Hold one entry instance and what it reaches the platform with."""
+
+    def __init__(self, world: "World", name: str, life: int) -> None:
+        self.name = name
+        self.clock = GatedClock(world.clock)
+        self.caller: Any = StandinCaller(world.platform, self.clock)
+        self.links: Any = StandinLinks(world, name)
+        store = PlatformStore(self.caller, STORE)
+        identity = Identity(EntryId(name), Incarnation(f"{name}-{life}"), "z", f"tcp://{name}:1")
+        outside = Outside(
+            clock=self.clock,
+            random=Random(f"{name}{life}"),
+            store=store,
+            registry=PlatformRegistry(store),
+            workers=PlatformWorkers(self.caller),
+            adviser=PlatformAdviser(self.caller, ADVISER),
+            settings=SettingsDecoder(),
+            links=self.links,
+            read_uptime=world.clock.seconds,
+            read_unix_ms=lambda: world.clock.seconds() * 1000,
+        )
+        self.instance = Instance(identity, outside)
+        self.instance.start()
+
+
+class World:
+    """Play instances, workers and callers."""
+
+    def __init__(self, nodes: int = 3, workers: int = 4, advice: bool = True) -> None:
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.platform = Platform(self.clock)
+        self.nodes: dict[str, Node] = {}
+        self.severed: set[frozenset[str]] = set()
+        self._lives = 0
+        self.put_settings(1, advice=advice)
+        for number in range(workers):
+            pool = POOLS[number % len(POOLS)]
+            self.platform.add_worker(
+                Worker(self.platform, f"w{number}", pool, f"10.1.0.{number}:80", f"r{number // 4}")
+            )
+        for number in range(nodes):
+            self.start(f"entry-{number}")
+
+    def put_settings(self, version: int, advice: bool = True, attempts: int = 3) -> None:
+        """Write a configuration."""
+        routes = [
+            {
+                "name": f"q-{pool}",
+                "host": "h",
+                "prefix": f"/{pool}/",
+                "service": pool,
+                "maxAttempts": attempts,
+                "slackFactor": 2.0,
+                "targetDurationMs": 500,
+            }
+            for pool in POOLS
+        ]
+        for route in routes if advice else ():
+            route["recommendation"] = {
+                "decisionIntervalMs": 10.0,
+                "periodMs": 0.5,
+                "validityMs": 2000,
+            }
+        services = [{"name": pool, "enforcesCapacity": False} for pool in POOLS]
+        value = {"version": version, "routes": routes, "services": services}
+        self.platform.put("op", "", "config", value)
+
+    # Instances
+
+    def start(self, name: str) -> None:
+        """Start an instance, again if it was killed."""
+        self._lives += 1
+        self.nodes[name] = Node(self, name, self._lives)
+
+    def kill(self, name: str) -> None:
+        """End an instance without warning."""
+        self.nodes.pop(name).clock.dead = True
+
+    def freeze(self, name: str) -> None:
+        """Stop an instance for a while."""
+        self.nodes[name].clock.frozen = True
+
+    def thaw(self, name: str) -> None:
+        """Let a frozen instance go on."""
+        self.nodes[name].clock.thaw()
+
+    def sever(self, first: str, second: str) -> None:
+        """Cut the connection of two instances."""
+        self.severed.add(frozenset((first, second)))
+
+    def deliver(self, sender: str, peer: str, data: bytes) -> None:
+        """Deliver a message unless its way is cut."""
+        node = self.nodes.get(peer)
+        if node is None or frozenset((sender, peer)) in self.severed:
+            return
+        envelope = msgspec.msgpack.decode(data, type=Envelope)
+        node.clock.callLater(0, node.links.take, envelope)
+
+    def find_owner(self, pool: str) -> str | None:
+        """Return the instance that owns a pool now."""
+        return next(
+            (name for name, node in self.nodes.items() if pool in node.instance.owned), None
+        )
+
+    # Time and callers
+
+    def run(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+
+    def run_until(self, condition: Any, seconds: float) -> bool:
+        """Let time pass until a condition holds, and tell whether it did."""
+        for _ in range(round(seconds / STEP_S)):
+            if condition():
+                return True
+            self.clock.advance(STEP_S)
+        return bool(condition())
+
+    def submit(self, node: str, pool: str, job: str, steps: list[dict[str, Any]]) -> list[Presence]:
+        """Submit a job; the list gets the outcome once it is known."""
+        body = {"spec": f"spec of {job}", "steps": steps}
+        self.platform.judge.jobs[job] = body
+        spec = msgspec.json.decode(json.dumps(body), type=WireJob).decode()
+        instance = self.nodes[node].instance
+        queue = instance.settings.find_queue("h", f"/{pool}/")
+        assert queue is not None
+        found: list[Presence] = []
+        Deferred.fromCoroutine(instance.intake.submit(queue, JobId(job), spec)).addCallback(
+            found.append
+        )
+        return found
+
+    def cancel(self, node: str, pool: str, job: str) -> list[bool | None]:
+        """Cancel a job; the list gets the answer once it is known."""
+        instance = self.nodes[node].instance
+        queue = instance.settings.find_queue("h", f"/{pool}/")
+        assert queue is not None
+        found: list[bool | None] = []
+
+        def note(answer: bool | None) -> None:
+            found.append(answer)
+            if answer:
+                self.platform.judge.cancelled[job] = self.clock.seconds()
+
+        Deferred.fromCoroutine(instance.intake.cancel(queue, JobId(job))).addCallback(note)
+        return found
+
+    def get_state(self, node: str, pool: str, job: str) -> list[Any]:
+        """Ask for a job's state; the list gets the answer once it is known."""
+        instance = self.nodes[node].instance
+        queue = instance.settings.find_queue("h", f"/{pool}/")
+        assert queue is not None
+        found: list[Any] = []
+        Deferred.fromCoroutine(instance.intake.get_state(queue, JobId(job))).addBoth(found.append)
+        return found
