Suspect workers that fail or stall tasks, reject at once without a store, yield pools when cut off

Cause: tasks on workers that stand still or fail all they run held their jobs; jobs were held for a second each while the store was known to be away; an owner in a cut zone kept its pools for the whole cut. Change: suspicion by failed ends of several jobs and by runs without progress; a failed task tries another worker first; a store that answers nothing is not waited for, peers tell whether they reach it; an instance that hears no other zone gives its pools up and lets others claim first.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -172,25 +172,33 @@
         self, step: Step, state: StepState | None, waiting: list[int], offers: list[Offer]
     ) -> list[tuple[int, Offer]]:
         beside = count_beside(state)
-        rooms: dict[str, Resources] = {}
         placed: list[tuple[int, Offer]] = []
-        left = iter(waiting)
-        index = next(left, None)
+        left = list(waiting)
         for offer in offers:
-            worker = offer.worker
-            room = rooms.get(worker.key.id) or worker.get_room()
-            while index is not None and step.charge.fits(room):
-                if step.max_per_worker and beside.get(worker.key.id, 0) >= step.max_per_worker:
+            name = offer.worker.key.id
+            room = offer.worker.get_room()
+            for index in list(left):
+                if not step.charge.fits(room):
                     break
+                if step.max_per_worker and beside.get(name, 0) >= step.max_per_worker:
+                    break
+                if state is not None and self._has_failed(state, index, name, offers):
+                    continue
                 placed.append((index, offer))
-                beside[worker.key.id] = beside.get(worker.key.id, 0) + 1
+                beside[name] = beside.get(name, 0) + 1
                 room = room.subtract(step.charge)
-                index = next(left, None)
-            rooms[worker.key.id] = room
-            if index is None:
+                left.remove(index)
+            if not left:
                 break
         return placed
 
+    def _has_failed(self, state: StepState, index: int, worker: str, offers: list[Offer]) -> bool:
+        """Tell whether a task has failed on a worker while another one is on offer."""
+        failed_on = state.failed_on.get(index)
+        if not failed_on or worker not in failed_on:
+            return False
+        return any(offer.worker.key.id not in failed_on for offer in offers)
+
     def _list_offers(self, turn: Turn, step: Step, free: list[Worker]) -> list[Offer]:
         """Return the workers that may run a task of a step now, best first."""
         advice = self.pool.advice.get(turn.group)
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -15,7 +15,7 @@
 from lavenderstall.links import NngLinks
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.background import launch
-from lavenderstall.pools.claims import Claim, Claimer
+from lavenderstall.pools.claims import Claim, Claimer, Sight
 from lavenderstall.pools.effects import Advice, AskAdvice
 from lavenderstall.pools.intake import Intake
 from lavenderstall.pools.messages import (
@@ -44,6 +44,7 @@
     SettingsSource,
     WorkerClient,
 )
+from lavenderstall.pools.reach import ReachedStore
 from lavenderstall.pools.records import ENTRIES, EntryRecord, decode_job, encode
 from lavenderstall.pools.watch import TableWatch
 from lavenderstall.pools.work import PoolName, Settings, Task
@@ -58,6 +59,10 @@
 # The instance that a pool suits best claims first; each other waits this much longer.
 CLAIM_STEP_S = 0.15
 MOST_CLAIM_STEPS = 6
+# An instance that is cut off from other zones claims only what nobody renews for this long.
+ISOLATED_WAIT_MS = 6000.0
+# A pool is kept at least this long before it is given up to another zone.
+TENURE_S = 3.0
 # An instance's row is written again this often, so that others do not forget it.
 RECORD_S = 10.0
 RECORD_RETRY_S = 0.5
@@ -105,6 +110,7 @@
         self.owned: dict[PoolName, PoolOwner] = {}
         self.draining = False
         self.requests = 0
+        self._store = ReachedStore(outside.store, outside.read_uptime)
         self._outside = outside
         self._clock = outside.clock
         self._read_uptime = outside.read_uptime
@@ -118,15 +124,16 @@
             outside.read_uptime,
         )
         self.peers.local_state = self.get_local_state
-        self.intake = Intake(outside.store, self.peers, outside.read_unix_ms, self.metrics)
+        self.intake = Intake(self._store, self.peers, outside.read_unix_ms, self.metrics)
         self._claimer = Claimer(
-            outside.store, identity.entry, identity.incarnation, outside.read_uptime
+            self._store, identity.entry, identity.incarnation, outside.read_uptime
         )
         self._watches = [
-            TableWatch(outside.store, outside.clock, OPERATOR, self._use_operator_rows),
-            TableWatch(outside.store, outside.clock, ENTRIES, self._use_entries),
+            TableWatch(self._store, outside.clock, OPERATOR, self._use_operator_rows),
+            TableWatch(self._store, outside.clock, ENTRIES, self._use_entries),
         ]
         self._claiming: set[PoolName] = set()
+        self._claimed_at: dict[PoolName, float] = {}
         self._running = False
 
     # Life
@@ -171,7 +178,7 @@
             identity.entry, identity.incarnation, identity.zone, identity.link, self.draining
         )
         put = Put(ENTRIES, identity.entry, encode(record))
-        await self._outside.store.commit(Change("", (), (put,)))
+        await self._store.commit(Change("", (), (put,)))
         await sleep(self._clock, RECORD_S)
 
     # Configuration and peers
@@ -214,6 +221,8 @@
 
     async def _beat(self) -> None:
         self._send_beats()
+        if self.owned and self.peers.is_isolated() and not self._store.is_lost():
+            await self._yield_pools()
         await sleep(self._clock, BEAT_S)
 
     def _send_beats(self) -> None:
@@ -222,14 +231,17 @@
             beat = OwnerBeat(name, owner.pool.term, make_pending(owner.pool.count_pending()))
             self._outside.links.broadcast(beat)  # type: ignore[arg-type]
             self.peers.note_owner(self.identity.entry, beat)
-        others = {
-            sight.entry: sight.heard_at
-            for sight in self.peers.owners.values()
-            if sight.entry != self.identity.entry
-        }
-        for entry, heard_at in others.items():
-            age_ms = int((now - heard_at) * 1000)
-            self.peers.send(entry, EntryBeat(self.identity.zone, age_ms, self.draining))
+        lost = self._store.is_lost()
+        for entry in self.peers.list_watched():
+            sight = self.peers.peers.get(entry)
+            age_ms = int((now - sight.heard_at) * 1000) if sight and sight.heard_at >= 0 else 0
+            self.peers.send(entry, EntryBeat(self.identity.zone, age_ms, self.draining, lost))
+
+    async def _yield_pools(self) -> None:
+        """Give up pools, as instances of other zones reach more of their workers."""
+        for pool, owner in list(self.owned.items()):
+            if self._read_uptime() - self._claimed_at.get(pool, 0.0) > TENURE_S:
+                await self._give_up(pool, owner, "cut off from other zones", release=True)
 
     # Ownership
 
@@ -245,26 +257,32 @@
             if self.peers.find_owner(pool) is not None:
                 return
             sight = await self._claimer.look(pool)
-            if not sight.is_vacant():
+            if not sight.is_vacant() or not self._may_claim(sight):
                 return
             await sleep(self._clock, self._get_rank(pool) * CLAIM_STEP_S)
             if self.peers.find_owner(pool) is not None or self.draining:
                 return
             sight = await self._claimer.look(pool)
-            if sight.is_vacant():
+            if sight.is_vacant() and self._may_claim(sight):
                 await self._claim(pool, sight)
         except LavenderstallError as error:
             logger.info("owner not read", extra={"pool": pool, "error": str(error)})
         finally:
             self._claiming.discard(pool)
 
+    def _may_claim(self, sight: Sight) -> bool:
+        """Tell whether this instance may claim; one that is cut off lets others go first."""
+        if sight.owner is None or not self.peers.is_isolated():
+            return True
+        return sight.store_ms - sight.owner.store_ms > ISOLATED_WAIT_MS
+
     def _get_rank(self, pool: PoolName) -> int:
         """Return how many known instances the pool suits better than this one."""
         live = {*self.peers.peers, self.identity.entry}
         order = sorted(live, key=lambda entry: (len_owned(self, entry), weigh(pool, entry)))
         return min(order.index(self.identity.entry), MOST_CLAIM_STEPS)
 
-    async def _claim(self, pool: PoolName, sight: Any) -> None:
+    async def _claim(self, pool: PoolName, sight: Sight) -> None:
         claim = await self._claimer.claim(pool, sight)
         if claim is None:
             return
@@ -273,6 +291,7 @@
         if self.draining or not self._running:
             return
         self.owned[pool] = owner
+        self._claimed_at[pool] = self._read_uptime()
         self.metrics.count("pools_claimed")
         owner.start()
         self._send_beats()
@@ -282,7 +301,7 @@
         pool = Pool(name, claim.owner.term, self._read_uptime() + claim.settle_s)
         pool.set_settings(self.settings)
         writer = OwnerWriter(
-            outside.store,
+            self._store,
             outside.clock,
             pool,
             claim.owner,
@@ -295,7 +314,7 @@
         owner = PoolOwner(
             pool,
             writer,
-            outside.store,
+            self._store,
             outside.registry,
             outside.workers,
             outside.clock,
@@ -390,6 +409,7 @@
         if sight is None:
             return
         sight.draining = message.draining
+        sight.store_lost = message.store_lost
         if message.heard_ms > LOST_MS and self._read_uptime() - sight.redialed_at > REDIAL_S:
             sight.redialed_at = self._read_uptime()
             logger.info("connection replaced", extra={"peer": sender, "age_ms": message.heard_ms})
--- a/lavenderstall/pools/intake.py
+++ b/lavenderstall/pools/intake.py
@@ -12,7 +12,8 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.job import AcceptedJob
 from lavenderstall.pools.peers import PeerRequests
-from lavenderstall.pools.ports import Change, Condition, Put, Row, RowConflictError, RowStore
+from lavenderstall.pools.ports import Change, Condition, Put, Row, RowConflictError
+from lavenderstall.pools.reach import ReachedStore
 from lavenderstall.pools.records import (
     CANCELS,
     JOBS,
@@ -32,7 +33,7 @@
 
     def __init__(
         self,
-        store: RowStore,
+        store: ReachedStore,
         peers: PeerRequests,
         read_unix_ms: Callable[[], float],
         metrics: Metrics,
@@ -46,15 +47,22 @@
         """Make a job durable and hand it to the owner of its pool."""
         row = AcceptedJob(job, queue.name, spec, int(self._read_unix_ms()))
         value = encode(row)
-        outcome = await self.add_row(JOBS, queue.pool, job, value)
-        if outcome is Presence.UNKNOWN or outcome is Presence.ABSENT:
-            outcome = await self._pass_on(JOBS, queue.pool, job, value, outcome)
+        outcome = await self._add(JOBS, queue.pool, job, value)
         logger.info("job submitted", extra={"job": job, "queue": queue.name,
                     "pool": queue.pool, "outcome": outcome.value})  # fmt: skip
         if outcome is Presence.PRESENT:
             self._peers.hint_job(queue.pool, value)
         return outcome
 
+    async def _add(self, table: str, part: PoolName, key: str, value: bytes) -> Presence:
+        """Add a row here or through a peer; a store known to be lost is not waited for."""
+        outcome = Presence.ABSENT
+        if not self._store.is_lost():
+            outcome = await self.add_row(table, part, key, value)
+        if outcome is not Presence.PRESENT:
+            outcome = await self._pass_on(table, part, key, value, outcome)
+        return outcome
+
     async def add_row(self, table: str, part: PoolName, key: str, value: bytes) -> Presence:
         """Add a row that may be there already."""
         change = Change(part, (Condition(table, key, 0),), (Put(table, key, value),))
@@ -108,9 +116,7 @@
             known = Row(JOBS, queue.pool, job)
         if known is None:
             return False
-        outcome = await self.add_row(CANCELS, queue.pool, job, b"\x01")
-        if outcome is not Presence.PRESENT:
-            outcome = await self._pass_on(CANCELS, queue.pool, job, b"\x01", outcome)
+        outcome = await self._add(CANCELS, queue.pool, job, b"\x01")
         logger.info("job cancelled", extra={"job": job, "outcome": outcome.value})
         if outcome is Presence.PRESENT:
             self._peers.hint_cancel(queue.pool, job)
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -68,6 +68,7 @@
         self.last_runs: dict[int, int] = {}
         self.waiting: set[int] = set(range(count)) - progress.done
         self.ready_at = -1.0
+        self.failed_on: dict[int, set[str]] = {}
 
 
 class Job:
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -7,7 +7,7 @@
 
 
 class EntryBeat(msgspec.Struct, tag=True, frozen=True):
-    """Tell the owner of a pool that an entry instance lives.
+    """Tell a peer that an entry instance lives, and whether it reaches the store.
 
     `heard_ms` is how long ago the sender last heard the receiver.
     """
@@ -15,6 +15,7 @@
     zone: str
     heard_ms: int = 0
     draining: bool = False
+    store_lost: bool = False
 
 
 class OwnerBeat(msgspec.Struct, tag=True, frozen=True):
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -6,6 +6,7 @@
 from itertools import count
 from random import Random
 from typing import Any
+from zlib import crc32
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -35,8 +36,12 @@
 # An owner or peer that was not heard for this long is not relied on.
 SILENCE_S = 0.8
 PEER_SILENCE_S = 2.0
+# With no peer of another zone heard for this long, an instance takes itself for cut off.
+ISOLATION_S = 1.0
+# Peers beside owners that an instance tells that it lives.
+WATCHED_PEERS = 6
 STATE_TIMEOUT_S = 0.35
-WRITE_TIMEOUT_S = 0.8
+WRITE_TIMEOUT_S = 1.2
 # Peers that are asked to add a row, one after the other.
 MOST_WRITERS = 2
 # Requests that a peer may leave unanswered before its connection is replaced.
@@ -63,6 +68,7 @@
     draining: bool = False
     unanswered: int = 0
     redialed_at: float = -10.0
+    store_lost: bool = False
 
 
 class PeerRequests:
@@ -126,6 +132,25 @@
             return None
         return known.pending.get(queue, 0)
 
+    def list_watched(self) -> list[EntryId]:
+        """Return the peers that this instance tells that it lives: owners and a few others."""
+        others = sorted(
+            self.peers.keys() - {self.entry},
+            key=lambda peer: crc32(f"{self.entry}/{peer}".encode()),
+        )
+        owners = {sight.entry for sight in self.owners.values()} - {self.entry}
+        return [*owners, *(peer for peer in others[:WATCHED_PEERS] if peer not in owners)]
+
+    def is_isolated(self) -> bool:
+        """Tell whether no peer of another zone has been heard lately.
+
+        With fewer than three zones, neither side of a cut can tell which one is cut off.
+        """
+        far = [sight for sight in self.peers.values() if sight.zone != self.zone]
+        limit = self._read_uptime() - ISOLATION_S
+        several = len({sight.zone for sight in far}) > 1
+        return several and all(sight.heard_at < limit for sight in far)
+
     def list_live(self) -> list[EntryId]:
         """Return the peers that were heard lately."""
         limit = self._read_uptime() - PEER_SILENCE_S
@@ -210,8 +235,8 @@
         return JobState(answer.state)
 
     def choose_writers(self) -> list[EntryId]:
-        """Return live peers to ask for a write, at random."""
-        live = self.list_live()
+        """Return live peers that reach the store, at random."""
+        live = [peer for peer in self.list_live() if not self.peers[peer].store_lost]
         return self._random.sample(live, min(MOST_WRITERS, len(live)))
 
     async def ask_write(
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -21,6 +21,7 @@
 from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run
 from lavenderstall.pools.pacing import Serving, list_changes
 from lavenderstall.pools.speeds import Speeds
+from lavenderstall.pools.suspicion import is_stalled
 from lavenderstall.pools.tickets import StepAdvice
 from lavenderstall.pools.work import (
     ENDED,
@@ -282,6 +283,7 @@
         if len(answer.ended) < END_ROWS:
             self._drop_absent(worker, present, asked_at)
         self._pace(worker)
+        self._stop_stalled(worker)
 
     def _replace_life(self, worker: Worker, born: int) -> None:
         if born < worker.entry.born:
@@ -294,6 +296,7 @@
         worker.applied_seq = max(worker.applied_seq, end.seq)
         run = worker.runs.get((end.task, end.number))
         if run is not None and end.cause is Cause.DONE:
+            worker.strikes = 0
             self._learn(worker, run)
         logger.info(
             "run ended",
@@ -308,8 +311,46 @@
             },
         )
         self.counts[f"ended_{end.cause.value}"] += 1
+        self._judge(worker, end)
         self._end(worker, end.task, end.number, end.cause, end.checkpoint)
 
+    def _judge(self, worker: Worker, end: EndRow) -> None:
+        """Avoid a worker for a while that fails tasks of several jobs."""
+        worker.record.note(self.now, end.task.job, end.cause)
+        if end.cause is not Cause.FAILED:
+            return
+        job = self.jobs.get(end.task.job)
+        if job is not None and end.task.step < len(job.spec.steps):
+            state = job.get_step(end.task.occurrence, end.task.step)
+            state.failed_on.setdefault(end.task.number, set()).add(worker.key.id)
+        if worker.record.is_suspect(self.now):
+            worker.record.clear()
+            self._avoid(worker)
+            self.counts["workers_suspected"] += 1
+            logger.warning(
+                "worker suspected",
+                extra={"worker": worker.key.id, "until_s": round(worker.avoid_until - self.now, 1)},
+            )
+
+    def _stop_stalled(self, worker: Worker) -> None:
+        """Stop runs that stand still, so that they start elsewhere."""
+        for run in list(worker.runs.values()):
+            job = self.jobs.get(run.task.job)
+            if job is None or not is_stalled(run, job.spec.steps[run.task.step], self.now):
+                continue
+            self.counts["runs_stalled"] += 1
+            logger.warning(
+                "run stalled",
+                extra={
+                    **describe_run(run),
+                    "percent": run.percent,
+                    "still_ms": round((run.seen_at - run.percent_at) * 1000),
+                },
+            )
+            if not job.spec.steps[run.task.step].gang:
+                self._avoid(worker)
+            self.stop(run)
+
     def _learn(self, worker: Worker, run: Run) -> None:
         job = self.jobs.get(run.task.job)
         if job is None:
@@ -352,6 +393,7 @@
             run = self._adopt(worker, row, job)
         if run.confirmed_at < 0:
             run.confirmed_at = self.now
+            run.percent_at = self.now
         if row.percent != run.percent:
             run.percent_at = self.now
         run.percent = row.percent
@@ -424,7 +466,6 @@
         if worker is None:
             return
         worker.set_clock(clock_ms, self.now)
-        worker.strikes = 0
         run = worker.runs.get((task, number))
         if run is not None and run.confirmed_at < 0:
             run.confirmed_at = self.now
@@ -457,6 +498,8 @@
                     self.stop(run)
 
     def _avoid(self, worker: Worker) -> None:
+        if worker.avoid_until > self.now:
+            return
         worker.strikes += 1
         worker.avoid_until = self.now + min(MOST_AVOID_S, AVOID_S * 2 ** (worker.strikes - 1))
 
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -26,7 +26,10 @@
 
 
 class OwnerRow(msgspec.Struct, omit_defaults=True):
-    """Name the owner of a pool; `store_ms` is the store's clock when it last renewed."""
+    """Name the owner of a pool; `store_ms` is the store's clock when it last renewed.
+
+    A pool is `released` once its owner has stopped to act.
+    """
 
     entry: EntryId
     incarnation: Incarnation
--- /dev/null
+++ b/lavenderstall/pools/suspicion.py
@@ -0,0 +1,62 @@
+"""Suspicion of workers that fail or stall what they run."""
+
+from collections import deque
+from typing import NamedTuple
+
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.job import Run
+from lavenderstall.pools.work import Cause, Step
+
+# Ends of a worker that are kept, and for how long.
+MOST_ENDS = 12
+MEMORY_S = 6.0
+# A worker is suspected when tasks of so many jobs failed, and so large a share of its ends.
+LEAST_JOBS = 2
+FAILED_SHARE = 0.5
+# A run that shows no progress for this long stands still; longer for long tasks.
+STALL_S = 2.0
+STALL_SHARE = 0.2
+WHOLE = 100.0
+# Paced down this far, a run may show no progress for a while.
+SLOWED_PACE = 50
+
+
+class SeenEnd(NamedTuple):
+    """Hold an end of a worker's run."""
+
+    at: float
+    job: JobId
+    failed: bool
+
+
+class Record:
+    """Keep the latest ends of one worker."""
+
+    def __init__(self) -> None:
+        self._ends: deque[SeenEnd] = deque(maxlen=MOST_ENDS)
+
+    def note(self, now: float, job: JobId, cause: Cause) -> None:
+        """Take an end; only done and failed ones tell of the worker."""
+        if cause in {Cause.DONE, Cause.FAILED}:
+            self._ends.append(SeenEnd(now, job, cause is Cause.FAILED))
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether the worker fails what others would not."""
+        recent = [end for end in self._ends if now - end.at < MEMORY_S]
+        failed = [end for end in recent if end.failed]
+        jobs = {end.job for end in failed}
+        return len(jobs) >= LEAST_JOBS and len(failed) >= FAILED_SHARE * len(recent)
+
+    def clear(self) -> None:
+        """Forget all ends."""
+        self._ends.clear()
+
+
+def is_stalled(run: Run, step: Step, now: float) -> bool:
+    """Tell whether a confirmed run has shown no progress for too long."""
+    if step.lasting or run.stopping or run.seen_at < 0 or run.percent >= WHOLE:
+        return False
+    if run.pace <= SLOWED_PACE:
+        return False
+    limit = max(STALL_S, STALL_SHARE * step.expected_ms / 1000)
+    return run.seen_at - run.percent_at > limit and now - run.seen_at < limit
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -6,6 +6,7 @@
 
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Run
+from lavenderstall.pools.suspicion import Record
 from lavenderstall.pools.work import PoolName, Task
 from lavenderstall.resources import NOTHING, Resources
 
@@ -63,6 +64,7 @@
         self.listed = True
         self.listed_at = 0.0
         self.strikes = 0
+        self.record = Record()
         self.silent_since = -1.0
 
     @property
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -218,6 +218,7 @@
     async def release(self) -> None:
         """Make the rest durable and give the pool up."""
         self._owner.released = True
+        self._owner.store_ms = self._store_ms + (self._read_uptime() - self._store_at) * 1000
         for _ in range(3):
             progress, ends = self._pool.take_dirty(BATCH_JOBS)
             last = not self._pool.dirty
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -128,6 +128,22 @@
         self.assertEqual(world.platform.judge.broken, [])
         self.assertEqual(world.platform.judge.list_unfinished(), [])
 
+    def test_an_owner_that_is_cut_off_gives_its_pool_up(self) -> None:
+        world = World(6, 4, zones=3)
+        self.assertTrue(world.run_until(lambda: world.find_owner("routing") is not None, 5.0))
+        world.run(4.0)
+        owner = world.find_owner("routing")
+        assert owner is not None
+        zone = world.get_zone(owner)
+        for name in world.nodes:
+            for other in world.nodes:
+                if world.get_zone(name) == zone != world.get_zone(other):
+                    world.sever(name, other)
+        world.run(3.0)
+        heir = world.find_owner("routing")
+        assert heir is not None
+        self.assertNotEqual(world.get_zone(heir), zone)
+
 
 class StoreTest(unittest.TestCase):
     """A store that is away while work runs."""
@@ -148,6 +164,16 @@
                 self.assertEqual(state, [JobState.COMPLETED])
                 self.assertEqual(world.platform.judge.broken, [])
 
+    def test_a_job_is_rejected_at_once_while_nobody_reaches_the_store(self) -> None:
+        for mode in ("busy", "silent"):
+            with self.subTest(mode=mode):
+                world = start_world()
+                world.platform.store_mode = mode
+                world.run(3.0)
+                outcome = world.submit("entry-0", "routing", make_name(1), [dict(STEP)])
+                world.run(0.1)
+                self.assertEqual(outcome, [Presence.ABSENT])
+
     def test_a_rejected_job_never_runs(self) -> None:
         world = start_world()
         world.platform.store_mode = "busy"
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -73,7 +73,9 @@
         self.caller: Any = StandinCaller(world.platform, self.clock)
         self.links: Any = StandinLinks(world, name)
         store = PlatformStore(self.caller, STORE)
-        identity = Identity(EntryId(name), Incarnation(f"{name}-{life}"), "z", f"tcp://{name}:1")
+        identity = Identity(
+            EntryId(name), Incarnation(f"{name}-{life}"), world.get_zone(name), f"tcp://{name}:1"
+        )
         outside = Outside(
             clock=self.clock,
             random=Random(f"{name}{life}"),
@@ -93,13 +95,16 @@
 class World:
     """Play instances, workers and callers."""
 
-    def __init__(self, nodes: int = 3, workers: int = 4, advice: bool = True) -> None:
+    def __init__(
+        self, nodes: int = 3, workers: int = 4, advice: bool = True, zones: int = 1
+    ) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         self.platform = Platform(self.clock)
         self.nodes: dict[str, Node] = {}
         self.severed: set[frozenset[str]] = set()
         self._lives = 0
+        self._zones = zones
         self.put_settings(1, advice=advice)
         for number in range(workers):
             pool = POOLS[number % len(POOLS)]
@@ -135,6 +140,10 @@
 
     # Instances
 
+    def get_zone(self, name: str) -> str:
+        """Return the zone of an instance."""
+        return f"z{int(name.rpartition('-')[2]) % self._zones}"
+
     def start(self, name: str) -> None:
         """Start an instance, again if it was killed."""
         self._lives += 1
