--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -379,8 +379,8 @@
     def _look_ahead(self, usable: list[Worker]) -> None:
         """Ask for advice on steps whose turn comes soon."""
         pool = self.pool
-        for job in pool.jobs.values():
-            if job.ended or not job.started or len(job.spec.steps) == 1:
+        for job in pool.active.values():
+            if not job.started or len(job.spec.steps) == 1:
                 continue
             queue = pool.get_queue(job)
             if queue is None or queue.advising is None:
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -158,12 +158,15 @@
                 logger.exception("step failed")
                 await sleep(self._clock, RECORD_RETRY_S)
 
-    async def shut_down(self) -> None:
-        """Give all pools up and stop."""
+    async def give_up_pools(self) -> None:
+        """Own nothing any more and tell the balancer and peers; callers are still served."""
         self.draining = True
         self._send_beats()
         for pool, owner in list(self.owned.items()):
             await self._give_up(pool, owner, "shutdown", release=True)
+
+    def stop(self) -> None:
+        """Stop all periodic work."""
         self._running = False
         for watch in self._watches:
             watch.stop()
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -84,6 +84,7 @@
         self.steps: dict[tuple[int, int], StepState] = {}
         self.started = bool(self.progress.steps)
         self.inherited = False
+        self.ended_at = -1.0
         self.durable_state = self.state
         self.cancelling = self.state is JobState.CANCELLED
         for key, progress_row in self.progress.steps.items():
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -62,6 +62,8 @@
 DISPATCH_S = 0.003
 # A feed of rows waits this long for a change.
 FOLLOW_MS = 1000
+# Rows of old jobs are looked for this often.
+CLEAN_S = 5.0
 FOLLOW_RETRY_S = 0.2
 PAGE_ROWS = 500
 
@@ -103,6 +105,7 @@
         self._awaiting_commit: list[Deferred[None]] = []
         writer.listeners.append(self._note_commit)
         self.running = False
+        self._cleaned_at = read_uptime()
         self.deposed: Callable[[str], None] = lambda reason: None
 
     # Life
@@ -201,6 +204,9 @@
 
     async def _write(self) -> None:
         await self.writer.step()
+        if self._read_uptime() - self._cleaned_at > CLEAN_S:
+            self._cleaned_at = self._read_uptime()
+            await self.writer.clean()
 
     async def _watch_registry(self) -> None:
         entries = await self._registry.list_workers()
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Iterable, Iterator
+from itertools import islice
 
 import msgspec
 
@@ -47,6 +48,8 @@
 # How long a worker that refused or left orders unanswered gets nothing new.
 AVOID_S = 1.0
 MOST_AVOID_S = 8.0
+# How long the state of an ended job is told; a repeated submission comes much sooner.
+RETENTION_S = 600.0
 # Rows of ends in one answer; a full answer may not be the last one.
 END_ROWS = 500
 
@@ -61,6 +64,7 @@
         self.settled = False
         self.roster: set[WorkerKey] = set()
         self.jobs: dict[JobId, Job] = {}
+        self.active: dict[JobId, Job] = {}
         self.workers: dict[WorkerKey, Worker] = {}
         self.latest: dict[str, WorkerKey] = {}
         self.open_groups: set[Group] = set()
@@ -95,6 +99,10 @@
         job = Job(row, self.now - age, progress)
         job.inherited = inherited
         self.jobs[row.id] = job
+        if job.ended:
+            job.ended_at = self.now
+        else:
+            self.active[row.id] = job
         if row.spec.repeat is not None:
             self.timed.add(row.id)
         self.refresh(job)
@@ -128,18 +136,36 @@
 
     def _close(self, job: Job) -> None:
         """Stop all that runs for a job that has ended."""
-        self.open_groups = {group for group in self.open_groups if group.job != job.id}
-        self.timed.discard(job.id)
+        if self.active.pop(job.id, None) is not None:
+            job.ended_at = self.now
+            self.open_groups = {group for group in self.open_groups if group.job != job.id}
+            self.timed.discard(job.id)
+            for occurrence, step in job.steps:
+                self.advice.pop(Group(job.id, occurrence, step), None)
         for run in job.list_runs():
             self.stop(run)
 
     def count_pending(self) -> Counter[QueueName]:
         """Return how many jobs of each queue have not started."""
-        return Counter(
-            QueueName(job.row.queue)
+        return Counter(QueueName(job.row.queue) for job in self.active.values() if not job.started)
+
+    def list_expired(self, limit: int) -> list[JobId]:
+        """Return jobs whose state need not be told any longer."""
+        old = (
+            job.id
             for job in self.jobs.values()
-            if not job.started and not job.ended
+            if job.id not in self.active
+            and job.durable_state in ENDED
+            and self.now - job.ended_at > RETENTION_S
+            and not job.list_runs()
         )
+        return list(islice(old, limit))
+
+    def forget_jobs(self, jobs: Iterable[JobId]) -> None:
+        """Forget jobs whose rows were deleted."""
+        for job in jobs:
+            self.jobs.pop(job, None)
+            self.dirty.discard(job)
 
     def get_state(self, job_id: JobId) -> JobState | None:
         """Return the state that a caller may be told, or none if the job is not known."""
@@ -585,7 +611,7 @@
             "pool settled",
             extra={"pool": self.name, "term": self.term, "unknown": [key.id for key in unknown]},
         )
-        for job in self.jobs.values():
+        for job in self.active.values():
             self.refresh(job)
 
     def list_waiting(self) -> Iterator[tuple[Group, Job]]:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -17,12 +17,15 @@
     Change,
     Committed,
     Condition,
+    Delete,
     Put,
     Row,
     RowConflictError,
     RowStore,
 )
 from lavenderstall.pools.records import (
+    CANCELS,
+    JOBS,
     OWNER_KEY,
     OWNERS,
     PROGRESS,
@@ -43,6 +46,8 @@
 BATCH_JOBS = 45
 # Progress that ends no job waits this long for more of its kind.
 GATHER_S = 0.03
+# Jobs whose rows are deleted in one transaction; each has up to three.
+CLEAN_JOBS = 30
 # Pause after a failed transaction.
 RETRY_S = 0.2
 POLL_S = 0.02
@@ -215,6 +220,23 @@
             raise DeposedError(f"pool {self._pool.name} is owned by {owner and owner.entry}")
         self._version = row.version
 
+    async def clean(self) -> None:
+        """Delete the rows of jobs that ended long ago."""
+        jobs = self._pool.list_expired(CLEAN_JOBS)
+        if not jobs:
+            return
+        deletes = tuple(Delete(table, job) for job in jobs for table in (JOBS, PROGRESS, CANCELS))
+        condition = Condition(OWNERS, OWNER_KEY, self._version)
+        try:
+            await self._store.commit(Change(self._pool.name, (condition,), (), deletes))
+        except LavenderstallError as error:
+            logger.info("rows not cleaned", extra={"pool": self._pool.name, "error": str(error)})
+            return
+        for job in jobs:
+            self._versions.pop(job, None)
+        self._pool.forget_jobs(jobs)
+        self._metrics.count("jobs_forgotten", len(jobs))
+
     async def release(self) -> None:
         """Make the rest durable and give the pool up."""
         self._owner.released = True
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -9,6 +9,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.claims import EXPIRY_MS, Claim, Claimer, get_settle_s
 from lavenderstall.pools.effects import EndRow, RunningRow
+from lavenderstall.pools.pool import RETENTION_S
 from lavenderstall.pools.records import (
     OWNER_KEY,
     OWNERS,
@@ -165,6 +166,22 @@
         self.assertEqual(owner.writer.confirmed_at, confirmed)
 
 
+class CleaningTest(unittest.TestCase):
+    """Rows of old jobs."""
+
+    def test_rows_go_only_when_the_state_need_not_be_told(self) -> None:
+        for passed, kept in ((RETENTION_S - 10, True), (RETENTION_S + 10, False)):
+            with self.subTest(passed=passed):
+                rows = MemoryRows()
+                owner = make_owner(rows, tasks=1)
+                owner.finish_task(0, 1)
+                owner.step()
+                owner.bench.advance(passed)
+                Deferred.fromCoroutine(owner.writer.clean())
+                self.assertEqual((PROGRESS, POOL, JOB) in rows.rows, kept)
+                self.assertEqual(owner.bench.pool.get_state(JOB) is not None, kept)
+
+
 class ClaimTest(unittest.TestCase):
     """Who may own a pool."""
 
