Move tasks that straggle far behind their declared duration

Cause: on a worker that has turned slow by 4 to 8 times a task of half a second ran for seconds. Change: a run that needs four times its declared duration more is stopped once and starts elsewhere; the worker's estimate learns of it.

--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -187,6 +187,9 @@
     # Configuration and peers
 
     def _use_operator_rows(self, rows: Mapping[str, Row]) -> None:
+        others = sorted(rows.keys() - {SETTINGS_KEY})
+        if others:
+            logger.info("operator rows without a use", extra={"keys": others[:10]})
         row = rows.get(SETTINGS_KEY)
         if row is None:
             return
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -51,6 +51,7 @@
     stop_sent_at: float = -1.0
     percent: float = 0.0
     percent_at: float = 0.0
+    first_percent: float = 0.0
     pace: int = 100
     checkpoint: str = ""
     load: float = 0.0
@@ -69,6 +70,7 @@
         self.waiting: set[int] = set(range(count)) - progress.done
         self.ready_at = -1.0
         self.failed_on: dict[int, set[str]] = {}
+        self.moved: set[int] = set()
 
 
 class Job:
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -22,7 +22,7 @@
 from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run
 from lavenderstall.pools.pacing import Serving, list_changes
 from lavenderstall.pools.speeds import Speeds
-from lavenderstall.pools.suspicion import is_stalled
+from lavenderstall.pools.suspicion import is_stalled, is_straggling
 from lavenderstall.pools.tickets import StepAdvice
 from lavenderstall.pools.work import (
     ENDED,
@@ -359,10 +359,13 @@
             )
 
     def _stop_stalled(self, worker: Worker) -> None:
-        """Stop runs that stand still, so that they start elsewhere."""
+        """Stop runs that stand still or straggle, so that they start elsewhere."""
         for run in list(worker.runs.values()):
             job = self.jobs.get(run.task.job)
-            if job is None or not is_stalled(run, job.spec.steps[run.task.step], self.now):
+            if job is None:
+                continue
+            if not is_stalled(run, job.spec.steps[run.task.step], self.now):
+                self._move_straggler(worker, run, job)
                 continue
             self.counts["runs_stalled"] += 1
             logger.warning(
@@ -377,6 +380,31 @@
                 self._avoid(worker)
             self.stop(run)
 
+    def _move_straggler(self, worker: Worker, run: Run, job: Job) -> None:
+        """Stop a run that would end sooner elsewhere, once a task."""
+        step = job.spec.steps[run.task.step]
+        state = job.get_step(run.task.occurrence, run.task.step)
+        if run.task.number in state.moved or not is_straggling(run, step):
+            return
+        state.moved.add(run.task.number)
+        state.failed_on.setdefault(run.task.number, set()).add(worker.key.id)
+        self.counts["runs_moved"] += 1
+        worked_s = run.seen_at - run.confirmed_at
+        if step.expected_ms > 0:
+            projected_s = worked_s * 100 / max(run.percent - run.first_percent, 1.0)
+            ratio = projected_s * 1000 / step.expected_ms
+            self.speeds.learn(step.image, worker.entry.kind, worker.key.id, ratio)
+        logger.warning(
+            "run moved",
+            extra={
+                **describe_run(run),
+                "percent": run.percent,
+                "worked_ms": round(worked_s * 1000),
+                "expected_ms": step.expected_ms,
+            },
+        )
+        self.stop(run)
+
     def _learn(self, worker: Worker, run: Run) -> None:
         job = self.jobs.get(run.task.job)
         if job is None:
@@ -420,6 +448,7 @@
         if run.confirmed_at < 0:
             run.confirmed_at = self.now
             run.percent_at = self.now
+            run.first_percent = row.percent
         if row.percent != run.percent:
             run.percent_at = self.now
         run.percent = row.percent
--- a/lavenderstall/pools/suspicion.py
+++ b/lavenderstall/pools/suspicion.py
@@ -17,6 +17,13 @@
 STALL_S = 2.0
 STALL_SHARE = 0.2
 WHOLE = 100.0
+# A run is judged by its progress only after it has worked for this long, or this share of its
+# declared duration.
+JUDGE_S = 0.4
+JUDGE_SHARE = 0.7
+# It straggles if it needs so many times the declared duration more, beyond the cost of a move.
+STRAGGLE_FACTOR = 4.0
+MOVE_S = 0.5
 # Paced down this far, a run may show no progress for a while.
 SLOWED_PACE = 50
 
@@ -60,3 +67,17 @@
         return False
     limit = max(STALL_S, STALL_SHARE * step.expected_ms / 1000)
     return run.seen_at - run.percent_at > limit and now - run.seen_at < limit
+
+
+def is_straggling(run: Run, step: Step) -> bool:
+    """Tell whether a run would end sooner if it started anew on a usual worker."""
+    if step.lasting or step.gang or run.stopping or run.seen_at < 0 or run.pace < WHOLE:
+        return False
+    expected_s = step.expected_ms / 1000
+    worked_s = run.seen_at - run.confirmed_at
+    if run.percent >= WHOLE or worked_s < max(JUDGE_S, JUDGE_SHARE * expected_s):
+        return False
+    if run.percent <= run.first_percent:
+        return worked_s > STRAGGLE_FACTOR * expected_s + MOVE_S
+    left_s = (WHOLE - run.percent) * worked_s / (run.percent - run.first_percent)
+    return left_s > STRAGGLE_FACTOR * expected_s + MOVE_S
--- /dev/null
+++ b/tests/pools/test_suspicion.py
@@ -0,0 +1,83 @@
+"""Tests of what makes a worker or a run suspect."""
+
+import unittest
+
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import Run
+from lavenderstall.pools.suspicion import Record, is_stalled, is_straggling
+from lavenderstall.pools.work import Cause, Task
+from tests.pools.builders import JOB, make_step
+
+STEP = make_step(expected_ms=1000)
+
+
+def make_run(confirmed: float, seen: float, percent: float, changed: float) -> Run:
+    """Return a run with its progress as last seen."""
+    run = Run(Task(JOB, 0, 0, 0), 1, WorkerKey("w1", 1), confirmed)
+    run.confirmed_at = confirmed
+    run.seen_at = seen
+    run.percent = percent
+    run.percent_at = changed
+    return run
+
+
+class RecordTest(unittest.TestCase):
+    """Ends that tell of a worker, and those that tell of a job."""
+
+    def test_failures_of_several_jobs_make_a_suspect(self) -> None:
+        done, failed = Cause.DONE, Cause.FAILED
+        rows = (
+            ((("a", failed), ("b", failed)), True),
+            ((("a", failed), ("a", failed), ("a", failed)), False),
+            ((("a", failed), ("b", failed), ("c", done), ("c", done), ("c", done)), False),
+            ((("a", failed), ("b", failed), ("c", done), ("d", done)), True),
+            ((("a", Cause.LAPSED), ("b", Cause.STOPPED)), False),
+        )
+        for ends, suspect in rows:
+            with self.subTest(ends=ends):
+                record = Record()
+                for job, cause in ends:
+                    record.note(1.0, JobId(job), cause)
+                self.assertEqual(record.is_suspect(2.0), suspect)
+
+    def test_old_failures_do_not_count(self) -> None:
+        record = Record()
+        for job in "ab":
+            record.note(1.0, JobId(job), Cause.FAILED)
+        self.assertFalse(record.is_suspect(60.0))
+
+
+class RunTest(unittest.TestCase):
+    """Runs that stand still or straggle."""
+
+    def test_a_run_without_progress_is_stalled(self) -> None:
+        rows = ((10.0, 12.5, 40.0, 10.0, True), (10.0, 12.5, 40.0, 12.0, False))
+        rows = (*rows, (10.0, 11.0, 0.0, 10.0, False), (10.0, 15.0, 100.0, 10.0, False))
+        for confirmed, seen, percent, changed, stalled in rows:
+            with self.subTest(seen=seen, percent=percent):
+                run = make_run(confirmed, seen, percent, changed)
+                self.assertEqual(is_stalled(run, STEP, seen), stalled)
+
+    def test_paced_and_lasting_runs_are_never_stalled(self) -> None:
+        run = make_run(10.0, 20.0, 40.0, 10.0)
+        self.assertFalse(is_stalled(run, make_step(lasting=True), 20.0))
+        run.pace = 0
+        self.assertFalse(is_stalled(run, STEP, 20.0))
+
+    def test_a_run_that_is_far_too_slow_straggles(self) -> None:
+        rows = (
+            (1.0, 50.0, False),
+            (1.0, 25.0, False),
+            (1.0, 10.0, True),
+            (0.3, 1.0, False),
+            (5.0, 0.0, True),
+        )
+        for worked, percent, straggles in rows:
+            with self.subTest(worked=worked, percent=percent):
+                run = make_run(10.0, 10.0 + worked, percent, 10.0 + worked)
+                self.assertEqual(is_straggling(run, STEP), straggles)
+
+
+if __name__ == "__main__":
+    unittest.main()
