--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -24,7 +24,7 @@
     """Guards against pages that drift from the settings and schemas they describe."""
 
     def test_settings(self) -> None:
-        rows = [row for row in read_tables("operating.md") if re.match("--[a-z]", row[0])]
+        rows = [row for row in read_tables("OPERATIONS.md") if re.match("--[a-z]", row[0])]
         found = {row[0]: (row[1], row[3]) for row in rows}
         expected = {
             option.flag: (
@@ -36,7 +36,7 @@
         self.assertEqual(found, expected)
 
     def test_exit_statuses(self) -> None:
-        rows = {row[0]: row[1] for row in read_tables("operating.md") if row[0].isdigit()}
+        rows = {row[0]: row[1] for row in read_tables("OPERATIONS.md") if row[0].isdigit()}
         self.assertEqual(rows, {str(status.value): text for status, text in HELP.items()})
 
     def test_schema_is_current(self) -> None:
