Spread accepted jobs over parts, keep advisers free for short calls, claim with fewer calls

Change: job and cancel rows lie in eight parts; the rows of a takeover are read side by side while the ownership is renewed; a write that takes over 0.7 s is tried through peers too; a third of the instances is kept for short advice calls; room that a more urgent step has asked advice for is not given away.

--- a/lavenderstall/pools/background.py
+++ b/lavenderstall/pools/background.py
@@ -1,12 +1,14 @@
 """Work that nobody waits for."""
 
 import logging
-from collections.abc import Coroutine
-from typing import Any
+from collections.abc import Coroutine, Iterable
+from typing import Any, TypeVar
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, FirstError, gatherResults
 from twisted.python.failure import Failure
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 
@@ -17,3 +19,15 @@
 
 def _log(failure: Failure) -> None:
     logger.error("unexpected error", extra={"error": failure.getTraceback()})
+
+
+async def gather(work: "Iterable[Coroutine[Any, Any, T]]") -> list[T]:
+    """Run coroutines side by side and return their results; the first error is raised."""
+    running = [Deferred.fromCoroutine(each) for each in work]
+    return await gatherResults(running, consumeErrors=True).addErrback(_unwrap)
+
+
+def _unwrap(failure: Failure) -> Failure:
+    """Return the failure of the one that failed first."""
+    error = failure.value
+    return error.subFailure if isinstance(error, FirstError) else failure
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -8,7 +8,7 @@
 from lavenderstall.pools.effects import AskAdvice, StartRun
 from lavenderstall.pools.job import Job, Run, StepState
 from lavenderstall.pools.pool import RUNS_PER_TERM, Pool
-from lavenderstall.pools.tickets import MOST_NAMED, StepAdvice, get_duration
+from lavenderstall.pools.tickets import MOST_NAMED, SHORT_S, StepAdvice, get_duration
 from lavenderstall.pools.work import Group, Queue, Step, Task
 from lavenderstall.pools.workers import Worker
 from lavenderstall.resources import Resources
@@ -74,15 +74,17 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self._held: set[str] = set()
-        self._advisers = 0
+        self._short_calls = 0
+        self._long_calls = 0
         self._spoken: dict[str, Resources] = {}
         self._blocked = 0
         self._reserving = 0
 
-    def dispatch(self, advisers: int) -> None:
-        """Start what fits, and ask for as much advice as there are idle advisers."""
+    def dispatch(self, short_calls: int, long_calls: int) -> None:
+        """Start what fits, and make as many short and long advice calls as may be made now."""
         self._held = set()
-        self._advisers = advisers
+        self._short_calls = short_calls
+        self._long_calls = long_calls
         self._spoken = {}
         self._blocked = 0
         self._reserving = 0
@@ -176,7 +178,7 @@
         left = list(waiting)
         for offer in offers:
             name = offer.worker.key.id
-            room = offer.worker.get_room()
+            room = self._get_unspoken(offer.worker)
             for index in list(left):
                 if not step.charge.fits(room):
                     break
@@ -204,7 +206,8 @@
         advice = self.pool.advice.get(turn.group)
         offers = []
         for worker in free:
-            if not step.charge.fits(worker.get_room()) or not self._suits(step, worker):
+            room = self._get_unspoken(worker)
+            if not step.charge.fits(room) or not self._suits(step, worker):
                 continue
             ticket = ""
             if turn.queue.advising is not None:
@@ -212,9 +215,7 @@
                 if found is None:
                     continue
                 ticket = found
-            offers.append(
-                Offer(self._score(step, worker), worker.get_room().cores_milli, worker, ticket)
-            )
+            offers.append(Offer(self._score(step, worker), room.cores_milli, worker, ticket))
         return sorted(offers, key=lambda offer: offer[:2])
 
     def _suits(self, step: Step, worker: Worker) -> bool:
@@ -256,6 +257,8 @@
         run.checkpoint = turn.job.get_checkpoint(task)
         turn.job.add_run(run)
         worker.add_run(run, step.charge)
+        if worker.key.id in self._spoken:
+            self._spoken[worker.key.id] = self._spoken[worker.key.id].subtract(step.charge)
         worker.note_lease(deadline_ms)
         pool.counts["starts"] += 1
         if turn.job.progress.state == "queued":
@@ -334,12 +337,20 @@
             chosen = [*chosen, *unknown]
         chosen = chosen[:MOST_NAMED]
         self._speak_for(step, chosen, missing)
-        if self._advisers <= 0:
+        duration_s = get_duration(advising, len(chosen))
+        if not self._take_call(duration_s):
             return
-        self._advisers -= 1
         named = tuple(worker.key.id for worker in chosen)
         advice.note_asked(named)
-        pool.effects.append(AskAdvice(turn.group, named, get_duration(advising, len(named)) * 1000))
+        pool.effects.append(AskAdvice(turn.group, named, duration_s * 1000))
+
+    def _take_call(self, duration_s: float) -> bool:
+        """Count an advice call, and tell whether it may be made now."""
+        self._short_calls -= 1
+        if duration_s <= SHORT_S:
+            return self._short_calls >= 0
+        self._long_calls -= 1
+        return self._long_calls >= 0
 
     def _list_candidates(
         self, step: Step, state: StepState, advice: StepAdvice, free: list[Worker]
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -124,7 +124,9 @@
             outside.read_uptime,
         )
         self.peers.local_state = self.get_local_state
-        self.intake = Intake(self._store, self.peers, outside.read_unix_ms, self.metrics)
+        self.intake = Intake(
+            self._store, self.peers, outside.clock, outside.read_unix_ms, self.metrics
+        )
         self._claimer = Claimer(
             self._store, identity.entry, identity.incarnation, outside.read_uptime
         )
@@ -268,9 +270,7 @@
             await sleep(self._clock, self._get_rank(pool) * CLAIM_STEP_S)
             if self.peers.find_owner(pool) is not None or self.draining:
                 return
-            sight = await self._claimer.look(pool)
-            if sight.is_vacant() and self._may_claim(sight):
-                await self._claim(pool, sight)
+            await self._claim(pool, sight)
         except LavenderstallError as error:
             logger.info("owner not read", extra={"pool": pool, "error": str(error)})
         finally:
@@ -293,8 +293,14 @@
         if claim is None:
             return
         owner = self._make_owner(pool, claim)
-        await owner.load()
-        if self.draining or not self._running:
+        owner.renew()
+        try:
+            await owner.load()
+        except LavenderstallError:
+            await owner.stop(release=True)
+            raise
+        if self.draining or not self._running or not owner.running:
+            await owner.stop(release=True)
             return
         self.owned[pool] = owner
         self._claimed_at[pool] = self._read_uptime()
@@ -354,7 +360,7 @@
 
     async def _fetch_advice(self, owner: PoolOwner, order: AskAdvice) -> None:
         limit_s = ADVICE_TURNS * order.expected_ms / 1000 + ADVICE_SLACK_S
-        peer = self.peers.choose_adviser(limit_s)
+        peer = self.peers.choose_adviser(order.expected_ms / 1000)
         if peer is None:
             owner.note_advice(order, None)
             return
@@ -464,9 +470,7 @@
         launch(self._answer_write(message, sender))
 
     async def _answer_write(self, message: WriteAsk, sender: EntryId) -> None:
-        outcome = await self.intake.add_row(
-            message.table, PoolName(message.part), message.key, message.value
-        )
+        outcome = await self.intake.add_row(message.table, message.part, message.key, message.value)
         self.peers.send(sender, WriteAnswer(message.number, outcome.value))
 
     @handle.register(StateAnswer)
--- a/lavenderstall/pools/intake.py
+++ b/lavenderstall/pools/intake.py
@@ -1,8 +1,12 @@
 """Jobs at an entry instance: accepting, cancelling and telling their state."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
+from twisted.internet.defer import Deferred
+
+from lavenderstall.clocks import Clock, sleep
 from lavenderstall.errors import (
     LavenderstallError,
     StoreOutcomeUnknownError,
@@ -10,6 +14,7 @@
 )
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
+from lavenderstall.pools.background import gather, launch
 from lavenderstall.pools.job import AcceptedJob
 from lavenderstall.pools.peers import PeerRequests
 from lavenderstall.pools.ports import Change, Condition, Put, Row, RowConflictError
@@ -19,14 +24,19 @@
     JOBS,
     PROGRESS,
     Presence,
-    decode_job,
     decode_progress,
     encode,
+    get_shard,
 )
 from lavenderstall.pools.work import ENDED, JobSpec, JobState, PoolName, Queue
 
 logger = logging.getLogger(__name__)
 
+# A write that takes longer, as with a silent store, is tried through peers as well.
+PATIENCE_S = 0.7
+PATIENCE_STEP_S = 0.05
+RACERS = 2
+
 
 class Intake:
     """Accept jobs into the store and pass them to the owners of their pools."""
@@ -35,11 +45,13 @@
         self,
         store: ReachedStore,
         peers: PeerRequests,
+        clock: Clock,
         read_unix_ms: Callable[[], float],
         metrics: Metrics,
     ) -> None:
         self._store = store
         self._peers = peers
+        self._clock = clock
         self._read_unix_ms = read_unix_ms
         self._metrics = metrics
 
@@ -54,16 +66,28 @@
             self._peers.hint_job(queue.pool, value)
         return outcome
 
-    async def _add(self, table: str, part: PoolName, key: str, value: bytes) -> Presence:
-        """Add a row here or through a peer; a store known to be lost is not waited for."""
-        outcome = Presence.ABSENT
-        if not self._store.is_lost():
-            outcome = await self.add_row(table, part, key, value)
-        if outcome is not Presence.PRESENT:
-            outcome = await self._pass_on(table, part, key, value, outcome)
-        return outcome
+    async def _add(self, table: str, pool: PoolName, job: JobId, value: bytes) -> Presence:
+        """Add a row here, and through peers if that takes long; a lost store is not tried."""
+        part = get_shard(pool, job)
+        if self._store.is_lost():
+            return await self._pass_on(table, part, job, value)
+        race = Race(RACERS)
+        launch(race.run(self.add_row(table, part, job, value)))
+        launch(race.run(self._pass_on_later(race, table, part, job, value)))
+        return await race.outcome
+
+    async def _pass_on_later(
+        self, race: "Race", table: str, part: str, key: str, value: bytes
+    ) -> Presence:
+        """Ask peers for a write that is slow or has failed here."""
+        limit = self._clock.seconds() + PATIENCE_S
+        while race.open == RACERS and self._clock.seconds() < limit:
+            await sleep(self._clock, PATIENCE_STEP_S)
+        if race.outcome.called:
+            return Presence.PRESENT
+        return await self._pass_on(table, part, key, value)
 
-    async def add_row(self, table: str, part: PoolName, key: str, value: bytes) -> Presence:
+    async def add_row(self, table: str, part: str, key: str, value: bytes) -> Presence:
         """Add a row that may be there already."""
         change = Change(part, (Condition(table, key, 0),), (Put(table, key, value),))
         try:
@@ -78,7 +102,7 @@
             return await self._find_row(table, part, key)
         return Presence.PRESENT
 
-    async def _find_row(self, table: str, part: PoolName, key: str) -> Presence:
+    async def _find_row(self, table: str, part: str, key: str) -> Presence:
         """Look for a row whose write was not answered; it may still come."""
         try:
             row = await self.read_row(table, part, key)
@@ -86,16 +110,14 @@
             return Presence.UNKNOWN
         return Presence.PRESENT if row else Presence.UNKNOWN
 
-    async def read_row(self, table: str, part: PoolName, key: str) -> Row | None:
+    async def read_row(self, table: str, part: str, key: str) -> Row | None:
         """Return one row, or none if it is absent."""
         page = await self._store.read(table, part, key, 1)
         return next((row for row in page.rows if row.key == key), None)
 
-    async def _pass_on(
-        self, table: str, part: PoolName, key: str, value: bytes, before: Presence
-    ) -> Presence:
-        """Ask peers that may reach the store to add a row."""
-        doubtful = before is Presence.UNKNOWN
+    async def _pass_on(self, table: str, part: str, key: str, value: bytes) -> Presence:
+        """Ask peers that reach the store to add a row."""
+        doubtful = False
         for peer in self._peers.choose_writers():
             answer = await self._peers.ask_write(peer, table, part, key, value)
             if answer is Presence.PRESENT:
@@ -107,7 +129,7 @@
     async def cancel(self, queue: Queue, job: JobId) -> bool | None:
         """Cancel a job; returns false if there is none, and none if that is not known."""
         try:
-            known = await self.read_row(JOBS, queue.pool, job)
+            known = await self.read_row(JOBS, get_shard(queue.pool, job), job)
         except LavenderstallError as error:
             logger.info("job not read", extra={"job": job, "error": str(error)})
             state = await self._peers.ask_state(queue.pool, job)
@@ -131,16 +153,44 @@
         return await self._read_state(queue, job)
 
     async def _read_state(self, queue: Queue, job: JobId) -> JobState | None:
-        row = await self.read_row(JOBS, queue.pool, job)
+        """Return the state that the rows of a job tell."""
+        shard = get_shard(queue.pool, job)
+        row, progress, cancel = await gather(
+            [
+                self.read_row(JOBS, shard, job),
+                self.read_row(PROGRESS, queue.pool, job),
+                self.read_row(CANCELS, shard, job),
+            ]
+        )
         if row is None:
             return None
         self._peers.hint_job(queue.pool, row.value)
-        progress = await self.read_row(PROGRESS, queue.pool, job)
         state = JobState(decode_progress(progress.value).state) if progress else JobState.QUEUED
-        if state not in ENDED and await self.read_row(CANCELS, queue.pool, job) is not None:
+        if state not in ENDED and cancel is not None:
             return JobState.CANCELLED
         return state
 
-    def check_same(self, row: Row, spec: JobSpec) -> bool:
-        """Tell whether a row holds the job that is submitted again."""
-        return decode_job(row.value).spec == spec
+
+class Race:
+    """Take the outcomes of several attempts at one write; the first success decides."""
+
+    def __init__(self, count: int) -> None:
+        self.open = count
+        self.outcome: Deferred[Presence] = Deferred()
+        self._doubtful = False
+
+    async def run(self, attempt: Coroutine[Any, Any, Presence]) -> None:
+        """Wait for one attempt."""
+        found = Presence.UNKNOWN
+        try:
+            found = await attempt
+        finally:
+            self.open -= 1
+            self._doubtful = self._doubtful or found is Presence.UNKNOWN
+            if not self.outcome.called and (found is Presence.PRESENT or not self.open):
+                self.outcome.callback(self._conclude(found))
+
+    def _conclude(self, last: Presence) -> Presence:
+        if last is Presence.PRESENT:
+            return last
+        return Presence.UNKNOWN if self._doubtful else Presence.ABSENT
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from functools import singledispatchmethod
+from itertools import chain
 from typing import Any
 
 import msgspec
@@ -12,16 +13,16 @@
 from lavenderstall.errors import LavenderstallError, PeerUnavailableError
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
-from lavenderstall.pools.background import launch
+from lavenderstall.pools.background import gather, launch
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import AskAdvice, PaceRun, Refusal, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.peers import AdviserCount
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
     HistoryLostError,
     Lease,
-    Page,
     Registry,
     Row,
     RowStore,
@@ -36,6 +37,7 @@
     RosterRow,
     decode_job,
     decode_progress,
+    list_shards,
 )
 from lavenderstall.pools.workers import LEASE_MS, Worker
 from lavenderstall.pools.writer import DeposedError, OwnerWriter
@@ -65,7 +67,6 @@
 # Rows of old jobs are looked for this often.
 CLEAN_S = 5.0
 FOLLOW_RETRY_S = 0.2
-PAGE_ROWS = 500
 
 AskAdviceFunction = Callable[[AskAdvice], None]
 
@@ -84,7 +85,7 @@
         read_uptime: Callable[[], float],
         read_unix_ms: Callable[[], float],
         ask_advice: AskAdviceFunction,
-        count_advisers: Callable[[], int],
+        count_advisers: Callable[[], AdviserCount],
         metrics: Metrics,
     ) -> None:
         self.pool = pool
@@ -102,6 +103,8 @@
         self._looking: set[WorkerKey] = set()
         self._dispatch_call: Any = None
         self._following = 0
+        self._following_cancels = 0
+        self._shards = list_shards(pool.name)
         self._awaiting_commit: list[Deferred[None]] = []
         writer.listeners.append(self._note_commit)
         self.running = False
@@ -113,26 +116,24 @@
     async def load(self) -> None:
         """Read all rows of the pool, so that nothing accepted is unknown."""
         self._advance()
-        roster = await self._read_all(OWNERS)
-        progress = {
-            row.key: decode_progress(row.value)
-            for row in self._note(await self._read_all(PROGRESS))
-        }
-        self._note(roster)
-        for row in roster:
-            if row.key == ROSTER_KEY:
-                entries = msgspec.msgpack.decode(row.value, type=RosterRow).workers
-                self.writer.set_roster(tuple(entries))
-                for entry in entries:
-                    worker = self.pool.add_worker(entry)
-                    worker.listed = False
-                    self.pool.roster.add(worker.key)
-        page = await self._store.read(JOBS, self.pool.name)
-        self._following = page.version
-        for row in await self._read_rest(page, JOBS):
-            job = decode_job(row.value)
-            self.pool.add_job(job, progress.get(row.key), inherited=True)
-        for row in await self._read_all(CANCELS):
+        name = self.pool.name
+        shards = self._shards
+        roster, progress_rows, *others = await gather(
+            [
+                self._read_all(OWNERS, name),
+                self._read_all(PROGRESS, name),
+                *(self._read_all(CANCELS, shard) for shard in shards),
+                *(self._read_all(JOBS, shard) for shard in shards),
+            ]
+        )
+        cancels = list(chain.from_iterable(others[: len(shards)]))
+        jobs = list(chain.from_iterable(others[len(shards) :]))
+        self.writer.learn_versions(tuple(chain(roster, progress_rows)))
+        self._use_roster(roster)
+        progress = {row.key: decode_progress(row.value) for row in progress_rows}
+        for row in jobs:
+            self.pool.add_job(decode_job(row.value), progress.get(row.key), inherited=True)
+        for row in cancels:
             self.pool.cancel_job(JobId(row.key))
         logger.info(
             "pool loaded",
@@ -141,29 +142,43 @@
                 "term": self.pool.term,
                 "jobs": len(self.pool.jobs),
                 "roster": len(self.pool.roster),
-                "version": page.version,
+                "version": self._following,
             },
         )
 
-    def _note(self, rows: list[Row]) -> list[Row]:
-        self.writer.learn_versions(tuple(rows))
-        return rows
-
-    async def _read_all(self, table: str) -> list[Row]:
-        page = await self._store.read(table, self.pool.name)
-        return await self._read_rest(page, table)
-
-    async def _read_rest(self, page: Page, table: str) -> list[Row]:
+    def _use_roster(self, rows: list[Row]) -> None:
+        """Take the workers on which earlier owners may have started tasks."""
+        for row in rows:
+            if row.key != ROSTER_KEY:
+                continue
+            entries = msgspec.msgpack.decode(row.value, type=RosterRow).workers
+            self.writer.set_roster(tuple(entries))
+            for entry in entries:
+                worker = self.pool.add_worker(entry)
+                worker.listed = False
+                self.pool.roster.add(worker.key)
+
+    async def _read_all(self, table: str, part: str) -> list[Row]:
+        page = await self._store.read(table, part)
         rows = list(page.rows)
+        # Rows that come while others are read are found by the feeds from the oldest reading on.
+        if table == JOBS:
+            self._following = min(self._following or page.version, page.version)
+        elif table == CANCELS:
+            self._following_cancels = min(self._following_cancels or page.version, page.version)
         while page.more:
-            page = await self._store.read(table, self.pool.name, rows[-1].key + "\0")
+            page = await self._store.read(table, part, rows[-1].key + "\0")
             rows.extend(page.rows)
         return rows
 
+    def renew(self) -> None:
+        """Begin to renew the ownership, while rows are still read."""
+        self.running = True
+        launch(self._keep(self._write))
+
     def start(self) -> None:
         """Begin to serve the pool."""
-        self.running = True
-        for loop in (self._write, self._watch_registry, self._review, self._follow_jobs):
+        for loop in (self._watch_registry, self._review, self._follow_jobs):
             launch(self._keep(loop))
         launch(self._keep(self._follow_cancels))
 
@@ -226,18 +241,31 @@
         try:
             page = await self._store.follow(JOBS, self._following, FOLLOW_MS)
         except HistoryLostError:
-            page = await self._store.read(JOBS, self.pool.name)
-            rows = await self._read_rest(page, JOBS)
-            page = msgspec.structs.replace(page, rows=tuple(rows))
+            self._following = 0
+            for row in await self._read_shards(JOBS):
+                self.take_job(decode_job(row.value))
+            return
         self._following = page.version
         for row in page.rows:
-            if row.part == self.pool.name and row.version:
+            if row.part in self._shards and row.version:
                 self.take_job(decode_job(row.value))
 
     async def _follow_cancels(self) -> None:
-        await sleep(self._clock, FOLLOW_MS / 1000)
-        for row in await self._read_all(CANCELS):
-            self.take_cancel(JobId(row.key))
+        try:
+            page = await self._store.follow(CANCELS, self._following_cancels, FOLLOW_MS)
+        except HistoryLostError:
+            self._following_cancels = 0
+            for row in await self._read_shards(CANCELS):
+                self.take_cancel(JobId(row.key))
+            return
+        self._following_cancels = page.version
+        for row in page.rows:
+            if row.part in self._shards and row.version:
+                self.take_cancel(JobId(row.key))
+
+    async def _read_shards(self, table: str) -> list[Row]:
+        found = await gather([self._read_all(table, shard) for shard in self._shards])
+        return list(chain.from_iterable(found))
 
     # Events from entry instances
 
@@ -279,7 +307,7 @@
     def _dispatch(self) -> None:
         if self.may_act():
             started = self._read_uptime()
-            self.dispatcher.dispatch(self._count_advisers())
+            self.dispatcher.dispatch(*self._count_advisers())
             self._metrics.record("dispatch", self._read_uptime() - started)
         for effect in self.pool.take_effects():
             self.perform(effect)
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from itertools import count
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 from zlib import crc32
 
 import msgspec
@@ -29,6 +29,7 @@
     WriteAsk,
 )
 from lavenderstall.pools.records import Presence
+from lavenderstall.pools.tickets import SHORT_S
 from lavenderstall.pools.work import JobState, PoolName
 
 logger = logging.getLogger(__name__)
@@ -41,15 +42,25 @@
 # Peers beside owners that an instance tells that it lives.
 WATCHED_PEERS = 6
 STATE_TIMEOUT_S = 0.35
-WRITE_TIMEOUT_S = 1.2
+WRITE_TIMEOUT_S = 1.5
 # Peers that are asked to add a row, one after the other.
 MOST_WRITERS = 2
 # Requests that a peer may leave unanswered before its connection is replaced.
 MOST_UNANSWERED = 2
+# One instance in so many is kept for short calls, and takes so many of them at a time.
+KEPT_SHARE = 3
+SHORT_CALLS = 2
 # An adviser that gave no answer gets no call for this long.
 ADVISER_PENALTY_S = 1.5
 
 
+class AdviserCount(NamedTuple):
+    """Hold how many instances may take a short and a long advice call."""
+
+    short: int
+    long: int
+
+
 class OwnerSight(msgspec.Struct):
     """Hold the owner of a pool as last heard."""
 
@@ -60,11 +71,12 @@
 
 
 class PeerSight(msgspec.Struct):
-    """Hold an entry instance as last heard; `busy_until` estimates its advice calls."""
+    """Hold an entry instance as last heard; `calls` counts this one's advice calls there."""
 
     zone: str
     heard_at: float = -1.0
-    busy_until: float = 0.0
+    calls: int = 0
+    barred_until: float = 0.0
     draining: bool = False
     unanswered: int = 0
     redialed_at: float = -10.0
@@ -240,7 +252,7 @@
         return self._random.sample(live, min(MOST_WRITERS, len(live)))
 
     async def ask_write(
-        self, peer: EntryId, table: str, part: PoolName, key: str, value: bytes
+        self, peer: EntryId, table: str, part: str, key: str, value: bytes
     ) -> Presence:
         """Ask a peer to add a row."""
         number = next(self._numbers)
@@ -248,42 +260,58 @@
         answer: WriteAnswer | None = await self._ask(peer, message, WRITE_TIMEOUT_S)
         return Presence(answer.outcome) if answer else Presence.UNKNOWN
 
-    def _list_advisers(self) -> list[EntryId]:
+    def _list_advisers(self, *, short: bool) -> list[EntryId]:
+        """Return the instances that may take an advice call now.
+
+        A third of the instances is kept for short calls, which urgent steps need; all owners
+        keep the same ones.
+        """
         now = self._read_uptime()
         own = self.peers.setdefault(self.entry, PeerSight(self.zone))
         own.heard_at = now
-        live = {*self.list_live(), self.entry}
+        live = sorted(
+            peer for peer in {*self.list_live(), self.entry} if not self.peers[peer].draining
+        )
+        kept = len(live) // KEPT_SHARE
+        chosen = live if short else live[kept:]
+        reserved = set(live[:kept])
         return [
             peer
-            for peer in live
-            if not self.peers[peer].draining and self.peers[peer].busy_until <= now
+            for peer in chosen
+            if self.peers[peer].barred_until <= now
+            and self.peers[peer].calls < (SHORT_CALLS if peer in reserved else 1)
         ]
 
-    def count_idle_advisers(self) -> int:
-        """Return how many instances have no advice call of this one in flight."""
-        return len(self._list_advisers())
+    def count_idle_advisers(self) -> AdviserCount:
+        """Return how many instances may take a short and a long advice call now."""
+        return AdviserCount(
+            len(self._list_advisers(short=True)), len(self._list_advisers(short=False))
+        )
 
-    def choose_adviser(self, limit_s: float) -> EntryId | None:
-        """Take an instance without an advice call, for at most a time; none if all are busy."""
-        idle = self._list_advisers()
+    def choose_adviser(self, expected_s: float) -> EntryId | None:
+        """Take an instance for an advice call; none if all are busy."""
+        idle = self._list_advisers(short=expected_s <= SHORT_S)
         if not idle:
             return None
         chosen = min(
             idle,
             key=lambda peer: (
-                self.peers[peer].busy_until,
+                self.peers[peer].calls,
                 self.peers[peer].zone != self.zone,
                 peer != self.entry,
             ),
         )
-        self.peers[chosen].busy_until = self._read_uptime() + limit_s
+        self.peers[chosen].calls += 1
         return chosen
 
     def free_adviser(self, peer: EntryId, *, answered: bool) -> None:
         """Note that an advice call has ended."""
         sight = self.peers.get(peer)
-        if sight is not None:
-            sight.busy_until = self._read_uptime() + (0.0 if answered else ADVISER_PENALTY_S)
+        if sight is None:
+            return
+        sight.calls = max(0, sight.calls - 1)
+        if not answered:
+            sight.barred_until = self._read_uptime() + ADVISER_PENALTY_S
 
     async def ask_advice(self, peer: EntryId, order: AskAdvice, timeout_s: float) -> Advice | None:
         """Ask a peer to call the placement service; returns none if it gave no advice."""
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -1,11 +1,13 @@
 """Rows of the pool scheduler: tables, keys and values."""
 
 from enum import Enum
+from zlib import crc32
 
 import msgspec
 
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.job import AcceptedJob, JobProgress
+from lavenderstall.pools.work import PoolName
 from lavenderstall.pools.workers import WorkerEntry
 
 JOBS = "jobs"
@@ -15,6 +17,8 @@
 ENTRIES = "entries"
 OWNER_KEY = "owner"
 ROSTER_KEY = "roster"
+# Accepted and cancelled jobs of a pool lie in so many parts, as a part serves its writes in turn.
+SHARDS = 8
 
 
 class Presence(Enum):
@@ -54,6 +58,16 @@
     left: bool = False
 
 
+def get_shard(pool: PoolName, job: str) -> str:
+    """Return the part that holds the rows of a job as callers make them."""
+    return f"{pool}/{crc32(job.encode()) % SHARDS}"
+
+
+def list_shards(pool: PoolName) -> list[str]:
+    """Return the parts that hold the jobs of a pool."""
+    return [f"{pool}/{number}" for number in range(SHARDS)]
+
+
 def encode(value: msgspec.Struct) -> bytes:
     """Return a row's value."""
     return msgspec.msgpack.encode(value)
--- a/lavenderstall/pools/tickets.py
+++ b/lavenderstall/pools/tickets.py
@@ -7,6 +7,8 @@
 
 # Time for an order with a ticket to reach its worker.
 TRANSIT_S = 0.08
+# Calls up to this long are short.
+SHORT_S = 0.1
 # Workers named in one call at most, which bounds its duration.
 MOST_NAMED = 30
 
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from itertools import groupby
 
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.errors import (
@@ -34,6 +35,7 @@
     RosterRow,
     decode_owner,
     encode,
+    get_shard,
 )
 from lavenderstall.pools.work import ENDED, JobState
 from lavenderstall.pools.workers import WorkerEntry
@@ -225,12 +227,19 @@
         jobs = self._pool.list_expired(CLEAN_JOBS)
         if not jobs:
             return
-        deletes = tuple(Delete(table, job) for job in jobs for table in (JOBS, PROGRESS, CANCELS))
-        condition = Condition(OWNERS, OWNER_KEY, self._version)
+        name = self._pool.name
         try:
-            await self._store.commit(Change(self._pool.name, (condition,), (), deletes))
+            for shard, members in groupby(
+                sorted(jobs, key=lambda job: get_shard(name, job)),
+                key=lambda job: get_shard(name, job),
+            ):
+                deletes = tuple(Delete(table, job) for job in members for table in (JOBS, CANCELS))
+                await self._store.commit(Change(shard, (), (), deletes))
+            condition = Condition(OWNERS, OWNER_KEY, self._version)
+            deletes = tuple(Delete(PROGRESS, job) for job in jobs)
+            await self._store.commit(Change(name, (condition,), (), deletes))
         except LavenderstallError as error:
-            logger.info("rows not cleaned", extra={"pool": self._pool.name, "error": str(error)})
+            logger.info("rows not cleaned", extra={"pool": name, "error": str(error)})
             return
         for job in jobs:
             self._versions.pop(job, None)
--- a/tests/pools/builders.py
+++ b/tests/pools/builders.py
@@ -127,7 +127,7 @@
 
     def dispatch(self, advisers: int = 4) -> list[Effect]:
         """Dispatch and return what is to be done."""
-        self.dispatcher.dispatch(advisers)
+        self.dispatcher.dispatch(advisers, advisers)
         return self.pool.take_effects()
 
     def start(self, advisers: int = 4) -> list[StartRun]:
