Find out at once on which workers a step may run, and hold room for gangs only as long as it takes

Change: the first call names all workers that could ever hold the task; later calls only allowed ones with room. Why a step waits is logged once a second.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Iterator
 from itertools import groupby
+from operator import itemgetter
 from typing import NamedTuple
 
 from lavenderstall.pools.effects import AskAdvice, StartRun
@@ -11,7 +12,7 @@
 from lavenderstall.pools.tickets import MOST_NAMED, SHORT_S, StepAdvice, get_duration
 from lavenderstall.pools.work import Group, Queue, Step, Task
 from lavenderstall.pools.workers import Worker
-from lavenderstall.resources import Resources
+from lavenderstall.resources import NOTHING, Resources
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +24,12 @@
 MOST_BLOCKED = 24
 # Gangs that may hold room back while they wait for the rest of it.
 MOST_RESERVING = 2
+# A step that waits is explained in the log this often.
+EXPLAIN_S = 1.0
+# Progress from which the end of a run is estimated, in percent.
+SURE_PERCENT = 10.0
+# A run that is being stopped is gone this soon.
+STOP_S = 0.4
 # After this multiple of its objective a job earns nothing, and goes behind all others.
 HOPELESS_FACTOR = 3.0
 # Tickets beyond the tasks that wait, to allow for workers that fill up meanwhile.
@@ -73,7 +80,7 @@
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
-        self._held: set[str] = set()
+        self._held: dict[str, float] = {}
         self._short_calls = 0
         self._long_calls = 0
         self._spoken: dict[str, Resources] = {}
@@ -82,7 +89,7 @@
 
     def dispatch(self, short_calls: int, long_calls: int) -> None:
         """Start what fits, and make as many short and long advice calls as may be made now."""
-        self._held = set()
+        self._held = {}
         self._short_calls = short_calls
         self._long_calls = long_calls
         self._spoken = {}
@@ -127,11 +134,12 @@
         if step.gang and any(state.live.values()):
             return
         waiting = sorted(state.waiting)
-        free = [worker for worker in usable if worker.key.id not in self._held]
+        free = [worker for worker in usable if self._may_use(step, worker)]
         placed = self._place(turn, step, state, waiting, free)
         missing = len(waiting) - len(placed)
         if step.gang and missing:
             self._blocked += 1
+            self._explain(turn, step, state, usable)
             self._seek_advice(turn, step, state, free, len(waiting))
             self._reserve(turn, step, usable)
             return
@@ -139,8 +147,36 @@
             self._start(turn, step, state, index, offer)
         if missing:
             self._blocked += 1
+            self._explain(turn, step, state, usable)
             self._seek_advice(turn, step, state, free, missing)
 
+    def _explain(self, turn: Turn, step: Step, state: StepState, usable: list[Worker]) -> None:
+        """Log why tasks of a step wait, at most once a while for each step."""
+        now = self.pool.now
+        if now - state.explained_at < EXPLAIN_S or now - state.ready_at < EXPLAIN_S:
+            return
+        state.explained_at = now
+        advice = self.pool.advice.get(turn.group)
+        allowed = advice.allowed if advice else set()
+        needs = turn.queue.advising is not None
+        candidates = [w for w in usable if not needs or w.key.id in allowed]
+        logger.info(
+            "step waits",
+            extra={
+                "job": turn.job.id,
+                "step": turn.group.step,
+                "waiting": len(state.waiting),
+                "hopeless": turn.hopeless,
+                "usable": len(usable),
+                "allowed": len(candidates) if needs else None,
+                "asked": len(advice.asked) if advice else 0,
+                "held": sum(not self._may_use(step, w) for w in candidates),
+                "unsuited": sum(not self._suits(step, w) for w in candidates),
+                "without_room": sum(not step.charge.fits(w.get_room()) for w in candidates),
+                "spoken_for": sum(not step.charge.fits(self._get_unspoken(w)) for w in candidates),
+            },
+        )
+
     def _place(
         self, turn: Turn, step: Step, state: StepState, waiting: list[int], free: list[Worker]
     ) -> list[tuple[int, Offer]]:
@@ -289,27 +325,78 @@
 
     # Gangs
 
+    def _may_use(self, step: Step, worker: Worker) -> bool:
+        """Tell whether a task would end before a waiting gang has the rest of its room."""
+        until = self._held.get(worker.key.id)
+        if until is None:
+            return True
+        ratio = self.pool.speeds.estimate(step.image, worker.entry.kind, worker.key.id)
+        ends = self.pool.now + step.expected_ms / 1000 * ratio
+        return not step.lasting and not step.gang and ends <= until
+
     def _reserve(self, turn: Turn, step: Step, usable: list[Worker]) -> None:
-        """Hold back the workers on which a waiting gang will soonest have room."""
+        """Hold back the workers on which a waiting gang will soonest have room.
+
+        Nothing is held for a gang that the workers it may use cannot hold.
+        """
         if self._reserving >= MOST_RESERVING:
             return
         advice = self.pool.advice.get(turn.group)
-        suited = [
+        suited = (
             worker
             for worker in usable
             if step.charge.fits(worker.entry.capacity)
             and worker.key.id not in self._held
             and (turn.queue.advising is None or (advice and worker.key.id in advice.allowed))
-        ]
-        suited.sort(key=lambda worker: -worker.get_room().accelerators)
-        room = 0
-        for worker in suited:
-            self._held.add(worker.key.id)
-            room += count_fitting(step.charge, worker.entry.capacity)
-            if room >= step.count:
-                break
+        )
+        slots = sorted(
+            (free_at, worker.key.id)
+            for worker in suited
+            for free_at in self._list_slots(step, worker)
+        )
+        if len(slots) < step.count:
+            return
+        chosen = slots[: step.count]
+        self._held.update(dict.fromkeys((name for _, name in chosen), chosen[-1][0]))
         self._reserving += 1
 
+    def _list_slots(self, step: Step, worker: Worker) -> list[float]:
+        """Return when a worker will have room for a first task of a step, a second, and so on."""
+        room = worker.get_room()
+        slots = [self.pool.now] * count_fitting(step.charge, room)
+        ends = sorted(
+            (
+                (self._estimate_end(worker, run), self._get_charge(run))
+                for run in worker.runs.values()
+            ),
+            key=itemgetter(0),
+        )
+        for end, charge in ends:
+            if end == float("inf"):
+                break
+            room = room.add(charge)
+            slots += [end] * (count_fitting(step.charge, room) - len(slots))
+        return slots
+
+    def _get_charge(self, run: Run) -> Resources:
+        job = self.pool.jobs.get(run.task.job)
+        return job.spec.steps[run.task.step].charge if job else NOTHING
+
+    def _estimate_end(self, worker: Worker, run: Run) -> float:
+        """Return when a run will end, from its progress or its declared duration."""
+        job = self.pool.jobs.get(run.task.job)
+        if job is None or run.stopping:
+            return self.pool.now + STOP_S
+        step = job.spec.steps[run.task.step]
+        if step.lasting:
+            return float("inf")
+        worked = run.seen_at - run.confirmed_at
+        gained = run.percent - run.first_percent
+        if run.seen_at >= 0 and gained >= SURE_PERCENT:
+            return run.seen_at + worked * (100.0 - run.percent) / gained
+        ratio = self.pool.speeds.estimate(step.image, worker.entry.kind, worker.key.id)
+        return max(self.pool.now, run.ordered_at + step.expected_ms / 1000 * ratio)
+
     # Advice
 
     def _seek_advice(
@@ -326,7 +413,7 @@
             self._speak_for(step, [w for w in free if w.key.id in asked], missing)
             return
         candidates = self._list_candidates(step, state, advice, free)
-        if not candidates:
+        if not candidates or (step.gang and not self._may_fit(step, advice, free)):
             return
         known = [worker for worker in candidates if worker.key.id in advice.allowed]
         known.sort(key=lambda worker: self._score(step, worker))
@@ -344,6 +431,16 @@
         advice.note_asked(named)
         pool.effects.append(AskAdvice(turn.group, named, duration_s * 1000))
 
+    def _may_fit(self, step: Step, advice: StepAdvice, free: list[Worker]) -> bool:
+        """Tell whether a gang may have room now, as far as is known which workers it may use."""
+        room = sum(
+            count_fitting(step.charge, worker.get_room())
+            for worker in free
+            if worker.key.id in advice.allowed
+        )
+        known = advice.allowed | advice.denied
+        return room >= step.count or any(worker.key.id not in known for worker in free)
+
     def _take_call(self, duration_s: float) -> bool:
         """Count an advice call, and tell whether it may be made now."""
         self._short_calls -= 1
@@ -355,7 +452,10 @@
     def _list_candidates(
         self, step: Step, state: StepState, advice: StepAdvice, free: list[Worker]
     ) -> list[Worker]:
-        """Return the workers that have room for a step and of which a ticket is missing."""
+        """Return the workers of which a ticket is missing: those with room, and unknown ones.
+
+        Which workers are allowed never changes, so it is found out for all of them at once.
+        """
         beside = count_beside(state)
         candidates = []
         for worker in free:
@@ -366,7 +466,8 @@
                 continue
             if not self._suits(step, worker):
                 continue
-            room = worker.entry.capacity if step.gang else self._get_unspoken(worker)
+            whole = step.gang or name not in advice.allowed
+            room = worker.entry.capacity if whole else self._get_unspoken(worker)
             if step.charge.fits(room):
                 candidates.append(worker)
         return candidates
@@ -377,7 +478,12 @@
         return worker.get_room() if found is None else found
 
     def _speak_for(self, step: Step, workers: list[Worker], missing: int) -> None:
-        """Count on a step to use room, so that less urgent ones seek no tickets for it."""
+        """Count on a step to use room, so that less urgent ones leave it free.
+
+        Room for gangs is held back apart, and only for as long as it takes.
+        """
+        if step.gang:
+            return
         for worker in workers:
             room = self._get_unspoken(worker)
             while missing > 0 and step.charge.fits(room):
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -71,6 +71,7 @@
         self.ready_at = -1.0
         self.failed_on: dict[int, set[str]] = {}
         self.moved: set[int] = set()
+        self.explained_at = -10.0
 
 
 class Job:
