--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -47,7 +47,7 @@
 # Jobs in one transaction; each takes a condition and a write of the store's hundred entries.
 BATCH_JOBS = 45
 # Progress that ends no job waits this long for more of its kind.
-GATHER_S = 0.03
+GATHER_S = 0.015
 # Jobs whose rows are deleted in one transaction; each has up to three.
 CLEAN_JOBS = 30
 # Pause after a failed transaction.
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,333 @@
+"""Tests of the adapter's translation and of its callers' interface."""
+
+import json
+import tempfile
+import unittest
+from base64 import b64encode
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from twisted.internet.defer import Deferred, fail, succeed
+
+from adapter.boot import BootError, read_boot
+from adapter.front import Answer, Front
+from adapter.store import PlatformStore
+from adapter.wire import SettingsDecoder, WireLook, WireWorker, format_task, parse_task
+from adapter.workers import PlatformRegistry, PlatformWorkers
+from lavenderstall.clients import Reply
+from lavenderstall.errors import (
+    AnswerLostError,
+    PeerUnavailableError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.effects import Refusal, StartRun
+from lavenderstall.pools.ports import Change, Condition, HistoryLostError, Put, RowConflictError
+from lavenderstall.pools.work import Task
+from tests.platform.world import World
+from tests.pools.builders import make_entry
+
+BOOT = """
+node = "entry-1"
+ip = "10.1.0.30"
+zone = "quito-a"
+internalPortRange = [7380, 7395]
+unknownLater = 7
+[listen]
+front = "10.1.0.30:8149"
+ready = "10.1.0.30:8141"
+[platform]
+address = "10.200.1.7:8142"
+"""
+
+
+class FixedCaller:
+    """Answer each call with the same reply or error, and keep what was sent."""
+
+    def __init__(self, answer: Reply | Exception) -> None:
+        self.answer = answer
+        self.sent: list[tuple[Any, ...]] = []
+
+    def call(self, *arguments: Any, **more: Any) -> Deferred[Reply]:
+        """Answer."""
+        self.sent.append(arguments)
+        return fail(self.answer) if isinstance(self.answer, Exception) else succeed(self.answer)
+
+
+def get_result(call: Deferred[Any]) -> Any:
+    """Return a result that is there, or raise its error."""
+    found: list[Any] = []
+    call.addBoth(found.append)
+    if hasattr(found[0], "raiseException"):
+        found[0].raiseException()
+    return found[0]
+
+
+class BootTest(unittest.TestCase):
+    """The settings file."""
+
+    def read(self, text: str) -> Any:
+        """Read settings from a text."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.toml"
+            path.write_text(text, encoding="utf-8")
+            return read_boot(str(path))
+
+    def test_fields_are_read_and_unknown_ones_ignored(self) -> None:
+        boot = self.read(BOOT)
+        self.assertEqual((boot.node, boot.internal_port_range), ("entry-1", (7380, 7395)))
+
+    def test_a_bad_file_is_explained(self) -> None:
+        rows = (
+            (BOOT.replace('zone = "quito-a"', ""), "zone"),
+            (BOOT.replace("[7380, 7395]", '"many"'), "internalPortRange"),
+            (BOOT.replace('ready = "10.1.0.30:8141"', ""), "ready"),
+            ("= nothing", "TOML"),
+        )
+        for text, expected in rows:
+            with self.subTest(expected=expected), self.assertRaisesRegex(BootError, expected):
+                self.read(text)
+        with self.assertRaisesRegex(BootError, "cannot be read"):
+            read_boot("/nowhere/boot.toml")
+
+
+class StoreTest(unittest.TestCase):
+    """Statuses of the store."""
+
+    def commit(self, answer: Reply | Exception) -> Any:
+        """Commit one row."""
+        store = PlatformStore(FixedCaller(answer), "store")  # type: ignore[arg-type]
+        return get_result(
+            store.commit(Change("p", (Condition("t", "k", 0),), (Put("t", "k", b"v"),)))
+        )
+
+    def test_outcomes_of_a_transaction(self) -> None:
+        rows: tuple[tuple[Reply | Exception, type[Exception]], ...] = (
+            (Reply(503, b"{}"), StoreUnavailableError),
+            (Reply(429, b"{}"), StoreUnavailableError),
+            (Reply(500, b"{}"), StoreOutcomeUnknownError),
+            (Reply(200, b"not json"), StoreOutcomeUnknownError),
+            (Reply(200, b'{"schemaVersion":"x"}'), StoreOutcomeUnknownError),
+            (PeerUnavailableError("", step=""), StoreUnavailableError),
+            (AnswerLostError("", step=""), StoreOutcomeUnknownError),
+        )
+        for answer, error in rows:
+            with self.subTest(answer=answer), self.assertRaises(error):
+                self.commit(answer)
+        self.assertEqual(self.commit(Reply(200, b'{"schemaVersion":7,"nowMs":3}')).version, 7)
+
+    def test_a_conflict_carries_the_rows(self) -> None:
+        row = {"table": "t", "part": "p", "key": "k", "value": "dg==", "schemaVersion": 4}
+        with self.assertRaises(RowConflictError) as caught:
+            self.commit(Reply(412, json.dumps({"rows": [row]}).encode()))
+        self.assertEqual(
+            [(r.key, r.value, r.version) for r in caught.exception.rows], [("k", b"v", 4)]
+        )
+
+    def test_outcomes_of_a_feed(self) -> None:
+        rows = ((410, HistoryLostError), (503, StoreUnavailableError), (500, StoreUnavailableError))
+        for status, error in rows:
+            store = PlatformStore(FixedCaller(Reply(status, b"{}")), "store")  # type: ignore[arg-type]
+            with self.subTest(status=status), self.assertRaises(error):
+                get_result(store.follow("t", 1, 10))
+
+    def test_a_deleted_row_has_no_version(self) -> None:
+        body = b'{"rows":[{"table":"t","key":"k","deleted":true,"schemaVersion":9}]}'
+        store = PlatformStore(FixedCaller(Reply(200, body)), "store")  # type: ignore[arg-type]
+        self.assertEqual(get_result(store.follow("t", 1, 10)).rows[0].version, 0)
+
+
+class WorkerTest(unittest.TestCase):
+    """Orders and what workers say."""
+
+    def test_refusals(self) -> None:
+        entry = make_entry("w1")
+        order = StartRun(("w1", 1), Task(JobId("a" * 16), 0, 0, 0), 1, "spec", 5)  # type: ignore[arg-type]
+        rows = (
+            (Reply(409, b'{"clockMs":5,"reason":"room"}'), Refusal("room", 5.0)),
+            (Reply(421, b""), Refusal("instance")),
+            (Reply(503, b""), Refusal("unhealthy")),
+            (Reply(200, b'{"clockMs":5}'), 5.0),
+        )
+        for reply, expected in rows:
+            with self.subTest(reply=reply):
+                workers = PlatformWorkers(FixedCaller(reply))  # type: ignore[arg-type]
+                self.assertEqual(get_result(workers.start(entry, 1, order)), expected)
+
+    def test_an_answer_that_tells_nothing_leaves_the_order_in_doubt(self) -> None:
+        order = StartRun(("w1", 1), Task(JobId("a" * 16), 0, 0, 0), 1, "spec", 5)  # type: ignore[arg-type]
+        for reply in (Reply(500, b""), Reply(200, b"{}"), Reply(200, b"[")):
+            with self.subTest(reply=reply), self.assertRaises(AnswerLostError):
+                workers = PlatformWorkers(FixedCaller(reply))  # type: ignore[arg-type]
+                get_result(workers.start(make_entry("w1"), 1, order))
+
+    def test_rows_of_runs_with_and_without_load(self) -> None:
+        body = (
+            b'{"clockMs":1,"born":2,"running":[["a.0.1.2",3,"cp",40],["a.0.1.3",3,"",41,9]],'
+            b'"finished":[[5,"a.0.0.0",1,"done",""]]}'
+        )
+        look = msgspec.json.decode(body, type=WireLook).decode()
+        self.assertEqual([row.load for row in look.running], [0.0, 9.0])
+        self.assertEqual(look.ended[0].task, Task(JobId("a"), 0, 0, 0))
+
+    def test_rows_that_cannot_be_read(self) -> None:
+        for row in ('["a.0.1",3,"",1]', '["a.0.1.2","x","",1]', "[]", '["a.0.1.2",3]'):
+            with self.subTest(row=row), self.assertRaises(ValueError):
+                body = f'{{"clockMs":1,"running":[{row}]}}'
+                msgspec.json.decode(body, type=WireLook).decode()
+
+    def test_task_names(self) -> None:
+        task = Task(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
+        self.assertEqual(format_task(task), "5c0e7a21d94b36f8.0.1.17")
+        self.assertEqual(parse_task("5c0e7a21d94b36f8.0.1.17"), task)
+
+
+class RegistryTest(unittest.TestCase):
+    """Entries of workers, some by other writers."""
+
+    GOOD: dict[str, Any] = {
+        "service": "s",
+        "address": "10.1.0.1:80",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 1, "taskMemoryMb": 2, "gpu": 3},
+        "labels": ["a", "r1-3"],
+        "born": 7,
+    }
+
+    def test_only_readable_entries_name_workers(self) -> None:
+        values: tuple[Any, ...] = (
+            self.GOOD,
+            {**self.GOOD, "state": "asleep"},
+            {key: value for key, value in self.GOOD.items() if key != "address"},
+            {**self.GOOD, "capacity": "all"},
+            "text",
+        )
+        rows = [
+            {
+                "table": "servers",
+                "key": f"w{number}",
+                "value": b64encode(json.dumps(value).encode()).decode(),
+                "schemaVersion": 1,
+            }
+            for number, value in enumerate(values)
+        ]
+        rows.append({"table": "servers", "key": "w9", "value": "/w==", "schemaVersion": 1})
+        body = json.dumps({"rows": rows, "schemaVersion": 1, "nowMs": 1}).encode()
+        store = PlatformStore(FixedCaller(Reply(200, body)), "store")  # type: ignore[arg-type]
+        (entry,) = get_result(PlatformRegistry(store).list_workers())
+        self.assertEqual((entry.id, entry.kind, entry.rack, entry.born), ("w0", "a", "r1-3", 7))
+
+    def test_labels_may_be_missing(self) -> None:
+        entry = msgspec.convert({**self.GOOD, "labels": []}, WireWorker).decode("w")
+        self.assertEqual((entry.kind, entry.rack), ("", ""))
+
+
+class SettingsTest(unittest.TestCase):
+    """The operator's configuration."""
+
+    def test_the_longest_prefix_wins(self) -> None:
+        routes = [
+            {"name": name, "host": "h", "prefix": prefix, "service": "s"}
+            for name, prefix in (("short", "/a/"), ("long", "/a/b/"))
+        ]
+        value = json.dumps({"version": 3, "routes": routes, "services": [{"name": "s"}]}).encode()
+        settings = SettingsDecoder().decode(value)
+        rows = (
+            ("h", "/a/1", "short"),
+            ("h", "/a/b/1", "long"),
+            ("h", "/c", None),
+            ("x", "/a/", None),
+        )
+        for host, path, name in rows:
+            with self.subTest(path=path):
+                queue = settings.find_queue(host, path)
+                self.assertEqual(queue.name if queue else None, name)
+
+    def test_an_unreadable_configuration_is_an_error(self) -> None:
+        for value in (b"", b"{}", b'{"version":"x"}', b'{"version":1,"routes":[{}]}'):
+            with self.subTest(value=value), self.assertRaises(ValueError):
+                SettingsDecoder().decode(value)
+
+
+class Body:
+    """Hold the body of a request."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    def read(self) -> bytes:
+        """Return the whole body."""
+        return self._data
+
+
+class FakeRequest:
+    """Stand for a caller's request."""
+
+    def __init__(self, method: str, path: str, body: bytes = b"", host: str = "h") -> None:
+        self.method = method.encode()
+        self.path = path.encode()
+        self.content = Body(body)
+        self._host = host
+
+    def getHeader(self, name: str) -> str:
+        """Return the host."""
+        return self._host
+
+
+class FrontTest(unittest.TestCase):
+    """Answers to callers."""
+
+    def setUp(self) -> None:
+        """Start a cell."""
+        self.world = World(2, 2)
+        self.world.run(2.0)
+
+    def ask(self, method: str, path: str, body: Any = b"", host: str = "h") -> Answer:
+        """Send a request and wait for its answer."""
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        front = Front(self.world.nodes["entry-0"].instance)
+        request: Any = FakeRequest(method, path, data, host)
+        found: list[Answer] = []
+        Deferred.fromCoroutine(front._answer(request)).addCallback(found.append)
+        self.world.run(1.0)
+        return found[0]
+
+    def test_statuses(self) -> None:
+        job = {"spec": "x", "steps": [{"count": 1, "estimatedDurationMs": 50}]}
+        name = "0123456789abcdef"
+        self.world.platform.judge.jobs[name] = job
+        rows: tuple[tuple[str, str, Any, int], ...] = (
+            ("POST", f"/routing/{name}", b"{", 400),
+            ("POST", f"/routing/{name}", {"spec": "x", "steps": []}, 400),
+            ("POST", f"/routing/{name}", {"spec": 1, "steps": job["steps"]}, 400),
+            ("GET", f"/routing/{name}", b"", 410),
+            ("DELETE", f"/routing/{name}", b"", 410),
+            ("POST", f"/routing/{name}", job, 200),
+            ("POST", f"/routing/{name}", job, 200),
+            ("GET", f"/routing/{name}", b"", 200),
+            ("DELETE", f"/routing/{name}", b"", 200),
+            ("GET", "/routing/", b"", 200),
+            ("GET", "/nowhere/", b"", 404),
+            ("GET", "/routing/NOT-AN-ID", b"", 404),
+            ("PUT", f"/routing/{name}", b"", 405),
+        )
+        for method, path, body, status in rows:
+            with self.subTest(method=method, path=path, status=status):
+                self.assertEqual(self.ask(method, path, body).status, status)
+        self.assertEqual(self.ask("GET", "/routing/", host="other").status, 404)
+
+    def test_a_rejection_tells_when_to_come_back(self) -> None:
+        self.world.platform.store_mode = "busy"
+        self.world.run(1.0)
+        answer = self.ask(
+            "POST", "/routing/0123456789abcdef", {"spec": "", "steps": [{"count": 1}]}
+        )
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(answer.retry_after_s, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
