Hold nobody while the store is silent

Change: a store of which a call has waited 0.6 s while no other was answered counts as lost; a submission is answered 504 after 1.4 s at most, and the next ones at once with 503; peers are asked side by side. Test: a store that falls silent (failed before: no answer after 2 s).

--- a/lavenderstall/pools/intake.py
+++ b/lavenderstall/pools/intake.py
@@ -85,7 +85,10 @@
             await sleep(self._clock, PATIENCE_STEP_S)
         if race.outcome.called:
             return Presence.PRESENT
-        return await self._pass_on(table, part, key, value)
+        found = await self._pass_on(table, part, key, value)
+        if race.open == RACERS and found is not Presence.PRESENT and self._store.is_lost():
+            race.give_up()
+        return found
 
     async def add_row(self, table: str, part: str, key: str, value: bytes) -> Presence:
         """Add a row that may be there already."""
@@ -99,6 +102,8 @@
             return Presence.ABSENT
         except StoreOutcomeUnknownError as error:
             logger.info("row in doubt", extra={"key": key, "error": str(error)})
+            if self._store.is_lost():
+                return Presence.UNKNOWN
             return await self._find_row(table, part, key)
         return Presence.PRESENT
 
@@ -117,14 +122,16 @@
 
     async def _pass_on(self, table: str, part: str, key: str, value: bytes) -> Presence:
         """Ask peers that reach the store to add a row."""
-        doubtful = False
-        for peer in self._peers.choose_writers():
-            answer = await self._peers.ask_write(peer, table, part, key, value)
-            if answer is Presence.PRESENT:
-                self._metrics.count("rows_passed_on")
-                return answer
-            doubtful = doubtful or answer is Presence.UNKNOWN
-        return Presence.UNKNOWN if doubtful else Presence.ABSENT
+        answers = await gather(
+            [
+                self._peers.ask_write(peer, table, part, key, value)
+                for peer in self._peers.choose_writers()
+            ]
+        )
+        if Presence.PRESENT in answers:
+            self._metrics.count("rows_passed_on")
+            return Presence.PRESENT
+        return Presence.UNKNOWN if Presence.UNKNOWN in answers else Presence.ABSENT
 
     async def cancel(self, queue: Queue, job: JobId) -> bool | None:
         """Cancel a job; returns false if there is none, and none if that is not known."""
@@ -190,6 +197,11 @@
             if not self.outcome.called and (found is Presence.PRESENT or not self.open):
                 self.outcome.callback(self._conclude(found))
 
+    def give_up(self) -> None:
+        """Wait no longer for attempts that may yet succeed."""
+        if not self.outcome.called:
+            self.outcome.callback(Presence.UNKNOWN)
+
     def _conclude(self, last: Presence) -> Presence:
         if last is Presence.PRESENT:
             return last
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -42,7 +42,7 @@
 # Peers beside owners that an instance tells that it lives.
 WATCHED_PEERS = 6
 STATE_TIMEOUT_S = 0.35
-WRITE_TIMEOUT_S = 1.5
+WRITE_TIMEOUT_S = 0.7
 # Peers that are asked to add a row, one after the other.
 MOST_WRITERS = 2
 # Requests that a peer may leave unanswered before its connection is replaced.
--- a/lavenderstall/pools/reach.py
+++ b/lavenderstall/pools/reach.py
@@ -14,6 +14,8 @@
 
 T = TypeVar("T")
 
+# A call that has waited this long, while no other was answered, shows that the store is lost.
+SILENCE_S = 0.6
 # With no call answered for this long after one that failed, the store counts as lost.
 LOST_S = 0.3
 
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -174,6 +174,16 @@
                 world.run(0.1)
                 self.assertEqual(outcome, [Presence.ABSENT])
 
+    def test_nobody_is_held_by_a_store_that_falls_silent(self) -> None:
+        world = start_world()
+        world.platform.store_mode = "silent"
+        first = world.submit("entry-0", "routing", make_name(1), [dict(STEP)])
+        world.run(1.6)
+        self.assertEqual(first, [Presence.UNKNOWN])
+        second = world.submit("entry-0", "routing", make_name(2), [dict(STEP)])
+        world.run(0.1)
+        self.assertEqual(second, [Presence.ABSENT])
+
     def test_a_rejected_job_never_runs(self) -> None:
         world = start_world()
         world.platform.store_mode = "busy"
