Split large modules of the pool scheduler; behaviour stays

What a look changes, what is made of progress and ends, and room held for gangs are modules of their own now (looks, supervision, holds); the stand-in's clocks and calls likewise.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -3,16 +3,16 @@
 import logging
 from collections.abc import Iterator
 from itertools import groupby
-from operator import itemgetter
 from typing import NamedTuple
 
 from lavenderstall.pools.effects import AskAdvice, StartRun
+from lavenderstall.pools.holds import Holds, count_fitting
 from lavenderstall.pools.job import Job, Run, StepState
 from lavenderstall.pools.pool import RUNS_PER_TERM, Pool
 from lavenderstall.pools.tickets import MOST_NAMED, SHORT_S, StepAdvice, get_duration
 from lavenderstall.pools.work import Group, Queue, Step, Task
 from lavenderstall.pools.workers import Worker
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import Resources
 
 logger = logging.getLogger(__name__)
 
@@ -22,14 +22,8 @@
 SILENCE_S = 1.2
 # Steps for which advice is renewed or sought while they wait for room, at most.
 MOST_BLOCKED = 24
-# Gangs that may hold room back while they wait for the rest of it.
-MOST_RESERVING = 2
 # A step that waits is explained in the log this often.
 EXPLAIN_S = 1.0
-# Progress from which the end of a run is estimated, in percent.
-SURE_PERCENT = 10.0
-# A run that is being stopped is gone this soon.
-STOP_S = 0.4
 # After this multiple of its objective a job earns nothing, and goes behind all others.
 HOPELESS_FACTOR = 3.0
 # Tickets beyond the tasks that wait, to allow for workers that fill up meanwhile.
@@ -80,21 +74,19 @@
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
-        self._held: dict[str, float] = {}
+        self._holds = Holds(pool)
         self._short_calls = 0
         self._long_calls = 0
         self._spoken: dict[str, Resources] = {}
         self._blocked = 0
-        self._reserving = 0
 
     def dispatch(self, short_calls: int, long_calls: int) -> None:
         """Start what fits, and make as many short and long advice calls as may be made now."""
-        self._held = {}
+        self._holds.clear()
         self._short_calls = short_calls
         self._long_calls = long_calls
         self._spoken = {}
         self._blocked = 0
-        self._reserving = 0
         usable = [worker for worker in self.pool.workers.values() if self._is_usable(worker)]
         for turn in sorted(self._list_turns(), key=lambda turn: turn[:4]):
             self._serve(turn, usable)
@@ -134,14 +126,15 @@
         if step.gang and any(state.live.values()):
             return
         waiting = sorted(state.waiting)
-        free = [worker for worker in usable if self._may_use(step, worker)]
+        free = [worker for worker in usable if self._holds.may_use(step, worker)]
         placed = self._place(turn, step, state, waiting, free)
         missing = len(waiting) - len(placed)
         if step.gang and missing:
             self._blocked += 1
             self._explain(turn, step, state, usable)
             self._seek_advice(turn, step, state, free, len(waiting))
-            self._reserve(turn, step, usable)
+            advised = turn.queue.advising is not None
+            self._holds.reserve(turn.group, step, usable, advised=advised)
             return
         for index, offer in placed:
             self._start(turn, step, state, index, offer)
@@ -170,7 +163,7 @@
                 "usable": len(usable),
                 "allowed": len(candidates) if needs else None,
                 "asked": len(advice.asked) if advice else 0,
-                "held": sum(not self._may_use(step, w) for w in candidates),
+                "held": sum(not self._holds.may_use(step, w) for w in candidates),
                 "unsuited": sum(not self._suits(step, w) for w in candidates),
                 "without_room": sum(not step.charge.fits(w.get_room()) for w in candidates),
                 "spoken_for": sum(not step.charge.fits(self._get_unspoken(w)) for w in candidates),
@@ -323,80 +316,6 @@
             },
         )
 
-    # Gangs
-
-    def _may_use(self, step: Step, worker: Worker) -> bool:
-        """Tell whether a task would end before a waiting gang has the rest of its room."""
-        until = self._held.get(worker.key.id)
-        if until is None:
-            return True
-        ratio = self.pool.speeds.estimate(step.image, worker.entry.kind, worker.key.id)
-        ends = self.pool.now + step.expected_ms / 1000 * ratio
-        return not step.lasting and not step.gang and ends <= until
-
-    def _reserve(self, turn: Turn, step: Step, usable: list[Worker]) -> None:
-        """Hold back the workers on which a waiting gang will soonest have room.
-
-        Nothing is held for a gang that the workers it may use cannot hold.
-        """
-        if self._reserving >= MOST_RESERVING:
-            return
-        advice = self.pool.advice.get(turn.group)
-        suited = (
-            worker
-            for worker in usable
-            if step.charge.fits(worker.entry.capacity)
-            and worker.key.id not in self._held
-            and (turn.queue.advising is None or (advice and worker.key.id in advice.allowed))
-        )
-        slots = sorted(
-            (free_at, worker.key.id)
-            for worker in suited
-            for free_at in self._list_slots(step, worker)
-        )
-        if len(slots) < step.count:
-            return
-        chosen = slots[: step.count]
-        self._held.update(dict.fromkeys((name for _, name in chosen), chosen[-1][0]))
-        self._reserving += 1
-
-    def _list_slots(self, step: Step, worker: Worker) -> list[float]:
-        """Return when a worker will have room for a first task of a step, a second, and so on."""
-        room = worker.get_room()
-        slots = [self.pool.now] * count_fitting(step.charge, room)
-        ends = sorted(
-            (
-                (self._estimate_end(worker, run), self._get_charge(run))
-                for run in worker.runs.values()
-            ),
-            key=itemgetter(0),
-        )
-        for end, charge in ends:
-            if end == float("inf"):
-                break
-            room = room.add(charge)
-            slots += [end] * (count_fitting(step.charge, room) - len(slots))
-        return slots
-
-    def _get_charge(self, run: Run) -> Resources:
-        job = self.pool.jobs.get(run.task.job)
-        return job.spec.steps[run.task.step].charge if job else NOTHING
-
-    def _estimate_end(self, worker: Worker, run: Run) -> float:
-        """Return when a run will end, from its progress or its declared duration."""
-        job = self.pool.jobs.get(run.task.job)
-        if job is None or run.stopping:
-            return self.pool.now + STOP_S
-        step = job.spec.steps[run.task.step]
-        if step.lasting:
-            return float("inf")
-        worked = run.seen_at - run.confirmed_at
-        gained = run.percent - run.first_percent
-        if run.seen_at >= 0 and gained >= SURE_PERCENT:
-            return run.seen_at + worked * (100.0 - run.percent) / gained
-        ratio = self.pool.speeds.estimate(step.image, worker.entry.kind, worker.key.id)
-        return max(self.pool.now, run.ordered_at + step.expected_ms / 1000 * ratio)
-
     # Advice
 
     def _seek_advice(
@@ -543,12 +462,3 @@
             for run in runs:
                 counts[run.worker.id] = counts.get(run.worker.id, 0) + 1
     return counts
-
-
-def count_fitting(charge: Resources, room: Resources) -> int:
-    """Return how many tasks of one size fit into a room."""
-    count = 0
-    while charge.fits(room) and count < 64:
-        room = room.subtract(charge)
-        count += 1
-    return count
--- /dev/null
+++ b/lavenderstall/pools/holds.py
@@ -0,0 +1,113 @@
+"""Room that is held back for gangs until all of their tasks fit."""
+
+from operator import itemgetter
+
+from lavenderstall.pools.job import Run
+from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.work import Group, Step
+from lavenderstall.pools.workers import Worker
+from lavenderstall.resources import NOTHING, Resources
+
+# Gangs that may hold room back while they wait for the rest of it.
+MOST_RESERVING = 2
+# Progress from which the end of a run is estimated, in percent.
+SURE_PERCENT = 10.0
+# A run that is being stopped is gone this soon.
+STOP_S = 0.4
+# Tasks of one step that are counted on one worker at most.
+MOST_FITTING = 64
+
+
+class Holds:
+    """Hold workers back for waiting gangs during one dispatch; times are seconds of uptime."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self._held: dict[str, float] = {}
+        self._reserving = 0
+
+    def clear(self) -> None:
+        """Hold nothing back."""
+        self._held = {}
+        self._reserving = 0
+
+    def may_use(self, step: Step, worker: Worker) -> bool:
+        """Tell whether a task would end before a waiting gang has the rest of its room."""
+        until = self._held.get(worker.key.id)
+        if until is None:
+            return True
+        ratio = self.pool.speeds.estimate(step.image, worker.entry.kind, worker.key.id)
+        ends = self.pool.now + step.expected_ms / 1000 * ratio
+        return not step.lasting and not step.gang and ends <= until
+
+    def reserve(self, group: Group, step: Step, usable: list[Worker], *, advised: bool) -> None:
+        """Hold back the workers on which a waiting gang will soonest have room.
+
+        Nothing is held for a gang that the workers it may use cannot hold.
+        """
+        if self._reserving >= MOST_RESERVING:
+            return
+        advice = self.pool.advice.get(group)
+        suited = (
+            worker
+            for worker in usable
+            if step.charge.fits(worker.entry.capacity)
+            and worker.key.id not in self._held
+            and (not advised or (advice and worker.key.id in advice.allowed))
+        )
+        slots = sorted(
+            (free_at, worker.key.id)
+            for worker in suited
+            for free_at in self._list_slots(step, worker)
+        )
+        if len(slots) < step.count:
+            return
+        chosen = slots[: step.count]
+        self._held.update(dict.fromkeys((name for _, name in chosen), chosen[-1][0]))
+        self._reserving += 1
+
+    def _list_slots(self, step: Step, worker: Worker) -> list[float]:
+        """Return when a worker will have room for a first task of a step, a second, and so on."""
+        room = worker.get_room()
+        slots = [self.pool.now] * count_fitting(step.charge, room)
+        ends = sorted(
+            (
+                (self._estimate_end(worker, run), self._get_charge(run))
+                for run in worker.runs.values()
+            ),
+            key=itemgetter(0),
+        )
+        for end, charge in ends:
+            if end == float("inf"):
+                break
+            room = room.add(charge)
+            slots += [end] * (count_fitting(step.charge, room) - len(slots))
+        return slots
+
+    def _get_charge(self, run: Run) -> Resources:
+        job = self.pool.jobs.get(run.task.job)
+        return job.spec.steps[run.task.step].charge if job else NOTHING
+
+    def _estimate_end(self, worker: Worker, run: Run) -> float:
+        """Return when a run will end, from its progress or its declared duration."""
+        job = self.pool.jobs.get(run.task.job)
+        if job is None or run.stopping:
+            return self.pool.now + STOP_S
+        step = job.spec.steps[run.task.step]
+        if step.lasting:
+            return float("inf")
+        worked = run.seen_at - run.confirmed_at
+        gained = run.percent - run.first_percent
+        if run.seen_at >= 0 and gained >= SURE_PERCENT:
+            return run.seen_at + worked * (100.0 - run.percent) / gained
+        ratio = self.pool.speeds.estimate(step.image, worker.entry.kind, worker.key.id)
+        return max(self.pool.now, run.ordered_at + step.expected_ms / 1000 * ratio)
+
+
+def count_fitting(charge: Resources, room: Resources) -> int:
+    """Return how many tasks of one size fit into a room."""
+    count = 0
+    while charge.fits(room) and count < MOST_FITTING:
+        room = room.subtract(charge)
+        count += 1
+    return count
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -254,3 +254,13 @@
         """Return the durable progress with the state as it is now."""
         self.progress.state = self.state.value
         return self.progress
+
+
+def describe_run(run: Run) -> dict[str, object]:
+    """Return the fields that name a run in a log line."""
+    return {
+        "job": run.task.job,
+        "task": list(run.task),
+        "run": run.number,
+        "worker": run.worker.id,
+    }
--- /dev/null
+++ b/lavenderstall/pools/looks.py
@@ -0,0 +1,121 @@
+"""What a look at a worker changes in its pool."""
+
+import logging
+from typing import TYPE_CHECKING
+
+from lavenderstall.pools.effects import EndRow, LookAnswer, RunningRow
+from lavenderstall.pools.job import Job, Run, describe_run
+from lavenderstall.pools.supervision import (
+    judge_end,
+    learn_speed,
+    pace_fills,
+    stop_slow_runs,
+)
+from lavenderstall.pools.work import Cause, Task
+from lavenderstall.pools.workers import Worker
+from lavenderstall.resources import Resources
+
+if TYPE_CHECKING:
+    from lavenderstall.pools.pool import Pool
+
+logger = logging.getLogger(__name__)
+
+# Rows of ends in one answer; a full answer may not be the last one.
+END_ROWS = 500
+
+
+def apply_look(pool: "Pool", worker: Worker, answer: LookAnswer, asked_at: float) -> None:
+    """Apply the ends and the runs that a worker lists."""
+    for end in answer.ended:
+        if end.seq > worker.applied_seq:
+            apply_end(pool, worker, end)
+    for row in answer.running:
+        apply_running(pool, worker, row)
+    if len(answer.ended) < END_ROWS:
+        present = {(row.task, row.number) for row in answer.running}
+        drop_absent(pool, worker, present, asked_at)
+    pace_fills(pool, worker)
+    stop_slow_runs(pool, worker)
+
+
+def apply_end(pool: "Pool", worker: Worker, end: EndRow) -> None:
+    """Apply one end that was not applied before."""
+    worker.applied_seq = max(worker.applied_seq, end.seq)
+    run = worker.runs.get((end.task, end.number))
+    if run is not None and end.cause is Cause.DONE:
+        worker.strikes = 0
+        learn_speed(pool, worker, run)
+    logger.info(
+        "run ended",
+        extra={
+            "job": end.task.job,
+            "task": list(end.task),
+            "run": end.number,
+            "worker": worker.key.id,
+            "cause": end.cause.value,
+            "seq": end.seq,
+            "took_ms": round((pool.now - run.ordered_at) * 1000) if run else None,
+        },
+    )
+    pool.counts[f"ended_{end.cause.value}"] += 1
+    judge_end(pool, worker, end)
+    pool.end_run(worker, end.task, end.number, end.cause, end.checkpoint)
+
+
+def apply_running(pool: "Pool", worker: Worker, row: RunningRow) -> None:
+    """Note what a worker says of a run, and stop it where it has no place."""
+    run = worker.runs.get((row.task, row.number))
+    job = pool.jobs.get(row.task.job)
+    if run is None:
+        run = adopt(pool, worker, row, job)
+    if run.confirmed_at < 0:
+        run.confirmed_at = pool.now
+        run.percent_at = pool.now
+        run.first_percent = row.percent
+    if row.percent != run.percent:
+        run.percent_at = pool.now
+    run.percent = row.percent
+    run.load = row.load
+    run.seen_at = pool.now
+    run.checkpoint = row.checkpoint
+    if job is not None and row.checkpoint and not job.ended:
+        job.keep_checkpoint(row.task, row.number, row.checkpoint)
+    if job is None or job.ended:
+        pool.stop(run)
+
+
+def adopt(pool: "Pool", worker: Worker, row: RunningRow, job: Job | None) -> Run:
+    """Track a run that an earlier owner started, or stop it where it has no place."""
+    run = Run(row.task, row.number, worker.key, pool.now, percent_at=pool.now)
+    if job is None or row.task.step >= len(job.spec.steps):
+        worker.add_run(run, Resources())
+        pool.stop(run)
+        return run
+    step = job.spec.steps[row.task.step]
+    worker.add_run(run, step.charge)
+    state = job.get_step(row.task.occurrence, row.task.step)
+    taken = row.task.number in state.progress.done or (
+        bool(state.live.get(row.task.number)) and not step.speculative
+    )
+    job.add_run(run)
+    logger.info("run adopted", extra={**describe_run(run), "superfluous": taken})
+    if taken:
+        pool.stop(run)
+    return run
+
+
+def drop_absent(
+    pool: "Pool", worker: Worker, present: set[tuple[Task, int]], asked_at: float
+) -> None:
+    """End the runs that a worker neither runs nor lists as ended."""
+    for key, run in list(worker.runs.items()):
+        if key in present:
+            continue
+        confirmed = 0 <= run.confirmed_at < asked_at
+        void = 0 <= run.void_at < asked_at
+        late = run.confirmed_at < 0 and worker.clock_ms > run.deadline_ms > 0
+        if confirmed or void or late:
+            logger.info("run is absent", extra={**describe_run(run), "void": void})
+            pool.end_run(worker, run.task, run.number, Cause.LOST, "")
+        elif 0 <= run.lost_at < asked_at and not run.stopping:
+            pool.stop(run)
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -11,18 +11,14 @@
 from lavenderstall.pools.effects import (
     Advice,
     Effect,
-    EndRow,
     LookAnswer,
-    PaceRun,
     Refusal,
-    RunningRow,
     StopRun,
 )
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run
-from lavenderstall.pools.pacing import Serving, list_changes
+from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run, describe_run
+from lavenderstall.pools.looks import apply_look
 from lavenderstall.pools.speeds import Speeds
-from lavenderstall.pools.suspicion import is_stalled, is_straggling
 from lavenderstall.pools.tickets import StepAdvice
 from lavenderstall.pools.work import (
     ENDED,
@@ -50,8 +46,6 @@
 MOST_AVOID_S = 8.0
 # How long the state of an ended job is told; a repeated submission comes much sooner.
 RETENTION_S = 600.0
-# Rows of ends in one answer; a full answer may not be the last one.
-END_ROWS = 500
 
 
 class Pool:
@@ -270,7 +264,7 @@
                 "run lost",
                 extra={**describe_run(run), "reason": reason},
             )
-            self._end(worker, run.task, run.number, Cause.LOST, "")
+            self.end_run(worker, run.task, run.number, Cause.LOST, "")
         self._forget(key)
         self.roster.discard(key)
 
@@ -300,16 +294,7 @@
             worker.claimed = True
             worker.claimed_at = self.now
             self._check_settled()
-        ended = [end for end in answer.ended if end.seq > worker.applied_seq]
-        for end in ended:
-            self._apply_end(worker, end)
-        for row in answer.running:
-            self._apply_running(worker, row)
-        present = {(row.task, row.number) for row in answer.running}
-        if len(answer.ended) < END_ROWS:
-            self._drop_absent(worker, present, asked_at)
-        self._pace(worker)
-        self._stop_stalled(worker)
+        apply_look(self, worker, answer, asked_at)
 
     def _replace_life(self, worker: Worker, born: int) -> None:
         if born < worker.entry.born:
@@ -318,103 +303,10 @@
         self._succeed(worker.key, entry, "a newer life answered")
         self._check_settled()
 
-    def _apply_end(self, worker: Worker, end: EndRow) -> None:
-        worker.applied_seq = max(worker.applied_seq, end.seq)
-        run = worker.runs.get((end.task, end.number))
-        if run is not None and end.cause is Cause.DONE:
-            worker.strikes = 0
-            self._learn(worker, run)
-        logger.info(
-            "run ended",
-            extra={
-                "job": end.task.job,
-                "task": list(end.task),
-                "run": end.number,
-                "worker": worker.key.id,
-                "cause": end.cause.value,
-                "seq": end.seq,
-                "took_ms": round((self.now - run.ordered_at) * 1000) if run else None,
-            },
-        )
-        self.counts[f"ended_{end.cause.value}"] += 1
-        self._judge(worker, end)
-        self._end(worker, end.task, end.number, end.cause, end.checkpoint)
-
-    def _judge(self, worker: Worker, end: EndRow) -> None:
-        """Avoid a worker for a while that fails tasks of several jobs."""
-        worker.record.note(self.now, end.task.job, end.cause)
-        if end.cause is not Cause.FAILED:
-            return
-        job = self.jobs.get(end.task.job)
-        if job is not None and end.task.step < len(job.spec.steps):
-            state = job.get_step(end.task.occurrence, end.task.step)
-            state.failed_on.setdefault(end.task.number, set()).add(worker.key.id)
-        if worker.record.is_suspect(self.now):
-            worker.record.clear()
-            self._avoid(worker)
-            self.counts["workers_suspected"] += 1
-            logger.warning(
-                "worker suspected",
-                extra={"worker": worker.key.id, "until_s": round(worker.avoid_until - self.now, 1)},
-            )
-
-    def _stop_stalled(self, worker: Worker) -> None:
-        """Stop runs that stand still or straggle, so that they start elsewhere."""
-        for run in list(worker.runs.values()):
-            job = self.jobs.get(run.task.job)
-            if job is None:
-                continue
-            if not is_stalled(run, job.spec.steps[run.task.step], self.now):
-                self._move_straggler(worker, run, job)
-                continue
-            self.counts["runs_stalled"] += 1
-            logger.warning(
-                "run stalled",
-                extra={
-                    **describe_run(run),
-                    "percent": run.percent,
-                    "still_ms": round((run.seen_at - run.percent_at) * 1000),
-                },
-            )
-            if not job.spec.steps[run.task.step].gang:
-                self._avoid(worker)
-            self.stop(run)
-
-    def _move_straggler(self, worker: Worker, run: Run, job: Job) -> None:
-        """Stop a run that would end sooner elsewhere, once a task."""
-        step = job.spec.steps[run.task.step]
-        state = job.get_step(run.task.occurrence, run.task.step)
-        if run.task.number in state.moved or not is_straggling(run, step):
-            return
-        state.moved.add(run.task.number)
-        state.failed_on.setdefault(run.task.number, set()).add(worker.key.id)
-        self.counts["runs_moved"] += 1
-        worked_s = run.seen_at - run.confirmed_at
-        if step.expected_ms > 0:
-            projected_s = worked_s * 100 / max(run.percent - run.first_percent, 1.0)
-            ratio = projected_s * 1000 / step.expected_ms
-            self.speeds.learn(step.image, worker.entry.kind, worker.key.id, ratio)
-        logger.warning(
-            "run moved",
-            extra={
-                **describe_run(run),
-                "percent": run.percent,
-                "worked_ms": round(worked_s * 1000),
-                "expected_ms": step.expected_ms,
-            },
-        )
-        self.stop(run)
-
-    def _learn(self, worker: Worker, run: Run) -> None:
-        job = self.jobs.get(run.task.job)
-        if job is None:
-            return
-        step = job.spec.steps[run.task.step]
-        if step.expected_ms > 0 and not step.lasting and not run.checkpoint:
-            ratio = (self.now - run.ordered_at) * 1000 / step.expected_ms
-            self.speeds.learn(step.image, worker.entry.kind, worker.key.id, ratio)
-
-    def _end(self, worker: Worker, task: Task, number: int, cause: Cause, checkpoint: str) -> None:
+    def end_run(
+        self, worker: Worker, task: Task, number: int, cause: Cause, checkpoint: str
+    ) -> None:
+        """Free the room of a run and apply its end to its job."""
         job = self.jobs.get(task.job)
         if job is None or task.step >= len(job.spec.steps):
             worker.drop_run(task, number, Resources())
@@ -440,75 +332,6 @@
             for run in state.live.get(task.number, []):
                 self.stop(run)
 
-    def _apply_running(self, worker: Worker, row: RunningRow) -> None:
-        run = worker.runs.get((row.task, row.number))
-        job = self.jobs.get(row.task.job)
-        if run is None:
-            run = self._adopt(worker, row, job)
-        if run.confirmed_at < 0:
-            run.confirmed_at = self.now
-            run.percent_at = self.now
-            run.first_percent = row.percent
-        if row.percent != run.percent:
-            run.percent_at = self.now
-        run.percent = row.percent
-        run.load = row.load
-        run.seen_at = self.now
-        run.checkpoint = row.checkpoint
-        if job is not None and row.checkpoint and not job.ended:
-            job.keep_checkpoint(row.task, row.number, row.checkpoint)
-        if job is None or job.ended:
-            self.stop(run)
-
-    def _adopt(self, worker: Worker, row: RunningRow, job: Job | None) -> Run:
-        """Track a run that an earlier owner started, or stop it where it has no place."""
-        run = Run(row.task, row.number, worker.key, self.now, percent_at=self.now)
-        if job is None or row.task.step >= len(job.spec.steps):
-            worker.add_run(run, Resources())
-            self.stop(run)
-            return run
-        step = job.spec.steps[row.task.step]
-        worker.add_run(run, step.charge)
-        state = job.get_step(row.task.occurrence, row.task.step)
-        taken = row.task.number in state.progress.done or (
-            bool(state.live.get(row.task.number)) and not step.speculative
-        )
-        job.add_run(run)
-        logger.info("run adopted", extra={**describe_run(run), "superfluous": taken})
-        if taken:
-            self.stop(run)
-        return run
-
-    def _drop_absent(self, worker: Worker, present: set[tuple[Task, int]], asked_at: float) -> None:
-        """End the runs that a worker neither runs nor lists as ended."""
-        for key, run in list(worker.runs.items()):
-            if key in present:
-                continue
-            confirmed = 0 <= run.confirmed_at < asked_at
-            void = 0 <= run.void_at < asked_at
-            late = run.confirmed_at < 0 and worker.clock_ms > run.deadline_ms > 0
-            if confirmed or void or late:
-                logger.info("run is absent", extra={**describe_run(run), "void": void})
-                self._end(worker, run.task, run.number, Cause.LOST, "")
-            elif 0 <= run.lost_at < asked_at and not run.stopping:
-                self.stop(run)
-
-    def _pace(self, worker: Worker) -> None:
-        serving: list[Serving] = []
-        fills: list[Run] = []
-        for run in worker.runs.values():
-            job = self.jobs.get(run.task.job)
-            if job is None or run.stopping or run.confirmed_at < 0:
-                continue
-            step = job.spec.steps[run.task.step]
-            if step.lasting and step.target_ms > 0:
-                serving.append(Serving(run.load, step.target_ms))
-            elif step.fills and not step.lasting:
-                fills.append(run)
-        for run, percent in list_changes(serving, fills):
-            run.pace = percent
-            self.effects.append(PaceRun(worker.key, run.task, run.number, percent))
-
     def note_silence(self, key: WorkerKey) -> None:
         """Note that a worker left a look unanswered."""
         worker = self.workers.get(key)
@@ -544,15 +367,16 @@
             if advice is not None:
                 advice.drop_ticket(key.id)
         elif refusal.reason not in {"late", "old"}:
-            self._avoid(worker)
-        self._end(worker, task, number, Cause.LOST, "")
+            self.avoid(worker)
+        self.end_run(worker, task, number, Cause.LOST, "")
         job = self.jobs.get(task.job)
         if job is not None and job.spec.steps[task.step].gang:
             for run in job.list_runs():
                 if get_group(run.task) == get_group(task):
                     self.stop(run)
 
-    def _avoid(self, worker: Worker) -> None:
+    def avoid(self, worker: Worker) -> None:
+        """Start nothing on a worker for a while, longer each time until a task of it is done."""
         if worker.avoid_until > self.now:
             return
         worker.strikes += 1
@@ -563,7 +387,7 @@
         worker = self.workers.get(key)
         if worker is None:
             return
-        self._avoid(worker)
+        self.avoid(worker)
         run = worker.runs.get((task, number))
         if run is not None and run.confirmed_at < 0:
             run.lost_at = self.now
@@ -624,7 +448,7 @@
         for run in list(worker.runs.values()):
             self.counts["runs_lapsed"] += 1
             logger.info("lease lapsed", extra=describe_run(run))
-            self._end(worker, run.task, run.number, Cause.LOST, "")
+            self.end_run(worker, run.task, run.number, Cause.LOST, "")
 
     def _check_settled(self) -> None:
         """Let inherited work start once it is known what earlier owners left running."""
@@ -656,13 +480,3 @@
         """Return and clear what is to be done."""
         effects, self.effects = self.effects, []
         return effects
-
-
-def describe_run(run: Run) -> dict[str, object]:
-    """Return the fields that name a run in a log line."""
-    return {
-        "job": run.task.job,
-        "task": list(run.task),
-        "run": run.number,
-        "worker": run.worker.id,
-    }
--- /dev/null
+++ b/lavenderstall/pools/supervision.py
@@ -0,0 +1,113 @@
+"""What a pool makes of the progress, the loads and the ends of runs."""
+
+import logging
+from typing import TYPE_CHECKING
+
+from lavenderstall.pools.effects import EndRow, PaceRun
+from lavenderstall.pools.job import Job, Run, describe_run
+from lavenderstall.pools.pacing import Serving, list_changes
+from lavenderstall.pools.suspicion import is_stalled, is_straggling
+from lavenderstall.pools.work import Cause
+from lavenderstall.pools.workers import Worker
+
+if TYPE_CHECKING:
+    from lavenderstall.pools.pool import Pool
+
+logger = logging.getLogger(__name__)
+
+
+def judge_end(pool: "Pool", worker: Worker, end: EndRow) -> None:
+    """Avoid a worker for a while that fails tasks of several jobs."""
+    worker.record.note(pool.now, end.task.job, end.cause)
+    if end.cause is not Cause.FAILED:
+        return
+    job = pool.jobs.get(end.task.job)
+    if job is not None and end.task.step < len(job.spec.steps):
+        state = job.get_step(end.task.occurrence, end.task.step)
+        state.failed_on.setdefault(end.task.number, set()).add(worker.key.id)
+    if worker.record.is_suspect(pool.now):
+        worker.record.clear()
+        pool.avoid(worker)
+        pool.counts["workers_suspected"] += 1
+        logger.warning(
+            "worker suspected",
+            extra={"worker": worker.key.id, "until_s": round(worker.avoid_until - pool.now, 1)},
+        )
+
+
+def stop_slow_runs(pool: "Pool", worker: Worker) -> None:
+    """Stop runs that stand still or straggle, so that they start elsewhere."""
+    for run in list(worker.runs.values()):
+        job = pool.jobs.get(run.task.job)
+        if job is None:
+            continue
+        if not is_stalled(run, job.spec.steps[run.task.step], pool.now):
+            move_straggler(pool, worker, run, job)
+            continue
+        pool.counts["runs_stalled"] += 1
+        logger.warning(
+            "run stalled",
+            extra={
+                **describe_run(run),
+                "percent": run.percent,
+                "still_ms": round((run.seen_at - run.percent_at) * 1000),
+            },
+        )
+        if not job.spec.steps[run.task.step].gang:
+            pool.avoid(worker)
+        pool.stop(run)
+
+
+def move_straggler(pool: "Pool", worker: Worker, run: Run, job: Job) -> None:
+    """Stop a run that would end sooner elsewhere, once a task."""
+    step = job.spec.steps[run.task.step]
+    state = job.get_step(run.task.occurrence, run.task.step)
+    if run.task.number in state.moved or not is_straggling(run, step):
+        return
+    state.moved.add(run.task.number)
+    state.failed_on.setdefault(run.task.number, set()).add(worker.key.id)
+    pool.counts["runs_moved"] += 1
+    worked_s = run.seen_at - run.confirmed_at
+    if step.expected_ms > 0:
+        projected_s = worked_s * 100 / max(run.percent - run.first_percent, 1.0)
+        ratio = projected_s * 1000 / step.expected_ms
+        pool.speeds.learn(step.image, worker.entry.kind, worker.key.id, ratio)
+    logger.warning(
+        "run moved",
+        extra={
+            **describe_run(run),
+            "percent": run.percent,
+            "worked_ms": round(worked_s * 1000),
+            "expected_ms": step.expected_ms,
+        },
+    )
+    pool.stop(run)
+
+
+def learn_speed(pool: "Pool", worker: Worker, run: Run) -> None:
+    """Learn from a run that is done how fast its worker is."""
+    job = pool.jobs.get(run.task.job)
+    if job is None:
+        return
+    step = job.spec.steps[run.task.step]
+    if step.expected_ms > 0 and not step.lasting and not run.checkpoint:
+        ratio = (pool.now - run.ordered_at) * 1000 / step.expected_ms
+        pool.speeds.learn(step.image, worker.entry.kind, worker.key.id, ratio)
+
+
+def pace_fills(pool: "Pool", worker: Worker) -> None:
+    """Pace the filling work of a worker by the tails of its serving tasks."""
+    serving: list[Serving] = []
+    fills: list[Run] = []
+    for run in worker.runs.values():
+        job = pool.jobs.get(run.task.job)
+        if job is None or run.stopping or run.confirmed_at < 0:
+            continue
+        step = job.spec.steps[run.task.step]
+        if step.lasting and step.target_ms > 0:
+            serving.append(Serving(run.load, step.target_ms))
+        elif step.fills and not step.lasting:
+            fills.append(run)
+    for run, percent in list_changes(serving, fills):
+        run.pace = percent
+        pool.effects.append(PaceRun(worker.key, run.task, run.number, percent))
--- /dev/null
+++ b/tests/platform/callers.py
@@ -0,0 +1,158 @@
+"""Clocks and calls of instances on the stand-in platform, with the faults that tests set."""
+
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from lavenderstall.clients import Reply
+from lavenderstall.errors import AnswerLostError, PeerUnavailableError
+from tests.platform.standin import ADVISER, STORE, Platform
+
+STORE_S = 0.004
+WORKER_S = 0.001
+# A call that waits for a change is looked at this often.
+HOLD_POLL_S = 0.04
+
+
+class GatedClock:
+    """Hold timers back while an instance is frozen, and drop them once it is dead."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.frozen = False
+        self.dead = False
+        self._held: list[Any] = []
+
+    def seconds(self) -> float:
+        """Return the time."""
+        return self._clock.seconds()
+
+    def callLater(self, delay: float, callable: Any, *args: Any, **kw: Any) -> Any:
+        """Schedule a call."""
+        return self._clock.callLater(delay, self._fire, callable, args, kw)
+
+    def _fire(self, function: Any, args: Any, kw: Any) -> None:
+        if self.dead:
+            return
+        if self.frozen:
+            self._held.append((function, args, kw))
+        else:
+            function(*args, **kw)
+
+    def thaw(self) -> None:
+        """Run what was held back."""
+        self.frozen = False
+        held, self._held = self._held, []
+        for function, args, kw in held:
+            self._fire(function, args, kw)
+
+
+class StandinCaller:
+    """Carry the calls of one instance to the platform; `cut` holds unreachable addresses."""
+
+    def __init__(self, platform: Platform, clock: GatedClock) -> None:
+        self._platform = platform
+        self._clock = clock
+        self.cut: set[str] = set()
+
+    def call(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        body: bytes | None = None,
+        timeout_s: float = 1.0,
+        headers: dict[bytes, list[bytes]] | None = None,
+    ) -> Deferred[Reply]:
+        """Send one request and return its response."""
+        self._platform.calls += 1
+        answer: Deferred[Reply] = Deferred()
+        timer = self._clock.callLater(timeout_s, self._fail, answer, address, path)
+        answer.addBoth(lambda result: (timer.active() and timer.cancel(), result)[1])
+        decoded = None if body is None else json.loads(body)
+        parts = urlsplit(path)
+        query = {key: values[-1] for key, values in parse_qs(parts.query).items()}
+        arrive = (answer, address, parts.path, query, decoded, self._clock.seconds())
+        delay = STORE_S if address == STORE else WORKER_S
+        self._platform.clock.callLater(delay, self._arrive, *arrive)
+        return answer
+
+    def _fail(self, answer: Deferred[Reply], address: str, path: str) -> None:
+        if not answer.called:
+            answer.errback(AnswerLostError("no answer", step=path, peer=address))
+
+    def _arrive(
+        self,
+        answer: Deferred[Reply],
+        address: str,
+        path: str,
+        query: dict[str, str],
+        body: Any,
+        sent_at: float,
+    ) -> None:
+        platform = self._platform
+        if self._clock.dead or address in self.cut:
+            return
+        if address == STORE:
+            self._serve_store(answer, path, query, body, sent_at)
+            return
+        if address == ADVISER:
+            self._reply(answer, *platform.advise(body), delay=0.02)
+            return
+        worker = platform.workers.get(address)
+        if worker is not None and sent_at <= worker.began:
+            self._clock.callLater(0, self._fail, answer, address, path)
+            return
+        if worker is None or not worker.up:
+            self._clock.callLater(0, self._refuse, answer, address, path)
+            return
+        status, found = worker.serve(path, body)
+        waits = body.get("waitMs", 0) / 1000
+        waiting = path == "/v1/hold" and status == 200 and not found["finished"]
+        if waiting and platform.clock.seconds() - sent_at < waits:
+            platform.clock.callLater(
+                HOLD_POLL_S, self._arrive, answer, address, path, query, body, sent_at
+            )
+            return
+        self._reply(answer, status, found)
+
+    def _serve_store(
+        self, answer: Deferred[Reply], path: str, query: dict[str, str], body: Any, sent_at: float
+    ) -> None:
+        platform = self._platform
+        if platform.store_mode == "silent":
+            return
+        if platform.store_mode == "busy":
+            self._reply(answer, 503, {})
+            return
+        status, found = platform.serve_store(path, query, body)
+        waits = int(query.get("waitMs", 0)) / 1000
+        if (
+            path == "/v1/rows-feed"
+            and status == 200
+            and not found["rows"]
+            and platform.clock.seconds() - sent_at < waits
+        ):
+            platform.clock.callLater(
+                HOLD_POLL_S, self._arrive, answer, STORE, path, query, body, sent_at
+            )
+            return
+        if platform.store_mode == "mute" and path == "/v1/rows-tx":
+            return
+        self._reply(answer, status, found)
+
+    def _refuse(self, answer: Deferred[Reply], address: str, path: str) -> None:
+        if not answer.called:
+            answer.errback(PeerUnavailableError("refused", step=path, peer=address))
+
+    def _reply(self, answer: Deferred[Reply], status: int, body: Any, delay: float = 0.001) -> None:
+        data = json.dumps(body).encode()
+
+        def deliver() -> None:
+            if not answer.called:
+                answer.callback(Reply(status, data))
+
+        self._clock.callLater(delay, deliver)
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -15,12 +15,11 @@
 from lavenderstall.pools.instance import Identity, Instance, Outside
 from lavenderstall.pools.messages import Envelope
 from lavenderstall.pools.records import Presence
+from tests.platform.callers import GatedClock, StandinCaller
 from tests.platform.standin import (
     ADVISER,
     STORE,
-    GatedClock,
     Platform,
-    StandinCaller,
     Worker,
 )
 
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import EndRow, PaceRun, Refusal, RunningRow, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.pool import STOP_RETRY_S, Pool
@@ -254,7 +255,7 @@
         """Return a pool whose roster names two workers that were not heard yet."""
         bench = Bench()
         bench.pool = pool = Pool(POOL, 2, settle_at=bench.now + 10.0)
-        bench.dispatcher.pool = pool
+        bench.dispatcher = Dispatcher(pool)
         pool.set_settings(Settings(1, (make_queue(),), frozenset(), frozenset({POOL})))
         pool.advance(bench.now, 0.0)
         for entry in (FIRST, SECOND):
