--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -25,7 +25,7 @@
 # A step that waits is explained in the log this often.
 EXPLAIN_S = 1.0
 # After this multiple of its objective a job earns nothing, and goes behind all others.
-HOPELESS_FACTOR = 3.0
+EXPIRED_FACTOR = 3.0
 # Tickets beyond the tasks that wait, to allow for workers that fill up meanwhile.
 SPARE_TICKETS = 4
 # Advice for a step is sought this long before its turn, beyond the duration of the call.
@@ -37,7 +37,7 @@
 class Turn(NamedTuple):
     """Hold a step whose tasks wait, with what its place in the order depends on."""
 
-    hopeless: bool
+    expired: bool
     priority: int
     deadline: float
     group: Group
@@ -66,7 +66,7 @@
 def get_deadline(job: Job, queue: Queue) -> tuple[float, float]:
     """Return when a job is late and when it has lost all benefit."""
     objective_s = (queue.slack * estimate_chain_ms(job) + queue.objective_ms) / 1000
-    return job.seen_at + objective_s, job.seen_at + HOPELESS_FACTOR * objective_s
+    return job.seen_at + objective_s, job.seen_at + EXPIRED_FACTOR * objective_s
 
 
 class Dispatcher:
@@ -77,7 +77,7 @@
         self._holds = Holds(pool)
         self._short_calls = 0
         self._long_calls = 0
-        self._spoken: dict[str, Resources] = {}
+        self._promised: dict[str, Resources] = {}
         self._blocked = 0
 
     def dispatch(self, short_calls: int, long_calls: int) -> None:
@@ -85,7 +85,7 @@
         self._holds.clear()
         self._short_calls = short_calls
         self._long_calls = long_calls
-        self._spoken = {}
+        self._promised = {}
         self._blocked = 0
         usable = [worker for worker in self.pool.workers.values() if self._is_usable(worker)]
         for turn in sorted(self._list_turns(), key=lambda turn: turn[:4]):
@@ -101,8 +101,8 @@
                 continue
             deadline, end = get_deadline(job, queue)
             lasting = job.spec.steps[group.step].lasting
-            hopeless = end < self.pool.now and not lasting
-            yield Turn(hopeless, queue.priority, deadline, group, job, queue)
+            expired = end < self.pool.now and not lasting
+            yield Turn(expired, queue.priority, deadline, group, job, queue)
 
     def _is_usable(self, worker: Worker) -> bool:
         """Tell whether tasks may start on a worker.
@@ -159,14 +159,14 @@
                 "job": turn.job.id,
                 "step": turn.group.step,
                 "waiting": len(state.waiting),
-                "hopeless": turn.hopeless,
+                "expired": turn.expired,
                 "usable": len(usable),
                 "allowed": len(candidates) if needs else None,
                 "asked": len(advice.asked) if advice else 0,
                 "held": sum(not self._holds.may_use(step, w) for w in candidates),
                 "unsuited": sum(not self._suits(step, w) for w in candidates),
                 "without_room": sum(not step.charge.fits(w.get_room()) for w in candidates),
-                "spoken_for": sum(not step.charge.fits(self._get_unspoken(w)) for w in candidates),
+                "promised": sum(not step.charge.fits(self._get_unpromised(w)) for w in candidates),
             },
         )
 
@@ -207,7 +207,7 @@
         left = list(waiting)
         for offer in offers:
             name = offer.worker.key.id
-            room = self._get_unspoken(offer.worker)
+            room = self._get_unpromised(offer.worker)
             for index in list(left):
                 if not step.charge.fits(room):
                     break
@@ -235,7 +235,7 @@
         advice = self.pool.advice.get(turn.group)
         offers = []
         for worker in free:
-            room = self._get_unspoken(worker)
+            room = self._get_unpromised(worker)
             if not step.charge.fits(room) or not self._suits(step, worker):
                 continue
             ticket = ""
@@ -286,8 +286,8 @@
         run.checkpoint = turn.job.get_checkpoint(task)
         turn.job.add_run(run)
         worker.add_run(run, step.charge)
-        if worker.key.id in self._spoken:
-            self._spoken[worker.key.id] = self._spoken[worker.key.id].subtract(step.charge)
+        if worker.key.id in self._promised:
+            self._promised[worker.key.id] = self._promised[worker.key.id].subtract(step.charge)
         worker.note_lease(deadline_ms)
         pool.counts["starts"] += 1
         if turn.job.progress.state == "queued":
@@ -329,7 +329,7 @@
         advice = pool.advice.setdefault(turn.group, StepAdvice())
         if advice.asked:
             asked = set(advice.asked)
-            self._speak_for(step, [w for w in free if w.key.id in asked], missing)
+            self._promise_room(step, [w for w in free if w.key.id in asked], missing)
             return
         candidates = self._list_candidates(step, state, advice, free)
         if not candidates or (step.gang and not self._may_fit(step, advice, free)):
@@ -342,7 +342,7 @@
             unknown.sort(key=lambda worker: self._score(step, worker))
             chosen = [*chosen, *unknown]
         chosen = chosen[:MOST_NAMED]
-        self._speak_for(step, chosen, missing)
+        self._promise_room(step, chosen, missing)
         duration_s = get_duration(advising, len(chosen))
         if not self._take_call(duration_s):
             return
@@ -386,17 +386,17 @@
             if not self._suits(step, worker):
                 continue
             whole = step.gang or name not in advice.allowed
-            room = worker.entry.capacity if whole else self._get_unspoken(worker)
+            room = worker.entry.capacity if whole else self._get_unpromised(worker)
             if step.charge.fits(room):
                 candidates.append(worker)
         return candidates
 
-    def _get_unspoken(self, worker: Worker) -> Resources:
+    def _get_unpromised(self, worker: Worker) -> Resources:
         """Return the room of a worker that no more urgent step is about to use."""
-        found = self._spoken.get(worker.key.id)
+        found = self._promised.get(worker.key.id)
         return worker.get_room() if found is None else found
 
-    def _speak_for(self, step: Step, workers: list[Worker], missing: int) -> None:
+    def _promise_room(self, step: Step, workers: list[Worker], missing: int) -> None:
         """Count on a step to use room, so that less urgent ones leave it free.
 
         Room for gangs is held back apart, and only for as long as it takes.
@@ -404,11 +404,11 @@
         if step.gang:
             return
         for worker in workers:
-            room = self._get_unspoken(worker)
+            room = self._get_unpromised(worker)
             while missing > 0 and step.charge.fits(room):
                 room = room.subtract(step.charge)
                 missing -= 1
-            self._spoken[worker.key.id] = room
+            self._promised[worker.key.id] = room
             if missing <= 0:
                 return
 
--- a/lavenderstall/pools/effects.py
+++ b/lavenderstall/pools/effects.py
@@ -61,7 +61,7 @@
 
 
 class EndRow(msgspec.Struct, frozen=True):
-    """Describe the end of a run; `seq` counts the ends of one life of a worker."""
+    """Describe the end of a run; `seq` counts the ends of one incarnation of a worker."""
 
     seq: int
     task: Task
@@ -71,10 +71,10 @@
 
 
 class LookAnswer(msgspec.Struct, frozen=True):
-    """Hold what a worker says of itself; `born` tells its present life, 0 if it is not told."""
+    """Hold what a worker says of itself; an `incarnation` of 0 is not told."""
 
     clock_ms: float
-    born: int
+    incarnation: int
     running: tuple[RunningRow, ...]
     ended: tuple[EndRow, ...]
 
--- a/lavenderstall/pools/identity.py
+++ b/lavenderstall/pools/identity.py
@@ -1,10 +1,10 @@
-"""Identity of one life of a worker."""
+"""Identity of one incarnation of a worker."""
 
 from typing import NamedTuple
 
 
 class WorkerKey(NamedTuple):
-    """Name one life of a worker: its id and its start in Unix milliseconds."""
+    """Name one incarnation of a worker: its id and its start in Unix milliseconds."""
 
     id: str
-    born: int
+    incarnation: int
--- a/lavenderstall/pools/intake.py
+++ b/lavenderstall/pools/intake.py
@@ -188,14 +188,15 @@
 
     async def run(self, attempt: Coroutine[Any, Any, Presence]) -> None:
         """Wait for one attempt."""
-        found = Presence.UNKNOWN
         try:
             found = await attempt
-        finally:
-            self.open -= 1
-            self._doubtful = self._doubtful or found is Presence.UNKNOWN
-            if not self.outcome.called and (found is Presence.PRESENT or not self.open):
-                self.outcome.callback(self._conclude(found))
+        except Exception:
+            logger.exception("attempt at a write failed")
+            found = Presence.UNKNOWN
+        self.open -= 1
+        self._doubtful = self._doubtful or found is Presence.UNKNOWN
+        if not self.outcome.called and (found is Presence.PRESENT or not self.open):
+            self.outcome.callback(self._conclude(found))
 
     def give_up(self) -> None:
         """Wait no longer for attempts that may yet succeed."""
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -53,7 +53,7 @@
 # A worker whose ends are not durable yet is looked at again after this long.
 COMMIT_WAIT_S = 0.25
 # Pause between looks that find out about a run in doubt.
-HURRY_S = 0.02
+DOUBT_PAUSE_S = 0.02
 # Pause before a worker that left a look unanswered is looked at again.
 LOOK_RETRY_S = 0.15
 # The registry is read this often.
@@ -422,7 +422,7 @@
 
     async def _look_once(self, worker: Worker) -> None:
         asked_at = self._read_uptime()
-        hurried = not worker.claimed or any(run.lost_at >= 0 for run in worker.runs.values())
+        immediate = not worker.claimed or any(run.lost_at >= 0 for run in worker.runs.values())
         lease = self._make_lease(worker, asked_at)
         try:
             answer = await self._client.look(
@@ -430,7 +430,7 @@
                 self.pool.term,
                 worker.get_seen_seq(asked_at),
                 lease,
-                0 if hurried else LOOK_WAIT_MS,
+                0 if immediate else LOOK_WAIT_MS,
             )
         except LavenderstallError as error:
             self._advance()
@@ -453,8 +453,8 @@
         if worker.applied_seq > worker.committed_seq:
             # Until its ends are acknowledged, a worker answers every look at once.
             await self._wait_for_commit()
-        elif hurried:
-            await sleep(self._clock, HURRY_S)
+        elif immediate:
+            await sleep(self._clock, DOUBT_PAUSE_S)
 
     def _wait_for_commit(self) -> Deferred[None]:
         """Return a deferred that fires with the next commit, or after a time."""
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -198,7 +198,7 @@
 
     def set_workers(self, entries: Iterable[WorkerEntry]) -> None:
         """Take the list of workers as the registry shows it."""
-        shown = {WorkerKey(entry.id, entry.born): entry for entry in entries}
+        shown = {WorkerKey(entry.id, entry.incarnation): entry for entry in entries}
         for key, entry in shown.items():
             self._show_worker(key, entry)
         for key, worker in list(self.workers.items()):
@@ -212,10 +212,10 @@
             known.entry = entry
             return
         latest = self.latest.get(key.id)
-        if latest is not None and latest.born > key.born:
+        if latest is not None and latest.incarnation > key.incarnation:
             return
         if latest is not None:
-            self._succeed(latest, entry, "a newer life is registered")
+            self._succeed(latest, entry, "a newer incarnation is registered")
         else:
             self.add_worker(entry)
 
@@ -224,14 +224,14 @@
         worker = Worker(entry)
         self.workers[worker.key] = worker
         self.latest[entry.id] = worker.key
-        logger.info("worker found", extra={"worker": entry.id, "born": entry.born})
+        logger.info("worker found", extra={"worker": entry.id, "incarnation": entry.incarnation})
         return worker
 
     def _succeed(self, key: WorkerKey, entry: WorkerEntry, reason: str) -> None:
-        """Replace a life of a worker by a newer one.
+        """Replace an incarnation of a worker by a newer one.
 
-        The newer life may have carried out an order that was sent to the older one, or may yet do
-        so. A run that no look has shown is in doubt there, even if its start was answered.
+        The newer one may have carried out an order that was sent to the older one, or may yet
+        do so. A run that no look has shown is in doubt there, even if its start was answered.
         """
         older = self.workers[key]
         doubtful = [run for run in older.runs.values() if run.seen_at < 0]
@@ -254,7 +254,7 @@
         return job.spec.steps[task.step].charge
 
     def lose_worker(self, key: WorkerKey, reason: str) -> None:
-        """Note that nothing runs on a life of a worker any more."""
+        """Note that nothing runs on an incarnation of a worker any more."""
         worker = self.workers.get(key)
         if worker is None:
             return
@@ -284,8 +284,8 @@
         worker = self.workers.get(key)
         if worker is None:
             return
-        if answer.born and answer.born != key.born:
-            self._replace_life(worker, answer.born)
+        if answer.incarnation and answer.incarnation != key.incarnation:
+            self._replace_incarnation(worker, answer.incarnation)
             return
         worker.set_clock(answer.clock_ms, self.now)
         worker.looked_at = self.now
@@ -296,11 +296,11 @@
             self._check_settled()
         apply_look(self, worker, answer, asked_at)
 
-    def _replace_life(self, worker: Worker, born: int) -> None:
-        if born < worker.entry.born:
+    def _replace_incarnation(self, worker: Worker, incarnation: int) -> None:
+        if incarnation < worker.entry.incarnation:
             return
-        entry = msgspec.structs.replace(worker.entry, born=born)
-        self._succeed(worker.key, entry, "a newer life answered")
+        entry = msgspec.structs.replace(worker.entry, incarnation=incarnation)
+        self._succeed(worker.key, entry, "a newer incarnation answered")
         self._check_settled()
 
     def end_run(
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -14,7 +14,7 @@
 SLOWEST_CLOCK = 0.98
 # A lease lasts at most this long at a worker.
 LEASE_MS = 6000
-# An answer this young shows that the same life of a worker still answers.
+# An answer this young shows that the same incarnation of a worker still answers.
 FRESH_S = 0.3
 # Time for a process on the worker to be seen as gone after its lease.
 LAPSE_MARGIN_S = 0.15
@@ -31,7 +31,7 @@
     """Describe a worker as it reports itself to the registry."""
 
     id: str
-    born: int
+    incarnation: int
     pool: PoolName
     address: str
     zone: str
@@ -44,11 +44,11 @@
 
 
 class Worker:
-    """Keep the ledger of one life of a worker; times are in seconds of uptime."""
+    """Keep the ledger of one incarnation of a worker; times are in seconds of uptime."""
 
     def __init__(self, entry: WorkerEntry) -> None:
         self.entry = entry
-        self.key = WorkerKey(entry.id, entry.born)
+        self.key = WorkerKey(entry.id, entry.incarnation)
         self.runs: dict[tuple[Task, int], Run] = {}
         self.used = NOTHING
         self.claimed = False
@@ -84,7 +84,7 @@
         self.answered_at = now
 
     def get_seen_seq(self, now: float) -> int:
-        """Return up to which end the worker may forget, 0 unless its life is certain.
+        """Return up to which end the worker may forget, 0 unless its incarnation is certain.
 
         A worker that has restarted under its name counts its ends anew.
         """
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -129,8 +129,8 @@
                 key=lambda entry: entry.id,
             )
         )
-        known = {(entry.id, entry.born) for entry in self._roster}
-        return workers if {(entry.id, entry.born) for entry in workers} != known else None
+        known = {(entry.id, entry.incarnation) for entry in self._roster}
+        return workers if {(entry.id, entry.incarnation) for entry in workers} != known else None
 
     async def _write(self, now: float, renew: bool, roster: tuple[WorkerEntry, ...] | None) -> None:
         progress, ends = self._pool.take_dirty(BATCH_JOBS)
@@ -183,7 +183,7 @@
 
     def _use_roster(self, roster: tuple[WorkerEntry, ...]) -> None:
         self._roster = roster
-        present = {(entry.id, entry.born) for entry in roster}
+        present = {(entry.id, entry.incarnation) for entry in roster}
         self._pool.roster = {key for key in self._pool.workers if tuple(key) in present}
 
     def _finish(self, states: dict[JobId, JobState], ends: dict[WorkerKey, int]) -> None:
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -218,7 +218,9 @@
         body = json.dumps({"rows": rows, "schemaVersion": 1, "nowMs": 1}).encode()
         store = PlatformStore(FixedCaller(Reply(200, body)), "store")  # type: ignore[arg-type]
         (entry,) = get_result(PlatformRegistry(store).list_workers())
-        self.assertEqual((entry.id, entry.kind, entry.rack, entry.born), ("w0", "a", "r1-3", 7))
+        self.assertEqual(
+            (entry.id, entry.kind, entry.rack, entry.incarnation), ("w0", "a", "r1-3", 7)
+        )
 
     def test_labels_may_be_missing(self) -> None:
         entry = msgspec.convert({**self.GOOD, "labels": []}, WireWorker).decode("w")
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -111,7 +111,7 @@
                 self.assertEqual((judge.broken, judge.list_unfinished()), ([], []))
                 self.assertEqual(judge.starts, 6)
 
-    def test_a_worker_that_the_heir_cannot_reach_delays_only_its_work(self) -> None:
+    def test_a_worker_that_the_successor_cannot_reach_delays_only_its_work(self) -> None:
         world = start_world()
         world.submit("entry-0", "routing", make_name(1), [{**LONG, "estimatedDurationMs": 9000}])
         world.run(1.0)
@@ -140,9 +140,9 @@
                 if world.get_zone(name) == zone != world.get_zone(other):
                     world.sever(name, other)
         world.run(3.0)
-        heir = world.find_owner("routing")
-        assert heir is not None
-        self.assertNotEqual(world.get_zone(heir), zone)
+        successor = world.find_owner("routing")
+        assert successor is not None
+        self.assertNotEqual(world.get_zone(successor), zone)
 
 
 class StoreTest(unittest.TestCase):
--- a/tests/pools/builders.py
+++ b/tests/pools/builders.py
@@ -63,11 +63,11 @@
     return AcceptedJob(job, queue, JobSpec("payload", steps or (make_step(),)))
 
 
-def make_entry(name: str, born: int = 1, **fields: object) -> WorkerEntry:
+def make_entry(name: str, incarnation: int = 1, **fields: object) -> WorkerEntry:
     """Return a worker of the pool."""
     values: dict[str, object] = {
         "id": name,
-        "born": born,
+        "incarnation": incarnation,
         "pool": POOL,
         "address": f"{name}:80",
         "zone": "quito-1",
@@ -117,13 +117,16 @@
         entry: WorkerEntry,
         running: Iterable[RunningRow] = (),
         ended: Iterable[EndRow] = (),
-        born: int | None = None,
+        incarnation: int | None = None,
     ) -> None:
         """Let a worker answer a look."""
         answer = LookAnswer(
-            self.clock_ms(), entry.born if born is None else born, tuple(running), tuple(ended)
+            self.clock_ms(),
+            entry.incarnation if incarnation is None else incarnation,
+            tuple(running),
+            tuple(ended),
         )
-        self.pool.note_look(WorkerKey(entry.id, entry.born), answer, self.now)
+        self.pool.note_look(WorkerKey(entry.id, entry.incarnation), answer, self.now)
 
     def dispatch(self, advisers: int = 4) -> list[Effect]:
         """Dispatch and return what is to be done."""
--- a/tests/pools/test_dispatch.py
+++ b/tests/pools/test_dispatch.py
@@ -197,7 +197,7 @@
         asks = [e for e in bench.dispatch(advisers=2) if isinstance(e, AskAdvice)]
         self.assertEqual([ask.group.job for ask in asks], [f"{4:016x}", f"{3:016x}"])
 
-    def test_room_that_is_spoken_for_is_not_asked_about(self) -> None:
+    def test_room_that_is_promised_is_not_asked_about(self) -> None:
         bench = Bench(make_entry("w1"), queue=make_queue(advising=ADVISED))
         for number in range(3):
             whole = make_step(need=Resources(CAPACITY.cores_milli, 1))
--- a/tests/pools/test_job.py
+++ b/tests/pools/test_job.py
@@ -66,11 +66,11 @@
     def test_attempts_survive_a_change_of_owner(self) -> None:
         job = Job(make_job(), 0.0, None)
         job.end_run(run_task(job, 0, 0, 1), 1, Cause.FAILED, make_queue())
-        heir = Job(make_job(), 0.0, job.make_progress())
-        heir.end_run(Task(JOB, 0, 0, 0), 1, Cause.FAILED, make_queue())
-        self.assertIs(heir.state, JobState.RUNNING)
-        heir.end_run(run_task(heir, 0, 0, 1001), 1001, Cause.FAILED, make_queue())
-        self.assertIs(heir.state, JobState.FAILED)
+        successor = Job(make_job(), 0.0, job.make_progress())
+        successor.end_run(Task(JOB, 0, 0, 0), 1, Cause.FAILED, make_queue())
+        self.assertIs(successor.state, JobState.RUNNING)
+        successor.end_run(run_task(successor, 0, 0, 1001), 1001, Cause.FAILED, make_queue())
+        self.assertIs(successor.state, JobState.FAILED)
 
     def test_lasting_task_never_uses_up_attempts(self) -> None:
         job = Job(make_job(make_step(lasting=True)), 0.0, None)
@@ -136,8 +136,8 @@
     def test_progress_round_trip_keeps_what_is_done(self) -> None:
         job = Job(make_job(make_step(2)), 0.0, None)
         job.end_run(run_task(job, 0, 1, 1), 1, Cause.DONE, make_queue())
-        heir = Job(make_job(make_step(2)), 0.0, job.make_progress())
-        self.assertEqual(heir.get_step(0, 0).waiting, {0})
+        successor = Job(make_job(make_step(2)), 0.0, job.make_progress())
+        self.assertEqual(successor.get_step(0, 0).waiting, {0})
 
 
 class CheckTest(unittest.TestCase):
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -155,7 +155,7 @@
         self.assertEqual(bench.pool.take_effects(), [])
 
 
-class LifeTest(unittest.TestCase):
+class IncarnationTest(unittest.TestCase):
     """Workers that come, go and come back."""
 
     def test_a_newer_life_frees_what_the_older_one_ran(self) -> None:
@@ -166,9 +166,9 @@
                 (order,) = bench.start()
                 bench.look(FIRST, [RunningRow(order.task, order.number, "", 5.0)])
                 if how == "registered":
-                    bench.pool.set_workers([make_entry("w1", born=2)])
+                    bench.pool.set_workers([make_entry("w1", incarnation=2)])
                 else:
-                    bench.look(FIRST, born=2)
+                    bench.look(FIRST, incarnation=2)
                 self.assertEqual(list(bench.pool.workers), [WorkerKey("w1", 2)])
                 self.assertEqual(bench.pool.jobs[JOB].get_step(0, 0).waiting, {0})
 
@@ -186,10 +186,10 @@
                 name = order.worker.id
                 other = FIRST if name == "w2" else SECOND
                 bench.advance(0.1)
-                bench.pool.set_workers([make_entry(name, born=2), other])
+                bench.pool.set_workers([make_entry(name, incarnation=2), other])
                 self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
                 bench.advance(0.1)
-                newer = make_entry(name, born=2)
+                newer = make_entry(name, incarnation=2)
                 bench.look(newer, [RunningRow(order.task, order.number, "", 1.0)])
                 run = bench.pool.workers[WorkerKey(name, 2)].runs[order.task, order.number]
                 self.assertGreaterEqual(run.confirmed_at, 0)
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -227,8 +227,8 @@
         owner.finish_task(0, 1)
         Deferred.fromCoroutine(owner.writer.release())
         self.assertEqual(read_done(rows), {0})
-        heir = Owner(rows, "entry-2")
-        self.assertEqual(heir.claim(), None)
+        successor = Owner(rows, "entry-2")
+        self.assertEqual(successor.claim(), None)
 
 
 if __name__ == "__main__":
