Look at silent workers until they answer, and ask only peers that tell that they reach the store

Change: silent workers are looked at; owners tell all whether they reach the store. Tests: both failed before.

--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -235,11 +235,12 @@
 
     def _send_beats(self) -> None:
         now = self._read_uptime()
+        lost = self._store.is_lost()
         for name, owner in self.owned.items():
-            beat = OwnerBeat(name, owner.pool.term, make_pending(owner.pool.count_pending()))
+            pending = make_pending(owner.pool.count_pending())
+            beat = OwnerBeat(name, owner.pool.term, pending, lost)
             self._outside.links.broadcast(beat)  # type: ignore[arg-type]
             self.peers.note_owner(self.identity.entry, beat)
-        lost = self._store.is_lost()
         for entry in self.peers.list_watched():
             sight = self.peers.peers.get(entry)
             age_ms = int((now - sight.heard_at) * 1000) if sight and sight.heard_at >= 0 else 0
@@ -414,6 +415,7 @@
     @handle.register
     def _(self, message: OwnerBeat, sender: EntryId) -> None:
         self.peers.note_owner(sender, message)
+        self.peers.note_store(sender, lost=message.store_lost)
 
     @handle.register
     def _(self, message: EntryBeat, sender: EntryId) -> None:
@@ -421,7 +423,7 @@
         if sight is None:
             return
         sight.draining = message.draining
-        sight.store_lost = message.store_lost
+        self.peers.note_store(sender, lost=message.store_lost)
         if message.heard_ms > LOST_MS and self._read_uptime() - sight.redialed_at > REDIAL_S:
             sight.redialed_at = self._read_uptime()
             logger.info("connection replaced", extra={"peer": sender, "age_ms": message.heard_ms})
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -19,11 +19,12 @@
 
 
 class OwnerBeat(msgspec.Struct, tag=True, frozen=True):
-    """Tell who owns a pool, and how many jobs of each queue wait."""
+    """Tell who owns a pool, how many jobs of each queue wait, and whether the store is lost."""
 
     pool: PoolName
     term: int
     pending: dict[str, int]
+    store_lost: bool = False
 
 
 class PoolReleased(msgspec.Struct, tag=True, frozen=True):
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -80,7 +80,8 @@
     draining: bool = False
     unanswered: int = 0
     redialed_at: float = -10.0
-    store_lost: bool = False
+    store_lost: bool = True
+    told_at: float = -1.0
 
 
 class PeerRequests:
@@ -109,6 +110,13 @@
             0, owned=False
         )
 
+    def note_store(self, peer: EntryId, *, lost: bool) -> None:
+        """Note whether a peer reaches the store, as it tells with each beat."""
+        sight = self.peers.get(peer)
+        if sight is not None:
+            sight.store_lost = lost
+            sight.told_at = self._read_uptime()
+
     # Owners
 
     def note_owner(self, sender: EntryId, beat: OwnerBeat) -> None:
@@ -248,7 +256,12 @@
 
     def choose_writers(self) -> list[EntryId]:
         """Return live peers that reach the store, at random."""
-        live = [peer for peer in self.list_live() if not self.peers[peer].store_lost]
+        limit = self._read_uptime() - PEER_SILENCE_S
+        live = [
+            peer
+            for peer, sight in self.peers.items()
+            if sight.told_at > limit and not sight.store_lost
+        ]
         return self._random.sample(live, min(MOST_WRITERS, len(live)))
 
     async def ask_write(
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -274,8 +274,13 @@
             del self.latest[key.id]
 
     def needs_look(self, worker: Worker) -> bool:
-        """Tell whether a worker is to be looked at all the time."""
-        return bool(worker.runs) or not worker.claimed or worker.applied_seq > worker.committed_seq
+        """Tell whether a worker is to be looked at all the time.
+
+        A silent one gets nothing new before it answers, even if nothing runs there.
+        """
+        silent = worker.listed and worker.silent_since >= 0
+        unacknowledged = worker.applied_seq > worker.committed_seq
+        return bool(worker.runs) or not worker.claimed or unacknowledged or silent
 
     # What workers answer
 
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -174,6 +174,18 @@
                 world.run(0.1)
                 self.assertEqual(outcome, [Presence.ABSENT])
 
+    def test_jobs_are_rejected_at_once_in_a_large_cell_too(self) -> None:
+        world = start_world(nodes=14)
+        world.platform.store_mode = "busy"
+        world.run(3.0)
+        outcomes = [
+            world.submit(name, "routing", make_name(number), [dict(STEP)])
+            for number, name in enumerate(world.nodes)
+        ]
+        world.platform.store_mode = "silent"
+        world.run(0.3)
+        self.assertEqual(outcomes, [[Presence.ABSENT]] * 14)
+
     def test_nobody_is_held_by_a_store_that_falls_silent(self) -> None:
         world = start_world()
         world.platform.store_mode = "silent"
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -235,6 +235,18 @@
         bench.pool.add_job(make_job())
         self.assertEqual(bench.dispatch(), [])
 
+    def test_a_silent_worker_is_looked_at_until_it_answers(self) -> None:
+        bench = Bench(FIRST)
+        worker = bench.pool.workers[WorkerKey("w1", 1)]
+        self.assertFalse(bench.pool.needs_look(worker))
+        bench.pool.note_silence(worker.key)
+        bench.advance(30.0)
+        self.assertTrue(bench.pool.needs_look(worker))
+        bench.look(FIRST)
+        self.assertFalse(bench.pool.needs_look(worker))
+        bench.pool.add_job(make_job())
+        self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
+
     def test_a_leaving_worker_gets_nothing(self) -> None:
         bench = Bench(FIRST)
         bench.pool.set_workers([make_entry("w1", state=WorkerState.DRAINING)])
