--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -113,7 +113,6 @@
         self._store = ReachedStore(outside.store, outside.read_uptime)
         self._outside = outside
         self._clock = outside.clock
-        self._read_uptime = outside.read_uptime
         self.read_uptime = outside.read_uptime
         self.peers = PeerRequests(
             identity.entry,
@@ -234,7 +233,7 @@
         await sleep(self._clock, BEAT_S)
 
     def _send_beats(self) -> None:
-        now = self._read_uptime()
+        now = self.read_uptime()
         lost = self._store.is_lost()
         for name, owner in self.owned.items():
             pending = make_pending(owner.pool.count_pending())
@@ -249,7 +248,7 @@
     async def _yield_pools(self) -> None:
         """Give up pools, as instances of other zones reach more of their workers."""
         for pool, owner in list(self.owned.items()):
-            if self._read_uptime() - self._claimed_at.get(pool, 0.0) > TENURE_S:
+            if self.read_uptime() - self._claimed_at.get(pool, 0.0) > TENURE_S:
                 await self._give_up(pool, owner, "cut off from other zones", release=True)
 
     # Ownership
@@ -304,14 +303,14 @@
             await owner.stop(release=True)
             return
         self.owned[pool] = owner
-        self._claimed_at[pool] = self._read_uptime()
+        self._claimed_at[pool] = self.read_uptime()
         self.metrics.count("pools_claimed")
         owner.start()
         self._send_beats()
 
     def _make_owner(self, name: PoolName, claim: Claim) -> PoolOwner:
         outside = self._outside
-        pool = Pool(name, claim.owner.term, self._read_uptime() + claim.settle_s)
+        pool = Pool(name, claim.owner.term, self.read_uptime() + claim.settle_s)
         pool.set_settings(self.settings)
         writer = OwnerWriter(
             self._store,
@@ -365,13 +364,13 @@
         if peer is None:
             owner.note_advice(order, None)
             return
-        began = self._read_uptime()
+        began = self.read_uptime()
         if peer == self.identity.entry:
             advice = await self._call_adviser(Task(*order.group, 0), order.workers, limit_s)
         else:
             advice = await self.peers.ask_advice(peer, order, limit_s)
         self.peers.free_adviser(peer, answered=advice is not None)
-        took = self._read_uptime() - began
+        took = self.read_uptime() - began
         self.metrics.record("advice", took)
         logger.info(
             "advice",
@@ -404,7 +403,7 @@
         """Handle a message from a peer."""
         sight = self.peers.peers.get(sender)
         if sight is not None:
-            sight.heard_at = self._read_uptime()
+            sight.heard_at = self.read_uptime()
         self.handle(message, sender)
 
     @singledispatchmethod
@@ -424,8 +423,8 @@
             return
         sight.draining = message.draining
         self.peers.note_store(sender, lost=message.store_lost)
-        if message.heard_ms > LOST_MS and self._read_uptime() - sight.redialed_at > REDIAL_S:
-            sight.redialed_at = self._read_uptime()
+        if message.heard_ms > LOST_MS and self.read_uptime() - sight.redialed_at > REDIAL_S:
+            sight.redialed_at = self.read_uptime()
             logger.info("connection replaced", extra={"peer": sender, "age_ms": message.heard_ms})
             self._outside.links.redial(sender)
 
--- a/lavenderstall/pools/reach.py
+++ b/lavenderstall/pools/reach.py
@@ -1,6 +1,5 @@
 """Whether the store is reached, learnt from the calls that are made anyway."""
 
-import logging
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -10,12 +9,8 @@
 from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from lavenderstall.pools.ports import Change, Committed, Page, RowStore
 
-logger = logging.getLogger(__name__)
-
 T = TypeVar("T")
 
-# A call that has waited this long, while no other was answered, shows that the store is lost.
-SILENCE_S = 0.6
 # With no call answered for this long after one that failed, the store counts as lost.
 LOST_S = 0.3
 
