Ask for advice through idle instances, know at once which workers are gone, keep little of ended jobs

From 12 s on lasting tasks of five workers whose addresses had gone to others waited 6 s for their leases to lapse, while the addresses answered 421. Change: an instance that is busy says so at once, and for how long; long and short calls go to different instances, which all owners choose alike; what advice allows is recorded with a job. A worker whose address another process has is lost at once. Callers with long objectives, and all in a long outage, are asked to come back after 2 s. Of a job that has ended only its state is kept, and its submission is deleted after 2 s, so that a pool is read quickly; stronger instances claim first. A cancellation that is heard of before its submission is remembered. Ruled out: fewer workers in a call (calls were not the limit, waiting for busy instances was).

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -8,6 +8,7 @@
 from lavenderstall.pools.effects import AskAdvice, StartRun
 from lavenderstall.pools.holds import Holds, count_fitting
 from lavenderstall.pools.job import Job, Run, StepState
+from lavenderstall.pools.objectives import EXPIRED_FACTOR, get_objective_s
 from lavenderstall.pools.pool import RUNS_PER_TERM, Pool
 from lavenderstall.pools.tickets import MOST_NAMED, SHORT_S, StepAdvice, get_duration
 from lavenderstall.pools.work import Group, Queue, Step, Task
@@ -22,8 +23,6 @@
 MOST_BLOCKED = 24
 # A step that waits is explained in the log this often.
 EXPLAIN_S = 1.0
-# After this multiple of its objective a job earns nothing, and goes behind all others.
-EXPIRED_FACTOR = 3.0
 # Tickets beyond the tasks that wait, to allow for workers that fill up meanwhile.
 SPARE_TICKETS = 4
 # Advice for a step is sought this long before its turn, beyond the duration of the call.
@@ -52,18 +51,9 @@
     ticket: str
 
 
-def estimate_chain_ms(job: Job) -> float:
-    """Return the declared duration of the longest chain of steps."""
-    longest: list[float] = []
-    for step in job.spec.steps:
-        before = max((longest[earlier] for earlier in step.after), default=0.0)
-        longest.append(before + step.expected_ms)
-    return max(longest)
-
-
 def get_deadline(job: Job, queue: Queue) -> tuple[float, float]:
     """Return when a job is late and when it has lost all benefit."""
-    objective_s = (queue.slack * estimate_chain_ms(job) + queue.objective_ms) / 1000
+    objective_s = get_objective_s(job.spec, queue)
     return job.seen_at + objective_s, job.seen_at + EXPIRED_FACTOR * objective_s
 
 
--- a/lavenderstall/pools/effects.py
+++ b/lavenderstall/pools/effects.py
@@ -82,6 +82,10 @@
     ended: tuple[EndRow, ...]
 
 
+# Another process has the worker's address, so the worker is gone.
+OTHER_PROCESS = "instance"
+
+
 class Refusal(msgspec.Struct, frozen=True):
     """Hold why a worker refused an order, and its clock if it told it."""
 
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -14,9 +14,11 @@
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.links import NngLinks
 from lavenderstall.metrics import Metrics
+from lavenderstall.pools.advisers import Advisers
+from lavenderstall.pools.advising import AdviceDesk, AdviceRequests
 from lavenderstall.pools.background import gather, launch
 from lavenderstall.pools.claims import Claim, Claimer, Sight
-from lavenderstall.pools.effects import Advice, AskAdvice
+from lavenderstall.pools.effects import AskAdvice
 from lavenderstall.pools.intake import Intake
 from lavenderstall.pools.messages import (
     AdviceAnswer,
@@ -31,6 +33,7 @@
     WriteAnswer,
     WriteAsk,
 )
+from lavenderstall.pools.objectives import choose_retry_s, get_objective_s
 from lavenderstall.pools.owner import PoolOwner
 from lavenderstall.pools.peers import PeerRequests, PeerSight, make_pending
 from lavenderstall.pools.pool import Pool
@@ -47,7 +50,7 @@
 from lavenderstall.pools.reach import ReachedStore
 from lavenderstall.pools.records import ENTRIES, EntryRecord, decode_job, encode
 from lavenderstall.pools.watch import TableWatch
-from lavenderstall.pools.work import PoolName, Settings, Task
+from lavenderstall.pools.work import JobSpec, PoolName, Queue, Settings
 from lavenderstall.pools.writer import OwnerWriter
 
 logger = logging.getLogger(__name__)
@@ -74,20 +77,21 @@
 # A peer that has not heard this instance for this long needs a new connection.
 LOST_MS = 1500
 REDIAL_S = 2.0
-# The placement service serves an instance's calls in turn, and two owners may share an instance.
-ADVICE_TURNS = 2
-ADVICE_SLACK_S = 0.5
 OPERATOR = "op"
 SETTINGS_KEY = "config"
 
 
 class Identity(msgspec.Struct, frozen=True):
-    """Name an entry instance and where peers reach it."""
+    """Name an entry instance and where peers reach it.
+
+    `power` is its share of processors; stronger instances own pools first.
+    """
 
     entry: EntryId
     incarnation: Incarnation
     zone: str
     link: str
+    power: float = 1.0
 
 
 class Outside(msgspec.Struct):
@@ -128,6 +132,17 @@
             outside.read_uptime,
         )
         self.peers.local_state = self.get_local_state
+        self._advisers = Advisers(
+            identity.entry, self.peers.list_live, self.peers.is_near, outside.read_uptime
+        )
+        self._advice = AdviceRequests(
+            identity.entry,
+            AdviceDesk(outside.adviser, outside.read_uptime, self.metrics),
+            self._advisers,
+            self.peers,
+            outside.read_uptime,
+            self.metrics,
+        )
         self.intake = Intake(
             self._store, self.peers, outside.clock, outside.read_unix_ms, self.metrics
         )
@@ -185,6 +200,12 @@
         """Tell whether callers may be sent here; other zones serve those of one that is cut off."""
         return not self.draining and self.settings.version > 0 and not self.is_cut_off()
 
+    def choose_retry_s(self, spec: JobSpec, queue: Queue) -> int:
+        """Return after how many seconds a caller whose job was not accepted should come back."""
+        return choose_retry_s(
+            get_objective_s(spec, queue), self._store.get_downtime(), cut_off=self.is_cut_off()
+        )
+
     def is_cut_off(self) -> bool:
         """Tell whether neither the store nor instances of other zones are reached."""
         return self._store.is_lost() and self.peers.is_isolated()
@@ -192,7 +213,12 @@
     async def _write_record(self) -> None:
         identity = self.identity
         record = EntryRecord(
-            identity.entry, identity.incarnation, identity.zone, identity.link, self.draining
+            identity.entry,
+            identity.incarnation,
+            identity.zone,
+            identity.link,
+            self.draining,
+            identity.power,
         )
         put = Put(ENTRIES, identity.entry, encode(record))
         await self._store.commit(Change("", (), (put,)))
@@ -235,9 +261,10 @@
             records[record.entry] = record
         self._outside.links.set_peers({name: record.link for name, record in records.items()})
         for name, record in records.items():
-            self.peers.peers.setdefault(name, PeerSight(record.zone))
+            self.peers.peers.setdefault(name, PeerSight(record.zone)).power = record.power
         for name in self.peers.peers.keys() - records.keys() - {self.identity.entry}:
             del self.peers.peers[name]
+        self._advisers.retain({*self.peers.peers, self.identity.entry})
 
     async def _beat(self) -> None:
         self._send_beats()
@@ -306,10 +333,14 @@
         return sight.store_ms - sight.owner.store_ms > ISOLATED_WAIT_MS
 
     def _get_rank(self, pool: PoolName) -> int:
-        """Return how many known instances the pool suits better than this one."""
-        live = {*self.peers.peers, self.identity.entry}
-        order = sorted(live, key=lambda entry: (len_owned(self, entry), weigh(pool, entry)))
-        return min(order.index(self.identity.entry), MOST_CLAIM_STEPS)
+        """Return how many live instances the pool suits better than this one."""
+        own = self.identity.entry
+        powers = {entry: self.peers.peers[entry].power for entry in self.peers.list_live()}
+        powers[own] = self.identity.power
+        order = sorted(
+            powers, key=lambda entry: (len_owned(self, entry), -powers[entry], weigh(pool, entry))
+        )
+        return min(order.index(own), MOST_CLAIM_STEPS)
 
     async def _claim(self, pool: PoolName, sight: Sight) -> None:
         claim = await self._claimer.claim(pool, sight)
@@ -357,7 +388,7 @@
             outside.read_uptime,
             outside.read_unix_ms,
             lambda order: self._ask_advice(owner, order),
-            self.peers.count_idle_advisers,
+            self._advisers.count_idle,
             self.peers.is_store_away,
             self.metrics,
         )
@@ -376,50 +407,14 @@
         self._outside.links.broadcast(PoolReleased(pool, owner.pool.term))  # type: ignore[arg-type]
         self.peers.forget_owner(pool, owner.pool.term)
 
-    # Advice
-
     def _ask_advice(self, owner: PoolOwner, order: AskAdvice) -> None:
         launch(self._fetch_advice(owner, order))
 
     async def _fetch_advice(self, owner: PoolOwner, order: AskAdvice) -> None:
-        limit_s = ADVICE_TURNS * order.expected_ms / 1000 + ADVICE_SLACK_S
-        peer = self.peers.choose_adviser(order.expected_ms / 1000)
-        if peer is None:
-            owner.note_advice(order, None)
-            return
-        began = self.read_uptime()
-        if peer == self.identity.entry:
-            advice = await self._call_adviser(Task(*order.group, 0), order.workers, limit_s)
-        else:
-            advice = await self.peers.ask_advice(peer, order, limit_s)
-        self.peers.free_adviser(peer, answered=advice is not None)
-        took = self.read_uptime() - began
-        self.metrics.record("advice", took)
-        logger.info(
-            "advice",
-            extra={
-                "job": order.group.job,
-                "step": order.group.step,
-                "adviser": peer,
-                "named": len(order.workers),
-                "allowed": None if advice is None else len(advice.allowed),
-                "took_ms": round(took * 1000),
-                "expected_ms": round(order.expected_ms),
-            },
-        )
+        advice = await self._advice.fetch(order)
         if owner.running:
             owner.note_advice(order, advice)
 
-    async def _call_adviser(
-        self, step: Task, workers: tuple[str, ...], timeout_s: float
-    ) -> Advice | None:
-        try:
-            return await self._outside.adviser.ask(step, workers, timeout_s)
-        except LavenderstallError as error:
-            self.metrics.count("advice_failed")
-            logger.info("no advice", extra={"job": step.job, "error": str(error)})
-            return None
-
     # Messages
 
     def receive(self, sender: EntryId, message: Any) -> None:
@@ -463,6 +458,9 @@
     @handle.register
     def _(self, message: PoolReleased, sender: EntryId) -> None:
         self.peers.forget_owner(message.pool, message.term)
+        if message.pool not in self._claiming and message.pool not in self.owned:
+            self._claiming.add(message.pool)
+            launch(self._look_after(message.pool))
 
     @handle.register
     def _(self, message: JobHint, sender: EntryId) -> None:
@@ -483,20 +481,7 @@
 
     @handle.register
     def _(self, message: AdviceAsk, sender: EntryId) -> None:
-        launch(self._answer_advice(message, sender))
-
-    async def _answer_advice(self, message: AdviceAsk, sender: EntryId) -> None:
-        step = Task(message.job, message.occurrence, message.step, 0)
-        advice = await self._call_adviser(step, message.workers, message.timeout_s)
-        if advice is None:
-            self.peers.send(sender, AdviceAnswer(message.number, given=False))
-        else:
-            self.peers.send(
-                sender,
-                AdviceAnswer(
-                    message.number, given=True, allowed=advice.allowed, valid_ms=advice.valid_ms
-                ),
-            )
+        launch(self._advice.answer(message, sender))
 
     @handle.register
     def _(self, message: WriteAsk, sender: EntryId) -> None:
--- a/lavenderstall/pools/intake.py
+++ b/lavenderstall/pools/intake.py
@@ -156,14 +156,14 @@
         """Cancel a job; returns false if there is none, and none if that is not known."""
         try:
             known = await self.read_row(JOBS, get_shard(queue.pool, job), job)
+            if known is None:
+                # The submission of a job that has ended may be deleted.
+                return await self.read_row(PROGRESS, queue.pool, job) is not None
         except LavenderstallError as error:
             logger.info("job not read", extra={"job": job, "error": str(error)})
             state = await self._peers.ask_state(queue.pool, job)
             if state is None:
                 return None
-            known = Row(JOBS, queue.pool, job)
-        if known is None:
-            return False
         outcome = await self._add(CANCELS, queue.pool, job, b"\x01")
         logger.info("job cancelled", extra={"job": job, "outcome": outcome.value})
         if outcome is Presence.PRESENT:
@@ -188,10 +188,10 @@
                 self.read_row(CANCELS, shard, job),
             ]
         )
+        state = JobState(decode_progress(progress.value).state) if progress else JobState.QUEUED
         if row is None:
-            return None
+            return state if progress else None
         self._peers.hint_job(queue.pool, row.value)
-        state = JobState(decode_progress(progress.value).state) if progress else JobState.QUEUED
         if state not in ENDED and cancel is not None:
             return JobState.CANCELLED
         return state
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -33,13 +33,15 @@
 
     `done` holds indexes of tasks; `failures` maps an index to the runs that failed, and a gang
     counts under index 0. `checkpoints` maps an index to run and checkpoint. `runs` names every
-    run that may be at work.
+    run that may be at work. `allowed` and `denied` name workers that advice allows or denies.
     """
 
     done: set[int] = set()
     failures: dict[int, list[int]] = {}
     checkpoints: dict[int, tuple[int, str]] = {}
     runs: list[RecordedRun] = []
+    allowed: set[str] = set()
+    denied: set[str] = set()
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -48,6 +50,11 @@
     state: str = JobState.QUEUED.value
     steps: dict[str, StepProgress] = {}
 
+    def is_final(self) -> bool:
+        """Tell whether the job has ended and nothing of it may be at work."""
+        ended = JobState(self.state) in ENDED
+        return ended and not any(step.runs for step in self.steps.values())
+
 
 class Run(msgspec.Struct, eq=False):
     """Describe one start of a task on a worker; times are in seconds of uptime.
@@ -104,7 +111,6 @@
         self.state = JobState(self.progress.state)
         self.steps: dict[tuple[int, int], StepState] = {}
         self.started = bool(self.progress.steps)
-        self.ended_at = -1.0
         self.durable_state = self.state
         self.cancelling = self.state is JobState.CANCELLED
         for key, progress_row in self.progress.steps.items():
@@ -268,8 +274,13 @@
             self.state = JobState.CANCELLED
 
     def make_progress(self) -> JobProgress:
-        """Return the durable progress with the state and the runs as they are now."""
+        """Return the durable progress with the state and the runs as they are now.
+
+        Of a job that has ended for good only the state is kept.
+        """
         self.progress.state = self.state.value
+        if self.ended and not self.list_runs():
+            return JobProgress(self.state.value)
         for step in self.steps.values():
             step.progress.runs = [
                 RecordedRun(run.task.number, run.number, *run.worker)
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -74,16 +74,20 @@
     occurrence: int
     step: int
     workers: tuple[str, ...]
-    timeout_s: float
+    expected_s: float
 
 
 class AdviceAnswer(msgspec.Struct, tag=True, frozen=True):
-    """Answer with tickets; `given` is false if the service gave none."""
+    """Answer with tickets; `given` is false if the service gave none.
+
+    With `busy_ms` it was not asked, as calls before this one take so long.
+    """
 
     number: int
     given: bool
     allowed: tuple[tuple[str, str], ...] = ()
     valid_ms: float = 0.0
+    busy_ms: float = 0.0
 
 
 class WriteAsk(msgspec.Struct, tag=True, frozen=True):
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -13,12 +13,12 @@
 from lavenderstall.errors import LavenderstallError, PeerUnavailableError
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
+from lavenderstall.pools.advisers import AdviserCount
 from lavenderstall.pools.background import gather, launch
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import AskAdvice, PaceRun, Refusal, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import AcceptedJob
-from lavenderstall.pools.peers import AdviserCount
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
     HistoryLostError,
@@ -40,6 +40,7 @@
     decode_progress,
     list_shards,
 )
+from lavenderstall.pools.work import JobState
 from lavenderstall.pools.workers import LEASE_MS, Worker
 from lavenderstall.pools.writer import DeposedError, OwnerWriter
 
@@ -66,8 +67,10 @@
 DISPATCH_S = 0.003
 # A feed of rows waits this long for a change.
 FOLLOW_MS = 1000
-# Rows of old jobs are looked for this often.
-CLEAN_S = 5.0
+# Rows of ended jobs are looked for this often.
+CLEAN_S = 4.0
+# Rows in one reading, which a weak link carries well within a call's time limit.
+PAGE_ROWS = 150
 FOLLOW_RETRY_S = 0.2
 RELEASE_POLL_S = 0.01
 
@@ -121,22 +124,23 @@
         """Read all rows of the pool, so that nothing accepted is unknown."""
         self._advance()
         name = self.pool.name
-        shards = self._shards
-        roster, progress_rows, *others = await gather(
-            [
-                self._read_all(OWNERS, name),
-                self._read_all(PROGRESS, name),
-                *(self._read_all(CANCELS, shard) for shard in shards),
-                *(self._read_all(JOBS, shard) for shard in shards),
-            ]
+        # A submission is read before the progress of its job, which outlasts it.
+        cancels = await self._read_shards(CANCELS)
+        jobs = await self._read_shards(JOBS)
+        roster, progress_rows = await gather(
+            [self._read_all(OWNERS, name), self._read_all(PROGRESS, name)]
         )
-        cancels = list(chain.from_iterable(others[: len(shards)]))
-        jobs = list(chain.from_iterable(others[len(shards) :]))
         self.writer.learn_versions(tuple(chain(roster, progress_rows)))
         self._use_roster(roster)
-        progress = {row.key: decode_progress(row.value) for row in progress_rows}
+        progress = {JobId(row.key): decode_progress(row.value) for row in progress_rows}
+        for job, found in progress.items():
+            if found.is_final():
+                self.pool.archive.add(job, JobState(found.state), self.pool.now)
         for row in jobs:
-            self.pool.add_job(decode_job(row.value), progress.get(row.key), inherited=True)
+            if row.key not in self.pool.archive:
+                self.pool.add_job(
+                    decode_job(row.value), progress.get(JobId(row.key)), inherited=True
+                )
         for row in cancels:
             self.pool.cancel_job(JobId(row.key))
         logger.info(
@@ -160,7 +164,7 @@
             self.pool.takeover.add_workers(entries)
 
     async def _read_all(self, table: str, part: str) -> list[Row]:
-        page = await self._store.read(table, part)
+        page = await self._store.read(table, part, "", PAGE_ROWS)
         rows = list(page.rows)
         # Rows that come while others are read are found by the feeds from the oldest reading on.
         if table == JOBS:
@@ -168,7 +172,7 @@
         elif table == CANCELS:
             self._following_cancels = min(self._following_cancels or page.version, page.version)
         while page.more:
-            page = await self._store.read(table, part, rows[-1].key + "\0")
+            page = await self._store.read(table, part, rows[-1].key + "\0", PAGE_ROWS)
             rows.extend(page.rows)
         return rows
 
@@ -457,8 +461,9 @@
             await sleep(self._clock, LOOK_RETRY_S)
             return
         if isinstance(answer, Refusal):
+            self._advance()
             self._check_fence(answer)
-            self.pool.note_silence(worker.key)
+            self.pool.note_look_refused(worker.key, answer)
             await sleep(self._clock, LOOK_RETRY_S)
             return
         if not self.running:
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from itertools import count
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 from zlib import crc32
 
 import msgspec
@@ -15,7 +15,7 @@
 from lavenderstall.errors import PeerUnavailableError
 from lavenderstall.identifiers import EntryId, JobId
 from lavenderstall.links import NngLinks
-from lavenderstall.pools.effects import Advice, AskAdvice
+from lavenderstall.pools.effects import AskAdvice
 from lavenderstall.pools.messages import (
     AdviceAnswer,
     AdviceAsk,
@@ -29,14 +29,12 @@
     WriteAsk,
 )
 from lavenderstall.pools.records import Presence
-from lavenderstall.pools.tickets import SHORT_S
 from lavenderstall.pools.work import JobState, PoolName
 
 logger = logging.getLogger(__name__)
 
 # An owner or peer that was not heard for this long is not relied on.
 SILENCE_S = 0.8
-PEER_SILENCE_S = 2.0
 # With no peer of another zone heard for this long, an instance takes itself for cut off.
 ISOLATION_S = 1.0
 # Peers beside owners that an instance tells that it lives.
@@ -47,18 +45,6 @@
 MOST_WRITERS = 2
 # Requests that a peer may leave unanswered before its connection is replaced.
 MOST_UNANSWERED = 2
-# One instance in so many is kept for short calls, and takes so many of them at a time.
-KEPT_SHARE = 3
-SHORT_CALLS = 2
-# An adviser that gave no answer gets no call for this long.
-ADVISER_PENALTY_S = 1.5
-
-
-class AdviserCount(NamedTuple):
-    """Hold how many instances may take a short and a long advice call."""
-
-    short: int
-    long: int
 
 
 class OwnerSight(msgspec.Struct):
@@ -72,15 +58,14 @@
 
 
 class PeerSight(msgspec.Struct):
-    """Hold an entry instance as last heard; `calls` counts this one's advice calls there.
+    """Hold an entry instance as last heard.
 
     `deaf_ms` is how long ago the peer last heard this instance, as it has told.
     """
 
     zone: str
+    power: float = 1.0
     heard_at: float = -1.0
-    calls: int = 0
-    barred_until: float = 0.0
     draining: bool = False
     unanswered: int = 0
     redialed_at: float = -10.0
@@ -194,9 +179,18 @@
         return 2 * (len(heard) + 1) > len(others) + 1 and all(s.store_lost for s in heard)
 
     def list_live(self) -> list[EntryId]:
-        """Return the peers that were heard lately."""
-        limit = self._read_uptime() - PEER_SILENCE_S
-        return [peer for peer, sight in self.peers.items() if sight.heard_at > limit]
+        """Return the peers that were heard lately and are not shutting down."""
+        limit = self._read_uptime() - SILENCE_S
+        return [
+            peer
+            for peer, sight in self.peers.items()
+            if sight.heard_at > limit and not sight.draining
+        ]
+
+    def is_near(self, peer: EntryId) -> bool:
+        """Tell whether a peer is in the same zone."""
+        sight = self.peers.get(peer)
+        return peer == self.entry or (sight is not None and sight.zone == self.zone)
 
     # Hints
 
@@ -295,70 +289,20 @@
         answer: WriteAnswer | None = await self._ask(peer, message, WRITE_TIMEOUT_S)
         return Presence(answer.outcome) if answer else Presence.UNKNOWN
 
-    def _list_advisers(self, *, short: bool) -> list[EntryId]:
-        """Return the instances that may take an advice call now.
-
-        A third of the instances is kept for short calls, which urgent steps need; all owners
-        keep the same ones.
-        """
-        now = self._read_uptime()
-        own = self.peers.setdefault(self.entry, PeerSight(self.zone))
-        own.heard_at = now
-        live = sorted(
-            peer for peer in {*self.list_live(), self.entry} if not self.peers[peer].draining
-        )
-        kept = len(live) // KEPT_SHARE
-        chosen = live if short else live[kept:]
-        reserved = set(live[:kept])
-        return [
-            peer
-            for peer in chosen
-            if self.peers[peer].barred_until <= now
-            and self.peers[peer].calls < (SHORT_CALLS if peer in reserved else 1)
-        ]
-
-    def count_idle_advisers(self) -> AdviserCount:
-        """Return how many instances may take a short and a long advice call now."""
-        return AdviserCount(
-            len(self._list_advisers(short=True)), len(self._list_advisers(short=False))
-        )
-
-    def choose_adviser(self, expected_s: float) -> EntryId | None:
-        """Take an instance for an advice call; none if all are busy."""
-        idle = self._list_advisers(short=expected_s <= SHORT_S)
-        if not idle:
-            return None
-        chosen = min(
-            idle,
-            key=lambda peer: (
-                self.peers[peer].calls,
-                self.peers[peer].zone != self.zone,
-                peer != self.entry,
-            ),
-        )
-        self.peers[chosen].calls += 1
-        return chosen
-
-    def free_adviser(self, peer: EntryId, *, answered: bool) -> None:
-        """Note that an advice call has ended."""
-        sight = self.peers.get(peer)
-        if sight is None:
-            return
-        sight.calls = max(0, sight.calls - 1)
-        if not answered:
-            sight.barred_until = self._read_uptime() + ADVISER_PENALTY_S
-
-    async def ask_advice(self, peer: EntryId, order: AskAdvice, timeout_s: float) -> Advice | None:
-        """Ask a peer to call the placement service; returns none if it gave no advice."""
-        number = next(self._numbers)
+    async def ask_advice(
+        self, peer: EntryId, order: AskAdvice, timeout_s: float
+    ) -> AdviceAnswer | None:
+        """Ask a peer to call the placement service; returns none if it does not answer."""
         message = AdviceAsk(
-            number, order.group.job, order.group.occurrence, order.group.step,
-            order.workers, timeout_s,
-        )  # fmt: skip
+            next(self._numbers),
+            order.group.job,
+            order.group.occurrence,
+            order.group.step,
+            order.workers,
+            order.expected_ms / 1000,
+        )
         answer: AdviceAnswer | None = await self._ask(peer, message, timeout_s)
-        if answer is None or not answer.given:
-            return None
-        return Advice(answer.allowed, answer.valid_ms)
+        return answer
 
 
 def make_pending(counts: Counter[Any]) -> dict[str, int]:
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -1,14 +1,15 @@
 """State of one pool: its jobs, its workers and what is to be done next."""
 
 import logging
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Collection, Iterable, Iterator
-from itertools import islice
 
 import msgspec
 
 from lavenderstall.identifiers import JobId
+from lavenderstall.pools.archive import Archive
 from lavenderstall.pools.effects import (
+    OTHER_PROCESS,
     Advice,
     Effect,
     LookAnswer,
@@ -46,8 +47,10 @@
 # How long a worker that refused or left orders unanswered gets nothing new.
 AVOID_S = 1.0
 MOST_AVOID_S = 8.0
-# How long the state of an ended job is told; a repeated submission comes much sooner.
-RETENTION_S = 600.0
+# Ended incarnations of workers that are remembered.
+MOST_GONE = 100
+# Cancelled jobs that are remembered until their submission is heard of.
+MOST_EARLY = 1000
 
 
 class Pool:
@@ -62,8 +65,14 @@
         self.recorder = Recorder(self)
         self.jobs: dict[JobId, Job] = {}
         self.active: dict[JobId, Job] = {}
+        self.archive = Archive()
+        self._closing: set[JobId] = set()
+        # Jobs that were cancelled before their submission was heard of.
+        self._early_cancels: deque[JobId] = deque(maxlen=MOST_EARLY)
         self.workers: dict[WorkerKey, Worker] = {}
         self.latest: dict[str, WorkerKey] = {}
+        # Incarnations that have ended, as the registry may show them a while longer.
+        self.gone: deque[WorkerKey] = deque(maxlen=MOST_GONE)
         self.open_groups: set[Group] = set()
         self.timed: set[JobId] = set()
         self.advice: dict[Group, StepAdvice] = {}
@@ -88,7 +97,7 @@
         self, row: AcceptedJob, progress: JobProgress | None = None, *, inherited: bool = False
     ) -> bool:
         """Take an accepted job and tell whether it is new."""
-        if row.id in self.jobs:
+        if row.id in self.jobs or row.id in self.archive:
             return False
         age = max(0.0, self.unix_ms - row.accepted_ms) / 1000 if inherited else 0.0
         job = Job(row, self.now - age, progress)
@@ -96,11 +105,14 @@
         if inherited:
             self.takeover.add_job(job)
         if job.ended:
-            job.ended_at = self.now
-        else:
-            self.active[row.id] = job
+            self._closing.add(row.id)
+            return True
+        self.active[row.id] = job
         if row.spec.repeat is not None:
             self.timed.add(row.id)
+        if row.id in self._early_cancels:
+            self._early_cancels.remove(row.id)
+            self.cancel_job(row.id)
         self.refresh(job)
         return True
 
@@ -108,6 +120,8 @@
         """Cancel a job and tell whether it is known."""
         job = self.jobs.get(job_id)
         if job is None:
+            if job_id not in self.archive:
+                self._early_cancels.append(job_id)
             return False
         if not job.cancelling:
             if job.state not in ENDED:
@@ -133,7 +147,7 @@
     def _close(self, job: Job) -> None:
         """Stop all that runs for a job that has ended."""
         if self.active.pop(job.id, None) is not None:
-            job.ended_at = self.now
+            self._closing.add(job.id)
             self.open_groups = {group for group in self.open_groups if group.job != job.id}
             self.timed.discard(job.id)
             for occurrence, step in job.steps:
@@ -145,29 +159,21 @@
         """Return how many jobs of each queue have not started."""
         return Counter(QueueName(job.row.queue) for job in self.active.values() if not job.started)
 
-    def list_expired(self, limit: int) -> list[JobId]:
-        """Return jobs whose state need not be told any longer."""
-        old = (
-            job.id
-            for job in self.jobs.values()
-            if job.id not in self.active
-            and job.durable_state in ENDED
-            and self.now - job.ended_at > RETENTION_S
-            and not job.list_runs()
-        )
-        return list(islice(old, limit))
-
-    def forget_jobs(self, jobs: Iterable[JobId]) -> None:
-        """Forget jobs whose rows were deleted."""
-        for job in jobs:
-            self.jobs.pop(job, None)
-            self.recorder.forget(job)
+    def _archive_ended(self) -> None:
+        """Keep only the state of jobs that have ended for good."""
+        for job_id in list(self._closing):
+            job = self.jobs[job_id]
+            waits = job.durable_state not in ENDED or job_id in self.recorder.changed
+            if not waits and not job.list_runs():
+                self._closing.discard(job_id)
+                del self.jobs[job_id]
+                self.archive.add(job_id, job.state, self.now)
 
     def get_state(self, job_id: JobId) -> JobState | None:
         """Return the state that a caller may be told, or none if the job is not known."""
         job = self.jobs.get(job_id)
         if job is None:
-            return None
+            return self.archive.get_state(job_id)
         if job.state in ENDED and job.durable_state not in ENDED:
             return JobState.RUNNING if job.started else JobState.QUEUED
         return job.state
@@ -193,6 +199,8 @@
         if known is not None:
             known.entry = entry
             return
+        if key in self.gone:
+            return
         latest = self.latest.get(key.id)
         if latest is not None and latest.incarnation > key.incarnation:
             return
@@ -319,6 +327,17 @@
             for run in state.live.get(task.number, []):
                 self.stop(run)
 
+    def note_look_refused(self, key: WorkerKey, refusal: Refusal) -> None:
+        """Note that a look was refused, by the worker or by another process in its place."""
+        if refusal.reason == OTHER_PROCESS:
+            self._note_gone(key)
+        else:
+            self.note_silence(key)
+
+    def _note_gone(self, key: WorkerKey) -> None:
+        self.gone.append(key)
+        self.lose_worker(key, "another process has its address")
+
     def note_silence(self, key: WorkerKey) -> None:
         """Note that a worker left a look unanswered."""
         worker = self.workers.get(key)
@@ -356,6 +375,8 @@
         elif refusal.reason not in {"late", "old"}:
             self.avoid(worker)
         self.end_run(worker, task, number, Cause.LOST, "")
+        if refusal.reason == OTHER_PROCESS:
+            self._note_gone(key)
         job = self.jobs.get(task.job)
         if job is not None and job.spec.steps[task.step].gang:
             for run in job.list_runs():
@@ -431,6 +452,7 @@
                 self._forget(key)
         for job_id in list(self.timed):
             self.refresh(self.jobs[job_id])
+        self._archive_ended()
         self.takeover.check()
 
     def _get_lapse(self, worker: Worker) -> float:
--- a/lavenderstall/pools/reach.py
+++ b/lavenderstall/pools/reach.py
@@ -52,6 +52,10 @@
         """Return for how long calls have been answered, in seconds; 0 while they are not."""
         return 0.0 if self.is_lost() else self._read_uptime() - self._regained_at
 
+    def get_downtime(self) -> float:
+        """Return for how long no call was answered, in seconds."""
+        return self._read_uptime() - self._answered_at
+
     def get_patience(self) -> float:
         """Return how long to wait for a transaction before it is looked for, in seconds."""
         return max(LEAST_PATIENCE_S, PATIENCE_FACTOR * self._usual_s)
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -9,8 +9,8 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import JobProgress
-from lavenderstall.pools.work import ENDED, Cause, JobState, get_group
+from lavenderstall.pools.job import Job, JobProgress
+from lavenderstall.pools.work import ENDED, Cause, Group, JobState, get_group
 
 if TYPE_CHECKING:
     from lavenderstall.pools.pool import Pool
@@ -71,12 +71,21 @@
         known = self._pool.jobs
         covered = {} if self.changed else self._pool.workers
         return Batch(
-            {job: known[job].make_progress() for job in jobs},
+            {job: self._make_progress(known[job]) for job in jobs},
             {job: known[job].state for job in jobs},
             list(starts),
             {key: worker.applied_seq for key, worker in covered.items()},
         )
 
+    def _make_progress(self, job: Job) -> JobProgress:
+        """Return the durable progress of a job, with what is known of advice."""
+        for key, step in job.steps.items():
+            advice = self._pool.advice.get(Group(job.id, *key))
+            if advice is not None:
+                step.progress.allowed = advice.allowed
+                step.progress.denied = advice.denied
+        return job.make_progress()
+
     def note_recorded(self, batch: Batch) -> None:
         """Note what has become durable, and order the starts that waited for it."""
         pool = self._pool
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -58,13 +58,14 @@
 
 
 class EntryRecord(msgspec.Struct, omit_defaults=True):
-    """Describe an entry instance: where peers reach it."""
+    """Describe an entry instance: where peers reach it, and its share of processors."""
 
     entry: EntryId
     incarnation: Incarnation
     zone: str
     link: str
     left: bool = False
+    power: float = 1.0
 
 
 def get_shard(pool: PoolName, job: str) -> str:
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -7,6 +7,8 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Job, Run
+from lavenderstall.pools.tickets import StepAdvice
+from lavenderstall.pools.work import Group
 from lavenderstall.pools.workers import Worker, WorkerEntry, WorkerState
 from lavenderstall.resources import NOTHING
 
@@ -46,6 +48,15 @@
             self._held.add(job.id)
         for run in job.list_recorded():
             self._track(job, run)
+        if not job.ended:
+            self._restore_advice(job)
+
+    def _restore_advice(self, job: Job) -> None:
+        for key, step in job.steps.items():
+            advice = StepAdvice()
+            advice.allowed |= step.progress.allowed
+            advice.denied |= step.progress.denied
+            self._pool.advice[Group(job.id, *key)] = advice
 
     def _track(self, job: Job, run: Run) -> None:
         worker = self._pool.workers.get(run.worker) or self._stand_in(run.worker)
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -10,6 +10,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
+from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commits import commit_surely
 from lavenderstall.pools.pool import Pool
@@ -50,8 +51,8 @@
 BATCH_JOBS = 45
 # Progress that ends no job waits this long for more of its kind.
 GATHER_S = 0.015
-# Jobs whose rows are deleted in one transaction; each has up to three.
-CLEAN_JOBS = 30
+# Jobs whose rows are deleted at a time; each has up to two in one part.
+CLEAN_JOBS = 50
 # Pause after a failed transaction.
 RETRY_S = 0.2
 POLL_S = 0.02
@@ -257,25 +258,36 @@
         self._version = row.version
 
     async def clean(self) -> None:
-        """Delete the rows of jobs that ended long ago."""
-        jobs = self._pool.list_expired(CLEAN_JOBS)
-        if not jobs:
-            return
-        name = self._pool.name
+        """Delete the rows of jobs that have ended."""
+        archive = self._pool.archive
+        now = self._read_uptime()
         try:
-            for shard, members in groupby(
-                sorted(jobs, key=lambda job: get_shard(name, job)),
-                key=lambda job: get_shard(name, job),
-            ):
-                deletes = tuple(Delete(table, job) for job in members for table in (JOBS, CANCELS))
-                await self._store.commit(Change(shard, (), (), deletes))
-            condition = Condition(OWNERS, OWNER_KEY, self._version)
-            deletes = tuple(Delete(PROGRESS, job) for job in jobs)
-            await self._store.commit(Change(name, (condition,), (), deletes))
+            await self._delete_submissions(archive.list_obsolete(now, CLEAN_JOBS))
+            await self._delete_progress(archive.list_expired(now, CLEAN_JOBS))
         except LavenderstallError as error:
-            logger.info("rows not cleaned", extra={"pool": name, "error": str(error)})
+            logger.info("rows not cleaned", extra={"pool": self._pool.name, "error": str(error)})
+
+    async def _delete_submissions(self, jobs: list[JobId]) -> None:
+        """Delete the rows that callers have made."""
+        name = self._pool.name
+        for shard, found in groupby(
+            sorted(jobs, key=lambda job: get_shard(name, job)),
+            key=lambda job: get_shard(name, job),
+        ):
+            members = list(found)
+            deletes = tuple(Delete(table, job) for job in members for table in (JOBS, CANCELS))
+            await self._store.commit(Change(shard, (), (), deletes))
+            self._pool.archive.note_deleted(members)
+
+    async def _delete_progress(self, jobs: list[JobId]) -> None:
+        """Delete the last row of jobs whose state need not be told any longer."""
+        if not jobs:
             return
+        await self._delete_submissions(jobs)
+        condition = Condition(OWNERS, OWNER_KEY, self._version)
+        deletes = tuple(Delete(PROGRESS, job) for job in jobs)
+        await self._store.commit(Change(self._pool.name, (condition,), (), deletes))
         for job in jobs:
             self._versions.pop(job, None)
-        self._pool.forget_jobs(jobs)
+        self._pool.archive.forget(jobs)
         self._metrics.count("jobs_forgotten", len(jobs))
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -8,7 +8,7 @@
 from lavenderstall.pools.job import RecordedRun, StepProgress
 from lavenderstall.pools.pool import STOP_RETRY_S, Pool
 from lavenderstall.pools.recording import START_LEASE_MS, Batch
-from lavenderstall.pools.work import Cause, JobState, Settings, Task
+from lavenderstall.pools.work import Cause, Group, JobState, Settings, Task
 from lavenderstall.pools.workers import WorkerState
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
@@ -213,6 +213,26 @@
         bench.advance(2.0)
         self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
 
+    def test_a_worker_whose_address_another_process_has_is_gone_at_once(self) -> None:
+        for how in ("look", "start"):
+            with self.subTest(how=how):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                (order,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+                refusal = Refusal("instance")
+                if how == "look":
+                    bench.pool.note_look_refused(order.worker, refusal)
+                else:
+                    bench.pool.note_refused(order.worker, order.task, order.number, refusal)
+                self.assertEqual(bench.pool.jobs[JOB].get_step(0, 0).waiting, {0})
+                bench.pool.set_workers([FIRST])
+                self.assertEqual(bench.pool.workers, {})
+
+    def test_a_worker_that_refuses_a_look_counts_as_silent(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.note_look_refused(WorkerKey("w1", 1), Refusal("unhealthy"))
+        self.assertGreaterEqual(bench.pool.workers[WorkerKey("w1", 1)].silent_since, 0)
+
     def test_a_worker_gets_nothing_before_it_was_looked_at(self) -> None:
         bench = Bench()
         bench.pool.set_workers([FIRST])
@@ -409,6 +429,18 @@
         stops = {(e.task, e.number) for e in bench.pool.take_effects() if isinstance(e, StopRun)}
         self.assertEqual(stops, {(TASK, 2), (stranger, 1)})
 
+    def test_what_advice_allows_is_handed_on(self) -> None:
+        bench = Bench(FIRST, SECOND, queue=make_queue(advising=ADVISED))
+        bench.pool.add_job(make_job(make_step(8)))
+        allow(bench, bench.dispatch(), "w1")
+        bench.dispatch()
+        bench.pool.recorder.note_change(JOB)
+        progress = bench.pool.recorder.take(10).progress[JOB]
+        heir = Bench(FIRST, SECOND, queue=make_queue(advising=ADVISED))
+        heir.pool.add_job(make_job(make_step(8)), progress, inherited=True)
+        advice = heir.pool.advice[Group(JOB, 0, 0)]
+        self.assertEqual((advice.allowed, advice.denied), ({"w1"}, {"w2"}))
+
     def test_runs_of_a_new_term_are_numbered_above_older_ones(self) -> None:
         bench = self.take_over()
         bench.look(FIRST)
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -7,20 +7,23 @@
 
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.metrics import Metrics
+from lavenderstall.pools.archive import OBSOLETE_S, RETENTION_S
 from lavenderstall.pools.claims import RECORDED_MS, Claim, Claimer, get_settle_s, is_recorded
 from lavenderstall.pools.effects import EndRow, RunningRow
 from lavenderstall.pools.owner import UNRECORDED_S
-from lavenderstall.pools.pool import RETENTION_S
+from lavenderstall.pools.ports import Row
 from lavenderstall.pools.reach import ReachedStore
 from lavenderstall.pools.recording import Batch
 from lavenderstall.pools.records import (
     EXPIRY_MS,
+    JOBS,
     OWNER_KEY,
     OWNERS,
     PROGRESS,
     OwnerRow,
     decode_owner,
     decode_progress,
+    get_shard,
 )
 from lavenderstall.pools.takeover import Takeover
 from lavenderstall.pools.work import Cause, JobState, Task
@@ -128,7 +131,7 @@
 
     def test_a_write_carried_out_late_does_not_undo_a_later_one(self) -> None:
         rows = MemoryRows()
-        owner = make_owner(rows)
+        owner = make_owner(rows, tasks=4)
         rows.delay = True
         owner.finish_task(0, 1)
         owner.step()
@@ -180,16 +183,27 @@
     """Rows of old jobs."""
 
     def test_rows_go_only_when_the_state_need_not_be_told(self) -> None:
-        for passed, kept in ((RETENTION_S - 10, True), (RETENTION_S + 10, False)):
+        table = (
+            (OBSOLETE_S - 1, {JOBS, PROGRESS}),
+            (OBSOLETE_S + 1, {PROGRESS}),
+            (RETENTION_S - 10, {PROGRESS}),
+            (RETENTION_S + 10, set()),
+        )
+        for passed, kept in table:
             with self.subTest(passed=passed):
                 rows = MemoryRows()
                 owner = make_owner(rows, tasks=1)
+                rows.rows[JOBS, get_shard(POOL, JOB), JOB] = Row(JOBS, "", JOB, b"", 1)
                 owner.finish_task(0, 1)
                 owner.step()
-                owner.bench.advance(passed)
+                owner.bench.advance(0.1)
+                archived_at = owner.bench.now
+                owner.uptime = archived_at + passed
+                owner.step()
                 Deferred.fromCoroutine(owner.writer.clean())
-                self.assertEqual((PROGRESS, POOL, JOB) in rows.rows, kept)
-                self.assertEqual(owner.bench.pool.get_state(JOB) is not None, kept)
+                found = {table for table, _, key in rows.rows if key == JOB}
+                self.assertEqual(found, kept)
+                self.assertEqual(owner.bench.pool.get_state(JOB) is not None, bool(kept))
 
 
 class ClaimTest(unittest.TestCase):
