Preempt less urgent runs that go on from a checkpoint; let strong instances own pools; claim only known pools

Change: runs of less urgent queues with checkpoints are stopped for steps that have waited 0.1 s, three times a task at most, and for a gang only if all of it will fit. All known peers count when the strongest instance claims first, and an owner hands its pool to a free instance of 1.5 times its power. Runs are recorded by worker. Pools that the configuration does not name are not claimed, and a pool gets the newest version when its rows are read.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from lavenderstall.pools.effects import AskAdvice, StartRun
+from lavenderstall.pools.eviction import LEAST_WAIT_S, Evictions
 from lavenderstall.pools.holds import Holds, count_fitting
 from lavenderstall.pools.job import Job, Run, StepState
 from lavenderstall.pools.objectives import EXPIRED_FACTOR, get_objective_s
@@ -63,6 +64,7 @@
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self._holds = Holds(pool)
+        self._evictions = Evictions(pool)
         self._short_calls = 0
         self._long_calls = 0
         self._promised: dict[str, Resources] = {}
@@ -71,6 +73,7 @@
     def dispatch(self, short_calls: int, long_calls: int) -> None:
         """Start what fits, and make as many short and long advice calls as may be made now."""
         self._holds.clear()
+        self._evictions.clear()
         self._short_calls = short_calls
         self._long_calls = long_calls
         self._promised = {}
@@ -118,6 +121,7 @@
             self._seek_advice(turn, step, state, free, len(waiting))
             advised = turn.queue.advising is not None
             self._holds.reserve(turn.group, step, usable, advised=advised)
+            self._make_room(turn, step, state, free, missing)
             return
         for index, offer in placed:
             self._start(turn, step, state, index, offer)
@@ -125,6 +129,21 @@
             self._blocked += 1
             self._explain(turn, step, state, usable)
             self._seek_advice(turn, step, state, free, missing)
+            self._make_room(turn, step, state, free, missing)
+
+    def _make_room(
+        self, turn: Turn, step: Step, state: StepState, free: list[Worker], missing: int
+    ) -> None:
+        """Preempt less urgent runs on workers that may run a step which has waited a while."""
+        if turn.expired or self.pool.now - state.ready_at < LEAST_WAIT_S:
+            return
+        if turn.queue.advising is not None:
+            advice = self.pool.advice.get(turn.group)
+            allowed = advice.allowed if advice else set()
+            free = [worker for worker in free if worker.key.id in allowed]
+        suited = [worker for worker in free if self._suits(step, worker)]
+        suited.sort(key=lambda worker: self._score(step, worker))
+        self._evictions.make_room(turn.queue, step, suited, missing)
 
     def _explain(self, turn: Turn, step: Step, state: StepState, usable: list[Worker]) -> None:
         """Log why tasks of a step wait, at most once a while for each step."""
--- /dev/null
+++ b/lavenderstall/pools/eviction.py
@@ -0,0 +1,123 @@
+"""Preemption: less urgent runs make room for tasks that wait, and go on from a checkpoint later."""
+
+import logging
+from collections.abc import Iterable, Iterator
+
+from lavenderstall.pools.holds import count_fitting
+from lavenderstall.pools.job import Job, Run, describe_run
+from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.work import Queue, Step
+from lavenderstall.pools.workers import Worker
+from lavenderstall.resources import Resources
+
+logger = logging.getLogger(__name__)
+
+# Tasks that wait for less long may soon find room by themselves.
+LEAST_WAIT_S = 0.1
+# A task is preempted so often at most.
+MOST_EVICTIONS = 3
+# A run that has come this far, in percent, ends about as soon as it would stop.
+NEARLY_DONE_PERCENT = 85.0
+
+
+class Evictions:
+    """Stop runs that can go on from a checkpoint, for tasks of queues that go before theirs.
+
+    A stop saves a checkpoint, so that it costs the time of restoring it only.
+    """
+
+    def __init__(self, pool: Pool) -> None:
+        self._pool = pool
+        self._coming: dict[str, Resources] = {}
+
+    def clear(self) -> None:
+        """Begin a dispatch."""
+        self._coming = {}
+
+    def make_room(self, queue: Queue, step: Step, workers: list[Worker], missing: int) -> None:
+        """Stop runs on some workers until the missing tasks of a step will have room there.
+
+        A gang needs room for all of its tasks, or nothing is stopped.
+        """
+        for worker in workers:
+            missing -= self._use_coming(step, worker, missing)
+        victims: list[Run] = []
+        for worker in workers:
+            while missing > 0:
+                chosen = self._choose(queue, step, worker, victims)
+                if not chosen:
+                    break
+                victims += chosen
+                missing -= 1
+        if step.gang and missing > 0:
+            return
+        for run in victims:
+            self._evict(run)
+
+    def _use_coming(self, step: Step, worker: Worker, missing: int) -> int:
+        """Count on room that is free or about to be, and return for how many tasks."""
+        room = self._get_coming(worker)
+        fitting = min(max(missing, 0), count_fitting(step.charge, room))
+        for _ in range(fitting):
+            room = room.subtract(step.charge)
+        self._coming[worker.key.id] = room
+        return fitting
+
+    def _get_coming(self, worker: Worker) -> Resources:
+        """Return the room once all that is being stopped is gone, less what was counted on."""
+        found = self._coming.get(worker.key.id)
+        if found is not None:
+            return found
+        room = worker.get_room()
+        for run in worker.runs.values():
+            if run.stopping:
+                room = room.add(self._pool.get_charge(run.task))
+        return room
+
+    def _choose(self, queue: Queue, step: Step, worker: Worker, taken: Iterable[Run]) -> list[Run]:
+        """Return as few runs as make room for one more task on a worker, or none."""
+        room = self._get_coming(worker)
+        chosen = []
+        for run in self._list_victims(queue, worker, set(map(id, taken))):
+            room = room.add(self._pool.get_charge(run.task))
+            chosen.append(run)
+            if step.charge.fits(room):
+                self._coming[worker.key.id] = room.subtract(step.charge)
+                return chosen
+        return []
+
+    def _list_victims(self, queue: Queue, worker: Worker, taken: set[int]) -> Iterator[Run]:
+        """Yield the runs that may be stopped for a queue, least urgent and largest first."""
+        found = []
+        for run in worker.runs.values():
+            job = self._pool.jobs.get(run.task.job)
+            if job is None or id(run) in taken:
+                continue
+            other = self._pool.get_queue(job)
+            if other is not None and other.priority > queue.priority and is_evictable(job, run):
+                charge = self._pool.get_charge(run.task)
+                found.append((-other.priority, -charge.cores_milli, run.percent, run.number, run))
+        yield from (entry[-1] for entry in sorted(found, key=lambda entry: entry[:-1]))
+
+    def _evict(self, run: Run) -> None:
+        job = self._pool.jobs[run.task.job]
+        state = job.get_step(run.task.occurrence, run.task.step)
+        state.evictions[run.task.number] = state.evictions.get(run.task.number, 0) + 1
+        self._pool.counts["runs_preempted"] += 1
+        logger.info("run preempted", extra={**describe_run(run), "percent": run.percent})
+        self._pool.stop(run)
+
+
+def is_evictable(job: Job, run: Run) -> bool:
+    """Tell whether a run loses little by being stopped now."""
+    step = job.spec.steps[run.task.step]
+    state = job.get_step(run.task.occurrence, run.task.step)
+    return (
+        step.checkpointing
+        and not step.gang
+        and not step.lasting
+        and run.seen_at >= 0
+        and not run.stopping
+        and run.percent < NEARLY_DONE_PERCENT
+        and state.evictions.get(run.task.number, 0) < MOST_EVICTIONS
+    )
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -269,7 +269,9 @@
     async def _beat(self) -> None:
         self._send_beats()
         if self.owned and self.peers.is_isolated() and not self._store.is_lost():
-            self._yield_pools()
+            self._yield_pools("cut off from other zones")
+        elif self.owned and self.peers.has_stronger(self.identity.power):
+            self._yield_pools("a stronger instance owns no pool")
         await sleep(self._clock, BEAT_S)
 
     def _send_beats(self) -> None:
@@ -288,22 +290,26 @@
             )
             self.peers.send(entry, beat)
 
-    def _yield_pools(self) -> None:
-        """Give up pools, as instances of other zones reach more of their workers."""
+    def _yield_pools(self, reason: str) -> None:
+        """Give up pools that other instances serve better."""
         for pool, owner in list(self.owned.items()):
             kept_s = self.read_uptime() - self._claimed_at.get(pool, 0.0)
             if kept_s > TENURE_S and not owner.writer.releasing:
-                launch(self._give_up(pool, owner, "cut off from other zones", YIELD_S))
+                launch(self._give_up(pool, owner, reason, YIELD_S))
 
     # Ownership
 
     async def _look_after_pools(self) -> None:
         for pool in self.settings.pools:
-            if pool not in self._claiming and pool not in self.owned and not self.draining:
-                self._claiming.add(pool)
-                launch(self._look_after(pool))
+            self._look_after_soon(pool)
         await sleep(self._clock, CLAIM_S)
 
+    def _look_after_soon(self, pool: PoolName) -> None:
+        known = pool in self.settings.pools
+        if known and pool not in self._claiming and pool not in self.owned and not self.draining:
+            self._claiming.add(pool)
+            launch(self._look_after(pool))
+
     async def _look_after(self, pool: PoolName) -> None:
         try:
             if self.peers.is_owner_at_work(pool):
@@ -333,9 +339,9 @@
         return sight.store_ms - sight.owner.store_ms > ISOLATED_WAIT_MS
 
     def _get_rank(self, pool: PoolName) -> int:
-        """Return how many live instances the pool suits better than this one."""
+        """Return how many instances that may live the pool suits better than this one."""
         own = self.identity.entry
-        powers = {entry: self.peers.peers[entry].power for entry in self.peers.list_live()}
+        powers = self.peers.get_powers()
         powers[own] = self.identity.power
         order = sorted(
             powers, key=lambda entry: (len_owned(self, entry), -powers[entry], weigh(pool, entry))
@@ -356,6 +362,8 @@
         if self.draining or not self._running or not owner.running:
             await owner.release(YIELD_S)
             return
+        # A newer version may have come while rows were read.
+        owner.pool.set_settings(self.settings)
         self.owned[pool] = owner
         self._claimed_at[pool] = self.read_uptime()
         self.metrics.count("pools_claimed")
@@ -458,9 +466,7 @@
     @handle.register
     def _(self, message: PoolReleased, sender: EntryId) -> None:
         self.peers.forget_owner(message.pool, message.term)
-        if message.pool not in self._claiming and message.pool not in self.owned:
-            self._claiming.add(message.pool)
-            launch(self._look_after(message.pool))
+        self._look_after_soon(message.pool)
 
     @handle.register
     def _(self, message: JobHint, sender: EntryId) -> None:
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -19,13 +19,12 @@
     accepted_ms: int = 0
 
 
-class RecordedRun(msgspec.Struct, frozen=True, array_like=True):
-    """Name a run that may be at work: the task's index, the run's number and its worker."""
+class RecordedRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Name the runs that may be at work on one worker: pairs of a task's index and a run."""
 
-    index: int
-    number: int
     worker: str
     incarnation: int
+    runs: list[tuple[int, int]]
 
 
 class StepProgress(msgspec.Struct, omit_defaults=True):
@@ -39,7 +38,7 @@
     done: set[int] = set()
     failures: dict[int, list[int]] = {}
     checkpoints: dict[int, tuple[int, str]] = {}
-    runs: list[RecordedRun] = []
+    runs: list[RecordedRuns] = []
     allowed: set[str] = set()
     denied: set[str] = set()
 
@@ -96,6 +95,7 @@
         self.ready_at = -1.0
         self.failed_on: dict[int, set[str]] = {}
         self.moved: set[int] = set()
+        self.evictions: dict[int, int] = {}
         self.explained_at = -10.0
 
 
@@ -282,24 +282,25 @@
         if self.ended and not self.list_runs():
             return JobProgress(self.state.value)
         for step in self.steps.values():
-            step.progress.runs = [
-                RecordedRun(run.task.number, run.number, *run.worker)
-                for run in chain.from_iterable(step.live.values())
-            ]
+            found: dict[WorkerKey, list[tuple[int, int]]] = {}
+            for run in chain.from_iterable(step.live.values()):
+                found.setdefault(run.worker, []).append((run.task.number, run.number))
+            step.progress.runs = [RecordedRuns(*key, runs) for key, runs in found.items()]
         return self.progress
 
     def list_recorded(self) -> list[Run]:
         """Return the runs that an earlier owner has recorded."""
         return [
             Run(
-                Task(self.id, *key, run.index),
-                run.number,
-                WorkerKey(run.worker, run.incarnation),
+                Task(self.id, *key, index),
+                number,
+                WorkerKey(recorded.worker, recorded.incarnation),
                 self.seen_at,
                 inherited=True,
             )
             for key, step in self.steps.items()
-            for run in step.progress.runs
+            for recorded in step.progress.runs
+            for index, number in recorded.runs
         ]
 
 
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -37,6 +37,10 @@
 SILENCE_S = 0.8
 # With no peer of another zone heard for this long, an instance takes itself for cut off.
 ISOLATION_S = 1.0
+# A peer that was heard and then not for this long does not claim pools.
+GONE_S = 2.0
+# A pool moves to an instance of so many times the power.
+STRONGER_FACTOR = 1.5
 # Peers beside owners that an instance tells that it lives.
 WATCHED_PEERS = 6
 STATE_TIMEOUT_S = 0.35
@@ -187,6 +191,24 @@
             if sight.heard_at > limit and not sight.draining
         ]
 
+    def get_powers(self) -> dict[EntryId, float]:
+        """Return the power of the peers that may live, heard or not heard of yet."""
+        limit = self._read_uptime() - GONE_S
+        return {
+            peer: sight.power
+            for peer, sight in self.peers.items()
+            if peer != self.entry and (sight.heard_at < 0 or sight.heard_at > limit)
+        }
+
+    def has_stronger(self, power: float) -> bool:
+        """Tell whether an instance of much more power is heard that owns no pool."""
+        owners = {sight.entry for sight in self.owners.values()}
+        return any(
+            self.peers[peer].power > STRONGER_FACTOR * power
+            for peer in self.list_live()
+            if peer not in owners and not self.peers[peer].store_lost
+        )
+
     def is_near(self, peer: EntryId) -> bool:
         """Tell whether a peer is in the same zone."""
         sight = self.peers.get(peer)
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -17,6 +17,8 @@
 
 # Lease of a first start; looks extend it while the owner lives.
 START_LEASE_MS = 2500
+# Advice on more workers is not recorded, as a row is written with each change of its job.
+MOST_ADVISED = 40
 
 
 class Batch(msgspec.Struct):
@@ -81,7 +83,7 @@
         """Return the durable progress of a job, with what is known of advice."""
         for key, step in job.steps.items():
             advice = self._pool.advice.get(Group(job.id, *key))
-            if advice is not None:
+            if advice is not None and len(advice.allowed | advice.denied) <= MOST_ADVISED:
                 step.progress.allowed = advice.allowed
                 step.progress.denied = advice.denied
         return job.make_progress()
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -125,6 +125,27 @@
                 self.assertEqual((judge.broken, judge.list_unfinished()), ([], []))
                 self.assertEqual(judge.starts, 6)
 
+    def test_a_claim_before_the_configuration_is_known_starts_its_work(self) -> None:
+        world = start_world()
+        world.submit("entry-0", "routing", make_name(1), [dict(STEP)])
+        world.run(0.02)
+        owner = world.find_owner("routing")
+        assert owner is not None
+        others = [name for name in world.nodes if name != owner]
+        for name in others:
+            world.kill(name)
+            world.start(name)
+        Deferred.fromCoroutine(world.nodes[owner].instance.give_up_pools())
+        world.run(0.2)
+        world.kill(owner)
+        world.put_settings(2)
+        world.run(4.0)
+        self.assertEqual(world.platform.judge.list_unfinished(), [])
+        successor = world.find_owner("routing")
+        assert successor is not None
+        owned = world.nodes[successor].instance.owned["routing"]  # type: ignore[index]
+        self.assertEqual(owned.pool.settings.version, 2)
+
     def test_a_worker_that_the_successor_cannot_reach_delays_only_its_work(self) -> None:
         world = start_world()
         world.submit("entry-0", "routing", make_name(1), [{**LONG, "estimatedDurationMs": 9000}])
--- a/tests/pools/test_archive.py
+++ b/tests/pools/test_archive.py
@@ -5,7 +5,7 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.archive import OBSOLETE_S, RETENTION_S, Archive
 from lavenderstall.pools.effects import EndRow, RunningRow, StartRun
-from lavenderstall.pools.job import JobProgress, RecordedRun, StepProgress
+from lavenderstall.pools.job import JobProgress, RecordedRuns, StepProgress
 from lavenderstall.pools.work import Cause, JobState, Task
 from tests.pools.builders import JOB, Bench, make_entry, make_job
 
@@ -101,7 +101,7 @@
         self.assertIs(bench.pool.get_state(JOB), JobState.CANCELLED)
 
     def test_progress_is_final_only_without_runs(self) -> None:
-        run = RecordedRun(0, 1, "w1", 1)
+        run = RecordedRuns("w1", 1, [(0, 1)])
         rows = (
             (JobProgress("running"), False),
             (JobProgress("completed"), True),
--- /dev/null
+++ b/tests/pools/test_eviction.py
@@ -0,0 +1,129 @@
+"""Tests of runs that make room for more urgent tasks."""
+
+import unittest
+
+from lavenderstall.pools.effects import EndRow, RunningRow, StartRun, StopRun
+from lavenderstall.pools.eviction import LEAST_WAIT_S, MOST_EVICTIONS, NEARLY_DONE_PERCENT
+from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.work import Cause, JobSpec, QueueName, Settings, Step
+from lavenderstall.resources import Resources
+from tests.pools.builders import POOL, Bench, make_entry, make_queue, make_step
+
+WORKER = make_entry("w1", capacity=Resources(4000, 16000))
+URGENT = make_queue(name=QueueName("urgent"), priority=0)
+BATCH = make_queue(name=QueueName("batch"), priority=2, slack=4.0, objective_ms=60_000.0)
+LONG = make_step(4, expected_ms=20_000, checkpointing=True)
+SHORT = make_step(2)
+
+
+def make_bench() -> Bench:
+    """Return a pool with an urgent and a batch queue."""
+    bench = Bench(WORKER)
+    settings = Settings(2, (URGENT, BATCH), frozenset(), frozenset({POOL}))
+    bench.pool.set_settings(settings)
+    return bench
+
+
+def add(bench: Bench, name: str, queue: QueueName, step: Step) -> None:
+    """Add a job of one step."""
+    bench.pool.add_job(AcceptedJob(name, queue, JobSpec("payload", (step,))))  # type: ignore[arg-type]
+
+
+def fill(bench: Bench, step: Step = LONG, percent: float = 30.0) -> list[StartRun]:
+    """Let batch work fill the worker, and be seen at work."""
+    add(bench, "b" * 16, BATCH.name, step)
+    orders = bench.start()
+    bench.advance(1.0)
+    bench.look(WORKER, [RunningRow(o.task, o.number, "", percent) for o in orders])
+    return orders
+
+
+def wait(bench: Bench, seconds: float = LEAST_WAIT_S + 0.05) -> list[StopRun]:
+    """Let an urgent step wait, and return the runs that are stopped."""
+    bench.dispatch()
+    bench.advance(seconds)
+    return [effect for effect in bench.dispatch() if isinstance(effect, StopRun)]
+
+
+class EvictionTest(unittest.TestCase):
+    """What is stopped for what."""
+
+    def test_as_many_runs_are_stopped_as_make_room(self) -> None:
+        for count in (1, 2, 3):
+            with self.subTest(count=count):
+                bench = make_bench()
+                fill(bench)
+                add(bench, "a" * 16, URGENT.name, make_step(count))
+                self.assertEqual(len(wait(bench)), count)
+                self.assertEqual(wait(bench), [])
+
+    def test_runs_that_would_lose_much_are_kept(self) -> None:
+        rows = (
+            ("without checkpoints", make_step(4, expected_ms=20_000), 30.0),
+            ("a gang", make_step(4, expected_ms=20_000, checkpointing=True, gang=True), 30.0),
+            ("that last", make_step(4, checkpointing=True, lasting=True), 30.0),
+            ("nearly done", LONG, NEARLY_DONE_PERCENT + 1),
+        )
+        for name, step, percent in rows:
+            with self.subTest(name=name):
+                bench = make_bench()
+                fill(bench, step, percent)
+                add(bench, "a" * 16, URGENT.name, SHORT)
+                self.assertEqual(wait(bench), [])
+
+    def test_nothing_is_stopped_for_what_is_no_more_urgent_or_has_just_come(self) -> None:
+        for queue, seconds in ((BATCH, 5.0), (URGENT, LEAST_WAIT_S - 0.05)):
+            with self.subTest(queue=queue.name):
+                bench = make_bench()
+                fill(bench)
+                add(bench, "a" * 16, queue.name, SHORT)
+                self.assertEqual(wait(bench, seconds), [])
+
+    def test_nothing_is_stopped_for_what_has_lost_its_benefit(self) -> None:
+        bench = make_bench()
+        fill(bench)
+        add(bench, "a" * 16, URGENT.name, SHORT)
+        bench.pool.jobs["a" * 16].seen_at -= 60.0  # type: ignore[index]
+        self.assertEqual(wait(bench), [])
+
+    def test_nothing_is_stopped_for_a_gang_that_will_not_fit(self) -> None:
+        for count, stopped in ((4, 4), (5, 0)):
+            with self.subTest(count=count):
+                bench = make_bench()
+                fill(bench)
+                add(bench, "a" * 16, URGENT.name, make_step(count, gang=True))
+                self.assertEqual(len(wait(bench)), stopped)
+
+    def test_what_was_stopped_goes_on_from_its_checkpoint_and_not_for_ever(self) -> None:
+        bench = make_bench()
+        orders = fill(bench)
+        seq = 0
+        for round_number in range(MOST_EVICTIONS + 1):
+            name = f"{round_number:016x}"
+            add(bench, name, URGENT.name, make_step(4))
+            stops = wait(bench)
+            if round_number == MOST_EVICTIONS:
+                self.assertEqual(stops, [])
+                return
+            self.assertEqual(len(stops), 4)
+            ends = [
+                EndRow(seq + n, o.task, o.number, Cause.STOPPED, f"c{round_number}")
+                for n, o in enumerate(orders, 1)
+            ]
+            bench.look(WORKER, [], ends)
+            urgent = bench.start()
+            self.assertEqual({o.task.job for o in urgent}, {name})
+            seq += 8
+            done = [
+                EndRow(seq - 4 + n, o.task, o.number, Cause.DONE) for n, o in enumerate(urgent, 1)
+            ]
+            bench.advance(0.1)
+            bench.look(WORKER, [], done)
+            orders = bench.start()
+            self.assertEqual({o.checkpoint for o in orders}, {f"c{round_number}"})
+            bench.advance(0.5)
+            bench.look(WORKER, [RunningRow(o.task, o.number, "", 30.0) for o in orders])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -5,7 +5,7 @@
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import EndRow, PaceRun, Refusal, RunningRow, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import RecordedRun, StepProgress
+from lavenderstall.pools.job import RecordedRuns, StepProgress
 from lavenderstall.pools.pool import STOP_RETRY_S, Pool
 from lavenderstall.pools.recording import START_LEASE_MS, Batch
 from lavenderstall.pools.work import Cause, Group, JobState, Settings, Task
@@ -283,7 +283,7 @@
         bench = Bench(FIRST)
         batch = self.decide(bench)
         (recorded,) = batch.progress[JOB].steps["0.0"].runs
-        self.assertEqual(recorded, RecordedRun(0, 1, "w1", 1))
+        self.assertEqual(recorded, RecordedRuns("w1", 1, [(0, 1)]))
         bench.advance(0.2)
         bench.pool.recorder.note_recorded(batch)
         (order,) = bench.pool.take_effects()
@@ -331,13 +331,15 @@
         first, second = bench.start()
         bench.end(first, Cause.DONE, 1, FIRST)
         (recorded,) = bench.pool.recorder.take(10).progress[JOB].steps["0.0"].runs
-        self.assertEqual(recorded.index, second.task.number)
+        self.assertEqual(recorded.runs, [(second.task.number, second.number)])
 
 
 class TakeoverTest(unittest.TestCase):
     """What a new owner does with the work of an earlier one."""
 
-    def take_over(self, recorded: RecordedRun | None = None, *, recorded_all: bool = True) -> Bench:
+    def take_over(
+        self, recorded: RecordedRuns | None = None, *, recorded_all: bool = True
+    ) -> Bench:
         """Return a pool with two workers that were not heard yet and an inherited job."""
         bench = Bench()
         bench.pool = pool = Pool(POOL, 2, settle_at=bench.now + 10.0, recorded=recorded_all)
@@ -352,7 +354,7 @@
         return bench
 
     def test_a_recorded_run_is_waited_for_until_its_worker_was_heard(self) -> None:
-        bench = self.take_over(RecordedRun(0, 1, "w2", 1))
+        bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
         bench.look(FIRST)
         self.assertEqual(bench.dispatch(), [])
         bench.look(SECOND)
@@ -361,7 +363,7 @@
     def test_a_recorded_run_is_waited_for_until_its_lease_has_lapsed(self) -> None:
         for worker in ("w2", "w9"):
             with self.subTest(worker=worker):
-                bench = self.take_over(RecordedRun(0, 1, worker, 1))
+                bench = self.take_over(RecordedRuns(worker, 1, [(0, 1)]))
                 bench.look(FIRST)
                 bench.advance(9.0)
                 bench.look(FIRST)
@@ -371,7 +373,7 @@
                 self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
 
     def test_a_recorded_run_may_still_reach_a_newer_incarnation(self) -> None:
-        bench = self.take_over(RecordedRun(0, 1, "w2", 1))
+        bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
         newer = make_entry("w2", incarnation=2)
         bench.pool.set_workers([FIRST, newer])
         bench.look(FIRST)
@@ -407,11 +409,11 @@
         self.assertEqual(order.task, TASK)
 
     def test_a_recorded_run_takes_room(self) -> None:
-        bench = self.take_over(RecordedRun(0, 1, "w2", 1))
+        bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
         self.assertNotEqual(bench.pool.workers[WorkerKey("w2", 1)].used, NOTHING)
 
     def test_a_run_that_is_found_is_adopted(self) -> None:
-        for recorded in (RecordedRun(0, 1, "w1", 1), None):
+        for recorded in (RecordedRuns("w1", 1, [(0, 1)]), None):
             with self.subTest(recorded=recorded):
                 bench = self.take_over(recorded)
                 bench.look(FIRST, [RunningRow(TASK, 1, "cp", 40.0)])
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -302,9 +302,8 @@
         self.assertTrue(owner.bench.pool.has_unrecorded(()))
         owner.step()
         self.assertFalse(owner.bench.pool.has_unrecorded(()))
-        self.assertEqual(
-            len(decode_progress(rows.rows[PROGRESS, POOL, JOB].value).steps["0.0"].runs), 3
-        )
+        (recorded,) = decode_progress(rows.rows[PROGRESS, POOL, JOB].value).steps["0.0"].runs
+        self.assertEqual(len(recorded.runs), 3)
 
     def test_a_released_pool_is_vacant_at_once(self) -> None:
         rows = MemoryRows()
