Replace owners whose process is gone at once, start nothing in zones that fall silent, copy speculative tasks

For a second after a zone was cut, tasks were started on its workers, as a look that waits for an end shows silence after 1.5 s only; each such job then waited 6 s for leases to lapse. One instance claimed both pools, as each pool's favourite came from a hash of its own. Change: connections to peers are watched; one that is lost for 0.2 s and not made again means that the process is gone or cut off, and its pools may be claimed, which recorded starts make safe. A zone of which no instance is heard for 0.6 s gets nothing on workers that have not answered in 0.7 s, and those are asked at once. A speculative task whose only run is on such a worker, or straggles, starts elsewhere as well. Each pool has another favourite instance.

--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -22,6 +22,7 @@
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
 
 Receiver = Callable[[EntryId, Message], None]
+Watcher = Callable[[EntryId, bool], None]
 
 
 class Links(Protocol):
@@ -101,6 +102,7 @@
         self._entry = entry
         self._incarnation = incarnation
         self._receiver: Receiver = lambda sender, message: None
+        self._watcher: Watcher = lambda peer, up: None
         self._encoder = msgspec.msgpack.Encoder()
         self._envelope = envelope
         self._hints = hints
@@ -120,6 +122,10 @@
         """Deliver messages to a function."""
         self._receiver = receiver
 
+    def set_watcher(self, watcher: Watcher) -> None:
+        """Tell a function whenever the connection to a peer was made or lost."""
+        self._watcher = watcher
+
     def set_peers(self, addresses: Mapping[EntryId, str]) -> None:
         """Open links to new peers and close those to peers that left."""
         wanted = {peer: url for peer, url in addresses.items() if peer != self._entry}
@@ -128,22 +134,32 @@
             self._outboxes.pop(peer, None)
             dialer.close()
         for peer in wanted.keys() - self._dialers.keys():
-            self._dialers[peer] = (wanted[peer], self._dial(wanted[peer]))
+            self._dialers[peer] = (wanted[peer], self._dial(peer, wanted[peer]))
             self._outboxes[peer] = Outbox(peer, hints=self._hints)
 
-    def _dial(self, url: str) -> Any:
+    def _dial(self, peer: EntryId, url: str) -> Any:
         dialer = self._pynng.Push0(send_buffer_size=SOCKET_BUFFER)
         dialer.reconnect_time_min = 50
         dialer.reconnect_time_max = 1000
+        # Called from a thread of the library.
+        dialer.add_post_pipe_connect_cb(lambda pipe: self._note_link(peer, dialer, up=True))
+        dialer.add_post_pipe_remove_cb(lambda pipe: self._note_link(peer, dialer, up=False))
         dialer.dial(url, block=False)
         return dialer
 
+    def _note_link(self, peer: EntryId, dialer: Any, *, up: bool) -> None:
+        self._reactor.callFromThread(self._tell_link, peer, dialer, up)
+
+    def _tell_link(self, peer: EntryId, dialer: Any, up: bool) -> None:
+        if peer in self._dialers and self._dialers[peer][1] is dialer:
+            self._watcher(peer, up)
+
     def redial(self, peer: EntryId) -> None:
         """Replace the connection to a peer, which may be silent without having been reset."""
         if peer in self._dialers:
             url, dialer = self._dialers[peer]
             dialer.close()
-            self._dialers[peer] = (url, self._dial(url))
+            self._dialers[peer] = (url, self._dial(peer, url))
 
     def send(self, peer: EntryId, message: Message) -> None:
         """Queue a message, or raise `PeerUnavailableError` when the peer takes no more."""
--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -1,7 +1,8 @@
 """Claims of pools: who owns which, and when another instance takes over."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from zlib import crc32
 
 import msgspec
 
@@ -116,6 +117,17 @@
         return Claim(owner, committed.version, committed, sent_at, get_settle_s(before), recorded)
 
 
+def get_rank(
+    entry: EntryId, powers: Mapping[EntryId, float], owned: Mapping[EntryId, int], number: int
+) -> int:
+    """Return how many instances suit a pool better, by its number among all pools.
+
+    Those that own fewer pools and are stronger go first, and each pool has another favourite.
+    """
+    order = sorted(powers, key=lambda e: (owned.get(e, 0), -powers[e], crc32(e.encode()), e))
+    return (order.index(entry) - number) % len(order)
+
+
 def is_recorded(before: OwnerRow | None, store_ms: float) -> bool:
     """Tell whether progress rows tell of all runs that an earlier owner may have started.
 
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -18,8 +18,6 @@
 
 logger = logging.getLogger(__name__)
 
-# A worker that has left looks unanswered for this long gets nothing new.
-SILENCE_S = 1.2
 # Steps for which advice is renewed or sought while they wait for room, at most.
 MOST_BLOCKED = 24
 # A step that waits is explained in the log this often.
@@ -103,7 +101,7 @@
             and worker.listed
             and not worker.draining
             and worker.avoid_until <= now
-            and (worker.silent_since < 0 or now - worker.silent_since < SILENCE_S)
+            and self.pool.is_reached(worker)
         )
 
     def _serve(self, turn: Turn, usable: list[Worker]) -> None:
@@ -111,7 +109,7 @@
         state = turn.job.get_step(turn.group.occurrence, turn.group.step)
         if step.gang and any(state.live.values()):
             return
-        waiting = sorted(state.waiting)
+        waiting = sorted(state.waiting | state.copies)
         free = [worker for worker in usable if self._holds.may_use(step, worker)]
         placed = self._place(turn, step, state, waiting, free)
         missing = len(waiting) - len(placed)
@@ -215,7 +213,7 @@
                     break
                 if step.max_per_worker and beside.get(name, 0) >= step.max_per_worker:
                     break
-                if state is not None and self._has_failed(state, index, name, offers):
+                if state is not None and self._is_barred(state, index, name, offers):
                     continue
                 placed.append((index, offer))
                 beside[name] = beside.get(name, 0) + 1
@@ -225,8 +223,10 @@
                 break
         return placed
 
-    def _has_failed(self, state: StepState, index: int, worker: str, offers: list[Offer]) -> bool:
-        """Tell whether a task has failed on a worker while another one is on offer."""
+    def _is_barred(self, state: StepState, index: int, worker: str, offers: list[Offer]) -> bool:
+        """Tell whether a task runs on a worker, or has failed there while another is on offer."""
+        if any(run.worker.id == worker for run in state.live.get(index, ())):
+            return True
         failed_on = state.failed_on.get(index)
         if not failed_on or worker not in failed_on:
             return False
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -1,11 +1,11 @@
 """One entry instance of a cell that schedules pools: its parts and the messages between them."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
 from random import Random
 from typing import Any
-from zlib import crc32
 
 import msgspec
 
@@ -17,7 +17,7 @@
 from lavenderstall.pools.advisers import Advisers
 from lavenderstall.pools.advising import AdviceDesk, AdviceRequests
 from lavenderstall.pools.background import gather, launch
-from lavenderstall.pools.claims import Claim, Claimer, Sight
+from lavenderstall.pools.claims import Claim, Claimer, Sight, get_rank
 from lavenderstall.pools.effects import AskAdvice
 from lavenderstall.pools.intake import Intake
 from lavenderstall.pools.messages import (
@@ -35,7 +35,7 @@
 )
 from lavenderstall.pools.objectives import choose_retry_s, get_objective_s
 from lavenderstall.pools.owner import PoolOwner
-from lavenderstall.pools.peers import PeerRequests, PeerSight, make_pending
+from lavenderstall.pools.peers import DOWN_S, PeerRequests, PeerSight, make_pending
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
     Adviser,
@@ -163,6 +163,7 @@
         """Begin all work."""
         self._running = True
         self._outside.links.set_receiver(self.receive)
+        self._outside.links.set_watcher(self._note_link)
         for watch in self._watches:
             watch.start()
         for step in (self._beat, self._look_after_pools, self._write_record):
@@ -315,7 +316,7 @@
             if self.peers.is_owner_at_work(pool):
                 return
             sight = await self._claimer.look(pool)
-            if not sight.is_vacant() or not self._may_claim(pool, sight):
+            if not self._is_vacant(sight) or not self._may_claim(pool, sight):
                 return
             await sleep(self._clock, self._get_rank(pool) * CLAIM_STEP_S)
             if self.peers.is_owner_at_work(pool) or self.draining:
@@ -326,6 +327,11 @@
         finally:
             self._claiming.discard(pool)
 
+    def _is_vacant(self, sight: Sight) -> bool:
+        """Tell whether a pool has no owner, or one whose process is gone."""
+        owner = sight.owner
+        return sight.is_vacant() or (owner is not None and self.peers.is_down(owner.entry))
+
     def _may_claim(self, pool: PoolName, sight: Sight) -> bool:
         """Tell whether this instance may claim.
 
@@ -340,13 +346,13 @@
 
     def _get_rank(self, pool: PoolName) -> int:
         """Return how many instances that may live the pool suits better than this one."""
-        own = self.identity.entry
         powers = self.peers.get_powers()
-        powers[own] = self.identity.power
-        order = sorted(
-            powers, key=lambda entry: (len_owned(self, entry), -powers[entry], weigh(pool, entry))
-        )
-        return min(order.index(own), MOST_CLAIM_STEPS)
+        powers[self.identity.entry] = self.identity.power
+        owned = Counter(sight.entry for sight in self.peers.owners.values())
+        pools = sorted(self.settings.pools)
+        number = pools.index(pool) if pool in pools else 0
+        rank = get_rank(self.identity.entry, powers, owned, number)
+        return min(rank, MOST_CLAIM_STEPS)
 
     async def _claim(self, pool: PoolName, sight: Sight) -> None:
         claim = await self._claimer.claim(pool, sight)
@@ -398,6 +404,7 @@
             lambda order: self._ask_advice(owner, order),
             self._advisers.count_idle,
             self.peers.is_store_away,
+            self.peers.list_silent_zones,
             self.metrics,
         )
         owner.deposed = lambda reason: self._note_deposed(name, owner, reason)
@@ -425,6 +432,23 @@
 
     # Messages
 
+    def _note_link(self, peer: EntryId, up: bool) -> None:
+        """Note that a connection to a peer was made or lost; look after its pools if it is gone."""
+        sight = self.peers.peers.get(peer)
+        if sight is None:
+            return
+        sight.down_at = -1.0 if up else self.read_uptime()
+        if not up:
+            self._clock.callLater(DOWN_S + 0.01, self._check_owner, peer)
+
+    def _check_owner(self, peer: EntryId) -> None:
+        if not self._running or not self.peers.is_down(peer):
+            return
+        for pool, sight in list(self.peers.owners.items()):
+            if sight.entry == peer:
+                logger.info("owner is gone", extra={"pool": pool, "owner": peer})
+                self._look_after_soon(pool)
+
     def receive(self, sender: EntryId, message: Any) -> None:
         """Handle a message from a peer."""
         sight = self.peers.peers.get(sender)
@@ -510,13 +534,3 @@
             return StateAnswer(0, owned=False)
         state = owner.pool.get_state(job)
         return StateAnswer(0, owned=True, state=state.value if state else "")
-
-
-def weigh(pool: PoolName, entry: EntryId) -> int:
-    """Return a number that differs between instances and pools, lowest for the best suited."""
-    return crc32(f"{pool}/{entry}".encode())
-
-
-def len_owned(instance: Instance, entry: EntryId) -> int:
-    """Return how many pools an instance owns, as far as is known."""
-    return sum(sight.entry == entry for sight in instance.peers.owners.values())
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -96,6 +96,8 @@
         self.failed_on: dict[int, set[str]] = {}
         self.moved: set[int] = set()
         self.evictions: dict[int, int] = {}
+        # Tasks that are to start once more beside their only run.
+        self.copies: set[int] = set()
         self.explained_at = -10.0
 
 
@@ -168,6 +170,7 @@
         step.live.setdefault(run.task.number, []).append(run)
         self._note_number(step, run.task, run.number)
         step.waiting.discard(run.task.number)
+        step.copies.discard(run.task.number)
         self.started = True
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -93,6 +93,7 @@
         ask_advice: AskAdviceFunction,
         count_advisers: Callable[[], AdviserCount],
         is_store_away: Callable[[], bool],
+        list_silent_zones: Callable[[], frozenset[str]],
         metrics: Metrics,
     ) -> None:
         self.pool = pool
@@ -107,6 +108,7 @@
         self._ask_advice = ask_advice
         self._count_advisers = count_advisers
         self._is_store_away = is_store_away
+        self._list_silent_zones = list_silent_zones
         self._metrics = metrics
         self._looking: set[WorkerKey] = set()
         self._dispatch_call: Any = None
@@ -225,6 +227,7 @@
         return self.running and self._read_uptime() - self.writer.confirmed_at < ACT_S
 
     def _advance(self) -> None:
+        self.pool.silent_zones = self._list_silent_zones()
         self.pool.advance(self._read_uptime(), self._read_unix_ms())
 
     # Loops
@@ -443,7 +446,11 @@
 
     async def _look_once(self, worker: Worker) -> None:
         asked_at = self._read_uptime()
-        immediate = not worker.claimed or any(run.lost_at >= 0 for run in worker.runs.values())
+        immediate = (
+            not worker.claimed
+            or not self.pool.is_reached(worker)
+            or any(run.lost_at >= 0 for run in worker.runs.values())
+        )
         lease = self._make_lease(worker, asked_at)
         try:
             answer = await self._client.look(
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -36,7 +36,11 @@
 # An owner or peer that was not heard for this long is not relied on.
 SILENCE_S = 0.8
 # With no peer of another zone heard for this long, an instance takes itself for cut off.
-ISOLATION_S = 1.0
+ISOLATION_S = 0.8
+# With no instance of a zone heard for this long, two beats, its workers may be cut off.
+ZONE_SILENCE_S = 0.6
+# A live process takes a new connection well within this time after one was lost.
+DOWN_S = 0.2
 # A peer that was heard and then not for this long does not claim pools.
 GONE_S = 2.0
 # A pool moves to an instance of so many times the power.
@@ -64,7 +68,8 @@
 class PeerSight(msgspec.Struct):
     """Hold an entry instance as last heard.
 
-    `deaf_ms` is how long ago the peer last heard this instance, as it has told.
+    `deaf_ms` is how long ago the peer last heard this instance, as it has told; `down_at` is when
+    the connection to it was lost, and -1 while there is one or none was made yet.
     """
 
     zone: str
@@ -76,6 +81,7 @@
     store_lost: bool = True
     told_at: float = -1.0
     deaf_ms: float = float("inf")
+    down_at: float = -1.0
 
 
 class PeerRequests:
@@ -137,7 +143,7 @@
         known = self.owners.get(pool)
         if known is None or self._read_uptime() - known.heard_at > SILENCE_S:
             return None
-        return known.entry
+        return None if self.is_down(known.entry) else known.entry
 
     def get_terms(self) -> dict[PoolName, int]:
         """Return the latest term known of each pool."""
@@ -147,6 +153,21 @@
         """Tell whether the owner of a pool was heard lately and reaches the store."""
         return self.find_owner(pool) is not None and not self.owners[pool].store_lost
 
+    def is_down(self, peer: EntryId) -> bool:
+        """Tell whether the connection to a peer was lost and could not be made again."""
+        sight = self.peers.get(peer)
+        if sight is None or sight.down_at < 0 or sight.heard_at > sight.down_at + DOWN_S:
+            return False
+        return self._read_uptime() - sight.down_at > DOWN_S
+
+    def list_silent_zones(self) -> frozenset[str]:
+        """Return the other zones whose instances were heard before and are all silent now."""
+        heard = [s for s in self.peers.values() if s.heard_at >= 0 and s.zone != self.zone]
+        limit = self._read_uptime() - ZONE_SILENCE_S
+        return frozenset(s.zone for s in heard) - frozenset(
+            s.zone for s in heard if s.heard_at > limit
+        )
+
     def get_pending(self, pool: PoolName, queue: str, age_s: float) -> int | None:
         """Return how many jobs of a queue wait, or none if that is not known well enough."""
         known = self.owners.get(pool)
@@ -197,7 +218,9 @@
         return {
             peer: sight.power
             for peer, sight in self.peers.items()
-            if peer != self.entry and (sight.heard_at < 0 or sight.heard_at > limit)
+            if peer != self.entry
+            and (sight.heard_at < 0 or sight.heard_at > limit)
+            and not self.is_down(peer)
         }
 
     def has_stronger(self, power: float) -> bool:
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -19,6 +19,7 @@
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run, describe_run
 from lavenderstall.pools.looks import apply_look
+from lavenderstall.pools.objectives import get_objective_s
 from lavenderstall.pools.recording import Recorder
 from lavenderstall.pools.speeds import Speeds
 from lavenderstall.pools.takeover import Takeover
@@ -47,6 +48,10 @@
 # How long a worker that refused or left orders unanswered gets nothing new.
 AVOID_S = 1.0
 MOST_AVOID_S = 8.0
+# A worker that has left looks unanswered for this long gets nothing new.
+SILENCE_S = 1.2
+# A worker of a zone of which no instance is heard gets nothing new this long after an answer.
+ANSWERED_S = 0.7
 # Ended incarnations of workers that are remembered.
 MOST_GONE = 100
 # Cancelled jobs that are remembered until their submission is heard of.
@@ -79,6 +84,8 @@
         self.speeds = Speeds()
         self.effects: list[Effect] = []
         self.settings = Settings(0)
+        # Zones of which no entry instance is heard; they may be cut off.
+        self.silent_zones: frozenset[str] = frozenset()
         self.now = 0.0
         self.unix_ms = 0.0
         self.counts: Counter[str] = Counter()
@@ -270,10 +277,40 @@
         """
         if not worker.entry.address:
             return False
-        silent = worker.listed and worker.silent_since >= 0
+        silent = worker.listed and (worker.silent_since >= 0 or not self.is_reached(worker))
         unacknowledged = worker.applied_seq > worker.committed_seq
         return bool(worker.runs) or not worker.claimed or unacknowledged or silent
 
+    def is_reached(self, worker: Worker) -> bool:
+        """Tell whether a worker may be counted on to answer.
+
+        One in a zone that may be cut off has to have answered a moment ago.
+        """
+        if worker.entry.zone in self.silent_zones and self.now - worker.answered_at > ANSWERED_S:
+            return False
+        return worker.silent_since < 0 or self.now - worker.silent_since < SILENCE_S
+
+    def request_copies(self) -> None:
+        """Let speculative tasks on workers that do not answer start elsewhere as well."""
+        for worker in self.workers.values():
+            if worker.runs and not self.is_reached(worker):
+                for run in worker.runs.values():
+                    self.request_copy(run)
+
+    def request_copy(self, run: Run) -> bool:
+        """Let a task start once more beside its only run, and tell whether it may."""
+        job = self.jobs.get(run.task.job)
+        if job is None or job.ended or not job.spec.steps[run.task.step].speculative:
+            return False
+        state = job.get_step(run.task.occurrence, run.task.step)
+        if len(state.live.get(run.task.number, ())) != 1:
+            return False
+        if run.task.number not in state.copies:
+            logger.info("copy requested", extra=describe_run(run))
+            state.copies.add(run.task.number)
+            self.open_groups.add(state.group)
+        return True
+
     # What workers answer
 
     def note_look(self, key: WorkerKey, answer: LookAnswer, asked_at: float) -> None:
@@ -314,15 +351,30 @@
         job.end_run(task, number, cause, self.get_queue(job))
         self.recorder.note_change(job.id)
         if job.state is not before:
-            logger.info("job changed", extra={"job": job.id, "state": job.state.value})
+            self._log_state(job)
         if job.ended:
             self._close(job)
         else:
             self._stop_copies(job, task)
             self.refresh(job)
 
+    def _log_state(self, job: Job) -> None:
+        queue = self.get_queue(job)
+        objective_s = get_objective_s(job.spec, queue) if queue else 0.0
+        logger.info(
+            "job changed",
+            extra={
+                "job": job.id,
+                "state": job.state.value,
+                "age_ms": round((self.now - job.seen_at) * 1000),
+                "objective_ms": round(objective_s * 1000),
+            },
+        )
+
     def _stop_copies(self, job: Job, task: Task) -> None:
         state = job.get_step(task.occurrence, task.step)
+        if task.number not in state.live:
+            state.copies.discard(task.number)
         if task.number in state.progress.done and not job.spec.steps[task.step].gang:
             for run in state.live.get(task.number, []):
                 self.stop(run)
@@ -450,6 +502,7 @@
                     self.stop(run)
             if not worker.listed and not worker.runs and not self.takeover.needs(key):
                 self._forget(key)
+        self.request_copies()
         for job_id in list(self.timed):
             self.refresh(self.jobs[job_id])
         self._archive_ended()
@@ -471,7 +524,8 @@
         """Yield the steps that have tasks to start, and forget those that have none."""
         for group in list(self.open_groups):
             job = self.jobs.get(group.job)
-            if job is None or job.ended or not job.get_step(*group[1:]).waiting:
+            state = None if job is None or job.ended else job.get_step(*group[1:])
+            if job is None or state is None or not (state.waiting or state.copies):
                 self.open_groups.discard(group)
             else:
                 yield group, job
--- a/lavenderstall/pools/supervision.py
+++ b/lavenderstall/pools/supervision.py
@@ -64,6 +64,10 @@
     state = job.get_step(run.task.occurrence, run.task.step)
     if run.task.number in state.moved or not is_straggling(run, step):
         return
+    if pool.request_copy(run):
+        return
+    if step.speculative:
+        return
     state.moved.add(run.task.number)
     state.failed_on.setdefault(run.task.number, set()).add(worker.key.id)
     pool.counts["runs_moved"] += 1
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -146,6 +146,19 @@
         owned = world.nodes[successor].instance.owned["routing"]  # type: ignore[index]
         self.assertEqual(owned.pool.settings.version, 2)
 
+    def test_an_owner_whose_process_is_gone_is_replaced_at_once(self) -> None:
+        world = start_world()
+        world.submit("entry-0", "routing", make_name(1), [dict(STEP), dict(NEXT)])
+        world.run(0.2)
+        owner = world.find_owner("routing")
+        assert owner is not None
+        world.kill(owner)
+        world.run(0.7)
+        self.assertIsNotNone(world.find_owner("routing"))
+        world.run(1.5)
+        judge = world.platform.judge
+        self.assertEqual((judge.broken, judge.list_unfinished()), ([], []))
+
     def test_a_worker_that_the_successor_cannot_reach_delays_only_its_work(self) -> None:
         world = start_world()
         world.submit("entry-0", "routing", make_name(1), [{**LONG, "estimatedDurationMs": 9000}])
--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -35,11 +35,16 @@
         self._world = world
         self._entry = EntryId(entry)
         self._receiver: Any = lambda sender, message: None
+        self.watcher: Any = lambda peer, up: None
 
     def set_receiver(self, receiver: Any) -> None:
         """Deliver messages to a function."""
         self._receiver = receiver
 
+    def set_watcher(self, watcher: Any) -> None:
+        """Tell a function which instances were killed."""
+        self.watcher = watcher
+
     def set_peers(self, addresses: Any) -> None:
         """Ignore addresses, as names are enough here."""
 
@@ -146,11 +151,15 @@
     def start(self, name: str) -> None:
         """Start an instance, again if it was killed."""
         self._lives += 1
+        for node in self.nodes.values():
+            node.clock.callLater(LINK_S, node.links.watcher, name, True)
         self.nodes[name] = Node(self, name, self._lives)
 
     def kill(self, name: str) -> None:
         """End an instance without warning."""
         self.nodes.pop(name).clock.dead = True
+        for node in self.nodes.values():
+            node.clock.callLater(LINK_S, node.links.watcher, name, False)
 
     def freeze(self, name: str) -> None:
         """Stop an instance for a while."""
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -6,7 +6,7 @@
 from lavenderstall.pools.effects import EndRow, PaceRun, Refusal, RunningRow, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns, StepProgress
-from lavenderstall.pools.pool import STOP_RETRY_S, Pool
+from lavenderstall.pools.pool import ANSWERED_S, SILENCE_S, STOP_RETRY_S, Pool
 from lavenderstall.pools.recording import START_LEASE_MS, Batch
 from lavenderstall.pools.work import Cause, Group, JobState, Settings, Task
 from lavenderstall.pools.workers import WorkerState
@@ -264,6 +264,55 @@
         self.assertEqual(bench.dispatch(), [])
 
 
+class ReachTest(unittest.TestCase):
+    """Workers that may be cut off, and copies of what runs there."""
+
+    def test_workers_of_a_silent_zone_get_nothing_unless_they_have_just_answered(self) -> None:
+        rows = (
+            (frozenset(), 5.0, True),
+            (frozenset({"quito-1"}), ANSWERED_S - 0.1, True),
+            (frozenset({"quito-1"}), ANSWERED_S + 0.1, False),
+            (frozenset({"quito-2"}), 5.0, True),
+        )
+        for zones, passed, usable in rows:
+            with self.subTest(zones=zones, passed=passed):
+                bench = Bench(FIRST)
+                bench.advance(passed)
+                bench.pool.silent_zones = zones
+                bench.pool.add_job(make_job())
+                self.assertEqual(len(bench.dispatch()), usable)
+                worker = bench.pool.workers[WorkerKey("w1", 1)]
+                self.assertTrue(bench.pool.needs_look(worker))
+
+    def test_a_speculative_task_on_a_silent_worker_starts_elsewhere_as_well(self) -> None:
+        for speculative in (True, False):
+            with self.subTest(speculative=speculative):
+                bench = Bench(FIRST, SECOND)
+                bench.pool.add_job(make_job(make_step(speculative=speculative)))
+                (order,) = bench.start()
+                bench.pool.note_silence(order.worker)
+                bench.advance(SILENCE_S + 0.1)
+                copies = bench.start()
+                bench.advance(0.1)
+                self.assertEqual(len(copies), speculative)
+                self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+                if copies:
+                    self.assertNotEqual(copies[0].worker, order.worker)
+                    self.assertGreater(copies[0].number, order.number)
+
+    def test_the_first_copy_that_is_done_stops_the_other(self) -> None:
+        bench = Bench(FIRST, SECOND)
+        bench.pool.add_job(make_job(make_step(speculative=True)))
+        (order,) = bench.start()
+        bench.pool.note_silence(order.worker)
+        bench.advance(SILENCE_S + 0.1)
+        (copy,) = bench.start()
+        bench.end(copy, Cause.DONE, 1, FIRST if copy.worker.id == "w1" else SECOND)
+        stops = [e for e in bench.pool.take_effects() if isinstance(e, StopRun)]
+        self.assertEqual([(e.worker, e.number) for e in stops], [(order.worker, order.number)])
+        self.assertIs(bench.pool.jobs[JOB].state, JobState.COMPLETED)
+
+
 class RecordTest(unittest.TestCase):
     """Orders to start wait until their runs are recorded."""
 
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -8,7 +8,14 @@
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.archive import OBSOLETE_S, RETENTION_S
-from lavenderstall.pools.claims import RECORDED_MS, Claim, Claimer, get_settle_s, is_recorded
+from lavenderstall.pools.claims import (
+    RECORDED_MS,
+    Claim,
+    Claimer,
+    get_rank,
+    get_settle_s,
+    is_recorded,
+)
 from lavenderstall.pools.effects import EndRow, RunningRow
 from lavenderstall.pools.owner import UNRECORDED_S
 from lavenderstall.pools.ports import Row
@@ -246,6 +253,18 @@
             with self.subTest(before=before):
                 self.assertTrue(low <= get_settle_s(before) <= high)
 
+    def test_strong_instances_without_a_pool_claim_first_and_each_another_pool(self) -> None:
+        def rank(entry: str, number: int) -> int:
+            return get_rank(EntryId(entry), powers, owned, number)
+
+        powers = {EntryId(name): power for name, power in (("a", 1.0), ("b", 2.0), ("c", 2.0))}
+        owned: dict[EntryId, int] = {}
+        first = {min("abc", key=lambda e: rank(e, number)) for number in (0, 1)}
+        self.assertEqual(first, {"b", "c"})
+        self.assertEqual(sorted(rank(e, 0) for e in "abc"), [0, 1, 2])
+        owned = {EntryId("b"): 1, EntryId("c"): 1}
+        self.assertEqual(rank("a", 0), 0)
+
     def test_rows_tell_of_all_runs_of_an_owner_that_is_soon_replaced(self) -> None:
         def make(**fields: object) -> OwnerRow:
             return OwnerRow(EntryId("e"), Incarnation("i"), 1, 1000.0, **fields)  # type: ignore[arg-type]
