--- a/lavenderstall/pools/holds.py
+++ b/lavenderstall/pools/holds.py
@@ -6,7 +6,7 @@
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.work import Group, Step
 from lavenderstall.pools.workers import Worker
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import Resources
 
 # Gangs that may hold room back while they wait for the rest of it.
 MOST_RESERVING = 2
@@ -66,13 +66,18 @@
         self._held.update(dict.fromkeys((name for _, name in chosen), chosen[-1][0]))
         self._reserving += 1
 
+    def count_slots(self, step: Step, worker: Worker, ahead_s: float) -> int:
+        """Return for how many tasks of a step a worker will have room after some time."""
+        limit = self.pool.now + ahead_s
+        return sum(slot <= limit for slot in self._list_slots(step, worker))
+
     def _list_slots(self, step: Step, worker: Worker) -> list[float]:
         """Return when a worker will have room for a first task of a step, a second, and so on."""
         room = worker.get_room()
         slots = [self.pool.now] * count_fitting(step.charge, room)
         ends = sorted(
             (
-                (self._estimate_end(worker, run), self._get_charge(run))
+                (self._estimate_end(worker, run), self.pool.get_charge(run.task))
                 for run in worker.runs.values()
             ),
             key=itemgetter(0),
@@ -84,10 +89,6 @@
             slots += [end] * (count_fitting(step.charge, room) - len(slots))
         return slots
 
-    def _get_charge(self, run: Run) -> Resources:
-        job = self.pool.jobs.get(run.task.job)
-        return job.spec.steps[run.task.step].charge if job else NOTHING
-
     def _estimate_end(self, worker: Worker, run: Run) -> float:
         """Return when a run will end, from its progress or its declared duration."""
         job = self.pool.jobs.get(run.task.job)
--- a/lavenderstall/pools/instance.py
+++ b/lavenderstall/pools/instance.py
@@ -36,7 +36,7 @@
 from lavenderstall.pools.objectives import choose_retry_s, get_objective_s
 from lavenderstall.pools.owner import PoolOwner
 from lavenderstall.pools.peers import DOWN_S, PeerRequests, PeerSight, make_pending
-from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.pool import REMOTE_FACTOR, Pool
 from lavenderstall.pools.ports import (
     Adviser,
     Change,
@@ -77,6 +77,9 @@
 # A peer that has not heard this instance for this long needs a new connection.
 LOST_MS = 1500
 REDIAL_S = 2.0
+# Feeds wait this long for a change; the configuration is in force within two seconds.
+OPERATOR_WAIT_MS = 1000
+ENTRIES_WAIT_MS = 4000
 OPERATOR = "op"
 SETTINGS_KEY = "config"
 
@@ -84,7 +87,8 @@
 class Identity(msgspec.Struct, frozen=True):
     """Name an entry instance and where peers reach it.
 
-    `power` is its share of processors; stronger instances own pools first.
+    `power` is its share of processors; stronger instances own pools first. A task takes
+    `remote_factor` times as long on another rack than that of its data.
     """
 
     entry: EntryId
@@ -92,6 +96,7 @@
     zone: str
     link: str
     power: float = 1.0
+    remote_factor: float = REMOTE_FACTOR
 
 
 class Outside(msgspec.Struct):
@@ -150,8 +155,10 @@
             self._store, identity.entry, identity.incarnation, outside.read_uptime
         )
         self._watches = [
-            TableWatch(self._store, outside.clock, OPERATOR, self._use_operator_rows),
-            TableWatch(self._store, outside.clock, ENTRIES, self._use_entries),
+            TableWatch(
+                self._store, outside.clock, OPERATOR, self._use_operator_rows, OPERATOR_WAIT_MS
+            ),
+            TableWatch(self._store, outside.clock, ENTRIES, self._use_entries, ENTRIES_WAIT_MS),
         ]
         self._claiming: set[PoolName] = set()
         self._claimed_at: dict[PoolName, float] = {}
@@ -379,7 +386,13 @@
     def _make_owner(self, name: PoolName, claim: Claim) -> PoolOwner:
         outside = self._outside
         settle_at = self.read_uptime() + claim.settle_s
-        pool = Pool(name, claim.owner.term, settle_at, recorded=claim.recorded)
+        pool = Pool(
+            name,
+            claim.owner.term,
+            settle_at,
+            recorded=claim.recorded,
+            remote_factor=self.identity.remote_factor,
+        )
         pool.set_settings(self.settings)
         writer = OwnerWriter(
             self._store,
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -51,8 +51,11 @@
 # Without the store for this long, and with peers that miss it too, an owner starts tasks without
 # recording them. Longer than `claims.RECORDED_MS` and the time that news of a claim takes.
 UNRECORDED_S = 4.0
-# A look waits this long at the worker for an end.
-LOOK_WAIT_MS = 800
+# A look waits this long at the worker for an end; less if runs are short, so that one that stands
+# still is noticed.
+LOOK_WAIT_MS = 1600
+SHORT_LOOK_WAIT_MS = 800
+SHORT_RUN_MS = 2500
 # A worker whose ends are not durable yet is looked at again after this long.
 COMMIT_WAIT_S = 0.25
 # Pause between looks that find out about a run in doubt.
@@ -72,6 +75,8 @@
 # Rows in one reading, which a weak link carries well within a call's time limit.
 PAGE_ROWS = 150
 FOLLOW_RETRY_S = 0.2
+# Pause of a feed that has brought nothing new.
+FOLLOW_PAUSE_S = 0.4
 RELEASE_POLL_S = 0.01
 
 AskAdviceFunction = Callable[[AskAdvice], None]
@@ -265,9 +270,11 @@
                 self.take_job(decode_job(row.value))
             return
         self._following = page.version
-        for row in page.rows:
-            if row.part in self._shards and row.version:
-                self.take_job(decode_job(row.value))
+        rows = [row for row in page.rows if row.part in self._shards and row.version]
+        news = [self.take_job(decode_job(row.value)) for row in rows]
+        if rows and not any(news):
+            # Entry instances have told of all of them.
+            await sleep(self._clock, FOLLOW_PAUSE_S)
 
     async def _follow_cancels(self) -> None:
         try:
@@ -288,12 +295,14 @@
 
     # Events from entry instances
 
-    def take_job(self, row: AcceptedJob) -> None:
-        """Take a job that has been accepted."""
+    def take_job(self, row: AcceptedJob) -> bool:
+        """Take a job that has been accepted, and tell whether it is new."""
         self._advance()
-        if self.pool.add_job(row):
-            logger.info("job taken", extra={"job": row.id, "pool": self.pool.name})
-            self.schedule()
+        if not self.pool.add_job(row):
+            return False
+        logger.info("job taken", extra={"job": row.id, "pool": self.pool.name})
+        self.schedule()
+        return True
 
     def take_cancel(self, job: JobId) -> None:
         """Cancel a job."""
@@ -458,7 +467,7 @@
                 self.pool.term,
                 worker.get_seen_seq(asked_at),
                 lease,
-                0 if immediate else LOOK_WAIT_MS,
+                0 if immediate else self._choose_wait_ms(worker),
             )
         except LavenderstallError as error:
             self._advance()
@@ -485,6 +494,10 @@
         elif immediate:
             await sleep(self._clock, DOUBT_PAUSE_S)
 
+    def _choose_wait_ms(self, worker: Worker) -> int:
+        short = any(self.pool.is_short(run, SHORT_RUN_MS) for run in worker.runs.values())
+        return SHORT_LOOK_WAIT_MS if short else LOOK_WAIT_MS
+
     def _wait_for_commit(self) -> Deferred[None]:
         """Return a deferred that fires with the next commit, or after a time."""
         waiting: Deferred[None] = Deferred()
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -43,6 +43,8 @@
 
 # A stop that has shown no effect is sent again after this long.
 STOP_RETRY_S = 0.3
+# What a rack without the data costs if the platform tells nothing else.
+REMOTE_FACTOR = 1.5
 # Run numbers of one term start above those of earlier terms.
 RUNS_PER_TERM = 1000
 # How long a worker that refused or left orders unanswered gets nothing new.
@@ -62,10 +64,18 @@
     """Decide what runs on the workers of a pool; all times are seconds of uptime."""
 
     def __init__(
-        self, name: PoolName, term: int, settle_at: float, *, recorded: bool = True
+        self,
+        name: PoolName,
+        term: int,
+        settle_at: float,
+        *,
+        recorded: bool = True,
+        remote_factor: float = REMOTE_FACTOR,
     ) -> None:
         self.name = name
         self.term = term
+        # A task takes so many times as long on another rack than that of its data.
+        self.remote_factor = remote_factor
         self.takeover = Takeover(self, settle_at, recorded=recorded)
         self.recorder = Recorder(self)
         self.jobs: dict[JobId, Job] = {}
@@ -250,6 +260,14 @@
             return NOTHING
         return job.spec.steps[task.step].charge
 
+    def is_short(self, run: Run, bound_ms: int) -> bool:
+        """Tell whether a run is of a task that ends by itself and soon."""
+        job = self.jobs.get(run.task.job)
+        if job is None or run.task.step >= len(job.spec.steps):
+            return True
+        step = job.spec.steps[run.task.step]
+        return not step.lasting and step.expected_ms < bound_ms
+
     def lose_worker(self, key: WorkerKey, reason: str) -> None:
         """Note that nothing runs on an incarnation of a worker any more."""
         worker = self.workers.get(key)
@@ -303,7 +321,8 @@
         if job is None or job.ended or not job.spec.steps[run.task.step].speculative:
             return False
         state = job.get_step(run.task.occurrence, run.task.step)
-        if len(state.live.get(run.task.number, ())) != 1:
+        done = run.task.number in state.progress.done
+        if done or len(state.live.get(run.task.number, ())) != 1:
             return False
         if run.task.number not in state.copies:
             logger.info("copy requested", extra=describe_run(run))
--- /dev/null
+++ b/lavenderstall/pools/seeking.py
@@ -0,0 +1,182 @@
+"""Choice of when to ask for advice on a step, and about which workers."""
+
+from lavenderstall.pools.effects import AskAdvice
+from lavenderstall.pools.holds import Holds, count_fitting
+from lavenderstall.pools.job import Job
+from lavenderstall.pools.placement import Placement, count_beside
+from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.tickets import MOST_NAMED, SHORT_S, StepAdvice, get_duration
+from lavenderstall.pools.turns import Turn
+from lavenderstall.pools.work import Advising, Group, Queue, Step
+from lavenderstall.pools.workers import Worker
+
+# Tickets beyond the tasks that wait, to allow for workers that fill up meanwhile.
+SPARE_TICKETS = 4
+# Advice is sought this long before it is needed, beyond the duration of the call.
+AHEAD_S = 0.25
+# A run is expected to need this multiple of its declared duration while nothing is known.
+USUAL_RATIO = 1.3
+
+
+class Seeker:
+    """Ask for the tickets that steps need next, within the calls that may be made."""
+
+    def __init__(self, pool: Pool, placement: Placement, holds: Holds) -> None:
+        self._pool = pool
+        self._placement = placement
+        self._holds = holds
+        self._short_calls = 0
+        self._long_calls = 0
+        self._spoken_for: dict[str, int] = {}
+
+    def clear(self, short_calls: int, long_calls: int) -> None:
+        """Begin a dispatch that may make so many short and long calls."""
+        self._short_calls = short_calls
+        self._long_calls = long_calls
+        self._spoken_for = {}
+
+    def seek(self, turn: Turn, free: list[Worker], missing: int) -> None:
+        """Ask for tickets of workers that have room or soon will, unless an answer is coming."""
+        advising = turn.queue.advising
+        if advising is None:
+            return
+        step = turn.step
+        advice = self._pool.advice.setdefault(turn.group, StepAdvice())
+        if advice.asked:
+            asked = set(advice.asked)
+            self._placement.promise_room(step, [w for w in free if w.key.id in asked], missing)
+            return
+        soon = self._list_soon(turn, advising, advice, free, missing)
+        candidates = self._list_candidates(turn, advice, free, soon)
+        if not candidates or (step.gang and not self._may_fit(step, advice, free)):
+            return
+        chosen = self._choose(step, advice, candidates, missing)
+        self._placement.promise_room(step, chosen, missing)
+        duration_s = get_duration(advising, len(chosen))
+        if not self._take_call(duration_s):
+            return
+        named = tuple(worker.key.id for worker in chosen)
+        advice.note_asked(named)
+        self._pool.effects.append(AskAdvice(turn.group, named, duration_s * 1000))
+
+    def _choose(
+        self, step: Step, advice: StepAdvice, candidates: list[Worker], missing: int
+    ) -> list[Worker]:
+        """Return the workers to name: those that are allowed as far as they suffice, else all."""
+        candidates = sorted(candidates, key=lambda w: self._placement.get_score(step, w))
+        known = [worker for worker in candidates if worker.key.id in advice.allowed]
+        chosen = known if step.gang else known[: missing + SPARE_TICKETS]
+        if len(known) < missing + SPARE_TICKETS:
+            chosen += [worker for worker in candidates if worker.key.id not in advice.allowed]
+        return chosen[:MOST_NAMED]
+
+    def _may_fit(self, step: Step, advice: StepAdvice, free: list[Worker]) -> bool:
+        """Tell whether a gang may have room now, as far as is known which workers it may use."""
+        room = sum(
+            count_fitting(step.charge, worker.get_room())
+            for worker in free
+            if worker.key.id in advice.allowed
+        )
+        known = advice.allowed | advice.denied
+        return room >= step.count or any(worker.key.id not in known for worker in free)
+
+    def _take_call(self, duration_s: float) -> bool:
+        """Count a call, and tell whether it may be made now."""
+        self._short_calls -= 1
+        if duration_s <= SHORT_S:
+            return self._short_calls >= 0
+        self._long_calls -= 1
+        return self._long_calls >= 0
+
+    def _list_soon(
+        self,
+        turn: Turn,
+        advising: Advising,
+        advice: StepAdvice,
+        free: list[Worker],
+        missing: int,
+    ) -> set[str]:
+        """Return the allowed workers that will have room by the time a long call is answered.
+
+        A slot that a more urgent step has a ticket for, or asks for, is left to it.
+        """
+        duration_s = get_duration(advising, 1)
+        if duration_s <= SHORT_S or turn.step.gang:
+            return set()
+        soon = set()
+        for worker in free:
+            name = worker.key.id
+            if missing <= 0 or name not in advice.allowed:
+                continue
+            slots = self._holds.count_slots(turn.step, worker, duration_s + AHEAD_S)
+            slots -= self._spoken_for.get(name, 0)
+            if slots > 0:
+                taken = min(slots, missing)
+                self._spoken_for[name] = self._spoken_for.get(name, 0) + taken
+                missing -= taken
+                soon.add(name)
+        return soon
+
+    def _list_candidates(
+        self, turn: Turn, advice: StepAdvice, free: list[Worker], soon: set[str]
+    ) -> list[Worker]:
+        """Return the workers of which a ticket is missing: those with room, and unknown ones.
+
+        Which workers are allowed never changes, so it is found out for all of them at once.
+        """
+        step = turn.step
+        beside = count_beside(turn.state)
+        candidates = []
+        for worker in free:
+            name = worker.key.id
+            if name in advice.denied or advice.get_ticket(name, self._pool.now) is not None:
+                continue
+            if step.max_per_worker and beside.get(name, 0) >= step.max_per_worker:
+                continue
+            if not self._placement.suits(step, worker):
+                continue
+            whole = step.gang or name not in advice.allowed or name in soon
+            room = worker.entry.capacity if whole else self._placement.get_room(worker)
+            if step.charge.fits(room):
+                candidates.append(worker)
+        return candidates
+
+    def look_ahead(self, usable: list[Worker]) -> None:
+        """Ask for advice on steps whose turn comes soon."""
+        for job in self._pool.active.values():
+            if not job.started or len(job.spec.steps) == 1:
+                continue
+            queue = self._pool.get_queue(job)
+            if queue is None or queue.advising is None:
+                continue
+            for occurrence in job.list_due(self._pool.unix_ms):
+                self._look_ahead_in(job, occurrence, queue, queue.advising, usable)
+
+    def _look_ahead_in(
+        self, job: Job, occurrence: int, queue: Queue, advising: Advising, usable: list[Worker]
+    ) -> None:
+        for number, step in enumerate(job.spec.steps):
+            if not step.after or job.is_step_open(occurrence, number):
+                continue
+            group = Group(job.id, occurrence, number)
+            advice = self._pool.advice.get(group)
+            if advice is not None and (advice.tickets or advice.asked):
+                continue
+            ahead = get_duration(advising, len(usable)) + AHEAD_S
+            if self._estimate_turn(job, occurrence, step) <= ahead:
+                turn = Turn(False, queue.priority, 0.0, group, job, queue)
+                self.seek(turn, usable, step.count)
+
+    def _estimate_turn(self, job: Job, occurrence: int, step: Step) -> float:
+        """Return in how many seconds a step's turn is expected, from the runs before it."""
+        latest = 0.0
+        for earlier in step.after:
+            state = job.steps.get((occurrence, earlier))
+            spec = job.spec.steps[earlier]
+            if state is None or state.waiting:
+                return float("inf")
+            expected_s = spec.expected_ms / 1000 * USUAL_RATIO
+            for runs in state.live.values():
+                left = min(run.ordered_at + expected_s - self._pool.now for run in runs)
+                latest = max(latest, left)
+        return latest
--- a/lavenderstall/pools/watch.py
+++ b/lavenderstall/pools/watch.py
@@ -10,13 +10,14 @@
 
 logger = logging.getLogger(__name__)
 
-# A feed waits this long for a change, so that a silent connection is noticed soon.
-WAIT_MS = 1000
 RETRY_S = 0.2
 
 
 class TableWatch:
-    """Follow the rows without a part of one table."""
+    """Follow the rows without a part of one table.
+
+    A call waits `wait_ms` for a change; the shorter, the sooner a silent connection is noticed.
+    """
 
     def __init__(
         self,
@@ -24,11 +25,13 @@
         clock: Clock,
         table: str,
         receive: Callable[[Mapping[str, Row]], None],
+        wait_ms: int,
     ) -> None:
         self._store = store
         self._clock = clock
         self._table = table
         self._receive = receive
+        self._wait_ms = wait_ms
         self._rows: dict[str, Row] = {}
         self._version = -1
         self._running = False
@@ -60,7 +63,7 @@
         if self._version < 0:
             await self._read_all()
         else:
-            page = await self._store.follow(self._table, self._version, WAIT_MS)
+            page = await self._store.follow(self._table, self._version, self._wait_ms)
             self._version = page.version
             changed = [row for row in page.rows if not row.part]
             for row in changed:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -50,7 +50,7 @@
 # Jobs in one transaction; each takes a condition and a write of the store's hundred entries.
 BATCH_JOBS = 45
 # Progress that ends no job waits this long for more of its kind.
-GATHER_S = 0.015
+GATHER_S = 0.04
 # Jobs whose rows are deleted at a time; each has up to two in one part.
 CLEAN_JOBS = 50
 # Pause after a failed transaction.
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -312,6 +312,31 @@
         self.assertEqual([(e.worker, e.number) for e in stops], [(order.worker, order.number)])
         self.assertIs(bench.pool.jobs[JOB].state, JobState.COMPLETED)
 
+    def test_a_task_that_is_done_gets_no_further_copies(self) -> None:
+        bench = Bench(FIRST, SECOND)
+        bench.pool.add_job(make_job(make_step(2, speculative=True)))
+        orders = bench.start()
+        first = orders[0].worker
+        bench.pool.note_silence(first)
+        bench.advance(SILENCE_S + 0.1)
+        copies = bench.start()
+        other = FIRST if copies[0].worker.id == "w1" else SECOND
+        bench.end(copies[0], Cause.DONE, 1, other)
+        bench.advance(0.5)
+        again = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+        self.assertNotIn(copies[0].task, {order.task for order in again})
+
+    def test_copies_are_asked_for_no_more_once_a_task_has_ended(self) -> None:
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job(make_step(2, speculative=True)))
+        order, _ = bench.start()
+        bench.pool.note_silence(order.worker)
+        bench.advance(SILENCE_S + 0.1)
+        state = bench.pool.jobs[JOB].get_step(0, 0)
+        self.assertEqual(state.copies, {0, 1})
+        bench.end(order, Cause.DONE, 1, FIRST)
+        self.assertEqual(state.copies, {1})
+
 
 class RecordTest(unittest.TestCase):
     """Orders to start wait until their runs are recorded."""
