--- a/lavenderstall/pools/effects.py
+++ b/lavenderstall/pools/effects.py
@@ -82,8 +82,10 @@
     ended: tuple[EndRow, ...]
 
 
-# Another process has the worker's address, so the worker is gone.
+# Reasons of refusals: another process has the worker's address, so the worker is gone; the worker
+# has seen the fencing token of a later owner.
 OTHER_PROCESS = "instance"
+FENCE = "fence"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -6,7 +6,7 @@
 from lavenderstall.pools.work import PoolName
 
 
-class EntryBeat(msgspec.Struct, tag=True, frozen=True):
+class EntryBeat(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Tell a peer that an entry instance lives, and whether it reaches the store.
 
     `heard_ms` is how long ago the sender last heard the receiver, and `terms` are those of the
@@ -20,7 +20,7 @@
     terms: dict[PoolName, int] = {}
 
 
-class OwnerBeat(msgspec.Struct, tag=True, frozen=True):
+class OwnerBeat(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Tell who owns a pool, how many jobs of each queue wait, and whether the store is lost."""
 
     pool: PoolName
@@ -29,28 +29,28 @@
     store_lost: bool = False
 
 
-class PoolReleased(msgspec.Struct, tag=True, frozen=True):
+class PoolReleased(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Tell that the owner of a pool has given it up."""
 
     pool: PoolName
     term: int
 
 
-class JobHint(msgspec.Struct, tag=True, frozen=True):
+class JobHint(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Hand an accepted job row to the owner of its pool."""
 
     pool: PoolName
     row: bytes
 
 
-class CancelHint(msgspec.Struct, tag=True, frozen=True):
+class CancelHint(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Tell the owner of a pool that a job was cancelled."""
 
     pool: PoolName
     job: JobId
 
 
-class StateAsk(msgspec.Struct, tag=True, frozen=True):
+class StateAsk(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Ask the owner of a pool for the state of a job."""
 
     number: int
@@ -58,7 +58,7 @@
     job: JobId
 
 
-class StateAnswer(msgspec.Struct, tag=True, frozen=True):
+class StateAnswer(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Answer with a state; `owned` is false if the sender does not own the pool."""
 
     number: int
@@ -66,7 +66,7 @@
     state: str = ""
 
 
-class AdviceAsk(msgspec.Struct, tag=True, frozen=True):
+class AdviceAsk(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Ask a peer to call the placement service."""
 
     number: int
@@ -77,7 +77,7 @@
     expected_s: float
 
 
-class AdviceAnswer(msgspec.Struct, tag=True, frozen=True):
+class AdviceAnswer(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Answer with tickets; `given` is false if the service gave none.
 
     With `busy_ms` it was not asked, as calls before this one take so long.
@@ -90,7 +90,7 @@
     busy_ms: float = 0.0
 
 
-class WriteAsk(msgspec.Struct, tag=True, frozen=True):
+class WriteAsk(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Ask a peer to add a row on behalf of an instance that does not reach the store."""
 
     number: int
@@ -100,7 +100,7 @@
     value: bytes
 
 
-class WriteAnswer(msgspec.Struct, tag=True, frozen=True):
+class WriteAnswer(msgspec.Struct, tag=True, array_like=True, frozen=True):
     """Answer whether the row is there now, surely is not, or neither is known."""
 
     number: int
@@ -125,7 +125,7 @@
 HINTS = (EntryBeat, OwnerBeat, PoolReleased, JobHint, CancelHint)
 
 
-class Envelope(msgspec.Struct, frozen=True):
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
     """Hold messages from one process."""
 
     sender: EntryId
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -46,7 +46,7 @@
 # A pool moves to an instance of so many times the power.
 STRONGER_FACTOR = 1.5
 # Peers beside owners that an instance tells that it lives.
-WATCHED_PEERS = 6
+WATCHED_PEERS = 4
 STATE_TIMEOUT_S = 0.35
 WRITE_TIMEOUT_S = 0.7
 # Peers that are asked to add a row, one after the other.
@@ -176,13 +176,15 @@
         return known.pending.get(queue, 0)
 
     def list_watched(self) -> list[EntryId]:
-        """Return the peers that this instance tells that it lives: owners and a few others."""
-        others = sorted(
-            self.peers.keys() - {self.entry},
-            key=lambda peer: crc32(f"{self.entry}/{peer}".encode()),
-        )
+        """Return the peers that this instance tells that it lives: owners and a few others.
+
+        In a ring of all instances each tells those that follow, so that each hears some.
+        """
+        ring = sorted({*self.peers, self.entry}, key=lambda entry: (crc32(entry.encode()), entry))
+        own = ring.index(self.entry)
+        others = [*ring[own + 1 :], *ring[:own]][:WATCHED_PEERS]
         owners = {sight.entry for sight in self.owners.values()} - {self.entry}
-        return [*owners, *(peer for peer in others[:WATCHED_PEERS] if peer not in owners)]
+        return [*owners, *(peer for peer in others if peer not in owners)]
 
     def is_isolated(self) -> bool:
         """Tell whether no peer of another zone has been heard lately.
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -1,6 +1,7 @@
 """Tests of what an instance believes of others."""
 
 import unittest
+from collections import Counter
 from collections.abc import Mapping
 from random import Random
 from typing import Any
@@ -15,6 +16,7 @@
     ISOLATION_S,
     SILENCE_S,
     STRONGER_FACTOR,
+    WATCHED_PEERS,
     ZONE_SILENCE_S,
     PeerRequests,
     PeerSight,
@@ -161,6 +163,16 @@
                 self.hear("e1", "e2", "e3", **fields)
                 self.assertEqual(self.peers.choose_writers(), ["e4"])
 
+    def test_each_instance_is_told_by_some_others_that_they_live(self) -> None:
+        names = [EntryId(f"entry-{number}") for number in range(31)]
+        told: Counter[EntryId] = Counter()
+        for name in names:
+            peers = PeerRequests(name, "z1", Sent(), Clock(), Random(1), lambda: 0.0)  # type: ignore[arg-type]
+            peers.peers = {other: PeerSight("z2") for other in names if other != name}
+            told.update(peers.list_watched())
+        self.assertEqual(set(told.values()), {WATCHED_PEERS})
+        self.assertEqual(len(told), len(names))
+
     def test_a_pool_moves_to_a_free_instance_of_much_more_power(self) -> None:
         rows = ((1.0, False, False), (STRONGER_FACTOR + 0.1, False, True), (9.0, True, False))
         for power, owns, moves in rows:
