Keep the lease of a run that may start in a newer incarnation

Cause: a start that was sent to an incarnation of a worker which then restarted may be executed by the newer one. Its run moved there, but a worker whose clock was not read yet took the lease of the takeover, long expired in an old ownership.

Change: a worker that may execute starts of its earlier incarnation keeps them for the longest delay of a command plus the longest lease, until its clock is read.

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -252,6 +252,8 @@
             older.drop_run(run.task, run.number, self.get_allocation(run.task))
         self.note_worker_lost(key, reason)
         worker = self.add_worker(entry)
+        if uncertain_runs:
+            worker.note_possible_starts(self.now)
         for run in uncertain_runs:
             run.worker = worker.key
             run.confirmed_at = -1.0
@@ -544,7 +546,9 @@
 
     def _get_lease_expiry(self, worker: Worker) -> float:
         """Return when all leases on a worker have expired at the latest."""
-        return worker.get_lease_expiry() if worker.clock_at >= 0 else self.takeover.leases_expire_at
+        if worker.clock_at >= 0:
+            return worker.get_lease_expiry()
+        return max(self.takeover.leases_expire_at, worker.unread_lease_expiry)
 
     def _expire_leases(self, worker: Worker) -> None:
         for run in list(worker.runs.values()):
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -16,6 +16,9 @@
 MAX_LEASE_MS = 6000
 # A poll answered this recently shows that a worker's incarnation is the same.
 FRESH_POLL_S = 0.3
+# A restarted worker may execute a command sent to its earlier incarnation this much later. The
+# command's deadline does not prevent it, as the clock of the worker has started again.
+MAX_COMMAND_DELAY_S = 10.0
 # Time for the worker to notice that a lease has expired and to end the process.
 LEASE_EXPIRY_MARGIN_S = 0.15
 
@@ -55,6 +58,8 @@
         self.clock_ms = 0.0
         self.clock_at = -1.0
         self.lease_ms = 0.0
+        # Until when runs may last while the clock was not read, as for a restarted worker.
+        self.unread_lease_expiry = -1.0
         self.answered_at = -1.0
         self.polled_at = -1.0
         self.applied_seq = 0
@@ -97,6 +102,11 @@
         """Record a lease that was sent, with its deadline on the worker's clock."""
         self.lease_ms = max(self.lease_ms, deadline_ms)
 
+    def note_possible_starts(self, now: float) -> None:
+        """Record that starts sent to an earlier incarnation may be executed here."""
+        lease_s = MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
+        self.unread_lease_expiry = now + MAX_COMMAND_DELAY_S + lease_s
+
     def get_lease_expiry(self) -> float:
         """Return when all leases on the worker have expired at the latest."""
         remaining_ms = max(0.0, self.lease_ms - self.clock_ms)
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -9,7 +9,12 @@
 from lavenderstall.pools.pool import RECENT_ANSWER_S, STOP_RETRY_S, UNRESPONSIVE_S, Pool
 from lavenderstall.pools.recording import START_LEASE_MS, ProgressBatch
 from lavenderstall.pools.work import EndCause, JobState, Settings, StepKey, Task
-from lavenderstall.pools.workers import WorkerState
+from lavenderstall.pools.workers import (
+    MAX_COMMAND_DELAY_S,
+    MAX_LEASE_MS,
+    MIN_CLOCK_RATE,
+    WorkerState,
+)
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
     ADVISED,
@@ -196,6 +201,20 @@
                 run = bench.pool.workers[WorkerKey(name, 2)].runs[order.task, order.number]
                 self.assertGreaterEqual(run.confirmed_at, 0)
 
+    def test_a_run_that_may_start_in_a_newer_incarnation_keeps_its_lease(self) -> None:
+        longest_s = MAX_COMMAND_DELAY_S + MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
+        for passed_s, restarts in ((0.1, False), (longest_s, False), (longest_s + 0.5, True)):
+            with self.subTest(passed_s=passed_s):
+                bench = Bench(FIRST, SECOND)
+                bench.pool.add_job(make_job())
+                (order,) = bench.start()
+                other = FIRST if order.worker.id == "w2" else SECOND
+                bench.pool.set_workers([make_entry(order.worker.id, incarnation=2), other])
+                bench.advance(passed_s)
+                bench.poll(other)
+                starts = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                self.assertEqual(bool(starts), restarts)
+
     def test_ends_are_acknowledged_only_to_a_certain_incarnation(self) -> None:
         bench = Bench(FIRST)
         worker = bench.pool.workers[WorkerKey("w1", 1)]
