Claim the pool of an owner that is suspected after half the time

Cause: an owner that lost power, froze or was cut off was replaced 1.1 to 1.3 s after its last renewal, whatever else was known of it, and after all processes had been killed the first claim waited 0.4 s for a timer and for ranks of instances that were not there.

Change: what an instance knows of an owner is a value (nothing, suspected, ended). An owner whose heartbeats stopped, or whose name has a new process, expires 0.5 s earlier; one's own earlier process has ended. The owner row is read after the delay of one's rank, which is 0.06 s, so that a fleet does not read it at once; draining instances have no rank; a configuration starts the check. The store's conditional write decides as before.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Mapping
+from enum import Enum
 from zlib import crc32
 
 import msgspec
@@ -28,6 +29,8 @@
 # An owner without the store acts for `owner.OWNERSHIP_TIMEOUT_S`; runs end a lease later.
 OLD_OWNER_TIMEOUT_S = 7.0
 LEASE_S = 6.0
+# Two intervals of renewal remain.
+SUSPECTED_EXPIRY_REDUCTION_MS = 500.0
 SLOWEST_CLOCK_RATE = 0.98
 SAFETY_MARGIN_S = 0.3
 
@@ -46,6 +49,16 @@
     records_complete: bool
 
 
+class OwnerEvidence(Enum):
+    """What an instance knows of a pool's owner besides its row."""
+
+    NONE = "none"
+    # No heartbeat arrives, or a new process has its name.
+    SUSPECTED = "suspected"
+    # Its process has ended.
+    ENDED = "ended"
+
+
 class OwnershipSnapshot(msgspec.Struct, frozen=True):
     """The owner row of a pool and the store's clock at one moment."""
 
@@ -53,11 +66,17 @@
     owner: OwnerRow | None
     store_ms: float
 
-    def is_claimable(self) -> bool:
-        """Tell whether the pool has no owner, or a released or expired one."""
-        if self.owner is None or self.owner.released:
+    def is_claimable(self, evidence: OwnerEvidence = OwnerEvidence.NONE) -> bool:
+        """Tell whether the pool has no owner, or one that has released it, ended or expired.
+
+        An owner that is suspected too expires `SUSPECTED_EXPIRY_REDUCTION_MS` earlier.
+        """
+        if self.owner is None or self.owner.released or evidence is OwnerEvidence.ENDED:
             return True
-        return self.store_ms - self.owner.renewed_ms > self.owner.expiry_ms
+        expiry_ms = self.owner.expiry_ms
+        if evidence is OwnerEvidence.SUSPECTED:
+            expiry_ms -= SUSPECTED_EXPIRY_REDUCTION_MS
+        return self.store_ms - self.owner.renewed_ms > expiry_ms
 
 
 class Claimer:
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -16,7 +16,13 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.advice_balancer import AdviceBalancer
 from lavenderstall.pools.advice_client import AdviceClient, LocalAdviceClient
-from lavenderstall.pools.claims import Claim, Claimer, OwnershipSnapshot, get_claim_rank
+from lavenderstall.pools.claims import (
+    Claim,
+    Claimer,
+    OwnerEvidence,
+    OwnershipSnapshot,
+    get_claim_rank,
+)
 from lavenderstall.pools.coroutines import gather, launch
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.job_requests import JobRequestHandler
@@ -53,7 +59,7 @@
     Transaction,
     WorkerClient,
 )
-from lavenderstall.pools.records import ENTRIES, EntryRecord, decode_job, encode
+from lavenderstall.pools.records import ENTRIES, EntryRecord, OwnerRow, decode_job, encode
 from lavenderstall.pools.table_watch import TableWatch
 from lavenderstall.pools.work import JobSpec, PoolName, Queue, Settings
 from lavenderstall.pools.writer import OwnerWriter
@@ -63,7 +69,7 @@
 HEARTBEAT_INTERVAL_S = 0.25
 CLAIM_CHECK_INTERVAL_S = 0.2
 # Instances claim a pool in order of rank, this much after each other.
-CLAIM_DELAY_PER_RANK_S = 0.15
+CLAIM_DELAY_PER_RANK_S = 0.06
 MAX_CLAIM_RANK = 6
 # An instance isolated from other zones claims only pools not renewed for this long.
 ISOLATED_CLAIM_DELAY_MS = 6000.0
@@ -269,6 +275,8 @@
         for owner in self.owned_pools.values():
             owner.pool.set_settings(settings)
             owner.schedule_dispatch()
+        for pool in settings.pools:
+            self._start_claim_check(pool)
 
     def _update_peers(self, rows: Mapping[str, Row]) -> None:
         records = {}
@@ -283,7 +291,9 @@
             records[record.entry] = record
         self._dependencies.links.set_peers({name: record.link for name, record in records.items()})
         for name, record in records.items():
-            self.peers.peers.setdefault(name, PeerState(record.zone)).cpu_capacity = record.power
+            peer_state = self.peers.peers.setdefault(name, PeerState(record.zone))
+            peer_state.cpu_capacity = record.power
+            peer_state.incarnation = record.incarnation
         for name in self.peers.peers.keys() - records.keys() - {self.identity.entry}:
             del self.peers.peers[name]
         self._advice_balancer.retain({*self.peers.peers, self.identity.entry})
@@ -345,24 +355,27 @@
         try:
             if self.peers.is_owner_active(pool):
                 return
-            snapshot = await self._claimer.read_ownership(pool)
-            if not self._is_claimable(snapshot) or not self._may_claim(pool, snapshot):
-                return
             await sleep(self._clock, self._get_claim_rank(pool) * CLAIM_DELAY_PER_RANK_S)
             if self.peers.is_owner_active(pool) or self.draining:
                 return
-            await self._claim(pool, snapshot)
+            snapshot = await self._claimer.read_ownership(pool)
+            if self._is_claimable(pool, snapshot) and self._may_claim(pool, snapshot):
+                await self._claim(pool, snapshot)
         except LavenderstallError as error:
             logger.info("reading the pool owner failed", extra={"pool": pool, "error": str(error)})
         finally:
             self._claims_in_progress.discard(pool)
 
-    def _is_claimable(self, snapshot: OwnershipSnapshot) -> bool:
-        """Tell whether a pool has no owner, or one whose process has ended."""
-        owner = snapshot.owner
-        return snapshot.is_claimable() or (
-            owner is not None and self.peers.is_disconnected(owner.entry)
-        )
+    def _is_claimable(self, pool: PoolName, snapshot: OwnershipSnapshot) -> bool:
+        """Tell whether a pool has no owner, or one that has ended or lost contact."""
+        return snapshot.is_claimable(self._find_owner_evidence(pool, snapshot.owner))
+
+    def _find_owner_evidence(self, pool: PoolName, owner: OwnerRow | None) -> OwnerEvidence:
+        if owner is None:
+            return OwnerEvidence.NONE
+        if owner.entry == self.identity.entry and owner.incarnation != self.identity.incarnation:
+            return OwnerEvidence.ENDED
+        return self.peers.find_owner_evidence(pool, owner)
 
     def _may_claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> bool:
         """Tell whether this instance may claim.
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -3,9 +3,12 @@
 They are encoded as arrays, so the order of fields is part of the format.
 """
 
+from enum import Enum
+
 import msgspec
 
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.pools.ports import Row, Transaction
 from lavenderstall.pools.work import PoolName
 
 
@@ -110,6 +113,34 @@
     outcome: str
 
 
+class CommitOutcome(Enum):
+    """What a peer knows of a transaction that it was asked to commit."""
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    # Nothing was applied.
+    UNAVAILABLE = "unavailable"
+    UNKNOWN = "unknown"
+
+
+class CommitRequest(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Ask a peer to commit a transaction for an instance that can't reach the store."""
+
+    request_id: int
+    transaction: Transaction
+
+
+class CommitAnswer(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Return the outcome of a commit; `rows` are the current rows of a conflict's conditions."""
+
+    request_id: int
+    outcome: CommitOutcome
+    version: int = 0
+    store_clock_ms: float = 0.0
+    rows: tuple[Row, ...] = ()
+    detail: str = ""
+
+
 Message = (
     EntryHeartbeat
     | OwnerHeartbeat
@@ -122,6 +153,8 @@
     | AdviceAnswer
     | WriteRequest
     | WriteAnswer
+    | CommitRequest
+    | CommitAnswer
 )
 
 # Messages that may be dropped: a later one replaces them, or another path carries them too.
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -13,13 +13,16 @@
 
 from lavenderstall.clocks import Clock
 from lavenderstall.errors import PeerUnavailableError
-from lavenderstall.identifiers import EntryId, JobId
+from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.links import NngLinks
+from lavenderstall.pools.claims import OwnerEvidence
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.messages import (
     AdviceAnswer,
     AdviceRequest,
     CancelHint,
+    CommitAnswer,
+    CommitRequest,
     JobHint,
     Message,
     OwnerHeartbeat,
@@ -28,13 +31,16 @@
     WriteAnswer,
     WriteRequest,
 )
-from lavenderstall.pools.records import Presence
+from lavenderstall.pools.ports import Transaction
+from lavenderstall.pools.records import OwnerRow, Presence
 from lavenderstall.pools.work import JobState, PoolName
 
 logger = logging.getLogger(__name__)
 
 # A peer or owner is live if heard within this time.
 LIVENESS_TIMEOUT_S = 0.8
+# An owner is active if heard within this time, two heartbeats.
+OWNER_TIMEOUT_S = 0.55
 # An instance is isolated if it hears no peer of another zone for this long.
 ISOLATION_TIMEOUT_S = 0.8
 # If no instance of a zone is heard for this long, two heartbeats, its workers may be cut off.
@@ -74,6 +80,7 @@
 
     zone: str
     cpu_capacity: float = 1.0
+    incarnation: Incarnation = Incarnation("")
     last_contact_at: float = -1.0
     draining: bool = False
     unanswered_requests: int = 0
@@ -150,8 +157,30 @@
         return {pool: state.term for pool, state in self.owners.items()}
 
     def is_owner_active(self, pool: PoolName) -> bool:
-        """Tell whether the owner of a pool is live and reaches the store."""
-        return self.get_live_owner(pool) is not None and not self.owners[pool].store_lost
+        """Tell whether the owner of a pool is heard and reaches the store."""
+        return (
+            self.get_live_owner(pool) is not None
+            and not self.is_owner_unheard(pool)
+            and not self.owners[pool].store_lost
+        )
+
+    def is_owner_unheard(self, pool: PoolName) -> bool:
+        """Tell whether the heartbeats of a known owner have stopped."""
+        known = self.owners.get(pool)
+        return known is not None and self._read_uptime() - known.last_contact_at > OWNER_TIMEOUT_S
+
+    def find_owner_evidence(self, pool: PoolName, owner: OwnerRow) -> OwnerEvidence:
+        """Return what is known of the process that an owner row names."""
+        if self.is_disconnected(owner.entry):
+            return OwnerEvidence.ENDED
+        known = self.owners.get(pool)
+        heard_before = known is not None and known.term == owner.term
+        if heard_before and self.is_owner_unheard(pool):
+            return OwnerEvidence.SUSPECTED
+        state = self.peers.get(owner.entry)
+        if state is not None and state.incarnation not in {"", owner.incarnation}:
+            return OwnerEvidence.SUSPECTED
+        return OwnerEvidence.NONE
 
     def is_disconnected(self, peer: EntryId) -> bool:
         """Tell whether the connection to a peer was lost and not restored in time."""
@@ -229,6 +258,7 @@
             peer: state.cpu_capacity
             for peer, state in self.peers.items()
             if peer != self.entry
+            and not state.draining
             and (state.last_contact_at < 0 or state.last_contact_at > limit)
             and not self.is_disconnected(peer)
         }
@@ -344,6 +374,12 @@
         answer: WriteAnswer | None = await self._request(peer, message, WRITE_TIMEOUT_S)
         return Presence(answer.outcome) if answer else Presence.UNKNOWN
 
+    async def request_commit(self, peer: EntryId, transaction: Transaction) -> CommitAnswer | None:
+        """Ask a peer to commit a transaction; returns none without an answer."""
+        message = CommitRequest(next(self._request_numbers), transaction)
+        answer: CommitAnswer | None = await self._request(peer, message, WRITE_TIMEOUT_S)
+        return answer
+
     async def request_advice(
         self, peer: EntryId, request: RequestAdvice, timeout_s: float
     ) -> AdviceAnswer | None:
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -8,19 +8,22 @@
 
 from twisted.internet.task import Clock
 
-from lavenderstall.identifiers import EntryId
+from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.pools.claims import OwnerEvidence
 from lavenderstall.pools.messages import OwnerHeartbeat
 from lavenderstall.pools.peers import (
     CLAIMANT_TIMEOUT_S,
     HEARTBEAT_PEERS,
     ISOLATION_TIMEOUT_S,
     LIVENESS_TIMEOUT_S,
+    OWNER_TIMEOUT_S,
     RECONNECT_TIMEOUT_S,
     STRONGER_CAPACITY_FACTOR,
     ZONE_TIMEOUT_S,
     PeerState,
     PeerTracker,
 )
+from lavenderstall.pools.records import OwnerRow
 from lavenderstall.pools.work import PoolName
 
 POOL = PoolName("routing")
@@ -204,6 +207,33 @@
         self.hear("e1")
         self.assertEqual(set(self.peers.get_claimant_capacities()), {"e1", "e9"})
 
+    def test_an_owner_is_suspected_without_heartbeats_or_with_a_new_process(self) -> None:
+        rows = (
+            # Seconds since its heartbeat, incarnation in its entry row, evidence.
+            (0.1, "i1", OwnerEvidence.NONE),
+            (OWNER_TIMEOUT_S + 0.1, "i1", OwnerEvidence.SUSPECTED),
+            (0.1, "i2", OwnerEvidence.SUSPECTED),
+            (0.1, "", OwnerEvidence.NONE),
+        )
+        owner = OwnerRow(EntryId("e2"), Incarnation("i1"), 4)
+        for passed_s, incarnation, evidence in rows:
+            with self.subTest(passed_s=passed_s, incarnation=incarnation):
+                self.setUp()
+                self.peers.record_owner(EntryId("e2"), OwnerHeartbeat(POOL, 4, {}))
+                self.peers.peers[EntryId("e2")].incarnation = Incarnation(incarnation)
+                self.now += passed_s
+                self.assertEqual(self.peers.find_owner_evidence(POOL, owner), evidence)
+
+    def test_silence_of_an_earlier_owner_says_nothing_of_the_present_one(self) -> None:
+        self.peers.record_owner(EntryId("e2"), OwnerHeartbeat(POOL, 4, {}))
+        self.now += OWNER_TIMEOUT_S + 0.1
+        owner = OwnerRow(EntryId("e3"), Incarnation("i1"), 5)
+        self.assertEqual(self.peers.find_owner_evidence(POOL, owner), OwnerEvidence.NONE)
+
+    def test_draining_instances_claim_no_pools(self) -> None:
+        self.hear("e2", draining=True)
+        self.assertNotIn("e2", self.peers.get_claimant_capacities())
+
 
 if __name__ == "__main__":
     unittest.main()
