Commit through a peer while the store turns the owner away

Change: a commit that the store rejects, or leaves unanswered, is sent to a peer that reaches it, under the same conditions; at most one attempt can be applied. An owner that commits through peers for 0.6 s releases its pool, so that an instance with feeds and registry takes over with complete records.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -23,6 +23,7 @@
     OwnershipSnapshot,
     get_claim_rank,
 )
+from lavenderstall.pools.commit_relay import CommitRelay, answer_commit
 from lavenderstall.pools.coroutines import gather, launch
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.job_requests import JobRequestHandler
@@ -30,6 +31,8 @@
     AdviceAnswer,
     AdviceRequest,
     CancelHint,
+    CommitAnswer,
+    CommitRequest,
     EntryHeartbeat,
     JobHint,
     OwnerHeartbeat,
@@ -80,6 +83,8 @@
 # Timeouts of writes to the store when a pool is released at shutdown or handed over.
 SHUTDOWN_TIMEOUT_S = 3.0
 HANDOVER_TIMEOUT_S = 1.0
+# An owner whose commits go through peers hands its pools over after this long without the store.
+HANDOVER_DELAY_S = 0.6
 # Interval at which an instance rewrites its row, so that peers keep it.
 RECORD_INTERVAL_S = 10.0
 RETRY_DELAY_S = 0.5
@@ -302,6 +307,8 @@
         self._send_heartbeats()
         if self.owned_pools and self.peers.is_isolated() and not self._store.is_lost():
             self._hand_over_pools("isolated from other zones")
+        elif self._store.get_lost_s() > HANDOVER_DELAY_S and self.peers.choose_write_proxies():
+            self._hand_over_pools("peers reach the store, this instance does not")
         elif self.owned_pools and self.peers.has_stronger_idle_peer(self.identity.cpu_capacity):
             self._hand_over_pools("an instance with more CPU capacity owns no pool")
         await sleep(self._clock, HEARTBEAT_INTERVAL_S)
@@ -311,7 +318,8 @@
         lost = self._store.is_lost()
         for name, owner in self.owned_pools.items():
             pending = encode_pending_counts(owner.pool.count_pending())
-            owner_heartbeat = OwnerHeartbeat(name, owner.pool.term, pending, lost)
+            cannot_commit = lost and not owner.writer.has_recent_commit()
+            owner_heartbeat = OwnerHeartbeat(name, owner.pool.term, pending, cannot_commit)
             self._dependencies.links.broadcast(owner_heartbeat)  # type: ignore[arg-type]
             self.peers.record_owner(self.identity.entry, owner_heartbeat)
         for entry in self.peers.list_heartbeat_recipients():
@@ -442,6 +450,7 @@
             dependencies.read_uptime,
             self.metrics,
             claim.sent_at,
+            CommitRelay(self.peers, self.metrics),
         )
         owner = PoolOwner(
             pool,
@@ -581,6 +590,14 @@
         )
         self.peers.send(sender, WriteAnswer(message.request_id, outcome.value))
 
+    @handle.register
+    def _(self, message: CommitRequest, sender: EntryId) -> None:
+        launch(self._answer_commit(message, sender))
+
+    async def _answer_commit(self, message: CommitRequest, sender: EntryId) -> None:
+        self.peers.send(sender, await answer_commit(self._store, message))
+
+    @handle.register(CommitAnswer)
     @handle.register(StateAnswer)
     @handle.register(AdviceAnswer)
     @handle.register(WriteAnswer)
--- a/lavenderstall/pools/monitored_store.py
+++ b/lavenderstall/pools/monitored_store.py
@@ -52,6 +52,10 @@
         """Return how long the store has been reachable, in seconds; 0 while it is lost."""
         return 0.0 if self.is_lost() else self._read_uptime() - self._recovered_at
 
+    def get_lost_s(self) -> float:
+        """Return for how long the store has been lost, in seconds; 0 while it is reachable."""
+        return self.get_outage_s() if self.is_lost() else 0.0
+
     def get_outage_s(self) -> float:
         """Return the time since the last answer, in seconds."""
         return self._read_uptime() - self._answered_at
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -12,6 +12,7 @@
 )
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
+from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
 from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
@@ -45,6 +46,10 @@
 
 # Interval between renewals of the owner row.
 RENEW_INTERVAL_S = 0.25
+# A commit that isn't answered for this long is attempted through a peer too.
+MIN_RELAY_DELAY_S = 0.2
+# An owner that confirmed its ownership within this time can commit.
+RECENT_COMMIT_S = 0.6
 # The time after which an owner may be replaced includes this many typical commit durations.
 EXPIRY_COMMIT_FACTOR = 5.0
 # Each job needs a condition and a write; the store accepts 100 entries per transaction.
@@ -76,10 +81,12 @@
         read_uptime: Callable[[], float],
         metrics: Metrics,
         sent_at: float,
+        relay: CommitRelay,
     ) -> None:
         self._store = store
         self._clock = clock
         self._pool = pool
+        self._relay = relay
         self._owner = owner
         self._version = version
         self._read_uptime = read_uptime
@@ -100,6 +107,10 @@
         """Tell whether the store has confirmed the release of the pool."""
         return self.releasing and self._owner.released and self._unanswered_since < 0
 
+    def has_recent_commit(self) -> bool:
+        """Tell whether the ownership was confirmed lately, by the store or through a peer."""
+        return self._read_uptime() - self.confirmed_at < RECENT_COMMIT_S
+
     def get_store_outage(self) -> float:
         """Return for how many seconds no transaction was answered, 0 if the last one was."""
         if self._unanswered_since < 0:
@@ -178,8 +189,15 @@
         return batch
 
     async def _commit(self, transaction: Transaction) -> Committed:
-        """Commit a transaction; the owner row that it writes shows whether it was applied."""
-        return await commit_and_verify(self._store, self._clock, transaction, self._find_own_commit)
+        """Commit a transaction; the owner row that it writes shows whether it was applied.
+
+        Peers commit it if the store turns this instance away.
+        """
+        if self._store.is_lost() and self._relay.is_available():
+            return await self._relay.commit(transaction)
+        direct = commit_and_verify(self._store, self._clock, transaction, self._find_own_commit)
+        delay_s = max(MIN_RELAY_DELAY_S, self._store.get_commit_wait_s())
+        return await HedgedCommit(self._clock, direct, self._relay, transaction, delay_s).outcome
 
     async def _find_own_commit(self) -> Committed | None:
         """Return the result of the last transaction if its owner row is in the store."""
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -51,12 +51,16 @@
 
 
 class FakeHttpClient:
-    """HTTP client of one instance; `unreachable` holds the addresses that it can't reach."""
+    """HTTP client of one instance.
+
+    `unreachable` holds the addresses that it can't reach; with `turned_away` the store rejects it.
+    """
 
     def __init__(self, platform: FakePlatform, clock: PausableClock) -> None:
         self._platform = platform
         self._clock = clock
         self.unreachable: set[str] = set()
+        self.turned_away = False
 
     def request(
         self,
@@ -125,7 +129,7 @@
         platform = self._platform
         if platform.store_mode == "silent":
             return
-        if platform.store_mode == "busy":
+        if platform.store_mode == "busy" or self.turned_away:
             self._reply(answer, 503, {})
             return
         status, found = platform.serve_store(path, query, body)
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -1,6 +1,8 @@
 """Tests of whole cells on the fake platform under faults."""
 
 import unittest
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from hypothesis import given, settings
@@ -11,8 +13,9 @@
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
 from lavenderstall.pools.records import Presence
 from lavenderstall.pools.work import JobState
+from lavenderstall.pools.writer import RENEW_INTERVAL_S
 from tests.platform.fake_platform import STORE
-from tests.platform.simulated_cell import POOLS, SimulatedCell
+from tests.platform.simulated_cell import POOLS, STEP_S, SimulatedCell
 
 STEP = {"count": 3, "cpu": 2000, "taskMemoryMb": 500, "estimatedDurationMs": 400}
 NEXT = {"count": 2, "cpu": 1000, "taskMemoryMb": 500, "estimatedDurationMs": 300, "after": [0]}
@@ -51,6 +54,27 @@
         node.http_client.unreachable.add(address)
 
 
+def measure_ownership_gaps(
+    cell: SimulatedCell, pool: str, inject: Callable[[], None], seconds: float
+) -> list[float]:
+    """Return how long the store held no recent renewal, each time, after a fault is injected."""
+    inject()
+    started_at = cell.clock.seconds()
+    gaps, confirmed_at = [0.0], started_at
+    while cell.clock.seconds() < started_at + seconds:
+        cell.run(STEP_S)
+        now = cell.clock.seconds()
+        if any(
+            pool in node.instance.owned_pools
+            and now - node.instance.owned_pools[pool].writer.confirmed_at < 2 * RENEW_INTERVAL_S
+            for node in cell.nodes.values()
+            if not node.clock.frozen
+        ):
+            confirmed_at = now
+        gaps.append(now - confirmed_at)
+    return gaps
+
+
 class FaultFreeTest(unittest.TestCase):
     """A cell without faults."""
 
@@ -125,6 +149,47 @@
                 self.assertEqual((checker.violations, checker.list_unfinished()), ([], []))
                 self.assertEqual(checker.starts, 6)
 
+    def test_the_time_without_an_owner_is_bounded(self) -> None:
+        def freeze(cell: SimulatedCell, owner: str) -> None:
+            cell.freeze(owner)
+
+        def kill(cell: SimulatedCell, owner: str) -> None:
+            cell.kill(owner)
+
+        def isolate(cell: SimulatedCell, owner: str) -> None:
+            isolate_zone(cell, cell.get_zone(owner))
+
+        def turn_away(cell: SimulatedCell, owner: str) -> None:
+            cell.nodes[owner].http_client.turned_away = True
+
+        def silence_store(cell: SimulatedCell, owner: str) -> None:
+            cell.nodes[owner].http_client.unreachable.add(STORE)
+
+        for fault, limit_s in (
+            (freeze, 2.0),
+            (kill, 2.0),
+            (isolate, 2.0),
+            (turn_away, 0.7),
+            (silence_store, 0.7),
+        ):
+            with self.subTest(fault=fault.__name__):
+                cell = SimulatedCell(9, 4, zones=3)
+                cell.run(6.0)
+                owner = cell.find_owner("routing")
+                assert owner is not None
+                inject = partial(fault, cell, owner)
+                gaps = measure_ownership_gaps(cell, "routing", inject, 5.0)
+                self.assertLessEqual(max(gaps), limit_s)
+
+    def test_a_pool_has_an_owner_soon_after_all_instances_have_restarted(self) -> None:
+        cell = start_cell(6)
+        for name in list(cell.nodes):
+            cell.kill(name)
+        cell.run(1.5)
+        for name in (f"entry-{number}" for number in range(6)):
+            cell.start(name)
+        self.assertTrue(cell.run_until(lambda: cell.find_owner("routing") is not None, 0.5))
+
     def test_a_claim_made_before_the_configuration_is_read_starts_jobs(self) -> None:
         cell = start_cell()
         cell.submit("entry-0", "routing", make_name(1), [dict(STEP)])
--- /dev/null
+++ b/tests/pools/test_commit_relay.py
@@ -0,0 +1,98 @@
+"""Tests of commits through peers."""
+
+import unittest
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from lavenderstall.metrics import Metrics
+from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
+from lavenderstall.pools.ports import Committed, Condition, Put, RowConflictError, Transaction
+from tests.pools.commit_peers import FakeCommitPeers
+from tests.pools.rowstore import FakeRowStore
+
+TRANSACTION = Transaction("p", (Condition("t", "k", 0),), (Put("t", "k", b"v"),))
+DELAY_S = 0.2
+
+
+class HedgedCommitTest(unittest.TestCase):
+    """Outcomes of a commit whose direct attempt fails, is slow or gets no answer."""
+
+    def setUp(self) -> None:
+        """Make a store that two instances use."""
+        self.clock = Clock()
+        self.rows = FakeRowStore()
+        self.peers = FakeCommitPeers(self.rows)
+        self.peers.reached = True
+        self.direct: Deferred[Committed] = Deferred()
+        self.outcomes: list[Any] = []
+
+    def commit(self) -> None:
+        """Commit, with a direct attempt that the test answers."""
+
+        async def wait() -> Committed:
+            return await self.direct
+
+        relay = CommitRelay(self.peers, Metrics())
+        hedged = HedgedCommit(self.clock, wait(), relay, TRANSACTION, DELAY_S)
+        hedged.outcome.addCallbacks(
+            self.outcomes.append, lambda failure: self.outcomes.append(failure.type)
+        )
+
+    def test_a_peer_commits_if_the_store_turns_the_instance_away_or_is_silent(self) -> None:
+        for turned_away in (True, False):
+            with self.subTest(turned_away=turned_away):
+                self.setUp()
+                self.commit()
+                if turned_away:
+                    self.direct.errback(StoreUnavailableError("busy", step="commit"))
+                else:
+                    self.clock.advance(DELAY_S)
+                self.assertEqual([type(each) for each in self.outcomes], [Committed])
+                self.assertEqual(len(self.rows.rows), 1)
+
+    def test_a_quick_answer_costs_no_second_attempt(self) -> None:
+        self.commit()
+        self.direct.callback(Committed(3, 5.0))
+        self.clock.advance(1.0)
+        self.assertEqual((self.outcomes, self.peers.requests), ([Committed(3, 5.0)], 0))
+
+    def test_failures_are_reported_as_the_worst_of_both_attempts(self) -> None:
+        rows: tuple[tuple[bool, bool, type], ...] = (
+            # Direct attempt unknown, answer of the peer lost, error.
+            (False, False, StoreUnavailableError),
+            (True, False, StoreOutcomeUnknownError),
+            (False, True, StoreOutcomeUnknownError),
+            (True, True, StoreOutcomeUnknownError),
+        )
+        for unknown, lost, error in rows:
+            with self.subTest(unknown=unknown, lost=lost):
+                self.setUp()
+                self.rows.unavailable = True
+                self.peers.answers = not lost
+                self.commit()
+                self.clock.advance(DELAY_S)
+                self.assertEqual(self.outcomes, [])
+                kind = StoreOutcomeUnknownError if unknown else StoreUnavailableError
+                self.direct.errback(kind("failed", step="commit"))
+                self.assertEqual(self.outcomes, [error])
+
+    def test_the_second_attempt_conflicts_if_the_first_was_applied(self) -> None:
+        self.rows.apply(TRANSACTION)
+        self.commit()
+        self.clock.advance(DELAY_S)
+        self.assertEqual(self.outcomes, [RowConflictError])
+
+    def test_an_instance_without_peers_waits_for_its_own_attempt(self) -> None:
+        self.peers.reached = False
+        self.commit()
+        self.clock.advance(DELAY_S)
+        self.assertEqual(self.outcomes, [])
+        self.direct.errback(StoreUnavailableError("busy", step="commit"))
+        self.assertEqual(self.outcomes, [StoreUnavailableError])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -16,6 +16,7 @@
     get_old_run_lifetime_s,
     has_complete_records,
 )
+from lavenderstall.pools.commit_relay import CommitRelay
 from lavenderstall.pools.effects import RunEnd, RunStatus
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
@@ -36,6 +37,7 @@
 from lavenderstall.pools.work import EndCause, JobState, Task
 from lavenderstall.pools.writer import OwnershipLostError, OwnerWriter
 from tests.pools.builders import JOB, POOL, Bench, make_entry, make_job, make_step
+from tests.pools.commit_peers import FakeCommitPeers
 from tests.pools.rowstore import FakeRowStore
 
 ENTRY = make_entry("w1")
@@ -51,6 +53,7 @@
         self.uptime = 100.0
         self.claimer = Claimer(rows, EntryId(name), Incarnation(name), lambda: self.uptime)
         self.bench = Bench()
+        self.peers = FakeCommitPeers(rows)
         claim = self.claim()
         assert claim is not None
         self.writer = OwnerWriter(
@@ -63,6 +66,7 @@
             lambda: self.uptime,
             Metrics(),
             claim.sent_at,
+            CommitRelay(self.peers, Metrics()),
         )
 
     def claim(self) -> Claim | None:
