Start tasks without waiting for their record while the store is slow

Cause: a start waits until its run is recorded.

Change: after a commit of more than 0.15 s the owner row says that runs may be in no record; once that is durable, starts on workers of the durable roster are sent at once, until commits take less than 0.06 s on average. A successor then waits for the reports of these workers, as it does after a long outage. The duration of a commit is counted from before its call.

--- a/lavenderstall/pools/monitored_store.py
+++ b/lavenderstall/pools/monitored_store.py
@@ -70,8 +70,9 @@
 
     def commit(self, transaction: Transaction) -> "Deferred[Committed]":
         """Apply a transaction atomically."""
+        sent_at = self._read_uptime()
         call = self._track(self._store.commit(transaction), 0.0)
-        return call.addCallback(self._record_duration, self._read_uptime())
+        return call.addCallback(self._record_duration, sent_at)
 
     def read(
         self, table: str, partition: str, start_key: str = "", limit: int = 0
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -333,11 +333,21 @@
             started = self._read_uptime()
             self.dispatcher.dispatch(*self._count_idle_advisers())
             self._metrics.record("dispatch", self._read_uptime() - started)
-            if self.writer.get_store_outage() > UNRECORDED_START_DELAY_S and self._is_store_down():
-                self.pool.recorder.send_unrecorded_starts()
+            if self._may_start_unrecorded():
+                self.pool.recorder.send_unrecorded_starts(self.writer.list_roster())
         self._execute_effects()
         self._worker_poller.poll_workers()
 
+    def _may_start_unrecorded(self) -> bool:
+        """Tell whether starts need not wait until their runs are recorded.
+
+        The owner row says so while the store is slow. While it is down for all instances, nobody
+        can take the pool over before its records count as incomplete.
+        """
+        if self.writer.may_start_unrecorded():
+            return True
+        return self.writer.get_store_outage() > UNRECORDED_START_DELAY_S and self._is_store_down()
+
     def _execute_effects(self) -> None:
         for effect in self.pool.pop_effects():
             if isinstance(effect, RequestAdvice):
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -115,11 +115,19 @@
             if command.task.job in self._pool.jobs:
                 self.defer_start(command)
 
-    def send_unrecorded_starts(self) -> None:
-        """Send the pending starts although their runs aren't recorded."""
-        pending, self._pending_starts = self._pending_starts, {}
-        self._unrecorded_jobs.update(pending)
-        self._send_starts(chain.from_iterable(pending.values()))
+    def send_unrecorded_starts(self, listed_workers: Collection[WorkerKey]) -> None:
+        """Send pending starts on workers that the durable roster lists, without recording them.
+
+        The next owner learns of their runs from these workers alone.
+        """
+        sendable = [
+            job
+            for job, starts in self._pending_starts.items()
+            if all(start.worker in listed_workers for start in starts)
+        ]
+        self._unrecorded_jobs.update(sendable)
+        starts = [start for job in sendable for start in self._pending_starts.pop(job)]
+        self._send_starts(starts)
 
     def _send_starts(self, commands: Iterable[StartRun]) -> None:
         for command in commands:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -14,6 +14,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
 from lavenderstall.pools.commits import commit_and_verify
+from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
@@ -48,6 +49,9 @@
 RENEW_INTERVAL_S = 0.25
 # A commit that isn't answered for this long is attempted through a peer too.
 MIN_RELAY_DELAY_S = 0.2
+# After a commit slower than this, starts don't wait for commits until these are fast on average.
+SLOW_COMMIT_S = 0.15
+FAST_COMMIT_S = 0.06
 # An owner that confirmed its ownership within this time can commit.
 RECENT_COMMIT_S = 0.6
 # The time after which an owner may be replaced includes this many typical commit durations.
@@ -100,7 +104,11 @@
         # Whether to release the pool in the next transaction that leaves no progress unrecorded.
         self.releasing = False
         self._written_at = 0.0
+        self._last_commit_s = 0.0
         self._unanswered_since = -1.0
+        # Whether the owner row allows unrecorded runs: as last built, and as last made durable.
+        self._announces_unrecorded = False
+        self._may_start_unrecorded = False
 
     @property
     def released(self) -> bool:
@@ -234,12 +242,33 @@
         self._owner.expiry_ms = (
             BASE_EXPIRY_MS + EXPIRY_COMMIT_FACTOR * 1000 * self._store.get_mean_commit_s()
         )
-        self._owner.unrecorded = self._pool.has_unrecorded(batch.progress)
+        self._announces_unrecorded = self._is_store_slow() and not self.releasing
+        if not self._announces_unrecorded:
+            self._may_start_unrecorded = False
+        self._owner.unrecorded = self._announces_unrecorded or self._pool.has_unrecorded(
+            batch.progress
+        )
         return Put(OWNERS, OWNER_KEY, encode(self._owner))
 
+    def _is_store_slow(self) -> bool:
+        """Tell whether commits take so long that starts should not wait for them."""
+        if self._announces_unrecorded:
+            return self._store.get_mean_commit_s() > FAST_COMMIT_S
+        return self._last_commit_s > SLOW_COMMIT_S
+
+    def may_start_unrecorded(self) -> bool:
+        """Tell whether the store's owner row says that runs may not be recorded."""
+        return self._may_start_unrecorded and not self.releasing
+
+    def list_roster(self) -> frozenset[WorkerKey]:
+        """Return the workers that the durable roster row lists."""
+        return frozenset(WorkerKey(entry.id, entry.incarnation) for entry in self._roster)
+
     def _note_success(self, now: float, transaction: Transaction, committed: Committed) -> None:
         self.confirmed_at = now
         self._written_at = now
+        self._last_commit_s = self._read_uptime() - now
+        self._may_start_unrecorded = self._announces_unrecorded
         self._store_clock_ms = committed.store_clock_ms
         self._store_clock_read_at = self._read_uptime()
         self._metrics.record("commit", self._store_clock_read_at - now)
--- a/tests/pools/rowstore.py
+++ b/tests/pools/rowstore.py
@@ -1,5 +1,7 @@
 """In-memory row store with fault injection."""
 
+from collections.abc import Callable
+
 from twisted.internet.defer import Deferred, fail, succeed
 
 from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
@@ -27,10 +29,13 @@
         self.oldest_version = 0
         self.changed_rows: list[Row] = []
         self.commits = 0
+        # Called in each commit, to let time pass.
+        self.advance: Callable[[], None] = lambda: None
 
     def commit(self, transaction: Transaction) -> Deferred[Committed]:
         """Apply a transaction atomically."""
         self.commits += 1
+        self.advance()
         if self.unavailable:
             return fail(StoreUnavailableError("store is unavailable", step="commit"))
         if self.defer_writes:
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -1,6 +1,7 @@
 """Tests of an owner's writes and of pool claims."""
 
 import unittest
+from functools import partial
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -35,7 +36,7 @@
 )
 from lavenderstall.pools.takeover import Takeover
 from lavenderstall.pools.work import EndCause, JobState, Task
-from lavenderstall.pools.writer import OwnershipLostError, OwnerWriter
+from lavenderstall.pools.writer import SLOW_COMMIT_S, OwnershipLostError, OwnerWriter
 from tests.pools.builders import JOB, POOL, Bench, make_entry, make_job, make_step
 from tests.pools.commit_peers import FakeCommitPeers
 from tests.pools.rowstore import FakeRowStore
@@ -96,6 +97,10 @@
         if batch is not None:
             self.bench.pool.recorder.note_recorded(batch)
 
+    def spend(self, seconds: float) -> None:
+        """Let time pass during a call."""
+        self.uptime += seconds
+
     def finish_task(self, index: int, seq: int) -> None:
         """Report that a task of the job has run and is done."""
         task = Task(JOB, 0, 0, index)
@@ -326,13 +331,44 @@
         rows = FakeRowStore()
         owner = make_owner(rows)
         owner.bench.dispatcher.dispatch(1, 1)
-        owner.bench.pool.recorder.send_unrecorded_starts()
+        owner.bench.pool.recorder.send_unrecorded_starts(owner.writer.list_roster())
         self.assertTrue(owner.bench.pool.has_unrecorded(()))
         owner.step()
         self.assertFalse(owner.bench.pool.has_unrecorded(()))
         (recorded,) = decode_progress(rows.rows[PROGRESS, POOL, JOB].value).steps["0.0"].runs
         self.assertEqual(len(recorded.runs), 3)
 
+    def test_a_slow_store_is_told_that_runs_may_not_be_recorded(self) -> None:
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        # Duration of a commit, number of commits, announced in the row, starts may go ahead.
+        table = (
+            (0.02, 1, False),
+            (SLOW_COMMIT_S + 0.2, 1, False),
+            (SLOW_COMMIT_S + 0.2, 1, True),
+            (0.02, 1, True),
+            (0.02, 20, False),
+        )
+        for duration_s, commits, announced in table:
+            with self.subTest(duration_s=duration_s, commits=commits):
+                for _ in range(commits):
+                    rows.advance = partial(owner.spend, duration_s)
+                    owner.step()
+                row = decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value)
+                self.assertEqual(row.unrecorded, announced)
+                self.assertEqual(owner.writer.may_start_unrecorded(), announced)
+
+    def test_starts_go_ahead_only_on_workers_of_the_durable_roster(self) -> None:
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        owner.bench.register(ENTRY, make_entry("w2"))
+        owner.bench.dispatcher.dispatch(1, 1)
+        recorder = owner.bench.pool.recorder
+        for roster, sent in ((frozenset(), 0), (owner.writer.list_roster(), 3)):
+            with self.subTest(roster=roster):
+                recorder.send_unrecorded_starts(roster)
+                self.assertEqual(len(owner.bench.pool.pop_effects()), sent)
+
     def test_a_released_pool_is_claimable_at_once(self) -> None:
         rows = FakeRowStore()
         owner = make_owner(rows)
