Send no start if the ownership ran out during a pause

Workers that the successor has polled refuse them; one that it cannot reach would have run them beside the successor's.

Change: after a commit and before each queued start the owner checks that its ownership is confirmed; if not, the starts wait for the next commit.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -104,7 +104,13 @@
         self._cancels_version = 0
         self._shards = list_shards(pool.name)
         self._commands = CommandSender(
-            pool, workers, read_uptime, metrics, self._handle_worker_answer, self.check_fenced
+            pool,
+            workers,
+            read_uptime,
+            metrics,
+            self._handle_worker_answer,
+            self.check_fenced,
+            self.has_confirmed_ownership,
         )
         self._worker_poller = WorkerPoller(self, workers, clock, read_uptime, metrics)
         self.running = False
@@ -356,8 +362,14 @@
                 self._commands.send(effect)
 
     def _handle_commit(self, batch: ProgressBatch) -> None:
-        """Execute effects and resume polls that waited for a commit."""
+        """Execute effects and resume polls that waited for a commit.
+
+        After a pause of this process the ownership may be over, although the commit succeeded.
+        """
         self.update_time()
+        if not self.has_confirmed_ownership():
+            self.pool.recorder.requeue(batch)
+            return
         self.pool.recorder.note_recorded(batch)
         self._execute_effects()
         self._worker_poller.resume_after_commit()
--- a/lavenderstall/pools/worker_commands.py
+++ b/lavenderstall/pools/worker_commands.py
@@ -36,6 +36,7 @@
         metrics: Metrics,
         note_change: Callable[[], None],
         check_refusal: Callable[[Refusal], bool],
+        may_start: Callable[[], bool],
     ) -> None:
         self._pool = pool
         self._client = client
@@ -43,6 +44,7 @@
         self._metrics = metrics
         self._note_change = note_change
         self._check_refusal = check_refusal
+        self._may_start = may_start
         self._queued: dict[WorkerKey, deque[StartRun]] = {}
         self._in_flight: dict[WorkerKey, int] = {}
 
@@ -75,7 +77,13 @@
 
     async def _start(self, command: StartRun) -> None:
         worker = self._pool.workers.get(command.worker)
-        if worker is not None:
+        if worker is not None and not self._may_start():
+            # The process may have been paused while the start was queued.
+            logger.info(
+                "start not sent: ownership isn't confirmed", extra={"job": command.task.job}
+            )
+            self._pool.note_refused(command.worker, command.task, command.number, NOT_SENT)
+        elif worker is not None:
             started_at = self._read_uptime()
             try:
                 answer = await self._client.start(worker.entry, self._pool.term, command)
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -10,12 +10,13 @@
 from twisted.internet.defer import Deferred
 
 from adapter.store import COMMIT_TIMEOUT_S
-from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
+from lavenderstall.pools.owner import OWNERSHIP_TIMEOUT_S, UNRECORDED_START_DELAY_S
 from lavenderstall.pools.records import Presence
-from lavenderstall.pools.work import JobState
+from lavenderstall.pools.work import JobState, PoolName, QueueName
 from lavenderstall.pools.writer import RENEW_INTERVAL_S
 from tests.platform.fake_platform import STORE
 from tests.platform.simulated_cell import POOLS, STEP_S, SimulatedCell
+from tests.pools.builders import make_job, make_step
 
 STEP = {"count": 3, "cpu": 2000, "taskMemoryMb": 500, "estimatedDurationMs": 400}
 NEXT = {"count": 2, "cpu": 1000, "taskMemoryMb": 500, "estimatedDurationMs": 300, "after": [0]}
@@ -405,6 +406,24 @@
         self.assertEqual(outcome, [Presence.PRESENT])
         self.assertEqual(cell.platform.checker.list_unfinished(), [])
 
+    def test_a_commit_handled_after_a_pause_sends_no_starts(self) -> None:
+        for paused_s, sent in ((0.0, True), (OWNERSHIP_TIMEOUT_S + 0.1, False)):
+            with self.subTest(paused_s=paused_s):
+                cell = SimulatedCell(3, 4, advice=False)
+                cell.run(3.0)
+                name = cell.find_owner("routing")
+                assert name is not None
+                owner = cell.nodes[name].instance.owned_pools[PoolName("routing")]
+                recorder = owner.pool.recorder
+                owner.add_job(make_job(make_step(3), queue=QueueName("q-routing")))
+                owner.dispatcher.dispatch(1, 1)
+                batch = recorder.take_batch(10)
+                owner.writer.confirmed_at -= paused_s
+                owner._handle_commit(batch)
+                runs = [run for w in owner.pool.workers.values() for run in w.runs.values()]
+                self.assertEqual({run.start_sent for run in runs}, {sent})
+                self.assertEqual(recorder.is_urgent(), not sent)
+
     def test_tables_are_read_again_after_the_change_history_is_lost(self) -> None:
         cell = start_cell()
         cell.platform.oldest = cell.platform.version + 1
--- a/tests/pools/test_worker_commands.py
+++ b/tests/pools/test_worker_commands.py
@@ -41,6 +41,7 @@
         self.bench = Bench(FIRST, make_entry("w2", capacity=FIRST.capacity))
         self.bench.pool.set_workers([FIRST])
         self.fenced: list[Refusal] = []
+        self.owned = True
         self.commands = CommandSender(
             self.bench.pool,
             self.client,  # type: ignore[arg-type]
@@ -48,6 +49,7 @@
             Metrics(),
             lambda: None,
             self.check,
+            lambda: self.owned,
         )
         self.bench.pool.add_job(make_job(make_step(4)))
         for effect in self.bench.dispatch():
@@ -65,6 +67,12 @@
         self.assertEqual(len(self.client.starts), MAX_CONCURRENT_STARTS + 1)
         self.assertGreaterEqual(self.get_run(0).confirmed_at, 0)
 
+    def test_a_start_queued_while_ownership_ran_out_is_not_sent(self) -> None:
+        self.owned = False
+        self.client.starts[0][1].callback(self.bench.clock_ms())
+        self.assertEqual(len(self.client.starts), MAX_CONCURRENT_STARTS)
+        self.assertEqual(self.bench.pool.jobs[JOB].get_step(0, 0).waiting, {3})
+
     def get_run(self, number: int) -> Any:
         """Return the run of the start that was sent at this position."""
         command = self.client.starts[number][0]
