Keep workers that the registry lost in an outage until it is complete again

Cause: entries of live workers may expire while the store is away and are back within two seconds of its return. The first list after an outage made all workers unusable until then, although they answered polls.

Change: until 2.5 s after an outage a list shows new workers and states, but not that one has left. Workers that do not answer get nothing as before.

Result: the test of an incomplete list fails before the change.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -16,12 +16,12 @@
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
 from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
     HistoryLostError,
     Registry,
     Row,
-    RowStore,
     WorkerClient,
 )
 from lavenderstall.pools.recording import ProgressBatch
@@ -49,6 +49,8 @@
 # recording them. Longer than `claims.COMPLETE_RECORDS_MS` plus the time for a claim to be heard.
 UNRECORDED_START_DELAY_S = 4.0
 REGISTRY_POLL_INTERVAL_S = 0.7
+# Entries of live workers that expired in a store outage are back this long after it.
+REGISTRY_RECOVERY_S = 2.5
 # Interval at which leases, repeated stops and job times are checked.
 REVIEW_INTERVAL_S = 0.1
 # Changes within this time, more than one reactor turn, share a dispatch.
@@ -74,7 +76,7 @@
         self,
         pool: Pool,
         writer: OwnerWriter,
-        store: RowStore,
+        store: MonitoredStore,
         registry: Registry,
         workers: WorkerClient,
         clock: Clock,
@@ -246,7 +248,10 @@
     async def _poll_registry(self) -> None:
         entries = await self._registry.list_workers()
         self.update_time()
-        self.pool.set_workers(entry for entry in entries if entry.pool == self.pool.name)
+        self.pool.set_workers(
+            (entry for entry in entries if entry.pool == self.pool.name),
+            incomplete=self._store.get_available_s() < REGISTRY_RECOVERY_S,
+        )
         self.schedule_dispatch()
         await sleep(self._clock, REGISTRY_POLL_INTERVAL_S)
 
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -205,13 +205,16 @@
 
     # Workers
 
-    def set_workers(self, entries: Iterable[WorkerEntry]) -> None:
-        """Update the workers from the registry's list."""
+    def set_workers(self, entries: Iterable[WorkerEntry], *, incomplete: bool = False) -> None:
+        """Update the workers from the registry's list.
+
+        An incomplete list does not show that a worker has left.
+        """
         listed = {WorkerKey(entry.id, entry.incarnation): entry for entry in entries}
         for key, entry in listed.items():
             self._update_worker(key, entry)
         for key, worker in list(self.workers.items()):
-            worker.registered = key in listed
+            worker.registered = key in listed or (incomplete and worker.registered)
             if not worker.registered and not worker.runs and not self.takeover.awaits_worker(key):
                 self._remove_worker(key)
 
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -276,6 +276,15 @@
         bench.pool.add_job(make_job())
         self.assertEqual(bench.dispatch(), [])
 
+    def test_a_worker_missing_from_an_incomplete_list_is_kept(self) -> None:
+        for incomplete, starts in ((True, 1), (False, 0)):
+            with self.subTest(incomplete=incomplete):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                bench.pool.set_workers([], incomplete=incomplete)
+                found = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                self.assertEqual(len(found), starts)
+
     def test_a_worker_that_is_not_registered_any_more_gets_nothing(self) -> None:
         bench = Bench(FIRST)
         bench.pool.set_workers([])
