Look only at workers with a ticket when placing an advised step

Free capacity was subtracted anew at each look.

Change: advised steps look at workers with tickets; free capacity is kept until a run is added or dropped; without reservations of gangs the list of workers is used as it is. The choice is the same.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -63,11 +63,7 @@
         if step.gang and any(state.active_runs.values()):
             return True
         waiting = sorted((state.waiting | state.copies) - state.progress.done)
-        available_workers = [
-            worker
-            for worker in usable_workers
-            if self._gang_reservations.may_start_on(step, worker)
-        ]
+        available_workers = self._gang_reservations.list_available(step, usable_workers)
         assignments = self._placement.place(waiting_step, waiting, available_workers)
         missing = len(waiting) - len(assignments)
         if not step.gang or not missing:
--- a/lavenderstall/pools/gang_reservations.py
+++ b/lavenderstall/pools/gang_reservations.py
@@ -40,6 +40,12 @@
         ends = self.pool.now + step.expected_ms / 1000 * slowdown
         return not step.long_running and not step.gang and ends <= until
 
+    def list_available(self, step: Step, workers: list[Worker]) -> list[Worker]:
+        """Return the workers on which a task may start."""
+        if not self._reserved_until:
+            return workers
+        return [worker for worker in workers if self.may_start_on(step, worker)]
+
     def reserve(
         self, step_key: StepKey, step: Step, usable_workers: list[Worker], *, advised: bool
     ) -> None:
--- a/lavenderstall/pools/placement.py
+++ b/lavenderstall/pools/placement.py
@@ -70,6 +70,9 @@
     ) -> list[Candidate]:
         """Return the workers that can run a task of a step now, best first."""
         advice = self.pool.advice.get(waiting_step.step_key)
+        if waiting_step.queue.advising is not None:
+            tickets = advice.tickets if advice else {}
+            available_workers = [w for w in available_workers if w.key.id in tickets]
         candidates = []
         for worker in available_workers:
             free_capacity = self.get_unreserved_capacity(worker)
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -54,6 +54,9 @@
         self.key = WorkerKey(entry.id, entry.incarnation)
         self.runs: dict[tuple[Task, int], Run] = {}
         self.used = NOTHING
+        # Free capacity, and the capacity and use that it was calculated from.
+        self._free_capacity = entry.capacity
+        self._free_capacity_of = (entry.capacity, NOTHING)
         self.accepted_term = False
         self.clock_ms = 0.0
         self.clock_at = -1.0
@@ -126,4 +129,8 @@
 
     def get_free_capacity(self) -> Resources:
         """Return the capacity that no run occupies."""
-        return self.entry.capacity.subtract(self.used)
+        capacity, used = self._free_capacity_of
+        if capacity is not self.entry.capacity or used is not self.used:
+            self._free_capacity_of = (self.entry.capacity, self.used)
+            self._free_capacity = self.entry.capacity.subtract(self.used)
+        return self._free_capacity
