Let an unreadable row stop no other job

Cause: one job or progress row that cannot be decoded raised in the load of a pool; the claimant went on renewing an ownership that served nothing. In the feed, the other rows of its page were lost.

Change: such rows are logged, counted and left out; a job whose progress cannot be read is not started, as tasks that are done would run again. An unexpected error in a load releases the pool.

Result: the test with both kinds of rows, with and without a successor.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -415,7 +415,7 @@
         owner.start_renewal()
         try:
             await owner.load()
-        except LavenderstallError:
+        except Exception:
             await owner.release(HANDOVER_TIMEOUT_S)
             raise
         if self.draining or not self._running or not owner.running:
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -1,9 +1,9 @@
 """The owner of a pool: executes the pool's decisions and reports events back to it."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import chain
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -41,6 +41,8 @@
 from lavenderstall.pools.worker_poller import WorkerPoller
 from lavenderstall.pools.writer import OwnershipLostError, OwnerWriter
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 # An owner that has not confirmed its ownership for this long extends no leases.
@@ -133,15 +135,16 @@
         )
         self.writer.note_row_versions(tuple(chain(roster, progress_rows)))
         self._load_roster(roster)
-        progress = {JobId(row.key): decode_progress(row.value) for row in progress_rows}
+        progress = {JobId(row.key): self._decode(row, decode_progress) for row in progress_rows}
         for job, found in progress.items():
-            if found.is_final():
+            if found is not None and found.is_final():
                 self.pool.archive.add(job, JobState(found.state), self.pool.now)
         for row in jobs:
-            if row.key not in self.pool.archive:
-                self.pool.add_job(
-                    decode_job(row.value), progress.get(JobId(row.key)), inherited=True
-                )
+            accepted = self._decode(row, decode_job)
+            # Without its progress, tasks of the job that are done would run again.
+            unreadable = row.key in progress and progress[JobId(row.key)] is None
+            if accepted is not None and not unreadable and row.key not in self.pool.archive:
+                self.pool.add_job(accepted, progress.get(JobId(row.key)), inherited=True)
         for row in cancels:
             self.pool.cancel_job(JobId(row.key))
         logger.info(
@@ -267,16 +270,32 @@
             page = await self._store.poll_changes(JOBS, self._jobs_version, FEED_WAIT_MS)
         except HistoryLostError:
             self._jobs_version = 0
-            for row in await self._read_shards(JOBS):
-                self.add_job(decode_job(row.value))
+            self._add_jobs(await self._read_shards(JOBS))
             return
         self._jobs_version = page.version
         rows = [row for row in page.rows if row.partition in self._shards and row.version]
-        added = [self.add_job(decode_job(row.value)) for row in rows]
+        added = self._add_jobs(rows)
         if rows and not any(added):
             # Job hints of entry instances arrived earlier than the feed.
             await sleep(self._clock, FEED_PAUSE_S)
 
+    def _add_jobs(self, rows: Iterable[Row]) -> list[bool]:
+        """Add the jobs of the readable rows, and tell for each whether it is new."""
+        accepted = (self._decode(row, decode_job) for row in rows)
+        return [self.add_job(job) for job in accepted if job is not None]
+
+    def _decode(self, row: Row, decode: Callable[[bytes], T]) -> T | None:
+        """Decode a row, or log why it can't be read and return none."""
+        try:
+            return decode(row.value)
+        except (msgspec.MsgspecError, ValueError) as error:
+            self._metrics.count("rows_unreadable")
+            logger.error(
+                "unreadable row ignored",
+                extra={"table": row.table, "key": row.key, "error": str(error)},
+            )
+            return None
+
     async def _follow_cancels(self) -> None:
         try:
             page = await self._store.poll_changes(CANCELS, self._cancels_version, FEED_WAIT_MS)
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -11,7 +11,7 @@
 
 from adapter.store import COMMIT_TIMEOUT_S
 from lavenderstall.pools.owner import OWNERSHIP_TIMEOUT_S, UNRECORDED_START_DELAY_S
-from lavenderstall.pools.records import Presence
+from lavenderstall.pools.records import Presence, get_shard
 from lavenderstall.pools.work import JobState, PoolName, QueueName
 from lavenderstall.pools.writer import RENEW_INTERVAL_S
 from tests.platform.fake_platform import STORE
@@ -406,6 +406,25 @@
         self.assertEqual(outcome, [Presence.PRESENT])
         self.assertEqual(cell.platform.checker.list_unfinished(), [])
 
+    def test_unreadable_rows_stop_no_other_job(self) -> None:
+        for table, part in (("jobs", get_shard("routing", make_name(9))), ("progress", "routing")):
+            for successor in (False, True):
+                with self.subTest(table=table, successor=successor):
+                    cell = start_cell()
+                    cell.submit("entry-0", "routing", make_name(9), [dict(LONG)])
+                    cell.run(0.02)
+                    cell.platform.put(table, part, make_name(9), {"state": 7})
+                    if successor:
+                        owner = cell.find_owner("routing")
+                        assert owner is not None
+                        cell.kill(owner)
+                    name = next(iter(cell.nodes))
+                    cell.run(2.0)
+                    cell.submit(name, "routing", make_name(1), [dict(STEP)])
+                    cell.run(4.0)
+                    self.assertEqual(cell.platform.checker.list_unfinished_tasks(make_name(1)), [])
+                    self.assertEqual(cell.platform.checker.violations, [])
+
     def test_a_commit_handled_after_a_pause_sends_no_starts(self) -> None:
         for paused_s, sent in ((0.0, True), (OWNERSHIP_TIMEOUT_S + 0.1, False)):
             with self.subTest(paused_s=paused_s):
