Commit directly too while the store seems lost

While the store is slow it seems lost at times; the owner then committed through a peer alone, which gave no answer within its timeout, and the result was not read back: no commit from 8.7 to 11.0 s. Tickets of the starts that waited ran out, and the jobs were past their worth when they came round again.

Change: each commit is attempted directly, with the result read back; a peer is asked beside it. An owner releases its pool only if a peer has committed for it lately.

--- a/lavenderstall/pools/commit_relay.py
+++ b/lavenderstall/pools/commit_relay.py
@@ -1,7 +1,7 @@
 """Commits through peers, for an owner that the store turns away."""
 
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol, TypeVar
 
 import msgspec
@@ -37,9 +37,14 @@
 class CommitRelay:
     """Commit transactions through a peer; their conditions hold whoever sends them."""
 
-    def __init__(self, peers: CommitPeers, metrics: Metrics) -> None:
+    def __init__(
+        self, peers: CommitPeers, read_uptime: Callable[[], float], metrics: Metrics
+    ) -> None:
         self._peers = peers
+        self._read_uptime = read_uptime
         self._metrics = metrics
+        # When a peer last committed, in seconds of uptime.
+        self.committed_at = float("-inf")
 
     def is_available(self) -> bool:
         """Tell whether a peer reaches the store."""
@@ -55,7 +60,9 @@
         if answer is None:
             raise StoreOutcomeUnknownError("no answer", step="relay commit", peer=peer)
         self._metrics.count(f"commits_relayed_{answer.outcome.value}")
-        return read_answer(answer, peer)
+        committed = read_answer(answer, peer)
+        self.committed_at = self._read_uptime()
+        return committed
 
 
 class HedgedCommit:
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -307,7 +307,9 @@
         self._send_heartbeats()
         if self.owned_pools and self.peers.is_isolated() and not self._store.is_lost():
             self._hand_over_pools("isolated from other zones")
-        elif self._store.get_lost_s() > HANDOVER_DELAY_S and self.peers.choose_write_proxies():
+        elif self._store.get_lost_s() > HANDOVER_DELAY_S and any(
+            owner.writer.has_recent_relay() for owner in self.owned_pools.values()
+        ):
             self._hand_over_pools("peers reach the store, this instance does not")
         elif self.owned_pools and self.peers.has_stronger_idle_peer(self.identity.cpu_capacity):
             self._hand_over_pools("an instance with more CPU capacity owns no pool")
@@ -450,7 +452,7 @@
             dependencies.read_uptime,
             self.metrics,
             claim.sent_at,
-            CommitRelay(self.peers, self.metrics),
+            CommitRelay(self.peers, dependencies.read_uptime, self.metrics),
         )
         owner = PoolOwner(
             pool,
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -119,6 +119,10 @@
         """Tell whether the ownership was confirmed lately, by the store or through a peer."""
         return self._read_uptime() - self.confirmed_at < RECENT_COMMIT_S
 
+    def has_recent_relay(self) -> bool:
+        """Tell whether a peer has committed for this owner lately."""
+        return self._read_uptime() - self._relay.committed_at < RECENT_COMMIT_S
+
     def get_store_outage(self) -> float:
         """Return for how many seconds no transaction was answered, 0 if the last one was."""
         if self._unanswered_since < 0:
@@ -199,10 +203,9 @@
     async def _commit(self, transaction: Transaction) -> Committed:
         """Commit a transaction; the owner row that it writes shows whether it was applied.
 
-        Peers commit it if the store turns this instance away.
+        Peers commit it too if the store turns this instance away or is silent. A slow store still
+        gets the direct commit, whose result can be read back.
         """
-        if self._store.is_lost() and self._relay.is_available():
-            return await self._relay.commit(transaction)
         direct = commit_and_verify(self._store, self._clock, transaction, self._find_own_commit)
         delay_s = max(MIN_RELAY_DELAY_S, self._store.get_commit_wait_s())
         return await HedgedCommit(self._clock, direct, self._relay, transaction, delay_s).outcome
--- a/tests/pools/test_commit_relay.py
+++ b/tests/pools/test_commit_relay.py
@@ -35,7 +35,7 @@
         async def wait() -> Committed:
             return await self.direct
 
-        relay = CommitRelay(self.peers, Metrics())
+        relay = CommitRelay(self.peers, self.clock.seconds, Metrics())
         hedged = HedgedCommit(self.clock, wait(), relay, TRANSACTION, DELAY_S)
         hedged.outcome.addCallbacks(
             self.outcomes.append, lambda failure: self.outcomes.append(failure.type)
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -67,7 +67,7 @@
             lambda: self.uptime,
             Metrics(),
             claim.sent_at,
-            CommitRelay(self.peers, Metrics()),
+            CommitRelay(self.peers, lambda: self.uptime, Metrics()),
         )
 
     def claim(self) -> Claim | None:
@@ -338,6 +338,16 @@
         (recorded,) = decode_progress(rows.rows[PROGRESS, POOL, JOB].value).steps["0.0"].runs
         self.assertEqual(len(recorded.runs), 3)
 
+    def test_a_store_that_seems_lost_still_gets_the_direct_commit(self) -> None:
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        rows.unavailable = True
+        owner.step()
+        rows.unavailable = False
+        owner.peers.reached, owner.peers.answers = True, False
+        owner.step()
+        self.assertEqual(owner.writer.get_store_outage(), 0.0)
+
     def test_a_slow_store_is_told_that_runs_may_not_be_recorded(self) -> None:
         rows = FakeRowStore()
         owner = make_owner(rows)
