Ask no peer to commit while the store is slow, and see slowness by the last commit

Starts without a record ended after one commit, as commits that are found by reading back did not count in the mean.

Change: a peer is asked only if the store is lost to this instance, and after a slow commit only once it has not answered for a second; a commit without an answer is checked for that every 0.1 s. Slowness is that of the last commit.

--- a/lavenderstall/pools/commit_relay.py
+++ b/lavenderstall/pools/commit_relay.py
@@ -23,6 +23,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Interval at which a commit without an answer is checked for whether a peer may help.
+RELAY_CHECK_INTERVAL_S = 0.1
+
 
 class CommitPeers(Protocol):
     """Peers that reach the store."""
@@ -66,7 +69,7 @@
 
 
 class HedgedCommit:
-    """Commit directly, and through a peer too once that fails or is slow.
+    """Commit directly, and through a peer too if that fails or is slow and a peer may help.
 
     At most one attempt is applied, as both have the same conditions; the other one conflicts.
     """
@@ -77,18 +80,18 @@
         direct: Coroutine[Any, Any, Committed],
         relay: CommitRelay,
         transaction: Transaction,
-        delay_s: float,
+        may_relay: Callable[[], bool],
     ) -> None:
+        self._clock = clock
         self._relay = relay
+        self._may_relay = may_relay
         self._transaction = transaction
         self._pending = 1
         self._relayed = False
         self._unknown: Failure | None = None
         self.outcome: Deferred[Committed] = Deferred()
         Deferred.fromCoroutine(direct).addCallbacks(self._finish, self._handle_direct_failure)
-        if not self.outcome.called and not self._relayed:
-            timer = clock.callLater(delay_s, self._start_relay)
-            self.outcome.addBoth(_cancel_timer, timer)
+        self._schedule_check()
 
     def _finish(self, committed: Committed) -> None:
         if not self.outcome.called:
@@ -96,11 +99,25 @@
 
     def _handle_direct_failure(self, failure: Failure) -> None:
         if failure.check(StoreUnavailableError):
-            self._start_relay()
+            self._relay_if_useful()
         self._handle_failure(failure)
 
-    def _start_relay(self) -> None:
-        if self.outcome.called or self._relayed or not self._relay.is_available():
+    def _schedule_check(self) -> None:
+        if not self.outcome.called and not self._relayed:
+            timer = self._clock.callLater(RELAY_CHECK_INTERVAL_S, self._check)
+            self.outcome.addBoth(_cancel_timer, timer)
+
+    def _check(self) -> None:
+        self._relay_if_useful()
+        self._schedule_check()
+
+    def _relay_if_useful(self) -> None:
+        if (
+            self.outcome.called
+            or self._relayed
+            or not self._may_relay()
+            or not self._relay.is_available()
+        ):
             return
         self._relayed = True
         self._pending += 1
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -47,9 +47,9 @@
 
 # Interval between renewals of the owner row.
 RENEW_INTERVAL_S = 0.25
-# A commit that isn't answered for this long is attempted through a peer too.
-MIN_RELAY_DELAY_S = 0.2
-# After a commit slower than this, starts don't wait for commits until these are fast on average.
+# A store that was slow counts as slow for this long without an answer, and then as lost.
+SLOW_STORE_OUTAGE_S = 1.0
+# After a commit slower than this, starts don't wait for commits until one is fast again.
 SLOW_COMMIT_S = 0.15
 FAST_COMMIT_S = 0.06
 # An owner that confirmed its ownership within this time can commit.
@@ -203,12 +203,20 @@
     async def _commit(self, transaction: Transaction) -> Committed:
         """Commit a transaction; the owner row that it writes shows whether it was applied.
 
-        Peers commit it too if the store turns this instance away or is silent. A slow store still
-        gets the direct commit, whose result can be read back.
+        Peers commit it too if the store turns this instance away or is silent.
         """
         direct = commit_and_verify(self._store, self._clock, transaction, self._find_own_commit)
-        delay_s = max(MIN_RELAY_DELAY_S, self._store.get_commit_wait_s())
-        return await HedgedCommit(self._clock, direct, self._relay, transaction, delay_s).outcome
+        hedged = HedgedCommit(self._clock, direct, self._relay, transaction, self._may_relay)
+        return await hedged.outcome
+
+    def _may_relay(self) -> bool:
+        """Tell whether a peer may reach the store better than this instance.
+
+        A slow store is as slow for a peer, and a second attempt is a further load on it.
+        """
+        if self._last_commit_s > SLOW_COMMIT_S and self.get_store_outage() < SLOW_STORE_OUTAGE_S:
+            return False
+        return self._store.is_lost()
 
     async def _find_own_commit(self) -> Committed | None:
         """Return the result of the last transaction if its owner row is in the store."""
@@ -255,9 +263,8 @@
 
     def _is_store_slow(self) -> bool:
         """Tell whether commits take so long that starts should not wait for them."""
-        if self._announces_unrecorded:
-            return self._store.get_mean_commit_s() > FAST_COMMIT_S
-        return self._last_commit_s > SLOW_COMMIT_S
+        limit_s = FAST_COMMIT_S if self._announces_unrecorded else SLOW_COMMIT_S
+        return self._last_commit_s > limit_s
 
     def may_start_unrecorded(self) -> bool:
         """Tell whether the store's owner row says that runs may not be recorded."""
