Remove the rows of instances that have left

Cause: an instance that is replaced leaves its row in the table of entries for ever.

Change: owners remove rows that were not rewritten for 60 s, while the store was reached all the time, on condition that they are as they were read.

Result: the test that restarts an instance after another has left fails before the change.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -26,6 +26,7 @@
 from lavenderstall.pools.commit_relay import CommitRelay, answer_commit
 from lavenderstall.pools.coroutines import gather, launch
 from lavenderstall.pools.effects import RequestAdvice
+from lavenderstall.pools.entry_rows import EntryRowTracker
 from lavenderstall.pools.job_requests import JobRequestHandler
 from lavenderstall.pools.messages import (
     AdviceAnswer,
@@ -57,6 +58,7 @@
     Put,
     Registry,
     Row,
+    RowConflictError,
     RowStore,
     SettingsDecoder,
     Transaction,
@@ -183,6 +185,7 @@
                 self._store, dependencies.clock, ENTRIES, self._update_peers, ENTRIES_FEED_WAIT_MS
             ),
         ]
+        self._entry_rows = EntryRowTracker()
         self._claims_in_progress: set[PoolName] = set()
         self._claimed_at: dict[PoolName, float] = {}
         self._running = False
@@ -253,8 +256,20 @@
         )
         put = Put(ENTRIES, identity.entry, encode(record))
         await self._store.commit(Transaction("", (), (put,)))
+        if self.owned_pools:
+            await self._remove_stale_entry_rows()
         await sleep(self._clock, RECORD_INTERVAL_S)
 
+    async def _remove_stale_entry_rows(self) -> None:
+        """Remove rows of instances that have left, which a restarted instance would count."""
+        removals = self._entry_rows.list_removals(self.read_uptime(), self._store.get_available_s())
+        for removal in removals:
+            try:
+                await self._store.commit(removal)
+            except RowConflictError:
+                continue
+            logger.info("row of a departed instance removed", extra={"key": removal.deletes[0].key})
+
     # Configuration and peers
 
     def _apply_operator_rows(self, rows: Mapping[str, Row]) -> None:
@@ -284,6 +299,7 @@
             self._start_claim_check(pool)
 
     def _update_peers(self, rows: Mapping[str, Row]) -> None:
+        self._entry_rows.note_rows(rows, self.read_uptime())
         records = {}
         for row in rows.values():
             try:
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -10,6 +10,8 @@
 from twisted.internet.defer import Deferred
 
 from adapter.store import COMMIT_TIMEOUT_S
+from lavenderstall.pools.entry_instance import RECORD_INTERVAL_S
+from lavenderstall.pools.entry_rows import STALE_ENTRY_S
 from lavenderstall.pools.owner import OWNERSHIP_TIMEOUT_S, UNRECORDED_START_DELAY_S
 from lavenderstall.pools.records import Presence, get_shard
 from lavenderstall.pools.work import JobState, PoolName, QueueName
@@ -318,6 +320,20 @@
         cell.run(4.0)
         self.assertTrue(all(node.instance.is_ready() for node in cell.nodes.values()))
 
+    def test_an_instance_that_has_left_is_forgotten(self) -> None:
+        cell = start_cell()
+        owner = cell.find_owner("routing")
+        gone = next(name for name in cell.nodes if name != owner)
+        cell.kill(gone)
+        cell.run(STALE_ENTRY_S + 2 * RECORD_INTERVAL_S)
+        entries = {key for table, _, key in cell.platform.rows if table == "entries"}
+        self.assertEqual(entries, set(cell.nodes))
+        restarted = next(iter(cell.nodes))
+        cell.kill(restarted)
+        cell.start(restarted)
+        cell.run(1.0)
+        self.assertNotIn(gone, cell.nodes[restarted].instance.peers.peers)
+
     def test_an_isolated_owner_is_replaced(self) -> None:
         cell = SimulatedCell(6, 4, zones=3)
         self.assertTrue(cell.run_until(lambda: cell.find_owner("routing") is not None, 5.0))
