Count a job as pending until a worker has started a task of it

Looking for it, a job counted as started once its tasks were placed, although their starts wait for a record: with the store away or slow for seconds, all jobs that fit were left out of the count that callers ask for.

Change: a job counts until a start is answered, a poll reports a run or a run has ended other than lost.

Result: the test with each of these fails before.

--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -112,7 +112,9 @@
         self.progress = progress or JobProgress()
         self.state = JobState(self.progress.state)
         self.steps: dict[tuple[int, int], StepState] = {}
+        # Whether tasks were placed, and whether a worker is known to have started one.
         self.started = bool(self.progress.steps)
+        self.begun = any(step.done or step.failures for step in self.progress.steps.values())
         self.durable_state = self.state
         self.cancelling = self.state is JobState.CANCELLED
         for key, progress_row in self.progress.steps.items():
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -177,8 +177,8 @@
             self.stop(run)
 
     def count_pending(self) -> Counter[QueueName]:
-        """Return how many jobs of each queue have not started."""
-        return Counter(QueueName(job.row.queue) for job in self.active.values() if not job.started)
+        """Return how many jobs of each queue have no task that a worker has started."""
+        return Counter(QueueName(job.row.queue) for job in self.active.values() if not job.begun)
 
     def _archive_ended(self) -> None:
         """Archive jobs whose final state is durable and that have no runs left."""
@@ -381,6 +381,7 @@
         if job is None or task.step >= len(job.spec.steps):
             worker.drop_run(task, number, Resources())
             return
+        job.begun = job.begun or cause is not EndCause.LOST
         step = job.spec.steps[task.step]
         worker.drop_run(task, number, step.allocation)
         job.record_checkpoint(task, number, checkpoint)
@@ -443,6 +444,12 @@
         if run is not None and run.confirmed_at < 0:
             run.confirmed_at = self.now
             run.percent_changed_at = self.now
+            self._note_begun(task)
+
+    def _note_begun(self, task: Task) -> None:
+        job = self.jobs.get(task.job)
+        if job is not None:
+            job.begun = True
 
     def note_refused(self, key: WorkerKey, task: Task, number: int, refusal: Refusal) -> None:
         """Note that a worker has not started a run and never will."""
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -81,6 +81,8 @@
     run.load = row.load
     run.reported_at = pool.now
     run.checkpoint = row.checkpoint
+    if job is not None:
+        job.begun = True
     if job is not None and row.checkpoint and not job.ended:
         job.record_checkpoint(row.task, row.number, row.checkpoint)
     if job is None or job.ended:
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -20,6 +20,7 @@
     ADVISED,
     JOB,
     POOL,
+    QUEUE,
     Bench,
     JobProgress,
     allow,
@@ -72,6 +73,32 @@
         self.assertEqual(bench.pool.jobs, {})
 
 
+class PendingTest(unittest.TestCase):
+    """Jobs that wait, told to callers, while the store or workers hold starts up."""
+
+    def test_a_job_is_pending_until_a_worker_has_started_a_task(self) -> None:
+        for how in ("answered", "reported", "ended", "lost"):
+            with self.subTest(how=how):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                bench.dispatcher.dispatch(1, 1)
+                self.assertEqual(bench.pool.count_pending(), {QUEUE: 1})
+                bench.record()
+                (order,) = (e for e in bench.pool.pop_effects() if isinstance(e, StartRun))
+                self.assertEqual(bench.pool.count_pending(), {QUEUE: 1})
+                if how == "answered":
+                    bench.pool.note_started(order.worker, order.task, order.number, 1.0)
+                elif how == "reported":
+                    bench.poll(FIRST, [RunStatus(order.task, order.number, "", 1.0)])
+                elif how == "ended":
+                    bench.end(order, EndCause.FAILED, 1, FIRST)
+                else:
+                    bench.pool.note_refused(
+                        order.worker, order.task, order.number, Refusal("room", 1.0)
+                    )
+                self.assertEqual(bench.pool.count_pending()[QUEUE], int(how == "lost"))
+
+
 class UnansweredTest(unittest.TestCase):
     """Starts and stops that were not answered or were refused."""
 
