Never run a job from its start whose progress cannot be read

Cause: a job with an unreadable progress row was left out when its pool was loaded, but a resubmission or a feed that was read again added it without any progress, and tasks that were done ran again.

Change: the owner remembers such jobs and adds them by no way.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -107,6 +107,8 @@
         self._jobs_version = 0
         self._cancels_version = 0
         self._shards = list_shards(pool.name)
+        # Without their progress, tasks of these jobs that are done would run again.
+        self._unreadable_jobs: set[JobId] = set()
         self._commands = CommandSender(
             pool,
             workers,
@@ -139,12 +141,15 @@
         for job, found in progress.items():
             if found is not None and found.is_final():
                 self.pool.archive.add(job, JobState(found.state), self.pool.now)
+        self._unreadable_jobs = {job for job, found in progress.items() if found is None}
         for row in jobs:
             accepted = self._decode(row, decode_job)
-            # Without its progress, tasks of the job that are done would run again.
-            unreadable = row.key in progress and progress[JobId(row.key)] is None
-            if accepted is not None and not unreadable and row.key not in self.pool.archive:
-                self.pool.add_job(accepted, progress.get(JobId(row.key)), inherited=True)
+            if (
+                accepted is not None
+                and accepted.id not in self._unreadable_jobs
+                and row.key not in self.pool.archive
+            ):
+                self.pool.add_job(accepted, progress.get(accepted.id), inherited=True)
         for row in cancels:
             self.pool.cancel_job(JobId(row.key))
         logger.info(
@@ -318,7 +323,7 @@
     def add_job(self, row: AcceptedJob) -> bool:
         """Add an accepted job and tell whether it is new."""
         self.update_time()
-        if not self.pool.add_job(row):
+        if row.id in self._unreadable_jobs or not self.pool.add_job(row):
             return False
         logger.info("job added", extra={"job": row.id, "pool": self.pool.name})
         self.schedule_dispatch()
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -441,6 +441,29 @@
                     self.assertEqual(cell.platform.checker.list_unfinished_tasks(make_name(1)), [])
                     self.assertEqual(cell.platform.checker.violations, [])
 
+    def test_a_job_with_unreadable_progress_is_never_run_from_its_start(self) -> None:
+        def resubmit(cell: SimulatedCell, name: str) -> None:
+            cell.submit(name, "routing", make_name(1), [dict(STEP), dict(LONG, after=[0])])
+
+        def lose_history(cell: SimulatedCell, name: str) -> None:
+            cell.platform.oldest = cell.platform.version + 1
+
+        for readd in (resubmit, lose_history):
+            with self.subTest(readd=readd.__name__):
+                cell = start_cell()
+                resubmit(cell, "entry-0")
+                cell.run(2.0)
+                starts = cell.platform.checker.starts
+                cell.platform.put("progress", "routing", make_name(1), {"state": 7})
+                owner = cell.find_owner("routing")
+                assert owner is not None
+                cell.kill(owner)
+                cell.run(3.0)
+                readd(cell, next(iter(cell.nodes)))
+                cell.run(12.0)
+                self.assertEqual(cell.platform.checker.starts, starts)
+                self.assertEqual(cell.platform.checker.violations, [])
+
     def test_a_commit_handled_after_a_pause_sends_no_starts(self) -> None:
         for paused_s, sent in ((0.0, True), (OWNERSHIP_TIMEOUT_S + 0.1, False)):
             with self.subTest(paused_s=paused_s):
