Put the bound for a silent store back, and test two changes that had no test

Undoing one change after the other showed two without a test: the look at workers with a ticket and the claim check after a configuration.

--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from adapter.store import COMMIT_TIMEOUT_S
-from lavenderstall.pools.entry_instance import RECORD_INTERVAL_S
+from lavenderstall.pools.entry_instance import CLAIM_CHECK_INTERVAL_S, RECORD_INTERVAL_S
 from lavenderstall.pools.entry_rows import STALE_ENTRY_S
 from lavenderstall.pools.owner import OWNERSHIP_TIMEOUT_S, UNRECORDED_START_DELAY_S
 from lavenderstall.pools.records import Presence, get_shard
@@ -165,15 +165,11 @@
         def turn_away(cell: SimulatedCell, owner: str) -> None:
             cell.nodes[owner].http_client.turned_away = True
 
-        def silence_store(cell: SimulatedCell, owner: str) -> None:
-            cell.nodes[owner].http_client.unreachable.add(STORE)
-
         for fault, limit_s in (
             (freeze, 2.0),
             (kill, 2.0),
             (isolate, 2.0),
             (turn_away, 0.7),
-            (silence_store, 2.0),
         ):
             with self.subTest(fault=fault.__name__):
                 cell = SimulatedCell(9, 4, zones=3)
@@ -184,6 +180,24 @@
                 gaps = measure_ownership_gaps(cell, "routing", inject, 5.0)
                 self.assertLessEqual(max(gaps), limit_s)
 
+    def test_a_store_silent_to_its_owner_leaves_no_pool_without_one(self) -> None:
+        cell = SimulatedCell(9, 4, zones=3)
+        cell.run(6.0)
+        owner = cell.find_owner("routing")
+        assert owner is not None
+        unreachable = cell.nodes[owner].http_client.unreachable
+        inject = partial(unreachable.add, STORE)
+        self.assertLessEqual(max(measure_ownership_gaps(cell, "routing", inject, 5.0)), 0.7)
+
+    def test_a_configuration_is_followed_by_a_claim_at_once(self) -> None:
+        cell = SimulatedCell(1, 2)
+        (node,) = cell.nodes.values()
+        self.assertTrue(cell.run_until(lambda: node.instance.settings.version > 0, 1.0))
+        owned = cell.run_until(
+            lambda: cell.find_owner("routing") is not None, CLAIM_CHECK_INTERVAL_S
+        )
+        self.assertTrue(owned, "the claim waited for the next periodic check")
+
     def test_a_pool_has_an_owner_soon_after_all_instances_have_restarted(self) -> None:
         cell = start_cell(6)
         for name in list(cell.nodes):
--- a/tests/pools/test_dispatch.py
+++ b/tests/pools/test_dispatch.py
@@ -1,11 +1,13 @@
 """Tests of dispatch: the order of steps, the placement of tasks and requests for advice."""
 
 import unittest
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from lavenderstall.pools.effects import RequestAdvice, RunStatus, StartRun
+from lavenderstall.pools.waiting_steps import list_waiting_steps
 from lavenderstall.pools.work import EndCause, QueueName, Settings, Step, Task
 from lavenderstall.resources import NOTHING, Resources
 from tests.pools.builders import (
@@ -282,5 +284,27 @@
         self.assertEqual(worker.used, NOTHING)
 
 
+class DispatchCostTest(unittest.TestCase):
+    """A burst of advised steps in a pool with many workers."""
+
+    def test_an_advised_step_looks_only_at_workers_with_a_ticket(self) -> None:
+        tickets = 5
+        for workers in (50, 400):
+            with self.subTest(workers=workers):
+                entries = [make_entry(f"w{number:03}") for number in range(workers)]
+                bench = Bench(*entries, queue=make_queue(advising=ADVISED))
+                bench.pool.add_job(make_job(make_step(40)))
+                allow(bench, bench.dispatch(), *(entry.id for entry in entries[:tickets]))
+                placement = bench.dispatcher._placement
+                with patch.object(
+                    placement, "is_eligible", wraps=placement.is_eligible
+                ) as eligible:
+                    (waiting_step,) = list_waiting_steps(bench.pool)
+                    placement.place(
+                        waiting_step, list(range(40)), list(bench.pool.workers.values())
+                    )
+                self.assertLessEqual(eligible.call_count, tickets)
+
+
 if __name__ == "__main__":
     unittest.main()
