Let an odd entry of a worker cost that entry alone

Callers saw: one entry of another writer with 5,000 nested lists in any field, and no accepted job of any pool began; a figure of 400 digits in an entry was taken for a capacity.

Cause: the decoder reports deep nesting by a RecursionError, which is no ValueError, so the reading of the whole list failed, again and again. Figures, addresses and ids were not bounded, and a figure above 63 bits fits in no roster row, so that later commits of the owner would fail.

Fix: an entry is decoded with one error for all that can't be read, and its figures, texts, id and address are bounded where it is decoded. Such an entry names no worker. Each such row is logged once per version, and counted as `rows_unreadable` on the metrics page.

A property test puts arbitrary JSON and bytes between sound entries and finds all sound ones.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -116,7 +116,7 @@
 
 
 class Dependencies(msgspec.Struct):
-    """External services, clocks and links of an entry instance."""
+    """External services, clocks, links and metrics of an entry instance."""
 
     clock: Clock
     random: Random
@@ -128,6 +128,7 @@
     links: NngLinks
     read_uptime: Callable[[], float]
     read_unix_ms: Callable[[], float]
+    metrics: Metrics = msgspec.field(default_factory=Metrics)
 
 
 class EntryInstance:
@@ -135,7 +136,7 @@
 
     def __init__(self, identity: InstanceIdentity, dependencies: Dependencies) -> None:
         self.identity = identity
-        self.metrics = Metrics()
+        self.metrics = dependencies.metrics
         self.settings = Settings(0)
         self.owned_pools: dict[PoolName, PoolOwner] = {}
         self.draining = False
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -406,6 +406,11 @@
         data = b64encode(json.dumps(value).encode()).decode()
         self.write(table, part, key, data)
 
+    def put_bytes(self, table: str, part: str, key: str, value: bytes) -> None:
+        """Write a row on behalf of another writer, who need not follow any form."""
+        self.version += 1
+        self.write(table, part, key, b64encode(value).decode())
+
     def write(self, table: str, part: str, key: str, data: str) -> None:
         """Write a row at the current version."""
         row = {
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -12,9 +12,11 @@
 from adapter.wire import PlatformSettingsDecoder, WireJob
 from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkerClient
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.metrics import Metrics
 from lavenderstall.pools.entry_instance import Dependencies, EntryInstance, InstanceIdentity
 from lavenderstall.pools.messages import Envelope
 from lavenderstall.pools.records import Presence
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from tests.platform.fake_http_client import FakeHttpClient, PausableClock
 from tests.platform.fake_platform import (
     ADVISER,
@@ -76,6 +78,7 @@
         self.clock = PausableClock(cell.clock)
         self.http_client: Any = FakeHttpClient(cell.platform, self.clock)
         self.links: Any = FakeLinks(cell, name)
+        metrics = Metrics()
         store = PlatformStore(self.http_client, STORE)
         identity = InstanceIdentity(
             EntryId(name),
@@ -87,13 +90,14 @@
             clock=self.clock,
             random=Random(f"{name}{start_number}"),
             store=store,
-            registry=PlatformRegistry(store),
+            registry=PlatformRegistry(store, UnreadableRows(metrics)),
             workers=PlatformWorkerClient(self.http_client),
             adviser=PlatformAdviser(self.http_client, ADVISER),
             settings=PlatformSettingsDecoder(),
             links=self.links,
             read_uptime=cell.clock.seconds,
             read_unix_ms=lambda: cell.clock.seconds() * 1000,
+            metrics=metrics,
         )
         self.instance = EntryInstance(identity, dependencies)
         self.instance.start()
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -8,19 +8,24 @@
 from typing import Any
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from twisted.internet.defer import Deferred, fail, succeed
 
 from adapter.http_api import JobsResource, Response
 from adapter.settings import SettingsError, read_node_settings
 from adapter.store import PlatformStore
 from adapter.wire import (
+    MAX_FIGURE,
     PlatformSettingsDecoder,
     WireWorker,
     WireWorkerStatus,
+    decode_worker,
     format_task_name,
     parse_task_name,
 )
 from adapter.workers import PlatformRegistry, PlatformWorkerClient
+from lavenderstall.decoding import UnreadableError, decode_msgpack
 from lavenderstall.errors import (
     AnswerLostError,
     PeerUnavailableError,
@@ -28,6 +33,7 @@
     StoreUnavailableError,
 )
 from lavenderstall.identifiers import JobId
+from lavenderstall.metrics import Metrics
 from lavenderstall.platform_clients import Reply
 from lavenderstall.pools.effects import Refusal, StartRun
 from lavenderstall.pools.ports import (
@@ -37,10 +43,28 @@
     RowConflictError,
     Transaction,
 )
+from lavenderstall.pools.records import RosterRow, encode
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import Task
 from tests.platform.simulated_cell import SimulatedCell
 from tests.pools.builders import make_entry
 
+
+def make_json_values() -> st.SearchStrategy[Any]:
+    """Return values of JSON, among them objects with the fields of a worker's entry."""
+    leaves = st.one_of(
+        st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=8), st.just(10**400)
+    )
+    names = st.sampled_from(["service", "address", "state", "capacity", "labels", "born", "x"])
+    return st.recursive(
+        leaves,
+        lambda inner: st.one_of(
+            st.lists(inner, max_size=3), st.dictionaries(names, inner, max_size=7)
+        ),
+        max_leaves=12,
+    )
+
+
 SETTINGS = """
 node = "entry-1"
 ip = "10.1.0.30"
@@ -229,11 +253,67 @@
         rows.append({"table": "servers", "key": "w9", "value": "/w==", "schemaVersion": 1})
         body = json.dumps({"rows": rows, "schemaVersion": 1, "nowMs": 1}).encode()
         store = PlatformStore(FixedHttpClient(Reply(200, body)), "store")  # type: ignore[arg-type]
-        (entry,) = get_result(PlatformRegistry(store).list_workers())
+        (entry,) = get_result(PlatformRegistry(store, UnreadableRows(Metrics())).list_workers())
         self.assertEqual(
             (entry.id, entry.kind, entry.rack, entry.incarnation), ("w0", "a", "r1-3", 7)
         )
 
+    def test_an_entry_with_figures_or_texts_out_of_bounds_names_no_worker(self) -> None:
+        """Fails if a worker is used that can't be reached, or whose figures fit in no row."""
+        huge = 10**400
+        cases: tuple[tuple[str, Any], ...] = (
+            *(("capacity", {**self.GOOD["capacity"], "cpu": cpu}) for cpu in (-1, huge, 2**63)),
+            *(("capacity", {**self.GOOD["capacity"], "taskMemoryMb": n}) for n in (-1, huge)),
+            *(("capacity", {**self.GOOD["capacity"], "gpu": gpu}) for gpu in (-1, huge)),
+            *(("born", born) for born in (-1, huge, 2**64, 1e30, "7")),
+            *(("remainingMs", left) for left in (-1, huge, "soon")),
+            *(("labels", labels) for labels in ([1], "a", [["a"]], ["x" * 201], ["x"] * 65)),
+            *(("service", name) for name in (7, "s" * 201)),
+            *(("address", "10.1.0.1" + port) for port in ("", ":", ":0", ":99999", ":-1", ":8x")),
+            *(("address", text) for text in (":80", "a b:80", "a\n:80", "a:80 ", "ä:80", "a/b:80")),
+            ("address", "a" * 400 + ":80"),
+        )
+        for field, value in cases:
+            with self.subTest(field=field, value=str(value)[:30]):
+                data = json.dumps({**self.GOOD, field: value}).encode()
+                with self.assertRaises(UnreadableError):
+                    decode_worker("w1", data)
+        for literal in (b"NaN", b"1e999", b"-Infinity"):
+            data = json.dumps({**self.GOOD, "remainingMs": 1}).encode()
+            with self.subTest(literal=literal), self.assertRaises(UnreadableError):
+                decode_worker("w1", data.replace(b'"remainingMs": 1', b'"remainingMs": ' + literal))
+        for name in ("", "w" * 201, "w 1", "w\r\nx: 1"):
+            with self.subTest(name=name[:10]), self.assertRaises(UnreadableError):
+                decode_worker(name, json.dumps(self.GOOD).encode())
+
+    def test_the_largest_figures_of_an_entry_fit_in_the_roster(self) -> None:
+        """Fails if an entry is accepted with which no later commit of its owner succeeds."""
+        capacity = dict.fromkeys(("cpu", "taskMemoryMb", "gpu"), MAX_FIGURE)
+        value = {**self.GOOD, "capacity": capacity, "born": MAX_FIGURE, "remainingMs": MAX_FIGURE}
+        entry = decode_worker("w" * 200, json.dumps(value).encode())
+        self.assertEqual(decode_msgpack(encode(RosterRow([entry])), RosterRow).workers, [entry])
+
+    @given(st.lists(st.one_of(st.binary(max_size=40), make_json_values()), max_size=6))
+    @settings(max_examples=60, deadline=None)
+    def test_any_entries_between_sound_ones_leave_all_sound_ones(self, odd: list[Any]) -> None:
+        """Fails if one entry of another writer hides one of a worker."""
+        values = [each if isinstance(each, bytes) else json.dumps(each).encode() for each in odd]
+        sound = json.dumps(self.GOOD).encode()
+        rows = [
+            {
+                "table": "servers",
+                "key": f"{number:02}{'' if value is sound else '-odd'}",
+                "value": b64encode(value).decode(),
+                "schemaVersion": number + 1,
+            }
+            for number, value in enumerate([sound, *(v for o in values for v in (o, sound))])
+        ]
+        body = json.dumps({"rows": rows, "schemaVersion": 99, "nowMs": 1}).encode()
+        store = PlatformStore(FixedHttpClient(Reply(200, body)), "store")  # type: ignore[arg-type]
+        found = get_result(PlatformRegistry(store, UnreadableRows(Metrics())).list_workers())
+        names = [row["key"] for row in rows if "-odd" not in str(row["key"])]
+        self.assertEqual([entry.id for entry in found if "-odd" not in entry.id], names)
+
     def test_labels_may_be_missing(self) -> None:
         entry = msgspec.convert({**self.GOOD, "labels": []}, WireWorker).decode("w")
         self.assertEqual((entry.kind, entry.rack), ("", ""))
