Move past no row of a job that was neither applied nor set aside by name

Callers saw: a job was accepted and never began, or a cancellation was confirmed and its tasks ran on, because another row in the same page of the feed could not be read or applied. A progress row with an unknown state or step left its pool without any owner.

Cause: the owner set the version of the feed before it applied the rows, so an error in one of them lost those behind it. Deep nesting raises a RecursionError, which the owner did not expect. Jobs were decoded without the checks of a submission, and progress was not compared with its job, so the error came later, while the whole pool was loaded. A row whose job runs 10^9 times at once never let go of the process.

Evidence: on the code before, test_an_odd_job_row_hides_no_other_job failed for nested rows (job 1 unfinished, with and without a takeover) and did not end within 20 s for the endless job; test_an_error_in_a_row_skips_no_row_behind_it failed for jobs and for cancellations; test_odd_progress_costs_its_job_alone failed for a state ("unexpectedly None": no owner), a key, a step and an occurrence. All of them pass now.

Fix: rows are decoded with one error for all that can't be read, and checked as submissions are, with bounds on all figures and occurrences; a row that raises when it is applied is logged by name and counted, and the version moves on only after that. A job whose progress names steps or tasks that it has not is not run, as one with unreadable progress before. After a loss of the history the version is taken once all shards are read, so a failed read is repeated.

--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -5,11 +5,14 @@
 
 import msgspec
 
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.crash_records import Crash, confirm_crashes, count_runs, drop_crashes
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.work import FINAL_STATES, EndCause, JobSpec, JobState, Queue, StepKey, Task
 
+MAX_DIGITS = 10
+
 
 class AcceptedJob(msgspec.Struct, frozen=True, omit_defaults=True):
     """A stored job: what was submitted, to which queue and when (Unix milliseconds)."""
@@ -58,6 +61,28 @@
         return ended and not any(step.runs for step in self.steps.values())
 
 
+def check_progress(progress: JobProgress | None, spec: JobSpec) -> None:
+    """Raise `UnreadableError` if a step or a task isn't one of the job."""
+    for key, found in progress.steps.items() if progress else ():
+        occurrence, _, step = key.partition(".")
+        if not (
+            is_index(occurrence, spec.occurrences)
+            and is_index(step, len(spec.steps))
+            and key == f"{int(occurrence)}.{int(step)}"
+        ):
+            raise UnreadableError(f"{key[:20]!r} is no step of the job")
+        runs = (index for recorded in found.runs for index, _ in recorded.runs)
+        named = (found.done, found.failures, found.checkpoints, found.crashes, runs)
+        count = spec.steps[int(step)].count
+        if not all(0 <= index < count for index in chain.from_iterable(named)):
+            raise UnreadableError(f"step {key} has a task that is none of its {count}")
+
+
+def is_index(text: str, count: int) -> bool:
+    """Tell whether a text is a number from 0 below a count."""
+    return len(text) <= MAX_DIGITS and text.isdecimal() and int(text) < count
+
+
 class Run(msgspec.Struct, eq=False):
     """One execution of a task on a worker; times are in seconds of uptime.
 
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -2,12 +2,14 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from functools import partial
 from itertools import chain
 from typing import Any, TypeVar
 
 import msgspec
 
 from lavenderstall.clocks import Clock, sleep
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
@@ -15,11 +17,12 @@
 from lavenderstall.pools.coroutines import gather, launch
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
-from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.job import AcceptedJob, JobProgress, check_progress
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
     HistoryLostError,
+    Page,
     Registry,
     Row,
     WorkerClient,
@@ -36,6 +39,8 @@
     decode_progress,
     list_shards,
 )
+from lavenderstall.pools.table_reads import read_partition
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import JobState
 from lavenderstall.pools.worker_commands import CommandSender
 from lavenderstall.pools.worker_poller import WorkerPoller
@@ -106,6 +111,7 @@
         self._is_store_down = is_store_down
         self._list_unresponsive_zones = list_unresponsive_zones
         self._metrics = metrics
+        self._unreadable_rows = UnreadableRows(metrics)
         self._dispatch_call: Any = None
         self._jobs_version = 0
         self._cancels_version = 0
@@ -134,10 +140,10 @@
         self.update_time()
         name = self.pool.name
         # Job rows are read before progress rows, which are deleted later.
-        cancels = await self._read_shards(CANCELS)
-        jobs = await self._read_shards(JOBS)
-        roster, progress_rows = await gather(
-            [self._read_all(OWNERS, name), self._read_all(PROGRESS, name)]
+        cancels, self._cancels_version = await self._read_shards(CANCELS)
+        jobs, self._jobs_version = await self._read_shards(JOBS)
+        (roster, _), (progress_rows, _) = await gather(
+            [self._read_partition(OWNERS, name), self._read_partition(PROGRESS, name)]
         )
         self.writer.note_row_versions(tuple(chain(roster, progress_rows)))
         self._load_roster(roster)
@@ -147,13 +153,7 @@
                 self.pool.archive.add(job, JobState(found.state), self.pool.now)
         self._unreadable_jobs = {job for job, found in progress.items() if found is None}
         for row in jobs:
-            accepted = self._decode(row, decode_job)
-            if (
-                accepted is not None
-                and accepted.id not in self._unreadable_jobs
-                and row.key not in self.pool.archive
-            ):
-                self.pool.add_job(accepted, progress.get(accepted.id), inherited=True)
+            self._load_job(row, progress.get(JobId(row.key)))
         for row in cancels:
             self.pool.cancel_job(JobId(row.key))
         logger.info(
@@ -167,6 +167,23 @@
             },
         )
 
+    def _load_job(self, row: Row, progress: JobProgress | None) -> None:
+        """Add a job of earlier owners, unless its rows can't be read or it has ended."""
+        accepted = self._decode_job(row)
+        if (
+            accepted is None
+            or accepted.id in self._unreadable_jobs
+            or accepted.id in self.pool.archive
+        ):
+            return
+        try:
+            check_progress(progress, accepted.spec)
+        except UnreadableError as error:
+            self._unreadable_rows.note(PROGRESS, row.key, row.version, error)
+            self._unreadable_jobs.add(accepted.id)
+            return
+        self._apply(row, partial(self.pool.add_job, accepted, progress, inherited=True))
+
     def _load_roster(self, rows: list[Row]) -> None:
         """Add the workers that earlier owners used; the registry may not list all of them."""
         for row in rows:
@@ -176,18 +193,8 @@
             self.writer.set_roster(tuple(entries))
             self.pool.takeover.add_workers(entries)
 
-    async def _read_all(self, table: str, part: str) -> list[Row]:
-        page = await self._store.read(table, part, "", PAGE_ROWS)
-        rows = list(page.rows)
-        # The feeds start at the version of the oldest page, so that they return later rows.
-        if table == JOBS:
-            self._jobs_version = min(self._jobs_version or page.version, page.version)
-        elif table == CANCELS:
-            self._cancels_version = min(self._cancels_version or page.version, page.version)
-        while page.has_more:
-            page = await self._store.read(table, part, rows[-1].key + "\0", PAGE_ROWS)
-            rows.extend(page.rows)
-        return rows
+    async def _read_partition(self, table: str, partition: str) -> tuple[list[Row], int]:
+        return await read_partition(self._store, table, partition, PAGE_ROWS)
 
     def start_renewal(self) -> None:
         """Start to renew the ownership, while rows are still being loaded."""
@@ -293,49 +300,71 @@
         try:
             page = await self._store.poll_changes(JOBS, self._jobs_version, FEED_WAIT_MS)
         except HistoryLostError:
-            self._jobs_version = 0
-            self._add_jobs(await self._read_shards(JOBS))
+            rows, version = await self._read_shards(JOBS)
+            self._add_jobs(rows)
+            self._jobs_version = version
             return
-        self._jobs_version = page.version
-        rows = [row for row in page.rows if row.partition in self._shards and row.version]
+        rows = self._select_rows(page)
         added = self._add_jobs(rows)
+        self._jobs_version = page.version
         if rows and not any(added):
             # Job hints of entry instances arrived earlier than the feed.
             await sleep(self._clock, FEED_PAUSE_S)
 
+    def _select_rows(self, page: Page) -> list[Row]:
+        """Return the present rows of this pool."""
+        return [row for row in page.rows if row.partition in self._shards and row.version]
+
     def _add_jobs(self, rows: Iterable[Row]) -> list[bool]:
         """Add the jobs of the readable rows, and tell for each whether it is new."""
-        accepted = (self._decode(row, decode_job) for row in rows)
-        return [self.add_job(job) for job in accepted if job is not None]
+        accepted = ((row, self._decode_job(row)) for row in rows)
+        return [
+            self._apply(row, partial(self.add_job, job)) for row, job in accepted if job is not None
+        ]
+
+    def _decode_job(self, row: Row) -> AcceptedJob | None:
+        """Decode a job row, or note why it can't be read and return none."""
+        accepted = self._decode(row, decode_job)
+        if accepted is not None and accepted.id != row.key:
+            self._unreadable_rows.note(
+                row.table, row.key, row.version, f"it holds job {accepted.id}"
+            )
+            return None
+        return accepted
 
     def _decode(self, row: Row, decode: Callable[[bytes], T]) -> T | None:
-        """Decode a row, or log why it can't be read and return none."""
+        """Decode a row, or note why it can't be read and return none."""
         try:
             return decode(row.value)
-        except (msgspec.MsgspecError, ValueError) as error:
-            self._metrics.count("rows_unreadable")
-            logger.error(
-                "unreadable row ignored",
-                extra={"table": row.table, "key": row.key, "error": str(error)},
-            )
+        except UnreadableError as error:
+            self._unreadable_rows.note(row.table, row.key, row.version, error)
             return None
 
+    def _apply(self, row: Row, apply: Callable[[], bool]) -> bool:
+        """Apply a row, or set it aside by name, so that the rows behind it are not lost."""
+        try:
+            return apply()
+        except Exception as error:
+            logger.exception("row not applied", extra={"table": row.table, "key": row.key})
+            self._unreadable_rows.note(row.table, row.key, row.version, error)
+            return False
+
     async def _follow_cancels(self) -> None:
         try:
             page = await self._store.poll_changes(CANCELS, self._cancels_version, FEED_WAIT_MS)
         except HistoryLostError:
-            self._cancels_version = 0
-            for row in await self._read_shards(CANCELS):
-                self.cancel_job(JobId(row.key))
-            return
-        self._cancels_version = page.version
-        for row in page.rows:
-            if row.partition in self._shards and row.version:
-                self.cancel_job(JobId(row.key))
+            rows, version = await self._read_shards(CANCELS)
+        else:
+            rows, version = self._select_rows(page), page.version
+        for row in rows:
+            self._apply(row, partial(self.cancel_job, JobId(row.key)))
+        self._cancels_version = version
 
-    async def _read_shards(self, table: str) -> list[Row]:
-        found = await gather([self._read_all(table, shard) for shard in self._shards])
-        return list(chain.from_iterable(found))
+    async def _read_shards(self, table: str) -> tuple[list[Row], int]:
+        """Return the rows of all shards, and the version from which a feed returns later rows."""
+        found = await gather([self._read_partition(table, shard) for shard in self._shards])
+        rows = list(chain.from_iterable(rows for rows, _ in found))
+        return rows, min(version for _, version in found)
 
     # Events from entry instances
 
@@ -348,11 +377,13 @@
         self.schedule_dispatch()
         return True
 
-    def cancel_job(self, job: JobId) -> None:
-        """Cancel a job."""
+    def cancel_job(self, job: JobId) -> bool:
+        """Cancel a job and tell whether it is known."""
         self.update_time()
-        if self.pool.cancel_job(job):
+        known = self.pool.cancel_job(job)
+        if known:
             self.schedule_dispatch()
+        return known
 
     def handle_advice(self, request: RequestAdvice, advice: Any) -> None:
         """Pass advice to the pool, or none if the call failed."""
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
+from lavenderstall.decoding import UnreadableError, decode_msgpack
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.job import AcceptedJob, JobProgress
-from lavenderstall.pools.work import PoolName
+from lavenderstall.pools.work import InvalidJobError, JobState, PoolName, check_job
 from lavenderstall.pools.workers import WorkerEntry
 
 JOBS = "jobs"
@@ -19,6 +20,7 @@
 ROSTER_KEY = "roster"
 # Rows of submissions and cancellations are sharded, as a partition serializes its writes.
 SHARDS_PER_POOL = 8
+STATES = frozenset(state.value for state in JobState)
 
 
 # Time without renewal after which an owner may be replaced if the store is fast.
@@ -84,13 +86,21 @@
 
 
 def decode_job(value: bytes) -> AcceptedJob:
-    """Decode the value of a job row."""
-    return msgspec.msgpack.decode(value, type=AcceptedJob)
+    """Decode the value of a job row, or raise `UnreadableError`."""
+    accepted = decode_msgpack(value, AcceptedJob)
+    try:
+        check_job(accepted.spec)
+    except InvalidJobError as error:
+        raise UnreadableError(str(error)) from error
+    return accepted
 
 
 def decode_progress(value: bytes) -> JobProgress:
-    """Decode the value of a progress row."""
-    return msgspec.msgpack.decode(value, type=JobProgress)
+    """Decode the value of a progress row, or raise `UnreadableError`."""
+    progress = decode_msgpack(value, JobProgress)
+    if progress.state not in STATES:
+        raise UnreadableError(f"{progress.state[:20]!r} is no state of a job")
+    return progress
 
 
 def decode_owner(value: bytes) -> OwnerRow:
--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -13,6 +13,9 @@
 
 MAX_TASKS = 5000
 MAX_STEPS = 64
+MAX_OCCURRENCES = 100_000
+# Limit on figures; rows and messages hold whole numbers of at most 63 bits.
+MAX_FIGURE = 2**53 - 1
 
 
 class InvalidJobError(Exception):
@@ -127,8 +130,33 @@
             raise InvalidJobError(f"step {number} has {step.count} tasks, not 1 to {MAX_TASKS}")
         if any(not 0 <= earlier < number for earlier in step.after):
             raise InvalidJobError(f"step {number} waits for a step that is not an earlier one")
-        if min(step.need.cores_milli, step.need.memory_mb, step.need.accelerators) < 0:
+        figures = (
+            step.need.cores_milli,
+            step.need.memory_mb,
+            step.need.accelerators,
+            step.need.slots,
+            step.need.connections,
+            step.expected_ms,
+            step.max_per_worker,
+            step.target_ms,
+            step.max_missing,
+        )
+        if min(figures) < 0:
             raise InvalidJobError(f"step {number} asks for a negative amount")
+        if max(figures) > MAX_FIGURE:
+            raise InvalidJobError(f"step {number} asks for more than {MAX_FIGURE}")
+    if spec.repeat is not None:
+        check_repeat(spec.repeat)
+
+
+def check_repeat(repeat: Repeat) -> None:
+    """Raise `InvalidJobError` if the occurrences are too many, or their times are no times."""
+    if not 1 <= repeat.count <= MAX_OCCURRENCES:
+        raise InvalidJobError(f"a job runs 1 to {MAX_OCCURRENCES} times, not {repeat.count}")
+    if min(repeat.start_ms, repeat.interval_ms) < 0:
+        raise InvalidJobError("the time or the interval of the occurrences is negative")
+    if max(repeat.start_ms, repeat.interval_ms) > MAX_FIGURE:
+        raise InvalidJobError("the time or the interval of the occurrences is too large")
 
 
 class Advising(msgspec.Struct, frozen=True):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -16,7 +16,6 @@
 from adapter.settings import SettingsError, read_node_settings
 from adapter.store import PlatformStore
 from adapter.wire import (
-    MAX_FIGURE,
     PlatformSettingsDecoder,
     WireWorker,
     WireWorkerStatus,
@@ -45,7 +44,7 @@
 )
 from lavenderstall.pools.records import RosterRow, encode
 from lavenderstall.pools.unreadable_rows import UnreadableRows
-from lavenderstall.pools.work import Task
+from lavenderstall.pools.work import MAX_FIGURE, Task
 from tests.platform.simulated_cell import SimulatedCell
 from tests.pools.builders import make_entry
 
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -5,11 +5,20 @@
 from collections.abc import Iterator
 from typing import Any
 
+from msgspec.structs import replace
+
 from adapter.workers import REGISTRY_TABLE
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.job import JobProgress, StepProgress
+from lavenderstall.pools.records import encode, get_shard
+from lavenderstall.pools.work import PoolName, QueueName, Repeat, Step
+from lavenderstall.resources import Resources
 from tests.platform.fake_platform import FakeWorker
 from tests.platform.simulated_cell import POOLS, SimulatedCell
 from tests.platform.test_faults import LONG, STEP, make_name, start_cell
+from tests.pools.builders import make_job, make_step
 
+ROUTING = PoolName("routing")
 NESTED = 5000
 NESTED_LISTS = b"[" * NESTED + b"]" * NESTED
 NESTED_OBJECTS = b'{"a":' * NESTED + b"0" + b"}" * NESTED
@@ -93,5 +102,105 @@
         self.assertEqual(cell.platform.checker.violations, [])
 
 
+class JobRowsTest(unittest.TestCase):
+    """Rows of jobs, progress and cancellations that can't be read."""
+
+    def put_job(self, cell: SimulatedCell, name: str, *steps: Step) -> None:
+        """Write the row of an accepted job of which no hint reaches its owner."""
+        declared = {"count": steps[0].count, "estimatedDurationMs": steps[0].expected_ms}
+        cell.platform.checker.jobs[name] = {"spec": "payload", "steps": [declared]}
+        row = make_job(*steps, job=JobId(name), queue=QueueName("q-routing"))
+        cell.platform.put_bytes("jobs", get_shard(ROUTING, name), name, encode(row))
+
+    def list_odd_jobs(self, name: str) -> dict[str, bytes]:
+        """Return values of job rows that can't be read or can't be done."""
+        sound = make_job(make_step(), job=JobId(name), queue=QueueName("q-routing"))
+        nested = b"\xa5other" + b"\x91" * NESTED + b"\x90"
+        endless = Repeat(10**9)
+        return {
+            "nothing": b"",
+            "nested": bytes([encode(sound)[0] + 1]) + nested + encode(sound)[1:],
+            "another id": encode(make_job(make_step())),
+            "no such step": encode(make_job(make_step(after=(9,)), job=JobId(name))),
+            "negative need": encode(make_job(make_step(need=Resources(-1)), job=JobId(name))),
+            "endless": encode(replace(sound, spec=replace(sound.spec, repeat=endless))),
+        }
+
+    def test_an_odd_job_row_hides_no_other_job(self) -> None:
+        """Fails if a job in the same page as the odd row is accepted and never begins."""
+        odd_name = make_name(9)
+        for name, value in self.list_odd_jobs(odd_name).items():
+            for successor in (False, True):
+                with self.subTest(name=name, successor=successor):
+                    cell = start_cell()
+                    cell.platform.put_bytes("jobs", get_shard(ROUTING, odd_name), odd_name, value)
+                    self.put_job(cell, make_name(1), make_step(2))
+                    if successor:
+                        owner = cell.find_owner("routing")
+                        assert owner is not None
+                        cell.kill(owner)
+                    cell.run(6.0)
+                    self.assertEqual(cell.platform.checker.list_unfinished(), [])
+                    self.assertEqual(cell.platform.checker.violations, [])
+                    self.assertNotIn(odd_name, cell.platform.checker.jobs)
+
+    def test_an_error_in_a_row_skips_no_row_behind_it(self) -> None:
+        """Fails if the feed's version moves past rows that were not applied."""
+        for method, table in (("add_job", "jobs"), ("cancel_job", "cancels")):
+            with self.subTest(table=table):
+                cell = start_cell()
+                name = cell.find_owner("routing")
+                assert name is not None
+                pool = cell.nodes[name].instance.owned_pools[ROUTING].pool
+                apply = getattr(pool, method)
+
+                def fail_once(job: Any, *rest: Any, apply: Any = apply, **more: Any) -> bool:
+                    if getattr(job, "id", job) == make_name(9):
+                        raise IndexError("an odd row")
+                    return bool(apply(job, *rest, **more))
+
+                if table == "cancels":
+                    self.put_job(cell, make_name(1), make_step(1, expected_ms=60_000))
+                    cell.run(1.0)
+                setattr(pool, method, fail_once)
+                if table == "jobs":
+                    self.put_job(cell, make_name(9), make_step())
+                    self.put_job(cell, make_name(1), make_step(2))
+                    del cell.platform.checker.jobs[make_name(9)]
+                else:
+                    for job in (make_name(9), make_name(1)):
+                        cell.platform.put_bytes("cancels", get_shard(ROUTING, job), job, b"x")
+                cell.run(4.0)
+                if table == "jobs":
+                    self.assertEqual(cell.platform.checker.list_unfinished(), [])
+                else:
+                    running = [w.running for w in cell.platform.workers.values() if w.running]
+                    self.assertEqual(running, [])
+
+    def test_odd_progress_costs_its_job_alone(self) -> None:
+        """Fails if a pool has no owner because of one progress row, or runs its job again."""
+        cases = {
+            "state": JobProgress("asleep"),
+            "key": JobProgress("running", {"x": StepProgress()}),
+            "step": JobProgress("running", {"0.7": StepProgress()}),
+            "occurrence": JobProgress("running", {"1.0": StepProgress()}),
+            "task": JobProgress("running", {"0.0": StepProgress(done={5})}),
+        }
+        for name, progress in cases.items():
+            with self.subTest(name=name):
+                cell = start_cell()
+                cell.platform.put_bytes("progress", "routing", make_name(9), encode(progress))
+                owner = cell.find_owner("routing")
+                assert owner is not None
+                cell.kill(owner)
+                self.put_job(cell, make_name(9), make_step())
+                self.put_job(cell, make_name(1), make_step(2))
+                cell.run(6.0)
+                self.assertIsNotNone(cell.find_owner("routing"))
+                unfinished = cell.platform.checker.list_unfinished()
+                self.assertEqual(unfinished, [make_name(9)])
+                self.assertEqual(cell.platform.checker.starts, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
