Take a pool over although its roster row can't be read

Callers saw: once the row that lists the workers of a pool could not be read, no instance could take the pool over; its jobs were accepted and never run, until somebody replaced the row.

Cause: loading a pool failed as a whole on that row.

Evidence: on the code before, test_an_unreadable_roster_leaves_its_pool_with_an_owner failed in all six cases ("unexpectedly None": no owner), with recorded starts and after a store outage.

Fix: the owner goes on without the row. If progress rows list all earlier runs, nothing is unknown, and a new roster is written at once. Otherwise tasks may be running on workers that no row names: inherited and new jobs wait until all leases must have lapsed, even if each known worker has reported, and the unreadable row is left in place until then, so that a further successor waits as well. Unit tests hold both.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -6,8 +6,6 @@
 from itertools import chain
 from typing import Any, TypeVar
 
-import msgspec
-
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
@@ -34,9 +32,9 @@
     OWNERS,
     PROGRESS,
     ROSTER_KEY,
-    RosterRow,
     decode_job,
     decode_progress,
+    decode_roster,
     list_shards,
 )
 from lavenderstall.pools.table_reads import read_partition
@@ -189,9 +187,12 @@
         for row in rows:
             if row.key != ROSTER_KEY:
                 continue
-            entries = msgspec.msgpack.decode(row.value, type=RosterRow).workers
-            self.writer.set_roster(tuple(entries))
-            self.pool.takeover.add_workers(entries)
+            roster = self._decode(row, decode_roster)
+            if roster is None:
+                self.pool.takeover.note_unknown_workers()
+                continue
+            self.writer.set_roster(tuple(roster.workers))
+            self.pool.takeover.add_workers(roster.workers)
 
     async def _read_partition(self, table: str, partition: str) -> tuple[list[Row], int]:
         return await read_partition(self._store, table, partition, PAGE_ROWS)
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -103,6 +103,11 @@
     return progress
 
 
+def decode_roster(value: bytes) -> RosterRow:
+    """Decode the value of a roster row, or raise `UnreadableError`."""
+    return decode_msgpack(value, RosterRow)
+
+
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the value of an owner row."""
     return msgspec.msgpack.decode(value, type=OwnerRow)
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -30,6 +30,8 @@
         self._pool = pool
         self._recorded = recorded
         self._unreported_workers: set[WorkerKey] = set()
+        # Whether earlier owners may have used workers that no row names.
+        self._unknown_workers = False
         self._blocked_jobs: set[JobId] = set()
         self.leases_expire_at = leases_expire_at
         self.complete = False
@@ -42,6 +44,17 @@
             if not self._recorded:
                 self._unreported_workers.add(worker.key)
 
+    def note_unknown_workers(self) -> None:
+        """Note that the row that lists the workers of earlier owners can't be read.
+
+        It doesn't matter if all of their runs are recorded.
+        """
+        self._unknown_workers = not self._recorded
+
+    def has_unknown_workers(self) -> bool:
+        """Tell whether tasks may be running on workers that no row names."""
+        return self._unknown_workers
+
     def add_job(self, job: Job) -> None:
         """Track the recorded runs of a job, and block it if unrecorded ones may exist."""
         if not self._recorded:
@@ -53,7 +66,7 @@
 
     def add_new_job(self, job: Job) -> None:
         """Block a job that an earlier owner may have started too, as it acts until it is fenced."""
-        if self._unreported_workers and self._pool.now < self.leases_expire_at:
+        if self._awaits_reports() and self._pool.now < self.leases_expire_at:
             self._blocked_jobs.add(job.id)
 
     def _restore_advice(self, job: Job) -> None:
@@ -102,9 +115,10 @@
 
     def check(self) -> None:
         """Unblock inherited jobs once all workers have reported or all leases have expired."""
-        if self._blocked_jobs and (
-            not self._unreported_workers or self._pool.now >= self.leases_expire_at
-        ):
+        expired = self._pool.now >= self.leases_expire_at
+        if expired:
+            self._unknown_workers = False
+        if self._blocked_jobs and (expired or not self._awaits_reports()):
             self._unblock_jobs()
         if not self.complete and not self._blocked_jobs and not self._has_inherited_runs():
             self.complete = True
@@ -112,6 +126,9 @@
                 "pool takeover complete", extra={"pool": self._pool.name, "term": self._pool.term}
             )
 
+    def _awaits_reports(self) -> bool:
+        return bool(self._unreported_workers) or self._unknown_workers
+
     def _unblock_jobs(self) -> None:
         blocked_jobs, self._blocked_jobs = self._blocked_jobs, set()
         logger.info(
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -159,7 +159,12 @@
         return await self._write(now, roster)
 
     def _get_changed_roster(self) -> tuple[WorkerEntry, ...] | None:
-        """Return the workers in use if they differ from those in the roster row."""
+        """Return the workers in use if they differ from those in the roster row.
+
+        A row that can't be read stays while it may list workers with tasks, for later owners.
+        """
+        if self._pool.takeover.has_unknown_workers():
+            return None
         known = {(entry.id, entry.incarnation) for entry in self._roster}
         workers = tuple(
             sorted(
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -10,6 +10,7 @@
 from adapter.workers import REGISTRY_TABLE
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.job import JobProgress, StepProgress
+from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
 from lavenderstall.pools.records import encode, get_shard
 from lavenderstall.pools.work import PoolName, QueueName, Repeat, Step
 from lavenderstall.resources import Resources
@@ -202,5 +203,33 @@
                 self.assertEqual(cell.platform.checker.starts, 2)
 
 
+class OwnerRowsTest(unittest.TestCase):
+    """Rows of owners and rosters that can't be read."""
+
+    ODD_VALUES = (b"", b"\x91" * NESTED + b"\x90", b"text")
+
+    def test_an_unreadable_roster_leaves_its_pool_with_an_owner(self) -> None:
+        """Fails if no instance can take the pool over, or a task is started twice."""
+        for value in self.ODD_VALUES:
+            for outage_s in (0.0, UNRECORDED_START_DELAY_S + 1.0):
+                with self.subTest(value=value[:4], outage_s=outage_s):
+                    cell = start_cell()
+                    cell.submit("entry-0", "routing", make_name(1), [dict(LONG)])
+                    cell.run(1.0)
+                    cell.platform.store_mode = "silent" if outage_s else "up"
+                    cell.run(outage_s)
+                    owner = cell.find_owner("routing")
+                    assert owner is not None
+                    cell.platform.put_bytes("owners", "routing", "roster", value)
+                    cell.kill(owner)
+                    cell.platform.store_mode = "up"
+                    cell.run(3.0)
+                    self.assertIsNotNone(cell.find_owner("routing"))
+                    cell.submit(next(iter(cell.nodes)), "routing", make_name(2), [dict(STEP)])
+                    cell.run(25.0)
+                    self.assertEqual(cell.platform.checker.list_unfinished(), [])
+                    self.assertEqual(cell.platform.checker.violations, [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -69,6 +69,26 @@
                 bench.poll(FIRST)
                 self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
 
+    def test_tasks_may_run_on_workers_that_an_unreadable_roster_lists(self) -> None:
+        """Fails if a task is started again before such a worker's lease must have lapsed."""
+        for recorded_all, blocked in ((True, False), (False, True)):
+            with self.subTest(recorded_all=recorded_all):
+                bench = self.take_over(recorded_all=recorded_all)
+                bench.pool.takeover.note_unknown_workers()
+                bench.pool.add_job(make_job(make_step(2), job=NEW))
+                bench.poll(FIRST)
+                bench.poll(SECOND)
+                bench.advance(9.0)
+                bench.poll(FIRST)
+                self.assertEqual(bench.pool.takeover.has_unknown_workers(), blocked)
+                starts = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                self.assertEqual(len(starts), 0 if blocked else 3)
+                bench.advance(2.0)
+                bench.poll(FIRST)
+                bench.dispatch()
+                self.assertFalse(bench.pool.takeover.has_unknown_workers())
+                self.assertEqual(sum(len(w.runs) for w in bench.pool.workers.values()), 3)
+
     def test_a_recorded_run_may_start_in_a_newer_incarnation(self) -> None:
         bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
         newer = make_entry("w2", incarnation=2)
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -29,9 +29,11 @@
     OWNER_KEY,
     OWNERS,
     PROGRESS,
+    ROSTER_KEY,
     OwnerRow,
     decode_owner,
     decode_progress,
+    decode_roster,
     get_shard,
 )
 from lavenderstall.pools.takeover import Takeover
@@ -203,6 +205,24 @@
         self.assertEqual(owner.writer.confirmed_at, confirmed)
 
 
+class RosterTest(unittest.TestCase):
+    """The row that lists the workers of a pool."""
+
+    def test_an_unreadable_roster_stays_while_it_may_list_workers_with_tasks(self) -> None:
+        """Fails if a later owner would take a new roster for a complete one."""
+        rows = FakeRowStore()
+        owner = Owner(rows)
+        owner.bench.pool.takeover = Takeover(owner.bench.pool, owner.bench.now + 5, recorded=False)
+        owner.bench.pool.takeover.note_unknown_workers()
+        owner.bench.register(ENTRY)
+        owner.step()
+        self.assertNotIn((OWNERS, POOL, ROSTER_KEY), rows.rows)
+        owner.bench.advance(6.0)
+        owner.step()
+        (worker,) = decode_roster(rows.rows[OWNERS, POOL, ROSTER_KEY].value).workers
+        self.assertEqual(worker, ENTRY)
+
+
 class CleaningTest(unittest.TestCase):
     """Deletion of rows of ended jobs."""
 
