Claim a pool whose owner row can't be read

Callers saw: once the owner row of a pool could not be read, its owner could commit nothing any more, did not notice, and gave its leases up after 7 s; no other instance could claim the pool, so its jobs were accepted and never run, until somebody replaced the row.

Cause: the error of the decoder ended each claim and each commit of the owner as something unexpected. A time that is no number, or a term without bound, would have had the same effect.

Evidence: with the old decoding, test_an_unreadable_owner_row_leaves_its_pool_with_an_owner failed in all six cases (no owner, or jobs unfinished), and the table of test_a_pool_whose_owner_row_cannot_be_read_is_claimed_above_all_terms in all eleven.

Fix, chosen to be safe: the owner takes such a row for the loss of its ownership, as it can't tell whether another has claimed the pool since. A claim takes the row's version plus one as its term: each term was claimed by a transaction, so no term exceeds the version of a later row, and workers refuse no poll. All that the earlier owner may have started is taken for unrecorded: its tasks are adopted from the workers' reports, and nothing inherited starts before all workers of the roster have reported, or all leases must have lapsed.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.ports import (
@@ -19,6 +20,7 @@
     Transaction,
 )
 from lavenderstall.pools.records import OWNER_KEY, OWNERS, OwnerRow, decode_owner, encode
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import PoolName
 
 logger = logging.getLogger(__name__)
@@ -31,6 +33,8 @@
 LEASE_S = 6.0
 # Two intervals of renewal remain.
 SUSPECTED_EXPIRY_REDUCTION_MS = 500.0
+# An owner whose row can't be read has no time in which its ownership may not be claimed.
+UNKNOWN_EXPIRY_MS = -1.0
 SLOWEST_CLOCK_RATE = 0.98
 SAFETY_MARGIN_S = 0.3
 
@@ -88,8 +92,10 @@
         entry: EntryId,
         incarnation: Incarnation,
         read_uptime: Callable[[], float],
+        unreadable_rows: UnreadableRows,
     ) -> None:
         self._store = store
+        self._unreadable_rows = unreadable_rows
         self._entry = entry
         self._incarnation = incarnation
         self._read_uptime = read_uptime
@@ -98,9 +104,16 @@
         """Read the owner row of a pool."""
         page = await self._store.read(OWNERS, pool, OWNER_KEY, 1)
         row = next((row for row in page.rows if row.key == OWNER_KEY), None)
-        owner = decode_owner(row.value) if row else None
+        owner = self._decode_owner(row) if row else None
         return OwnershipSnapshot(row, owner, page.store_clock_ms)
 
+    def _decode_owner(self, row: Row) -> OwnerRow:
+        try:
+            return decode_owner(row.value)
+        except UnreadableError as error:
+            self._unreadable_rows.note(row.table, f"{row.partition}/{row.key}", row.version, error)
+            return make_unknown_owner(row)
+
     async def claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> Claim | None:
         """Claim a pool; returns none on a conflict or failed write."""
         previous = snapshot.owner
@@ -146,6 +159,17 @@
         )
 
 
+def make_unknown_owner(row: Row) -> OwnerRow:
+    """Return what is certain of the owner whose row can't be read; it may be replaced at once.
+
+    Its term is at most the version of the row, as each term was claimed by a transaction. It may
+    have started tasks that are in no record until just now.
+    """
+    return OwnerRow(
+        EntryId(""), Incarnation(""), row.version, 0.0, unrecorded=True, expiry_ms=UNKNOWN_EXPIRY_MS
+    )
+
+
 def get_claim_rank(
     entry: EntryId,
     cpu_capacities: Mapping[EntryId, float],
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -66,6 +66,7 @@
 )
 from lavenderstall.pools.records import ENTRIES, EntryRecord, OwnerRow, decode_job, encode
 from lavenderstall.pools.table_watch import TableWatch
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import JobSpec, PoolName, Queue, Settings
 from lavenderstall.pools.writer import OwnerWriter
 
@@ -171,8 +172,13 @@
         self.job_requests = JobRequestHandler(
             self._store, self.peers, dependencies.clock, dependencies.read_unix_ms, self.metrics
         )
+        self._unreadable_rows = UnreadableRows(self.metrics)
         self._claimer = Claimer(
-            self._store, identity.entry, identity.incarnation, dependencies.read_uptime
+            self._store,
+            identity.entry,
+            identity.incarnation,
+            dependencies.read_uptime,
+            self._unreadable_rows,
         )
         self._table_watches = [
             TableWatch(
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -8,7 +8,7 @@
 from lavenderstall.decoding import UnreadableError, decode_msgpack
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.job import AcceptedJob, JobProgress
-from lavenderstall.pools.work import InvalidJobError, JobState, PoolName, check_job
+from lavenderstall.pools.work import MAX_FIGURE, InvalidJobError, JobState, PoolName, check_job
 from lavenderstall.pools.workers import WorkerEntry
 
 JOBS = "jobs"
@@ -109,5 +109,9 @@
 
 
 def decode_owner(value: bytes) -> OwnerRow:
-    """Decode the value of an owner row."""
-    return msgspec.msgpack.decode(value, type=OwnerRow)
+    """Decode the value of an owner row, or raise `UnreadableError`."""
+    owner = decode_msgpack(value, OwnerRow)
+    figures = (owner.term, owner.sequence, owner.renewed_ms, owner.expiry_ms)
+    if not all(0 <= figure <= MAX_FIGURE for figure in figures):
+        raise UnreadableError("the owner row has a figure out of bounds")
+    return owner
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -5,6 +5,7 @@
 from itertools import groupby
 
 from lavenderstall.clocks import Clock, sleep
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import (
     LavenderstallError,
     StoreOutcomeUnknownError,
@@ -227,7 +228,7 @@
         """Return the result of the last transaction if its owner row is in the store."""
         page = await self._store.read(OWNERS, self._pool.name, OWNER_KEY, 1)
         row = next((row for row in page.rows if row.key == OWNER_KEY), None)
-        if row is None or decode_owner(row.value) != self._owner:
+        if row is None or self._decode_owner(row) != self._owner:
             return None
         logger.info(
             "commit without a response was applied",
@@ -321,7 +322,7 @@
         )
 
     def _check_owner(self, row: Row) -> None:
-        owner = decode_owner(row.value) if row.version else None
+        owner = self._decode_owner(row) if row.version else None
         still_owned = (
             owner is not None
             and owner.entry == self._owner.entry
@@ -333,6 +334,16 @@
             raise OwnershipLostError(f"pool {self._pool.name} is owned by {owner and owner.entry}")
         self._version = row.version
 
+    def _decode_owner(self, row: Row) -> OwnerRow | None:
+        """Decode the owner row; one that can't be read is not this owner's."""
+        try:
+            return decode_owner(row.value)
+        except UnreadableError as error:
+            logger.warning(
+                "owner row can't be read", extra={"pool": self._pool.name, "error": str(error)}
+            )
+            return None
+
     async def delete_obsolete_rows(self) -> None:
         """Delete the rows of ended jobs that are no longer needed."""
         archive = self._pool.archive
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -230,6 +230,27 @@
                     self.assertEqual(cell.platform.checker.list_unfinished(), [])
                     self.assertEqual(cell.platform.checker.violations, [])
 
+    def test_an_unreadable_owner_row_leaves_its_pool_with_an_owner(self) -> None:
+        """Fails if no instance claims such a pool, or a running task is started again."""
+        for value in self.ODD_VALUES:
+            for killed in (False, True):
+                with self.subTest(value=value[:4], killed=killed):
+                    cell = start_cell()
+                    cell.submit("entry-0", "routing", make_name(1), [dict(LONG)])
+                    cell.run(1.0)
+                    cell.platform.put_bytes("owners", "routing", "owner", value)
+                    owner = cell.find_owner("routing")
+                    assert owner is not None
+                    if killed:
+                        cell.kill(owner)
+                    cell.run(3.0)
+                    self.assertIsNotNone(cell.find_owner("routing"))
+                    cell.submit(next(iter(cell.nodes)), "routing", make_name(2), [dict(STEP)])
+                    cell.run(6.0)
+                    self.assertEqual(cell.platform.checker.list_unfinished(), [])
+                    self.assertEqual(cell.platform.checker.violations, [])
+                    self.assertEqual(cell.platform.checker.starts, LONG["count"] + STEP["count"])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -3,6 +3,7 @@
 import unittest
 from functools import partial
 
+from msgspec.structs import replace
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -11,6 +12,8 @@
 from lavenderstall.pools.archive import RETENTION_S, ROW_DELETION_DELAY_S
 from lavenderstall.pools.claims import (
     COMPLETE_RECORDS_MS,
+    LEASE_S,
+    OLD_OWNER_TIMEOUT_S,
     Claim,
     Claimer,
     get_claim_rank,
@@ -21,7 +24,7 @@
 from lavenderstall.pools.effects import RunEnd, RunStatus
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
-from lavenderstall.pools.ports import Row
+from lavenderstall.pools.ports import Put, Row, Transaction
 from lavenderstall.pools.recording import ProgressBatch
 from lavenderstall.pools.records import (
     BASE_EXPIRY_MS,
@@ -34,9 +37,11 @@
     decode_owner,
     decode_progress,
     decode_roster,
+    encode,
     get_shard,
 )
 from lavenderstall.pools.takeover import Takeover
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import EndCause, JobState, Task
 from lavenderstall.pools.writer import (
     FAST_COMMIT_S,
@@ -60,7 +65,13 @@
     def __init__(self, rows: FakeRowStore, name: str = "entry-1") -> None:
         self.clock = Clock()
         self.uptime = 100.0
-        self.claimer = Claimer(rows, EntryId(name), Incarnation(name), lambda: self.uptime)
+        self.claimer = Claimer(
+            rows,
+            EntryId(name),
+            Incarnation(name),
+            lambda: self.uptime,
+            UnreadableRows(Metrics()),
+        )
         self.bench = Bench()
         self.peers = FakeCommitPeers(rows)
         claim = self.claim()
@@ -261,7 +272,9 @@
         table = ((0.0, False), (row.expiry_ms, False), (row.expiry_ms + 1, True))
         for passed_ms, claimable in table:
             with self.subTest(passed_ms=passed_ms):
-                other = Claimer(rows, EntryId("e2"), Incarnation("e2"), lambda: 0.0)
+                other = Claimer(
+                    rows, EntryId("e2"), Incarnation("e2"), lambda: 0.0, UnreadableRows(Metrics())
+                )
                 rows.store_clock_ms = row.renewed_ms + passed_ms
                 seen: list[bool] = []
                 Deferred.fromCoroutine(other.read_ownership(POOL)).addCallback(
@@ -269,10 +282,41 @@
                 )
                 self.assertEqual(seen, [claimable])
 
+    def test_a_pool_whose_owner_row_cannot_be_read_is_claimed_above_all_terms(self) -> None:
+        """Fails if such a pool has no owner for ever, or workers would refuse the next one."""
+        sound = OwnerRow(EntryId("e"), Incarnation("i"), 3, LATER_MS)
+        odd_rows = (
+            b"",
+            b"text",
+            b"\x91" * 5000 + b"\x90",
+            *(
+                encode(replace(sound, **{field: value}))
+                for field in ("renewed_ms", "expiry_ms")
+                for value in (float("nan"), float("inf"), -1.0)
+            ),
+            encode(replace(sound, term=-1)),
+            encode(replace(sound, term=2**64 - 1)),
+        )
+        for value in odd_rows:
+            with self.subTest(value=value[:60]):
+                rows = FakeRowStore()
+                first = make_owner(rows)
+                for _ in range(3):
+                    first.step()
+                rows.apply(Transaction(POOL, (), (Put(OWNERS, OWNER_KEY, value),)))
+                self.assertIsInstance(first.step(), OwnershipLostError)
+                claim = first.claim()
+                assert claim is not None
+                self.assertEqual(claim.owner.term, rows.version)
+                self.assertTrue(claim.owner.unrecorded)
+                self.assertFalse(claim.records_complete)
+                self.assertGreater(claim.old_run_lifetime_s, OLD_OWNER_TIMEOUT_S + LEASE_S)
+
     def test_one_of_two_claims_wins(self) -> None:
         rows = FakeRowStore()
         claimers = [
-            Claimer(rows, EntryId(name), Incarnation(name), lambda: 0.0) for name in ("e1", "e2")
+            Claimer(rows, EntryId(name), Incarnation(name), lambda: 0.0, UnreadableRows(Metrics()))
+            for name in ("e1", "e2")
         ]
         snapshots: list[object] = []
         for claimer in claimers:
