Let an odd row of an instance, or an error of a listener, skip no other row

Callers saw: an instance that started was not found by the others, or one that was alive was dropped as a peer, because of one row among those of the instances; a configuration was not applied until the next one was written.

Cause: deep nesting is no error of msgspec's, so it ended the handling of all rows. A link that can't be dialled, a share that is no number and a row with the name of another instance were taken as they were. A table's version moved on before its listener had handled the rows, and the listener was not called again when it failed.

Fix: rows of instances are decoded with one error and checked. A listener that fails is called again with all rows, while the feed is followed further.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lavenderstall.clocks import Clock, sleep
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.links import NngLinks
@@ -64,7 +65,14 @@
     Transaction,
     WorkerClient,
 )
-from lavenderstall.pools.records import ENTRIES, EntryRecord, OwnerRow, decode_job, encode
+from lavenderstall.pools.records import (
+    ENTRIES,
+    EntryRecord,
+    OwnerRow,
+    decode_entry,
+    decode_job,
+    encode,
+)
 from lavenderstall.pools.table_watch import TableWatch
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import JobSpec, PoolName, Queue, Settings
@@ -193,6 +201,7 @@
             ),
         ]
         self._entry_rows = EntryRowTracker()
+        self._entry_records: dict[EntryId, EntryRecord] = {}
         self._claims_in_progress: set[PoolName] = set()
         self._claimed_at: dict[PoolName, float] = {}
         self._running = False
@@ -307,16 +316,12 @@
 
     def _update_peers(self, rows: Mapping[str, Row]) -> None:
         self._entry_rows.note_rows(rows, self.read_uptime())
-        records = {}
-        for row in rows.values():
-            try:
-                record = msgspec.msgpack.decode(row.value, type=EntryRecord)
-            except msgspec.MsgspecError as error:
-                logger.warning(
-                    "invalid entry row ignored", extra={"key": row.key, "error": str(error)}
-                )
-                continue
-            records[record.entry] = record
+        known = self._entry_records
+        found = {EntryId(row.key): self._decode_entry(row) for row in rows.values()}
+        # An instance whose row can't be read now is reached as before, until it rewrites the row.
+        kept = {name: record or known.get(name) for name, record in found.items()}
+        records = {name: record for name, record in kept.items() if record is not None}
+        self._entry_records = records
         self._dependencies.links.set_peers({name: record.link for name, record in records.items()})
         for name, record in records.items():
             peer_state = self.peers.peers.setdefault(name, PeerState(record.zone))
@@ -326,6 +331,13 @@
             del self.peers.peers[name]
         self._advice_balancer.retain({*self.peers.peers, self.identity.entry})
 
+    def _decode_entry(self, row: Row) -> EntryRecord | None:
+        try:
+            return decode_entry(row.key, row.value)
+        except UnreadableError as error:
+            self._unreadable_rows.note(row.table, row.key, row.version, error)
+            return None
+
     async def _run_heartbeats(self) -> None:
         self._send_heartbeats()
         if self.owned_pools and self.peers.is_isolated() and not self._store.is_lost():
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -7,6 +7,7 @@
 
 from lavenderstall.decoding import UnreadableError, decode_msgpack
 from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.pools.addresses import is_address
 from lavenderstall.pools.job import AcceptedJob, JobProgress
 from lavenderstall.pools.work import MAX_FIGURE, InvalidJobError, JobState, PoolName, check_job
 from lavenderstall.pools.workers import WorkerEntry
@@ -20,6 +21,7 @@
 ROSTER_KEY = "roster"
 # Rows of submissions and cancellations are sharded, as a partition serializes its writes.
 SHARDS_PER_POOL = 8
+LINK_SCHEME = "tcp://"
 STATES = frozenset(state.value for state in JobState)
 
 
@@ -115,3 +117,17 @@
     if not all(0 <= figure <= MAX_FIGURE for figure in figures):
         raise UnreadableError("the owner row has a figure out of bounds")
     return owner
+
+
+def decode_entry(key: str, value: bytes) -> EntryRecord:
+    """Decode the row of an entry instance, or raise `UnreadableError`."""
+    record = decode_msgpack(value, EntryRecord)
+    if not key or record.entry != key:
+        raise UnreadableError(f"it holds instance {record.entry[:20]!r}")
+    if not record.link.startswith(LINK_SCHEME) or not is_address(
+        record.link.removeprefix(LINK_SCHEME)
+    ):
+        raise UnreadableError(f"{record.link[:40]!r} is no link")
+    if not 0 <= record.power <= MAX_FIGURE:
+        raise UnreadableError("its power is out of bounds")
+    return record
--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -7,6 +7,7 @@
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.pools.coroutines import launch
 from lavenderstall.pools.ports import HistoryLostError, Row, RowStore
+from lavenderstall.pools.table_reads import read_partition
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +35,8 @@
         self._wait_ms = wait_ms
         self._rows: dict[str, Row] = {}
         self._version = -1
+        # Whether rows have changed since the listener last handled them.
+        self._changed = False
         self._running = False
         self._feed_lost = False
 
@@ -60,30 +63,27 @@
                 await sleep(self._clock, RETRY_DELAY_S)
 
     async def _read_changes(self) -> None:
+        """Read changes and pass all rows on, again if the listener failed with them before."""
         if self._version < 0:
-            await self._read_all()
+            self._rows, self._version = await self._read_all()
+            self._changed = True
         else:
             page = await self._store.poll_changes(self._table, self._version, self._wait_ms)
-            self._version = page.version
             changed = [row for row in page.rows if not row.partition]
             for row in changed:
                 self._update_row(row)
-            if changed:
-                self._on_change(self._rows)
+            self._version = page.version
+            self._changed = self._changed or bool(changed)
+        if self._changed:
+            self._on_change(self._rows)
+            self._changed = False
         if self._feed_lost:
             self._feed_lost = False
             logger.info("feed restored", extra={"table": self._table, "version": self._version})
 
-    async def _read_all(self) -> None:
-        page = await self._store.read(self._table, "")
-        version = page.version
-        rows = {row.key: row for row in page.rows}
-        while page.has_more:
-            page = await self._store.read(self._table, "", page.rows[-1].key + "\0")
-            rows |= {row.key: row for row in page.rows}
-        self._rows = rows
-        self._version = version
-        self._on_change(self._rows)
+    async def _read_all(self) -> tuple[dict[str, Row], int]:
+        rows, version = await read_partition(self._store, self._table, "")
+        return {row.key: row for row in rows}, version
 
     def _update_row(self, row: Row) -> None:
         if row.version:
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -3,15 +3,17 @@
 import json
 import unittest
 from collections.abc import Iterator
+from types import SimpleNamespace
 from typing import Any
 
 from msgspec.structs import replace
 
 from adapter.workers import REGISTRY_TABLE
-from lavenderstall.identifiers import JobId
+from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.pools.entry_instance import RECORD_INTERVAL_S
 from lavenderstall.pools.job import JobProgress, StepProgress
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
-from lavenderstall.pools.records import encode, get_shard
+from lavenderstall.pools.records import EntryRecord, encode, get_shard
 from lavenderstall.pools.work import PoolName, QueueName, Repeat, Step
 from lavenderstall.resources import Resources
 from tests.platform.fake_platform import FakeWorker
@@ -252,5 +254,74 @@
                     self.assertEqual(cell.platform.checker.starts, LONG["count"] + STEP["count"])
 
 
+class InstanceRowsTest(unittest.TestCase):
+    """Rows of instances and of the operator that can't be read."""
+
+    def test_an_odd_row_of_an_instance_hides_no_other_instance(self) -> None:
+        """Fails if an instance is not found, or one that is alive is dropped, by one odd row."""
+        sound = EntryRecord(EntryId("odd"), Incarnation("i"), "z0", "tcp://odd:1")
+        odd_rows = {
+            "nothing": b"",
+            "nested": b"\x91" * NESTED + b"\x90",
+            "nested field": b"\x81\xa5other" + b"\x91" * NESTED + b"\x90",
+            "another name": encode(replace(sound, entry=EntryId("entry-0"))),
+            "no link": encode(replace(sound, link="")),
+            "no port": encode(replace(sound, link="tcp://odd:99999")),
+            "power": encode(replace(sound, power=float("nan"))),
+        }
+        for name, value in odd_rows.items():
+            for key in ("odd", "entry-1"):
+                with self.subTest(name=name, key=key):
+                    cell = start_cell()
+                    cell.platform.put_bytes("entries", "", key, value)
+                    cell.run(0.3)
+                    cell.start("entry-3")
+                    cell.run(1.0)
+                    self.check_peers(cell, {"entry-3"} if key == "entry-1" else set())
+                    # An instance that has come later learns of the other from its next row.
+                    cell.run(RECORD_INTERVAL_S)
+                    self.check_peers(cell, set())
+
+    def check_peers(self, cell: SimulatedCell, left_out: set[str]) -> None:
+        """Check that all instances, but for some, know each other."""
+        for name in cell.nodes.keys() - left_out:
+            peers = {str(peer) for peer in cell.nodes[name].instance.peers.peers}
+            self.assertEqual(peers | {name}, set(cell.nodes))
+
+    def test_a_configuration_that_cannot_be_read_leaves_the_last_one(self) -> None:
+        """Fails if the instances stop following the configuration."""
+        cell = start_cell()
+        for number, value in enumerate(
+            (NESTED_LISTS, b'{"version":9,"x":' + NESTED_LISTS + b"}", b"", b'{"version":1e999}')
+        ):
+            with self.subTest(value=value[:20]):
+                cell.platform.put_bytes("op", "", "config", value)
+                cell.platform.put_bytes("op", "", "other", value)
+                cell.run(1.5)
+                cell.put_settings(10 + number)
+                cell.run(1.5)
+                versions = {node.instance.settings.version for node in cell.nodes.values()}
+                self.assertEqual(versions, {10 + number})
+        run_jobs(self, cell)
+
+    def test_rows_that_a_listener_fails_with_are_passed_to_it_again(self) -> None:
+        """Fails if a configuration is not applied until the next one is written."""
+        cell = start_cell()
+        for node in cell.nodes.values():
+            decoder = node.instance._dependencies.settings
+            failures = [IndexError("an odd row")]
+
+            def decode(value: bytes, failures: Any = failures, decoder: Any = decoder) -> Any:
+                if failures:
+                    raise failures.pop()
+                return decoder.decode(value)
+
+            node.instance._dependencies.settings = SimpleNamespace(decode=decode)
+        cell.put_settings(2)
+        cell.run(3.0)
+        versions = {node.instance.settings.version for node in cell.nodes.values()}
+        self.assertEqual(versions, {2})
+
+
 if __name__ == "__main__":
     unittest.main()
