Answer a request for the state of a job with unreadable progress without an unexpected error

Cause: the error of the decoder was not one that the request expects.

Evidence: on the code before, the new test failed with "UnreadableError ... is not an instance of LavenderstallError". The row is now logged once per version and counted.

--- a/lavenderstall/pools/job_requests.py
+++ b/lavenderstall/pools/job_requests.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.clocks import Clock, sleep
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import (
     LavenderstallError,
     StoreOutcomeUnknownError,
@@ -36,6 +37,7 @@
     encode,
     get_shard,
 )
+from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import FINAL_STATES, JobSpec, JobState, PoolName, Queue
 
 logger = logging.getLogger(__name__)
@@ -64,6 +66,7 @@
         self._clock = clock
         self._read_unix_ms = read_unix_ms
         self._metrics = metrics
+        self._unreadable_rows = UnreadableRows(metrics)
 
     async def submit(self, queue: Queue, job: JobId, spec: JobSpec) -> Presence:
         """Write a job to the store and send it to the owner of its pool."""
@@ -194,7 +197,7 @@
                 self.read_row(CANCELS, shard, job),
             ]
         )
-        state = JobState(decode_progress(progress.value).state) if progress else JobState.QUEUED
+        state = self._decode_state(progress) if progress else JobState.QUEUED
         if row is None:
             return state if progress else None
         self._peers.send_job_hint(queue.pool, row.value)
@@ -202,6 +205,15 @@
             return JobState.CANCELLED
         return state
 
+    def _decode_state(self, row: Row) -> JobState:
+        try:
+            return JobState(decode_progress(row.value).state)
+        except UnreadableError as error:
+            self._unreadable_rows.note(row.table, row.key, row.version, error)
+            raise StoreUnavailableError(
+                "the progress row can't be read", step="read state", peer=row.key
+            ) from error
+
 
 class HedgedWrite:
     """A write attempted in several ways at once; the first success decides."""
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -10,6 +10,7 @@
 from msgspec.structs import replace
 
 from adapter.workers import REGISTRY_TABLE
+from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.pools.entry_instance import RECORD_INTERVAL_S
 from lavenderstall.pools.job import JobProgress, StepProgress
@@ -206,6 +207,17 @@
                 self.assertEqual(unfinished, [make_name(9)])
                 self.assertEqual(cell.platform.checker.starts, 2)
 
+    def test_the_state_of_a_job_with_unreadable_progress_is_not_known(self) -> None:
+        """Fails if such a request is an unexpected error, logged with each repetition."""
+        cell = start_cell()
+        cell.platform.put_bytes("progress", "routing", make_name(9), b"\x91" * NESTED + b"\x90")
+        found = [cell.get_state("entry-0", "routing", make_name(9)) for _ in range(3)]
+        cell.run(1.0)
+        for (failure,) in found:
+            self.assertIsInstance(failure.value, LavenderstallError)
+        counters = cell.nodes["entry-0"].instance.metrics.counters
+        self.assertLessEqual(counters["rows_unreadable"], 2)
+
 
 class OwnerRowsTest(unittest.TestCase):
     """Rows of owners and rosters that can't be read."""
