Let an odd row of the store cost that row alone, and take no odd page for an empty one

Callers saw: one row with a value that is no base64, with a key that is no text or with a version out of bounds, and no row of its page could be read: no list of workers, no jobs, no owner row.

Cause: all rows of an answer were decoded at once, and the base64 outside the error handling.

Fix: rows are decoded one by one. A row whose value can't be read keeps its name and gets an empty value, so that its reader sets it aside by name, while a cancellation needs no value; a row without a readable name or version is left out. Both are logged and counted once. The answer to a transaction needs its version and time, else its outcome is not known and is read back. A page that promises more rows but has none that can be read counts as no answer.

--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -79,7 +79,8 @@
         self.http_client: Any = FakeHttpClient(cell.platform, self.clock)
         self.links: Any = FakeLinks(cell, name)
         metrics = Metrics()
-        store = PlatformStore(self.http_client, STORE)
+        unreadable_rows = UnreadableRows(metrics)
+        store = PlatformStore(self.http_client, STORE, unreadable_rows)
         identity = InstanceIdentity(
             EntryId(name),
             Incarnation(f"{name}-{start_number}"),
@@ -90,7 +91,7 @@
             clock=self.clock,
             random=Random(f"{name}{start_number}"),
             store=store,
-            registry=PlatformRegistry(store, UnreadableRows(metrics)),
+            registry=PlatformRegistry(store, unreadable_rows),
             workers=PlatformWorkerClient(self.http_client),
             adviser=PlatformAdviser(self.http_client, ADVISER),
             settings=PlatformSettingsDecoder(),
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -100,6 +100,12 @@
     return found[0]
 
 
+def make_store(answer: Reply | Exception, metrics: Metrics | None = None) -> PlatformStore:
+    """Return a store that answers each call in the same way."""
+    client: Any = FixedHttpClient(answer)
+    return PlatformStore(client, "store", UnreadableRows(metrics or Metrics()))
+
+
 class NodeSettingsTest(unittest.TestCase):
     """The settings file."""
 
@@ -133,7 +139,7 @@
 
     def commit(self, answer: Reply | Exception) -> Any:
         """Commit one row."""
-        store = PlatformStore(FixedHttpClient(answer), "store")  # type: ignore[arg-type]
+        store = make_store(answer)
         return get_result(
             store.commit(Transaction("p", (Condition("t", "k", 0),), (Put("t", "k", b"v"),)))
         )
@@ -164,13 +170,69 @@
     def test_outcomes_of_a_feed(self) -> None:
         rows = ((410, HistoryLostError), (503, StoreUnavailableError), (500, StoreUnavailableError))
         for status, error in rows:
-            store = PlatformStore(FixedHttpClient(Reply(status, b"{}")), "store")  # type: ignore[arg-type]
+            store = make_store(Reply(status, b"{}"))
             with self.subTest(status=status), self.assertRaises(error):
                 get_result(store.poll_changes("t", 1, 10))
 
+    def test_a_row_that_cannot_be_read_costs_no_other_row_of_its_page(self) -> None:
+        """Fails if a page of the store can't be read because of one of its rows."""
+        sound = [
+            {"table": "t", "part": "p", "key": key, "value": "dg==", "schemaVersion": 4}
+            for key in ("a", "c")
+        ]
+        named = {"table": "t", "part": "p", "key": "b", "schemaVersion": 5}
+        odd_rows: tuple[tuple[Any, list[bytes]], ...] = (
+            ({**named, "value": "dg="}, [b"v", b"", b"v"]),
+            ({**named, "value": "\u00e4"}, [b"v", b"", b"v"]),
+            ({**named, "value": 7}, [b"v", b"", b"v"]),
+            ({**named, "value": None}, [b"v", b"", b"v"]),
+            ({**named, "key": 7}, [b"v", b"v"]),
+            ({**named, "schemaVersion": -1}, [b"v", b"v"]),
+            ({**named, "schemaVersion": 10**400}, [b"v", b"v"]),
+            ([named], [b"v", b"v"]),
+            (None, [b"v", b"v"]),
+            ("row", [b"v", b"v"]),
+        )
+        for odd, values in odd_rows:
+            rows = [sound[0], odd, sound[1]]
+            with self.subTest(odd=str(odd)[:60]):
+                body = json.dumps({"rows": rows, "schemaVersion": 9, "nowMs": 1}).encode()
+                metrics = Metrics()
+                store = make_store(Reply(200, body), metrics)
+                for _ in range(2):
+                    page = get_result(store.read("t", "p"))
+                    self.assertEqual([row.value for row in page.rows], values)
+                self.assertEqual(metrics.counters["rows_unreadable"], 3 - len(values))
+                with self.assertRaises(RowConflictError) as caught:
+                    transaction = Transaction("p", (Condition("t", "k", 0),))
+                    get_result(make_store(Reply(412, body)).commit(transaction))
+                self.assertEqual([row.value for row in caught.exception.rows], values)
+
+    def test_a_page_that_is_no_page_counts_as_no_answer(self) -> None:
+        """Fails if such an answer is an unexpected error, or is read on and on."""
+        bodies = (
+            b"",
+            b"[]",
+            b"7",
+            b"null",
+            b'{"rows":7}',
+            b'{"rows":[' + b"[" * 5000 + b"]" * 5000 + b"]}",
+            b'{"rows":[],"schemaVersion":-1}',
+            b'{"rows":[],"schemaVersion":' + b"9" * 400 + b"}",
+            b'{"rows":[],"nowMs":1e999}',
+            b'{"rows":[7],"hasMore":true}',
+            b'{"rows":[],"hasMore":true}',
+        )
+        for body in bodies:
+            with self.subTest(body=body[:40]):
+                with self.assertRaises(StoreUnavailableError):
+                    get_result(make_store(Reply(200, body)).read("t", "p"))
+                with self.assertRaises(StoreOutcomeUnknownError):
+                    self.commit(Reply(200, body))
+
     def test_a_deleted_row_has_no_version(self) -> None:
         body = b'{"rows":[{"table":"t","key":"k","deleted":true,"schemaVersion":9}]}'
-        store = PlatformStore(FixedHttpClient(Reply(200, body)), "store")  # type: ignore[arg-type]
+        store = make_store(Reply(200, body))
         self.assertEqual(get_result(store.poll_changes("t", 1, 10)).rows[0].version, 0)
 
 
@@ -251,7 +313,7 @@
         ]
         rows.append({"table": "servers", "key": "w9", "value": "/w==", "schemaVersion": 1})
         body = json.dumps({"rows": rows, "schemaVersion": 1, "nowMs": 1}).encode()
-        store = PlatformStore(FixedHttpClient(Reply(200, body)), "store")  # type: ignore[arg-type]
+        store = make_store(Reply(200, body))
         (entry,) = get_result(PlatformRegistry(store, UnreadableRows(Metrics())).list_workers())
         self.assertEqual(
             (entry.id, entry.kind, entry.rack, entry.incarnation), ("w0", "a", "r1-3", 7)
@@ -308,7 +370,7 @@
             for number, value in enumerate([sound, *(v for o in values for v in (o, sound))])
         ]
         body = json.dumps({"rows": rows, "schemaVersion": 99, "nowMs": 1}).encode()
-        store = PlatformStore(FixedHttpClient(Reply(200, body)), "store")  # type: ignore[arg-type]
+        store = make_store(Reply(200, body))
         found = get_result(PlatformRegistry(store, UnreadableRows(Metrics())).list_workers())
         names = [row["key"] for row in rows if "-odd" not in str(row["key"])]
         self.assertEqual([entry.id for entry in found if "-odd" not in entry.id], names)
