Let an odd row in a worker's answer cost that row alone

Callers saw: one row of a worker's lists of runs that could not be read, and no poll of that worker counted: its ends were not taken note of, its leases lapsed, and its tasks ran again elsewhere. A row that named a step which its job has not ended the polls of its worker.

Cause: an answer was decoded as a whole; a task was looked up by its job alone.

A run of a task that its job has not is stopped like one of an unknown job, and keeps its room until it has ended.

--- a/lavenderstall/pools/crashes.py
+++ b/lavenderstall/pools/crashes.py
@@ -83,7 +83,7 @@
 
     def is_suspected(self, task: Task) -> bool:
         """Tell whether a worker has crashed under a task, or under its gang."""
-        job = self._pool.jobs.get(task.job) if self._suspects else None
+        job = self._pool.find_job(task) if self._suspects else None
         return job is not None and job.count_crashes(task) > 0
 
     def needs_isolation(self, job: Job, task: Task) -> bool:
@@ -137,7 +137,7 @@
         if restarted:
             self._confirm_all(worker.key)
         for run in runs:
-            job = self._pool.jobs.get(run.task.job)
+            job = self._pool.find_job(run.task)
             if job is not None and not job.ended:
                 self._check_limit(job, run.task, worker.key)
 
@@ -203,7 +203,7 @@
 
         Runs that had settled when the worker last existed for certain are no likely cause.
         """
-        job = self._pool.jobs.get(run.task.job)
+        job = self._pool.find_job(run.task)
         if job is None or has_settled(run, worker.alive_at):
             return Suspicion.POSSIBLE
         own_runs = list(list_runs(job, make_attempts(job, run.task)))
@@ -235,8 +235,8 @@
         return not run.inherited and has_settled(run, at) and not self.is_suspected(run.task)
 
     def _record(self, run: Run, crash: Crash) -> None:
-        job = self._pool.jobs.get(run.task.job)
-        if job is None or job.ended or run.task.step >= len(job.spec.steps):
+        job = self._pool.find_job(run.task)
+        if job is None or job.ended:
             return
         if not job.record_crash(run.task, crash):
             return
--- a/lavenderstall/pools/early_reports.py
+++ b/lavenderstall/pools/early_reports.py
@@ -36,9 +36,9 @@
         for worker in self._pool.workers.values():
             early_runs = [worker.runs[key] for key in worker.unsized_runs if key[0].job == job.id]
             for run in early_runs:
-                if run.task.step < len(job.spec.steps):
+                if job.has_task(run.task):
                     worker.size_run(run, self._pool.get_allocation(run.task))
                     job.add_run(run)
         for end in self._ends.pop(job.id, []):
-            if end.task.step < len(job.spec.steps):
+            if job.has_task(end.task):
                 self._pool.apply_end(job, end.task, end.number, end.cause, end.checkpoint)
--- a/lavenderstall/pools/effects.py
+++ b/lavenderstall/pools/effects.py
@@ -74,12 +74,18 @@
 
 
 class PollResponse(msgspec.Struct, frozen=True):
-    """Answer of a worker to a poll; an `incarnation` of 0 is unknown."""
+    """Answer of a worker to a poll; an `incarnation` of 0 is unknown.
+
+    An `incomplete` one doesn't show that a run is missing, as it holds a run or an end that can't
+    be read; `skipped_seq` is the number of the last such end.
+    """
 
     clock_ms: float
     incarnation: int
     running: tuple[RunStatus, ...]
     ended: tuple[RunEnd, ...]
+    incomplete: bool = False
+    skipped_seq: int = 0
 
 
 # Reasons of refusals: another process has the worker's address, so the worker has exited; the
--- a/lavenderstall/pools/gang_reservations.py
+++ b/lavenderstall/pools/gang_reservations.py
@@ -101,7 +101,7 @@
 
     def _estimate_end(self, worker: Worker, run: Run) -> float:
         """Estimate when a run will end, from its progress or its declared duration."""
-        job = self.pool.jobs.get(run.task.job)
+        job = self.pool.find_job(run.task)
         if job is None or run.stopping:
             return self.pool.now + STOP_DURATION_S
         step = job.spec.steps[run.task.step]
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -159,6 +159,14 @@
         """Tell whether no task of the job may start any more."""
         return self.cancelling or self.state in FINAL_STATES
 
+    def has_task(self, task: Task) -> bool:
+        """Tell whether a task is one of the job."""
+        return (
+            0 <= task.occurrence < self.spec.occurrences
+            and 0 <= task.step < len(self.spec.steps)
+            and 0 <= task.number < self.spec.steps[task.step].count
+        )
+
     def get_step(self, occurrence: int, step: int) -> StepState:
         """Return the state of a step, created on first use."""
         found = self.steps.get((occurrence, step))
--- a/lavenderstall/pools/placement.py
+++ b/lavenderstall/pools/placement.py
@@ -191,7 +191,7 @@
     def _has_interference(self, step: Step, worker: Worker) -> bool:
         """Tell whether best-effort tasks would share a worker with latency-sensitive ones."""
         for run in worker.runs.values():
-            job = self.pool.jobs.get(run.task.job)
+            job = self.pool.find_job(run.task)
             if job is None:
                 continue
             other = job.spec.steps[run.task.step]
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -293,17 +293,22 @@
             run.crash_noted = False
             worker.add_run(run, self.get_allocation(run.task))
 
+    def find_job(self, task: Task) -> Job | None:
+        """Return the job of a task, or none if it is not known or has no such task."""
+        job = self.jobs.get(task.job)
+        return job if job is not None and job.has_task(task) else None
+
     def get_allocation(self, task: Task) -> Resources:
         """Return the resources that a run of a task occupies on its worker."""
-        job = self.jobs.get(task.job)
-        if job is None or task.step >= len(job.spec.steps):
+        job = self.find_job(task)
+        if job is None:
             return NOTHING
         return job.spec.steps[task.step].allocation
 
     def is_short_run(self, run: Run, bound_ms: int) -> bool:
         """Tell whether a run's task ends by itself and within a bound."""
-        job = self.jobs.get(run.task.job)
-        if job is None or run.task.step >= len(job.spec.steps):
+        job = self.find_job(run.task)
+        if job is None:
             return True
         step = job.spec.steps[run.task.step]
         return not step.long_running and step.expected_ms < bound_ms
@@ -383,7 +388,7 @@
 
     def request_copy(self, run: Run) -> bool:
         """Request a second run of a speculative task, and tell whether it may have one."""
-        job = self.jobs.get(run.task.job)
+        job = self.find_job(run.task)
         if job is None or job.ended or not job.spec.steps[run.task.step].speculative:
             return False
         state = job.get_step(run.task.occurrence, run.task.step)
@@ -428,10 +433,10 @@
         self, worker: Worker, task: Task, number: int, cause: EndCause, checkpoint: str
     ) -> None:
         """Release the allocation of a run and apply its end to its job, now or once it is read."""
-        job = self.jobs.get(task.job)
-        if job is None:
+        if task.job not in self.jobs:
             self.early_reports.note_end(RunEnd(0, task, number, cause, checkpoint))
-        if job is None or task.step >= len(job.spec.steps):
+        job = self.find_job(task)
+        if job is None:
             worker.drop_run(task, number, NOTHING)
             return
         worker.drop_run(task, number, job.spec.steps[task.step].allocation)
--- a/lavenderstall/pools/preemption.py
+++ b/lavenderstall/pools/preemption.py
@@ -92,7 +92,7 @@
         """Yield the runs that a queue may preempt, least urgent and largest first."""
         found = []
         for run in worker.runs.values():
-            job = self._pool.jobs.get(run.task.job)
+            job = self._pool.find_job(run.task)
             if job is None or id(run) in excluded:
                 continue
             victim_queue = self._pool.get_queue(job)
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -30,9 +30,10 @@
     for end in answer.ended:
         if end.seq > worker.applied_seq:
             apply_run_end(pool, worker, end)
+    worker.applied_seq = max(worker.applied_seq, answer.skipped_seq)
     for row in answer.running:
         apply_run_status(pool, worker, row)
-    if len(answer.ended) < MAX_ENDS_PER_RESPONSE:
+    if len(answer.ended) < MAX_ENDS_PER_RESPONSE and not answer.incomplete:
         present = {(row.task, row.number) for row in answer.running}
         end_missing_runs(pool, worker, present, asked_at)
     pace_best_effort_runs(pool, worker)
@@ -66,7 +67,7 @@
 def apply_run_status(pool: "Pool", worker: Worker, row: RunStatus) -> None:
     """Apply the status of a run, and stop it if its job is unknown or has ended."""
     run = worker.runs.get((row.task, row.number))
-    job = pool.jobs.get(row.task.job)
+    job = pool.find_job(row.task)
     if run is None:
         run = adopt_run(pool, worker, row, job)
     run.inherited = False
@@ -92,7 +93,7 @@
 def adopt_run(pool: "Pool", worker: Worker, row: RunStatus, job: Job | None) -> Run:
     """Add a run of an earlier owner, and stop it if it is unknown or superfluous."""
     run = Run(row.task, row.number, worker.key, pool.now, percent_changed_at=pool.now)
-    if job is None or row.task.step >= len(job.spec.steps):
+    if job is None:
         worker.add_unsized_run(run)
         pool.stop(run)
         return run
--- a/lavenderstall/pools/supervision.py
+++ b/lavenderstall/pools/supervision.py
@@ -21,8 +21,8 @@
     worker.end_history.note(pool.now, end.task.job, end.cause)
     if end.cause is not EndCause.FAILED:
         return
-    job = pool.jobs.get(end.task.job)
-    if job is not None and end.task.step < len(job.spec.steps):
+    job = pool.find_job(end.task)
+    if job is not None:
         state = job.get_step(end.task.occurrence, end.task.step)
         state.failed_on.setdefault(end.task.number, set()).add(worker.key.id)
     if worker.end_history.is_faulty(pool.now):
@@ -38,7 +38,7 @@
 def stop_slow_runs(pool: "Pool", worker: Worker) -> None:
     """Stop stalled runs and stragglers, so that their tasks start elsewhere."""
     for run in list(worker.runs.values()):
-        job = pool.jobs.get(run.task.job)
+        job = pool.find_job(run.task)
         if job is None:
             continue
         if not is_stalled(run, job.spec.steps[run.task.step], pool.now):
@@ -90,7 +90,7 @@
 
 def record_slowdown(pool: "Pool", worker: Worker, run: Run) -> None:
     """Record the slowdown of a run that is done."""
-    job = pool.jobs.get(run.task.job)
+    job = pool.find_job(run.task)
     if job is None:
         return
     step = job.spec.steps[run.task.step]
@@ -104,7 +104,7 @@
     serving: list[ServingLatency] = []
     best_effort_runs: list[Run] = []
     for run in worker.runs.values():
-        job = pool.jobs.get(run.task.job)
+        job = pool.find_job(run.task)
         if job is None or run.stopping or run.confirmed_at < 0:
             continue
         step = job.spec.steps[run.task.step]
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -72,6 +72,8 @@
         self.speed = 1.0
         self.hangs = False
         self.fails = False
+        # Rows of another form that it adds to its lists of runs.
+        self.odd_running: list[Any] = []
         self.up = True
         self.born = 0
         self.restart()
@@ -233,6 +235,7 @@
             ]
             for task in self.running.values()
         ]
+        running += self.odd_running
         return 200, {
             "clockMs": self.clock_ms(),
             "born": self.born,
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -92,7 +92,7 @@
             random=Random(f"{name}{start_number}"),
             store=store,
             registry=PlatformRegistry(store, unreadable_rows),
-            workers=PlatformWorkerClient(self.http_client),
+            workers=PlatformWorkerClient(self.http_client, unreadable_rows),
             adviser=PlatformAdviser(self.http_client, ADVISER),
             settings=PlatformSettingsDecoder(),
             links=self.links,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -44,7 +44,7 @@
 )
 from lavenderstall.pools.records import RosterRow, encode
 from lavenderstall.pools.unreadable_rows import UnreadableRows
-from lavenderstall.pools.work import MAX_FIGURE, Task
+from lavenderstall.pools.work import MAX_FIGURE, EndCause, Task
 from tests.platform.simulated_cell import SimulatedCell
 from tests.pools.builders import make_entry
 
@@ -106,6 +106,12 @@
     return PlatformStore(client, "store", UnreadableRows(metrics or Metrics()))
 
 
+def make_client(reply: Reply, metrics: Metrics | None = None) -> PlatformWorkerClient:
+    """Return a client of workers that all answer in the same way."""
+    client: Any = FixedHttpClient(reply)
+    return PlatformWorkerClient(client, UnreadableRows(metrics or Metrics()))
+
+
 class NodeSettingsTest(unittest.TestCase):
     """The settings file."""
 
@@ -244,20 +250,22 @@
         command = StartRun(("w1", 1), Task(JobId("a" * 16), 0, 0, 0), 1, "spec", 5)  # type: ignore[arg-type]
         rows = (
             (Reply(409, b'{"clockMs":5,"reason":"room"}'), Refusal("room", 5.0)),
+            (Reply(409, b'{"clockMs":-1,"reason":"fence"}'), Refusal("fence")),
+            (Reply(409, b'{"clockMs":' + b"9" * 400 + b',"reason":"late"}'), Refusal("late")),
             (Reply(421, b""), Refusal("instance")),
             (Reply(503, b""), Refusal("unhealthy")),
             (Reply(200, b'{"clockMs":5}'), 5.0),
         )
         for reply, expected in rows:
             with self.subTest(reply=reply):
-                workers = PlatformWorkerClient(FixedHttpClient(reply))  # type: ignore[arg-type]
+                workers = make_client(reply)
                 self.assertEqual(get_result(workers.start(entry, 1, command)), expected)
 
     def test_a_command_with_an_unreadable_response_has_an_unknown_outcome(self) -> None:
         command = StartRun(("w1", 1), Task(JobId("a" * 16), 0, 0, 0), 1, "spec", 5)  # type: ignore[arg-type]
         for reply in (Reply(500, b""), Reply(200, b"{}"), Reply(200, b"[")):
             with self.subTest(reply=reply), self.assertRaises(AnswerLostError):
-                workers = PlatformWorkerClient(FixedHttpClient(reply))  # type: ignore[arg-type]
+                workers = make_client(reply)
                 get_result(workers.start(make_entry("w1"), 1, command))
 
     def test_rows_of_runs_with_and_without_load(self) -> None:
@@ -275,6 +283,106 @@
                 body = f'{{"clockMs":1,"running":[{row}]}}'
                 msgspec.json.decode(body, type=WireWorkerStatus).decode()
 
+    def poll(self, body: bytes, metrics: Metrics | None = None, seen: int = 0) -> Any:
+        """Poll a worker that answers with a body."""
+        client = make_client(Reply(200, body), metrics)
+        return get_result(client.poll(make_entry("w1"), 1, seen, None, 0))
+
+    def test_an_odd_running_row_costs_itself_alone(self) -> None:
+        """Fails if a poll is lost by one row, or the row's run would count as missing."""
+        sound = '["a.0.0.1",1,"cp",40,9]'
+        rows: tuple[tuple[str, bool], ...] = (
+            ('["a.0.0.2",2,"cp",1e999,9]', True),
+            ('["a.0.0.2",2,"cp",' + "9" * 400 + ",9]", True),
+            ('["a.0.0.2",2,"cp","x",9]', True),
+            ('["a.0.0.2",2,"cp",-1,9]', True),
+            ('["a.0.0.2",2,7,40,9]', True),
+            ('["a.0.0.2",2,"",40,[1]]', True),
+            ('["a.0.0.2",2]', True),
+            ('["a.0.0.2",-2,"",40,9]', False),
+            ('["a.0.0.2",' + "9" * 400 + ',"",40,9]', False),
+            ('["a.0.0.2",2.5,"",40,9]', False),
+            ('["a.0.0.-2",2,"",40,9]', False),
+            ('["a.0.0",2,"",40,9]', False),
+            ('["a. 0.0.2",2,"",40,9]', False),
+            ('["a.0.0.' + "9" * 400 + '",2,"",40,9]', False),
+            ('[7,2,"",40,9]', False),
+            ("[]", False),
+            ("{}", False),
+            ("null", False),
+        )
+        for row, named in rows:
+            with self.subTest(row=row[:40]):
+                body = f'{{"clockMs":5,"running":[{sound},{row},{sound}],"finished":[]}}'.encode()
+                metrics = Metrics()
+                client = make_client(Reply(200, body), metrics)
+                for _ in range(2):
+                    found = get_result(client.poll(make_entry("w1"), 1, 0, None, 0))
+                tasks = [(status.task.number, status.number) for status in found.running]
+                self.assertEqual(tasks, [(1, 1), *([(2, 2)] if named else []), (1, 1)])
+                self.assertEqual(found.incomplete, not named)
+                self.assertEqual(metrics.counters["rows_unreadable"], 1)
+
+    def test_an_odd_end_costs_itself_alone(self) -> None:
+        """Fails if another end is lost by it, or no end behind it can be acknowledged."""
+        rows: tuple[tuple[str, EndCause | None, int], ...] = (
+            ('[7,"a.0.0.2",2,"exploded",""]', EndCause.LOST, 7),
+            ('[7,"a.0.0.2",2,7,""]', EndCause.LOST, 7),
+            ('[7,"a.0.0.2",2,"done",7]', EndCause.DONE, 7),
+            ('[7,"a.0.0.2",2,"done"]', EndCause.DONE, 7),
+            ('["7","a.0.0.2",2,"done",""]', EndCause.DONE, 7),
+            ('[-7,"a.0.0.2",2,"done",""]', EndCause.DONE, 7),
+            ("[" + "9" * 400 + ',"a.0.0.2",2,"done",""]', EndCause.DONE, 7),
+            ('[7,"a.0.0",2,"done",""]', None, 7),
+            ('[7,"a.0.0.2",-2,"done",""]', None, 7),
+            ('[7,"a.0.0.2",1e999,"done",""]', None, 7),
+            ('[7,["a.0.0.2"],2,"done",""]', None, 7),
+            ("[7]", None, 7),
+            ("[]", None, 7),
+            ("null", None, 7),
+        )
+        for row, cause, seq in rows:
+            for before, behind in ((True, True), (True, False), (False, False)):
+                with self.subTest(row=row[:40], before=before, behind=behind):
+                    listed = [
+                        *(['[6,"a.0.0.1",1,"done",""]'] if before else []),
+                        row,
+                        *(['[8,"a.0.0.3",1,"failed",""]'] if behind else []),
+                    ]
+                    body = f'{{"clockMs":5,"finished":[{",".join(listed)}]}}'.encode()
+                    found = self.poll(body, seen=5 if before else 6)
+                    expected = [(6, EndCause.DONE)] if before else []
+                    expected += [(seq, cause)] if cause else []
+                    expected += [(8, EndCause.FAILED)] if behind else []
+                    self.assertEqual([(end.seq, end.cause) for end in found.ended], expected)
+                    self.assertEqual(found.skipped_seq, 0 if cause else seq)
+                    self.assertEqual(found.incomplete, cause is None)
+
+    def test_a_status_that_cannot_be_read_counts_as_no_answer(self) -> None:
+        """Fails if such an answer is an unexpected error, which would end the worker's polls."""
+        deep = b"[" * 5000 + b"]" * 5000
+        clocks = (b"NaN", b"1e999", b"9" * 400, b"-1", b'"5"', b"null")
+        bodies = (
+            *(b'{"clockMs":' + clock + b',"running":[],"finished":[]}' for clock in clocks),
+            *(b'{"clockMs":5,"born":' + born + b"}" for born in (b"-1", b"9" * 400, b"1.5")),
+            b'{"clockMs":5,"running":' + deep + b"}",
+            b'{"clockMs":5,"running":[' + deep + b"]}",
+            b'{"clockMs":5,"running":7}',
+            b'{"clockMs":5,"finished":{}}',
+            b"[]",
+            b"",
+            deep,
+        )
+        command = StartRun(("w1", 1), Task(JobId("a" * 16), 0, 0, 0), 1, "spec", 5)  # type: ignore[arg-type]
+        for body in bodies:
+            with self.subTest(body=body[:40]), self.assertRaises(AnswerLostError):
+                self.poll(body)
+            with self.subTest(body=body[:40], refused=True), self.assertRaises(AnswerLostError):
+                get_result(make_client(Reply(409, body)).start(make_entry("w1"), 1, command))
+        for body in (deep, b'{"clockMs":' + b"9" * 400 + b"}", b'{"clockMs":-1}'):
+            with self.subTest(body=body[:40], started=True), self.assertRaises(AnswerLostError):
+                get_result(make_client(Reply(200, body)).start(make_entry("w1"), 1, command))
+
     def test_task_names(self) -> None:
         task = Task(JobId("5c0e7a21d94b36f8"), 0, 1, 17)
         self.assertEqual(format_task_name(task), "5c0e7a21d94b36f8.0.1.17")
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -337,6 +337,41 @@
         self.assertEqual(versions, {2})
 
 
+class PollTest(unittest.TestCase):
+    """Answers of workers with rows that can't be read."""
+
+    def test_odd_rows_of_a_worker_stop_no_other_run(self) -> None:
+        """Fails if a run is lost or repeated, an end is not acknowledged, or polls end."""
+        job = make_name(1)
+        odd_rows: dict[str, list[Any]] = {
+            "no task": [["odd", 1, "", 1, 0]],
+            "nothing": [None, [], 7],
+            "no such step": [[f"{job}.0.9.0", 1, "saved", 1, 0]],
+            "no such occurrence": [[f"{job}.7.0.0", 1, "saved", 1, 0]],
+            "no such index": [[f"{job}.0.0.5000", 1, "saved", 1, 0]],
+            "figures": [[f"{job}.0.0.0", -1, "", 1, 0], ["a.0.0.0", 1, "", 10**400, 0]],
+        }
+        for name, rows in odd_rows.items():
+            with self.subTest(name=name):
+                cell = start_cell(workers=2)
+                cell.submit("entry-0", "routing", job, [dict(LONG, count=2)])
+                cell.run(1.0)
+                worker = next(w for w in cell.platform.workers.values() if w.pool == "routing")
+                worker.odd_running = rows
+                worker.count += 1
+                odd_end = [worker.count, str(rows[0])[:50], 1, "unknown", ""]
+                worker.ended.append(odd_end)
+                cell.run(4.0)
+                self.assertEqual(cell.platform.checker.list_unfinished(), [])
+                self.assertEqual(cell.platform.checker.violations, [])
+                self.assertEqual(cell.platform.checker.starts, 2)
+                self.assertNotIn(odd_end, worker.ended)
+                worker.odd_running = []
+                cell.submit("entry-0", "routing", make_name(2), [dict(STEP)])
+                cell.run(3.0)
+                self.assertEqual(cell.platform.checker.list_unfinished(), [])
+
+
 class MessagesTest(unittest.TestCase):
     """Messages of other instances that can't be read, as of a later release."""
 
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -1,9 +1,20 @@
 """Tests of the reactions of a pool to events."""
 
 import unittest
+from typing import Any
+
+from msgspec.structs import replace
 
 from lavenderstall.identifiers import JobId
-from lavenderstall.pools.effects import PaceRun, Refusal, RunEnd, RunStatus, StartRun, StopRun
+from lavenderstall.pools.effects import (
+    PaceRun,
+    PollResponse,
+    Refusal,
+    RunEnd,
+    RunStatus,
+    StartRun,
+    StopRun,
+)
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns
 from lavenderstall.pools.pool import RECENT_ANSWER_S, STOP_RETRY_S, UNRESPONSIVE_S
@@ -73,6 +84,53 @@
         self.assertEqual(bench.pool.jobs, {})
 
 
+class OddReportTest(unittest.TestCase):
+    """Reports that can't be read in full, or that name tasks which a job has not."""
+
+    def poll(self, bench: Bench, **fields: Any) -> None:
+        """Let the worker answer a poll without any run."""
+        answer = replace(PollResponse(bench.clock_ms(), 1, (), ()), **fields)
+        bench.pool.note_poll(WorkerKey("w1", 1), answer, bench.now)
+
+    def test_an_incomplete_answer_shows_no_run_as_missing(self) -> None:
+        """Fails if a run whose row can't be read is taken for lost, and started twice."""
+        bench = Bench(FIRST)
+        bench.pool.add_job(make_job())
+        (order,) = bench.start()
+        worker = bench.pool.workers[order.worker]
+        bench.advance(0.1)
+        self.poll(bench, incomplete=True)
+        self.assertEqual(list(worker.runs), [(order.task, order.number)])
+        self.poll(bench)
+        self.assertEqual(list(worker.runs), [])
+
+    def test_an_end_that_cannot_be_read_is_acknowledged_once_others_are_durable(self) -> None:
+        """Fails if a worker lists such an end for ever, and answers each poll at once."""
+        bench = Bench(FIRST)
+        self.poll(bench, incomplete=True, skipped_seq=7)
+        worker = bench.pool.workers[WorkerKey("w1", 1)]
+        self.assertEqual(worker.get_acknowledged_seq(bench.now), 0)
+        bench.record()
+        self.assertEqual(worker.get_acknowledged_seq(bench.now), 7)
+
+    def test_tasks_that_a_job_has_not_change_nothing_but_their_worker(self) -> None:
+        """Fails if such a report ends polls, adds progress, or its room is given away."""
+        for task in (Task(JOB, 0, 9, 0), Task(JOB, 3, 0, 0), Task(JOB, 0, 0, 9)):
+            with self.subTest(task=task):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job(make_step(2)))
+                bench.poll(FIRST, [RunStatus(task, 1, "saved", 5.0, 1.0)])
+                stops = [each for each in bench.dispatch() if isinstance(each, StopRun)]
+                self.assertEqual([stop.task for stop in stops], [task])
+                bench.advance(3.0)
+                bench.poll(FIRST, [RunStatus(task, 1, "saved", 5.0, 1.0)])
+                self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+                bench.poll(FIRST, [], [RunEnd(1, task, 1, EndCause.DONE, "saved")])
+                self.assertEqual(len(bench.start()), 2)
+                self.assertEqual(bench.pool.jobs[JOB].progress.steps["0.0"].done, set())
+                self.assertEqual(set(bench.pool.jobs[JOB].progress.steps), {"0.0"})
+
+
 class PendingTest(unittest.TestCase):
     """Jobs that wait, told to callers, while the store or workers hold starts up."""
 
