Let an odd row of advice cost its worker alone

Callers saw: one row among those of the allowed workers that could not be read, and no task of the step started, as the whole answer was lost, each time. An answer with deep nesting was an unexpected error, after which the step waited for ever.

Cause: the answer was decoded as a whole, with only some errors of the decoder expected.

A worker whose ticket can't be read stays allowed without one, so that it is asked about again, and not denied for good; a row that names no worker is set aside.

--- a/lavenderstall/pools/step_advice.py
+++ b/lavenderstall/pools/step_advice.py
@@ -32,13 +32,17 @@
         self.requested_workers = workers
 
     def note_advice(self, advice: Advice, named: Iterable[str], now: float) -> None:
-        """Record an answer; workers that were named and not allowed are denied for good."""
+        """Record an answer; workers that were named and not allowed are denied for good.
+
+        An allowed one without a ticket is asked about again.
+        """
         self.requested_workers = ()
         expires = now + advice.valid_ms / 1000
         found = dict(advice.allowed)
         self.allowed |= found.keys()
         self.denied |= set(named) - found.keys()
-        self.tickets.update({worker: (ticket, expires) for worker, ticket in found.items()})
+        tickets = {worker: (ticket, expires) for worker, ticket in found.items() if ticket}
+        self.tickets.update(tickets)
 
     def note_failure(self) -> None:
         """Note that a call failed."""
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -93,7 +93,7 @@
             store=store,
             registry=PlatformRegistry(store, unreadable_rows),
             workers=PlatformWorkerClient(self.http_client, unreadable_rows),
-            adviser=PlatformAdviser(self.http_client, ADVISER),
+            adviser=PlatformAdviser(self.http_client, ADVISER, unreadable_rows),
             settings=PlatformSettingsDecoder(),
             links=self.links,
             read_uptime=cell.clock.seconds,
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -23,7 +23,7 @@
     format_task_name,
     parse_task_name,
 )
-from adapter.workers import PlatformRegistry, PlatformWorkerClient
+from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkerClient
 from lavenderstall.decoding import UnreadableError, decode_msgpack
 from lavenderstall.errors import (
     AnswerLostError,
@@ -34,7 +34,7 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.platform_clients import Reply
-from lavenderstall.pools.effects import Refusal, StartRun
+from lavenderstall.pools.effects import Advice, Refusal, StartRun
 from lavenderstall.pools.ports import (
     Condition,
     HistoryLostError,
@@ -488,6 +488,50 @@
         self.assertEqual((entry.kind, entry.rack), ("", ""))
 
 
+class AdviceTest(unittest.TestCase):
+    """Answers of the placement service."""
+
+    def ask(self, body: bytes) -> Advice:
+        """Ask a service that answers with a body."""
+        client: Any = FixedHttpClient(Reply(200, body))
+        adviser = PlatformAdviser(client, "adviser", UnreadableRows(Metrics()))
+        found = get_result(adviser.request_advice(Task(JobId("a"), 0, 0, 0), ("w1",), 1.0))
+        assert isinstance(found, Advice)
+        return found
+
+    def test_an_odd_row_costs_its_worker_alone(self) -> None:
+        """Fails if no worker is allowed, or one is denied for good, by one odd row."""
+        rows = (
+            ('["w2",7]', [("w2", "")]),
+            ('["w2"]', [("w2", "")]),
+            ('["w2",1e999]', [("w2", "")]),
+            ('["w2","t2",3]', [("w2", "t2")]),
+            ('[7,"t2"]', []),
+            ("[]", []),
+            ("null", []),
+            ('{"w2":"t2"}', []),
+        )
+        for row, expected in rows:
+            with self.subTest(row=row):
+                body = f'{{"allowed":[["w1","t1"],{row},["w3","t3"]],"validityMs":5}}'
+                found = self.ask(body.encode())
+                self.assertEqual(found.allowed, (("w1", "t1"), *expected, ("w3", "t3")))
+                self.assertEqual(found.valid_ms, 5)
+
+    def test_an_answer_that_cannot_be_read_is_lost(self) -> None:
+        """Fails if a step waits for ever for the advice of such an answer."""
+        deep = b"[" * 5000 + b"]" * 5000
+        for body in (
+            b"",
+            deep,
+            b'{"allowed":' + deep + b"}",
+            b'{"allowed":7}',
+            b'{"validityMs":-1}',
+        ):
+            with self.subTest(body=body[:30]), self.assertRaises(AnswerLostError):
+                self.ask(body)
+
+
 class SettingsTest(unittest.TestCase):
     """The operator's configuration."""
 
