Refuse a job that no owner could read or carry out

Callers saw: a job with deep nesting in any field got no 400 but an unexpected error (504), so that it was sent again and again; jobs with a negative time or interval, or with 10^9 occurrences, were accepted. Such an occurrence count without an interval never let go of the process that owns the pool.

Cause: only some errors of the decoder were expected, and only the needs of a step had a bound.

A second test holds that a job with the largest figures can be read back from its row.

--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import Clock
 
 from adapter.store import PlatformStore
-from adapter.wire import PlatformSettingsDecoder, WireJob
+from adapter.wire import PlatformSettingsDecoder, decode_job_body
 from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkerClient
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.metrics import Metrics
@@ -224,7 +224,7 @@
         """Submit a job; the list gets the outcome once it is known."""
         body = {"spec": f"spec of {job}", "steps": steps}
         self.platform.checker.jobs[job] = body
-        spec = msgspec.json.decode(json.dumps(body), type=WireJob).decode()
+        spec = decode_job_body(json.dumps(body).encode())
         instance = self.nodes[node].instance
         queue = instance.settings.find_queue("h", f"/{pool}/")
         found: list[Presence] = []
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -19,6 +19,7 @@
     PlatformSettingsDecoder,
     WireWorker,
     WireWorkerStatus,
+    decode_job_body,
     decode_worker,
     format_task_name,
     parse_task_name,
@@ -35,6 +36,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.platform_clients import Reply
 from lavenderstall.pools.effects import Advice, Refusal, StartRun
+from lavenderstall.pools.job import AcceptedJob
 from lavenderstall.pools.ports import (
     Condition,
     HistoryLostError,
@@ -42,9 +44,9 @@
     RowConflictError,
     Transaction,
 )
-from lavenderstall.pools.records import RosterRow, encode
+from lavenderstall.pools.records import RosterRow, decode_job, encode
 from lavenderstall.pools.unreadable_rows import UnreadableRows
-from lavenderstall.pools.work import MAX_FIGURE, EndCause, Task
+from lavenderstall.pools.work import MAX_FIGURE, MAX_OCCURRENCES, EndCause, Task
 from tests.platform.simulated_cell import SimulatedCell
 from tests.pools.builders import make_entry
 
@@ -667,6 +669,55 @@
                 self.assertEqual(self.send(method, path, body).status, status)
         self.assertEqual(self.send("GET", "/routing/", host="other").status, 404)
 
+    def test_a_job_with_figures_out_of_bounds_is_refused_at_once(self) -> None:
+        """Fails if such a job gets a 504, is repeated for ever, or stops the process."""
+        deep = b"[" * 5000 + b"]" * 5000
+        step = {"count": 1, "estimatedDurationMs": 50}
+        figures = ("count", "cpu", "taskMemoryMb", "gpu", "estimatedDurationMs", "maxPerServer")
+        more_figures = ("targetMs", "maxMissing")
+        texts = (b"-1", b"NaN", b"1e999", b"9" * 400, b"9223372036854775808", b'"1"', b"null")
+        bodies = [
+            b'{"spec":"x","steps":[{'
+            + b",".join([b'"count":1', b'"%s":%s' % (name, text)])
+            + b"}]}"
+            for name in map(str.encode, (*figures, *more_figures))
+            for text in texts
+        ]
+        whole = json.dumps({"spec": "x", "steps": [step]}).encode()[:-1]
+        bodies += [
+            whole + b',"%s":%s}' % (name, text)
+            for name in (b"repeatCount", b"startAtMs", b"intervalMs")
+            for text in texts
+        ]
+        bodies += [
+            whole + b',"repeatCount":1000000000}',
+            whole + b',"other":' + deep + b"}",
+            b'{"spec":"x","steps":' + deep + b"}",
+            b'{"spec":"x","steps":[{"count":1,"after":[-1]}]}',
+            b'{"spec":"x","steps":[{"count":1,"after":[' + b"9" * 400 + b"]}]}",
+            b'{"spec":"\\ud800","steps":[{"count":1}]}',
+            b'{"spec":"x","steps":[{"count":1,"image":"\\udfff"}]}',
+            deep,
+            b"\xff",
+        ]
+        for body in bodies:
+            with self.subTest(body=body[:90]):
+                answer = self.send("POST", "/routing/0123456789abcdef", body)
+                self.assertEqual(answer.status, 400)
+                self.assertTrue(answer.body["error"])
+                msgspec.json.encode(answer.body)
+        self.assertNotIn("0123456789abcdef", str(self.cell.platform.rows))
+
+    def test_the_largest_figures_of_a_job_fit_in_its_row(self) -> None:
+        """Fails if a job is accepted that no owner can read."""
+        names = ("cpu", "taskMemoryMb", "gpu", "estimatedDurationMs", "maxPerServer", "targetMs")
+        step = {"count": 5000, "maxMissing": MAX_FIGURE, **dict.fromkeys(names, MAX_FIGURE)}
+        times = {"startAtMs": MAX_FIGURE, "intervalMs": MAX_FIGURE}
+        body = {"spec": "x", "steps": [step], "repeatCount": MAX_OCCURRENCES, **times}
+        spec = decode_job_body(json.dumps(body).encode())
+        job = AcceptedJob(JobId("a"), "q", spec, 1)
+        self.assertEqual(decode_job(encode(job)), job)
+
     def test_a_rejection_has_a_retry_delay(self) -> None:
         self.cell.platform.store_mode = "busy"
         self.cell.run(1.0)
