Name the setting of which an address, a port or a share is out of bounds

Callers saw: a settings file with deep nesting ended the start with a traceback, and an error in the log at SIGHUP; a port of 99999 was found out only when the process listened; a share of a processor that is no number went into the row of the instance, which the others can't use.

Cause: only the types of the settings were checked.

Evidence: on the code before, the new rows of test_errors_name_what_is_invalid failed with "SettingsError not raised", and the one with deep nesting with an error.

Fix: what an instance needs to serve is checked where the file is read, and the error names the setting. An odd address of the placement service still stops no start, as queues without advice can be served; calls to it fail as not sent.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -128,12 +128,27 @@
         settings = self.read(SETTINGS)
         self.assertEqual((settings.node, settings.internal_port_range), ("entry-1", (7380, 7395)))
 
+    def test_what_is_not_needed_to_serve_may_be_odd(self) -> None:
+        """Fails if an instance doesn't start for the lack of what it can do without."""
+        settings = self.read(SETTINGS.replace("unknownLater = 7", 'recommendation = "a:-1"'))
+        self.assertEqual(settings.recommendation, "a:-1")
+
     def test_errors_name_what_is_invalid(self) -> None:
         rows = (
             (SETTINGS.replace('zone = "quito-a"', ""), "zone"),
             (SETTINGS.replace("[7380, 7395]", '"many"'), "internalPortRange"),
             (SETTINGS.replace('ready = "10.1.0.30:8141"', ""), "ready"),
             ("= nothing", "TOML"),
+            ("a = " + "[" * 5000 + "]" * 5000, "TOML"),
+            (SETTINGS.replace("7380, 7395", "0, 7395"), "internalPortRange"),
+            (SETTINGS.replace("7380, 7395", "7380, 99999"), "internalPortRange"),
+            (SETTINGS.replace("10.1.0.30:8149", "10.1.0.30:99999"), "front"),
+            (SETTINGS.replace("10.1.0.30:8141", "10.1.0.30"), "ready"),
+            (SETTINGS.replace("10.200.1.7:8142", "10.200.1.7 :8142"), "platform.address"),
+            (SETTINGS + "[limits]\ncpuShare = nan", "cpuShare"),
+            (SETTINGS + "[limits]\ncpuShare = -1.0", "cpuShare"),
+            (SETTINGS + "[limits]\ncores = inf", "cores"),
+            (SETTINGS + "[bounds]\nremoteFactor = -1", "remoteFactor"),
         )
         for text, expected in rows:
             with self.subTest(expected=expected), self.assertRaisesRegex(SettingsError, expected):
