Skip no job and no cancellation if reading rows again fails in part

Callers saw: a cancellation was acknowledged and the job's tasks ran on (UNASKED); a job that lasts was accepted and never ran, with room for it (LOST). Both until the pool's next owner.

Cause: after the store has dropped the history of changes, an owner reads the rows of all eight shards of a table again. Messages of other instances usually tell the owner earlier, unless they are lost too. A store of which some partitions are down for a few seconds when its history is dropped is enough.

Change: the rows of the shards that can be read are applied at once, before the error of another has all read again, so that one partition hides no job of the others. Owners log that they read rows again, how many partitions failed, and each cancellation they receive.

--- a/lavenderstall/pools/coroutines.py
+++ b/lavenderstall/pools/coroutines.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine, Iterable
 from typing import Any, TypeVar
 
-from twisted.internet.defer import Deferred, FirstError, gatherResults
+from twisted.internet.defer import Deferred, DeferredList, FirstError, gatherResults
 from twisted.python.failure import Failure
 
 T = TypeVar("T")
@@ -29,6 +29,17 @@
     return await gatherResults(running, consumeErrors=True).addErrback(_unwrap)
 
 
+async def gather_all(
+    coroutines: "Iterable[Coroutine[Any, Any, T]]",
+) -> tuple[list[T], list[BaseException]]:
+    """Run coroutines concurrently and return the results and the errors once all have ended."""
+    running = [Deferred.fromCoroutine(coroutine) for coroutine in coroutines]
+    outcomes: list[tuple[bool, Any]] = await DeferredList(running, consumeErrors=True)
+    results = [result for succeeded, result in outcomes if succeeded]
+    errors = [failure.value for succeeded, failure in outcomes if not succeeded]
+    return results, errors
+
+
 def _unwrap(failure: Failure) -> Failure:
     """Return the first failure."""
     error = failure.value
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -12,7 +12,7 @@
 from lavenderstall.identifiers import EntryId, JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.advice_balancer import IdleAdviserCount
-from lavenderstall.pools.coroutines import gather, launch
+from lavenderstall.pools.coroutines import gather, gather_all, launch
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
 from lavenderstall.pools.job import AcceptedJob, JobProgress, check_progress
@@ -301,9 +301,7 @@
         try:
             page = await self._store.poll_changes(JOBS, self._jobs_version, FEED_WAIT_MS)
         except HistoryLostError:
-            rows, version = await self._read_shards(JOBS)
-            self._add_jobs(rows)
-            self._jobs_version = version
+            self._jobs_version = await self._read_again(JOBS, self._add_jobs)
             return
         rows = self._select_rows(page)
         added = self._add_jobs(rows)
@@ -354,12 +352,29 @@
         try:
             page = await self._store.poll_changes(CANCELS, self._cancels_version, FEED_WAIT_MS)
         except HistoryLostError:
-            rows, version = await self._read_shards(CANCELS)
-        else:
-            rows, version = self._select_rows(page), page.version
+            self._cancels_version = await self._read_again(CANCELS, self._cancel_jobs)
+            return
+        self._cancel_jobs(self._select_rows(page))
+        self._cancels_version = page.version
+
+    def _cancel_jobs(self, rows: Iterable[Row]) -> None:
         for row in rows:
             self._apply(row, partial(self.cancel_job, JobId(row.key)))
-        self._cancels_version = version
+
+    async def _read_again(self, table: str, apply: Callable[[list[Row]], Any]) -> int:
+        """Apply the rows of all shards and return the version at which their feed starts.
+
+        If a shard can't be read, those of the others are applied before the error is raised.
+        """
+        found, errors = await gather_all(self._read_partition(table, part) for part in self._shards)
+        logger.info(
+            "rows read again, as the history of changes was lost",
+            extra={"table": table, "pool": self.pool.name, "partitions_failed": len(errors)},
+        )
+        apply(list(chain.from_iterable(rows for rows, _ in found)))
+        if errors:
+            raise errors[0]
+        return min(version for _, version in found)
 
     async def _read_shards(self, table: str) -> tuple[list[Row], int]:
         """Return the rows of all shards, and the version from which a feed returns later rows."""
@@ -388,6 +403,7 @@
         """Cancel a job and tell whether it is known."""
         self.update_time()
         known = self.pool.cancel_job(job)
+        logger.info("cancellation received", extra={"job": job, "known": known})
         if known:
             self.schedule_dispatch()
         return known
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -141,11 +141,9 @@
             return
         status, found = platform.serve_store(path, query, body)
         waits = int(query.get("waitMs", 0)) / 1000
-        if (
-            path == "/v1/rows-feed"
-            and status == 200
-            and not found["rows"]
-            and platform.clock.seconds() - sent_at < waits
+        waiting = status == 200 and path == "/v1/rows-feed" and not found["rows"]
+        if path == "/v1/rows-feed" and (
+            platform.feeds_silent or (waiting and platform.clock.seconds() - sent_at < waits)
         ):
             platform.clock.callLater(
                 POLL_INTERVAL_S, self._arrive, answer, STORE, path, query, body, sent_at
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -358,8 +358,9 @@
     """Fake store, workers and placement service.
 
     `store_mode` is up, busy (rejects all), silent (ignores requests) or mute (applies transactions
-    without a response). `deadly_tasks` names the tasks that crash each worker that starts them;
-    with `renames_workers` a worker that has crashed comes back under another name.
+    without a response). Reads of `down_partitions` are rejected, and while `feeds_silent` no feed
+    answers. `deadly_tasks` names the tasks that crash each worker that starts them; with
+    `renames_workers` a worker that has crashed comes back under another name.
     """
 
     def __init__(self, clock: Clock, seed: int = 1) -> None:
@@ -372,6 +373,8 @@
         self.oldest = 0
         self.store_mode = "up"
         self.store_delay_s = STORE_DELAY_S
+        self.down_partitions: set[str] = set()
+        self.feeds_silent = False
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
         self.workers: dict[str, FakeWorker] = {}
@@ -423,11 +426,18 @@
         self.rows[table, part, key] = row
         self.feed.append(row)
 
+    def drop_history(self) -> None:
+        """Forget all changes, and let feeds answer again."""
+        self.oldest = self.version + 1
+        self.feeds_silent = False
+
     def serve_store(self, path: str, query: dict[str, str], body: Any) -> tuple[int, Any]:
         """Execute one request to the store."""
         base = {"schemaVersion": self.version, "nowMs": self.clock.seconds() * 1000}
         if path == "/v1/rows-tx":
             return self.transact(body)
+        if path == "/v1/rows-get" and query.get("part", "") in self.down_partitions:
+            return 503, {}
         if path == "/v1/rows-get":
             rows = sorted(
                 (
