Watch restarted workers for starts that their earlier process had refused

Callers saw: a job was cancelled and a task of it ran on for up to a lease (UNASKED); or a task ran on two workers (TWICE).

Cause: an owner drops a run without an answer once its worker can't execute the start any more: it has taken a stop, its clock has passed the deadline, or its lease is over. All three are promises of one process. A worker that starts again under its name knows none of them, and the late start is executed. The owner had forgotten it, polled the idle worker once, and so nobody looked. A stop that was acknowledged by the earlier process also counted as one of the newer, if the worker restarted before the next poll.

Class of the fault: what was proven of one process is taken to hold for the next one.

Change: starts that were given up without an answer are kept for as long as they may arrive. When their worker starts again, they are tracked there as runs, stopped before anything is concluded, and so polled until the new process has promised not to execute them either. A stop taken by an earlier process counts for nothing.

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -21,6 +21,7 @@
 )
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run, describe_run
+from lavenderstall.pools.late_starts import LateStart, LateStarts
 from lavenderstall.pools.objectives import get_objective_s
 from lavenderstall.pools.reconciliation import apply_poll_response
 from lavenderstall.pools.recording import ProgressRecorder
@@ -86,6 +87,7 @@
         self.recorder = ProgressRecorder(self)
         self.crashes = CrashTracker(self)
         self.early_reports = EarlyReports(self)
+        self._late_starts = LateStarts()
         self.jobs: dict[JobId, Job] = {}
         self.active: dict[JobId, Job] = {}
         self.archive = Archive()
@@ -266,8 +268,24 @@
         self.workers[worker.key] = worker
         self.latest_incarnations[entry.id] = worker.key
         logger.info("worker added", extra={"worker": entry.id, "incarnation": entry.incarnation})
+        for start in self._late_starts.list_for(entry.id, self.now):
+            self._expect_late_start(worker, start)
         return worker
 
+    def _expect_late_start(self, worker: Worker, start: LateStart) -> None:
+        """Track a start that a new process of a worker may still execute, and have it refused."""
+        run = Run(start.task, start.number, worker.key, start.sent_at, unanswered_at=self.now)
+        job = self.jobs.get(start.task.job)
+        if job is None or start.task.step >= len(job.spec.steps):
+            worker.add_unsized_run(run)
+        else:
+            worker.add_run(run, self.get_allocation(run.task))
+            job.add_run(run)
+        worker.note_possible_starts(self.now)
+        self.counts["late_starts_expected"] += 1
+        logger.info("late start expected", extra=describe_run(run))
+        self.stop(run)
+
     def _replace_worker(self, key: WorkerKey, entry: WorkerEntry, reason: str) -> None:
         """Replace an incarnation of a worker by a newer one.
 
@@ -290,6 +308,7 @@
             run.confirmed_at = -1.0
             run.unanswered_at = self.now
             run.deadline_ms = 0.0
+            run.voided_at = -1.0
             run.crash_noted = False
             worker.add_run(run, self.get_allocation(run.task))
 
@@ -431,11 +450,12 @@
         job = self.jobs.get(task.job)
         if job is None:
             self.early_reports.note_end(RunEnd(0, task, number, cause, checkpoint))
-        if job is None or task.step >= len(job.spec.steps):
-            worker.drop_run(task, number, NOTHING)
-            return
-        worker.drop_run(task, number, job.spec.steps[task.step].allocation)
-        self.apply_end(job, task, number, cause, checkpoint)
+        known = job is not None and task.step < len(job.spec.steps)
+        run = worker.drop_run(task, number, self.get_allocation(task))
+        if run is not None and cause is EndCause.LOST:
+            self._late_starts.note_dropped(run, self.now)
+        if job is not None and known:
+            self.apply_end(job, task, number, cause, checkpoint)
 
     def apply_end(
         self, job: Job, task: Task, number: int, cause: EndCause, checkpoint: str
@@ -564,6 +584,7 @@
         elif refusal.reason not in {"late", "old"}:
             self.back_off(worker)
         self.end_run(worker, task, number, EndCause.LOST, "")
+        self._late_starts.forget(key.id, task, number)
         if refusal.reason == OTHER_PROCESS:
             self._note_process_gone(key)
         job = self.jobs.get(task.job)
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -108,6 +108,11 @@
             self._reply(answer, *platform.advise(body), delay=0.02)
             return
         worker = platform.workers.get(address)
+        if path == "/v1/run-start" and platform.start_delay_s:
+            platform.clock.callLater(
+                platform.start_delay_s, self._execute_late, address, path, body, named
+            )
+            return
         if worker is not None and sent_at <= worker.started_at:
             self._clock.callLater(0, self._fail, answer, address, path)
             return
@@ -130,6 +135,12 @@
             return
         self._reply(answer, status, found)
 
+    def _execute_late(self, address: str, path: str, body: Any, named: str) -> None:
+        """Execute a command by whatever process of the named worker has the address now."""
+        worker = self._platform.workers.get(address)
+        if worker is not None and worker.up and named in {"", worker.name}:
+            worker.serve(path, body)
+
     def _serve_store(
         self, answer: Deferred[Reply], path: str, query: dict[str, str], body: Any, sent_at: float
     ) -> None:
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -359,8 +359,9 @@
 
     `store_mode` is up, busy (rejects all), silent (ignores requests) or mute (applies transactions
     without a response). Reads of `down_partitions` are rejected, and while `feeds_silent` no feed
-    answers. `deadly_tasks` names the tasks that crash each worker that starts them; with
-    `renames_workers` a worker that has crashed comes back under another name.
+    answers. While `start_delay_s` is not 0, starts have no answer and are executed so much later.
+    `deadly_tasks` names the tasks that crash each worker that starts them; with `renames_workers` a
+    worker that has crashed comes back under another name.
     """
 
     def __init__(self, clock: Clock, seed: int = 1) -> None:
@@ -375,6 +376,7 @@
         self.store_delay_s = STORE_DELAY_S
         self.down_partitions: set[str] = set()
         self.feeds_silent = False
+        self.start_delay_s = 0.0
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
         self.workers: dict[str, FakeWorker] = {}
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -228,6 +228,33 @@
                 run = bench.pool.workers[WorkerKey(name, 2)].runs[order.task, order.number]
                 self.assertGreaterEqual(run.confirmed_at, 0)
 
+    def test_what_a_worker_has_promised_does_not_bind_its_newer_incarnation(self) -> None:
+        for dropped in (True, False):
+            with self.subTest(dropped=dropped):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                (order,) = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                bench.pool.note_unanswered(order.worker, order.task, order.number)
+                bench.pool.cancel_job(JOB)
+                bench.pool.note_stopped(order.worker, order.task, order.number, 1.0)
+                bench.advance(0.1)
+                if dropped:
+                    bench.poll(FIRST)
+                    self.assertEqual(bench.pool.workers[order.worker].runs, {})
+                newer = make_entry("w1", incarnation=2)
+                bench.pool.set_workers([newer])
+                bench.pool.pop_effects()
+                bench.advance(0.4)
+                bench.poll(newer)
+                worker = bench.pool.workers[WorkerKey("w1", 2)]
+                self.assertEqual(list(worker.runs), [(order.task, order.number)])
+                stop = StopRun(worker.key, order.task, order.number)
+                self.assertIn(stop, bench.pool.pop_effects())
+                bench.pool.note_stopped(worker.key, order.task, order.number, 1.0)
+                bench.advance(0.1)
+                bench.poll(newer)
+                self.assertEqual(worker.runs, {})
+
     def test_a_run_that_may_start_in_a_newer_incarnation_keeps_its_lease(self) -> None:
         longest_s = MAX_COMMAND_DELAY_S + MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
         for passed_s, restarts in ((0.1, False), (longest_s, False), (longest_s + 0.5, True)):
