Count crashes of workers whose owner ends before it has noticed them

Seen by callers: a job of which a task crashes the workers that start it was started six times before it failed, and each start took along what ran beside it, if owners ended at the same time.

Cause: the cell's own scheduler recorded the start of an idempotent task only once the task was suspected. An owner that ended before it had noticed the first crash left no trace of the run, so its successor started the task as if for the first time.

A successor that finds a marked run on no worker of the roster counts a crash. The mark goes once the run has ended, failed, been moved or lived for a minute, so that none of these is taken for a crash. Ended and cleared tasks no longer take room in the row, and a merge with a row that another writer changed does not bring a mark back.

--- a/lavenderstall/adoption.py
+++ b/lavenderstall/adoption.py
@@ -179,7 +179,6 @@
             if task.state is TaskState.STARTING:
                 self._mark_running(task)
             self.automation.handle_task_report(task, self._clock.seconds())
-            self._clear_crashes(task)
             return
         self._adopt(task, link.id, report)
 
@@ -198,6 +197,7 @@
         task.state = report.state
         task.started = self._clock.seconds() - report.age_ms / 1000
         if report.state is TaskState.RUNNING:
+            self._record_start(task)
             self.automation.handle_task_start(task, task.started)
         task.accepted_at = self._clock.seconds()
         task.absent_at = inf
@@ -248,6 +248,7 @@
         elif report.state is TaskState.FAILED and task.attempts >= task.spec.max_attempts:
             self._end_task(task, "failed", acknowledge)
         else:
+            self._record_end_of_run(task)
             acknowledge()
 
     def _handle_run_end(
@@ -284,6 +285,7 @@
         self._explain("waits", Reason("replica failed", f"starts again in {delay:g} s"), task)
         task.state, task.run = TaskState.WAITING, TaskId("")
         task.waiting_since = self._clock.seconds()
+        self._record_end_of_run(task)
         self._clock.callLater(delay, self._enqueue_if_waiting, task)
 
     def _restart_suspect(self, task: Task) -> None:
--- a/lavenderstall/assignment.py
+++ b/lavenderstall/assignment.py
@@ -125,7 +125,14 @@
             return
         if task.crashes.started:
             record_missing_run(task)
+            self._suspects.add(task.id)
             self.work.record_crashes(task.spec.id, task.index, task.crashes)
+            logger.info(
+                "the run of task %s was lost with its owner; crashes: %d, %d by it alone",
+                task.id,
+                task.crashes.total,
+                task.crashes.sole,
+            )
         if is_given_up(task):
             self._give_up(task)
         else:
--- a/lavenderstall/crashes.py
+++ b/lavenderstall/crashes.py
@@ -4,7 +4,7 @@
 from math import inf
 
 from lavenderstall.protocol import Kind, TaskState
-from lavenderstall.records import TaskCrashes
+from lavenderstall.records import NO_CRASHES, TaskCrashes
 from lavenderstall.tasks import Task
 
 # A task is given up once it alone may have caused this many crashes, or after more of any kind.
@@ -28,9 +28,7 @@
     answered the start, as that may not have arrived.
     """
     possible = [
-        task
-        for task in lost
-        if task.state is not TaskState.STOPPING and now - task.started <= MAX_RUN_AGE_S
+        task for task in lost if task.state is not TaskState.STOPPING and may_crash(task, now)
     ]
     likely = [task for task in possible if task.crashes.total or now - task.started <= FRESH_S]
     blamed = likely or possible
@@ -59,9 +57,14 @@
     return over and task.spec.kind is not Kind.SERVICE
 
 
+def may_crash(task: Task, now: float) -> bool:
+    """Tell whether a run is young enough to crash its worker."""
+    return now - task.started <= MAX_RUN_AGE_S
+
+
 def is_cleared(task: Task, now: float) -> bool:
-    """Tell whether a run of a suspected task has lived too long to crash its worker."""
-    return bool(task.crashes.total) and now - task.started > MAX_RUN_AGE_S
+    """Tell whether a run with crashes or a recorded start is too old to crash its worker."""
+    return task.crashes != NO_CRASHES and not may_crash(task, now)
 
 
 def keeps_apart(starting: Sequence[Task], running: Iterable[Task], now: float) -> bool:
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -104,7 +104,7 @@
         self.fleet.stop()
 
     def _review(self) -> None:
-        """Resolve starts and stops whose answers were lost."""
+        """Resolve starts and stops whose answers were lost, and clear runs that live long."""
         now = self._clock.seconds()
         stuck: dict[WorkerId, list[TaskStop]] = {}
         for task in self.tasks.values():
@@ -116,6 +116,8 @@
                 stuck.setdefault(link.id, []).append(TaskStop(task.run, "start unconfirmed"))
             elif task.state is TaskState.STOPPING:
                 stuck.setdefault(link.id, []).append(TaskStop(task.run, "stop repeated"))
+            elif task.state is TaskState.RUNNING and link.usable:
+                self._clear_crashes(task)
         for worker, stops in stuck.items():
             self._send_stops(self.fleet.links[worker], stops)
         self.automation.run_periodic_actions(now)
--- a/lavenderstall/starts.py
+++ b/lavenderstall/starts.py
@@ -5,6 +5,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from lavenderstall.crashes import may_crash
 from lavenderstall.decisions import Never, Plan
 from lavenderstall.errors import AnswerLostError, FencedError, PeerUnavailableError
 from lavenderstall.identifiers import JobId, TaskId, WorkerId, make_run_id
@@ -110,6 +111,7 @@
 
     def _mark_running(self, task: Task) -> None:
         task.state = TaskState.RUNNING
+        self._record_start(task)
         self.started[task.spec.kind] += 1
         self.automation.handle_task_start(task, self._clock.seconds())
 
@@ -120,7 +122,7 @@
         """
         ready = [task for task in tasks if task.spec.idempotent and not task.crashes.total]
         for task in tasks:
-            if task.spec.idempotent and task.crashes.total and await self._record_start(task):
+            if task.spec.idempotent and task.crashes.total and await self._commit_start(task):
                 ready.append(task)
         once: dict[JobId, list[Task]] = {}
         for task in tasks:
@@ -134,9 +136,16 @@
                     self._handle_refused_start(task, "the binding could not be committed")
         return [task for task in ready if task.state is TaskState.STARTING]
 
-    async def _record_start(self, task: Task) -> bool:
-        task.crashes = msgspec.structs.replace(task.crashes, started=True)
-        self.work.record_crashes(task.spec.id, task.index, task.crashes)
+    def _record_start(self, task: Task) -> None:
+        """Record with the next commit that a run has begun, as it may be lost with its owner."""
+        if not task.spec.idempotent or task.crashes.started:
+            return
+        if may_crash(task, self._clock.seconds()):
+            task.crashes = msgspec.structs.replace(task.crashes, started=True)
+            self.work.record_crashes(task.spec.id, task.index, task.crashes)
+
+    async def _commit_start(self, task: Task) -> bool:
+        self._record_start(task)
         if await self.work.commit(task.spec.id):
             return True
         self._handle_refused_start(task, "its crashes could not be committed")
--- a/lavenderstall/tracking.py
+++ b/lavenderstall/tracking.py
@@ -167,16 +167,16 @@
         task.waiting_since = self._clock.seconds()
         task.stop_mode = StopMode.RETRY
         self._explain("waits", Reason("starts again", detail), task)
+        self._record_end_of_run(task)
         if not task.crashes.total:
             self._enqueue(task)
             return
         # The next owner has to know of the crashes before the task can cause another.
         self._reset_run(task)
-        self._record_end_of_run(task)
         self.work.call_after(task.spec.id, lambda: self._restart_suspect(task))
 
     def _record_end_of_run(self, task: Task) -> None:
-        """Record that a suspected task does not run, so that its run is not taken for a crash."""
+        """Record that a task does not run, so that its run is not taken for a crash."""
         if task.crashes.started:
             task.crashes = msgspec.structs.replace(task.crashes, started=False)
             self.work.record_crashes(task.spec.id, task.index, task.crashes)
--- a/lavenderstall/work_rows.py
+++ b/lavenderstall/work_rows.py
@@ -46,10 +46,11 @@
     ended = {
         field: sorted({*getattr(mine, field), *getattr(stored, field)}) for field in ENDED_FIELDS
     }
+    moved_here = {i: crashes for i, crashes in stored.crashes.items() if i not in mine.tasks}
     return msgspec.structs.replace(
         stored,
         bound=stored.bound | mine.bound,
-        crashes=stored.crashes | mine.crashes,
+        crashes=moved_here | mine.crashes,
         **ended,
     )
 
@@ -111,6 +112,7 @@
         # The end of a task that moved away is recorded by its new slice.
         if index not in listed and index in job.row.tasks:
             setattr(job.row, field, sorted({*listed, index}))
+            job.row.crashes.pop(index, None)
             job.dirty = True
         if on_committed is not None:
             self.call_after(job_id, on_committed)
@@ -118,9 +120,13 @@
     def record_crashes(self, job_id: JobId, index: int, crashes: TaskCrashes) -> None:
         """Record the crashes of workers under a task."""
         job = self.jobs.get(job_id)
-        if job is not None and job.row.crashes.get(index, NO_CRASHES) != crashes:
-            job.row.crashes = {**job.row.crashes, index: crashes}
-            job.dirty = True
+        if job is None or job.row.crashes.get(index, NO_CRASHES) == crashes:
+            return
+        if crashes == NO_CRASHES:
+            del job.row.crashes[index]
+        else:
+            job.row.crashes[index] = crashes
+        job.dirty = True
 
     def call_after(self, job_id: JobId, callback: Callable[[], None]) -> None:
         """Call back once the recorded changes of a job are committed."""
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -3,13 +3,15 @@
 import unittest
 from collections.abc import Callable
 from math import inf
+from unittest.mock import patch
 
 import msgspec
 
 from lavenderstall.crashes import keeps_apart, record_crash
-from lavenderstall.identifiers import JobId, TaskId
+from lavenderstall.identifiers import JobId, SliceName, TaskId
 from lavenderstall.protocol import Kind, TaskState
 from lavenderstall.records import JobSpec, TaskCrashes, WorkRow, decode_row
+from lavenderstall.slices import SliceServer
 from lavenderstall.tasks import Task
 from standins.truth import TaskStarted
 from standins.workers import Worker
@@ -51,6 +53,17 @@
     )
 
 
+def list_crashes(cell: Cell) -> list[TaskCrashes]:
+    """Return what is recorded of the crashes and starts of all tasks."""
+    rows = [decode_row(row, WorkRow) for row in cell.table._scan("work/").rows]
+    return [crashes for row in rows for crashes in row.crashes.values()]
+
+
+def list_running(server: SliceServer) -> list[Task]:
+    """Return the running tasks of a slice."""
+    return [task for task in server.tasks.values() if task.state is TaskState.RUNNING]
+
+
 def list_replicas(cell: Cell) -> list[Worker]:
     """Return the workers that run a replica of a service."""
     return [
@@ -209,6 +222,58 @@
         self.check(make_crashing_job(10, Kind.GANG, tasks=3), do_nothing)
 
 
+class RecordedStartTest(unittest.TestCase):
+    """Starts are recorded, so that a crash counts whose owner ends too."""
+
+    def test_runs_that_ended_are_no_crashes(self) -> None:
+        """Fails if a successor takes a run that failed or was moved for one that a crash ended."""
+        for name, fail, inject in (
+            ("fails, owner killed", True, kill_owner),
+            ("fails, owner shut down", True, shut_down_owner),
+            ("moved, owner killed", False, kill_owner),
+            ("moved, owner shut down", False, shut_down_owner),
+        ):
+            with self.subTest(name=name):
+                self.check_no_crashes(fail, inject)
+
+    def check_no_crashes(self, fail: bool, inject: Inject) -> None:
+        """Check that no crash is recorded under tasks that fail, or that are moved."""
+        cell = Cell(entries=3, zones=1, workers=6, racks_per_slice=6)
+        cell.run(5)
+        for number in range(JOBS):
+            job = make_job(f"job{number}", 3, run_ms=300 + number * 70)
+            payload = {**job.payload, "fail": msgspec.Raw(msgspec.json.encode(fail))}
+            job = msgspec.structs.replace(job, payload=payload, max_attempts=5)
+            cell.submit(job, retries=20, persist=True)
+            inject(cell, number)
+            for node in [] if fail else cell.list_owners(SLICE):
+                server = node.entry.slices[SliceName(SLICE)]
+                server.move_tasks(list_running(server)[:2], "moved")
+            cell.run(JOB_INTERVAL_S)
+            self.assertEqual(sum(crashes.total for crashes in list_crashes(cell)), 0)
+
+    def test_a_run_that_is_old_is_no_crash(self) -> None:
+        """Fails if a run of an hour that is lost with its owner counts as a crash."""
+        cell = Cell(entries=2, zones=1, workers=2)
+        cell.run(5)
+        cell.submit(make_job("job", 2, run_ms=600_000), retries=20, persist=True)
+        cell.run(5)
+        self.assertEqual(list_crashes(cell), [TaskCrashes(started=True)] * 2)
+        cell.run(60)
+        self.assertEqual(list_crashes(cell), [])
+
+    def test_starts_are_recorded_together(self) -> None:
+        """Fails if each start is written singly."""
+        cell = Cell(entries=2, zones=1, workers=4)
+        cell.run(5)
+        with patch.object(cell.table, "transact", wraps=cell.table.transact) as transact:
+            cell.submit(make_job("job", 12, run_ms=30_000), retries=20, persist=True)
+            cell.run(10)
+        puts = [put.key for call in transact.mock_calls for put in call.args[0].puts]
+        self.assertEqual(len(list_crashes(cell)), 12)
+        self.assertLessEqual(sum(key.startswith("work/") for key in puts), 3)
+
+
 class CrashingServiceTest(unittest.TestCase):
     """The replicas of a service crash the workers that start them."""
 
--- a/tests/test_work_rows.py
+++ b/tests/test_work_rows.py
@@ -6,7 +6,7 @@
 
 from lavenderstall.identifiers import JobId, SliceName
 from lavenderstall.protocol import Committed, Condition, Put, Row, Rows
-from lavenderstall.records import TaskCrashes, WorkRow, encode_row, make_work_key
+from lavenderstall.records import NO_CRASHES, TaskCrashes, WorkRow, encode_row, make_work_key
 from lavenderstall.work_rows import WorkRows, merge_rows
 from tests.cells import make_job
 
@@ -67,6 +67,23 @@
                 self.assertEqual(calls, ["called"])
 
 
+class CrashesTest(unittest.TestCase):
+    """Crashes and starts in the row of a job."""
+
+    def test_tasks_without_crashes_take_no_room(self) -> None:
+        """Fails if the row of a job grows with each task that has ever run."""
+        for name, change in (
+            ("ended", lambda rows: rows.record_end(JOB, 0, "done")),
+            ("cleared", lambda rows: rows.record_crashes(JOB, 0, NO_CRASHES)),
+        ):
+            with self.subTest(name=name):
+                rows = make_rows(PendingCommits())
+                rows.record_crashes(JOB, 0, TaskCrashes(started=True))
+                change(rows)
+                self.assertEqual(rows.jobs[JOB].row.crashes, {})
+                self.assertTrue(rows.jobs[JOB].dirty)
+
+
 class MergeTest(unittest.TestCase):
     """Merges of the owner's uncommitted changes with a row that another writer changed."""
 
@@ -80,6 +97,13 @@
         merged = merge_rows(mine, stored)
         self.assertEqual(merged.crashes, {0: TaskCrashes(), 1: TaskCrashes(2)})
 
+    def test_cleared_crashes_do_not_come_back(self) -> None:
+        """Fails if the stored row undoes what the owner has cleared but not committed."""
+        spec = make_job(JOB, 2)
+        mine = WorkRow(spec, SLICE, [0], "mine")
+        stored = WorkRow(spec, SLICE, [0, 1], "stored", crashes={0: TaskCrashes(started=True)})
+        self.assertEqual(merge_rows(mine, stored).crashes, {})
+
 
 if __name__ == "__main__":
     unittest.main()
