Set an unreadable row aside instead of ending the loop that read it

Callers saw: with one odd row below entry/ or slice/ in the table, before an instance starts, every job was refused, since the loop of ownership had ended for good on each instance; the same row written later ended it without a sign until the next failure. One below work/ kept every later job of its slice from running (accepted, 4 of 4 tasks never started); one below job/declared. ended the reconciliation of all declarations (0 of 2 replicas). Cause: decode_row raised errors of msgspec or a RecursionError, which no reader expects, from the middle of the read of all rows; a LoopingCall whose step fails stops. Change: decode_row raises UnreadableRowError, a LavenderstallError that names the row; decode_rows sets such rows aside (one log line and count for each version, gauge rows_set_aside) and returns the others. A value under the key of another row is set aside too. What was known of an unreadable row is kept: its entry instance ages, its job is not taken for removed, runs that it may ask for are neither stopped nor are their ends acknowledged.

--- a/lavenderstall/adoption.py
+++ b/lavenderstall/adoption.py
@@ -217,7 +217,7 @@
 
         task = self.tasks.get(get_task_id(report.task))
         if task is None:
-            if self.loaded:
+            if self.loaded and report.job not in self.work.unreadable:
                 # The end may be recorded but not committed yet.
                 self.work.call_after(report.job, acknowledge)
             else:
--- a/lavenderstall/assignment.py
+++ b/lavenderstall/assignment.py
@@ -100,6 +100,10 @@
             if link is None:
                 continue
             task = self.tasks.get(get_task_id(run))
+            if task is None and report.job in self.work.unreadable:
+                # The row may ask for the task.
+                self.unmatched_reports[run] = (worker, report)
+                continue
             if report.state in {TaskState.DONE, TaskState.FAILED, TaskState.CANCELLED}:
                 self._handle_end(link, report)
             elif task is not None and not task.run:
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -1,8 +1,7 @@
 """The entry instance: its components, periodic work and messages to peers."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
-from random import Random
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -14,10 +13,11 @@
 from lavenderstall.bindings import Binding, issue_request_id
 from lavenderstall.call_routing import CallRequest, CallRouter, SliceDirectory
 from lavenderstall.cleaning import Cleaner
-from lavenderstall.clocks import Clock, make_loop, sleep
+from lavenderstall.clocks import make_loop, sleep
 from lavenderstall.commits import GroupCommit
 from lavenderstall.configuration import Configuration, ConfigurationReader, ConfigurationView
 from lavenderstall.declarations import find_closest_match
+from lavenderstall.dependencies import Dependencies, Settings
 from lavenderstall.errors import (
     BadRequestError,
     LavenderstallError,
@@ -25,7 +25,6 @@
     PeerUnavailableError,
     RefusedError,
 )
-from lavenderstall.fleet import LeaseTerms
 from lavenderstall.handlers import handle
 from lavenderstall.identifiers import (
     EntryId,
@@ -40,7 +39,6 @@
 from lavenderstall.job_admission import AdmissionController
 from lavenderstall.jobs import JobService
 from lavenderstall.journal import ChangeJournal
-from lavenderstall.links import Links
 from lavenderstall.messages import (
     CallAnswer,
     CallForward,
@@ -67,10 +65,7 @@
     sum_team_usage,
 )
 from lavenderstall.slices import SliceServer
-from lavenderstall.storage import MemberList, ObjectStore, TableStore
 from lavenderstall.tenures import Identity, OwnershipObserver, Tenure
-from lavenderstall.traces import Traces
-from lavenderstall.worker_client import WorkerClient
 
 logger = logging.getLogger(__name__)
 
@@ -86,28 +81,6 @@
 REMOTE_ZONE_HEARTBEAT_TURNS = 2
 
 
-class Dependencies(msgspec.Struct):
-    """Hold the external dependencies of an entry instance."""
-
-    clock: Clock
-    random: Random
-    store: TableStore
-    members: MemberList
-    links: Links
-    client: WorkerClient
-    read_unix: Callable[[], float]
-    traces: Traces
-    objects: ObjectStore | None = None
-
-
-class Settings(msgspec.Struct, frozen=True):
-    """Hold the limits of an entry instance."""
-
-    racks_per_slice: int = 4
-    terms: LeaseTerms = LeaseTerms()
-    config_stale_seconds: float = 900.0
-
-
 class Entry(OwnershipObserver):
     """Serve clients and operators, and own slices of its zone."""
 
@@ -128,6 +101,8 @@
         self.slices: dict[SliceName, SliceServer] = {}
         self.members = Members(0.0)
         self.metrics = Metrics()
+        self.set_aside = dependencies.set_aside
+        self.metrics.register_gauge("rows_set_aside", lambda: self.set_aside.total)
         self.access = Access()
         self.peers = Peers(self.clock)
         self.readiness = Readiness(self)
@@ -136,7 +111,13 @@
         self._member_list = dependencies.members
         self.commits = GroupCommit(self.store, self.clock, self.make_nonce, self._count_entries)
         self.ownership = Ownership(
-            identity, self.store, self.clock, self, self.make_nonce, settings.racks_per_slice
+            identity,
+            self.store,
+            self.clock,
+            self,
+            self.make_nonce,
+            settings.racks_per_slice,
+            self.set_aside,
         )
         self.directory = SliceDirectory(self.clock, self.entry, identity.zone)
         self.router = CallRouter(
@@ -167,6 +148,7 @@
             self.clock,
             self.make_nonce,
             lambda: self.ownership.peers,
+            self.set_aside,
         )
         self.journal = ChangeJournal(
             self.entry,
--- a/lavenderstall/ownership.py
+++ b/lavenderstall/ownership.py
@@ -26,11 +26,13 @@
     RacksRow,
     SliceRow,
     decode_row,
+    decode_rows,
     encode_row,
     make_entry_key,
     make_racks_key,
     make_slice_key,
 )
+from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import TableStore
 from lavenderstall.tenures import (
     Identity,
@@ -73,6 +75,7 @@
         observer: OwnershipObserver,
         make_nonce: Callable[[], str],
         racks_per_slice: int = 4,
+        set_aside: SetAside | None = None,
     ) -> None:
         self.identity = identity
         self.tenures: dict[SliceName, Tenure] = {}
@@ -85,6 +88,7 @@
         self._observer = observer
         self._make_nonce = make_nonce
         self._racks_per_slice = racks_per_slice
+        self._set_aside = set_aside or SetAside()
         self._observations: dict[EntryId, _EntryObservation] = {}
         self._last_peer_contact: dict[EntryId, float] = {}
         self._slice_rows: dict[SliceName, tuple[SliceRow, int]] = {}
@@ -197,7 +201,7 @@
         self._last_observation = now
         for observation in self._observations.values():
             observation.last_change += unobserved
-        found = {row.id: row for row in (decode_row(r, EntryRow) for r in rows.rows)}
+        found = self._decode_entries(rows)
         for entry, row in found.items():
             last = self._observations.get(entry)
             if last is None or last.row != row:
@@ -213,6 +217,18 @@
             self.peers = peers
             self._observer.change_peers(peers)
 
+    def _decode_entries(self, rows: Rows) -> dict[EntryId, EntryRow]:
+        """Return the liveness rows; one that can't be read counts as unchanged."""
+        readable, unreadable = decode_rows(
+            rows.rows, EntryRow, lambda row: make_entry_key(row.id), self._set_aside
+        )
+        found = {row.id: row for _, row in readable}
+        for row in unreadable:
+            entry = EntryId(row.key.removeprefix(PREFIX_ENTRY))
+            if entry in self._observations:
+                found[entry] = self._observations[entry].row
+        return found
+
     def _get_liveness_timeout(self, entry: EntryId, now: float) -> float:
         """Return the seconds for which a liveness row may stay unchanged.
 
@@ -227,12 +243,23 @@
 
     def _observe_slices(self, rows: Rows, asked: float) -> None:
         racks_key = make_racks_key(self.identity.zone)
-        for row in rows.rows:
-            if row.key == racks_key:
-                self.racks = decode_row(row, RacksRow).racks
-                self._racks_version = row.version
-                continue
-            self._observe_slice(decode_row(row, SliceRow), row, asked)
+        readable, _ = decode_rows(
+            (row for row in rows.rows if row.key != racks_key),
+            SliceRow,
+            lambda row: make_slice_key(row.slice),
+            self._set_aside,
+        )
+        racks, _ = decode_rows(
+            (row for row in rows.rows if row.key == racks_key),
+            RacksRow,
+            lambda _: racks_key,
+            self._set_aside,
+        )
+        for row, found in racks:
+            self.racks = found.racks
+            self._racks_version = row.version
+        for row, slice_row in readable:
+            self._observe_slice(slice_row, row, asked)
 
     def _observe_slice(self, found: SliceRow, row: Row, asked: float) -> None:
         self._slice_rows[found.slice] = (found, row.version)
--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -20,14 +20,16 @@
     JobRow,
     JobSpec,
     WorkRow,
-    decode_row,
+    decode_rows,
     encode_row,
+    make_job_key,
     make_work_key,
 )
 from lavenderstall.requests import Constraints
 from lavenderstall.requests import Spread as PlacementSpread
 from lavenderstall.schemas import Batch, Gang, Service, Spread
 from lavenderstall.schemas import Constraints as DeclaredConstraints
+from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import TableStore
 from lavenderstall.tenures import rank_candidates
 
@@ -130,6 +132,7 @@
         clock: Clock,
         make_nonce: Callable[[], str],
         list_entries: Callable[[], Collection[EntryId]],
+        set_aside: SetAside | None = None,
     ) -> None:
         self._entry = entry
         self._view = view
@@ -140,6 +143,7 @@
         self._clock = clock
         self._make_nonce = make_nonce
         self._list_entries = list_entries
+        self._set_aside = set_aside or SetAside()
         self._running = False
         self._started = clock.seconds()
         self.has_completed_step = False
@@ -154,15 +158,16 @@
     async def _reconcile(self) -> None:
         try:
             rows = await self._store.scan(f"{PREFIX_JOB}{DECLARED_PREFIX}")
-            existing = {
-                row.spec.id: (stored, row)
-                for stored, row in ((each, decode_row(each, JobRow)) for each in rows.rows)
-            }
+            readable, unreadable = decode_rows(
+                rows.rows, JobRow, lambda row: make_job_key(row.spec.id), self._set_aside
+            )
+            existing = {row.spec.id: (stored, row) for stored, row in readable}
+            unreadable_keys = {row.key for row in unreadable}
             kinds = ("service", "batch", "gang")
             items = [item for kind in kinds for item in self._view.list_kind(kind)]
             declared_specs = {make_declared_job_id(item): make_job_spec(item) for item in items}
             for job, spec in declared_specs.items():
-                if self._is_responsible(job):
+                if self._is_responsible(job) and make_job_key(job) not in unreadable_keys:
                     await self._reconcile_job(spec, existing.get(job))
             for job in existing.keys() - declared_specs.keys():
                 if self._is_responsible(job) and self._view.version:
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -1,10 +1,13 @@
 """Records stored as rows of the table service, and their keys."""
 
+from collections.abc import Callable, Iterable
 from typing import TypeVar
 from zlib import crc32
 
 import msgspec
 
+from lavenderstall.decoding import UnreadableError, decode_json
+from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import (
     EntryId,
     Incarnation,
@@ -21,6 +24,7 @@
 from lavenderstall.protocol import Kind, Row
 from lavenderstall.requests import NO_CONSTRAINTS, Constraints, Spread
 from lavenderstall.resources import Resources
+from lavenderstall.set_aside import SetAside
 
 T = TypeVar("T")
 
@@ -36,6 +40,10 @@
 BINDING_BUCKETS = 256
 
 
+class UnreadableRowError(LavenderstallError):
+    """A row can't be read; `peer` is its key."""
+
+
 class EntryRow(msgspec.Struct):
     """Show that an entry instance is alive; `beat` grows with each renewal."""
 
@@ -162,12 +170,37 @@
 
 
 def decode_row(row: Row, kind: type[T]) -> T:
-    """Decode the value of a row.
+    """Decode the value of a row, or raise `UnreadableRowError`.
 
     Raw fields keep a reference to the buffer they were decoded from. Without the copy this
     would be the whole response with all other rows.
     """
-    return msgspec.json.decode(bytes(row.value), type=kind)
+    try:
+        return decode_json(bytes(row.value), kind)
+    except UnreadableError as error:
+        raise UnreadableRowError(str(error), step="decode row", peer=row.key) from error
+
+
+def decode_rows(
+    rows: Iterable[Row], kind: type[T], make_key: Callable[[T], str], set_aside: SetAside
+) -> tuple[list[tuple[Row, T]], list[Row]]:
+    """Return the rows with their decoded values, and those that are set aside.
+
+    A value whose `make_key` is not the key of its row would stand for another row.
+    """
+    readable: list[tuple[Row, T]] = []
+    unreadable: list[Row] = []
+    for row in rows:
+        try:
+            value = decode_row(row, kind)
+            if make_key(value) != row.key:
+                raise UnreadableRowError("the value names another row", step="decode row")
+        except UnreadableRowError as error:
+            set_aside.add(row.key, row.version, error)
+            unreadable.append(row)
+        else:
+            readable.append((row, value))
+    return readable, unreadable
 
 
 def make_entry_key(entry: EntryId) -> str:
--- a/lavenderstall/slices.py
+++ b/lavenderstall/slices.py
@@ -34,7 +34,11 @@
     def __init__(self, environment: Environment, tenure: Tenure) -> None:
         super().__init__(environment, tenure)
         self.work = WorkRows(
-            self.name, environment.commits, environment.make_nonce, self.request_reload
+            self.name,
+            environment.commits,
+            environment.make_nonce,
+            self.request_reload,
+            environment.set_aside,
         )
         self.fleet = Fleet(
             self.name,
--- a/lavenderstall/snapshots.py
+++ b/lavenderstall/snapshots.py
@@ -16,7 +16,13 @@
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import Version
 from lavenderstall.protocol import Rows
-from lavenderstall.records import KEY_CONFIG_HEAD, PREFIX_CONFIG, HeadRow, decode_row
+from lavenderstall.records import (
+    KEY_CONFIG_HEAD,
+    PREFIX_CONFIG,
+    HeadRow,
+    UnreadableRowError,
+    decode_row,
+)
 from lavenderstall.schemas import Item, get_kind
 from lavenderstall.storage import TableStore
 
@@ -89,7 +95,7 @@
                 items[key] = decode_row(row, ItemRow).value
             elif row.key == KEY_CONFIG_HEAD:
                 version, head = decode_row(row, HeadRow).version, row.version
-    except msgspec.MsgspecError as error:
+    except UnreadableRowError as error:
         raise ConfigurationError(f"row {row.key!r}: {error}", step="configuration") from None
     return Snapshot(version, head, items)
 
@@ -198,7 +204,7 @@
                 return None
             try:
                 snapshot = apply_change(snapshot, decode_row(row, Change), head)
-            except msgspec.MsgspecError as error:
+            except UnreadableRowError as error:
                 raise ConfigurationError(
                     f"row {row.key!r}: {error}", step="configuration"
                 ) from None
--- a/lavenderstall/tasks.py
+++ b/lavenderstall/tasks.py
@@ -20,6 +20,7 @@
 from lavenderstall.records import NO_CRASHES, JobSpec, TaskCrashes
 from lavenderstall.resources import NOTHING, Resources
 from lavenderstall.schemas import Calls
+from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import TableStore
 from lavenderstall.worker_client import WorkerClient
 
@@ -68,6 +69,7 @@
     ownership: Ownership
     terms: LeaseTerms
     read_unix: Callable[[], float]
+    set_aside: SetAside
 
     @property
     def journal(self) -> QuarantineJournal:
--- a/lavenderstall/work_rows.py
+++ b/lavenderstall/work_rows.py
@@ -12,12 +12,14 @@
 from lavenderstall.protocol import Condition, Put, Rows
 from lavenderstall.records import (
     NO_CRASHES,
+    PREFIX_WORK,
     TaskCrashes,
     WorkRow,
-    decode_row,
+    decode_rows,
     encode_row,
     make_work_key,
 )
+from lavenderstall.set_aside import SetAside
 
 logger = logging.getLogger(__name__)
 
@@ -63,21 +65,29 @@
         commits: Commits,
         make_nonce: Callable[[], str],
         request_reload: Callable[[], None],
+        set_aside: SetAside | None = None,
     ) -> None:
         self.jobs: dict[JobId, CachedWorkRow] = {}
+        # Jobs whose rows are there but can't be read; what is known of them is kept.
+        self.unreadable: frozenset[JobId] = frozenset()
         self.revision = 0
         self._name = name
         self._commits = commits
         self._make_nonce = make_nonce
         self._request_reload = request_reload
+        self._set_aside = set_aside or SetAside()
 
     def load(self, rows: Rows) -> tuple[list[CachedWorkRow], list[CachedWorkRow]]:
         """Load rows as of one revision; return the changed and the removed jobs."""
         self.revision = rows.revision
         changed: list[CachedWorkRow] = []
-        found: set[JobId] = set()
-        for row in rows.rows:
-            stored = decode_row(row, WorkRow)
+        readable, unreadable = decode_rows(
+            rows.rows, WorkRow, lambda row: make_work_key(self._name, row.spec.id), self._set_aside
+        )
+        prefix = f"{PREFIX_WORK}{self._name}/"
+        self.unreadable = frozenset(JobId(row.key.removeprefix(prefix)) for row in unreadable)
+        found: set[JobId] = set(self.unreadable)
+        for row, stored in readable:
             found.add(stored.spec.id)
             job = self.jobs.get(stored.spec.id)
             if job is None:
--- a/tests/test_work_rows.py
+++ b/tests/test_work_rows.py
@@ -2,13 +2,14 @@
 
 import unittest
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from lavenderstall.identifiers import JobId, SliceName
-from lavenderstall.protocol import Committed, Condition, Put, Row, Rows
+from lavenderstall.protocol import Committed, Condition, Put, Row, Rows, Transaction
 from lavenderstall.records import TaskCrashes, WorkRow, encode_row, make_work_key
 from lavenderstall.work_rows import WorkRows, merge_rows
-from tests.cells import make_job
+from tests.cells import Cell, make_job
 
 JOB = JobId("job")
 SLICE = SliceName("z0/0")
@@ -67,6 +68,42 @@
                 self.assertEqual(calls, ["called"])
 
 
+class UnreadableTest(unittest.TestCase):
+    """Rows that can't be read among those of a slice."""
+
+    def test_unreadable_row_is_not_taken_for_a_removed_one(self) -> None:
+        """Fails if the tasks of a job are cancelled because its row can't be read any more."""
+        rows = make_rows(PendingCommits())
+        other = WorkRow(make_job("other"), SLICE, [0], "nonce")
+        odd_row = Row(make_work_key(SLICE, JOB), 2, msgspec.Raw(b"{}"))
+        sound_row = Row(make_work_key(SLICE, JobId("other")), 3, encode_row(other))
+        with self.assertLogs("lavenderstall.set_aside"):
+            changed, removed = rows.load(Rows(3, [odd_row, sound_row]))
+        self.assertEqual([job.row.spec.id for job in changed], ["other"])
+        self.assertEqual(removed, [])
+        self.assertEqual(rows.jobs[JOB].row.tasks, [0, 1])
+        self.assertEqual(rows.unreadable, {JOB})
+
+    def test_runs_of_an_unreadable_job_go_on(self) -> None:
+        """Fails if the next owner stops or forgets what a row that it can't read may ask for."""
+        cell = Cell(entries=2, zones=1)
+        cell.run(3)
+        cell.submit(make_job("job", 2, run_ms=60_000))
+        cell.submit(make_job("short", 1, run_ms=4_000))
+        cell.run(2)
+        before = cell.find_runs("job")
+        self.assertEqual(len(before), 2)
+        for job in ("job", "short"):
+            put = Put(make_work_key(SLICE, JobId(job)), msgspec.Raw(b"{}"))
+            cell.table.commit(Transaction(puts=[put]))
+        cell.kill(cell.get_owner("z0/0"))
+        with self.assertLogs("lavenderstall.set_aside"):
+            cell.run(10)
+        self.assertEqual(cell.find_runs("job"), before)
+        ended = [run for each in cell.workers.values() for run in each.inventory.list_finished(0)]
+        self.assertEqual(len(ended), 1, "an end was acknowledged that no row holds")
+
+
 class MergeTest(unittest.TestCase):
     """Merges of the owner's uncommitted changes with a row that another writer changed."""
 
