Apply the configuration past an item or a change that can't be read

Callers saw: with one odd item below config/, every accepted change after a restart had no effect anywhere (version 0 after 3 s on both instances of a trial on the former code), and jobs are refused once the configuration counts as stale. An odd row below change/ made the history, each undo and each proposal fail, and stopped readers that replay changes at the version before it.

--- a/lavenderstall/configuration.py
+++ b/lavenderstall/configuration.py
@@ -27,10 +27,25 @@
     StoreUnavailableError,
 )
 from lavenderstall.identifiers import ChangeNumber, Version
-from lavenderstall.protocol import Condition, Put, Transaction
-from lavenderstall.records import KEY_CONFIG_HEAD, PREFIX_CHANGE, HeadRow, decode_row, encode_row
+from lavenderstall.protocol import Condition, Put, Row, Transaction
+from lavenderstall.records import (
+    KEY_CONFIG_HEAD,
+    PREFIX_CHANGE,
+    HeadRow,
+    UnreadableRowError,
+    decode_row,
+    decode_rows,
+    encode_row,
+)
 from lavenderstall.schemas import Item
-from lavenderstall.snapshots import Clock, ConfigurationReader, ConfigurationView, Snapshot
+from lavenderstall.set_aside import SetAside
+from lavenderstall.snapshots import (
+    Clock,
+    ConfigurationReader,
+    ConfigurationView,
+    Snapshot,
+    make_number_key,
+)
 from lavenderstall.storage import TableStore
 
 # A change without an expected version is retried after a version conflict.
@@ -73,9 +88,11 @@
         clock: Clock,
         unix_ms: Callable[[], int],
         make_nonce: Callable[[], str],
+        set_aside: SetAside | None = None,
     ) -> None:
         self._store = store
-        self._reader = ConfigurationReader(store, view, clock)
+        self._set_aside = set_aside or SetAside()
+        self._reader = ConfigurationReader(store, view, clock, self._set_aside)
         self._clock = clock
         self._unix_ms = unix_ms
         self._make_nonce = make_nonce
@@ -85,9 +102,14 @@
         return await self._reader.refresh()
 
     async def list_changes(self) -> list[Change]:
-        """Return the stored changes in order of number."""
+        """Return the stored changes in order of number, without those that can't be read."""
+        return (await self._read_changes())[0]
+
+    async def _read_changes(self) -> tuple[list[Change], list[Row]]:
+        """Return the stored changes in order of number, and the rows that can't be read."""
         rows = await self._store.scan(PREFIX_CHANGE)
-        return [decode_row(row, Change) for row in rows.rows]
+        readable, unreadable = decode_rows(rows.rows, Change, make_number_key, self._set_aside)
+        return [change for _, change in readable], unreadable
 
     async def get_change(self, number: int) -> Change:
         """Return a change, or raise `ChangeRefusedError`."""
@@ -187,7 +209,12 @@
             detail = f"change {number} is {change.state.value} and changed no items itself{by}"
             raise ChangeRefusedError(detail, number=number, later=change.decided_by)
         keys = {each.key for each in change.items}
-        for later in await self.list_changes():
+        changes, unreadable = await self._read_changes()
+        for row in unreadable:
+            if row.key > make_change_key(number):
+                detail = f"change {number} cannot be undone: row {row.key} is later and unreadable"
+                raise ChangeRefusedError(detail, number=number)
+        for later in changes:
             common = sorted(keys & {each.key for each in later.items})
             if later.number > number and later.state is ChangeState.DONE and common:
                 detail = (
@@ -280,9 +307,9 @@
         """Return the change that has a number, or none if absent or not readable now."""
         try:
             row = await self._store.read(make_change_key(number))
-        except (StoreUnavailableError, StoreOutcomeUnknownError):
+            return decode_row(row, Change) if row else None
+        except (StoreUnavailableError, StoreOutcomeUnknownError, UnreadableRowError):
             return None
-        return decode_row(row, Change) if row else None
 
     async def _refresh_after_commit(self) -> None:
         """Refresh the view, ignoring errors: the change is already committed."""
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -131,9 +131,9 @@
         )
         self.view = ConfigurationView(self.clock)
         self.view.add_listener(self._apply_configuration)
-        self.reader = ConfigurationReader(self.store, self.view, self.clock)
+        self.reader = ConfigurationReader(self.store, self.view, self.clock, self.set_aside)
         self.configuration = Configuration(
-            self.store, self.view, self.clock, self.read_unix_ms, self.make_nonce
+            self.store, self.view, self.clock, self.read_unix_ms, self.make_nonce, self.set_aside
         )
         self.jobs = JobService(
             self.store, self.commits, self.directory, self.links, self.make_nonce
--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -169,7 +169,7 @@
             for job, spec in declared_specs.items():
                 if self._is_responsible(job) and make_job_key(job) not in unreadable_keys:
                     await self._reconcile_job(spec, existing.get(job))
-            for job in existing.keys() - declared_specs.keys():
+            for job in existing.keys() - declared_specs.keys() - self._list_unreadable(existing):
                 if self._is_responsible(job) and self._view.version:
                     await self._cancel_undeclared(*existing[job])
             self.has_completed_step = True
@@ -178,6 +178,16 @@
         finally:
             self._running = False
 
+    def _list_unreadable(self, jobs: Iterable[JobId]) -> set[JobId]:
+        """Return the jobs whose declarations are there but can't be read."""
+        names = [key.name for key in self._view.snapshot.unreadable]
+        return {
+            job
+            for job in jobs
+            for name in names
+            if f"{job}.".startswith(f"{DECLARED_PREFIX}{name}.")
+        }
+
     def _is_responsible(self, job: JobId) -> bool:
         """Return whether this entry instance handles a job; it is safe if two do."""
         ranked = rank_candidates(SliceName(job), self._list_entries())
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -182,18 +182,19 @@
 
 
 def decode_rows(
-    rows: Iterable[Row], kind: type[T], make_key: Callable[[T], str], set_aside: SetAside
+    rows: Iterable[Row], kind: type[T], make_key: Callable[[T], str] | None, set_aside: SetAside
 ) -> tuple[list[tuple[Row, T]], list[Row]]:
     """Return the rows with their decoded values, and those that are set aside.
 
-    A value whose `make_key` is not the key of its row would stand for another row.
+    A value whose `make_key` is not the key of its row would stand for another row; with no
+    `make_key` this is not checked.
     """
     readable: list[tuple[Row, T]] = []
     unreadable: list[Row] = []
     for row in rows:
         try:
             value = decode_row(row, kind)
-            if make_key(value) != row.key:
+            if make_key is not None and make_key(value) != row.key:
                 raise UnreadableRowError("the value names another row", step="decode row")
         except UnreadableRowError as error:
             set_aside.add(row.key, row.version, error)
--- a/lavenderstall/snapshots.py
+++ b/lavenderstall/snapshots.py
@@ -1,6 +1,6 @@
 """Snapshots of the configuration: reading them from the table and keeping the newest."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 import msgspec
@@ -11,19 +11,22 @@
     ItemKey,
     ItemRow,
     make_change_key,
+    make_item_key,
     parse_item_key,
 )
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import Version
-from lavenderstall.protocol import Rows
+from lavenderstall.protocol import Row, Rows
 from lavenderstall.records import (
     KEY_CONFIG_HEAD,
     PREFIX_CONFIG,
     HeadRow,
     UnreadableRowError,
     decode_row,
+    decode_rows,
 )
 from lavenderstall.schemas import Item, get_kind
+from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import TableStore
 
 # A reader that is further behind reads all items instead of replaying changes.
@@ -45,11 +48,15 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True):
-    """Hold all items as of one version; `head` is the version of the head's row."""
+    """Hold all items as of one version; `head` is the version of the head's row.
+
+    Items that are `unreadable` are not absent; they are held as they were last read, if at all.
+    """
 
     version: Version
     head: int
     items: dict[ItemKey, Item]
+    unreadable: frozenset[ItemKey] = frozenset()
 
 
 EMPTY_SNAPSHOT = Snapshot(Version(0), 0, {})
@@ -61,43 +68,64 @@
     version: Version
     head: int
     items: tuple[Item, ...]
+    unreadable: tuple[ItemKey, ...] = ()
 
 
 def pack_snapshot(snapshot: Snapshot) -> SnapshotBody:
     """Return the body that carries a snapshot."""
-    return SnapshotBody(snapshot.version, snapshot.head, tuple(snapshot.items.values()))
+    items, unreadable = tuple(snapshot.items.values()), tuple(sorted(snapshot.unreadable))
+    return SnapshotBody(snapshot.version, snapshot.head, items, unreadable)
 
 
 def unpack_snapshot(body: SnapshotBody) -> Snapshot:
     """Return the snapshot that a body carries."""
     items = {ItemKey(get_kind(item), item.name): item for item in body.items}
-    return Snapshot(body.version, body.head, items)
+    return Snapshot(body.version, body.head, items, frozenset(body.unreadable))
 
 
 def apply_change(snapshot: Snapshot, change: Change, head: int) -> Snapshot:
     """Return the snapshot after applying the next change."""
     items = dict(snapshot.items)
-    for each in change.items if change.state is ChangeState.DONE else ():
+    done = change.items if change.state is ChangeState.DONE else ()
+    for each in done:
         if each.after is None:
             items.pop(each.key, None)
         else:
             items[each.key] = each.after
-    return Snapshot(Version(change.number), head, items)
+    unreadable = snapshot.unreadable - {each.key for each in done}
+    return Snapshot(Version(change.number), head, items, unreadable)
+
+
+def make_number_key(change: Change) -> str:
+    """Return the key of the row that holds a change."""
+    return make_change_key(change.number)
+
+
+def make_row_key(row: ItemRow) -> str:
+    """Return the key of the row that holds an item."""
+    return make_item_key(ItemKey(get_kind(row.value), row.value.name))
 
 
-def decode_snapshot(rows: Rows) -> Snapshot:
-    """Decode the rows below `config/` into a snapshot."""
-    version, head, items = Version(0), 0, {}
+def decode_snapshot(rows: Rows, known: Mapping[ItemKey, Item], set_aside: SetAside) -> Snapshot:
+    """Decode the rows below `config/`; an item that can't be read stays as it is known."""
+    version, head = Version(0), 0
+    item_rows = [row for row in rows.rows if parse_item_key(row.key) is not None]
+    readable, unreadable_rows = decode_rows(item_rows, ItemRow, make_row_key, set_aside)
+    items = {ItemKey(get_kind(row.value), row.value.name): row.value for _, row in readable}
+    unreadable = frozenset(filter(None, (parse_item_key(row.key) for row in unreadable_rows)))
+    items |= {key: known[key] for key in unreadable & known.keys()}
+    for row in rows.rows:
+        if row.key == KEY_CONFIG_HEAD:
+            version, head = decode_head(row).version, row.version
+    return Snapshot(version, head, items, unreadable)
+
+
+def decode_head(row: Row) -> HeadRow:
+    """Decode the row that holds the version, or raise `ConfigurationError`."""
     try:
-        for row in rows.rows:
-            key = parse_item_key(row.key)
-            if key is not None:
-                items[key] = decode_row(row, ItemRow).value
-            elif row.key == KEY_CONFIG_HEAD:
-                version, head = decode_row(row, HeadRow).version, row.version
+        return decode_row(row, HeadRow)
     except UnreadableRowError as error:
         raise ConfigurationError(f"row {row.key!r}: {error}", step="configuration") from None
-    return Snapshot(version, head, items)
 
 
 class ConfigurationView:
@@ -174,27 +202,38 @@
 class ConfigurationReader:
     """Refresh a view from the table."""
 
-    def __init__(self, store: TableStore, view: ConfigurationView, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: TableStore,
+        view: ConfigurationView,
+        clock: Clock,
+        set_aside: SetAside | None = None,
+    ) -> None:
         self._store = store
         self._view = view
         self._clock = clock
+        self._set_aside = set_aside or SetAside()
 
     async def refresh(self) -> Snapshot:
         """Read the head row and anything newer than the view; return the view's snapshot."""
         read_at = self._clock.seconds()
         row = await self._store.read(KEY_CONFIG_HEAD)
-        version = decode_row(row, HeadRow).version if row else Version(0)
+        version = decode_head(row).version if row else Version(0)
         if version == self._view.version:
             self._view.confirm(version, read_at)
         elif version > self._view.version and row:
             snapshot = await self._replay_changes(version, row.version)
             if snapshot is None:
-                snapshot = decode_snapshot(await self._store.scan(PREFIX_CONFIG))
+                rows = await self._store.scan(PREFIX_CONFIG)
+                snapshot = decode_snapshot(rows, self._view.snapshot.items, self._set_aside)
             self._view.accept(snapshot, read_at)
         return self._view.snapshot
 
     async def _replay_changes(self, version: Version, head: int) -> Snapshot | None:
-        """Return the view's snapshot with changes applied up to a version, or none if too many."""
+        """Return the view's snapshot with changes applied up to a version.
+
+        Return none if there are too many, or one is missing or can't be read.
+        """
         snapshot = self._view.snapshot
         if snapshot is EMPTY_SNAPSHOT or version - snapshot.version > MAX_REPLAYED_CHANGES:
             return None
@@ -202,10 +241,8 @@
             row = await self._store.read(make_change_key(number))
             if row is None:
                 return None
-            try:
-                snapshot = apply_change(snapshot, decode_row(row, Change), head)
-            except UnreadableRowError as error:
-                raise ConfigurationError(
-                    f"row {row.key!r}: {error}", step="configuration"
-                ) from None
+            readable, _ = decode_rows([row], Change, make_number_key, self._set_aside)
+            if not readable:
+                return None
+            snapshot = apply_change(snapshot, readable[0][1], head)
         return snapshot
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -2,11 +2,15 @@
 
 import unittest
 
+import msgspec
+
 from lavenderstall.changes import ItemKey, VersionConflictError
 from lavenderstall.configuration import ChangeResult
 from lavenderstall.errors import Outcome
+from lavenderstall.protocol import Put, Transaction
 from lavenderstall.schemas import Service
 from tests.cells import SMALL, TEAM, Cell, make_job, read_open
+from tests.oddities import DEEP_LISTS
 
 JOB = "declared.echo"
 
@@ -57,6 +61,28 @@
                 self.assertEqual(len(cell.find_runs(JOB)), 3)
 
 
+class UnreadableTest(unittest.TestCase):
+    """Declarations that can't be read."""
+
+    def test_unreadable_declaration_is_not_taken_for_a_removed_one(self) -> None:
+        """Fails if a new instance stops a service because it can't read its declaration."""
+        cell = Cell(entries=1, zones=1)
+        cell.run(4)
+        cell.declare_service(2)
+        cell.declare_service(1, "other")
+        cell.run(6)
+        put = Put("config/service/echo", msgspec.Raw(b'{"odd":' + DEEP_LISTS + b"}"))
+        cell.table.commit(Transaction(puts=[put]))
+        cell.kill(cell.list_ready()[0])
+        cell.start(cell.zones[0])
+        with self.assertLogs("lavenderstall.set_aside"):
+            cell.run(12)
+        cell.declare_service(2, "other")
+        cell.run(8)
+        found = [len(cell.find_runs(job)) for job in (JOB, "declared.other")]
+        self.assertEqual(found, [2, 2])
+
+
 class RaceTest(unittest.TestCase):
     """Guards against accepting two concurrent changes to one declaration."""
 
