Leave a row that can't be read to its own job, binding or block

Callers saw: GET and DELETE of a job with an odd row gave 500 internal; a call whose binding can't be read hung until its deadline, as the owner's answer was never sent; of merged writes whose acknowledgement was lost, all had an unknown outcome when another writer had left a deeply nested row under the key of one. Operators saw: no binding of a bucket, no job after one with an odd row, and no change was cleaned up any more; a move of a job with an odd row was tried for ever and no other job moved. Cause: the readers of single rows and blocks expect errors of this project, but got those of msgspec or a RecursionError; where one step serves many rows, the first odd one ended it. Change: the job or binding is refused with the new reason unreadable_row (500, for calls 504, outcome unknown, final for the router), which names the row; the cleaner, the archive and the mover go on with the others; an unreadable block of the archive is not overwritten.

--- a/lavenderstall/call_routing.py
+++ b/lavenderstall/call_routing.py
@@ -31,6 +31,7 @@
 )
 from lavenderstall.links import Links
 from lavenderstall.messages import CallAnswer, CallForward, SliceSummary
+from lavenderstall.records import REASON_UNREADABLE
 from lavenderstall.schemas import MILLI, Calls
 
 logger = logging.getLogger(__name__)
@@ -415,7 +416,7 @@
     async def _evaluate_unknown(self, answer: CallAnswer, name: SliceName) -> CallAnswer | None:
         self._may_have_run = True
         if not self._call.idempotent:
-            if answer.reason in {"incarnation", "expired"}:
+            if answer.reason in {"incarnation", "expired", REASON_UNREADABLE}:
                 return answer
             # Resending is safe, because the bound worker runs a request only once.
             return None if await self._router.delay_retry() else answer
--- a/lavenderstall/call_server.py
+++ b/lavenderstall/call_server.py
@@ -26,7 +26,14 @@
 from lavenderstall.limits import Call, CallOutcome, Dequeued, ServiceLimits
 from lavenderstall.messages import CallAnswer, CallForward
 from lavenderstall.protocol import Committed, Condition, Put, Row
-from lavenderstall.records import RequestBindingRow, decode_row, encode_row, make_binding_key
+from lavenderstall.records import (
+    REASON_UNREADABLE,
+    RequestBindingRow,
+    UnreadableRowError,
+    decode_row,
+    encode_row,
+    make_binding_key,
+)
 from lavenderstall.schemas import Calls
 
 logger = logging.getLogger(__name__)
@@ -336,18 +343,22 @@
     async def _read_binding(self, team: TeamName, request: RequestId) -> Binding:
         try:
             row = await self._read_row(make_binding_key(team, request))
+            bound = None if row is None else decode_row(row, RequestBindingRow)
+        except UnreadableRowError as error:
+            raise RefusedError(
+                str(error), step="read binding", reason=REASON_UNREADABLE, outcome=Outcome.UNKNOWN
+            ) from error
         except LavenderstallError as error:
             raise RefusedError(
                 str(error), step="read binding", reason="store_unavailable", outcome=Outcome.UNKNOWN
             ) from error
-        if row is None:
+        if bound is None:
             raise RefusedError(
                 "the binding has expired",
                 step="read binding",
                 reason="expired",
                 outcome=Outcome.UNKNOWN,
             )
-        bound = decode_row(row, RequestBindingRow)
         return Binding(bound.slice, bound.worker, bound.incarnation)
 
     async def _send_bound(
--- a/lavenderstall/cleaning.py
+++ b/lavenderstall/cleaning.py
@@ -16,12 +16,15 @@
     PREFIX_ENTRY,
     JobRow,
     RequestBindingRow,
+    UnreadableRowError,
     decode_row,
+    decode_rows,
     make_binding_prefix,
     make_job_key,
     make_work_key,
 )
 from lavenderstall.schemas import Retention
+from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import TableStore
 from lavenderstall.tenures import rank_candidates
 
@@ -52,6 +55,7 @@
         list_servers: Callable[[], "Iterable[SliceServer]"],
         get_retention: Callable[[], Retention],
         archive: ChangeArchive | None = None,
+        set_aside: SetAside | None = None,
     ) -> None:
         self._entry = entry
         self._store = store
@@ -62,6 +66,7 @@
         self._list_servers = list_servers
         self._get_retention = get_retention
         self._archive = archive
+        self._set_aside = set_aside or SetAside()
         self._last_renewals: dict[str, tuple[int, float]] = {}
         self._ended_at: dict[tuple[SliceName, JobId], float] = {}
         self._bucket = 0
@@ -116,9 +121,8 @@
     async def _clean_bindings(self, bucket: int) -> None:
         limit = self._read_unix() - self._get_retention().requests_ms / 1000
         rows = (await self._store.scan(make_binding_prefix(bucket))).rows
-        await self._delete(
-            row for row in rows if decode_row(row, RequestBindingRow).bound_unix < limit
-        )
+        bound, _ = decode_rows(rows, RequestBindingRow, None, self._set_aside)
+        await self._delete(row for row, binding in bound if binding.bound_unix < limit)
 
     async def _clean_jobs(self) -> None:
         """Delete the rows of submitted jobs whose retention has expired."""
@@ -144,7 +148,13 @@
         job_row = await self._store.read(make_job_key(job))
         rows = [row for row in (work,) if row is not None]
         if job_row is not None:
-            other_slices = [s for s in decode_row(job_row, JobRow).slices if s != name]
+            try:
+                slices = decode_row(job_row, JobRow).slices
+            except UnreadableRowError as error:
+                # Other slices may still need the row of the job.
+                self._set_aside.add(job_row.key, job_row.version, error)
+                return
+            other_slices = [s for s in slices if s != name]
             remaining = [await self._store.read(make_work_key(s, job)) for s in other_slices]
             if not any(remaining):
                 rows.append(job_row)
--- a/lavenderstall/entry.py
+++ b/lavenderstall/entry.py
@@ -65,6 +65,7 @@
     sum_team_usage,
 )
 from lavenderstall.slices import SliceServer
+from lavenderstall.storage import ObjectStore
 from lavenderstall.tenures import Identity, OwnershipObserver, Tenure
 
 logger = logging.getLogger(__name__)
@@ -165,7 +166,8 @@
             lambda: self.ownership.peers,
             self.slices.values,
             self._get_retention,
-            ChangeArchive(self.store, dependencies.objects) if dependencies.objects else None,
+            self._make_archive(dependencies.objects),
+            self.set_aside,
         )
         self.admission = AdmissionController(self.clock)
         self.refusals = RefusalLog()
@@ -182,6 +184,9 @@
             (make_loop(self.clock, self.cleaner.step), cleaning.STEP_SECONDS),
         ]
 
+    def _make_archive(self, objects: ObjectStore | None) -> ChangeArchive | None:
+        return ChangeArchive(self.store, objects, self.set_aside) if objects else None
+
     # Lifecycle
 
     def start(self) -> None:
--- a/lavenderstall/moves.py
+++ b/lavenderstall/moves.py
@@ -16,6 +16,7 @@
 from lavenderstall.records import (
     JobRow,
     JobSpec,
+    UnreadableRowError,
     WorkRow,
     decode_row,
     encode_row,
@@ -36,6 +37,8 @@
 MIN_WAIT_S = 2.0
 MAX_TASKS_PER_MOVE = 256
 COMMIT_TIMEOUT_S = 5.0
+# Until then other jobs may move, as one is tried at a time.
+UNREADABLE_RETRY_S = 60.0
 
 
 def choose_destination(
@@ -71,6 +74,8 @@
         self._list_summaries = list_summaries
         self._hint = hint
         self._running = False
+        # Jobs with a row that can't be read, and when their move is tried again.
+        self._retry_at: dict[JobId, float] = {}
 
     def step(self) -> "Deferred[None] | None":
         """Start moving tasks of one job, unless a move is still running."""
@@ -99,6 +104,8 @@
             is_complete = spec.kind is not Kind.GANG or len(tasks) == spec.tasks
             if job is None or job.committing or job.row.cancelled or not is_complete:
                 continue
+            if self._server.now() < self._retry_at.get(job_id, 0.0):
+                continue
             choice = choose_destination(spec, len(tasks), self._server.name, summaries)
             if choice is not None:
                 return job, tasks[: choice[1]], choice[0]
@@ -116,6 +123,8 @@
         try:
             await self._commit(job, indices, destination)
         except LavenderstallError as error:
+            if isinstance(error, UnreadableRowError):
+                self._retry_at[job.row.spec.id] = server.now() + UNREADABLE_RETRY_S
             # The write may still take effect. A later commit of the source row rules that out, as
             # the move depends on that row's version; only then do the tasks wait here again.
             logger.info(
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -38,6 +38,7 @@
 KEY_CONFIG_HEAD = "config/head"
 
 BINDING_BUCKETS = 256
+REASON_UNREADABLE = "unreadable_row"
 
 
 class UnreadableRowError(LavenderstallError):
--- a/lavenderstall/rejections.py
+++ b/lavenderstall/rejections.py
@@ -18,6 +18,7 @@
     StoreUnavailableError,
 )
 from lavenderstall.query.statements import QueryError
+from lavenderstall.records import REASON_UNREADABLE, UnreadableRowError
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +55,12 @@
     return 400, msgspec.structs.replace(rejection, step=error.step, peer=error.peer)
 
 
+@describe_error.register
+def _(error: UnreadableRowError) -> tuple[int, Rejection]:
+    rejection = Rejection(Outcome.UNKNOWN, REASON_UNREADABLE, error.detail)
+    return 500, msgspec.structs.replace(rejection, step=error.step, peer=error.peer)
+
+
 @describe_error.register
 def _(error: RefusedError) -> tuple[int, Rejection]:
     status = REASON_STATUS.get(error.reason, OUTCOME_STATUS[error.outcome])
--- a/lavenderstall/writes.py
+++ b/lavenderstall/writes.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.clocks import DelayedCall
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import ConflictError
 from lavenderstall.protocol import Committed, Put, Row, Rows, Transaction
 
@@ -99,9 +100,9 @@
 def read_nonce(row: Row) -> str:
     """Return the nonce of the write that wrote a row, or an empty string."""
     try:
-        fields = msgspec.json.decode(row.value, type=dict[str, msgspec.Raw])
-        return msgspec.json.decode(fields[NONCE_FIELD], type=str)
-    except (msgspec.DecodeError, KeyError):
+        fields = decode_json(bytes(row.value), dict[str, msgspec.Raw])
+        return decode_json(bytes(fields[NONCE_FIELD]), str)
+    except (UnreadableError, KeyError):
         return ""
 
 
--- a/tests/test_archives.py
+++ b/tests/test_archives.py
@@ -2,14 +2,16 @@
 
 import unittest
 
+import msgspec
 from twisted.internet.defer import Deferred, succeed
 
-from lavenderstall.archives import BLOCK_SIZE, ChangeArchive
+from lavenderstall.archives import BLOCK_SIZE, ChangeArchive, make_block_name
 from lavenderstall.changes import Change, ChangeState, make_change_key
 from lavenderstall.errors import StoreUnavailableError
 from lavenderstall.identifiers import ChangeNumber
 from lavenderstall.protocol import Put, Transaction
-from lavenderstall.records import encode_row
+from lavenderstall.records import UnreadableRowError, encode_row
+from tests.oddities import DEEP_LISTS, list_odd_objects
 from tests.support import FakeTable, Fault, run
 
 
@@ -32,7 +34,8 @@
 
     def setUp(self) -> None:
         self.table = FakeTable()
-        self.archive = ChangeArchive(self.table, FakeObjects())
+        self.objects = FakeObjects()
+        self.archive = ChangeArchive(self.table, self.objects)
         for number in range(1, 351):
             self.write(number, ChangeState.PROPOSED if number == 50 else ChangeState.DONE)
 
@@ -59,6 +62,32 @@
             [self.find(n) for n in (50, BLOCK_SIZE - 1)], ["r50", f"r{BLOCK_SIZE - 1}"]
         )
 
+    def test_unreadable_change_keeps_no_other_in_the_table(self) -> None:
+        """Fails if one odd row ends the archiving, or is archived itself."""
+        for name, value in list_odd_objects(bytes(self.table.rows[make_change_key(7)].value)):
+            with self.subTest(name=name), self.assertLogs("lavenderstall.set_aside") as logs:
+                self.setUp()
+                put = Put(make_change_key(7), msgspec.Raw(value))
+                self.table.transact(Transaction(puts=[put]))
+                self.assertEqual(run(self.archive.archive(keep=100)), 97)
+                self.assertIn(make_change_key(7), self.table.rows)
+                self.assertIn(make_change_key(7), logs.output[0])
+
+    def test_unreadable_block_keeps_no_other_in_the_table(self) -> None:
+        """Fails if an odd object ends the archiving, or is overwritten."""
+        block = make_block_name(1)
+        for body in (DEEP_LISTS, b"[{}]", b"null", b'"\xff"'):
+            with self.subTest(body=body[:5]), self.assertLogs("lavenderstall.set_aside") as logs:
+                self.setUp()
+                self.objects.put(block, body)
+                self.assertEqual(run(self.archive.archive(keep=100)), 100)
+                self.assertEqual(run(self.archive.archive(keep=100)), 0)
+                self.assertEqual(self.objects.bodies[block], body)
+                self.assertIsNotNone(self.find(BLOCK_SIZE))
+                with self.assertRaisesRegex(UnreadableRowError, block):
+                    self.find(1)
+                self.assertEqual(len(logs.output), 1)
+
     def test_failed_delete_is_completed_later(self) -> None:
         self.table.faults.append(Fault.DOWN)
         with self.assertRaises(StoreUnavailableError):
--- a/tests/test_bindings.py
+++ b/tests/test_bindings.py
@@ -2,9 +2,14 @@
 
 import unittest
 
+import msgspec
+
 from lavenderstall.errors import Outcome, RefusedError
-from lavenderstall.identifiers import WorkerId
-from tests.cells import ECHO, Cell, Node
+from lavenderstall.identifiers import RequestId, WorkerId
+from lavenderstall.protocol import Put, Transaction
+from lavenderstall.records import make_binding_key
+from tests.cells import ECHO, TEAM, Cell, Node
+from tests.oddities import list_odd_objects
 from tests.test_call_routing import make_cell
 
 
@@ -69,6 +74,21 @@
                     cell.run(30)
                     self.assertIs(told.outcome, Outcome.DONE)
 
+    def test_binding_cannot_be_read(self) -> None:
+        """Fails if the caller waits until the deadline, or is told that the call did not run."""
+        cell = Cell(entries=1, zones=1)
+        cell.run(4)
+        cell.declare_service(1)
+        cell.run(6)
+        key = make_binding_key(TEAM, RequestId("stop-1"))
+        for name, value in list_odd_objects(b'{"request":"stop-1"}'):
+            with self.subTest(name=name):
+                cell.table.commit(Transaction(puts=[Put(key, msgspec.Raw(value))]))
+                told = cell.call(name="stop-1", idempotent=False)
+                cell.run(0.5)
+                self.assertIs(told.outcome, Outcome.UNKNOWN)
+                self.assertEqual(told.reason, "unreadable_row")
+
     def test_worker_restarts_between(self) -> None:
         # The new incarnation has no record of what the old one ran, so its answer proves nothing.
         for delay in (0.0, 0.2, 0.9, 1.1, 2.0):
--- a/tests/test_commits.py
+++ b/tests/test_commits.py
@@ -21,6 +21,7 @@
 from lavenderstall.records import encode_row
 from lavenderstall.writes import NONCE_FIELD
 from standins.table import Table, TableView
+from tests.oddities import list_odd_objects
 
 ABSENT_EFFECT = (ConflictError, StoreUnavailableError, RefusedError)
 FLEET_LIMIT = 200
@@ -274,6 +275,24 @@
         self.run_for(1)
         self.assertIsInstance(outcome.error, StoreOutcomeUnknownError)
 
+    def test_odd_row_of_another_writer_costs_no_merged_write(self) -> None:
+        """Fails if a row that can't be read back leaves the writes beside it unresolved."""
+        for name, value in list_odd_objects(b'{"nonce":"n"}'):
+            with self.subTest(name=name):
+                self.setUp()
+                self.put("first")
+                self.table.faults = msgspec.structs.replace(
+                    self.table.faults, lose_next=1, delay_s=0.1
+                )
+                writes = [self.put(key) for key in ("a", "b")]
+                while len(self.table.log) < 2:
+                    self.run_for(0.01)
+                # Past the log, which holds the writes of the committer alone.
+                Table.commit(self.table, Transaction(puts=[Put("a", msgspec.Raw(value))]))
+                self.run_for(1)
+                self.assertEqual(len(self.table.log[1].puts), 2, "the writes are not merged")
+                self.check_single_effect(writes[1])
+
     def test_lost_write_does_not_confirm_one_merged_with_it_later(self) -> None:
         lost = self.lose_and_read_stale()
         merged = self.put("b")
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -7,7 +7,7 @@
 from lavenderstall.identifiers import EntryId, Epoch, JobId, SliceName
 from lavenderstall.messages import PoolSummary, SliceSummary
 from lavenderstall.moves import choose_destination
-from lavenderstall.protocol import Kind
+from lavenderstall.protocol import Kind, Put, Transaction
 from lavenderstall.records import JobSpec
 from lavenderstall.resources import Resources
 from tests.cells import TEAM, Cell, make_job
@@ -54,6 +54,21 @@
         cell.submit(make_job("more", 8, run_ms=2000))
         cell.run(1)
 
+    def test_unreadable_job_row_keeps_no_other_job_from_moving(self) -> None:
+        """Fails if the move of a job with an odd row is tried over and over, and no other."""
+        cell = Cell(entries=1, zones=2, workers=1)
+        cell.run(4)
+        cell.submit(make_job("fill", 8, run_ms=6000))
+        cell.run(1)
+        for job in ("odd", "sound"):
+            cell.submit(make_job(job, 2, run_ms=60_000))
+            cell.run(0.5)
+        self.assertIn("work/z0/0/sound", [row.key for row in cell.table.scan("work/").result.rows])
+        cell.table.commit(Transaction(puts=[Put("job/odd", msgspec.Raw(b"{}"))]))
+        cell.set_worker("z0w0", leaving=True)
+        cell.run(20)
+        self.assertEqual(len(cell.find_runs("sound")), 2)
+
     def test_waiting_tasks_move_to_free_resources(self) -> None:
         cell = Cell(entries=1, zones=2, workers=1)
         self.fill(cell)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,10 +10,12 @@
 from lavenderstall.bodies import Rejection
 from lavenderstall.changes import ItemKey
 from lavenderstall.errors import Outcome
+from lavenderstall.protocol import Put, Transaction
 from lavenderstall.schemas import Operator, Quota, Right, Team
 from lavenderstall.web import MAX_BODY_BYTES, ApiResource, BoundedRequest
 from tests.cells import TEAM, Cell, make_job
 from tests.memory import MemoryNetwork, Response
+from tests.oddities import list_odd_objects
 
 SALT = b"0" * 16
 TEAM_TOKEN = f"{TEAM}.example"
@@ -231,6 +233,22 @@
         health = site.fetch("GET", "/healthz", None)
         self.assertEqual(health.status, 200)
 
+    def test_unreadable_job(self) -> None:
+        """Fails if an odd row is reported as a fault of this system, or as a caller's mistake."""
+        site = HttpCell()
+        body = make_job_body()
+        self.assertEqual(site.fetch("POST", "/v1/jobs", body).status, 202)
+        for key in ("work/z0/0/job-1", "job/job-1"):
+            for name, value in list_odd_objects(b'{"spec":{}}'):
+                site.cell.table.commit(Transaction(puts=[Put(key, msgspec.Raw(value))]))
+                for method in ("GET", "DELETE"):
+                    with self.subTest(key=key, value=name, method=method):
+                        response = site.fetch(method, "/v1/jobs/job-1", None)
+                        rejection = msgspec.json.decode(response.body, type=Rejection)
+                        found = (response.status, rejection.reason, rejection.peer)
+                        self.assertEqual(found, (500, "unreadable_row", key))
+                        self.assertIs(rejection.outcome, Outcome.UNKNOWN)
+
     def test_store_down(self) -> None:
         site = HttpCell()
         site.cell.table.faults = msgspec.structs.replace(site.cell.table.faults, down=True)
