Read the platform's lists without the entries that are odd

Callers saw: one odd entry of the membership list (nested lists, also in an unknown field, a missing field, a port of 99999, bytes that are no text) hid all workers, and one such value in a row made every scan that holds it fail; none of it ended before the entry was removed. A RecursionError was not even the error that the readers of the store expect. A conflict with a deeply nested row counted as an unknown outcome. Cause: the answer was decoded as a whole; msgspec skips also raw values by recursion. Change: if the whole can't be decoded, ListReader decodes the text of each element and sets aside by name those that can't be read. An element that can't even be skipped is found by splitting the answer at its brackets and is remembered, so that this slow way is taken once. A row with an odd value or version stays, so that its reader knows it is there. A missing or cut list is still an error, never a shorter list. Revisions are 0 to 2**53 and addresses have a host and a port of 1 to 65535, if any, where they are decoded.

--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -35,6 +35,7 @@
 )
 from lavenderstall.protocol import TaskState
 from lavenderstall.schemas import Operator, Right
+from lavenderstall.set_aside import SetAside
 from lavenderstall.shutdown import finish_requests
 from lavenderstall.tenures import Identity
 from lavenderstall.traces import Traces
@@ -89,16 +90,18 @@
     agent = make_agent(reactor)
     links = NngLinks(reactor, entry, incarnation, values["link"])
     client = HttpWorkerClient(reactor)
+    set_aside = SetAside()
     dependencies = Dependencies(
         clock=reactor,
         random=random,
-        store=HttpTableStore(agent, reactor, values["platform"]),
-        members=HttpMemberList(agent, reactor, values["platform"]),
+        store=HttpTableStore(agent, reactor, values["platform"], set_aside=set_aside),
+        members=HttpMemberList(agent, reactor, values["platform"], set_aside=set_aside),
         links=links,
         client=client,
         read_unix=time.time,
         traces=Traces(entry, file),
         objects=HttpObjectStore(agent, reactor, values["platform"]),
+        set_aside=set_aside,
     )
     terms = LeaseTerms(values["ownership-lease"], values["task-lease"], values["outage-limit"])
     settings = Settings(values["racks-per-slice"], terms, values["config-stale-limit"])
--- a/lavenderstall/platform_clients.py
+++ b/lavenderstall/platform_clients.py
@@ -1,5 +1,6 @@
 """HTTP clients of the platform: table service, object store and membership list."""
 
+from collections.abc import Callable
 from typing import Any, TypeVar, cast
 from urllib.parse import quote
 
@@ -20,13 +21,16 @@
 from zope.interface import implementer
 
 from lavenderstall.clocks import Clock
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import (
     ConflictError,
     LavenderstallError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from lavenderstall.protocol import Committed, Conflicts, Members, Row, Rows, Transaction
+from lavenderstall.lists import ListReader
+from lavenderstall.protocol import Committed, Members, Row, Rows, Transaction
+from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import find_row
 
 T = TypeVar("T")
@@ -129,13 +133,25 @@
 
     def decode(self, reply: Reply, kind: type[T], step: str) -> T:
         """Decode the body of a response with status 200; raise an error for any other."""
-        if reply.status != 200:
-            raise self.make_error(reply, step)
+        self.check_status(reply, step)
+        try:
+            return decode_json(reply.body, kind)
+        except UnreadableError as error:
+            raise StoreOutcomeUnknownError(str(error), step=step, peer=self.url) from error
+
+    def read(self, reply: Reply, read: Callable[[bytes], T], step: str) -> T:
+        """Read a list from a response with status 200, without its odd entries."""
+        self.check_status(reply, step)
         try:
-            return msgspec.json.decode(reply.body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return read(reply.body)
+        except UnreadableError as error:
             raise StoreOutcomeUnknownError(str(error), step=step, peer=self.url) from error
 
+    def check_status(self, reply: Reply, step: str) -> None:
+        """Raise an error unless the status is 200."""
+        if reply.status != 200:
+            raise self.make_error(reply, step)
+
     def make_error(self, reply: Reply, step: str) -> LavenderstallError:
         """Return the error for a response whose status is not 200."""
         detail = f"status {reply.status}: {reply.body[:200].decode('utf-8', 'replace')}"
@@ -202,8 +218,16 @@
     fails with `StoreUnavailableError`.
     """
 
-    def __init__(self, agent: Any, clock: Clock, url: str, timeout_s: float = TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        agent: Any,
+        clock: Clock,
+        url: str,
+        timeout_s: float = TIMEOUT_S,
+        set_aside: SetAside | None = None,
+    ) -> None:
         self._service = HttpServiceClient(agent, clock, url, timeout_s)
+        self._reader = ListReader(set_aside or SetAside())
         self._latest_revision = 0
 
     def transact(self, transaction: Transaction) -> Deferred[Committed]:
@@ -231,7 +255,8 @@
 
     def _make_conflict(self, reply: Reply) -> LavenderstallError:
         """Return the error that names the conflicting rows."""
-        found = self._service.decode(Reply(200, reply.body), Conflicts, "transact").conflicts
+        answer = Reply(200, reply.body)
+        found = self._service.read(answer, self._reader.read_conflicts, "transact")
         self._latest_revision = max([self._latest_revision, *(row.version for row in found)])
         keys = frozenset(row.key for row in found)
         detail = f"rows differ: {', '.join(sorted(keys))}"
@@ -239,7 +264,7 @@
 
     def _read_rows(self, reply: Reply) -> Rows:
         """Decode rows; raise an error if they are older than an earlier response."""
-        rows = self._service.decode(reply, Rows, "scan")
+        rows = self._service.read(reply, self._reader.read_rows, "scan")
         if rows.revision < self._latest_revision:
             detail = f"read at revision {rows.revision} after {self._latest_revision}"
             raise StoreUnavailableError(detail, step="scan", peer=self._service.url)
@@ -280,11 +305,19 @@
 class HttpMemberList:
     """Read the membership list at a URL."""
 
-    def __init__(self, agent: Any, clock: Clock, url: str, timeout_s: float = TIMEOUT_S) -> None:
+    def __init__(
+        self,
+        agent: Any,
+        clock: Clock,
+        url: str,
+        timeout_s: float = TIMEOUT_S,
+        set_aside: SetAside | None = None,
+    ) -> None:
         self._service = HttpServiceClient(agent, clock, url, timeout_s)
+        self._reader = ListReader(set_aside or SetAside())
 
     def list_members(self) -> Deferred[Members]:
         """Return the members that the platform lists."""
         sent = self._service.send("members", "GET", "/v1/members")
-        decoded = sent.addCallback(self._service.decode, Members, "members")
+        decoded = sent.addCallback(self._service.read, self._reader.read_members, "members")
         return decoded.addErrback(raise_unavailable)
--- a/lavenderstall/protocol.py
+++ b/lavenderstall/protocol.py
@@ -1,6 +1,7 @@
 """Bodies of the HTTP interfaces of workers, table service and membership list."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -18,6 +19,18 @@
 )
 from lavenderstall.resources import NOTHING, Resources
 
+# Figures above 2**53 are not exact in every JSON library.
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# An address with a host, and with a port of 1 to 65535 if any.
+HttpUrl = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^http://([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\])"
+        r"(:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5]))?"
+        r"(/[!-~]*)?\Z"
+    ),
+]
+
 HEADER_OWNER = "X-Owner"
 HEADER_EPOCH = "X-Epoch"
 HEADER_REQUEST = "X-Request-Id"
@@ -221,14 +234,14 @@
     """Hold one row; its version is the revision of the transaction that wrote it."""
 
     key: str
-    version: int
+    version: Revision
     value: msgspec.Raw
 
 
 class Committed(msgspec.Struct, frozen=True):
     """The revision at which a transaction was committed."""
 
-    revision: int
+    revision: Revision
 
 
 class Conflicts(msgspec.Struct, frozen=True):
@@ -240,17 +253,17 @@
 class Rows(msgspec.Struct, frozen=True):
     """Hold the rows below a prefix in order of key, as of one revision."""
 
-    revision: int
+    revision: Revision
     rows: list[Row]
 
 
 class WorkerMember(msgspec.Struct):
     """Describe a worker on the membership list; `pool` is the back end it belongs to."""
 
-    id: WorkerId
+    id: Annotated[WorkerId, msgspec.Meta(min_length=1)]
     zone: ZoneName
     rack: RackName
-    url: str
+    url: HttpUrl
     pool: str
     state: MemberState = MemberState.LIVE
 
@@ -258,10 +271,10 @@
 class EntryMember(msgspec.Struct):
     """Describe an entry instance on the membership list."""
 
-    id: EntryId
+    id: Annotated[EntryId, msgspec.Meta(min_length=1)]
     zone: ZoneName
     link: str
-    http: str
+    http: HttpUrl
     state: MemberState = MemberState.LIVE
 
 
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -14,6 +14,7 @@
 from standins.faults import FaultRequest
 from standins.web import ControlService, Reply, Service
 from tests.memory import MemoryNetwork
+from tests.oddities import DEEP_LISTS, MANY_DIGITS, ODD_VALUES, list_odd_objects
 
 URL = "http://127.0.0.1:1"
 ENTRY = EntryMember(EntryId("e1"), ZoneName("z1"), "tcp://127.0.0.1:2", "http://127.0.0.1:3")
@@ -36,6 +37,19 @@
         return succeed(Reply(200, b'{"revision":1}', 20))
 
 
+class FixedService(Service):
+    """Answer with a status and bodies in turn; the last one is repeated."""
+
+    def __init__(self, status: int, *bodies: bytes) -> None:
+        super().__init__()
+        self._status = status
+        self._bodies = list(bodies)
+
+    def handle(self, method, path, request):
+        body = self._bodies.pop(0) if len(self._bodies) > 1 else self._bodies[0]
+        return succeed(Reply(self._status, body))
+
+
 class HttpCase(unittest.TestCase):
     """Serve a cell in memory."""
 
@@ -112,6 +126,54 @@
         with self.assertRaises(StoreUnavailableError):
             self.wait(table.scan("a"), 1)
 
+    def serve(self, status: int, *bodies: bytes) -> HttpTableStore:
+        """Return a store whose answers have these bodies."""
+        self.network = MemoryNetwork(self.clock, FixedService(status, *bodies))
+        return HttpTableStore(self.network.agent, self.clock, URL)
+
+    def test_odd_row_hides_no_other(self) -> None:
+        """Fails if a scan fails as a whole for the value of one row."""
+        for value in (*ODD_VALUES.values(), b"null"):
+            with self.subTest(value=value[:9]):
+                odd = b'{"key":"a/1","version":3,"value":' + value + b"}"
+                sound = b'{"key":"a/2","version":4,"value":{}}'
+                table = self.serve(200, b'{"revision":5,"rows":[' + odd + b"," + sound + b"]}")
+                rows = self.wait(table.scan("a/")).rows
+                self.assertEqual([row.key for row in rows], ["a/1", "a/2"])
+
+    def test_odd_conflicting_row_is_a_conflict(self) -> None:
+        """Fails if a write that took no effect has an unknown outcome."""
+        row = b'{"key":"a","version":3,"value":' + DEEP_LISTS + b"}"
+        table = self.serve(409, b'{"conflicts":[' + row + b"]}")
+        with self.assertRaises(ConflictError) as caught:
+            self.wait(table.transact(make_transaction("a")))
+        self.assertEqual(caught.exception.keys, frozenset({"a"}))
+
+    def test_odd_revision_leaves_later_reads_alone(self) -> None:
+        """Fails if one odd revision makes all later answers count as stale."""
+        sound = b'{"revision":5,"rows":[]}'
+        for revision in (MANY_DIGITS, b"9" * 18, b"-1", b"1e999", DEEP_LISTS):
+            with self.subTest(revision=revision[:9]):
+                table = self.serve(200, b'{"revision":' + revision + b',"rows":[]}', sound)
+                with self.assertRaises(StoreUnavailableError):
+                    self.wait(table.scan("a/"))
+                self.assertEqual(self.wait(table.scan("a/")).revision, 5)
+                table = self.serve(200, b'{"revision":' + revision + b"}", sound)
+                with self.assertRaises(StoreOutcomeUnknownError):
+                    self.wait(table.transact(make_transaction("a")))
+                self.assertEqual(self.wait(table.scan("a/")).revision, 5)
+
+    def test_answer_that_is_no_rows(self) -> None:
+        """Fails if an odd answer raises an error that readers do not expect."""
+        for body in (*ODD_VALUES.values(), b"", b"[]", b"null", b"{}"):
+            with self.subTest(body=body[:9]):
+                with self.assertRaises(StoreUnavailableError):
+                    self.wait(self.serve(200, body).scan("a/"))
+                with self.assertRaises(StoreOutcomeUnknownError):
+                    self.wait(self.serve(200, body).transact(make_transaction("a")))
+                with self.assertRaises(StoreOutcomeUnknownError):
+                    self.wait(self.serve(409, body).transact(make_transaction("a")))
+
     def test_read_failures(self) -> None:
         for settings in ({"down": True}, {"delay_s": 10.0}):
             with self.subTest(settings=settings):
@@ -155,6 +217,18 @@
 class HttpMemberListTest(HttpCase):
     """Guards against a list that cannot be read, or that seems empty in an outage."""
 
+    def test_odd_member_hides_no_other(self) -> None:
+        """Fails if the list can't be read for one of its entries."""
+        sound = msgspec.json.encode(ENTRY)
+        for name, odd in list_odd_objects(sound):
+            if not odd:
+                continue
+            with self.subTest(name=name), self.assertLogs("lavenderstall.set_aside"):
+                body = b'{"as_of":1.0,"entries":[' + odd + b"," + sound + b"]}"
+                self.network = MemoryNetwork(self.clock, FixedService(200, body))
+                members = HttpMemberList(self.network.agent, self.clock, URL)
+                self.assertEqual(self.wait(members.list_members()).entries, [ENTRY])
+
     def test_members(self) -> None:
         members = HttpMemberList(self.network.agent, self.clock, URL)
         self.assertEqual(self.wait(members.list_members(), 0.1).entries, [ENTRY])
