Fail a request to an unusable address as not sent, through the deferred

Callers saw: with an address that holds a space or a line end in the list of workers, the link to the worker ended for good, since the agent raised ValueError at once instead of through the deferred, and a call forwarded with an odd service name hung; a port out of range counted as "may have run" on a real reactor, although nothing can have been sent. Change: send_request checks the address with the pattern of the decoded rows; what fits no address fails as PeerUnavailableError (workers) or StoreUnavailableError (store). The options refuse an address with a space too.

--- a/lavenderstall/options.py
+++ b/lavenderstall/options.py
@@ -1,5 +1,6 @@
 """Typed options from flags and environment variables, validated at startup."""
 
+import re
 import sys
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NoReturn
@@ -100,7 +101,8 @@
 
     def read(text: str) -> str:
         parts = urlsplit(text)
-        if parts.scheme not in schemes or not parts.hostname or not parts.port:
+        whole = not re.search(r"[^!-~]", text)
+        if not whole or parts.scheme not in schemes or not parts.hostname or not parts.port:
             raise ValueError(f"must look like {schemes[0]}://10.0.0.1:8000")
         return text.rstrip("/")
 
--- a/lavenderstall/platform_clients.py
+++ b/lavenderstall/platform_clients.py
@@ -1,11 +1,12 @@
 """HTTP clients of the platform: table service, object store and membership list."""
 
+import re
 from collections.abc import Callable
 from typing import Any, TypeVar, cast
 from urllib.parse import quote
 
 import msgspec
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectError, ConnectingCancelledError, ConnectionDone
 from twisted.internet.protocol import Protocol
@@ -17,6 +18,7 @@
     RequestNotSent,
     ResponseDone,
 )
+from twisted.web.http_headers import Headers
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
@@ -29,7 +31,7 @@
     StoreUnavailableError,
 )
 from lavenderstall.lists import ListReader
-from lavenderstall.protocol import Committed, Members, Row, Rows, Transaction
+from lavenderstall.protocol import HTTP_URL_PATTERN, Committed, Members, Row, Rows, Transaction
 from lavenderstall.set_aside import SetAside
 from lavenderstall.storage import find_row
 
@@ -39,14 +41,23 @@
 TIMEOUT_S = 2.0
 # Shared by liveness rows, configuration reads and a few concurrent commits.
 MAX_CONNECTIONS = 16
+HTTP_URL = re.compile(HTTP_URL_PATTERN)
+MAX_URL_CHARACTERS = 200
 # Below the usual 60 s of servers, so that no write is sent on a connection being closed.
 IDLE_TIMEOUT_S = 30
+
+
+class UnusableAddressError(Exception):
+    """No request can be sent to the address."""
+
+
 # Errors after which no byte of the request has left this process.
 NOT_SENT = (
     ConnectError,
     ConnectingCancelledError,
     RequestGenerationFailed,
     RequestNotSent,
+    UnusableAddressError,
 )
 NO_CLOSE_REASON = Failure(ConnectionDone())
 # Statuses that guarantee that a request had no effect.
@@ -83,6 +94,19 @@
         """Do nothing, because the body is written already."""
 
 
+def send_request(
+    agent: Any, method: str, url: str, headers: Headers | None, producer: Any
+) -> Deferred[Any]:
+    """Send a request; fail with `UnusableAddressError` if its address allows none.
+
+    The agent raises some errors of this kind at once, and reports a port out of range never.
+    """
+    if not HTTP_URL.match(url):
+        return fail(UnusableAddressError(f"{url[:MAX_URL_CHARACTERS]!r} is no address"))
+    sent: Deferred[Any] = agent.request(method.encode(), url.encode(), headers, producer)
+    return sent
+
+
 def make_agent(reactor: Any, connections: int = MAX_CONNECTIONS) -> Agent:
     """Return an agent with persistent connections."""
     pool = HTTPConnectionPool(reactor)
@@ -125,8 +149,7 @@
     def send(self, step: str, method: str, path: str, body: bytes | None = None) -> Deferred[Reply]:
         """Send a request and return its complete response."""
         producer = None if body is None else BytesProducer(body)
-        url = f"{self.url}{path}".encode()
-        sent: Deferred[Any] = self._agent.request(method.encode(), url, None, producer)
+        sent = send_request(self._agent, method, f"{self.url}{path}", None, producer)
         sent.addCallback(read_reply)
         sent.addTimeout(self._timeout_s, self._clock)  # type: ignore[arg-type]
         return sent.addErrback(self._raise_send_error, step)
--- a/lavenderstall/protocol.py
+++ b/lavenderstall/protocol.py
@@ -22,14 +22,12 @@
 # Figures above 2**53 are not exact in every JSON library.
 Revision = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 # An address with a host, and with a port of 1 to 65535 if any.
-HttpUrl = Annotated[
-    str,
-    msgspec.Meta(
-        pattern=r"^http://([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\])"
-        r"(:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5]))?"
-        r"(/[!-~]*)?\Z"
-    ),
-]
+HTTP_URL_PATTERN = (
+    r"^http://([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\])"
+    r"(:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5]))?"
+    r"(/[!-~]*)?\Z"
+)
+HttpUrl = Annotated[str, msgspec.Meta(pattern=HTTP_URL_PATTERN)]
 
 HEADER_OWNER = "X-Owner"
 HEADER_EPOCH = "X-Epoch"
--- a/lavenderstall/worker_client.py
+++ b/lavenderstall/worker_client.py
@@ -27,7 +27,12 @@
     ServiceName,
     WorkerId,
 )
-from lavenderstall.platform_clients import AddressEndpoints, BytesProducer
+from lavenderstall.platform_clients import (
+    AddressEndpoints,
+    BytesProducer,
+    UnusableAddressError,
+    send_request,
+)
 from lavenderstall.protocol import (
     HEADER_ATTEMPT,
     HEADER_DEADLINE,
@@ -49,6 +54,8 @@
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Errors after which no byte of the request has left this process.
+NOT_SENT = (ConnectError, ConnectingCancelledError, DNSLookupError, UnusableAddressError)
 
 
 class WorkerCall(msgspec.Struct):
@@ -203,11 +210,11 @@
     ) -> tuple[Any, bytes]:
         self.bytes_sent += len(data) + 200
         producer: Any = BytesProducer(data)
-        request = self._agent.request(b"POST", url.encode(), headers, producer)
+        request = send_request(self._agent, "POST", url, headers, producer)
         request.addTimeout(max(timeout_seconds, 0.001), self._reactor)
         try:
             response = await request
-        except (ConnectError, ConnectingCancelledError, DNSLookupError) as error:
+        except NOT_SENT as error:
             raise PeerUnavailableError(str(error), step="connect", peer=worker) from error
         except Exception as error:
             raise AnswerLostError(repr(error), step="await answer", peer=worker) from error
--- a/tests/oddities.py
+++ b/tests/oddities.py
@@ -18,6 +18,25 @@
 }
 
 
+# Addresses that no request can be sent to.
+ODD_URLS = (
+    "http://127.0.0.1:99999",
+    "http://127.0.0.1:65536",
+    "http://127.0.0.1:-1",
+    "http://127.0.0.1:0",
+    "http://127.0.0.1:8o",
+    "http://127.0.0.1:",
+    "http://127.0.0.1 :80",
+    "http:// 127.0.0.1",
+    "http://127.0.0.1:80/a b",
+    "http://127.0.0.1:80\n",
+    "http://:80",
+    "127.0.0.1:80",
+    "ftp://127.0.0.1:80",
+    "",
+)
+
+
 def add_field(sound: bytes, name: str, value: bytes) -> bytes:
     """Return an object with one more field; the last of two with one name counts."""
     return sound[:-1] + b"," + msgspec.json.encode(name) + b":" + value + b"}"
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -10,28 +10,12 @@
 from lavenderstall.protocol import EntryMember, Members, Row, Rows, WorkerMember
 from lavenderstall.records import UnreadableRowError, WorkRow, decode_row
 from lavenderstall.set_aside import SetAside
-from tests.oddities import DEEP_LISTS, MANY_DIGITS, add_field, list_odd_objects
+from tests.oddities import DEEP_LISTS, MANY_DIGITS, ODD_URLS, add_field, list_odd_objects
 
 URL = "http://127.0.0.1:8000"
 WORKERS = [WorkerMember(f"w{index}", "z1", "r1", URL, "pool") for index in range(3)]
 ENTRIES = [EntryMember(f"e{index}", "z1", "tcp://127.0.0.1:1", URL) for index in range(3)]
 ROWS = [Row(f"work/z/0/j{index}", index, msgspec.Raw(b'{"a":[1]}')) for index in range(3)]
-ODD_URLS = (
-    "http://127.0.0.1:99999",
-    "http://127.0.0.1:65536",
-    "http://127.0.0.1:-1",
-    "http://127.0.0.1:0",
-    "http://127.0.0.1:8o",
-    "http://127.0.0.1:",
-    "http://127.0.0.1 :80",
-    "http:// 127.0.0.1",
-    "http://127.0.0.1:80/a b",
-    "http://127.0.0.1:80\n",
-    "http://:80",
-    "127.0.0.1:80",
-    "ftp://127.0.0.1:80",
-    "",
-)
 SOUND_URLS = (
     "http://127.0.0.1",
     "http://127.0.0.1:1",
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -35,6 +35,11 @@
     ([], {"LAVENDERSTALL_PORT": "0"}, ("--port", "LAVENDERSTALL_PORT", "'0'", "between")),
     (["--port", "1", "--lease", "-1"], {}, ("--lease", "LAVENDERSTALL_LEASE", "'-1'")),
     (["--port", "1", "--table", "ftp://a"], {}, ("--table", "LAVENDERSTALL_TABLE", "ftp://a")),
+    (["--port", "1", "--table", "http://127.0.0.1 :80"], {}, ("--table", "must look like")),
+    (["--port", "1", "--table", "http://127.0.0.1:99999"], {}, ("--table", "65535")),
+    (["--port", "1", "--lease", "nan"], {}, ("--lease", "between")),
+    (["--port", "1", "--lease", "1e999"], {}, ("--lease", "between")),
+    (["--port", "9" * 5000], {}, ("--port", "whole number")),
     (["--port", "1", "--nothing"], {}, ("--nothing",)),
 )
 
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -5,16 +5,22 @@
 import msgspec
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
 from lavenderstall.errors import ConflictError, StoreOutcomeUnknownError, StoreUnavailableError
 from lavenderstall.identifiers import EntryId, ZoneName
-from lavenderstall.platform_clients import HttpMemberList, HttpObjectStore, HttpTableStore
+from lavenderstall.platform_clients import (
+    HttpMemberList,
+    HttpObjectStore,
+    HttpTableStore,
+    make_agent,
+)
 from lavenderstall.protocol import Condition, EntryMember, Put, Transaction
 from standins.cell import Cell, CellShape
 from standins.faults import FaultRequest
 from standins.web import ControlService, Reply, Service
 from tests.memory import MemoryNetwork
-from tests.oddities import DEEP_LISTS, MANY_DIGITS, ODD_VALUES, list_odd_objects
+from tests.oddities import DEEP_LISTS, MANY_DIGITS, ODD_URLS, ODD_VALUES, list_odd_objects
 
 URL = "http://127.0.0.1:1"
 ENTRY = EntryMember(EntryId("e1"), ZoneName("z1"), "tcp://127.0.0.1:2", "http://127.0.0.1:3")
@@ -163,6 +169,21 @@
                     self.wait(table.transact(make_transaction("a")))
                 self.assertEqual(self.wait(table.scan("a/")).revision, 5)
 
+    def test_nothing_is_sent_to_an_odd_address(self) -> None:
+        """Fails if a write that can't be sent raises at once, or has an unknown outcome."""
+        for url in ODD_URLS:
+            with self.subTest(url=url):
+                clock = MemoryReactorClock()
+                table = HttpTableStore(make_agent(clock), clock, url)
+                objects = HttpObjectStore(make_agent(clock), clock, url)
+                found: list = []
+                table.transact(make_transaction("a")).addBoth(found.append)
+                table.scan("a").addBoth(found.append)
+                objects.put("a", b"").addBoth(found.append)
+                clock.advance(5)
+                kinds = [type(each.value) for each in found]
+                self.assertEqual(kinds, [StoreUnavailableError] * 3)
+
     def test_answer_that_is_no_rows(self) -> None:
         """Fails if an odd answer raises an error that readers do not expect."""
         for body in (*ODD_VALUES.values(), b"", b"[]", b"null", b"{}"):
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -3,19 +3,89 @@
 import unittest
 
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
-from lavenderstall.errors import RefusedError
-from lavenderstall.identifiers import EntryId, Epoch, Incarnation, WorkerId
-from lavenderstall.protocol import LeaseRequest
+from lavenderstall.errors import PeerUnavailableError, RefusedError
+from lavenderstall.identifiers import (
+    AttemptId,
+    EntryId,
+    Epoch,
+    Incarnation,
+    RequestId,
+    ServiceName,
+    WorkerId,
+)
+from lavenderstall.protocol import LeaseRequest, TasksRequest
 from lavenderstall.resources import Resources
-from lavenderstall.worker_client import HttpWorkerClient, VoidRequest
+from lavenderstall.worker_client import HttpWorkerClient, VoidRequest, WorkerCall
 from standins.web import WorkerService
 from standins.workers import Worker, WorkerShape
 from tests.memory import MemoryNetwork
+from tests.oddities import ODD_URLS
 
 OWNER, EPOCH, WORKER = EntryId("e1"), Epoch(1000), WorkerId("w1")
 
 
+class AddressTest(unittest.TestCase):
+    """Requests to addresses that another writer left in the list."""
+
+    def test_nothing_is_sent_to_an_odd_address(self) -> None:
+        """Fails if a request that can't be sent raises at once, or counts as one that may run."""
+        lease = LeaseRequest(OWNER, EPOCH, 3000, 30000)
+        call = WorkerCall(
+            OWNER,
+            EPOCH,
+            Incarnation("i"),
+            ServiceName("s"),
+            RequestId("r"),
+            AttemptId("a"),
+            False,
+            1000,
+            b"",
+        )
+        requests = {
+            "renew": lambda client, url: client.renew(WORKER, url, lease),
+            "start": lambda client, url: client.change_tasks(
+                WORKER, url, TasksRequest(OWNER, EPOCH)
+            ),
+            "call": lambda client, url: client.call(WORKER, url, call),
+            "void": lambda client, url: client.void_request(
+                WORKER, url, RequestId("r"), VoidRequest(OWNER, EPOCH)
+            ),
+        }
+        for url in ODD_URLS:
+            for name, send in requests.items():
+                with self.subTest(url=url, name=name):
+                    clock = MemoryReactorClock()
+                    found: list = []
+                    send(HttpWorkerClient(clock), url).addBoth(found.append)
+                    clock.advance(5)
+                    self.assertIsInstance(found[0].value, PeerUnavailableError)
+
+    def test_service_that_fits_no_address(self) -> None:
+        """Fails if a name that a peer forwarded ends a call as one that may run."""
+        for service in ("a b", "a\n", "é", "a\x00"):
+            with self.subTest(service=service):
+                clock = MemoryReactorClock()
+                found: list = []
+                call = WorkerCall(
+                    OWNER,
+                    EPOCH,
+                    Incarnation("i"),
+                    ServiceName(service),
+                    RequestId("r"),
+                    AttemptId("a"),
+                    False,
+                    1000,
+                    b"",
+                )
+                HttpWorkerClient(clock).call(WORKER, "http://127.0.0.1:1", call).addBoth(
+                    found.append
+                )
+                clock.advance(5)
+                self.assertIsInstance(found[0].value, PeerUnavailableError)
+
+
 class VoidTest(unittest.TestCase):
     """A request is voided over HTTP."""
 
