Ask a peer again at once after it has committed for an owner without the store

Seen by callers: if the store fell silent to the owner of a pool alone, the pool had no confirmed owner for 1.1 s (bound 0.7 s), and jobs waited that long to start or to be shown as completed.

Cause: the owner's commit waits until the store counts as lost, 0.7 s after the call, and then goes through a peer at once. The writer took that wait for the duration of a commit, counted the store as slow, and by the rule for a slow store asked no peer for another second.

Fix: the duration of a commit through a peer is that of the peer's attempt; a peer that is slow still makes the store count as slow. While the store stays lost and a peer has committed within 0.6 s, the next commit is sent to a peer together with the direct one, not 0.1 s later.

Not changed: the first commit after the fault is durable only 0.8 s later, as no peer is asked before the store counts as lost to the owner.

--- a/lavenderstall/pools/commit_relay.py
+++ b/lavenderstall/pools/commit_relay.py
@@ -25,6 +25,8 @@
 
 # Interval at which a commit without an answer is checked for whether a peer may help.
 RELAY_CHECK_INTERVAL_S = 0.1
+# If a peer committed within this time, and may help again, it is asked without that wait.
+RECENT_RELAY_S = 0.6
 
 
 class CommitPeers(Protocol):
@@ -46,8 +48,9 @@
         self._peers = peers
         self._read_uptime = read_uptime
         self._metrics = metrics
-        # When a peer last committed, in seconds of uptime.
-        self.committed_at = float("-inf")
+        # When a peer last committed, in seconds of uptime, and how long that took.
+        self._committed_at = float("-inf")
+        self._commit_s = 0.0
 
     def is_available(self) -> bool:
         """Tell whether a peer reaches the store."""
@@ -59,14 +62,24 @@
         if not proxies:
             raise StoreUnavailableError("no peer reaches the store", step="relay commit")
         peer = proxies[0]
+        sent_at = self._read_uptime()
         answer = await self._peers.request_commit(peer, transaction)
         if answer is None:
             raise StoreOutcomeUnknownError("no answer", step="relay commit", peer=peer)
         self._metrics.count(f"commits_relayed_{answer.outcome.value}")
         committed = read_answer(answer, peer)
-        self.committed_at = self._read_uptime()
+        self._committed_at = self._read_uptime()
+        self._commit_s = self._committed_at - sent_at
         return committed
 
+    def get_commit_s(self, since: float) -> float | None:
+        """Return how long a commit through a peer took, or none if there was none since then."""
+        return self._commit_s if self._committed_at >= since else None
+
+    def has_recent_commit(self) -> bool:
+        """Tell whether a peer has committed lately."""
+        return self._read_uptime() - self._committed_at < RECENT_RELAY_S
+
 
 class HedgedCommit:
     """Commit directly, and through a peer too if that fails or is slow and a peer may help.
@@ -91,6 +104,8 @@
         self._unknown: Failure | None = None
         self.outcome: Deferred[Committed] = Deferred()
         Deferred.fromCoroutine(direct).addCallbacks(self._finish, self._handle_direct_failure)
+        if relay.has_recent_commit():
+            self._relay_if_useful()
         self._schedule_check()
 
     def _finish(self, committed: Committed) -> None:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -121,7 +121,7 @@
 
     def has_recent_relay(self) -> bool:
         """Tell whether a peer has committed for this owner lately."""
-        return self._read_uptime() - self._relay.committed_at < RECENT_COMMIT_S
+        return self._relay.has_recent_commit()
 
     def get_store_outage(self) -> float:
         """Return for how many seconds no transaction was answered, 0 if the last one was."""
@@ -277,7 +277,9 @@
     def _note_success(self, now: float, transaction: Transaction, committed: Committed) -> None:
         self.confirmed_at = now
         self._written_at = now
-        self._last_commit_s = self._read_uptime() - now
+        relayed_s = self._relay.get_commit_s(now)
+        # The wait before a peer was asked does not tell how fast the store is.
+        self._last_commit_s = self._read_uptime() - now if relayed_s is None else relayed_s
         self._may_start_unrecorded = self._announces_unrecorded
         self._store_clock_ms = committed.store_clock_ms
         self._store_clock_read_at = self._read_uptime()
--- a/tests/pools/test_commit_relay.py
+++ b/tests/pools/test_commit_relay.py
@@ -9,6 +9,7 @@
 from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commit_relay import (
+    RECENT_RELAY_S,
     RELAY_CHECK_INTERVAL_S,
     CommitRelay,
     HedgedCommit,
@@ -30,6 +31,7 @@
         self.rows = FakeRowStore()
         self.peers = FakeCommitPeers(self.rows)
         self.peers.reached = True
+        self.relay = CommitRelay(self.peers, self.clock.seconds, Metrics())
         self.direct: Deferred[Committed] = Deferred()
         self.outcomes: list[Any] = []
         self.may_relay = True
@@ -40,8 +42,7 @@
         async def wait() -> Committed:
             return await self.direct
 
-        relay = CommitRelay(self.peers, self.clock.seconds, Metrics())
-        hedged = HedgedCommit(self.clock, wait(), relay, TRANSACTION, lambda: self.may_relay)
+        hedged = HedgedCommit(self.clock, wait(), self.relay, TRANSACTION, lambda: self.may_relay)
         hedged.outcome.addCallbacks(
             self.outcomes.append, lambda failure: self.outcomes.append(failure.type)
         )
@@ -99,6 +100,22 @@
         self.clock.advance(DELAY_S)
         self.assertEqual((self.peers.requests, len(self.outcomes)), (1, 1))
 
+    def test_a_peer_that_has_just_committed_is_asked_at_once(self) -> None:
+        """Fails if each commit of an owner without the store waits for its own attempt again."""
+        for name, passed_s, may_relay, asked in (
+            ("just now", 0.0, True, True),
+            ("long ago", RECENT_RELAY_S, True, False),
+            ("the store is back", 0.0, False, False),
+        ):
+            with self.subTest(name=name):
+                self.setUp()
+                self.commit()
+                self.clock.advance(DELAY_S)
+                self.clock.advance(passed_s)
+                self.may_relay, self.direct = may_relay, Deferred()
+                self.commit()
+                self.assertEqual(self.peers.requests, 1 + asked)
+
     def test_an_instance_without_peers_waits_for_its_own_attempt(self) -> None:
         self.peers.reached = False
         self.commit()
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -1,7 +1,9 @@
 """Tests of an owner's writes and of pool claims."""
 
 import unittest
+from copy import copy
 from functools import partial
+from unittest.mock import patch
 
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -17,7 +19,7 @@
     get_old_run_lifetime_s,
     has_complete_records,
 )
-from lavenderstall.pools.commit_relay import CommitRelay
+from lavenderstall.pools.commit_relay import RELAY_CHECK_INTERVAL_S, CommitRelay
 from lavenderstall.pools.effects import RunEnd, RunStatus
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
@@ -38,6 +40,7 @@
 from lavenderstall.pools.work import EndCause, JobState, Task
 from lavenderstall.pools.writer import (
     FAST_COMMIT_S,
+    RENEW_INTERVAL_S,
     SLOW_COMMIT_S,
     SLOW_STORE_OUTAGE_S,
     OwnershipLostError,
@@ -98,6 +101,14 @@
         self.clock.advance(seconds)
         return failures[0] if failures else None
 
+    def wait_for_commits(self, seconds: float) -> None:
+        """Begin a write, and let time pass in the steps in which a peer is considered."""
+        self.uptime += RENEW_INTERVAL_S
+        Deferred.fromCoroutine(self.writer.write_due()).addCallback(self.note_batch)
+        for _ in range(round(seconds / RELAY_CHECK_INTERVAL_S)):
+            self.uptime += RELAY_CHECK_INTERVAL_S
+            self.clock.advance(RELAY_CHECK_INTERVAL_S)
+
     def note_batch(self, batch: ProgressBatch | None) -> None:
         """Mark a batch as durable in the pool."""
         if batch is not None:
@@ -373,6 +384,20 @@
                 owner.step(outage_s)
                 self.assertEqual(bool(owner.peers.requests), relayed)
 
+    def test_the_wait_for_a_peer_does_not_count_as_a_slow_store(self) -> None:
+        """Fails if an owner that a peer has helped asks no peer for its next commits."""
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        owner.peers.store, owner.peers.reached = copy(rows), True
+        rows.unavailable = True
+        with patch.object(rows, "commit", lambda transaction: Deferred()):
+            owner.wait_for_commits(2 * SLOW_COMMIT_S)
+            self.assertEqual(owner.peers.requests, 1)
+            owner.wait_for_commits(0.0)
+        self.assertEqual(owner.peers.requests, 2)
+        row = decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value)
+        self.assertFalse(row.unrecorded)
+
     def test_a_slow_store_is_told_that_runs_may_not_be_recorded(self) -> None:
         rows = FakeRowStore()
         owner = make_owner(rows)
