Treat an answer of a worker that can't be read as one that may have run

Callers saw: a worker whose answer or refusal holds nested lists, or whose X-Digest is no text, ended its link for good, and calls to it hung, since RecursionError and UnicodeDecodeError are no errors that the owner expects. Figures that no worker can have were taken: 400 digits as cores end in an OverflowError or IndexError within placement, which also ends the link; a negative number of calls adds slots; an epoch of 400 digits in one refusal leads to a term that no row or message can hold. A start's answer with an odd result left the results behind it without effect. Change: workers' answers are decoded with decode_json and bounds: amounts up to 10**12 (negative ones only where differences are sent), figures 0 to 2**53, epochs of refusals up to 2**50, terms up to 2**42, so that no worker can use the terms up. The same bounds hold for rows of the table. A result for a run that was not started is logged and passed over. One unreadable report costs the whole answer and so its worker, not the report alone: a run that a full inventory seems to lack would be started twice.

--- a/lavenderstall/protocol.py
+++ b/lavenderstall/protocol.py
@@ -17,10 +17,14 @@
     WorkerId,
     ZoneName,
 )
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import NOTHING, Resources, check_not_negative
 
 # Figures above 2**53 are not exact in every JSON library.
-Revision = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+MAX_FIGURE = 2**53
+Figure = Annotated[int, msgspec.Meta(ge=0, le=MAX_FIGURE)]
+Revision = Figure
+# A term that follows the epoch of any refusal leaves room for as many epochs again.
+MAX_FENCED_EPOCH = 2**50
 # An address with a host, and with a port of 1 to 65535 if any.
 HTTP_URL_PATTERN = (
     r"^http://([A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\])"
@@ -152,9 +156,13 @@
     service: ServiceName = ServiceName("")
     idempotent: bool = True
     used: Resources = NOTHING
-    age_ms: int = 0
+    age_ms: Figure = 0
     detail: str = ""
 
+    def __post_init__(self) -> None:
+        check_not_negative(self.resources)
+        check_not_negative(self.used)
+
 
 class LeaseRequest(msgspec.Struct, omit_defaults=True):
     """Claim or renew a worker; `local` asks for a takeover without a table term.
@@ -178,16 +186,19 @@
 
     worker: WorkerId
     incarnation: Incarnation
-    epoch: Epoch
+    epoch: Annotated[Epoch, msgspec.Meta(ge=0, le=MAX_FIGURE)]
     capacity: Resources
-    sequence: int
+    sequence: Figure
     full: bool
-    clock_ms: int = 0
+    clock_ms: Figure = 0
     leaving: bool = False
     tasks: list[TaskReport] = []
     finished: list[TaskReport] = []
     removed: list[TaskId] = []
-    foreign_calls: int = 0
+    foreign_calls: Figure = 0
+
+    def __post_init__(self) -> None:
+        check_not_negative(self.capacity)
 
 
 class Fenced(msgspec.Struct):
@@ -195,7 +206,7 @@
 
     error: str
     owner: EntryId
-    epoch: Epoch
+    epoch: Annotated[Epoch, msgspec.Meta(ge=0, le=MAX_FENCED_EPOCH)]
 
 
 class CallRefusal(msgspec.Struct, omit_defaults=True):
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -1,7 +1,7 @@
 """Records stored as rows of the table service, and their keys."""
 
 from collections.abc import Callable, Iterable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from zlib import crc32
 
 import msgspec
@@ -21,9 +21,9 @@
     WorkerId,
     ZoneName,
 )
-from lavenderstall.protocol import Kind, Row
+from lavenderstall.protocol import MAX_FIGURE, Figure, Kind, Row
 from lavenderstall.requests import NO_CONSTRAINTS, Constraints, Spread
-from lavenderstall.resources import Resources
+from lavenderstall.resources import Resources, check_not_negative
 from lavenderstall.set_aside import SetAside
 
 T = TypeVar("T")
@@ -38,6 +38,9 @@
 KEY_CONFIG_HEAD = "config/head"
 
 BINDING_BUCKETS = 256
+# The epochs of any term are figures that a worker can report.
+MAX_TERM = 2**42
+MAX_SLICE_INDEX = 100_000
 REASON_UNREADABLE = "unreadable_row"
 
 
@@ -53,7 +56,7 @@
     zone: ZoneName
     link: str
     http: str
-    beat: int
+    beat: Figure
 
 
 class SliceRow(msgspec.Struct, omit_defaults=True):
@@ -62,7 +65,7 @@
     slice: SliceName
     owner: EntryId
     incarnation: Incarnation
-    term: int
+    term: Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
     nonce: str
     workers: list[WorkerId] = []
 
@@ -70,7 +73,7 @@
 class RacksRow(msgspec.Struct):
     """Assign the racks of a zone to slices by index; entries are only ever added."""
 
-    racks: dict[RackName, int]
+    racks: dict[RackName, Annotated[int, msgspec.Meta(ge=0, le=MAX_SLICE_INDEX)]]
     nonce: str
 
 
@@ -80,19 +83,22 @@
     id: JobId
     team: TeamName
     kind: Kind
-    tasks: int
+    tasks: Figure
     resources: Resources
     service: ServiceName = ServiceName("")
     pool: str = ""
-    priority: int = 0
+    priority: Annotated[int, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)] = 0
     idempotent: bool = True
-    expected_ms: int = 0
-    deadline_unix_ms: int = 0
-    max_attempts: int = 3
+    expected_ms: Figure = 0
+    deadline_unix_ms: Figure = 0
+    max_attempts: Figure = 3
     constraints: Constraints = NO_CONSTRAINTS
     spread: Spread | None = None
     payload: dict[str, msgspec.Raw] = {}
 
+    def __post_init__(self) -> None:
+        check_not_negative(self.resources)
+
 
 class JobRow(msgspec.Struct, omit_defaults=True):
     """An accepted job and the slices that its tasks were assigned to.
@@ -104,7 +110,7 @@
     slices: list[SliceName]
     nonce: str
     cancelled: bool = False
-    issued: int = 0
+    issued: Figure = 0
 
 
 class TaskCrashes(msgspec.Struct, frozen=True, array_like=True):
@@ -114,8 +120,8 @@
     owner finds its run nowhere.
     """
 
-    total: int = 0
-    sole: int = 0
+    total: Figure = 0
+    sole: Figure = 0
     started: bool = False
 
 
@@ -131,15 +137,15 @@
 
     spec: JobSpec
     slice: SliceName
-    tasks: list[int]
+    tasks: list[Figure]
     nonce: str
-    done: list[int] = []
-    failed: list[int] = []
-    unknown: list[int] = []
-    stopped: list[int] = []
-    bound: dict[int, WorkerId] = {}
+    done: list[Figure] = []
+    failed: list[Figure] = []
+    unknown: list[Figure] = []
+    stopped: list[Figure] = []
+    bound: dict[Figure, WorkerId] = {}
     cancelled: bool = False
-    crashes: dict[int, TaskCrashes] = {}
+    crashes: dict[Figure, TaskCrashes] = {}
 
     def list_open(self) -> list[int]:
         """Return the unfinished tasks."""
--- a/lavenderstall/resources.py
+++ b/lavenderstall/resources.py
@@ -1,16 +1,23 @@
 """Resource amounts of workers and tasks."""
 
+from typing import Annotated
+
 import msgspec
 
+# Far above any worker; the arithmetic of placement and usage is exact below it.
+MAX_AMOUNT = 10**12
+# Differences may be negative.
+Amount = Annotated[int, msgspec.Meta(ge=-MAX_AMOUNT, le=MAX_AMOUNT)]
+
 
 class Resources(msgspec.Struct, frozen=True, omit_defaults=True):
     """Hold cores in thousandths, memory in MB, and whole accelerators, slots, connections."""
 
-    cores_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    slots: int = 0
-    connections: int = 0
+    cores_milli: Amount = 0
+    memory_mb: Amount = 0
+    accelerators: Amount = 0
+    slots: Amount = 0
+    connections: Amount = 0
 
     def add(self, other: "Resources") -> "Resources":
         """Return the sum of both amounts."""
@@ -52,3 +59,12 @@
 
 
 NOTHING = Resources()
+
+
+def check_not_negative(amounts: Resources) -> None:
+    """Raise `ValueError` if a component is negative."""
+    if min(msgspec.structs.astuple(amounts)) >= 0:
+        return
+    negative = [name for name in amounts.__struct_fields__ if getattr(amounts, name) < 0]
+    if negative:
+        raise ValueError(f"must not be negative: {', '.join(negative)}")
--- a/lavenderstall/schemas.py
+++ b/lavenderstall/schemas.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from lavenderstall.identifiers import RackName, ServiceName, TeamName, ZoneName
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import NOTHING, Resources, check_not_negative
 
 MILLI = 1000
 
@@ -66,13 +66,6 @@
     WORKER = "worker"
 
 
-def check_not_negative(amounts: Resources) -> None:
-    """Raise `ValueError` if a component is negative."""
-    negative = [name for name in amounts.__struct_fields__ if getattr(amounts, name) < 0]
-    if negative:
-        raise ValueError(f"must not be negative: {', '.join(negative)}")
-
-
 def check_unique(what: str, names: Iterable[str]) -> None:
     """Raise `ValueError` if a name occurs twice."""
     seen: set[str] = set()
--- a/lavenderstall/starts.py
+++ b/lavenderstall/starts.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.decisions import Never, Plan
-from lavenderstall.errors import AnswerLostError, FencedError, PeerUnavailableError
+from lavenderstall.errors import FencedError, LavenderstallError, PeerUnavailableError
 from lavenderstall.identifiers import JobId, TaskId, WorkerId, make_run_id
 from lavenderstall.protocol import TaskState
 from lavenderstall.reasons import Reason
@@ -90,12 +90,15 @@
             for task in tasks:
                 self._handle_refused_start(task, str(error))
             return
-        except AnswerLostError as error:
+        except LavenderstallError as error:
             # A start still in flight is refused once the stop has arrived.
             logger.info("no answer to task starts on worker %s: %s", worker, error)
             return
         now = self._clock.seconds()
         for result in results:
+            if result.task not in runs:
+                logger.warning("worker %s answers for %.80r, not asked", worker, result.task)
+                continue
             task = runs[result.task]
             if self.tasks.get(task.id) is not task or task.run != result.task:
                 continue
--- a/lavenderstall/worker_client.py
+++ b/lavenderstall/worker_client.py
@@ -10,6 +10,7 @@
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import (
     AnswerLostError,
     FencedError,
@@ -188,8 +189,8 @@
         )
         if response.code != 200:
             raise make_error(worker, response.code, body)
-        check_digest(worker, response.headers.getRawHeaders(HEADER_DIGEST, [""])[0], body)
-        content_type = response.headers.getRawHeaders("Content-Type", ["application/json"])[0]
+        check_digest(worker, get_header(response, HEADER_DIGEST), body)
+        content_type = get_header(response, "Content-Type") or "application/json"
         return WorkerAnswer(body, content_type)
 
     async def _post_json(
@@ -201,8 +202,8 @@
         if response.code != 200:
             raise make_error(worker, response.code, body)
         try:
-            return msgspec.json.decode(body, type=answer_type)
-        except msgspec.MsgspecError as error:
+            return decode_json(body, answer_type)
+        except UnreadableError as error:
             raise AnswerLostError(str(error), step="decode answer", peer=worker) from error
 
     async def _send(
@@ -228,6 +229,12 @@
         return response, body
 
 
+def get_header(response: Any, name: str) -> str:
+    """Return the first value of a header, which may be no text, or an empty string."""
+    values: list[bytes] = response.headers.getRawHeaders(name.encode(), [b""])
+    return values[0].decode("utf-8", "replace")
+
+
 def check_digest(worker: WorkerId, digest: str, body: bytes) -> None:
     """Raise `AnswerLostError` unless a body has the digest that the worker declared."""
     if hashlib.sha256(body).hexdigest() != digest:
@@ -238,7 +245,7 @@
     """Return the error for a response whose status is not 200."""
     try:
         if code == 409:
-            fenced = msgspec.json.decode(body, type=Fenced)
+            fenced = decode_json(body, Fenced)
             return FencedError(
                 "the worker obeys another owner",
                 step="worker",
@@ -247,11 +254,11 @@
                 owner=fenced.owner,
             )
         if code == 503:
-            refusal = msgspec.json.decode(body, type=CallRefusal)
+            refusal = decode_json(body, CallRefusal)
             return RefusedError(
                 refusal.detail, step="worker", peer=worker, reason=refusal.reason.value
             )
-    except msgspec.MsgspecError as error:
+    except UnreadableError as error:
         return AnswerLostError(str(error), step="decode error", peer=worker)
     if code == 500:
         return RefusedError(
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,18 +1,29 @@
 """Tests of rows of the table."""
 
 import logging
+import re
 import tracemalloc
 import unittest
 
 import msgspec
 
-from lavenderstall.identifiers import EntryId, Incarnation, JobId, SliceName, TeamName, ZoneName
+from lavenderstall.identifiers import (
+    EntryId,
+    Incarnation,
+    JobId,
+    RackName,
+    SliceName,
+    TeamName,
+    ZoneName,
+)
 from lavenderstall.protocol import Kind, Put, Row, Rows, Transaction
 from lavenderstall.records import (
     EntryRow,
     JobRow,
     JobSpec,
+    RacksRow,
     SliceRow,
+    TaskCrashes,
     UnreadableRowError,
     WorkRow,
     decode_row,
@@ -23,7 +34,7 @@
 from lavenderstall.resources import Resources
 from lavenderstall.set_aside import SetAside
 from tests.cells import Cell, make_job, read_open
-from tests.oddities import list_odd_objects
+from tests.oddities import MANY_DIGITS, list_odd_objects
 
 OTHER_BYTES = 1_000_000
 SLICE = SliceName("z0/0")
@@ -97,6 +108,31 @@
             with self.subTest(name=name), self.assertRaisesRegex(UnreadableRowError, "entry/odd"):
                 decode_row(Row("entry/odd", 1, msgspec.Raw(value)), EntryRow)
 
+    def test_odd_figures(self) -> None:
+        """Fails if a figure that no sound writer leaves reaches the arithmetic of a reader."""
+        resources = Resources(11, 12, 13, 14, 15)
+        spec = msgspec.structs.replace(
+            ODD_JOB, tasks=16, resources=resources, expected_ms=17, deadline_unix_ms=18, priority=19
+        )
+        crashes = {21: TaskCrashes(22, 23)}
+        rows: tuple[msgspec.Struct, ...] = (
+            WorkRow(spec, SLICE, [24], "n", done=[25], crashes=crashes),
+            JobRow(spec, [SLICE], "n", issued=26),
+            SliceRow(SLICE, EntryId("e"), Incarnation("i"), 27, "n"),
+            RacksRow({RackName("r"): 28}, "n"),
+            msgspec.structs.replace(ODD_ENTRY, beat=29),
+        )
+        for row in rows:
+            sound = msgspec.json.encode(row)
+            for figure in re.findall(rb"(?<=[:,\[])[12][0-9](?=[,\]}])", sound):
+                for odd in (MANY_DIGITS, b"-1", b"1e999"):
+                    if (figure, odd) == (b"19", b"-1"):
+                        continue  # A priority may be negative.
+                    with self.subTest(row=type(row).__name__, figure=figure, odd=odd[:5]):
+                        value = msgspec.Raw(sound.replace(figure, odd))
+                        with self.assertRaises(UnreadableRowError):
+                            decode_row(Row("key", 1, value), type(row))
+
     def test_each_version_is_logged_and_counted_once(self) -> None:
         """Fails if a row that stays odd fills the log, or a new odd version goes unnoticed."""
         set_aside = SetAside()
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -4,8 +4,16 @@
 
 from lavenderstall.changes import ItemKey
 from lavenderstall.errors import Outcome
-from lavenderstall.identifiers import JobId, WorkerId
-from lavenderstall.protocol import Kind, Put, Transaction
+from lavenderstall.identifiers import JobId, TaskId, WorkerId
+from lavenderstall.protocol import (
+    Kind,
+    Put,
+    TaskResult,
+    TasksAnswer,
+    TasksRequest,
+    TaskState,
+    Transaction,
+)
 from lavenderstall.records import WorkRow, decode_row, make_work_key
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Service
@@ -81,6 +89,31 @@
         self.assertEqual(len(cell.find_runs("gang")), 8)
 
 
+class StartTest(unittest.TestCase):
+    """Answers to the start of tasks."""
+
+    def test_result_that_was_not_asked_for_costs_no_other(self) -> None:
+        """Fails if one odd result leaves those behind it without an effect."""
+        cell = Cell(entries=1, zones=1, workers=1)
+        cell.run(3.05)
+        worker = cell.workers[WorkerId("z0w0")]
+        change_tasks = worker.change_tasks
+
+        def answer_oddly(request: TasksRequest) -> TasksAnswer:
+            results = change_tasks(request).results
+            return TasksAnswer([TaskResult(TaskId("odd"), accepted=True), *results])
+
+        worker.change_tasks = answer_oddly
+        cell.submit(make_job("job", 3, run_ms=60_000))
+        (server,) = cell.list_ready()[0].entry.slices.values()
+        with self.assertLogs("lavenderstall.starts") as logs:
+            cell.run(0.5, until=lambda: len(cell.find_runs("job")) == 3)
+            cell.run(0.05)
+        self.assertIn("'odd', not asked", logs.output[0])
+        states = [task.state for task in server.tasks.values()]
+        self.assertEqual(states, [TaskState.RUNNING] * 3)
+
+
 class CancelTest(unittest.TestCase):
     """A job is cancelled."""
 
