Leave an odd message, address or partial answer of a peer to itself

Callers saw: one partial answer that can't be read turned a query or a trace into 500 internal, with the sound parts of all other owners. Operators saw: an envelope with a deeply nested field raised out of the reader of the socket, which the reactor then drops, so that the instance hears no peer any more; a message that can't be read took the messages beside it along; an entry instance listed with an address that can't be dialled kept links to the peers behind it from opening, each time. Change: the link decodes the messages of an envelope one by one when the whole can't be read, and counts what it discards (gauge link_messages_discarded); an address that can't be dialled is logged once and left out until it changes; a partial answer that can't be read is reported as missing, with the reason; a peer's configuration that can't be read is discarded with one line. An envelope with a message that can't even be skipped (5,000 levels of MessagePack, which no instance sends) is discarded as a whole.

--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -119,7 +119,8 @@
 
 def register_traffic_gauges(metrics: Metrics, links: NngLinks, client: HttpWorkerClient) -> None:
     """Register gauges of the traffic with peers and workers."""
-    for name in ("bytes_sent", "bytes_received", "messages_sent", "messages_received"):
+    directions = ("bytes_sent", "bytes_received", "messages_sent", "messages_received")
+    for name in (*directions, "messages_discarded"):
         metrics.register_gauge(f"link_{name}", partial(getattr, links, name))
     for name in ("bytes_sent", "bytes_received"):
         metrics.register_gauge(f"worker_{name}", partial(getattr, client, name))
--- a/lavenderstall/handlers.py
+++ b/lavenderstall/handlers.py
@@ -7,6 +7,7 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.identifiers import EntryId
 from lavenderstall.messages import (
     CallAnswer,
@@ -81,7 +82,11 @@
 
 @handle.register(ConfigPart)
 def _(message: ConfigPart, entry: "Entry", sender: EntryId) -> None:
-    body = msgspec.json.decode(message.body, type=SnapshotBody)
+    try:
+        body = decode_json(message.body, SnapshotBody)
+    except UnreadableError as error:
+        logger.warning("configuration from %s discarded: %s", sender, error)
+        return
     entry.view.accept(unpack_snapshot(body))
 
 
--- a/lavenderstall/links.py
+++ b/lavenderstall/links.py
@@ -2,11 +2,12 @@
 
 import logging
 from collections import deque
-from collections.abc import Callable, Collection, Mapping
-from typing import Any, Protocol
+from collections.abc import Callable, Collection, Iterator, Mapping
+from typing import Any, Protocol, get_args, get_type_hints
 
 import msgspec
 
+from lavenderstall.decoding import UnreadableError, decode_msgpack
 from lavenderstall.errors import PeerUnavailableError
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.messages import HINTS, Envelope, Message
@@ -79,6 +80,13 @@
         return False
 
 
+def make_raw_envelope(envelope: type) -> type[msgspec.Struct]:
+    """Return the type of an envelope whose messages are kept as bytes."""
+    fields = [("sender", EntryId), ("incarnation", Incarnation), ("messages", list[msgspec.Raw])]
+    array_like = envelope.__struct_config__.array_like  # type: ignore[attr-defined]
+    return msgspec.defstruct("RawEnvelope", fields, array_like=array_like)
+
+
 class NngLinks:
     """Send envelopes over pynng PUSH and PULL sockets, with one dialer per peer.
 
@@ -106,9 +114,14 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._envelope = envelope
         self._hints = hints
-        self._decoder: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(envelope)
+        # Both are known only at run time.
+        (message,) = get_args(get_type_hints(envelope)["messages"])
+        self._message: Any = message
+        self._raw_envelope: Any = make_raw_envelope(envelope)
         self._dialers: dict[EntryId, tuple[str, Any]] = {}
         self._outboxes: dict[EntryId, Outbox] = {}
+        # Peers and the addresses that no connection can be made to.
+        self._unreachable: dict[EntryId, str] = {}
         self._flush_call: Any = None
         self._socket = pynng.Pull0(listen=listen, recv_max_size=MAX_MESSAGE_BYTES)
         self._reader = _Reader(self._socket.recv_fd, self._receive)
@@ -117,6 +130,7 @@
         self.bytes_received = 0
         self.messages_sent = 0
         self.messages_received = 0
+        self.messages_discarded = 0
 
     def set_receiver(self, receiver: Receiver) -> None:
         """Deliver messages to a function."""
@@ -129,13 +143,24 @@
     def set_peers(self, addresses: Mapping[EntryId, str]) -> None:
         """Open links to new peers and close those to peers that left."""
         wanted = {peer: url for peer, url in addresses.items() if peer != self._entry}
+        self._unreachable = {p: url for p, url in self._unreachable.items() if p in wanted}
         for peer in [p for p, (url, _) in self._dialers.items() if wanted.get(p) != url]:
             _, dialer = self._dialers.pop(peer)
             self._outboxes.pop(peer, None)
             dialer.close()
         for peer in wanted.keys() - self._dialers.keys():
-            self._dialers[peer] = (wanted[peer], self._dial(peer, wanted[peer]))
-            self._outboxes[peer] = Outbox(peer, hints=self._hints)
+            if self._unreachable.get(peer) != wanted[peer]:
+                self._open(peer, wanted[peer])
+
+    def _open(self, peer: EntryId, url: str) -> None:
+        """Open a link, unless no connection can be made to its address."""
+        try:
+            self._dialers[peer] = (url, self._dial(peer, url))
+        except (self._pynng.exceptions.NNGException, ValueError) as error:
+            logger.warning("no link to %s at %.200r: %s", peer, url, error)
+            self._unreachable[peer] = url
+            return
+        self._outboxes[peer] = Outbox(peer, hints=self._hints)
 
     def _dial(self, peer: EntryId, url: str) -> Any:
         dialer = self._pynng.Push0(send_buffer_size=SOCKET_BUFFER_MESSAGES)
@@ -148,7 +173,11 @@
         dialer.add_post_pipe_remove_cb(
             lambda pipe: self._schedule_connection_report(peer, dialer, up=False)
         )
-        dialer.dial(url, block=False)
+        try:
+            dialer.dial(url, block=False)
+        except (self._pynng.exceptions.NNGException, ValueError):
+            dialer.close()
+            raise
         return dialer
 
     def _schedule_connection_report(self, peer: EntryId, dialer: Any, *, up: bool) -> None:
@@ -228,13 +257,31 @@
                 return
             self.bytes_received += len(data)
             try:
-                envelope = self._decoder.decode(data)
-            except msgspec.MsgspecError as error:
+                sender, messages = self._decode(data)
+            except UnreadableError as error:
+                self.messages_discarded += 1
                 logger.warning("envelope discarded: %s", error)
                 continue
-            self.messages_received += len(envelope.messages)
-            for message in envelope.messages:
-                self._deliver(envelope.sender, message)
+            self.messages_received += len(messages)
+            for message in messages:
+                self._deliver(sender, message)
+
+    def _decode(self, data: bytes) -> tuple[EntryId, list[Any]]:
+        """Return the sender and the messages that can be read, or raise `UnreadableError`."""
+        try:
+            envelope: Any = decode_msgpack(data, self._envelope)
+            return envelope.sender, envelope.messages
+        except UnreadableError:
+            raw: Any = decode_msgpack(data, self._raw_envelope)
+        return raw.sender, [*self._decode_each(raw.sender, raw.messages)]
+
+    def _decode_each(self, sender: EntryId, messages: list[msgspec.Raw]) -> Iterator[Any]:
+        for message in messages:
+            try:
+                yield decode_msgpack(bytes(message), self._message)
+            except UnreadableError as error:
+                self.messages_discarded += 1
+                logger.warning("message from %s discarded: %s", sender, error)
 
     def _deliver(self, sender: EntryId, message: Message) -> None:
         try:
--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -2,14 +2,15 @@
 
 import logging
 from collections.abc import Collection
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
 from twisted.internet.defer import Deferred
 
 from lavenderstall.access import AccessError, Caller
 from lavenderstall.bodies import SpanInfo, TraceAnswer
-from lavenderstall.errors import LavenderstallError, PeerUnavailableError
+from lavenderstall.decoding import UnreadableError, decode_json
+from lavenderstall.errors import AnswerLostError, LavenderstallError, PeerUnavailableError
 from lavenderstall.identifiers import (
     AttemptId,
     EntryId,
@@ -41,6 +42,8 @@
 
 logger = logging.getLogger(__name__)
 
+T = TypeVar("T")
+
 PART_TIMEOUT_SECONDS = 1.0
 
 
@@ -54,6 +57,15 @@
     return msgspec.structs.replace(answer, note=note)
 
 
+def decode_part(part: QueryPart, kind: type[T]) -> T:
+    """Decode the body of a part, or raise `AnswerLostError`."""
+    try:
+        return decode_json(part.body, kind)
+    except UnreadableError as error:
+        detail = f"the answer cannot be read: {error}"
+        raise AnswerLostError(detail, step="ask owner", peer=part.owner) from error
+
+
 class QueryService:
     """Answer statements; runs on every entry instance."""
 
@@ -167,7 +179,7 @@
         started = self._entry.clock.seconds()
         query = AttemptId(self._entry.make_nonce())
         part = await self._request_part(owner, query, QueryAsk(query, text, slices))
-        answer = msgspec.json.decode(part.body, type=Answer)
+        answer = decode_part(part, Answer)
         age = int((self._entry.clock.seconds() - started) * 1000)
         parts = tuple(Part(p.owner, p.age_ms + age, p.slices) for p in answer.parts)
         moved = tuple(sorted(set(slices) - set(part.slices)))
@@ -203,11 +215,9 @@
         missing: list[MissingPart] = []
         for owner, response in requests.items():
             try:
-                part = await response
+                spans += decode_part(await response, list[SpanInfo])
             except LavenderstallError as error:
                 missing.append(MissingPart(error.detail, owner))
-                continue
-            spans += msgspec.json.decode(part.body, type=list[SpanInfo])
         spans.sort(key=lambda span: span.start_unix_us)
         return TraceAnswer(request, tuple(spans), tuple(missing))
 
--- a/tests/test_queries.py
+++ b/tests/test_queries.py
@@ -9,12 +9,16 @@
 from twisted.web.http_headers import Headers
 
 from lavenderstall.access import hash_token
-from lavenderstall.bodies import Rejection
+from lavenderstall.bodies import Rejection, TraceAnswer
 from lavenderstall.changes import ItemKey
+from lavenderstall.handlers import handle
+from lavenderstall.identifiers import EntryId
 from lavenderstall.inventory import Answer
+from lavenderstall.messages import ConfigPart, QueryPart
 from lavenderstall.schemas import Operator, Right, Team
 from lavenderstall.web import ApiResource, Reply
 from tests.cells import Cell
+from tests.oddities import list_odd_objects
 
 SALT = bytes(16)
 OPERATOR = Operator("ana", hash_token("ana.a", SALT), Right.CHANGE)
@@ -70,6 +74,46 @@
         self.assertEqual((status, answer.committed), (200, False), answer)
         self.assertEqual([str(each.key) for each in answer.differences], ["team/t"])
 
+    def test_odd_part_of_one_owner_costs_no_other(self) -> None:
+        """Fails if one answer that can't be read ends the query, or is not reported as missing."""
+        other = self.cell.list_ready("z1")[0]
+        queries = other.entry.queries
+        # What is sound in this place is left out.
+        for name, sound in (("serve_query", "no fields"), ("serve_trace", "nothing")):
+            serve = getattr(queries, name)
+            for what, odd in list_odd_objects(b'{"columns":[]}'):
+                if what == sound:
+                    continue
+                body = b"[" + odd + b"]" if name == "serve_trace" else odd
+                setattr(
+                    queries,
+                    name,
+                    lambda ask, body=body: QueryPart(
+                        ask.query, other.name, list(getattr(ask, "slices", [])), body
+                    ),
+                )
+                with self.subTest(name=name, what=what):
+                    if name == "serve_query":
+                        status, answer = self.query("show workers")
+                        self.assertEqual({row.zone for row in answer.rows}, {"z0"})
+                    else:
+                        reply = self.send("GET", "/v1/traces/r")
+                        status = reply.status
+                        answer = msgspec.json.decode(reply.body, type=TraceAnswer)
+                    self.assertEqual(status, 200)
+                    self.assertEqual([each.owner for each in answer.missing], [other.name])
+                    self.assertIn("cannot be read", answer.missing[0].reason)
+            setattr(queries, name, serve)
+
+    def test_odd_configuration_of_a_peer_is_discarded(self) -> None:
+        """Fails if a configuration that can't be read raises, or takes effect."""
+        entry = self.node.entry
+        before = entry.view.snapshot
+        for what, odd in list_odd_objects(b'{"version":1,"head":1,"items":[]}'):
+            with self.subTest(what=what), self.assertLogs("lavenderstall.handlers"):
+                handle(ConfigPart(odd), entry, EntryId("peer"))
+                self.assertIs(entry.view.snapshot, before)
+
     def test_workers_and_racks_of_other_zones_are_known(self) -> None:
         for text in ("drain worker z1w0", "drain rack z1r0"):
             status, answer = self.query(f'{text} because "x"')
