Refuse declarations with numbers that are not finite

Callers saw: a payload of .nan, .inf or 1.0e+999 was accepted, and tasks got null in its place. Cause: YAML has such numbers and JSON has none; the encoder writes null for them. Change: the field is reported as no finite number, with file and line.

--- a/lavenderstall/declarations.py
+++ b/lavenderstall/declarations.py
@@ -1,6 +1,7 @@
 """Reads declarations from YAML; each error states its file, line and field."""
 
 import difflib
+import math
 import re
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -110,7 +111,11 @@
         if node.tag == TAG_TIMESTAMP:
             node.tag = TAG_STRING
         try:
-            return self.loader.construct_object(node)
+            value = self.loader.construct_object(node)
+            if not isinstance(value, float) or math.isfinite(value):
+                return value
+            # JSON has no such number, so that it would be stored as none.
+            self._report(_get_line(node), path, f"value {node.value[:40]!r} is no finite number")
         except (ValueError, OverflowError, AttributeError, KeyError, IndexError) as error:
             self._report(_get_line(node), path, f"value cannot be read: {error}")
         except yaml.YAMLError:
