Answer a request that can't be read with 400, not with 500

Callers saw 500 internal, outcome unknown, for a job whose payload or constraints hold nested lists, 1e999 or bytes that are no text, for headers that are no text, and for a wait_ms of 5,000 digits or of a digit that is not 0 to 9. Cause: the body is decoded twice, the second time without a type and outside the try; the decoder reports deep nesting by a RecursionError; headers are decoded as strict UTF-8; isdigit takes more than int does. Change: both decodes go through decode_json, headers replace what is no text, wait_ms is matched. Measured: on the former code tests.test_web.InvalidRequestTest ends with 12 times (500, 'internal') for bodies and 5 times 500 for headers and arguments; now it passes. Statements and documents nested 5,000 deep were answered with 400 before, which the new tests keep.

--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -19,6 +19,7 @@
 from lavenderstall.bodies import ApplyRequest, JobRequest, QueryRequest, list_unknown_fields
 from lavenderstall.call_routing import CallRequest
 from lavenderstall.deadlines import Deadline
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.entry import Entry
 from lavenderstall.errors import BadRequestError, Outcome, RefusedError
 from lavenderstall.identifiers import JobId, RequestId, ServiceName, TeamName
@@ -89,7 +90,8 @@
 
     def get_header(self, name: str, default: str = "") -> str:
         """Return the first value of a header, or the default."""
-        return str(self.headers.getRawHeaders(name, [default])[0])
+        values = self.headers.getRawHeaders(name.encode(), [default.encode()])
+        return values[0].decode("utf-8", "replace")
 
     def get_integer_header(self, name: str, default: int, low: int, high: int) -> int:
         """Return an integer header; raise `BadRequestError` if it is not within the bounds."""
@@ -112,12 +114,11 @@
     def decode(self, kind: type) -> Any:
         """Return the decoded body, or raise `BadRequestError` that names the invalid field."""
         try:
-            value: Any = msgspec.json.decode(self.body, type=kind)
-        except msgspec.MsgspecError as error:
+            value: Any = decode_json(self.body, kind)
+            plain: Any = decode_json(self.body, object)
+        except UnreadableError as error:
             raise BadRequestError(str(error), step="read body") from error
-        unknown = list_unknown_fields(
-            msgspec.json.decode(self.body), msgspec.inspect.type_info(kind)
-        )
+        unknown = list_unknown_fields(plain, msgspec.inspect.type_info(kind))
         if unknown:
             raise BadRequestError(f"unknown fields: {', '.join(unknown)[:300]}", step="read body")
         return value
@@ -292,7 +293,7 @@
     async def _read_job(self, context: RequestContext) -> Reply:
         caller = self._get_caller(context)
         text = context.arguments.get("wait_ms", "0")
-        if not text.isdigit() or int(text) > MAX_DEADLINE_MS:
+        if not re.fullmatch(r"[0-9]{1,12}", text) or int(text) > MAX_DEADLINE_MS:
             raise BadRequestError(
                 f"wait_ms is {text[:40]!r}, must be 0 to {MAX_DEADLINE_MS}", step="read argument"
             )
--- a/tests/oddities.py
+++ b/tests/oddities.py
@@ -37,6 +37,13 @@
 )
 
 
+class NoText(str):
+    """A header whose bytes are no text."""
+
+    def encode(self, *_) -> bytes:
+        return b"\xff\xfe"
+
+
 def add_field(sound: bytes, name: str, value: bytes) -> bytes:
     """Return an object with one more field; the last of two with one name counts."""
     return sound[:-1] + b"," + msgspec.json.encode(name) + b":" + value + b"}"
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -15,7 +15,7 @@
 from lavenderstall.web import MAX_BODY_BYTES, ApiResource, BoundedRequest
 from tests.cells import TEAM, Cell, make_job
 from tests.memory import MemoryNetwork, Response
-from tests.oddities import list_odd_objects
+from tests.oddities import ODD_VALUES, NoText, list_odd_objects
 
 SALT = b"0" * 16
 TEAM_TOKEN = f"{TEAM}.example"
@@ -129,6 +129,31 @@
         ),
         ("POST", "/v1/jobs", make_job_body(tasks=101), TEAM_TOKEN, {}, 429, ["101"]),
         ("GET", "/v1/jobs/unknown", None, TEAM_TOKEN, {}, 400, ["unknown"]),
+        ("GET", "/v1/jobs/unknown?wait_ms=%C2%B2", None, TEAM_TOKEN, {}, 400, ["wait_ms"]),
+        ("GET", f"/v1/jobs/unknown?wait_ms={'9' * 5000}", None, TEAM_TOKEN, {}, 400, ["wait_ms"]),
+        ("GET", "/v1/jobs/unknown?wait_ms=-1", None, TEAM_TOKEN, {}, 400, ["wait_ms"]),
+        ("GET", "/v1/jobs/unknown?wait_ms=nan", None, TEAM_TOKEN, {}, 400, ["wait_ms"]),
+        (
+            "POST",
+            "/v1/calls/echo",
+            b"",
+            TEAM_TOKEN,
+            {"X-Idempotent": NoText("x")},
+            400,
+            ["yes or no"],
+        ),
+        (
+            "POST",
+            "/v1/calls/echo",
+            b"",
+            TEAM_TOKEN,
+            {"X-Request-Id": NoText("x")},
+            400,
+            ["request id"],
+        ),
+        ("POST", "/v1/calls/echo", b"", TEAM_TOKEN, {"X-Deadline-Ms": NoText("x")}, 400, ["1 to"]),
+        ("POST", "/v1/calls/echo", b"", TEAM_TOKEN, {"X-Attempt": "9" * 400}, 400, ["1 to 1000"]),
+        ("POST", "/v1/calls/echo", b"", NoText("x"), {}, 401, ["token"]),
         ("GET", "/v1/jobs/unknown?wait_ms=x", None, TEAM_TOKEN, {}, 400, ["wait_ms"]),
         ("POST", "/v1/query", b'{"text": "shw tasks"}', "admin.example", {}, 400, ["shw"]),
         ("POST", "/v1/query", b'{"text": 7}', "admin.example", {}, 400, ["text"]),
@@ -177,6 +202,60 @@
                 self.assertNotIn("example", text)
                 self.assertEqual(self.site.count_effects(), before)
 
+    def test_odd_bodies(self) -> None:
+        """Fails if a body that can't be read counts as a fault, or has an effect."""
+        before = self.site.count_effects()
+        job = make_job_body(payload={"a": 1}, constraints={"zones": []})
+        bodies = [(what, odd, "/v1/jobs") for what, odd in list_odd_objects(job)]
+        for path, body in (
+            ("/v1/query", b'{"text":"show tasks"}'),
+            ("/v1/apply", b'{"documents":"kind: team","reason":"x"}'),
+            ("/v1/requests", b'{"service":"echo"}'),
+        ):
+            bodies += [(what, odd, path) for what, odd in list_odd_objects(body)]
+        for field in (b'"payload":{"a":1', b'"constraints":{"zones":[]', b'"cores_milli":100'):
+            self.assertIn(field, job)
+            for what, value in ODD_VALUES.items():
+                odd = field + b',"odd":' + value
+                bodies.append((f"{what} beside {field}", job.replace(field, odd), "/v1/jobs"))
+        for what, body, path in bodies:
+            with self.subTest(what=what, path=path):
+                token = TEAM_TOKEN if path in ("/v1/jobs", "/v1/requests") else "admin.example"
+                response = self.site.fetch("POST", path, body, token)
+                rejection = msgspec.json.decode(response.body, type=Rejection)
+                self.assertEqual((response.status, rejection.reason), (400, "bad_request"))
+                self.assertIs(rejection.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.site.count_effects(), before)
+
+    def test_nested_statements_and_documents(self) -> None:
+        """Fails if a text that is nested deep counts as a fault."""
+        statements = (
+            "show tasks where " + "not " * 900 + "id = a",
+            "show tasks where " + "(not " * 700 + "id = a" + ")" * 700,
+            "show tasks where " + "(" * 5_000 + "id = a" + ")" * 5_000,
+            "show tasks where age > " + "9" * 3_000,
+            "show tasks where age > nan",
+            "show tasks where age > \u00b2",
+            "show tasks limit " + "9" * 3_000,
+            'set team other weight = 1e999 because "x"',
+        )
+        documents = (
+            "[" * 5_000 + "]" * 5_000,
+            "{a: " * 5_000 + "}" * 5_000,
+            "- " * 5_000,
+            "kind: team\nname: x\nweight: " + "9" * 5_000,
+            "kind: team\nname: x\nweight: 1e999",
+            "kind: team\nname: x\nweight: .nan",
+        )
+        requests = [("/v1/query", {"text": text}) for text in statements]
+        requests += [("/v1/apply", {"documents": text, "reason": "x"}) for text in documents]
+        for path, body in requests:
+            with self.subTest(path=path, body=str(body)[:60]):
+                data = msgspec.json.encode(body)
+                response = self.site.fetch("POST", path, data, "admin.example")
+                self.assertEqual(response.status, 400, response.body[:200])
+        self.assertEqual(self.site.fetch("GET", "/healthz", None).status, 200)
+
     def test_oversized_body(self) -> None:
         before = self.site.count_effects()
         body = b"x" * (MAX_BODY_BYTES + 1)
--- a/tests/test_worker_client.py
+++ b/tests/test_worker_client.py
@@ -36,7 +36,7 @@
 from standins.web import Reply, Service, WorkerService
 from standins.workers import Worker, WorkerShape
 from tests.memory import MemoryNetwork
-from tests.oddities import MANY_DIGITS, ODD_URLS, list_odd_objects
+from tests.oddities import MANY_DIGITS, ODD_URLS, NoText, list_odd_objects
 
 OWNER, EPOCH, WORKER = EntryId("e1"), Epoch(1000), WorkerId("w1")
 
@@ -111,13 +111,6 @@
                 self.assertIsInstance(found[0].value, PeerUnavailableError)
 
 
-class NoText(str):
-    """A header whose bytes are no text."""
-
-    def encode(self, *_) -> bytes:
-        return b"\xff\xfe"
-
-
 class FixedService(Service):
     """Answer with a status, a body and the digest of another body."""
 
