Mark earlier runs as unrecorded while a new owner still loads the rows

Callers saw: a task ran on two workers at once (TWICE), after two takeovers in a row in a slow store.

Cause: an owner renews its row while it loads the rows of the pool. The row said `unrecorded` only while inherited jobs were blocked, and before any job is read none is. So the first renewal erased what the claim had kept: that the killed owner may have started tasks that are in no record. If the load then failed (some partitions down), or its owner ended, the next owner took the records for complete and started the tasks again, beside runs on workers that it did not reach.

Class of the fault: what was proven of one process (here: nothing) is taken to hold for the next one.

Change: the takeover counts as blocking until the rows are loaded, unless all runs are recorded.

The test of marked rows in test_writer now says that its rows are loaded, as the owner does; its assertions are the same.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -154,6 +154,7 @@
             self._load_job(row, progress.get(JobId(row.key)))
         for row in cancels:
             self.pool.cancel_job(JobId(row.key))
+        self.pool.takeover.note_loaded()
         logger.info(
             "pool loaded",
             extra={
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -33,6 +33,7 @@
         # Whether earlier owners may have used workers that no row names.
         self._unknown_workers = False
         self._blocked_jobs: set[JobId] = set()
+        self._loaded = False
         self.leases_expire_at = leases_expire_at
         self.complete = False
 
@@ -97,9 +98,13 @@
         worker.registered = False
         return worker
 
+    def note_loaded(self) -> None:
+        """Note that all rows of inherited jobs have been read."""
+        self._loaded = True
+
     def is_blocking(self) -> bool:
-        """Tell whether inherited jobs are blocked."""
-        return bool(self._blocked_jobs)
+        """Tell whether inherited jobs are blocked, or would be once they are read."""
+        return bool(self._blocked_jobs) or not (self._loaded or self._recorded)
 
     def blocks_job(self, job: JobId) -> bool:
         """Tell whether the tasks of a job may not start yet."""
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -13,7 +13,7 @@
 from lavenderstall.pools.entry_instance import CLAIM_CHECK_INTERVAL_S, RECORD_INTERVAL_S
 from lavenderstall.pools.entry_rows import STALE_ENTRY_S
 from lavenderstall.pools.owner import OWNERSHIP_TIMEOUT_S, UNRECORDED_START_DELAY_S
-from lavenderstall.pools.records import Presence, get_shard
+from lavenderstall.pools.records import Presence, get_shard, list_shards
 from lavenderstall.pools.work import JobState, PoolName, QueueName
 from lavenderstall.pools.writer import RENEW_INTERVAL_S
 from tests.platform.fake_platform import STORE
@@ -23,6 +23,7 @@
 STEP = {"count": 3, "cpu": 2000, "taskMemoryMb": 500, "estimatedDurationMs": 400}
 NEXT = {"count": 2, "cpu": 1000, "taskMemoryMb": 500, "estimatedDurationMs": 300, "after": [0]}
 LONG = {"count": 4, "cpu": 4000, "taskMemoryMb": 500, "estimatedDurationMs": 3000}
+ENDLESS = {"longRunning": True}
 GANG = {"count": 2, "gpu": 6, "taskMemoryMb": 500, "estimatedDurationMs": 500, "gang": True}
 
 
@@ -207,6 +208,33 @@
             cell.start(name)
         self.assertTrue(cell.run_until(lambda: cell.find_owner("routing") is not None, 0.5))
 
+    def start_unrecorded(self) -> SimulatedCell:
+        """Return a cell with a slow store and a task that has started and is in no record."""
+        cell = SimulatedCell(3, 4, advice=False)
+        self.assertTrue(cell.run_until(lambda: all(map(cell.find_owner, POOLS)), 3.0))
+        cell.platform.store_delay_s = 0.2
+        cell.run(2.0)
+        cell.submit("entry-0", "routing", make_name(1), [{**LONG, **ENDLESS}])
+        workers = list(cell.platform.workers.values())
+        self.assertTrue(cell.run_until(lambda: any(w.running for w in workers), 2.0))
+        return cell
+
+    def test_a_takeover_that_fails_hides_no_run_from_the_next_one(self) -> None:
+        """Fails if a task starts twice, as the second owner takes the records for complete."""
+        for alive_s in (0.0, 0.06, 0.12):
+            with self.subTest(alive_s=alive_s):
+                cell = self.start_unrecorded()
+                cell.run(alive_s)
+                owner = cell.find_owner("routing")
+                assert owner is not None
+                cell.kill(owner)
+                cut_off_busy_worker(cell)
+                cell.platform.down_partitions = set(list_shards(PoolName("routing"))[:1])
+                cell.run(1.0)
+                cell.platform.down_partitions = set()
+                cell.run(12.0)
+                self.assertEqual(cell.platform.checker.violations, [])
+
     def test_a_claim_made_before_the_configuration_is_read_starts_jobs(self) -> None:
         cell = start_cell()
         cell.submit("entry-0", "routing", make_name(1), [dict(STEP)])
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -374,6 +374,7 @@
         owner.bench.pool.takeover = Takeover(owner.bench.pool, 999.0, recorded=False)
         owner.bench.pool.takeover.add_workers([make_entry("w9")])
         owner.bench.pool.add_job(make_job(job=JobId("b2")), inherited=True)
+        owner.bench.pool.takeover.note_loaded()
         owner.step()
         row = decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value)
         self.assertTrue(row.unrecorded)
@@ -382,6 +383,21 @@
         row = decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value)
         self.assertFalse(row.unrecorded)
 
+    def test_unrecorded_earlier_runs_stay_marked_while_rows_are_loaded(self) -> None:
+        """Fails if the owner after one that could not load the rows starts tasks twice."""
+        rows = FakeRowStore()
+        owner = Owner(rows)
+        for recorded in (True, False):
+            with self.subTest(recorded=recorded):
+                takeover = Takeover(owner.bench.pool, 999.0, recorded=recorded)
+                owner.bench.pool.takeover = takeover
+                for loaded in (False, True):
+                    if loaded:
+                        takeover.note_loaded()
+                    owner.step()
+                    row = decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value)
+                    self.assertEqual(row.unrecorded, not recorded and not loaded)
+
     def test_renewal_time_does_not_advance_while_commits_are_unanswered(self) -> None:
         rows = FakeRowStore()
         owner = make_owner(rows)
