Log what a takeover waits for, and why workers are set aside

Callers see nothing new; those on call can tell the hypotheses on tasks that last apart. Cause: a step whose tasks all wait for inherited runs logged nothing, the end of a takeover did not tell which workers and leases it had waited for, and "tasks of a step are waiting" did not tell how many workers were backing off, silent or not heard of yet. Change: two lines each second while inherited runs exist, for at most 10 workers and steps; one line and a counter when a worker of an earlier owner is resolved, with how; counts of workers set aside.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -153,6 +153,7 @@
                 "waiting": len(state.waiting),
                 "expired": waiting_step.expired,
                 "usable": len(usable_workers),
+                **self._count_set_aside(),
                 "allowed": len(allowed),
                 "asked": len(advice.requested_workers) if advice else 0,
                 "held": sum(not self._gang_reservations.may_start_on(step, w) for w in allowed),
@@ -164,6 +165,20 @@
             },
         )
 
+    def _count_set_aside(self) -> dict[str, int]:
+        """Return how many registered workers get no tasks, by the reasons that end by themselves.
+
+        A worker may count under several reasons.
+        """
+        workers = [worker for worker in self.pool.workers.values() if worker.registered]
+        return {
+            "unheard": sum(not worker.accepted_term for worker in workers),
+            "backing_off": sum(worker.backoff_until > self.pool.now for worker in workers),
+            "unresponsive": sum(not self.pool.is_responsive(worker) for worker in workers),
+            "draining": sum(worker.draining for worker in workers),
+            "kept_apart": self._quarantine.count_kept(),
+        }
+
     def _start(self, waiting_step: WaitingStep, index: int, candidate: Candidate) -> None:
         """Create a run, whose start is sent once the run is recorded."""
         pool, worker, step = self.pool, candidate.worker, waiting_step.step
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -321,7 +321,7 @@
             logger.info("run lost", extra={**describe_run(run), "reason": reason, "age_ms": age_ms})
             self.end_run(worker, run.task, run.number, EndCause.LOST, "")
         self._remove_worker(key)
-        self.takeover.note_worker_reported(key)
+        self.takeover.note_worker_reported(key, reason)
 
     def _log_worker_lost(self, worker: Worker, reason: str) -> None:
         self.counts["workers_lost"] += 1
@@ -412,7 +412,7 @@
         worker.unreachable = False
         worker.unresponsive_since = -1.0
         worker.accepted_term = True
-        self.takeover.note_worker_reported(key)
+        self.takeover.note_worker_reported(key, "reported")
         apply_poll_response(self, worker, answer, asked_at)
         self.takeover.check()
 
@@ -634,7 +634,7 @@
     def run_periodic_checks(self) -> None:
         """Expire leases, repeat stops, start due occurrences and archive ended jobs."""
         for key, worker in list(self.workers.items()):
-            if worker.runs and self.now > self._get_lease_expiry(worker):
+            if worker.runs and self.now > self.get_lease_expiry(worker):
                 self._expire_leases(worker)
             for run in list(worker.runs.values()):
                 if run.stopping:
@@ -647,7 +647,7 @@
         self._archive_ended()
         self.takeover.check()
 
-    def _get_lease_expiry(self, worker: Worker) -> float:
+    def get_lease_expiry(self, worker: Worker) -> float:
         """Return when all leases on a worker have expired at the latest."""
         if worker.clock_at >= 0:
             return worker.get_lease_expiry()
@@ -661,6 +661,7 @@
             self.counts["runs_lapsed"] += 1
             logger.info("run lost as its lease expired", extra=describe_run(run))
             self.end_run(worker, run.task, run.number, EndCause.LOST, "")
+        self.takeover.note_worker_reported(worker.key, "leases expired")
 
     def list_startable_steps(self) -> Iterator[tuple[StepKey, Job]]:
         """Yield the steps that have tasks to start, and drop those that have none."""
--- a/lavenderstall/pools/quarantine.py
+++ b/lavenderstall/pools/quarantine.py
@@ -81,6 +81,10 @@
         kept = self._list_kept()
         return [worker for worker in workers if worker.key not in kept] if kept else workers
 
+    def count_kept(self) -> int:
+        """Return how many workers are kept for tasks in isolation."""
+        return len(self._list_kept())
+
     def _list_kept(self) -> set[WorkerKey]:
         return self._closed.union(*(each.workers for each in self._isolations.values()))
 
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -1,14 +1,14 @@
 """Takeover of a pool: jobs and runs inherited from earlier owners."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Job, Run
 from lavenderstall.pools.step_advice import StepAdvice
-from lavenderstall.pools.work import StepKey
+from lavenderstall.pools.work import StepKey, get_step_key
 from lavenderstall.pools.workers import Worker, WorkerEntry, WorkerState
 from lavenderstall.resources import NOTHING
 
@@ -17,6 +17,10 @@
 
 logger = logging.getLogger(__name__)
 
+# What a takeover still waits for is logged at this interval, for so many workers and steps.
+WAIT_LOG_INTERVAL_S = 1.0
+MAX_LOGGED = 10
+
 
 class Takeover:
     """Start no inherited task while an earlier owner's run of it may exist.
@@ -31,6 +35,9 @@
         self._recorded = recorded
         self._unreported_workers: set[WorkerKey] = set()
         self._blocked_jobs: set[JobId] = set()
+        # Workers with inherited runs, and since when their reports are awaited.
+        self._awaited_since: dict[WorkerKey, float] = {}
+        self._logged_at = -1.0
         self.leases_expire_at = leases_expire_at
         self.complete = False
 
@@ -71,6 +78,7 @@
         run.worker = worker.key
         job.add_run(run)
         worker.add_run(run, self._pool.get_allocation(run.task))
+        self._awaited_since.setdefault(worker.key, self._pool.now)
 
     def _find_or_add_worker(self, key: WorkerKey) -> Worker:
         """Return the newest known incarnation of a worker, or add one without an address."""
@@ -96,9 +104,21 @@
         """Tell whether blocked jobs wait for the report of a worker."""
         return worker in self._unreported_workers
 
-    def note_worker_reported(self, worker: WorkerKey) -> None:
-        """Note that a worker has reported its runs, or has no runs any more."""
+    def note_worker_reported(self, worker: WorkerKey, how: str) -> None:
+        """Note that a worker has reported its runs, or has no runs any more; `how` is logged."""
         self._unreported_workers.discard(worker)
+        since = self._awaited_since.pop(worker, None)
+        if since is None:
+            return
+        self._pool.counts["takeover_workers_resolved"] += 1
+        logger.info(
+            "worker of an earlier owner resolved",
+            extra={
+                "worker": worker.id,
+                "how": how,
+                "waited_ms": round((self._pool.now - since) * 1000),
+            },
+        )
 
     def check(self) -> None:
         """Unblock inherited jobs once all workers have reported or all leases have expired."""
@@ -106,6 +126,7 @@
             not self._unreported_workers or self._pool.now >= self.leases_expire_at
         ):
             self._unblock_jobs()
+        self._log_waits()
         if not self.complete and not self._blocked_jobs and not self._has_inherited_runs():
             self.complete = True
             logger.info(
@@ -128,6 +149,61 @@
                 self._pool.update_startable_steps(job)
 
     def _has_inherited_runs(self) -> bool:
-        return any(
-            run.inherited for worker in self._pool.workers.values() for run in worker.runs.values()
+        return any(True for _ in self._iterate_inherited_runs())
+
+    def _iterate_inherited_runs(self) -> Iterator[tuple[Worker, Run]]:
+        for worker in self._pool.workers.values():
+            for run in worker.runs.values():
+                if run.inherited:
+                    yield worker, run
+
+    def _log_waits(self) -> None:
+        """Log which workers and steps are waited for, at most once per `WAIT_LOG_INTERVAL_S`."""
+        now = self._pool.now
+        if self.complete or now - self._logged_at < WAIT_LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        workers: dict[WorkerKey, Worker] = {}
+        steps: dict[StepKey, list[Run]] = {}
+        for worker, run in self._iterate_inherited_runs():
+            workers[worker.key] = worker
+            steps.setdefault(get_step_key(run.task), []).append(run)
+        self._log_awaited_workers(workers.values())
+        for step_key, runs in list(steps.items())[:MAX_LOGGED]:
+            logger.info(
+                "tasks of a step wait for inherited runs",
+                extra={
+                    "job": step_key.job,
+                    "step": step_key.step,
+                    "tasks": len(runs),
+                    "workers": sorted({run.worker.id for run in runs})[:MAX_LOGGED],
+                    "steps": len(steps),
+                },
+            )
+
+    def _log_awaited_workers(self, workers: Iterable[Worker]) -> None:
+        found = list(workers)
+        unreported = self._unreported_workers - {worker.key for worker in found}
+        if not found and not unreported:
+            return
+        logger.info(
+            "takeover waits for workers",
+            extra={
+                "pool": self._pool.name,
+                "term": self._pool.term,
+                "workers": [self._describe(worker) for worker in found[:MAX_LOGGED]],
+                "with_runs": len(found),
+                "without_runs": len(unreported),
+                "blocked_jobs": len(self._blocked_jobs),
+            },
         )
+
+    def _describe(self, worker: Worker) -> dict[str, object]:
+        return {
+            "worker": worker.key.id,
+            "runs": len(worker.runs),
+            "registered": worker.registered,
+            "addressed": bool(worker.entry.address),
+            "unreachable": worker.unreachable,
+            "left_ms": round((self._pool.get_lease_expiry(worker) - self._pool.now) * 1000),
+        }
--- a/tests/pools/test_dispatch.py
+++ b/tests/pools/test_dispatch.py
@@ -6,7 +6,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lavenderstall.pools.dispatch import EXPLAIN_S
 from lavenderstall.pools.effects import RequestAdvice, RunStatus, StartRun
+from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.waiting_steps import list_waiting_steps
 from lavenderstall.pools.work import EndCause, QueueName, Settings, Step, Task
 from lavenderstall.resources import NOTHING, Resources
@@ -45,6 +47,26 @@
     return [effect for effect in bench.dispatch(advisers) if isinstance(effect, StartRun)]
 
 
+class ExplanationTest(unittest.TestCase):
+    """Log lines about steps that wait."""
+
+    def test_the_log_tells_why_workers_are_set_aside(self) -> None:
+        """Fails if the log can't tell workers that back off from silent or unknown ones."""
+        backing_off, silent, unheard = (make_entry(name) for name in ("w1", "w2", "w3"))
+        bench = Bench(backing_off, silent)
+        bench.pool.set_workers([backing_off, silent, unheard])
+        bench.pool.add_job(make_job())
+        bench.pool.back_off(bench.pool.workers[WorkerKey("w1", 1)])
+        bench.pool.note_unresponsive(WorkerKey("w2", 1), unreachable=True)
+        bench.pool.workers[WorkerKey("w1", 1)].backoff_until += EXPLAIN_S
+        bench.advance(EXPLAIN_S)
+        with self.assertLogs("lavenderstall.pools.dispatch") as logs:
+            bench.dispatch()
+        (line,) = (vars(record) for record in logs.records)
+        counts = {name: line[name] for name in ("usable", "unheard", "backing_off", "unresponsive")}
+        self.assertEqual(counts, {"usable": 0, "unheard": 1, "backing_off": 1, "unresponsive": 1})
+
+
 class BoundsTest(unittest.TestCase):
     """Limits that hold for random work."""
 
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -8,6 +8,7 @@
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns, StepProgress
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.takeover import MAX_LOGGED
 from lavenderstall.pools.work import EndCause, JobState, Settings, StepKey, Task
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
@@ -183,6 +184,32 @@
         advice = successor.pool.advice[StepKey(JOB, 0, 0)]
         self.assertEqual((advice.allowed, advice.denied), ({"w1"}, {"w2"}))
 
+    def test_the_log_tells_what_a_takeover_waits_for_and_how_that_ended(self) -> None:
+        """Fails if tasks that wait for inherited runs leave no trace, or each review logs them."""
+        bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
+        with self.assertLogs("lavenderstall.pools.takeover") as logs:
+            for _ in range(25):
+                bench.poll(FIRST)
+                bench.advance(0.1)
+            bench.poll(SECOND)
+        found = [record.getMessage() for record in logs.records]
+        self.assertEqual(found.count("takeover waits for workers"), 3)
+        self.assertEqual(found.count("tasks of a step wait for inherited runs"), 3)
+        self.assertEqual(found.count("worker of an earlier owner resolved"), 1)
+
+    def test_the_log_names_a_bounded_number_of_steps(self) -> None:
+        """Fails if a takeover of many jobs floods the log."""
+        bench = self.take_over()
+        for number in range(3 * MAX_LOGGED):
+            job = JobId(f"{number:016x}")
+            progress = JobProgress(
+                "running", {"0.0": StepProgress(runs=[RecordedRuns("w2", 1, [(0, 1)])])}
+            )
+            bench.pool.add_job(make_job(job=job), progress, inherited=True)
+        with self.assertLogs("lavenderstall.pools.takeover") as logs:
+            bench.advance(1.0)
+        self.assertEqual(len(logs.records), 1 + MAX_LOGGED)
+
     def test_runs_of_a_new_term_are_numbered_above_older_ones(self) -> None:
         bench = self.take_over()
         bench.poll(FIRST)
