Wait for a lost worker's leases only as long as any owner may have extended them

Callers see: a task that lasts runs again within a lease of its worker's end, also if the pool's owner is killed, frozen or replaced just then. Before it was away for 13.9 to 18.9 s in the simulated cell. Cause: a successor counted the leases on every worker that it doesn't reach from its own claim, 7 s for the old owner and 6.4 s for a lease. What the old owner knew of the worker was in its memory only, and the wait began anew with each change of owners. The old owner had not restarted the task by itself as no connection with a waiting poll was closed: it was reset, or timed out; then the lease counts. Change: - The roster row tells when the leases end on workers that are silent and leaving or not listed any more. While it may say so no lease is extended there and no start is sent, whatever becomes of the write; a worker that answers again gets its lease after the next commit. - The owner row lists earlier owners whose leases may last. One whose instance's heartbeat knows a later term has stopped, so that a lease counts from then on. A term once heard is never forgotten, and an owner that was replaced while it was loading doesn't start to act. Price: a worker whose entry had gone and that answers again just as the store goes away may lose its lease. The fake's workers can leave as planned now, with connections closed, reset or timed out.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -18,7 +18,14 @@
     RowStore,
     Transaction,
 )
-from lavenderstall.pools.records import OWNER_KEY, OWNERS, OwnerRow, decode_owner, encode
+from lavenderstall.pools.records import (
+    OWNER_KEY,
+    OWNERS,
+    EarlierOwner,
+    OwnerRow,
+    decode_owner,
+    encode,
+)
 from lavenderstall.pools.work import PoolName
 
 logger = logging.getLogger(__name__)
@@ -33,19 +40,22 @@
 SUSPECTED_EXPIRY_REDUCTION_MS = 500.0
 SLOWEST_CLOCK_RATE = 0.98
 SAFETY_MARGIN_S = 0.3
+# Longest time from the moment at which a lease is extended until it has expired.
+LEASE_LIFETIME_S = LEASE_S / SLOWEST_CLOCK_RATE + SAFETY_MARGIN_S
+# Stands for owners of which nothing is known.
+UNKNOWN_ENTRY = EntryId("")
 
 
 class Claim(msgspec.Struct, frozen=True):
-    """A successful claim; runs of earlier owners may last for `old_run_lifetime_s`.
+    """A successful claim.
 
-    With `records_complete`, progress rows list all of these runs.
+    With `records_complete`, progress rows list all runs of earlier owners.
     """
 
     owner: OwnerRow
     version: int
     committed: Committed
     sent_at: float
-    old_run_lifetime_s: float
     records_complete: bool
 
 
@@ -111,6 +121,7 @@
             (previous.term if previous else 0) + 1,
             snapshot.store_ms,
             unrecorded=not records_complete,
+            earlier=list_earlier_owners(previous, snapshot.store_ms),
         )
         condition = Condition(OWNERS, OWNER_KEY, snapshot.row.version if snapshot.row else 0)
         put = Put(OWNERS, OWNER_KEY, encode(owner))
@@ -141,7 +152,6 @@
             committed.version,
             committed,
             sent_at,
-            get_old_run_lifetime_s(previous),
             records_complete,
         )
 
@@ -177,5 +187,21 @@
     """Return how long runs of an earlier owner may last on unreachable workers."""
     if previous is None:
         return 0.0
-    lease_expiry_s = LEASE_S / SLOWEST_CLOCK_RATE + SAFETY_MARGIN_S
-    return lease_expiry_s if previous.released else OLD_OWNER_TIMEOUT_S + lease_expiry_s
+    return LEASE_LIFETIME_S if previous.released else OLD_OWNER_TIMEOUT_S + LEASE_LIFETIME_S
+
+
+def list_earlier_owners(previous: OwnerRow | None, store_ms: float) -> list[EarlierOwner]:
+    """Return the owners before a claim whose leases may last, by the owner row read before it.
+
+    The row's owner had sent its last renewal before the row was read, and acts for
+    `OLD_OWNER_TIMEOUT_S` after it.
+    """
+    if previous is None:
+        return []
+    end_ms = store_ms + get_old_run_lifetime_s(previous) * 1000
+    earlier = previous.earlier
+    if earlier is None:
+        longest_ms = (OLD_OWNER_TIMEOUT_S + LEASE_LIFETIME_S) * 1000
+        earlier = [EarlierOwner(UNKNOWN_ENTRY, previous.term - 1, store_ms + longest_ms)]
+    lasting = [each for each in earlier if each.leases_end_ms > store_ms]
+    return [*lasting, EarlierOwner(previous.entry, previous.term, end_ms)]
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -57,6 +57,7 @@
             and worker.registered
             and not worker.draining
             and not worker.unsized_runs
+            and not worker.lease_end_noted
             and worker.backoff_until <= self.pool.now
             and self.pool.is_responsive(worker)
         )
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from functools import singledispatchmethod
+from math import inf
 from random import Random
 from typing import Any
 
@@ -17,6 +18,7 @@
 from lavenderstall.pools.advice_balancer import AdviceBalancer
 from lavenderstall.pools.advice_client import AdviceClient, LocalAdviceClient
 from lavenderstall.pools.claims import (
+    LEASE_LIFETIME_S,
     Claim,
     Claimer,
     OwnerEvidence,
@@ -66,6 +68,7 @@
 )
 from lavenderstall.pools.records import ENTRIES, EntryRecord, OwnerRow, decode_job, encode
 from lavenderstall.pools.table_watch import TableWatch
+from lavenderstall.pools.takeover import EarlierLeases
 from lavenderstall.pools.work import JobSpec, PoolName, Queue, Settings
 from lavenderstall.pools.writer import OwnerWriter
 
@@ -436,7 +439,8 @@
         except Exception:
             await owner.release(HANDOVER_TIMEOUT_S)
             raise
-        if self.draining or not self._running or not owner.running:
+        deposed = self.peers.get_terms().get(pool, 0) > claim.owner.term
+        if self.draining or not self._running or not owner.running or deposed:
             await owner.release(HANDOVER_TIMEOUT_S)
             return
         # A newer configuration may have arrived while rows were read.
@@ -449,16 +453,16 @@
 
     def _make_owner(self, name: PoolName, claim: Claim) -> PoolOwner:
         dependencies = self._dependencies
-        old_runs_end_at = self.read_uptime() + claim.old_run_lifetime_s
         pool = Pool(
             name,
             claim.owner.term,
-            old_runs_end_at,
+            self.read_uptime(),
             recorded=claim.records_complete,
             remote_factor=self.identity.remote_factor,
             counts=self.metrics.counters,
         )
         pool.set_settings(self.settings)
+        pool.takeover.add_earlier_owners(self._list_earlier_leases(claim))
         writer = OwnerWriter(
             self._store,
             dependencies.clock,
@@ -489,6 +493,22 @@
         owner.on_ownership_lost = lambda reason: self._handle_ownership_loss(name, owner, reason)
         return owner
 
+    def _list_earlier_leases(self, claim: Claim) -> list[EarlierLeases]:
+        """Return when the leases of earlier owners expire; this instance acts for none of them."""
+        now = self.read_uptime()
+        store_ms = claim.committed.store_clock_ms
+        return [
+            EarlierLeases(
+                owner.entry,
+                owner.term,
+                min(
+                    now + (owner.leases_end_ms - store_ms) / 1000,
+                    now + LEASE_LIFETIME_S if owner.entry == self.identity.entry else inf,
+                ),
+            )
+            for owner in claim.owner.earlier or ()
+        ]
+
     def _handle_ownership_loss(self, pool: PoolName, owner: PoolOwner, reason: str) -> None:
         if self.owned_pools.get(pool) is owner:
             del self.owned_pools[pool]
@@ -557,6 +577,9 @@
         peer_state.reported_contact_age_ms = message.last_contact_age_ms
         self.peers.record_store_state(sender, lost=message.store_lost)
         self._check_terms(message.terms)
+        for pool, owner in self.owned_pools.items():
+            owner.update_time()
+            owner.pool.takeover.note_owner_stopped(sender, message.terms.get(pool, 0))
         if (
             message.last_contact_age_ms > ONE_WAY_LOSS_MS
             and self.read_uptime() - peer_state.reconnected_at > MIN_RECONNECT_INTERVAL_S
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -172,9 +172,9 @@
         for row in rows:
             if row.key != ROSTER_KEY:
                 continue
-            entries = msgspec.msgpack.decode(row.value, type=RosterRow).workers
-            self.writer.set_roster(tuple(entries))
-            self.pool.takeover.add_workers(entries)
+            roster = msgspec.msgpack.decode(row.value, type=RosterRow)
+            self.pool.takeover.add_workers(roster.workers)
+            self.writer.set_roster(roster)
 
     async def _read_all(self, table: str, part: str) -> list[Row]:
         page = await self._store.read(table, part, "", PAGE_ROWS)
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -107,6 +107,8 @@
         self.zone = zone
         self.links = links
         self.owners: dict[PoolName, OwnerState] = {}
+        # The highest terms heard of, also those of owners that have released their pools since.
+        self._terms: dict[PoolName, int] = {}
         self.peers: dict[EntryId, PeerState] = {}
         self._clock = clock
         self._random = random
@@ -128,6 +130,8 @@
 
     def record_owner(self, sender: EntryId, heartbeat: OwnerHeartbeat) -> None:
         """Record the owner of a pool unless one with a higher term is known."""
+        highest = max(heartbeat.term, self._terms.get(heartbeat.pool, 0))
+        self._terms[heartbeat.pool] = highest
         known = self.owners.get(heartbeat.pool)
         if known is None or known.term <= heartbeat.term:
             if known is None or known.entry != sender:
@@ -153,8 +157,11 @@
         return None if self.is_disconnected(known.entry) else known.entry
 
     def get_terms(self) -> dict[PoolName, int]:
-        """Return the highest known term of each pool."""
-        return {pool: state.term for pool, state in self.owners.items()}
+        """Return the highest known term of each pool.
+
+        An instance that knows a term does not act as an owner of a lower one any more.
+        """
+        return dict(self._terms)
 
     def is_owner_active(self, pool: PoolName) -> bool:
         """Tell whether the owner of a pool is heard and reaches the store."""
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -651,7 +651,7 @@
         """Return when all leases on a worker have expired at the latest."""
         if worker.clock_at >= 0:
             return worker.get_lease_expiry()
-        return max(self.takeover.leases_expire_at, worker.unread_lease_expiry)
+        return max(self.takeover.get_lease_expiry(worker.key), worker.unread_lease_expiry)
 
     def _expire_leases(self, worker: Worker) -> None:
         self.crashes.note_worker_lost(worker, restarted=False)
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -140,7 +140,10 @@
             self._send_start(command)
 
     def _send_start(self, command: StartRun) -> None:
-        """Send one start, or end its run if it is stopping, has no ticket or may not fit now."""
+        """Send one start, or end its run if it is stopping, has no ticket or may not fit now.
+
+        Nothing is sent while the roster may tell when the leases on the worker end.
+        """
         pool = self._pool
         worker = pool.workers.get(command.worker)
         run = worker.runs.get((command.task, command.number)) if worker else None
@@ -148,7 +151,7 @@
             return
         ticket = self._get_ticket(command)
         full = worker.is_overcommitted() or worker.unsized_runs
-        if run.stopping or ticket is None or full:
+        if run.stopping or ticket is None or full or worker.lease_end_noted:
             pool.end_run(worker, run.task, run.number, EndCause.LOST, "")
             return
         run.start_sent = True
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -33,12 +33,21 @@
     UNKNOWN = "unknown"
 
 
+class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
+    """An earlier owner of a pool; its leases end by `leases_end_ms` on the store's clock."""
+
+    entry: EntryId
+    term: int
+    leases_end_ms: float
+
+
 class OwnerRow(msgspec.Struct, omit_defaults=True):
     """The owner of a pool; `renewed_ms` is the store's clock at its last renewal.
 
     A pool is `released` once its owner has stopped scheduling. With `unrecorded`, tasks may be
     running that are in no progress row. `sequence` counts the transactions of this ownership. An
-    owner that hasn't renewed for `expiry_ms` may be replaced.
+    owner that hasn't renewed for `expiry_ms` may be replaced. `earlier` lists the owners before it
+    whose leases may last; none means that they are not known.
     """
 
     entry: EntryId
@@ -49,12 +58,27 @@
     unrecorded: bool = False
     sequence: int = 0
     expiry_ms: float = BASE_EXPIRY_MS
+    earlier: list[EarlierOwner] | None = None
+
+
+class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
+    """When all leases on a worker that is silent end, on the store's clock."""
+
+    worker: str
+    incarnation: int
+    end_ms: float
 
 
 class RosterRow(msgspec.Struct, omit_defaults=True):
-    """Workers used by owners of a pool, some of which the registry may not list."""
+    """Workers used by owners of a pool, some of which the registry may not list.
+
+    No owner extends a lease on a worker in `lease_ends` while the row says so. They hold for the
+    successor of the owner of `term` alone, as others may not have heeded them.
+    """
 
     workers: list[WorkerEntry] = []
+    lease_ends: list[LeaseEnd] = []
+    term: int = 0
 
 
 class EntryRecord(msgspec.Struct, omit_defaults=True):
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -4,7 +4,10 @@
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
-from lavenderstall.identifiers import JobId
+import msgspec
+
+from lavenderstall.identifiers import EntryId, JobId
+from lavenderstall.pools.claims import LEASE_LIFETIME_S
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Job, Run
 from lavenderstall.pools.step_advice import StepAdvice
@@ -22,6 +25,14 @@
 MAX_LOGGED = 10
 
 
+class EarlierLeases(msgspec.Struct):
+    """An earlier owner, and when the leases that it has extended expire (seconds of uptime)."""
+
+    entry: EntryId
+    term: int
+    expire_at: float
+
+
 class Takeover:
     """Start no inherited task while an earlier owner's run of it may exist.
 
@@ -38,9 +49,46 @@
         # Workers with inherited runs, and since when their reports are awaited.
         self._awaited_since: dict[WorkerKey, float] = {}
         self._logged_at = -1.0
+        # When leases expire that any earlier owner may have extended, or extends yet.
         self.leases_expire_at = leases_expire_at
+        self.earlier_owners: list[EarlierLeases] = []
+        # When the leases on workers expire that earlier owners knew to be silent.
+        self.noted_lease_ends: dict[WorkerKey, float] = {}
         self.complete = False
 
+    def add_earlier_owners(self, owners: Iterable[EarlierLeases]) -> None:
+        """Add the earlier owners whose leases may last."""
+        self.earlier_owners.extend(owners)
+        self._update_lease_expiry()
+
+    def note_owner_stopped(self, entry: EntryId, term: int) -> None:
+        """Note that an instance does not act as an owner of a term below this one any more.
+
+        What it has extended lasts for `LEASE_LIFETIME_S` from now on at most.
+        """
+        expire_at = self._pool.now + LEASE_LIFETIME_S
+        for owner in self.earlier_owners:
+            if owner.entry == entry and owner.term < term and owner.expire_at > expire_at:
+                owner.expire_at = expire_at
+                self._update_lease_expiry()
+                logger.info(
+                    "earlier owner has stopped",
+                    extra={
+                        "pool": self._pool.name,
+                        "owner": entry,
+                        "term": owner.term,
+                        "left_ms": round((self.leases_expire_at - self._pool.now) * 1000),
+                    },
+                )
+
+    def _update_lease_expiry(self) -> None:
+        if self.earlier_owners:
+            self.leases_expire_at = max(owner.expire_at for owner in self.earlier_owners)
+
+    def get_lease_expiry(self, worker: WorkerKey) -> float:
+        """Return when leases of earlier owners on a worker have expired."""
+        return min(self.leases_expire_at, self.noted_lease_ends.get(worker, self.leases_expire_at))
+
     def add_workers(self, entries: Iterable[WorkerEntry]) -> None:
         """Add the workers that earlier owners used; the registry may not list all of them."""
         for entry in entries:
@@ -60,7 +108,7 @@
 
     def add_new_job(self, job: Job) -> None:
         """Block a job that an earlier owner may have started too, as it acts until it is fenced."""
-        if self._unreported_workers and self._pool.now < self.leases_expire_at:
+        if self._unreported_workers:
             self._blocked_jobs.add(job.id)
 
     def _restore_advice(self, job: Job) -> None:
@@ -122,9 +170,10 @@
 
     def check(self) -> None:
         """Unblock inherited jobs once all workers have reported or all leases have expired."""
-        if self._blocked_jobs and (
-            not self._unreported_workers or self._pool.now >= self.leases_expire_at
-        ):
+        for worker in list(self._unreported_workers):
+            if self._pool.now >= self.get_lease_expiry(worker):
+                self.note_worker_reported(worker, "leases expired")
+        if self._blocked_jobs and not self._unreported_workers:
             self._unblock_jobs()
         self._log_waits()
         if not self.complete and not self._blocked_jobs and not self._has_inherited_runs():
@@ -137,12 +186,8 @@
         blocked_jobs, self._blocked_jobs = self._blocked_jobs, set()
         logger.info(
             "inherited jobs unblocked",
-            extra={
-                "jobs": len(blocked_jobs),
-                "unheard": [key.id for key in self._unreported_workers],
-            },
+            extra={"jobs": len(blocked_jobs)},
         )
-        self._unreported_workers.clear()
         for job_id in blocked_jobs:
             job = self._pool.jobs.get(job_id)
             if job is not None:
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -85,6 +85,7 @@
         immediate = (
             not worker.accepted_term
             or not self._pool.is_responsive(worker)
+            or worker.lease_end_noted
             or any(run.unanswered_at >= 0 for run in worker.runs.values())
         )
         lease = self._make_lease(worker, asked_at)
@@ -120,8 +121,9 @@
         self._pool.note_poll(worker.key, answer, asked_at)
         self._metrics.record("look", self._pool.now - asked_at)
         self._owner.schedule_dispatch()
-        if worker.applied_seq > worker.committed_seq:
-            # A worker answers every poll at once until its ended runs are acknowledged.
+        if worker.applied_seq > worker.committed_seq or worker.lease_end_noted:
+            # A worker answers every poll at once until its ended runs are acknowledged, and gets no
+            # lease until the roster does not tell of its end any more.
             await self._wait_for_commit()
         elif immediate:
             await sleep(self._clock, IMMEDIATE_POLL_PAUSE_S)
@@ -152,6 +154,7 @@
             not self._owner.has_confirmed_ownership()
             or worker.clock_at < 0
             or worker.unresponsive_since >= 0
+            or worker.lease_end_noted
         ):
             return None
         deadline = int(worker.estimate_clock(now)) + MAX_LEASE_MS
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -80,6 +80,8 @@
         # When a connection on which an answer was awaited was reset or closed, and when closed.
         self.connected_until = -1.0
         self.closed_at = -1.0
+        # Whether the roster row may tell when the leases here end, so that none is extended.
+        self.lease_end_noted = False
 
     @property
     def draining(self) -> bool:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -3,6 +3,8 @@
 import logging
 from collections.abc import Callable
 from itertools import groupby
+from math import inf
+from typing import NamedTuple
 
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.errors import (
@@ -15,6 +17,7 @@
 from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
 from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.lease_ends import list_lease_ends
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
@@ -35,6 +38,8 @@
     OWNERS,
     PROGRESS,
     ROSTER_KEY,
+    EarlierOwner,
+    LeaseEnd,
     OwnerRow,
     RosterRow,
     decode_owner,
@@ -65,12 +70,23 @@
 # Delay after a failed transaction.
 RETRY_DELAY_S = 0.2
 POLL_INTERVAL_S = 0.02
+# Ends of leases on silent workers are written at most this often, and again if they are earlier
+# by this much.
+LEASE_END_INTERVAL_S = 0.2
+LEASE_END_TOLERANCE_S = 0.5
 
 
 class OwnershipLostError(Exception):
     """Another entry instance owns the pool."""
 
 
+class Roster(NamedTuple):
+    """The workers in use, and when leases on the silent ones of them end (seconds of uptime)."""
+
+    workers: tuple[WorkerEntry, ...]
+    lease_ends: dict[WorkerKey, float]
+
+
 class OwnerWriter:
     """Renew the ownership of a pool and persist its progress until another instance takes over."""
 
@@ -96,10 +112,16 @@
         self._read_uptime = read_uptime
         self._metrics = metrics
         self._store_clock_ms = committed.store_clock_ms
+        self._store_clock_asked_at = sent_at
         self._store_clock_read_at = read_uptime()
         self._versions: dict[str, int] = {}
         self._roster_version = 0
         self._roster: tuple[WorkerEntry, ...] = ()
+        # When leases on silent workers end by the durable roster row, in seconds of uptime.
+        self._lease_ends: dict[WorkerKey, float] = {}
+        self._lease_ends_changed_at = -LEASE_END_INTERVAL_S
+        # Whether the durable roster row is that of the owner before this one, and tells of some.
+        self._inherits_lease_ends = False
         self.confirmed_at = sent_at
         # Whether to release the pool in the next transaction that leaves no progress unrecorded.
         self.releasing = False
@@ -137,9 +159,20 @@
             elif row.table == OWNERS and row.key == ROSTER_KEY:
                 self._roster_version = row.version
 
-    def set_roster(self, workers: tuple[WorkerEntry, ...]) -> None:
-        """Set the workers that the roster row lists."""
-        self._roster = workers
+    def set_roster(self, roster: RosterRow) -> None:
+        """Set the roster row, and tell the pool when leases on silent workers end."""
+        self._roster = tuple(roster.workers)
+        if roster.term != self._pool.term - 1:
+            return
+        self._inherits_lease_ends = bool(roster.lease_ends)
+        for each in roster.lease_ends:
+            # The store's clock had read this much at least when its reading arrived.
+            left_s = (each.end_ms - self._store_clock_ms) / 1000
+            key = WorkerKey(each.worker, each.incarnation)
+            self._lease_ends[key] = self._store_clock_read_at + left_s
+            if key in self._pool.workers:
+                self._pool.workers[key].lease_end_noted = True
+        self._pool.takeover.noted_lease_ends.update(self._lease_ends)
 
     async def write_due(self) -> ProgressBatch | None:
         """Write what is due and return what was made durable, if anything.
@@ -148,7 +181,7 @@
         """
         now = self._read_uptime()
         renewal_due = now - self.confirmed_at >= RENEW_INTERVAL_S
-        roster = self._get_changed_roster()
+        roster = self._get_changed_roster(now)
         batch_due = (
             bool(self._pool.recorder.changed_jobs) and now - self._written_at >= BATCH_DELAY_S
         )
@@ -158,8 +191,8 @@
             return None
         return await self._write(now, roster)
 
-    def _get_changed_roster(self) -> tuple[WorkerEntry, ...] | None:
-        """Return the workers in use if they differ from those in the roster row."""
+    def _get_changed_roster(self, now: float) -> Roster | None:
+        """Return the workers in use, and ends of leases, if they differ from the roster row."""
         known = {(entry.id, entry.incarnation) for entry in self._roster}
         workers = tuple(
             sorted(
@@ -172,17 +205,62 @@
                 key=lambda entry: entry.id,
             )
         )
-        return workers if {(entry.id, entry.incarnation) for entry in workers} != known else None
+        lease_ends = list_lease_ends(self._pool, workers)
+        same = {(entry.id, entry.incarnation) for entry in workers} == known
+        if same and not self._have_changed(lease_ends, now):
+            return None
+        return Roster(workers, lease_ends)
+
+    def _have_changed(self, lease_ends: dict[WorkerKey, float], now: float) -> bool:
+        """Tell whether ends of leases need to be written.
 
-    async def _write(
-        self, now: float, roster: tuple[WorkerEntry, ...] | None
-    ) -> ProgressBatch | None:
+        A worker that answers again needs it at once, and so does the next successor; others share a
+        write.
+        """
+        if self._inherits_lease_ends or any(
+            worker.lease_end_noted and key not in lease_ends
+            for key, worker in self._pool.workers.items()
+        ):
+            return True
+        sooner = any(
+            end < self._lease_ends.get(key, inf) - LEASE_END_TOLERANCE_S
+            for key, end in lease_ends.items()
+        )
+        return sooner and now - self._lease_ends_changed_at >= LEASE_END_INTERVAL_S
+
+    def _encode_roster(self, roster: Roster) -> bytes:
+        ends = [
+            LeaseEnd(*key, self._get_latest_store_ms(end)) for key, end in roster.lease_ends.items()
+        ]
+        return encode(RosterRow(list(roster.workers), ends, self._pool.term))
+
+    def _get_latest_store_ms(self, uptime: float) -> float:
+        """Return what the store's clock reads at a time of uptime at the latest."""
+        return self._store_clock_ms + (uptime - self._store_clock_asked_at) * 1000
+
+    def _note_roster_sent(self, roster: Roster) -> None:
+        """Extend no lease from now on whose end the row may tell."""
+        for key in roster.lease_ends:
+            self._pool.workers[key].lease_end_noted = True
+
+    def _note_roster_durable(self, roster: Roster, now: float) -> None:
+        self._roster = roster.workers
+        if roster.lease_ends != self._lease_ends:
+            self._lease_ends_changed_at = now
+        self._lease_ends = roster.lease_ends
+        self._inherits_lease_ends = False
+        for key, worker in self._pool.workers.items():
+            if key not in roster.lease_ends:
+                worker.lease_end_noted = False
+
+    async def _write(self, now: float, roster: Roster | None) -> ProgressBatch | None:
         batch = self._pool.recorder.take_batch(MAX_BATCH_JOBS)
         conditions, puts = self._build_progress_update(batch)
         puts.append(self._build_owner_put(now, batch))
         if roster is not None:
             conditions.append(Condition(OWNERS, ROSTER_KEY, self._roster_version))
-            puts.append(Put(OWNERS, ROSTER_KEY, encode(RosterRow(list(roster)))))
+            puts.append(Put(OWNERS, ROSTER_KEY, self._encode_roster(roster)))
+            self._note_roster_sent(roster)
         transaction = Transaction(self._pool.name, tuple(conditions), tuple(puts))
         try:
             committed = await self._commit(transaction)
@@ -197,7 +275,7 @@
             return None
         self._note_success(now, transaction, committed)
         if roster is not None:
-            self._roster = roster
+            self._note_roster_durable(roster, now)
         return batch
 
     async def _commit(self, transaction: Transaction) -> Committed:
@@ -256,11 +334,19 @@
         self._announces_unrecorded = self._is_store_slow() and not self.releasing
         if not self._announces_unrecorded:
             self._may_start_unrecorded = False
+        self._owner.earlier = self._list_earlier_owners(now)
         self._owner.unrecorded = self._announces_unrecorded or self._pool.has_unrecorded(
             batch.progress
         )
         return Put(OWNERS, OWNER_KEY, encode(self._owner))
 
+    def _list_earlier_owners(self, now: float) -> list[EarlierOwner]:
+        return [
+            EarlierOwner(each.entry, each.term, self._get_latest_store_ms(each.expire_at))
+            for each in self._pool.takeover.earlier_owners
+            if each.expire_at > now
+        ]
+
     def _is_store_slow(self) -> bool:
         """Tell whether commits take so long that starts should not wait for them."""
         limit_s = FAST_COMMIT_S if self._announces_unrecorded else SLOW_COMMIT_S
@@ -280,6 +366,7 @@
         self._last_commit_s = self._read_uptime() - now
         self._may_start_unrecorded = self._announces_unrecorded
         self._store_clock_ms = committed.store_clock_ms
+        self._store_clock_asked_at = now
         self._store_clock_read_at = self._read_uptime()
         self._metrics.record("commit", self._store_clock_read_at - now)
         if self._unanswered_since >= 0:
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -7,7 +7,13 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from lavenderstall.errors import AnswerLostError, PeerClosedError, PeerUnavailableError
+from adapter.http_client import CONNECT_TIMEOUT_S
+from lavenderstall.errors import (
+    AnswerLostError,
+    DisconnectedError,
+    PeerClosedError,
+    PeerUnavailableError,
+)
 from lavenderstall.platform_clients import Reply
 from tests.platform.fake_platform import ADVISER, STORE, FakePlatform
 
@@ -112,10 +118,12 @@
             self._clock.callLater(0, self._fail, answer, address, path)
             return
         if worker is not None and not worker.up and sent_at < worker.crashed_at:
-            self._clock.callLater(0, self._close, answer, address, path)
+            end = self._close if worker.disconnection == "closed" else self._reset
+            self._clock.callLater(0, end, answer, address, path)
             return
         if worker is None or not worker.up:
-            self._clock.callLater(0, self._refuse, answer, address, path)
+            wait_s = CONNECT_TIMEOUT_S if worker is not None and worker.host_gone else 0
+            self._clock.callLater(wait_s, self._refuse, answer, address, path)
             return
         if named and named != worker.name:
             self._reply(answer, 421, {"reason": "instance"})
@@ -159,6 +167,10 @@
         if not answer.called:
             answer.errback(PeerClosedError("closed", step=path, peer=address))
 
+    def _reset(self, answer: Deferred[Reply], address: str, path: str) -> None:
+        if not answer.called:
+            answer.errback(DisconnectedError("reset", step=path, peer=address))
+
     def _refuse(self, answer: Deferred[Reply], address: str, path: str) -> None:
         if not answer.called:
             answer.errback(PeerUnavailableError("refused", step=path, peer=address))
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -73,6 +73,11 @@
         self.hangs = False
         self.fails = False
         self.up = True
+        # How the host ends connections on which an answer is awaited: closed or reset.
+        self.disconnection = "closed"
+        # Whether the host is gone with its worker, so that connections to it time out.
+        self.host_gone = False
+        self.leaves_at = -1.0
         self.born = 0
         self.restart()
 
@@ -108,6 +113,20 @@
         self.running.clear()
         self.platform.clock.callLater(restart_delay_s, self._restart_after_crash)
 
+    def drain(self, serves_s: float) -> None:
+        """Report that the worker is draining, and leave after some time."""
+        self.state = "draining"
+        self.leaves_at = self.platform.clock.seconds() + serves_s
+        self.platform.register()
+        self.platform.clock.callLater(serves_s, self.leave)
+
+    def leave(self) -> None:
+        """Exit for good: end all runs, close the connections and remove the registry entry."""
+        self.up = False
+        self.crashed_at = self.platform.clock.seconds()
+        self.running.clear()
+        self.platform.register()
+
     def crash_under(self, task: FakeTask) -> None:
         """Crash if a run that crashes its worker still exists."""
         if self.up and self.running.get(task.name) is task:
@@ -242,7 +261,12 @@
 
     def entry(self) -> dict[str, Any]:
         """Return the worker's registry entry."""
+        draining = {}
+        if self.state == "draining":
+            left_s = max(0.0, self.leaves_at - self.platform.clock.seconds())
+            draining["remainingMs"] = left_s * 1000
         return {
+            **draining,
             "service": self.pool,
             "address": self.address,
             "zone": "z",
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -75,6 +75,7 @@
         self.name = name
         self.clock = PausableClock(cell.clock)
         self.http_client: Any = FakeHttpClient(cell.platform, self.clock)
+        self.http_client.unreachable |= cell.unreachable_workers
         self.links: Any = FakeLinks(cell, name)
         store = PlatformStore(self.http_client, STORE)
         identity = InstanceIdentity(
@@ -110,6 +111,8 @@
         self.platform = FakePlatform(self.clock)
         self.nodes: dict[str, Node] = {}
         self.disconnected_pairs: set[frozenset[str]] = set()
+        # Addresses that no instance reaches, not even one that starts later.
+        self.unreachable_workers: set[str] = set()
         self.outcomes: dict[str, list[Presence]] = {}
         self._starts = 0
         self._zones = zones
@@ -200,6 +203,20 @@
             (name for name, node in self.nodes.items() if pool in node.instance.owned_pools), None
         )
 
+    def cut_off(self, worker: FakeWorker) -> None:
+        """Cut a worker off from all instances, and let its registry entry expire."""
+        self.unreachable_workers.add(worker.address)
+        for node in self.nodes.values():
+            node.http_client.unreachable.add(worker.address)
+        self.platform.rows.pop(("servers", "", worker.name), None)
+
+    def restore(self, worker: FakeWorker) -> None:
+        """End the cut of a worker, which registers again."""
+        self.unreachable_workers.discard(worker.address)
+        for node in self.nodes.values():
+            node.http_client.unreachable.discard(worker.address)
+        self.platform.register()
+
     # Time and callers
 
     def run(self, seconds: float) -> None:
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -2,13 +2,14 @@
 
 import unittest
 
-from lavenderstall.identifiers import JobId
+from lavenderstall.identifiers import EntryId, JobId
+from lavenderstall.pools.claims import LEASE_LIFETIME_S
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns, StepProgress
 from lavenderstall.pools.pool import Pool
-from lavenderstall.pools.takeover import MAX_LOGGED
+from lavenderstall.pools.takeover import MAX_LOGGED, EarlierLeases
 from lavenderstall.pools.work import EndCause, JobState, Settings, StepKey, Task
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
@@ -184,6 +185,42 @@
         advice = successor.pool.advice[StepKey(JOB, 0, 0)]
         self.assertEqual((advice.allowed, advice.denied), ({"w1"}, {"w2"}))
 
+    def test_leases_of_an_owner_that_has_stopped_end_sooner(self) -> None:
+        """Fails if a task waits for an owner that has stopped, or not for another that may act."""
+        first, second = EntryId("e1"), EntryId("e2")
+        table = (
+            ("the owner knows the later term", ((second, 3),), LEASE_LIFETIME_S),
+            ("it does not know it", ((second, 2),), 13.0),
+            ("another one has stopped", ((first, 3),), 13.0),
+            ("both have stopped", ((first, 3), (second, 3)), LEASE_LIFETIME_S),
+        )
+        for name, heard, left_s in table:
+            with self.subTest(name=name):
+                bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
+                takeover = bench.pool.takeover
+                takeover.add_earlier_owners(
+                    [
+                        EarlierLeases(first, 1, bench.now + 5.0),
+                        EarlierLeases(second, 2, bench.now + 13.0),
+                    ]
+                )
+                for entry, term in heard:
+                    takeover.note_owner_stopped(entry, term)
+                self.assertAlmostEqual(takeover.leases_expire_at - bench.now, left_s)
+
+    def test_a_run_is_kept_only_until_the_end_of_leases_that_is_noted(self) -> None:
+        """Fails if a successor waits for longer than its predecessor knew to be needed."""
+        for recorded_all in (True, False):
+            with self.subTest(recorded_all=recorded_all):
+                bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]), recorded_all=recorded_all)
+                bench.pool.takeover.noted_lease_ends[WorkerKey("w2", 1)] = bench.now + 3.0
+                bench.poll(FIRST)
+                for seconds, starts in ((2.9, 0), (0.2, 1)):
+                    bench.advance(seconds)
+                    bench.poll(FIRST)
+                    started = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                    self.assertEqual(len(started), starts)
+
     def test_the_log_tells_what_a_takeover_waits_for_and_how_that_ended(self) -> None:
         """Fails if tasks that wait for inherited runs leave no trace, or each review logs them."""
         bench = self.take_over(RecordedRuns("w2", 1, [(0, 1)]))
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -3,6 +3,7 @@
 import unittest
 from functools import partial
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
@@ -19,6 +20,7 @@
 )
 from lavenderstall.pools.commit_relay import CommitRelay
 from lavenderstall.pools.effects import RunEnd, RunStatus
+from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
 from lavenderstall.pools.ports import Row
@@ -29,7 +31,9 @@
     OWNER_KEY,
     OWNERS,
     PROGRESS,
+    ROSTER_KEY,
     OwnerRow,
+    RosterRow,
     decode_owner,
     decode_progress,
     get_shard,
@@ -50,6 +54,8 @@
 ENTRY = make_entry("w1")
 # Long after any renewal in a test, on the store's clock.
 LATER_MS = 60_000.0
+KEY = WorkerKey("w1", 1)
+OTHER = JobId("00000000000000b2")
 
 
 class Owner:
@@ -249,6 +255,60 @@
                 )
                 self.assertEqual(seen, [claimable])
 
+    def test_a_successor_is_told_when_leases_on_a_silent_worker_end(self) -> None:
+        """Fails if the successor waits for longer, or not for as long as leases may last.
+
+        An owner between the two may not have heeded what the row tells.
+        """
+        for term, told in ((1, True), (2, False)):
+            with self.subTest(term=term):
+                rows = FakeRowStore()
+                owner = make_owner(rows)
+                expiry = self.silence_worker(owner)
+                owner.step()
+                roster = msgspec.msgpack.decode(
+                    rows.rows[OWNERS, POOL, ROSTER_KEY].value, type=RosterRow
+                )
+                rows.store_clock_ms += LATER_MS
+                successor = Owner(rows, "entry-2")
+                successor.bench.pool.term = 1 + term
+                successor.bench.pool.takeover.add_workers(roster.workers)
+                successor.writer.set_roster(roster)
+                ends = successor.bench.pool.takeover.noted_lease_ends
+                self.assertEqual(list(ends), [KEY] if told else [])
+                if told:
+                    left_s = ends[KEY] - successor.uptime + LATER_MS / 1000
+                    self.assertGreaterEqual(left_s, expiry - owner.uptime)
+                    self.assertLess(left_s, expiry - owner.uptime + 1.1)
+
+    def silence_worker(self, owner: Owner) -> float:
+        """Let the worker leave in silence, and return when the leases there end."""
+        owner.bench.advance(0.0)
+        owner.bench.pool.add_job(make_job(make_step(long_running=True), job=OTHER))
+        owner.bench.start()
+        owner.bench.pool.set_workers([])
+        owner.bench.pool.note_unresponsive(KEY, unreachable=True)
+        return owner.bench.pool.workers[KEY].get_lease_expiry()
+
+    def test_no_lease_is_extended_while_a_row_may_tell_of_its_end(self) -> None:
+        """Fails if an owner extends a lease before the row that tells of its end is withdrawn."""
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        self.silence_worker(owner)
+        worker = owner.bench.pool.workers[KEY]
+        rows.defer_writes = True
+        owner.step()
+        rows.defer_writes = False
+        self.assertTrue(worker.lease_end_noted, "the row may tell of it although no answer came")
+        owner.bench.pool.set_workers([ENTRY])
+        owner.bench.poll(ENTRY)
+        self.assertTrue(worker.lease_end_noted)
+        owner.step()
+        owner.step()
+        self.assertFalse(worker.lease_end_noted)
+        roster = msgspec.msgpack.decode(rows.rows[OWNERS, POOL, ROSTER_KEY].value, type=RosterRow)
+        self.assertEqual(roster.lease_ends, [])
+
     def test_one_of_two_claims_wins(self) -> None:
         rows = FakeRowStore()
         claimers = [
