--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -192,8 +192,8 @@
             if roster is None:
                 self.pool.takeover.note_unknown_workers()
                 continue
-            self.writer.set_roster(tuple(roster.workers))
             self.pool.takeover.add_workers(roster.workers)
+            self.writer.set_roster(roster)
 
     async def _read_partition(self, table: str, partition: str) -> tuple[list[Row], int]:
         return await read_partition(self._store, table, partition, PAGE_ROWS)
