Take an owner row with times that no owner writes for one that can't be read

Callers saw: an owner row with a renewal far in the future, or with an expiry of years, could be read, and so its pool could not be claimed for as long.

Cause: its times had no bound but that of a number.

Evidence: on the code before, the two new rows of test_a_pool_whose_owner_row_cannot_be_read_is_claimed_above_all_terms failed (no claim).

Fix: a renewal more than a minute ahead of the store's clock, or an expiry of more than ten minutes, counts as unreadable; the claim that follows is as safe as for any such row.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -33,6 +33,8 @@
 LEASE_S = 6.0
 # Two intervals of renewal remain.
 SUSPECTED_EXPIRY_REDUCTION_MS = 500.0
+# An owner estimates the store's clock since its last answer; a later renewal is none.
+MAX_RENEWAL_LEAD_MS = 60_000.0
 # An owner whose row can't be read has no time in which its ownership may not be claimed.
 UNKNOWN_EXPIRY_MS = -1.0
 SLOWEST_CLOCK_RATE = 0.98
@@ -104,12 +106,15 @@
         """Read the owner row of a pool."""
         page = await self._store.read(OWNERS, pool, OWNER_KEY, 1)
         row = next((row for row in page.rows if row.key == OWNER_KEY), None)
-        owner = self._decode_owner(row) if row else None
+        owner = self._decode_owner(row, page.store_clock_ms) if row else None
         return OwnershipSnapshot(row, owner, page.store_clock_ms)
 
-    def _decode_owner(self, row: Row) -> OwnerRow:
+    def _decode_owner(self, row: Row, store_ms: float) -> OwnerRow:
         try:
-            return decode_owner(row.value)
+            owner = decode_owner(row.value)
+            if owner.renewed_ms > store_ms + MAX_RENEWAL_LEAD_MS:
+                raise UnreadableError("it was renewed in the future")
+            return owner
         except UnreadableError as error:
             self._unreadable_rows.note(row.table, f"{row.partition}/{row.key}", row.version, error)
             return make_unknown_owner(row)
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -27,6 +27,8 @@
 
 # Time without renewal after which an owner may be replaced if the store is fast.
 BASE_EXPIRY_MS = 1000.0
+# No owner of however slow a store asks for more.
+MAX_EXPIRY_MS = 600_000.0
 
 
 class Presence(Enum):
@@ -116,8 +118,9 @@
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the value of an owner row, or raise `UnreadableError`."""
     owner = decode_msgpack(value, OwnerRow)
-    figures = (owner.term, owner.sequence, owner.renewed_ms, owner.expiry_ms)
-    if not all(0 <= figure <= MAX_FIGURE for figure in figures):
+    figures = (owner.term, owner.sequence, owner.renewed_ms)
+    in_bounds = all(0 <= figure <= MAX_FIGURE for figure in figures)
+    if not in_bounds or not 0 <= owner.expiry_ms <= MAX_EXPIRY_MS:
         raise UnreadableError("the owner row has a figure out of bounds")
     return owner
 
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -296,6 +296,8 @@
             ),
             encode(replace(sound, term=-1)),
             encode(replace(sound, term=2**64 - 1)),
+            encode(replace(sound, expiry_ms=1e12)),
+            encode(replace(sound, renewed_ms=1e12)),
         )
         for value in odd_rows:
             with self.subTest(value=value[:60]):
