--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -327,6 +327,7 @@
             ('["a.0.0.2",2,"cp","x",9]', True),
             ('["a.0.0.2",2,"cp",-1,9]', True),
             ('["a.0.0.2",2,7,40,9]', True),
+            ('["a.0.0.2",2,"' + "c" * 10**6 + '",40,9]', True),
             ('["a.0.0.2",2,"",40,[1]]', True),
             ('["a.0.0.2",2]', True),
             ('["a.0.0.2",-2,"",40,9]', False),
@@ -351,6 +352,7 @@
                 tasks = [(status.task.number, status.number) for status in found.running]
                 self.assertEqual(tasks, [(1, 1), *([(2, 2)] if named else []), (1, 1)])
                 self.assertEqual(found.incomplete, not named)
+                self.assertLess(max(len(status.checkpoint) for status in found.running), 10)
                 self.assertEqual(metrics.counters["rows_unreadable"], 1)
 
     def test_an_odd_end_costs_itself_alone(self) -> None:
@@ -360,6 +362,7 @@
             ('[7,"a.0.0.2",2,7,""]', EndCause.LOST, 7),
             ('[7,"a.0.0.2",2,"done",7]', EndCause.DONE, 7),
             ('[7,"a.0.0.2",2,"done"]', EndCause.DONE, 7),
+            ('[7,"a.0.0.2",2,"done","' + "c" * 10**6 + '"]', EndCause.DONE, 7),
             ('["7","a.0.0.2",2,"done",""]', EndCause.DONE, 7),
             ('[-7,"a.0.0.2",2,"done",""]', EndCause.DONE, 7),
             ("[" + "9" * 400 + ',"a.0.0.2",2,"done",""]', EndCause.DONE, 7),
@@ -386,6 +389,7 @@
                     expected += [(8, EndCause.FAILED)] if behind else []
                     self.assertEqual([(end.seq, end.cause) for end in found.ended], expected)
                     self.assertEqual(found.skipped_seq, 0 if cause else seq)
+                    self.assertEqual({end.checkpoint for end in found.ended} - {""}, set())
                     self.assertEqual(found.incomplete, cause is None)
 
     @given(st.lists(make_json_values(), max_size=5), st.lists(make_json_values(), max_size=5))
@@ -558,6 +562,7 @@
             ('["w2",1e999]', [("w2", "")]),
             ('["w2","t2",3]', [("w2", "t2")]),
             ('[7,"t2"]', []),
+            ('["' + "w" * 10**6 + '","t2"]', []),
             ("[]", []),
             ("null", []),
             ('{"w2":"t2"}', []),
