--- a/lavenderstall/pools/unreadable_rows.py
+++ b/lavenderstall/pools/unreadable_rows.py
@@ -7,7 +7,7 @@
 logger = logging.getLogger(__name__)
 
 # Limit on remembered rows, each of which is logged once.
-MAX_REMEMBERED = 1000
+MAX_REMEMBERED = 10_000
 MAX_DETAIL_LENGTH = 200
 
 
