Guard a pool's polls and dispatch with damaged answers of workers

Property test: an answer of which up to three bytes are others is read or unreadable, and what was read leaves the pool able to go on.

--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -7,12 +7,17 @@
 from typing import Any
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from adapter.wire import decode_status
 from adapter.workers import REGISTRY_TABLE
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.pools.entry_instance import RECORD_INTERVAL_S
+from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import JobProgress, StepProgress
 from lavenderstall.pools.messages import JobHint
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
@@ -22,7 +27,7 @@
 from tests.platform.fake_platform import FakeWorker
 from tests.platform.simulated_cell import POOLS, SimulatedCell
 from tests.platform.test_faults import LONG, STEP, make_name, start_cell
-from tests.pools.builders import make_job, make_step
+from tests.pools.builders import Bench, make_entry, make_job, make_step
 
 ROUTING = PoolName("routing")
 NESTED = 5000
@@ -375,6 +380,41 @@
                 cell.run(3.0)
                 self.assertEqual(cell.platform.checker.list_unfinished(), [])
 
+    @given(st.data())
+    @settings(max_examples=150, deadline=None)
+    def test_any_answer_of_a_worker_leaves_its_pool_at_work(self, data: st.DataObject) -> None:
+        """Fails if an answer that was read ends the polls or the dispatch of a pool."""
+        entry = make_entry("w1")
+        bench = Bench(entry)
+        steps = (make_step(2, checkpointing=True), make_step(1, long_running=True, target_ms=5))
+        bench.pool.add_job(make_job(*steps))
+        orders = bench.start()
+        bench.advance(0.1)
+        seq = 0
+        for _ in range(3):
+            names = [
+                f"{order.task.job}.0.{order.task.step}.{order.task.number}" for order in orders
+            ]
+            running = [
+                [name, order.number, "c", 5, 7] for name, order in zip(names, orders, strict=True)
+            ]
+            seq += 1
+            ended = [[seq, name, 1, "failed", "c"] for name in names[:1]]
+            body = {"clockMs": bench.clock_ms(), "running": running, "finished": ended}
+            sound = json.dumps(body).encode()
+            changes = data.draw(
+                st.dictionaries(st.integers(0, len(sound) - 1), st.integers(32, 126), max_size=3)
+            )
+            odd = bytes(changes.get(index, byte) for index, byte in enumerate(sound))
+            try:
+                answer = decode_status(odd, seq - 1, lambda *row: None)
+            except UnreadableError:
+                continue
+            bench.pool.note_poll(WorkerKey("w1", 1), answer, bench.now)
+            bench.advance(1.0)
+            bench.start()
+        bench.record()
+
 
 class MessagesTest(unittest.TestCase):
     """Messages of other instances that can't be read, as of a later release."""
