Report an answer or address that the client can't use as its own error

Users of the command line saw a traceback, and callers of the library an error of another kind, for an answer or rejection with a deeply nested field, for an age of 400 digits (OverflowError while the table is written), and for an address with a port out of range or a host that has no name. Change: answers are decoded with decode_json and become AnswerLostError, rejections "unreadable" with outcome unknown; times in rows are bounded where they are decoded; an address that no connection can be made to is passed over like one that does not answer. Measured: on the former code the two new tests of tests.test_client end with 14 errors and one failure (RecursionError, ValueError, UnicodeError, "AnswerLostError not raised"); now they pass.

--- a/lavenderstall/client.py
+++ b/lavenderstall/client.py
@@ -26,6 +26,7 @@
     Rejection,
     TraceAnswer,
 )
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import AnswerLostError, LavenderstallError, Outcome, PeerUnavailableError
 from lavenderstall.identifiers import JobId, RequestId, ServiceName, Version
 from lavenderstall.inventory import Answer
@@ -96,8 +97,8 @@
 
 def _read_rejection(status: int, body: bytes) -> Rejection:
     try:
-        return msgspec.json.decode(body, type=Rejection)
-    except msgspec.MsgspecError:
+        return decode_json(body, Rejection)
+    except UnreadableError:
         text = body[:MAX_DETAIL_BYTES].decode("utf-8", "replace").strip()
         detail = f"HTTP status {status}{f': {text}' if text else ''}"
         return Rejection(Outcome.UNKNOWN, "unreadable", detail)
@@ -125,11 +126,18 @@
     def __repr__(self) -> str:
         return f"Client({list(self._entries)!r})"
 
+    def _open(self, entry: str) -> http.client.HTTPConnection:
+        """Return a connection, not made yet, to an entry instance."""
+        try:
+            parts = urlsplit(entry)
+            return self._connect(parts.hostname or "", parts.port or 80, self._timeout_s)
+        except (ValueError, http.client.HTTPException) as error:
+            raise _UnansweredError(str(error), sent=False) from None
+
     def _exchange(self, entry: str, request: Request, attempt: int) -> tuple[int, bytes]:
         """Return status and body of the answer of one entry instance."""
-        parts = urlsplit(entry)
         sent = False
-        connection = self._connect(parts.hostname or "", parts.port or 80, self._timeout_s)
+        connection = self._open(entry)
         headers = {"Content-Type": "application/json", **request.headers}
         if self._token:
             headers["Authorization"] = f"Bearer {self._token}"
@@ -141,7 +149,8 @@
             connection.request(request.method, request.path, request.body, headers)
             response = connection.getresponse()
             body = response.read(MAX_ANSWER_BYTES + 1)
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            # A host name that no connection can be made to is a ValueError.
             raise _UnansweredError(_describe_failure(error, self._timeout_s), sent=sent) from None
         finally:
             connection.close()
@@ -196,8 +205,8 @@
     def _send_and_decode(self, request: Request, kind: type[T]) -> T:
         body = self.send(request)
         try:
-            return msgspec.json.decode(body, type=kind)
-        except msgspec.MsgspecError as error:
+            return decode_json(body, kind)
+        except UnreadableError as error:
             detail = f"the answer to {request.path} cannot be read: {error}"
             raise AnswerLostError(detail, step="request") from None
 
--- a/lavenderstall/inventory.py
+++ b/lavenderstall/inventory.py
@@ -1,7 +1,7 @@
 """Row types of operator queries, and the answers that contain them."""
 
 from enum import Enum
-from typing import ClassVar
+from typing import Annotated, ClassVar
 
 import msgspec
 
@@ -21,9 +21,12 @@
     WorkerId,
     ZoneName,
 )
-from lavenderstall.protocol import Kind, TaskState
+from lavenderstall.protocol import MAX_FIGURE, Kind, TaskState
 from lavenderstall.schemas import Demand
 
+# Clocks that differ may make an age negative.
+Milliseconds = Annotated[int, msgspec.Meta(ge=-MAX_FIGURE, le=MAX_FIGURE)]
+
 
 class WorkerState(Enum):
     """States of a worker according to the owner of its slice."""
@@ -78,8 +81,8 @@
     cores_milli: int = 0
     memory_mb: int = 0
     accelerators: int = 0
-    age_ms: int = 0
-    wait_ms: int = 0
+    age_ms: Milliseconds = 0
+    wait_ms: Milliseconds = 0
     reason: str = ""
 
 
@@ -102,7 +105,7 @@
     failed: int = 0
     cancelled: int = 0
     unknown: int = 0
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
     reason: str = ""
 
 
@@ -139,7 +142,7 @@
     free_memory_mb: int = 0
     free_accelerators: int = 0
     free_slots: int = 0
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
     reason: str = ""
 
 
@@ -158,7 +161,7 @@
     slots: int = 0
     free_slots: int = 0
     calls: int = 0
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
 
 
 class SliceInfo(Info, frozen=True, omit_defaults=True, tag="slice"):
@@ -173,11 +176,11 @@
     epoch: Epoch = Epoch(0)
     workers: int = 0
     waiting: int = 0
-    oldest_wait_ms: int = 0
+    oldest_wait_ms: Milliseconds = 0
     free_cores_milli: int = 0
     free_memory_mb: int = 0
     free_accelerators: int = 0
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
 
 
 class RefusalInfo(Info, frozen=True, omit_defaults=True, tag="refusal"):
@@ -195,7 +198,7 @@
     step: str = ""
     peer: str = ""
     detail: str = ""
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
 
 
 class ChangeInfo(Info, frozen=True, omit_defaults=True, tag="change"):
@@ -207,8 +210,8 @@
     state: ChangeState
     author: str
     reason: str
-    age_ms: int = 0
-    time_unix_ms: int = 0
+    age_ms: Milliseconds = 0
+    time_unix_ms: Milliseconds = 0
     automatic: bool = False
     undoes: ChangeNumber = ChangeNumber(0)
     decides: ChangeNumber = ChangeNumber(0)
@@ -229,7 +232,7 @@
     slices: int = 0
     calls: int = 0
     http: str = ""
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
 
 
 class ReasonInfo(Info, frozen=True, omit_defaults=True, tag="reason"):
@@ -244,7 +247,7 @@
     slice: SliceName = SliceName("")
     owner: EntryId = EntryId("")
     alternatives: tuple[str, ...] = ()
-    age_ms: int = 0
+    age_ms: Milliseconds = 0
 
 
 class CountInfo(Info, frozen=True, omit_defaults=True, tag="count"):
@@ -288,7 +291,7 @@
     """Identify the source of a partial answer and the age of its data in ms."""
 
     owner: EntryId
-    age_ms: int
+    age_ms: Milliseconds
     slices: tuple[SliceName, ...] = ()
 
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -16,6 +16,7 @@
 from lavenderstall.resources import NOTHING
 from lavenderstall.schemas import Batch
 from tests.entries import FakeEntry, Reply
+from tests.oddities import MANY_DIGITS, list_odd_objects
 
 OK = Reply()
 JOB = JobRequest(JobId("j/1"), Batch("j", TeamName("t"), 1, NOTHING))
@@ -106,6 +107,41 @@
                 self.assertIs(type(found) if found else None, error)
                 self.assertEqual(sum(len(entry.seen) for entry in entries), received)
 
+    def test_odd_answers(self) -> None:
+        """Fails if an answer that can't be read raises an unexpected error."""
+        worker = b'{"type":"worker","id":"w","state":"live","zone":"z","rack":"r","slice":"z/0"'
+        bodies = [odd for name, odd in list_odd_objects(b'{"columns":[]}') if name != "no fields"]
+        bodies += [
+            b'{"rows":[' + worker + b',"age_ms":' + figure + b"}]}"
+            for figure in (MANY_DIGITS, b"1e999", b"NaN")
+        ]
+        rejection = b'{"outcome":"not_run","reason":"r","detail":"d"}'
+        for body in bodies:
+            with self.subTest(body=body[:90]), self.assertRaises(AnswerLostError):
+                (entry,) = self.start((Reply(body=body),))
+                SENDERS["read"](Client([entry.url], "", 5.0))
+        for name, body in list_odd_objects(rejection):
+            for status in (400, 409, 500, 503):
+                with self.subTest(name=name, status=status):
+                    (entry,) = self.start((Reply(status, body),))
+                    with self.assertRaises(RejectedError) as caught:
+                        SENDERS["directive"](Client([entry.url], "", 5.0))
+                    self.assertIs(caught.exception.rejection.outcome, Outcome.UNKNOWN)
+
+    def test_odd_address_is_passed_over(self) -> None:
+        """Fails if an address that can't be connected to ends the request."""
+        for url in (
+            "http://127.0.0.1:99999",
+            "http://127.0.0.1:-1",
+            "http://[",
+            f"http://{'a' * 99}",
+        ):
+            with self.subTest(url=url):
+                (entry,) = self.start((OK,))
+                SENDERS["directive"](Client([url, entry.url], "", 5.0))
+                with self.assertRaises(PeerUnavailableError):
+                    SENDERS["directive"](Client([url], "", 5.0))
+
     def test_headers_of_a_retry(self) -> None:
         entries = self.start((NO_RESPONSE, Reply(body=b"done")))
         client = Client([entry.url for entry in entries], "t.secret")
