Refuse odd bodies in the stand-ins as the platform does, with 400

Seen: a request with a deeply nested body was answered with 500 instead of 400, and a call or task whose opaque body is nested deep raised RecursionError out of read_payload. No stand-in ended. Change: decode_json in place of the decoder of msgspec. Measured: on the former code the new tests fail with six times "500 != 400" and two RecursionErrors; now tests.test_standins and tests.test_standins_workers pass.

--- a/standins/server.py
+++ b/standins/server.py
@@ -9,6 +9,7 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.server import Site
 
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.options import Option, parse_options, read_text
 from standins.cell import Cell, CellShape
@@ -82,8 +83,8 @@
     reactor = cast(Any, default_reactor)
     try:
         settings = parse_options("standins", OPTIONS)
-        shape = msgspec.json.decode(Path(settings["shape"]).read_bytes(), type=CellShape)
-    except (LavenderstallError, OSError, msgspec.DecodeError) as error:
+        shape = decode_json(Path(settings["shape"]).read_bytes(), CellShape)
+    except (LavenderstallError, OSError, UnreadableError) as error:
         print(f"standins: {error}", file=sys.stderr)
         return 2
     server = CellServer(Cell(shape, reactor), settings["listen"], reactor)
--- a/standins/tasks.py
+++ b/standins/tasks.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.identifiers import TaskId
 from lavenderstall.protocol import Kind, TaskReport, TaskStart, TaskState
 from lavenderstall.resources import NOTHING, Resources
@@ -152,6 +153,6 @@
 def read_payload(body: bytes) -> Payload:
     """Return the keys that the stand-in understands; anything else in the body is ignored."""
     try:
-        return msgspec.json.decode(body, type=Payload)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(body, Payload)
+    except UnreadableError:
         return Payload()
--- a/standins/web.py
+++ b/standins/web.py
@@ -12,6 +12,7 @@
 from twisted.web.server import NOT_DONE_YET, Request
 
 from lavenderstall import protocol
+from lavenderstall.decoding import decode_json
 from lavenderstall.errors import (
     AnswerLostError,
     BadRequestError,
@@ -172,7 +173,7 @@
 
 def read_body(request: HttpRequest, kind: type[T]) -> T:
     """Decode the JSON body of a request."""
-    return msgspec.json.decode(read_content(request), type=kind)
+    return decode_json(read_content(request), kind)
 
 
 class PlatformService(Service):
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -20,9 +20,11 @@
 from lavenderstall.records import encode_row
 from standins.faults import FaultRequest
 from standins.table import OverRateError, Table, TableView
+from standins.tasks import Payload, read_payload
 from standins.truth import TaskStarted
 from standins.web import ControlService, PlatformService, WorkerService
 from tests.memory import MemoryNetwork
+from tests.oddities import list_odd_objects
 from tests.test_standins_workers import OWNER, WorkerCase, get_result
 
 
@@ -143,6 +145,20 @@
         service = WorkerService(self.worker)
         return self.send(service, "POST", f"/v1/calls/{path}", b'{"x":1}', headers)
 
+    def test_odd_bodies_are_refused(self) -> None:
+        """Fails if a body that can't be read counts as a fault of the stand-in."""
+        for name, odd in list_odd_objects(b'{"owner":"e","epoch":1,"ownership_ms":1,"tasks_ms":1}'):
+            for path in ("/v1/lease", "/v1/tasks", "/v1/requests/q/void"):
+                with self.subTest(name=name, path=path):
+                    answer = self.send(WorkerService(self.worker), "POST", path, odd)
+                    self.assertEqual(answer.status, 400)
+
+    def test_odd_payload_is_ignored(self) -> None:
+        """Fails if a call or task whose opaque body is odd ends with a fault of the stand-in."""
+        for name, odd in list_odd_objects(b'{"run_ms":1}'):
+            with self.subTest(name=name):
+                self.assertEqual(read_payload(odd), Payload())
+
     def test_call(self) -> None:
         answer = self.send_call("q/1")
         body = msgspec.json.decode(answer.body)
