Keep periodic work going after a step that fails

Operators saw: any unexpected error in a step of ownership, of a worker's link, of the reconciliation or the cleaner ended that work until the process was restarted, with one traceback when the failure was collected as garbage. Cause: a LoopingCall stops when its step fails. Change: make_loop logs the failure with its traceback and lets the next step follow at its time. Steps that end well, and those that last, behave as before.

--- a/lavenderstall/clocks.py
+++ b/lavenderstall/clocks.py
@@ -1,10 +1,14 @@
 """Clock interface, so that tests can advance time."""
 
+import logging
 from collections.abc import Callable
 from typing import Any, Protocol, cast
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.internet.task import LoopingCall
+from twisted.python.failure import Failure
+
+logger = logging.getLogger(__name__)
 
 
 class DelayedCall(Protocol):
@@ -37,12 +41,24 @@
 
 
 def make_loop(clock: Clock, step: Callable[[], Any]) -> LoopingCall:
-    """Return a looping call that uses the clock; the caller starts it."""
-    loop = LoopingCall(step)
+    """Return a looping call that uses the clock; the caller starts it.
+
+    A step that fails is logged, and the next one follows at its time.
+    """
+
+    def run_step() -> Deferred[Any]:
+        return maybeDeferred(step).addErrback(_log_failure)
+
+    loop = LoopingCall(run_step)
     loop.clock = cast("Any", clock)
     return loop
 
 
+def _log_failure(failure: Failure) -> None:
+    """Log the failure of a step with its traceback."""
+    logger.error("periodic work failed", exc_info=failure.value)
+
+
 def call_after(clock: Clock, delay: float, function: Callable[..., Any], *arguments: Any) -> None:
     """Call a function after a delay in seconds, or immediately if it is not positive."""
     if delay > 0:
