Start no task twice if a former owner's write lands after the claim of its successor

Seen by callers: a task could run on two workers at once after a takeover, until the successor had stopped one of the runs, if a write of the former owner, sent but not yet carried out, took effect between the successor's claim and its first reading of the work rows.

Cause: a work row that is newer than the claim counted as that of a new job, of which no earlier owner can have started a task. A late write makes a row that old runs belong to newer as well.

Fix: a row tells whether it was rewritten since its creation, by an end, a start, a move, a change of replicas or a cancellation. At the first reading of a tenure, tasks of such a row wait until each worker of the roster has answered, as those of old rows do. Later readings are as before: what the first one did not list was assigned after the claim.

The write is put into its place by the test; no run with random faults has shown it. Rows of an earlier release do not carry the mark until they are written again.

--- a/lavenderstall/assignment.py
+++ b/lavenderstall/assignment.py
@@ -38,8 +38,8 @@
             if not await self._env.ownership.confirm(self.name) or self.stopped:
                 return
             changed, removed = self.work.load(rows)
-            self.loaded = True
-            self._apply_changed_jobs(changed)
+            first, self.loaded = not self.loaded, True
+            self._apply_changed_jobs(changed, first=first)
             self._cancel_removed_jobs(removed)
             self._match_reports()
             self._release_unresolved()
@@ -52,7 +52,7 @@
                 self._reload_again = False
                 self.request_reload()
 
-    def _apply_changed_jobs(self, jobs: Iterable[CachedWorkRow]) -> None:
+    def _apply_changed_jobs(self, jobs: Iterable[CachedWorkRow], *, first: bool) -> None:
         for job in jobs:
             spec, row = job.row.spec, job.row
             added: list[Task] = []
@@ -72,7 +72,7 @@
                     self.replicas.setdefault(spec.service, {})[name] = task
                 added.append(task)
             # All members of a gang must be known before any is queued.
-            if job.version > self.tenure.revision:
+            if self._is_certainly_new(job, first=first):
                 for task in added:
                     self._enqueue(task)
             else:
@@ -87,6 +87,14 @@
                 "cancelled" if row.cancelled else "no longer assigned",
             )
 
+    def _is_certainly_new(self, job: CachedWorkRow, *, first: bool) -> bool:
+        """Tell whether no earlier owner can have started the tasks that a row adds.
+
+        A write of an earlier owner that took effect after the claim makes its row newer than its
+        starts. What the first reading did not list was assigned after the claim.
+        """
+        return job.version > self.tenure.revision and not (first and job.row.rewritten)
+
     def _cancel_removed_jobs(self, jobs: Iterable[CachedWorkRow]) -> None:
         names = {job.row.spec.id for job in jobs}
         surplus = [task for task in self.tasks.values() if task.spec.id in names]
--- a/lavenderstall/jobs.py
+++ b/lavenderstall/jobs.py
@@ -332,7 +332,12 @@
             changed = msgspec.structs.replace(found, cancelled=True, nonce=nonce)
             puts = [Put(row.key, encode_row(changed))]
             puts += [
-                Put(each.key, encode_row(msgspec.structs.replace(w, cancelled=True, nonce=nonce)))
+                Put(
+                    each.key,
+                    encode_row(
+                        msgspec.structs.replace(w, cancelled=True, nonce=nonce, rewritten=True)
+                    ),
+                )
                 for each, w in works
                 if w.list_open()
             ]
--- a/lavenderstall/moves.py
+++ b/lavenderstall/moves.py
@@ -143,13 +143,17 @@
             raise LavenderstallError("the job row no longer exists", step="move", peer=spec.id)
         job_row = decode_row(stored_job, JobRow)
         source_row = msgspec.structs.replace(
-            job.row, tasks=[i for i in job.row.tasks if i not in indices], nonce=nonce
+            job.row,
+            tasks=[i for i in job.row.tasks if i not in indices],
+            nonce=nonce,
+            rewritten=True,
         )
         destination_row = (
             decode_row(stored_destination, WorkRow)
             if stored_destination
             else WorkRow(spec, destination, [], nonce)
         )
+        destination_row.rewritten = stored_destination is not None
         destination_row.tasks = sorted({*destination_row.tasks, *indices})
         destination_row.crashes = destination_row.crashes | {
             index: crashes for index, crashes in job.row.crashes.items() if index in indices
--- a/lavenderstall/reconciler.py
+++ b/lavenderstall/reconciler.py
@@ -112,7 +112,7 @@
         retained = [index for index in old.tasks if index in kept] if old else []
         tasks = sorted({*retained, *added_by_slice.get(name, [])})
         if old is None or old.tasks != tasks or old.spec != spec or old.cancelled:
-            rows[name] = WorkRow(spec, name, tasks, "")
+            rows[name] = WorkRow(spec, name, tasks, "", rewritten=old is not None)
     return rows
 
 
--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -117,7 +117,8 @@
     """The part of a job that is assigned to one slice; tasks are indices within the job.
 
     The row is the desired state of the slice: its owner starts unfinished tasks and stops
-    running tasks that are not listed.
+    running tasks that are not listed. One that was `rewritten` since its creation may be newer
+    than starts of its tasks.
     """
 
     spec: JobSpec
@@ -131,6 +132,7 @@
     bound: dict[int, WorkerId] = {}
     cancelled: bool = False
     crashes: dict[int, TaskCrashes] = {}
+    rewritten: bool = False
 
     def list_open(self) -> list[int]:
         """Return the unfinished tasks."""
--- a/lavenderstall/work_rows.py
+++ b/lavenderstall/work_rows.py
@@ -182,6 +182,7 @@
         job.dirty = False
         on_committed, job.on_committed = job.on_committed, []
         job.row.nonce = self._make_nonce()
+        job.row.rewritten = True
         key = make_work_key(self._name, job.row.spec.id)
         try:
             done = await self._commits.submit(
--- a/tests/test_slices.py
+++ b/tests/test_slices.py
@@ -2,11 +2,13 @@
 
 import unittest
 
+from twisted.internet.defer import Deferred
+
 from lavenderstall.changes import ItemKey
 from lavenderstall.errors import Outcome
-from lavenderstall.identifiers import JobId, WorkerId
-from lavenderstall.protocol import Kind, Put, Transaction
-from lavenderstall.records import WorkRow, decode_row, make_work_key
+from lavenderstall.identifiers import JobId, SliceName, WorkerId
+from lavenderstall.protocol import Committed, Kind, Put, Transaction
+from lavenderstall.records import WorkRow, decode_row, encode_row, make_work_key
 from lavenderstall.resources import Resources
 from lavenderstall.schemas import Service
 from tests.cells import ECHO, TEAM, Cell, make_job
@@ -32,6 +34,46 @@
         raise AssertionError("the jobs do not run")
 
 
+class NewerRowTest(unittest.TestCase):
+    """Rows that are newer than the claim of a successor when it first reads them."""
+
+    def run_takeover(self, rows_at_claim: dict[str, WorkRow]) -> Cell:
+        """Take a slice over, while rows are written between the claim and the first reading."""
+        cell = Cell(entries=3, zones=1, workers=6, racks_per_slice=6)
+        cell.run(5)
+        start_job(cell, make_job("job", 6, run_ms=HOUR_MS))
+        cell.run(1)
+        owner, transact = cell.get_owner("z0/0"), cell.table.transact
+
+        def write_late(transaction: Transaction) -> Deferred[Committed]:
+            committed = transact(transaction)
+            puts = {put.key: put for put in transaction.puts}
+            if "slice/z0/0" in puts and owner.name.encode() not in bytes(puts["slice/z0/0"].value):
+                rows = rows_at_claim or {"job": read_work(cell, "job")}
+                keys = {make_work_key("z0/0", JobId(job)): row for job, row in rows.items()}
+                transact(Transaction(puts=[Put(key, encode_row(row)) for key, row in keys.items()]))
+                cell.table.transact = transact
+            return committed
+
+        cell.table.transact = write_late
+        cell.set_worker("z0w0", cut_off=True)
+        cell.kill(owner)
+        cell.run(10)
+        self.assertIs(cell.table.transact, transact)
+        return cell
+
+    def test_a_late_write_of_the_former_owner_starts_nothing_twice(self) -> None:
+        """Fails if a row that its former owner wrote late counts as that of a new job."""
+        cell = self.run_takeover({})
+        self.assertEqual(len(cell.find_runs("job")), 6)
+
+    def test_a_job_accepted_during_the_takeover_starts_at_once(self) -> None:
+        """Fails if a new job waits until each worker has answered, as old ones do."""
+        job = WorkRow(make_job("new", 2, run_ms=HOUR_MS), SliceName("z0/0"), [0, 1], "nonce")
+        cell = self.run_takeover({"new": job})
+        self.assertEqual(len(cell.find_runs("new")), 2)
+
+
 class GangTest(unittest.TestCase):
     """A gang starts as a whole or not at all."""
 
