--- a/lavenderstall/records.py
+++ b/lavenderstall/records.py
@@ -132,7 +132,8 @@
     """The part of a job that is assigned to one slice; tasks are indices within the job.
 
     The row is the desired state of the slice: its owner starts unfinished tasks and stops
-    running tasks that are not listed.
+    running tasks that are not listed. One that was `rewritten` since its creation may be newer
+    than starts of its tasks.
     """
 
     spec: JobSpec
@@ -146,6 +147,7 @@
     bound: dict[Figure, WorkerId] = {}
     cancelled: bool = False
     crashes: dict[Figure, TaskCrashes] = {}
+    rewritten: bool = False
 
     def list_open(self) -> list[int]:
         """Return the unfinished tasks."""
