Let tasks that last run again wherever there is room, also on workers that back off

Callers see: a task that lasts and has lost its run is not away for up to 8 s more although the cause is over, and does not wait for gangs or behind steps that fit nowhere. Cause, found by tests of what sets workers aside: a worker that backs off got nothing for up to 8 s, and its backoff doubles until a task is done there, which one that lasts never is; workers reserved for a gang took no task that lasts; and a dispatch ended after 24 blocked steps, whatever came behind. Steps whose tasks last count apart among the blocked ones. For all other tasks nothing changes, as a start on a faulty worker may use up an attempt of theirs.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -1,13 +1,14 @@
 """Dispatch of waiting tasks to the workers of a pool."""
 
 import logging
+from collections import Counter
 
 from lavenderstall.pools.advice_requests import AdviceRequester
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.gang_reservations import GangReservations
 from lavenderstall.pools.job import Run
 from lavenderstall.pools.placement import Candidate, Placement
-from lavenderstall.pools.pool import RUNS_PER_TERM, Pool
+from lavenderstall.pools.pool import MIN_BACKOFF_S, RUNS_PER_TERM, Pool
 from lavenderstall.pools.preemption import MIN_PREEMPTION_WAIT_S, Preemptor
 from lavenderstall.pools.quarantine import Assignments, Quarantine
 from lavenderstall.pools.waiting_steps import WaitingStep, list_waiting_steps
@@ -16,7 +17,8 @@
 
 logger = logging.getLogger(__name__)
 
-# A dispatch ends after this many blocked steps, to bound requests for advice.
+# A dispatch serves no more steps after this many blocked ones, to bound requests for advice; steps
+# whose tasks last count apart, as these are to run wherever there is room.
 MOST_BLOCKED = 24
 # The reason why a step waits is logged at most this often.
 EXPLAIN_S = 1.0
@@ -32,6 +34,8 @@
         self._placement = Placement(pool)
         self._quarantine = Quarantine(pool, self._placement)
         self._advice_requester = AdviceRequester(pool, self._placement, self._gang_reservations)
+        # Workers that back off, on which tasks that last may start if they fit nowhere else.
+        self._retriable_workers: list[Worker] = []
 
     def dispatch(self, short_calls: int, long_calls: int) -> None:
         """Start the tasks that fit, and request advice within limits on short and long calls."""
@@ -39,29 +43,33 @@
         self._preemptor.clear()
         self._placement.clear()
         self._advice_requester.clear(short_calls, long_calls)
-        usable_workers = [
-            worker for worker in self.pool.workers.values() if self._is_usable(worker)
-        ]
+        sound_workers = [worker for worker in self.pool.workers.values() if self._is_sound(worker)]
+        usable_workers = [w for w in sound_workers if w.backoff_until <= self.pool.now]
+        self._retriable_workers = [w for w in sound_workers if self._is_retriable(w)]
         self._quarantine.clear(usable_workers)
-        blocked = 0
+        blocked: Counter[bool] = Counter()
         for waiting_step in list_waiting_steps(self.pool):
-            blocked += not self._serve(waiting_step, usable_workers)
-            if blocked >= MOST_BLOCKED:
-                break
+            lasting = waiting_step.step.long_running
+            if blocked[lasting] < MOST_BLOCKED:
+                blocked[lasting] += not self._serve(waiting_step, usable_workers)
         self._advice_requester.prefetch_advice(usable_workers)
 
-    def _is_usable(self, worker: Worker) -> bool:
-        """Tell whether tasks may start on a worker."""
+    def _is_sound(self, worker: Worker) -> bool:
+        """Tell whether tasks may start on a worker, unless it backs off."""
         return (
             worker.accepted_term
             and worker.registered
             and not worker.draining
             and not worker.unsized_runs
             and not worker.lease_end_noted
-            and worker.backoff_until <= self.pool.now
             and self.pool.is_responsive(worker)
         )
 
+    def _is_retriable(self, worker: Worker) -> bool:
+        """Tell whether a worker backs off, but has had no fault lately."""
+        now = self.pool.now
+        return worker.backoff_until > now and now - worker.backed_off_at >= MIN_BACKOFF_S
+
     def _serve(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> bool:
         """Start the tasks of a step that fit, and tell whether none is left waiting."""
         step, state = waiting_step.step, waiting_step.state
@@ -70,6 +78,10 @@
         waiting = sorted((state.waiting | state.copies) - state.progress.done)
         available_workers = self._gang_reservations.list_available(step, usable_workers)
         missing = len(waiting) - self._start_tasks(waiting_step, waiting, available_workers)
+        returning = self._list_returning(waiting_step)
+        if returning:
+            available_workers = [*usable_workers, *self._retriable_workers]
+            missing -= self._start_tasks(waiting_step, returning, available_workers)
         if not missing:
             return True
         self._explain(waiting_step, usable_workers)
@@ -84,6 +96,21 @@
         self._preempt_for(waiting_step, available_workers, missing)
         return False
 
+    def _list_returning(self, waiting_step: WaitingStep) -> list[int]:
+        """Return the waiting tasks that last and have run before.
+
+        As they are to run again wherever there is room, they heed neither reservations for gangs,
+        which their earlier runs preceded, nor a backoff beyond the shortest one.
+        """
+        if not waiting_step.step.long_running or waiting_step.step.gang:
+            return []
+        job = waiting_step.job
+        return [
+            index
+            for index in sorted(waiting_step.state.waiting)
+            if job.get_last_run(Task(*waiting_step.step_key, index))
+        ]
+
     def _start_tasks(
         self, waiting_step: WaitingStep, waiting: list[int], workers: list[Worker]
     ) -> int:
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -574,6 +574,7 @@
 
     def back_off(self, worker: Worker) -> None:
         """Start nothing on a worker for an exponential backoff, reset when it completes a task."""
+        worker.backed_off_at = self.now
         if worker.backoff_until > self.now:
             return
         worker.backoff_count += 1
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -70,6 +70,8 @@
         self.applied_seq = 0
         self.committed_seq = 0
         self.backoff_until = 0.0
+        # When the last of the faults was noted for which the worker backs off.
+        self.backed_off_at = 0.0
         self.registered = True
         self.listed_at = 0.0
         self.backoff_count = 0
--- a/tests/pools/test_dispatch.py
+++ b/tests/pools/test_dispatch.py
@@ -6,16 +6,21 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from lavenderstall.pools.dispatch import EXPLAIN_S
-from lavenderstall.pools.effects import RequestAdvice, RunStatus, StartRun
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.dispatch import EXPLAIN_S, MOST_BLOCKED
+from lavenderstall.pools.effects import Refusal, RequestAdvice, RunStatus, StartRun
 from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.pool import MIN_BACKOFF_S
 from lavenderstall.pools.waiting_steps import list_waiting_steps
 from lavenderstall.pools.work import EndCause, QueueName, Settings, Step, Task
+from lavenderstall.pools.workers import WorkerEntry
 from lavenderstall.resources import NOTHING, Resources
 from tests.pools.builders import (
     ADVISED,
     CAPACITY,
+    JOB,
     POOL,
+    QUEUE,
     Bench,
     allow,
     make_entry,
@@ -24,6 +29,8 @@
     make_step,
 )
 
+LOW = QueueName("background")
+OTHER = JobId("00000000000000b2")
 steps = st.builds(
     make_step,
     st.integers(1, 6),
@@ -67,6 +74,76 @@
         self.assertEqual(counts, {"usable": 0, "unheard": 1, "backing_off": 1, "unresponsive": 1})
 
 
+class LastingTaskTest(unittest.TestCase):
+    """A task that lasts has lost its worker, and others have room for it."""
+
+    def lose_task(self, bench: Bench, *entries: WorkerEntry, queue: QueueName = QUEUE) -> None:
+        """Start a task that lasts, and let its worker report that it has failed."""
+        queues = (bench.pool.settings.queues[0], make_queue(name=LOW, priority=5))
+        bench.pool.set_settings(Settings(1, queues, frozenset(), frozenset({POOL})))
+        bench.pool.add_job(make_job(make_step(long_running=True), queue=queue))
+        (order,) = bench.start()
+        entry = next(entry for entry in entries if entry.id == order.worker.id)
+        bench.end(order, EndCause.FAILED, 1, entry)
+
+    def test_a_task_that_lasts_does_not_wait_for_workers_that_back_off(self) -> None:
+        """Fails if no worker is left to it, or one that has just failed is tried on and on."""
+        for advising in (None, ADVISED):
+            with self.subTest(advised=advising is not None):
+                entries = (make_entry("w1"), make_entry("w2"))
+                bench = Bench(*entries, queue=make_queue(advising=advising))
+                if advising is not None:
+                    bench.pool.add_job(make_job(make_step(long_running=True)))
+                    allow(bench, bench.dispatch(), "w1", "w2", valid_ms=1e6)
+                self.lose_task(bench, *entries)
+                for worker in bench.pool.workers.values():
+                    worker.backoff_count = 9
+                    bench.pool.back_off(worker)
+                bench.advance(MIN_BACKOFF_S / 2)
+                self.assertEqual(starts(bench), [])
+                bench.advance(MIN_BACKOFF_S / 2)
+                bench.pool.add_job(make_job(job=OTHER))
+                (order,) = starts(bench)
+                self.assertNotEqual(order.task.job, OTHER)
+                bench.pool.note_refused(
+                    order.worker, order.task, order.number, Refusal("unhealthy")
+                )
+                (again,) = starts(bench)
+                self.assertNotEqual(again.worker, order.worker)
+
+    def test_a_task_that_lasts_prefers_workers_that_do_not_back_off(self) -> None:
+        entries = (make_entry("w1"), make_entry("w2"), make_entry("w3"))
+        bench = Bench(*entries)
+        self.lose_task(bench, *entries)
+        for name in ("w1", "w2"):
+            bench.pool.workers[WorkerKey(name, 1)].backoff_count = 9
+            bench.pool.back_off(bench.pool.workers[WorkerKey(name, 1)])
+        bench.advance(MIN_BACKOFF_S)
+        self.assertEqual([order.worker.id for order in starts(bench)], ["w3"])
+
+    def test_a_task_that_lasts_does_not_wait_for_gangs(self) -> None:
+        """Fails if capacity reserved for a gang stays free while the task is away."""
+        first, second = make_entry("w1"), make_entry("w2")
+        bench = Bench(first, second)
+        need = Resources(cores_milli=2500, memory_mb=1000)
+        bench.pool.add_job(make_job(make_step(1, need=need, expected_ms=60_000), job=OTHER))
+        bench.start()
+        self.lose_task(bench, first, second, queue=LOW)
+        gang = make_step(2, need=need, gang=True)
+        bench.pool.add_job(make_job(gang, job=JobId("00000000000000a0")))
+        self.assertEqual([order.task.job for order in starts(bench)], [JOB])
+
+    def test_a_task_that_lasts_does_not_wait_behind_blocked_steps(self) -> None:
+        """Fails if steps that fit nowhere keep a dispatch from a task for which there is room."""
+        bench = Bench(make_entry("w1"))
+        for number in range(MOST_BLOCKED + 1):
+            job = make_job(make_step(need=Resources(cores_milli=9000)), job=JobId(f"{number:016x}"))
+            bench.pool.add_job(job)
+        bench.advance(0.1)
+        bench.pool.add_job(make_job(make_step(long_running=True)))
+        self.assertEqual([order.task.job for order in starts(bench)], [JOB])
+
+
 class BoundsTest(unittest.TestCase):
     """Limits that hold for random work."""
 
