Show that suspected tasks that last do not wait for isolation for too long

Nothing changes for callers. The hypothesis was that a task that lasts is away for longer than the rule allows as it is suspected of a crash and waits for a verdict or for a worker of its own.

--- a/tests/platform/test_lasting_tasks.py
+++ b/tests/platform/test_lasting_tasks.py
@@ -1,6 +1,7 @@
 """Tests of whole cells in which a task that lasts loses its worker, and then its owner."""
 
 import unittest
+from collections import Counter
 from collections.abc import Callable
 from math import inf
 from typing import NamedTuple
@@ -30,6 +31,8 @@
 # Before the owner may know anything, while it waits for answers, and once it knows all.
 DELAYS_S = (0.1, 0.7, 4.0)
 KNOWN_S = 4.0
+# The age of runs that may have crashed their worker.
+JUST_STARTED_S = 0.3
 
 # Ends the worker of a task, or cuts it off.
 EndWorker = Callable[[SimulatedCell, FakeWorker], None]
@@ -183,6 +186,53 @@
                 self.assertEqual(cell.platform.checker.violations, [])
 
 
+def count_running(cell: SimulatedCell) -> Counter[str]:
+    """Return how many runs each task has on workers that are up."""
+    found: Counter[str] = Counter()
+    for worker in cell.platform.workers.values():
+        worker.advance()
+        found.update(list(worker.running) if worker.up else [])
+    return found
+
+
+def crash_busiest_worker(cell: SimulatedCell) -> None:
+    """Crash the worker with the most tasks."""
+    up = [worker for worker in cell.platform.workers.values() if worker.up]
+    max(up, key=lambda worker: len(worker.running)).crash()
+
+
+class SuspectedTaskTest(unittest.TestCase):
+    """Workers crash just after several tasks that last have started there."""
+
+    def test_suspected_tasks_that_last_are_not_away_for_too_long(self) -> None:
+        """Fails if tasks wait for isolation one after another while there is room."""
+        for jobs, tasks, crashes, workers, killed in (
+            (1, 8, 1, 8, False),
+            (30, 1, 1, 8, True),
+            (30, 1, 2, 8, False),
+            (14, 1, 2, 4, False),
+        ):
+            with self.subTest(jobs=jobs, tasks=tasks, crashes=crashes, workers=workers):
+                cell = SimulatedCell(3, workers, advice=False)
+                cell.platform.renames_workers = True
+                cell.run(4.5)
+                step = {**LASTING, "count": tasks, "cpu": 1000}
+                for number in range(jobs):
+                    cell.submit("entry-0", POOL, make_name(number), [step])
+                self.await_all(cell, jobs * tasks)
+                for _ in range(crashes):
+                    cell.run(JUST_STARTED_S)
+                    crash_busiest_worker(cell)
+                    if killed:
+                        kill(cell)
+                    self.await_all(cell, jobs * tasks)
+                self.assertEqual(cell.platform.checker.violations, [])
+
+    def await_all(self, cell: SimulatedCell, count: int) -> None:
+        """Check that all tasks run again soon enough."""
+        self.assertTrue(cell.run_until(lambda: len(count_running(cell)) == count, REST_S))
+
+
 def isolate_owner(cell: SimulatedCell, worker: FakeWorker) -> None:
     """Cut an owner off from the store and all peers, but not from a worker that they miss."""
     owner = cell.find_owner(POOL)
