Expect a late start at a restarted worker once, however often it restarts

Callers saw nothing yet; a worker that restarted twice within 13 s of a start without an answer would count a run too many as its use, until its next restart, and tasks wait with room for them (LOST).

Cause: a start that a new process of a worker may execute was tracked there as a run and stayed remembered too. When that run was given up, it was remembered a second time; when its worker restarted before that, the run was both moved to the next process and expected there anew. Each time the allocation was added twice and released once.

Change: a start is no longer remembered once it is tracked as a run, and remembered again when that run is given up. Forgetting an answered start no longer copies all others.

--- a/lavenderstall/pools/late_starts.py
+++ b/lavenderstall/pools/late_starts.py
@@ -1,6 +1,5 @@
 """Starts without an answer, which a restarted worker may still execute."""
 
-from collections import deque
 from typing import NamedTuple
 
 from lavenderstall.pools.job import Run
@@ -25,23 +24,33 @@
     """
 
     def __init__(self) -> None:
-        self._starts: deque[LateStart] = deque()
+        self._starts: dict[tuple[str, Task, int], LateStart] = {}
 
     def note_dropped(self, run: Run, now: float) -> None:
         """Remember a run that is given up, if its start may still arrive."""
         if run.start_sent and not run.inherited and run.confirmed_at < 0 and run.reported_at < 0:
-            self._starts.append(LateStart(run.worker.id, run.task, run.number, run.start_sent_at))
+            start = LateStart(run.worker.id, run.task, run.number, run.start_sent_at)
+            self._starts[start[:3]] = start
         self._forget_old(now)
 
-    def list_for(self, worker: str, now: float) -> list[LateStart]:
-        """Return the starts that a new process of a worker may execute."""
+    def take_for(self, worker: str, now: float) -> list[LateStart]:
+        """Remove and return the starts that a new process of a worker may execute.
+
+        They are tracked as runs of it from then on, and remembered again if those are given up.
+        """
         self._forget_old(now)
-        return [start for start in self._starts if start.worker == worker]
+        found = [start for start in self._starts.values() if start.worker == worker]
+        for start in found:
+            self.forget(*start[:3])
+        return found
 
     def forget(self, worker: str, task: Task, number: int) -> None:
         """Forget a start that was answered after all."""
-        self._starts = deque(start for start in self._starts if start[:3] != (worker, task, number))
+        self._starts.pop((worker, task, number), None)
 
     def _forget_old(self, now: float) -> None:
-        while self._starts and now - self._starts[0].sent_at > MAX_COMMAND_DELAY_S:
-            self._starts.popleft()
+        while self._starts:
+            oldest = next(iter(self._starts))
+            if now - self._starts[oldest].sent_at <= MAX_COMMAND_DELAY_S:
+                return
+            del self._starts[oldest]
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -268,7 +268,7 @@
         self.workers[worker.key] = worker
         self.latest_incarnations[entry.id] = worker.key
         logger.info("worker added", extra={"worker": entry.id, "incarnation": entry.incarnation})
-        for start in self._late_starts.list_for(entry.id, self.now):
+        for start in self._late_starts.take_for(entry.id, self.now):
             self._expect_late_start(worker, start)
         return worker
 
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -24,11 +24,13 @@
     MAX_COMMAND_DELAY_S,
     MAX_LEASE_MS,
     MIN_CLOCK_RATE,
+    WorkerEntry,
     WorkerState,
 )
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
     ADVISED,
+    CORE,
     JOB,
     QUEUE,
     Bench,
@@ -313,6 +315,34 @@
                 bench.poll(newer)
                 self.assertEqual(worker.runs, {})
 
+    def test_a_start_that_is_expected_again_and_again_takes_its_allocation_once(self) -> None:
+        """Fails if a worker that restarts repeatedly loses capacity for runs it has not."""
+        for answers in (True, False):
+            with self.subTest(answers=answers):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                (order,) = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                bench.pool.note_unanswered(order.worker, order.task, order.number)
+                bench.pool.cancel_job(JOB)
+                entry = FIRST
+                for incarnation in (2, 3, 4):
+                    if answers or entry is FIRST:
+                        self.refuse(bench, entry, order)
+                    entry = make_entry("w1", incarnation=incarnation)
+                    bench.pool.set_workers([entry])
+                    worker = bench.pool.workers[WorkerKey("w1", incarnation)]
+                    self.assertEqual((worker.used, len(worker.runs)), (CORE, 1))
+                self.refuse(bench, entry, order)
+
+    def refuse(self, bench: Bench, entry: WorkerEntry, order: StartRun) -> None:
+        """Let a worker take a stop of a run, and report that it has none."""
+        key = WorkerKey(entry.id, entry.incarnation)
+        bench.pool.note_stopped(key, order.task, order.number, 1.0)
+        bench.advance(0.1)
+        bench.poll(entry)
+        self.assertEqual(bench.pool.workers[key].used, NOTHING)
+        self.assertEqual(bench.pool.jobs[JOB].list_runs(), [])
+
     def test_a_run_that_may_start_in_a_newer_incarnation_keeps_its_lease(self) -> None:
         longest_s = MAX_COMMAND_DELAY_S + MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
         for passed_s, restarts in ((0.1, False), (longest_s, False), (longest_s + 0.5, True)):
