Keep a worker's newer incarnation if the roster of earlier owners lists an older one

Callers saw: a task that an owner had started was never run again after its end, with room for it (LOST), until the pool's next owner; in a slow store, after a takeover, if a worker had restarted under its name.

Cause: the first renewal of a new owner may read the registry before the roster is loaded. An older incarnation in the roster then became the newest known one, beside the newer one. The next answer of the worker under the older name replaced the newer one by an empty copy: its runs stayed with their jobs, but no worker had them, so that nothing could end them.

Class of the fault: what was proven of one process is taken to hold for the next one.

Change: a worker of the roster or of a record is added only if no newer incarnation is known, and an incarnation that is known is not added again.

--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -38,10 +38,12 @@
         self.complete = False
 
     def add_workers(self, entries: Iterable[WorkerEntry]) -> None:
-        """Add the workers that earlier owners used; the registry may not list all of them."""
+        """Add the workers that earlier owners used; the registry may not list all of them.
+
+        If it was read before and lists a newer incarnation, the older one has ended.
+        """
         for entry in entries:
-            worker = self._pool.add_worker(entry)
-            worker.registered = False
+            worker = self._find_or_add_worker(entry)
             if not self._recorded:
                 self._unreported_workers.add(worker.key)
 
@@ -79,21 +81,21 @@
 
     def _track_run(self, job: Job, run: Run) -> None:
         recorded_key = run.worker
-        worker = self._pool.workers.get(recorded_key) or self._find_or_add_worker(recorded_key)
+        entry = WorkerEntry(
+            *recorded_key, self._pool.name, "", "", state=WorkerState.READY, capacity=NOTHING
+        )
+        worker = self._find_or_add_worker(entry)
         if worker.key != recorded_key:
             self._pool.crashes.note_earlier_incarnation(job, run, recorded_key)
         run.worker = worker.key
         job.add_run(run)
         worker.add_run(run, self._pool.get_allocation(run.task))
 
-    def _find_or_add_worker(self, key: WorkerKey) -> Worker:
-        """Return the newest known incarnation of a worker, or add one without an address."""
-        latest = self._pool.latest_incarnations.get(key.id)
-        if latest is not None and latest.incarnation >= key.incarnation:
+    def _find_or_add_worker(self, entry: WorkerEntry) -> Worker:
+        """Return the newest known incarnation of a worker, or add one that isn't registered."""
+        latest = self._pool.latest_incarnations.get(entry.id)
+        if latest is not None and latest.incarnation >= entry.incarnation:
             return self._pool.workers[latest]
-        entry = WorkerEntry(
-            key.id, key.incarnation, self._pool.name, "", "", WorkerState.READY, NOTHING
-        )
         worker = self._pool.add_worker(entry)
         worker.registered = False
         return worker
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -1,6 +1,7 @@
 """Tests of the takeover of a pool from an earlier owner."""
 
 import unittest
+from itertools import product
 
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.dispatch import Dispatcher
@@ -99,6 +100,35 @@
         self.assertEqual(bench.dispatch(), [])
         self.assertEqual(len(bench.pool.workers[WorkerKey("w2", 2)].runs), 1)
 
+    def test_an_older_roster_hides_no_newer_incarnation(self) -> None:
+        """Fails if runs of a worker are forgotten, as the registry was read before the roster."""
+        newer = make_entry("w1", incarnation=2)
+        newest = make_entry("w1", incarnation=3)
+        for recorded, entry in product((None, RecordedRuns("w1", 1, [(0, 1)])), (newer, newest)):
+            with self.subTest(recorded=recorded, entry=entry):
+                bench = Bench()
+                bench.pool = pool = Pool(POOL, 2, leases_expire_at=bench.now + 10.0)
+                bench.dispatcher = Dispatcher(pool)
+                pool.set_settings(Settings(1, (make_queue(),), frozenset(), frozenset({POOL})))
+                pool.advance(bench.now, 0.0)
+                pool.set_workers([newer])
+                pool.takeover.add_workers([FIRST])
+                runs = [recorded] if recorded else []
+                progress = JobProgress("running", {"0.0": StepProgress(runs=runs)})
+                pool.add_job(make_job(), progress, inherited=True)
+                pool.set_workers([newer])
+                pool.set_workers([entry])
+                bench.poll(entry)
+                pool.add_job(make_job(job=NEW))
+                self.assertIn(NEW_TASK, [start.task for start in bench.start()])
+                for key in list(pool.workers):
+                    older = make_entry("w1", key.incarnation)
+                    bench.poll(older, [RunStatus(NEW_TASK, 1001, "", 9.0)], (), entry.incarnation)
+                self.assertEqual(list(pool.workers), [WorkerKey("w1", entry.incarnation)])
+                (run,) = pool.jobs[NEW].list_runs()
+                (worker,) = pool.workers.values()
+                self.assertIs(worker.runs.get((NEW_TASK, 1001)), run)
+
     def test_inherited_jobs_wait_for_all_workers_if_runs_may_be_unrecorded(self) -> None:
         for heard in (True, False):
             with self.subTest(heard=heard):
