Await the newer incarnation of a worker on which unrecorded tasks may have started

Callers saw: a task could run twice (TWICE), if its owner had started it without a record, a worker of it restarted under its name, and the next owner took over before the late start arrived there.

Cause: a successor waits for a report of each worker on which tasks may run that are in no record. The registration or the answer of a newer incarnation counted as the report of the older one; but until it has answered a poll, and so has seen the successor's fencing token, the newer one may still execute starts of the earlier owner.

Class of the fault: what was proven of one process is taken to hold for the next one.

Evidence: the new test of tests.pools.test_takeover fails on the code before in both cases (a StartRun for the task before the newer incarnation has answered).

Change: if a worker is awaited and a newer incarnation replaces it, the newer one is awaited, for as long as any other worker.

Measured: all tests of tests/pools and tests.platform.test_late_starts pass.

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -299,9 +299,10 @@
         ]
         for run in uncertain_runs:
             older.drop_run(run.task, run.number, self.get_allocation(run.task))
-        self.note_worker_lost(key, reason)
         newer = WorkerKey(entry.id, entry.incarnation)
         worker = self.workers.get(newer) or self.add_worker(entry)
+        self.takeover.note_worker_replaced(key, worker)
+        self.note_worker_lost(key, reason)
         if uncertain_runs:
             worker.note_possible_starts(self.now)
         for run in uncertain_runs:
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -120,6 +120,11 @@
         """Note that a worker has reported its runs, or has no runs any more."""
         self._unreported_workers.discard(worker)
 
+    def note_worker_replaced(self, worker: WorkerKey, newer: Worker) -> None:
+        """Await the report of a newer incarnation, which may execute starts of earlier owners."""
+        if worker in self._unreported_workers and not newer.accepted_term:
+            self._unreported_workers.add(newer.key)
+
     def check(self) -> None:
         """Unblock inherited jobs once all workers have reported or all leases have expired."""
         expired = self._pool.now >= self.leases_expire_at
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -129,6 +129,21 @@
                 (worker,) = pool.workers.values()
                 self.assertIs(worker.runs.get((NEW_TASK, 1001)), run)
 
+    def test_inherited_jobs_wait_for_a_newer_incarnation_if_runs_may_be_unrecorded(self) -> None:
+        """Fails if a task starts again beside a late start of it at a restarted worker."""
+        for how in ("registered", "answered"):
+            with self.subTest(how=how):
+                bench = self.take_over(recorded_all=False)
+                newer = make_entry("w2", incarnation=2)
+                if how == "registered":
+                    bench.pool.set_workers([FIRST, newer])
+                else:
+                    bench.poll(SECOND, incarnation=2)
+                bench.poll(FIRST)
+                self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+                bench.poll(newer)
+                self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
+
     def test_inherited_jobs_wait_for_all_workers_if_runs_may_be_unrecorded(self) -> None:
         for heard in (True, False):
             with self.subTest(heard=heard):
