Drop no batch of progress and starts if an unexpected error ends its commit

Callers saw: a task was recorded as started and never sent to its worker, or a final state was never shown (LOST), until the pool's next owner.

Cause: a batch is taken from what is to be recorded before it is committed, and put back after errors of the store. Any other error, of the commit or of the reading of workers after it, ended the step and the batch with it. Nothing ends a run whose start was not sent, and nothing records its job again.

Class of the fault: one odd answer that takes others along.

Evidence, on the code before: the new tests of tests.platform.test_faults and tests.pools.test_writer fail ("0 != 1" and "0 != 3" starts). No answer that raises such an error is known by now.

Change: a batch is put back after any error; the step is repeated and the error logged as before.

Measured: tests.pools.test_writer and the new test of test_faults pass.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -271,7 +271,7 @@
         if not self._knows_capacities():
             try:
                 await self._read_registry()
-            except LavenderstallError:
+            except Exception:
                 self.pool.recorder.requeue(batch)
                 raise
         self._handle_commit(batch)
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -201,6 +201,9 @@
             self._note_failure(now, error)
             await sleep(self._clock, RETRY_DELAY_S)
             return None
+        except Exception:
+            self._pool.recorder.requeue(batch)
+            raise
         self._note_success(now, transaction, committed)
         if roster is not None:
             self._roster = roster
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -4,12 +4,14 @@
 from collections.abc import Callable
 from functools import partial
 from random import Random
+from unittest.mock import patch
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
 
 from adapter.store import COMMIT_TIMEOUT_S
+from adapter.workers import PlatformRegistry
 from lavenderstall.pools.entry_instance import CLAIM_CHECK_INTERVAL_S, RECORD_INTERVAL_S
 from lavenderstall.pools.entry_rows import STALE_ENTRY_S
 from lavenderstall.pools.owner import OWNERSHIP_TIMEOUT_S, UNRECORDED_START_DELAY_S
@@ -190,6 +192,25 @@
         inject = partial(unreachable.add, STORE)
         self.assertLessEqual(max(measure_ownership_gaps(cell, "routing", inject, 5.0)), 0.7)
 
+    def test_an_unexpected_error_of_the_registry_drops_no_start(self) -> None:
+        """Fails if a task never starts, as its recorded start was dropped by the error."""
+        cell = SimulatedCell(3, 4, advice=False)
+        cell.run(2.0)
+        cell.submit("entry-0", "routing", make_name(1), [{**LONG, **ENDLESS, "count": 1}])
+        rows = cell.platform.rows
+        self.assertTrue(cell.run_until(lambda: any("jobs" in key for key in rows), 1.0))
+        cell.platform.store_mode = "silent"
+        cell.run(3.5)
+        odd = ZeroDivisionError("odd entry")
+        with (
+            patch.object(PlatformRegistry, "list_workers", side_effect=odd),
+            self.assertLogs("lavenderstall.pools.owner", "ERROR"),
+        ):
+            cell.platform.store_mode = "up"
+            cell.run(1.0)
+        cell.run(3.0)
+        self.assertEqual(cell.platform.checker.starts, 1)
+
     def test_a_configuration_is_followed_by_a_claim_at_once(self) -> None:
         cell = SimulatedCell(1, 2)
         (node,) = cell.nodes.values()
--- a/tests/pools/rowstore.py
+++ b/tests/pools/rowstore.py
@@ -24,6 +24,8 @@
         self.store_clock_ms = 1000.0
         self.unavailable = False
         self.drop_responses = False
+        # An error that each commit raises instead of being applied.
+        self.error: Exception | None = None
         self.deferred: list[Transaction] = []
         self.defer_writes = False
         self.oldest_version = 0
@@ -36,6 +38,8 @@
         """Apply a transaction atomically."""
         self.commits += 1
         self.advance()
+        if self.error is not None:
+            return fail(self.error)
         if self.unavailable:
             return fail(StoreUnavailableError("store is unavailable", step="commit"))
         if self.defer_writes:
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -21,7 +21,7 @@
     has_complete_records,
 )
 from lavenderstall.pools.commit_relay import CommitRelay
-from lavenderstall.pools.effects import RunEnd, RunStatus
+from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
 from lavenderstall.pools.ports import Put, Row, Transaction
@@ -166,6 +166,18 @@
                     self.assertIsNone(owner.step())
                 self.assertEqual(read_done(rows), {0, 1})
 
+    def test_no_progress_is_lost_by_an_unexpected_error(self) -> None:
+        """Fails if tasks are never started, as their batch was dropped by an error."""
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        owner.bench.dispatcher.dispatch(1, 1)
+        rows.error = ZeroDivisionError("odd answer")
+        self.assertIsInstance(owner.step(), ZeroDivisionError)
+        rows.error = None
+        self.assertIsNone(owner.step())
+        starts = [e for e in owner.bench.pool.pop_effects() if isinstance(e, StartRun)]
+        self.assertEqual(len(starts), 3)
+
     def test_a_delayed_write_does_not_overwrite_a_later_one(self) -> None:
         rows = FakeRowStore()
         owner = make_owner(rows, tasks=4)
