Let a worker's backoff begin with the shortest after a quiet time

Cause: each refused or unanswered start doubles the backoff of its worker, up to 8 s, and only a task that is done there resets it. Tasks that last are never done, so four disturbances, minutes apart, were enough for each further one to set the worker aside for 8 s.

Evidence: the new test of tests.pools.test_pool fails without the change ("8.0 != 1.0", six refusals 17 s apart).

Change: a backoff that follows more than 16 s after the last one begins with the shortest. A worker that refuses or fails again and again is set aside as long as before.

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -54,6 +54,8 @@
 # Backoff of a worker that refused starts, left them unanswered, or failed or stalled runs.
 MIN_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 8.0
+# A worker that gave no cause for a backoff for this long after one starts with the shortest again.
+BACKOFF_MEMORY_S = 16.0
 # A worker gets no new tasks once its polls have been unanswered for this long.
 UNRESPONSIVE_S = 1.2
 # In an unresponsive zone, a worker gets no new tasks this long after its last answer.
@@ -600,9 +602,14 @@
                     self.stop(run)
 
     def back_off(self, worker: Worker) -> None:
-        """Start nothing on a worker for an exponential backoff, reset when it completes a task."""
+        """Start nothing on a worker for an exponential backoff.
+
+        It is reset when the worker completes a task, or has given no cause for some time.
+        """
         if worker.backoff_until > self.now:
             return
+        if self.now - worker.backoff_until > BACKOFF_MEMORY_S:
+            worker.backoff_count = 0
         worker.backoff_count += 1
         worker.backoff_until = self.now + min(
             MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (worker.backoff_count - 1)
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -17,7 +17,14 @@
 )
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns
-from lavenderstall.pools.pool import RECENT_ANSWER_S, STOP_RETRY_S, UNRESPONSIVE_S
+from lavenderstall.pools.pool import (
+    BACKOFF_MEMORY_S,
+    MAX_BACKOFF_S,
+    MIN_BACKOFF_S,
+    RECENT_ANSWER_S,
+    STOP_RETRY_S,
+    UNRESPONSIVE_S,
+)
 from lavenderstall.pools.recording import START_LEASE_MS, ProgressBatch
 from lavenderstall.pools.work import EndCause, JobState, Task
 from lavenderstall.pools.workers import (
@@ -234,6 +241,22 @@
                 (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
                 self.assertGreater(again.number, order.number)
 
+    def test_a_worker_is_set_aside_for_longer_only_if_it_refuses_again_soon(self) -> None:
+        """Fails if a task that lasts waits with room for it, as its worker refused long ago."""
+        for passed_s, limit_s in ((BACKOFF_MEMORY_S + 1.0, MIN_BACKOFF_S), (0.1, MAX_BACKOFF_S)):
+            with self.subTest(passed_s=passed_s):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job(make_step(long_running=True)))
+                worker = bench.pool.workers[WorkerKey("w1", 1)]
+                for _ in range(6):
+                    bench.poll(FIRST)
+                    (order,) = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                    refusal = Refusal("unhealthy")
+                    bench.pool.note_refused(order.worker, order.task, order.number, refusal)
+                    backoff_s = worker.backoff_until - bench.now
+                    bench.advance(backoff_s + passed_s)
+                self.assertAlmostEqual(backoff_s, limit_s)
+
     def test_a_stop_is_repeated_until_the_run_has_ended(self) -> None:
         bench = Bench(FIRST)
         bench.pool.add_job(make_job())
