Keep many more cancellations of jobs that are not known yet, and none twice

Callers saw nothing yet: a cancellation that reaches the owner before its job could be pushed out by 1,000 others of that kind without a trace, and the job would run on (UNASKED) until the pool's next owner.

Cause: the cancellations were kept in a queue that drops the oldest silently; one that arrived both as a message and through the feed took two places.

Class of the fault: a cursor that moves past what was not applied.

Evidence: the new tests of tests.pools.test_pool fail on the code before ("False is not true" with 5,000 other cancellations and with 600 that arrive three times).

Adding a job no longer searches them one by one.

Measured: tests.pools.test_pool passes.

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -65,7 +65,7 @@
 # Limit on remembered incarnations that have ended.
 MAX_ENDED_INCARNATIONS = 100
 # Limit on remembered cancellations of jobs whose submission has not arrived.
-MAX_EARLY_CANCELS = 1000
+MAX_EARLY_CANCELS = 20_000
 
 
 class Pool:
@@ -95,7 +95,7 @@
         self.archive = Archive()
         self._unarchived: set[JobId] = set()
         # Jobs that were cancelled before their submission arrived.
-        self._early_cancels: deque[JobId] = deque(maxlen=MAX_EARLY_CANCELS)
+        self._early_cancels: dict[JobId, None] = {}
         self.workers: dict[WorkerKey, Worker] = {}
         self.latest_incarnations: dict[str, WorkerKey] = {}
         # Incarnations that have ended; the registry may still list them for a while.
@@ -144,7 +144,7 @@
         if row.spec.repeat is not None:
             self.repeating_jobs.add(row.id)
         if row.id in self._early_cancels:
-            self._early_cancels.remove(row.id)
+            del self._early_cancels[row.id]
             self.cancel_job(row.id)
         self.early_reports.add_to(job)
         self.update_startable_steps(job)
@@ -155,7 +155,7 @@
         job = self.jobs.get(job_id)
         if job is None:
             if job_id not in self.archive:
-                self._early_cancels.append(job_id)
+                self._note_early_cancel(job_id)
             return False
         if not job.cancelling:
             if job.state not in FINAL_STATES:
@@ -164,6 +164,15 @@
             self._close_job(job)
         return True
 
+    def _note_early_cancel(self, job_id: JobId) -> None:
+        """Remember the cancellation of a job that is not known yet."""
+        self._early_cancels[job_id] = None
+        if len(self._early_cancels) > MAX_EARLY_CANCELS:
+            dropped = next(iter(self._early_cancels))
+            del self._early_cancels[dropped]
+            self.counts["early_cancels_dropped"] += 1
+            logger.warning("cancellation of an unknown job dropped", extra={"job": dropped})
+
     def fail_job(self, job: Job) -> None:
         """Fail a job that cannot be done."""
         job.fail()
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -20,6 +20,7 @@
 from lavenderstall.pools.pool import (
     BACKOFF_MEMORY_S,
     MAX_BACKOFF_S,
+    MAX_EARLY_CANCELS,
     MIN_BACKOFF_S,
     RECENT_ANSWER_S,
     STOP_RETRY_S,
@@ -93,6 +94,29 @@
         self.assertEqual(bench.pool.jobs, {})
 
 
+class EarlyCancelTest(unittest.TestCase):
+    """Cancellations that arrive before their jobs."""
+
+    def test_many_cancellations_of_unknown_jobs_push_out_no_other(self) -> None:
+        """Fails if a job runs on although its cancellation was read before it."""
+        for others, repeated in ((1, 1), (5000, 1), (600, 3)):
+            with self.subTest(others=others, repeated=repeated):
+                bench = Bench(FIRST)
+                bench.pool.cancel_job(JOB)
+                for _ in range(repeated):
+                    for number in range(1000, 1000 + others):
+                        bench.pool.cancel_job(JobId(f"{number:016x}"))
+                bench.pool.add_job(make_job())
+                self.assertTrue(bench.pool.jobs[JOB].cancelling)
+                self.assertEqual(bench.start(), [])
+
+    def test_cancellations_that_are_pushed_out_are_counted(self) -> None:
+        bench = Bench()
+        for number in range(MAX_EARLY_CANCELS + 2):
+            bench.pool.cancel_job(JobId(f"{number:016x}"))
+        self.assertEqual(bench.pool.counts["early_cancels_dropped"], 2)
+
+
 class OddReportTest(unittest.TestCase):
     """Reports that can't be read in full, or that name tasks which a job has not."""
 
