--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -54,6 +54,8 @@
 # Backoff of a worker that refused starts, left them unanswered, or failed or stalled runs.
 MIN_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 8.0
+# A worker that gave no cause for a backoff for this long after one starts with the shortest again.
+BACKOFF_MEMORY_S = 16.0
 # A worker gets no new tasks once its polls have been unanswered for this long.
 UNRESPONSIVE_S = 1.2
 # In an unresponsive zone, a worker gets no new tasks this long after its last answer.
@@ -63,7 +65,7 @@
 # Limit on remembered incarnations that have ended.
 MAX_ENDED_INCARNATIONS = 100
 # Limit on remembered cancellations of jobs whose submission has not arrived.
-MAX_EARLY_CANCELS = 1000
+MAX_EARLY_CANCELS = 20_000
 
 
 class Pool:
@@ -93,7 +95,7 @@
         self.archive = Archive()
         self._unarchived: set[JobId] = set()
         # Jobs that were cancelled before their submission arrived.
-        self._early_cancels: deque[JobId] = deque(maxlen=MAX_EARLY_CANCELS)
+        self._early_cancels: dict[JobId, None] = {}
         self.workers: dict[WorkerKey, Worker] = {}
         self.latest_incarnations: dict[str, WorkerKey] = {}
         # Incarnations that have ended; the registry may still list them for a while.
@@ -142,7 +144,7 @@
         if row.spec.repeat is not None:
             self.repeating_jobs.add(row.id)
         if row.id in self._early_cancels:
-            self._early_cancels.remove(row.id)
+            del self._early_cancels[row.id]
             self.cancel_job(row.id)
         self.early_reports.add_to(job)
         self.update_startable_steps(job)
@@ -153,7 +155,7 @@
         job = self.jobs.get(job_id)
         if job is None:
             if job_id not in self.archive:
-                self._early_cancels.append(job_id)
+                self._note_early_cancel(job_id)
             return False
         if not job.cancelling:
             if job.state not in FINAL_STATES:
@@ -162,6 +164,15 @@
             self._close_job(job)
         return True
 
+    def _note_early_cancel(self, job_id: JobId) -> None:
+        """Remember the cancellation of a job that is not known yet."""
+        self._early_cancels[job_id] = None
+        if len(self._early_cancels) > MAX_EARLY_CANCELS:
+            dropped = next(iter(self._early_cancels))
+            del self._early_cancels[dropped]
+            self.counts["early_cancels_dropped"] += 1
+            logger.warning("cancellation of an unknown job dropped", extra={"job": dropped})
+
     def fail_job(self, job: Job) -> None:
         """Fail a job that cannot be done."""
         job.fail()
@@ -268,7 +279,7 @@
         self.workers[worker.key] = worker
         self.latest_incarnations[entry.id] = worker.key
         logger.info("worker added", extra={"worker": entry.id, "incarnation": entry.incarnation})
-        for start in self._late_starts.list_for(entry.id, self.now):
+        for start in self._late_starts.take_for(entry.id, self.now):
             self._expect_late_start(worker, start)
         return worker
 
@@ -299,8 +310,10 @@
         ]
         for run in uncertain_runs:
             older.drop_run(run.task, run.number, self.get_allocation(run.task))
+        newer = WorkerKey(entry.id, entry.incarnation)
+        worker = self.workers.get(newer) or self.add_worker(entry)
+        self.takeover.note_worker_replaced(key, worker)
         self.note_worker_lost(key, reason)
-        worker = self.add_worker(entry)
         if uncertain_runs:
             worker.note_possible_starts(self.now)
         for run in uncertain_runs:
@@ -598,10 +611,15 @@
                     self.stop(run)
 
     def back_off(self, worker: Worker) -> None:
-        """Start nothing on a worker for an exponential backoff, reset when it completes a task."""
+        """Start nothing on a worker for an exponential backoff.
+
+        It is reset when the worker completes a task, or has given no cause for some time.
+        """
         worker.backed_off_at = self.now
         if worker.backoff_until > self.now:
             return
+        if self.now - worker.backoff_until > BACKOFF_MEMORY_S:
+            worker.backoff_count = 0
         worker.backoff_count += 1
         worker.backoff_until = self.now + min(
             MAX_BACKOFF_S, MIN_BACKOFF_S * 2 ** (worker.backoff_count - 1)
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -93,10 +93,12 @@
         return min(self.leases_expire_at, self.noted_lease_ends.get(worker, self.leases_expire_at))
 
     def add_workers(self, entries: Iterable[WorkerEntry]) -> None:
-        """Add the workers that earlier owners used; the registry may not list all of them."""
+        """Add the workers that earlier owners used; the registry may not list all of them.
+
+        If it was read before and lists a newer incarnation, the older one has ended.
+        """
         for entry in entries:
-            worker = self._pool.add_worker(entry)
-            worker.registered = False
+            worker = self._find_or_add_worker(entry)
             if not self._recorded:
                 self._unreported_workers.add(worker.key)
 
@@ -134,7 +136,10 @@
 
     def _track_run(self, job: Job, run: Run) -> None:
         recorded_key = run.worker
-        worker = self._pool.workers.get(recorded_key) or self._find_or_add_worker(recorded_key)
+        entry = WorkerEntry(
+            *recorded_key, self._pool.name, "", "", state=WorkerState.READY, capacity=NOTHING
+        )
+        worker = self._find_or_add_worker(entry)
         if worker.key != recorded_key:
             self._pool.crashes.note_earlier_incarnation(job, run, recorded_key)
         run.worker = worker.key
@@ -142,14 +147,11 @@
         worker.add_run(run, self._pool.get_allocation(run.task))
         self._awaited_since.setdefault(worker.key, self._pool.now)
 
-    def _find_or_add_worker(self, key: WorkerKey) -> Worker:
-        """Return the newest known incarnation of a worker, or add one without an address."""
-        latest = self._pool.latest_incarnations.get(key.id)
-        if latest is not None and latest.incarnation >= key.incarnation:
+    def _find_or_add_worker(self, entry: WorkerEntry) -> Worker:
+        """Return the newest known incarnation of a worker, or add one that isn't registered."""
+        latest = self._pool.latest_incarnations.get(entry.id)
+        if latest is not None and latest.incarnation >= entry.incarnation:
             return self._pool.workers[latest]
-        entry = WorkerEntry(
-            key.id, key.incarnation, self._pool.name, "", "", WorkerState.READY, NOTHING
-        )
         worker = self._pool.add_worker(entry)
         worker.registered = False
         return worker
@@ -186,6 +188,11 @@
             },
         )
 
+    def note_worker_replaced(self, worker: WorkerKey, newer: Worker) -> None:
+        """Await the report of a newer incarnation, which may execute starts of earlier owners."""
+        if worker in self._unreported_workers and not newer.accepted_term:
+            self._unreported_workers.add(newer.key)
+
     def check(self) -> None:
         """Unblock inherited jobs once all workers have reported or all leases have expired."""
         if self._pool.now >= self.leases_expire_at:
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -17,18 +17,28 @@
 )
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns
-from lavenderstall.pools.pool import RECENT_ANSWER_S, STOP_RETRY_S, UNRESPONSIVE_S
+from lavenderstall.pools.pool import (
+    BACKOFF_MEMORY_S,
+    MAX_BACKOFF_S,
+    MAX_EARLY_CANCELS,
+    MIN_BACKOFF_S,
+    RECENT_ANSWER_S,
+    STOP_RETRY_S,
+    UNRESPONSIVE_S,
+)
 from lavenderstall.pools.recording import START_LEASE_MS, ProgressBatch
 from lavenderstall.pools.work import EndCause, JobState, Task
 from lavenderstall.pools.workers import (
     MAX_COMMAND_DELAY_S,
     MAX_LEASE_MS,
     MIN_CLOCK_RATE,
+    WorkerEntry,
     WorkerState,
 )
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
     ADVISED,
+    CORE,
     JOB,
     QUEUE,
     Bench,
@@ -84,6 +94,29 @@
         self.assertEqual(bench.pool.jobs, {})
 
 
+class EarlyCancelTest(unittest.TestCase):
+    """Cancellations that arrive before their jobs."""
+
+    def test_many_cancellations_of_unknown_jobs_push_out_no_other(self) -> None:
+        """Fails if a job runs on although its cancellation was read before it."""
+        for others, repeated in ((1, 1), (5000, 1), (600, 3)):
+            with self.subTest(others=others, repeated=repeated):
+                bench = Bench(FIRST)
+                bench.pool.cancel_job(JOB)
+                for _ in range(repeated):
+                    for number in range(1000, 1000 + others):
+                        bench.pool.cancel_job(JobId(f"{number:016x}"))
+                bench.pool.add_job(make_job())
+                self.assertTrue(bench.pool.jobs[JOB].cancelling)
+                self.assertEqual(bench.start(), [])
+
+    def test_cancellations_that_are_pushed_out_are_counted(self) -> None:
+        bench = Bench()
+        for number in range(MAX_EARLY_CANCELS + 2):
+            bench.pool.cancel_job(JobId(f"{number:016x}"))
+        self.assertEqual(bench.pool.counts["early_cancels_dropped"], 2)
+
+
 class OddReportTest(unittest.TestCase):
     """Reports that can't be read in full, or that name tasks which a job has not."""
 
@@ -232,6 +265,22 @@
                 (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
                 self.assertGreater(again.number, order.number)
 
+    def test_a_worker_is_set_aside_for_longer_only_if_it_refuses_again_soon(self) -> None:
+        """Fails if a task that lasts waits with room for it, as its worker refused long ago."""
+        for passed_s, limit_s in ((BACKOFF_MEMORY_S + 1.0, MIN_BACKOFF_S), (0.1, MAX_BACKOFF_S)):
+            with self.subTest(passed_s=passed_s):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job(make_step(long_running=True)))
+                worker = bench.pool.workers[WorkerKey("w1", 1)]
+                for _ in range(6):
+                    bench.poll(FIRST)
+                    (order,) = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                    refusal = Refusal("unhealthy")
+                    bench.pool.note_refused(order.worker, order.task, order.number, refusal)
+                    backoff_s = worker.backoff_until - bench.now
+                    bench.advance(backoff_s + passed_s)
+                self.assertAlmostEqual(backoff_s, limit_s)
+
     def test_a_stop_is_repeated_until_the_run_has_ended(self) -> None:
         bench = Bench(FIRST)
         bench.pool.add_job(make_job())
@@ -313,6 +362,34 @@
                 bench.poll(newer)
                 self.assertEqual(worker.runs, {})
 
+    def test_a_start_that_is_expected_again_and_again_takes_its_allocation_once(self) -> None:
+        """Fails if a worker that restarts repeatedly loses capacity for runs it has not."""
+        for answers in (True, False):
+            with self.subTest(answers=answers):
+                bench = Bench(FIRST)
+                bench.pool.add_job(make_job())
+                (order,) = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                bench.pool.note_unanswered(order.worker, order.task, order.number)
+                bench.pool.cancel_job(JOB)
+                entry = FIRST
+                for incarnation in (2, 3, 4):
+                    if answers or entry is FIRST:
+                        self.refuse(bench, entry, order)
+                    entry = make_entry("w1", incarnation=incarnation)
+                    bench.pool.set_workers([entry])
+                    worker = bench.pool.workers[WorkerKey("w1", incarnation)]
+                    self.assertEqual((worker.used, len(worker.runs)), (CORE, 1))
+                self.refuse(bench, entry, order)
+
+    def refuse(self, bench: Bench, entry: WorkerEntry, order: StartRun) -> None:
+        """Let a worker take a stop of a run, and report that it has none."""
+        key = WorkerKey(entry.id, entry.incarnation)
+        bench.pool.note_stopped(key, order.task, order.number, 1.0)
+        bench.advance(0.1)
+        bench.poll(entry)
+        self.assertEqual(bench.pool.workers[key].used, NOTHING)
+        self.assertEqual(bench.pool.jobs[JOB].list_runs(), [])
+
     def test_a_run_that_may_start_in_a_newer_incarnation_keeps_its_lease(self) -> None:
         longest_s = MAX_COMMAND_DELAY_S + MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
         for passed_s, restarts in ((0.1, False), (longest_s, False), (longest_s + 0.5, True)):
