Refuse a job whose needs no row can hold

Callers saw nothing yet: a job that asks for more than 10^12 of a resource was accepted, and no owner could read its row, so that it would never run and its state stay queued.

--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from lavenderstall.identifiers import JobId
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import MAX_AMOUNT, NOTHING, Resources
 
 PoolName = NewType("PoolName", str)
 QueueName = NewType("QueueName", str)
@@ -130,21 +130,20 @@
             raise InvalidJobError(f"step {number} has {step.count} tasks, not 1 to {MAX_TASKS}")
         if any(not 0 <= earlier < number for earlier in step.after):
             raise InvalidJobError(f"step {number} waits for a step that is not an earlier one")
-        figures = (
+        needs = (
             step.need.cores_milli,
             step.need.memory_mb,
             step.need.accelerators,
             step.need.slots,
             step.need.connections,
-            step.expected_ms,
-            step.max_per_worker,
-            step.target_ms,
-            step.max_missing,
         )
-        if min(figures) < 0:
+        figures = (step.expected_ms, step.max_per_worker, step.target_ms, step.max_missing)
+        if min(*needs, *figures) < 0:
             raise InvalidJobError(f"step {number} asks for a negative amount")
+        if max(needs) > MAX_AMOUNT:
+            raise InvalidJobError(f"step {number} asks for more than {MAX_AMOUNT}")
         if max(figures) > MAX_FIGURE:
-            raise InvalidJobError(f"step {number} asks for more than {MAX_FIGURE}")
+            raise InvalidJobError(f"step {number} has a figure above {MAX_FIGURE}")
     if spec.repeat is not None:
         check_repeat(spec.repeat)
 
