Play random faults beside rows that can't be read

Half of the faults in these sequences are odd rows: over the rows of owners, rosters, instances and workers, beside those of jobs, progress and cancellations, and in the answers of workers. No promise may break, and every job must end once the workers' entries are restored.

The random faults without odd rows draw the same seeds as before.

--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -1,7 +1,7 @@
 """Tests of whole cells on the fake platform under faults."""
 
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
 
@@ -20,6 +20,7 @@
 from tests.platform.simulated_cell import POOLS, STEP_S, SimulatedCell
 from tests.pools.builders import make_job, make_step
 
+Fault = Callable[[SimulatedCell, Random, list[str], list[str]], None]
 STEP = {"count": 3, "cpu": 2000, "taskMemoryMb": 500, "estimatedDurationMs": 400}
 NEXT = {"count": 2, "cpu": 1000, "taskMemoryMb": 500, "estimatedDurationMs": 300, "after": [0]}
 LONG = {"count": 4, "cpu": 4000, "taskMemoryMb": 500, "estimatedDurationMs": 3000}
@@ -541,8 +542,13 @@
         play(self, 298)
 
 
-def play(case: unittest.TestCase, seed: int) -> None:
-    """Run one random sequence of faults and check every invariant."""
+def play(
+    case: unittest.TestCase,
+    seed: int,
+    more_faults: Sequence[Fault] = (),
+    recover: Callable[[SimulatedCell], None] = lambda cell: None,
+) -> None:
+    """Run one random sequence of faults and check every invariant; recover from more faults."""
     random = Random(seed)
     cell = start_cell(3, 6)
     steps = ([STEP], [STEP, NEXT], [GANG], [LONG], [LONG, NEXT])
@@ -558,13 +564,14 @@
                 [dict(s) for s in random.choice(steps)],
             )
         live = [name for name in cell.nodes if name not in frozen]
-        random.choice(FAULTS)(cell, random, live, frozen)
+        random.choice((*FAULTS, *more_faults))(cell, random, live, frozen)
         cell.run(random.uniform(0.05, 0.8))
     cell.platform.store_mode = "up"
     for name in frozen:
         cell.thaw(name)
     restore_connections(cell, random, [], [])
     start_all(cell, random, [], [])
+    recover(cell)
     cell.run(45.0)
     checker = cell.platform.checker
     case.assertEqual(checker.violations, [], f"seed {seed}")
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 from collections.abc import Iterator
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
@@ -26,7 +27,7 @@
 from lavenderstall.resources import Resources
 from tests.platform.fake_platform import FakeWorker
 from tests.platform.simulated_cell import POOLS, SimulatedCell
-from tests.platform.test_faults import LONG, STEP, make_name, start_cell
+from tests.platform.test_faults import LONG, STEP, make_name, play, start_cell
 from tests.pools.builders import Bench, make_entry, make_job, make_step
 
 ROUTING = PoolName("routing")
@@ -444,5 +445,51 @@
                 self.assertEqual(counters["rows_unreadable"], 1)
 
 
+class RandomFaultsTest(unittest.TestCase):
+    """Random sequences of faults, among them rows that can't be read."""
+
+    @settings(max_examples=8, deadline=None)
+    @given(st.integers(0, 10_000))
+    def test_no_promise_breaks_beside_odd_rows(self, seed: int) -> None:
+        """Fails if a task is started twice or never, or against any other rule."""
+        play(self, seed, ODD_FAULTS, recover)
+
+
+def put_odd_row(cell: SimulatedCell, random: Random, live: list[str], frozen: list[str]) -> None:
+    """Write a row that can't be read, over a sound one in some tables."""
+    number = random.randrange(100)
+    table, part, key = random.choice(
+        (
+            *(("owners", pool, key) for pool in POOLS for key in ("owner", "roster")),
+            *((table, f"routing/{number % 8}", f"odd{number}") for table in ("jobs", "cancels")),
+            ("progress", "vision", f"odd{number}"),
+            ("entries", "", f"entry-{number % 4}"),
+            (REGISTRY_TABLE, "", f"odd{number}"),
+            *((REGISTRY_TABLE, "", worker.name) for worker in cell.platform.workers.values()),
+        )
+    )
+    values = (b"", b"text", b"7", NESTED_LISTS, b"\x91" * NESTED + b"\x90")
+    cell.platform.put_bytes(table, part, key, random.choice(values))
+
+
+def report_odd_runs(
+    cell: SimulatedCell, random: Random, live: list[str], frozen: list[str]
+) -> None:
+    """Let a worker report runs that can't be read, or none."""
+    worker = random.choice(list(cell.platform.workers.values()))
+    worker.odd_running = random.choice(([], [None], [["odd", 1, "", 1, 0]]))
+
+
+def recover(cell: SimulatedCell) -> None:
+    """Restore the entries and the answers of the workers."""
+    for worker in cell.platform.workers.values():
+        worker.odd_running = []
+    cell.platform.register()
+
+
+# Odd rows are about as frequent as all other faults together.
+ODD_FAULTS = (*[put_odd_row] * 10, report_odd_runs)
+
+
 if __name__ == "__main__":
     unittest.main()
