--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -1,6 +1,7 @@
 """Rows of the pool scheduler in the store: tables, keys and values."""
 
 from enum import Enum
+from itertools import chain
 from zlib import crc32
 
 import msgspec
@@ -40,12 +41,21 @@
 PRESENCES = frozenset(presence.value for presence in Presence)
 
 
+class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
+    """An earlier owner of a pool; its leases end by `leases_end_ms` on the store's clock."""
+
+    entry: EntryId
+    term: int
+    leases_end_ms: float
+
+
 class OwnerRow(msgspec.Struct, omit_defaults=True):
     """The owner of a pool; `renewed_ms` is the store's clock at its last renewal.
 
     A pool is `released` once its owner has stopped scheduling. With `unrecorded`, tasks may be
     running that are in no progress row. `sequence` counts the transactions of this ownership. An
-    owner that hasn't renewed for `expiry_ms` may be replaced.
+    owner that hasn't renewed for `expiry_ms` may be replaced. `earlier` lists the owners before it
+    whose leases may last; none means that they are not known.
     """
 
     entry: EntryId
@@ -56,12 +66,27 @@
     unrecorded: bool = False
     sequence: int = 0
     expiry_ms: float = BASE_EXPIRY_MS
+    earlier: list[EarlierOwner] | None = None
+
+
+class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
+    """When all leases on a worker that is silent end, on the store's clock."""
+
+    worker: str
+    incarnation: int
+    end_ms: float
 
 
 class RosterRow(msgspec.Struct, omit_defaults=True):
-    """Workers used by owners of a pool, some of which the registry may not list."""
+    """Workers used by owners of a pool, some of which the registry may not list.
+
+    No owner extends a lease on a worker in `lease_ends` while the row says so. They hold for the
+    successor of the owner of `term` alone, as others may not have heeded them.
+    """
 
     workers: list[WorkerEntry] = []
+    lease_ends: list[LeaseEnd] = []
+    term: int = 0
 
 
 class EntryRecord(msgspec.Struct, omit_defaults=True):
@@ -110,13 +135,17 @@
 
 def decode_roster(value: bytes) -> RosterRow:
     """Decode the value of a roster row, or raise `UnreadableError`."""
-    return decode_msgpack(value, RosterRow)
+    roster = decode_msgpack(value, RosterRow)
+    if not all(0 <= each.end_ms <= MAX_FIGURE for each in roster.lease_ends):
+        raise UnreadableError("the roster row has an end of leases out of bounds")
+    return roster
 
 
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the value of an owner row, or raise `UnreadableError`."""
     owner = decode_msgpack(value, OwnerRow)
-    figures = (owner.term, owner.sequence, owner.renewed_ms, owner.expiry_ms)
+    figures = [owner.term, owner.sequence, owner.renewed_ms, owner.expiry_ms]
+    figures += chain.from_iterable((each.term, each.leases_end_ms) for each in owner.earlier or ())
     if not all(0 <= figure <= MAX_FIGURE for figure in figures):
         raise UnreadableError("the owner row has a figure out of bounds")
     return owner
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -1,14 +1,17 @@
 """Takeover of a pool: jobs and runs inherited from earlier owners."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
-from lavenderstall.identifiers import JobId
+import msgspec
+
+from lavenderstall.identifiers import EntryId, JobId
+from lavenderstall.pools.claims import LEASE_LIFETIME_S
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Job, Run
 from lavenderstall.pools.step_advice import StepAdvice
-from lavenderstall.pools.work import StepKey
+from lavenderstall.pools.work import StepKey, get_step_key
 from lavenderstall.pools.workers import Worker, WorkerEntry, WorkerState
 from lavenderstall.resources import NOTHING
 
@@ -17,6 +20,18 @@
 
 logger = logging.getLogger(__name__)
 
+# What a takeover still waits for is logged at this interval, for so many workers and steps.
+WAIT_LOG_INTERVAL_S = 1.0
+MAX_LOGGED = 10
+
+
+class EarlierLeases(msgspec.Struct):
+    """An earlier owner, and when the leases that it has extended expire (seconds of uptime)."""
+
+    entry: EntryId
+    term: int
+    expire_at: float
+
 
 class Takeover:
     """Start no inherited task while an earlier owner's run of it may exist.
@@ -34,9 +49,49 @@
         self._unknown_workers = False
         self._blocked_jobs: set[JobId] = set()
         self._loaded = False
+        # Workers with inherited runs, and since when their reports are awaited.
+        self._awaited_since: dict[WorkerKey, float] = {}
+        self._logged_at = -1.0
+        # When leases expire that any earlier owner may have extended, or extends yet.
         self.leases_expire_at = leases_expire_at
+        self.earlier_owners: list[EarlierLeases] = []
+        # When the leases on workers expire that earlier owners knew to be silent.
+        self.noted_lease_ends: dict[WorkerKey, float] = {}
         self.complete = False
 
+    def add_earlier_owners(self, owners: Iterable[EarlierLeases]) -> None:
+        """Add the earlier owners whose leases may last."""
+        self.earlier_owners.extend(owners)
+        self._update_lease_expiry()
+
+    def note_owner_stopped(self, entry: EntryId, term: int) -> None:
+        """Note that an instance does not act as an owner of a term below this one any more.
+
+        What it has extended lasts for `LEASE_LIFETIME_S` from now on at most.
+        """
+        expire_at = self._pool.now + LEASE_LIFETIME_S
+        for owner in self.earlier_owners:
+            if owner.entry == entry and owner.term < term and owner.expire_at > expire_at:
+                owner.expire_at = expire_at
+                self._update_lease_expiry()
+                logger.info(
+                    "earlier owner has stopped",
+                    extra={
+                        "pool": self._pool.name,
+                        "owner": entry,
+                        "term": owner.term,
+                        "left_ms": round((self.leases_expire_at - self._pool.now) * 1000),
+                    },
+                )
+
+    def _update_lease_expiry(self) -> None:
+        if self.earlier_owners:
+            self.leases_expire_at = max(owner.expire_at for owner in self.earlier_owners)
+
+    def get_lease_expiry(self, worker: WorkerKey) -> float:
+        """Return when leases of earlier owners on a worker have expired."""
+        return min(self.leases_expire_at, self.noted_lease_ends.get(worker, self.leases_expire_at))
+
     def add_workers(self, entries: Iterable[WorkerEntry]) -> None:
         """Add the workers that earlier owners used; the registry may not list all of them.
 
@@ -69,7 +124,7 @@
 
     def add_new_job(self, job: Job) -> None:
         """Block a job that an earlier owner may have started too, as it acts until it is fenced."""
-        if self._awaits_reports() and self._pool.now < self.leases_expire_at:
+        if self._awaits_reports():
             self._blocked_jobs.add(job.id)
 
     def _restore_advice(self, job: Job) -> None:
@@ -90,6 +145,7 @@
         run.worker = worker.key
         job.add_run(run)
         worker.add_run(run, self._pool.get_allocation(run.task))
+        self._awaited_since.setdefault(worker.key, self._pool.now)
 
     def _find_or_add_worker(self, entry: WorkerEntry) -> Worker:
         """Return the newest known incarnation of a worker, or add one that isn't registered."""
@@ -116,9 +172,21 @@
         """Tell whether blocked jobs wait for the report of a worker."""
         return worker in self._unreported_workers
 
-    def note_worker_reported(self, worker: WorkerKey) -> None:
-        """Note that a worker has reported its runs, or has no runs any more."""
+    def note_worker_reported(self, worker: WorkerKey, how: str) -> None:
+        """Note that a worker has reported its runs, or has no runs any more; `how` is logged."""
         self._unreported_workers.discard(worker)
+        since = self._awaited_since.pop(worker, None)
+        if since is None:
+            return
+        self._pool.counts["takeover_workers_resolved"] += 1
+        logger.info(
+            "worker of an earlier owner resolved",
+            extra={
+                "worker": worker.id,
+                "how": how,
+                "waited_ms": round((self._pool.now - since) * 1000),
+            },
+        )
 
     def note_worker_replaced(self, worker: WorkerKey, newer: Worker) -> None:
         """Await the report of a newer incarnation, which may execute starts of earlier owners."""
@@ -127,11 +195,14 @@
 
     def check(self) -> None:
         """Unblock inherited jobs once all workers have reported or all leases have expired."""
-        expired = self._pool.now >= self.leases_expire_at
-        if expired:
+        if self._pool.now >= self.leases_expire_at:
             self._unknown_workers = False
-        if self._blocked_jobs and (expired or not self._awaits_reports()):
+        for worker in list(self._unreported_workers):
+            if self._pool.now >= self.get_lease_expiry(worker):
+                self.note_worker_reported(worker, "leases expired")
+        if self._blocked_jobs and not self._awaits_reports():
             self._unblock_jobs()
+        self._log_waits()
         if not self.complete and not self._blocked_jobs and not self._has_inherited_runs():
             self.complete = True
             logger.info(
@@ -145,18 +216,69 @@
         blocked_jobs, self._blocked_jobs = self._blocked_jobs, set()
         logger.info(
             "inherited jobs unblocked",
-            extra={
-                "jobs": len(blocked_jobs),
-                "unheard": [key.id for key in self._unreported_workers],
-            },
+            extra={"jobs": len(blocked_jobs)},
         )
-        self._unreported_workers.clear()
         for job_id in blocked_jobs:
             job = self._pool.jobs.get(job_id)
             if job is not None:
                 self._pool.update_startable_steps(job)
 
     def _has_inherited_runs(self) -> bool:
-        return any(
-            run.inherited for worker in self._pool.workers.values() for run in worker.runs.values()
+        return any(True for _ in self._iterate_inherited_runs())
+
+    def _iterate_inherited_runs(self) -> Iterator[tuple[Worker, Run]]:
+        for worker in self._pool.workers.values():
+            for run in worker.runs.values():
+                if run.inherited:
+                    yield worker, run
+
+    def _log_waits(self) -> None:
+        """Log which workers and steps are waited for, at most once per `WAIT_LOG_INTERVAL_S`."""
+        now = self._pool.now
+        if self.complete or now - self._logged_at < WAIT_LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        workers: dict[WorkerKey, Worker] = {}
+        steps: dict[StepKey, list[Run]] = {}
+        for worker, run in self._iterate_inherited_runs():
+            workers[worker.key] = worker
+            steps.setdefault(get_step_key(run.task), []).append(run)
+        self._log_awaited_workers(workers.values())
+        for step_key, runs in list(steps.items())[:MAX_LOGGED]:
+            logger.info(
+                "tasks of a step wait for inherited runs",
+                extra={
+                    "job": step_key.job,
+                    "step": step_key.step,
+                    "tasks": len(runs),
+                    "workers": sorted({run.worker.id for run in runs})[:MAX_LOGGED],
+                    "steps": len(steps),
+                },
+            )
+
+    def _log_awaited_workers(self, workers: Iterable[Worker]) -> None:
+        found = list(workers)
+        unreported = self._unreported_workers - {worker.key for worker in found}
+        if not found and not unreported:
+            return
+        logger.info(
+            "takeover waits for workers",
+            extra={
+                "pool": self._pool.name,
+                "term": self._pool.term,
+                "workers": [self._describe(worker) for worker in found[:MAX_LOGGED]],
+                "with_runs": len(found),
+                "without_runs": len(unreported),
+                "blocked_jobs": len(self._blocked_jobs),
+            },
         )
+
+    def _describe(self, worker: Worker) -> dict[str, object]:
+        return {
+            "worker": worker.key.id,
+            "runs": len(worker.runs),
+            "registered": worker.registered,
+            "addressed": bool(worker.entry.address),
+            "unreachable": worker.unreachable,
+            "left_ms": round((self._pool.get_lease_expiry(worker) - self._pool.now) * 1000),
+        }
