Test that an owner that is released soon hides no lease of the one before

Its owner and the worker were cut off, a second owner took the pool over and released it within seconds, and a third started the task again, as a released owner's successor waits for one lease only.

Measured: tests.platform.test_faults.TakeoverTest passes.

--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -229,6 +229,29 @@
             cell.start(name)
         self.assertTrue(cell.run_until(lambda: cell.find_owner("routing") is not None, 0.5))
 
+    def test_an_owner_that_is_released_soon_hides_no_lease_of_the_one_before(self) -> None:
+        """Fails if a task starts twice, as the one before may extend leases for some time."""
+        for owned_s in (1.5, 3.5):
+            with self.subTest(owned_s=owned_s):
+                cell = SimulatedCell(3, 4, advice=False)
+                cell.run(2.0)
+                cell.submit("entry-0", "routing", make_name(1), [{**LONG, **ENDLESS, "count": 1}])
+                cell.run(1.0)
+                owner = cell.find_owner("routing")
+                assert owner is not None
+                cell.nodes[owner].http_client.unreachable.add(STORE)
+                busy = next(a for a, worker in cell.platform.workers.items() if worker.running)
+                for other in cell.nodes.keys() - {owner}:
+                    cell.disconnect(owner, other)
+                    cell.nodes[other].http_client.unreachable.add(busy)
+                cell.run(owned_s)
+                others = [node for name, node in cell.nodes.items() if name != owner]
+                (second,) = (n for n in others if "routing" in n.instance.owned_pools)
+                Deferred.fromCoroutine(second.instance.release_pools())
+                cell.run(20.0)
+                self.assertEqual(cell.platform.checker.violations, [])
+                self.assertEqual(cell.platform.checker.starts, 2)
+
     def start_unrecorded(self) -> SimulatedCell:
         """Return a cell with a slow store and a task that has started and is in no record."""
         cell = SimulatedCell(3, 4, advice=False)
