Acknowledge an end only once its job is read and its progress recorded

Callers saw nothing yet: a task that is done could run again (TWICE), if its owner had taken the pool over just before, acknowledged the end to the worker, and ended before it had read the job.

Cause: ends of jobs that the owner has not read yet are kept in memory. They counted as applied, and any commit acknowledged them, though no row held them; the worker forgets an acknowledged end.

Class of the fault: a cursor that moves past what was not applied.

Evidence: the new test of tests.pools.test_takeover fails without the bound on acknowledged ends in both cases ("(2, 7) != (1, 7)").

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -462,11 +462,21 @@
         self.takeover.check()
 
     def end_run(
-        self, worker: Worker, task: Task, number: int, cause: EndCause, checkpoint: str
+        self,
+        worker: Worker,
+        task: Task,
+        number: int,
+        cause: EndCause,
+        checkpoint: str,
+        seq: int = 0,
     ) -> None:
-        """Release the allocation of a run and apply its end to its job, now or once it is read."""
+        """Release the allocation of a run and apply its end to its job, now or once it is read.
+
+        `seq` is the number of the end at its worker, 0 if the worker has not reported it.
+        """
         if task.job not in self.jobs:
-            self.early_reports.note_end(RunEnd(0, task, number, cause, checkpoint))
+            end = RunEnd(seq, task, number, cause, checkpoint)
+            self.early_reports.note_end(worker.key, end)
         run = worker.drop_run(task, number, self.get_allocation(task))
         if run is not None and cause is EndCause.LOST:
             self._late_starts.note_dropped(run, self.now)
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -61,7 +61,7 @@
     )
     pool.counts[f"ended_{end.cause.value}"] += 1
     check_worker_faults(pool, worker, end)
-    pool.end_run(worker, end.task, end.number, end.cause, end.checkpoint)
+    pool.end_run(worker, end.task, end.number, end.cause, end.checkpoint, end.seq)
 
 
 def apply_run_status(pool: "Pool", worker: Worker, row: RunStatus) -> None:
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -74,11 +74,15 @@
         starts = chain.from_iterable(self._pending_starts.pop(job, []) for job in jobs)
         jobs_by_id = self._pool.jobs
         covered_workers = {} if self.changed_jobs else self._pool.workers
+        held_seqs = self._pool.early_reports.list_held_seqs()
         return ProgressBatch(
             {job: self._make_progress(jobs_by_id[job]) for job in jobs},
             {job: jobs_by_id[job].state for job in jobs},
             list(starts),
-            {key: worker.applied_seq for key, worker in covered_workers.items()},
+            {
+                key: min(worker.applied_seq, held_seqs.get(key, worker.applied_seq + 1) - 1)
+                for key, worker in covered_workers.items()
+            },
             {job: jobs_by_id[job].crash_changes for job in jobs},
         )
 
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -6,6 +6,7 @@
 from lavenderstall.identifiers import EntryId, JobId
 from lavenderstall.pools.claims import LEASE_LIFETIME_S
 from lavenderstall.pools.dispatch import Dispatcher
+from lavenderstall.pools.early_reports import MAX_HOLD_S
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import RecordedRuns, StepProgress
@@ -209,6 +210,25 @@
                 started = [e.task for e in bench.dispatch() if isinstance(e, StartRun)]
                 self.assertEqual(NEW_TASK in started, cause is EndCause.STOPPED)
 
+    def test_an_end_is_acknowledged_once_its_job_is_read_and_recorded(self) -> None:
+        """Fails if a task that is done runs again, as its owner ends before it reads the job."""
+        for read in (True, False):
+            with self.subTest(read=read):
+                bench = self.take_over(recorded_all=False)
+                bench.poll(FIRST, [], [RunEnd(1, TASK, 1, EndCause.STOPPED)])
+                bench.poll(FIRST, [], [RunEnd(2, NEW_TASK, 1, EndCause.DONE)])
+                bench.poll(SECOND, [], [RunEnd(7, TASK, 2, EndCause.STOPPED)])
+                bench.record()
+                first = bench.pool.workers[WorkerKey("w1", 1)]
+                second = bench.pool.workers[WorkerKey("w2", 1)]
+                self.assertEqual((first.committed_seq, second.committed_seq), (1, 7))
+                if read:
+                    bench.pool.add_job(make_job(job=NEW))
+                else:
+                    bench.advance(MAX_HOLD_S)
+                bench.record()
+                self.assertEqual(first.committed_seq, 2)
+
     def test_work_that_is_not_recorded_starts_at_once(self) -> None:
         bench = self.take_over()
         bench.poll(FIRST)
