Pause between reads of all rows if the store keeps no history

Callers saw nothing yet: where the store drops its history as fast as it is read, each instance read all rows again without a pause, beyond the rate that the store accepts from all instances together.

Cause: after a lost history the rows are read again and the feed is asked at once; if the history is lost again, that repeats at the pace of the store's answers.

Evidence: the new test of tests.platform.test_feeds fails on the code before (3,028 calls in 5 s of three instances and two pools, bound 1,500).

Measured: tests.platform.test_feeds passes.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -303,6 +303,7 @@
             page = await self._store.poll_changes(JOBS, self._jobs_version, FEED_WAIT_MS)
         except HistoryLostError:
             self._jobs_version = await self._read_again(JOBS, self._add_jobs)
+            await sleep(self._clock, RETRY_DELAY_S)
             return
         rows = self._select_rows(page)
         added = self._add_jobs(rows)
@@ -354,6 +355,7 @@
             page = await self._store.poll_changes(CANCELS, self._cancels_version, FEED_WAIT_MS)
         except HistoryLostError:
             self._cancels_version = await self._read_again(CANCELS, self._cancel_jobs)
+            await sleep(self._clock, RETRY_DELAY_S)
             return
         self._cancel_jobs(self._select_rows(page))
         self._cancels_version = page.version
--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -55,6 +55,7 @@
                 await self._read_changes()
             except HistoryLostError:
                 self._version = -1
+                await sleep(self._clock, RETRY_DELAY_S)
             except LavenderstallError as error:
                 self._log_feed_loss(error)
                 await sleep(self._clock, RETRY_DELAY_S)
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -403,6 +403,7 @@
         self.store_delay_s = STORE_DELAY_S
         self.down_partitions: set[str] = set()
         self.feeds_silent = False
+        self.keeps_history = True
         self.start_delay_s = 0.0
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
@@ -480,7 +481,7 @@
             )
             limit = int(query.get("limit", 500))
             return 200, {**base, "rows": rows[:limit], "hasMore": len(rows) > limit}
-        if int(query["after"]) < self.oldest:
+        if int(query["after"]) < self.oldest or not self.keeps_history:
             return 410, {}
         rows = [
             row
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -9,6 +9,8 @@
 LASTING = {"count": 1, "cpu": 1000, "taskMemoryMb": 500, "longRunning": True}
 POOL = PoolName("routing")
 JOB = f"{1:016x}"
+# Calls of three instances and the owners of two pools.
+MAX_CALLS_PER_S = 300
 
 
 class LostHistoryTest(unittest.TestCase):
@@ -76,6 +78,18 @@
                 self.lose_history(cell, down)
                 self.assert_running(cell, False, 2.0)
 
+    def test_a_store_that_keeps_no_history_is_not_flooded(self) -> None:
+        """Fails if instances read all rows again without a pause; the store rejects too many."""
+        cell, writer = self.start_cell()
+        cell.platform.keeps_history = False
+        calls = cell.platform.calls
+        cell.run(5.0)
+        self.assertLess(cell.platform.calls - calls, 5 * MAX_CALLS_PER_S)
+        self.hide(cell, writer)
+        cell.platform.feeds_silent = False
+        cell.submit(writer, POOL, JOB, [dict(LASTING)])
+        self.assert_running(cell, True, 1.0)
+
     def test_a_partition_that_can_not_be_read_hides_no_job_of_another(self) -> None:
         cell, writer = self.start_cell()
         self.hide(cell, writer)
