Wait for a late start at a restarted worker after a takeover too

Callers saw nothing yet: a task could run on two workers (TWICE) after a takeover, if its start had no answer, its worker restarted under its name and is not reached by the new owner, and the start is carried out there later than the leases of the earlier owner last.

Cause: the new owner waited for the leases that earlier owners may have extended.

Class of the fault: what was proven of one process is taken to hold for the next.

Change: a recorded run that may start in a newer incarnation of its worker is kept for the longest delay of a command and a lease, as at the owner that sent it, unless the newer incarnation reports.

--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -142,6 +142,7 @@
         worker = self._find_or_add_worker(entry)
         if worker.key != recorded_key:
             self._pool.crashes.note_earlier_incarnation(job, run, recorded_key)
+            worker.note_possible_starts(self._pool.now)
         run.worker = worker.key
         job.add_run(run)
         worker.add_run(run, self._pool.get_allocation(run.task))
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -13,6 +13,7 @@
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.takeover import MAX_LOGGED, EarlierLeases
 from lavenderstall.pools.work import EndCause, JobState, Settings, StepKey, Task
+from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S, MAX_LEASE_MS, MIN_CLOCK_RATE
 from lavenderstall.resources import NOTHING
 from tests.pools.builders import (
     ADVISED,
@@ -103,6 +104,18 @@
         self.assertEqual(bench.dispatch(), [])
         self.assertEqual(len(bench.pool.workers[WorkerKey("w2", 2)].runs), 1)
 
+    def test_a_recorded_run_is_awaited_until_a_late_start_of_it_has_lapsed(self) -> None:
+        """Fails if a task starts twice, as a restarted worker may still execute its first start."""
+        longest_s = MAX_COMMAND_DELAY_S + MAX_LEASE_MS / 1000 / MIN_CLOCK_RATE
+        for passed_s, restarts in ((longest_s, False), (longest_s + 0.5, True)):
+            with self.subTest(passed_s=passed_s):
+                bench = self.take_over(RecordedRuns("w2", 0, [(0, 1)]))
+                bench.poll(FIRST)
+                bench.advance(passed_s)
+                bench.poll(FIRST)
+                starts = [e for e in bench.dispatch() if isinstance(e, StartRun)]
+                self.assertEqual(bool(starts), restarts)
+
     def test_an_older_roster_hides_no_newer_incarnation(self) -> None:
         """Fails if runs of a worker are forgotten, as the registry was read before the roster."""
         newer = make_entry("w1", incarnation=2)
