--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -367,6 +367,8 @@
             ('["7","a.0.0.2",2,"done",""]', EndCause.DONE, 7),
             ('[-7,"a.0.0.2",2,"done",""]', EndCause.DONE, 7),
             ("[" + "9" * 400 + ',"a.0.0.2",2,"done",""]', EndCause.DONE, 7),
+            ('[70000000,"a.0.0.2",2,"exploded",""]', EndCause.LOST, 7),
+            ('[70000000,"a.0.0",2,"done",""]', None, 7),
             ('[7,"a.0.0",2,"done",""]', None, 7),
             ('[7,"a.0.0.2",-2,"done",""]', None, 7),
             ('[7,"a.0.0.2",1e999,"done",""]', None, 7),
