--- /dev/null
+++ b/review/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform for the cases of this review."""
