--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,9 +19,9 @@
 CAPACITY = {"cpu": 64000, "taskMemoryMb": 131072, "gpu": 0}
 WORKERS = 4
 # The scheduled job: each 3 s, five steps after each other of 56 tasks that save checkpoints.
-OCCURRENCES, STEPS, TASKS, TASK_MS, INTERVAL_MS = 12, 5, 56, 1300, 3000
+OCCURRENCES, STEPS, TASKS, TASK_MS, INTERVAL_MS = 14, 5, 56, 2300, 3000
 ORDINARY_INTERVAL_S = 1.0
-TRAFFIC_S = 48.0
+TRAFFIC_S = 56.0
 # `finish_s`, and the time for which a job may have nothing running.
 FINISH_S, IDLE_S = 14.0, 3.0
 SCHEDULED, LASTING = make_job_id(0xB0), make_job_id(0xB1)
--- a/review/lab/cell.py
+++ b/review/lab/cell.py
@@ -43,7 +43,7 @@
 finish_s = 14
 status_s = 120
 remoteFactor = 2
-checkpointIntervalS = 1
+checkpointIntervalS = 2
 restoreTimeoutMs = 250
 leaseDurationMs = 3000
 """
