Find a job by its ID alone, and keep it in the pool that accepted it

Cause: a job's rows lay in parts named after the pool that its queue belongs to in the configuration of the moment; each request looked there. The dispatch passed over jobs whose queue isn't one of the pool now.

Change: rows of a job lie in a part given by its ID, and hold its queue as accepted, with the pool. Of an ended job, ID and pool stay as long as its state is kept. Cancellations, states, hints, the count of waiting jobs, attempts, advice and waiting tasks follow the row. A pool whose service is removed keeps an owner.

--- a/lavenderstall/pools/advice_requests.py
+++ b/lavenderstall/pools/advice_requests.py
@@ -178,7 +178,7 @@
             if not job.started or len(job.spec.steps) == 1:
                 continue
             queue = self._pool.get_queue(job)
-            if queue is None or queue.advising is None:
+            if queue.advising is None:
                 continue
             for occurrence in job.list_due_occurrences(self._pool.unix_ms):
                 self._prefetch_occurrence(job, occurrence, queue, queue.advising, usable_workers)
--- a/lavenderstall/pools/archive.py
+++ b/lavenderstall/pools/archive.py
@@ -9,8 +9,8 @@
 
 # How long the state of an ended job is kept; a repeated submission arrives much sooner.
 RETENTION_S = 600.0
-# Submitted rows are deleted this long after their job was archived.
-ROW_DELETION_DELAY_S = 2.0
+# Submitted rows are replaced this long after their job was archived.
+ROW_REPLACEMENT_DELAY_S = 2.0
 
 
 class ArchivedJob(NamedTuple):
@@ -21,10 +21,11 @@
 
 
 class Archive:
-    """Keep final states, and the ids of jobs whose submitted rows are to be deleted.
+    """Keep final states, and the ids of jobs whose submitted rows are to be replaced.
 
-    Only the progress row of an ended job is kept, without its steps, so that a repeated submission
-    does not run again. Both mappings are in the order of time.
+    Of an ended job the progress row is kept, without its steps, and an `EndedJob` in place of what
+    was submitted, so that a repeated submission does not run again. Both mappings are in the order
+    of time.
     """
 
     def __init__(self) -> None:
@@ -45,14 +46,14 @@
         return found.state if found else None
 
     def list_obsolete_submissions(self, now: float, limit: int) -> list[JobId]:
-        """Return the oldest jobs whose submitted rows may be deleted."""
+        """Return the oldest jobs whose submitted rows may be replaced."""
         old = takewhile(
-            lambda item: now - item[1] > ROW_DELETION_DELAY_S, self._submissions.items()
+            lambda item: now - item[1] > ROW_REPLACEMENT_DELAY_S, self._submissions.items()
         )
         return [job for job, _ in islice(old, limit)]
 
-    def note_deleted(self, jobs: Iterable[JobId]) -> None:
-        """Note that the submitted rows of some jobs are gone."""
+    def note_replaced(self, jobs: Iterable[JobId]) -> None:
+        """Note that the submitted rows of some jobs are replaced."""
         for job in jobs:
             self._submissions.pop(job, None)
 
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -384,14 +384,17 @@
     # Ownership
 
     async def _claim_ownerless_pools(self) -> None:
-        for pool in self.settings.pools:
+        for pool in self._list_pools():
             self._start_claim_check(pool)
         await sleep(self._clock, CLAIM_CHECK_INTERVAL_S)
 
+    def _list_pools(self) -> set[PoolName]:
+        """Return the configured pools, and former ones that may have unfinished jobs."""
+        return {*self.settings.pools, *self.peers.get_terms()}
+
     def _start_claim_check(self, pool: PoolName) -> None:
-        known = pool in self.settings.pools
         if (
-            known
+            pool in self._list_pools()
             and pool not in self._claims_in_progress
             and pool not in self.owned_pools
             and not self.draining
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -9,19 +9,44 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.crash_records import Crash, confirm_crashes, count_runs, drop_crashes
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.work import FINAL_STATES, EndCause, JobSpec, JobState, Queue, StepKey, Task
+from lavenderstall.pools.work import (
+    FINAL_STATES,
+    EndCause,
+    JobSpec,
+    JobState,
+    PoolName,
+    Queue,
+    StepKey,
+    Task,
+)
 
 MAX_DIGITS = 10
 
 
-class AcceptedJob(msgspec.Struct, frozen=True, omit_defaults=True):
-    """A stored job: what was submitted, to which queue and when (Unix milliseconds)."""
+class AcceptedJob(msgspec.Struct, tag="accepted", frozen=True, omit_defaults=True):
+    """A stored job: what was submitted and when (Unix milliseconds).
+
+    `queue` is its queue as it was configured then. The job stays in that queue's pool, whatever
+    later configurations say of the queue.
+    """
 
     id: JobId
-    queue: str
+    queue: Queue
     spec: JobSpec
     accepted_ms: int = 0
 
+    @property
+    def pool(self) -> PoolName:
+        """Return the pool that the job was accepted for."""
+        return self.queue.pool
+
+
+class EndedJob(msgspec.Struct, tag="ended", frozen=True):
+    """What is kept of a stored job that has ended, so that its ID names no other job."""
+
+    id: JobId
+    pool: PoolName
+
 
 class RecordedRuns(msgspec.Struct, frozen=True, array_like=True):
     """Runs that may exist on one worker, as pairs of a task's index and a run number."""
@@ -236,7 +261,7 @@
         step = self.get_step(task.occurrence, task.step)
         return step.last_runs.get(self.get_attempt_key(task), 0)
 
-    def end_run(self, task: Task, number: int, cause: EndCause, queue: Queue | None) -> bool:
+    def end_run(self, task: Task, number: int, cause: EndCause, queue: Queue) -> bool:
         """Apply the end of a run, idempotently, and tell whether durable progress changed."""
         spec = self.spec.steps[task.step]
         step = self.get_step(task.occurrence, task.step)
@@ -279,10 +304,8 @@
         runs.append(number)
         return True
 
-    def _check_max_attempts(
-        self, step: StepState, index: int, queue: Queue | None, *, gang: bool
-    ) -> None:
-        if queue is None or index in step.progress.done or self.state in FINAL_STATES:
+    def _check_max_attempts(self, step: StepState, index: int, queue: Queue, *, gang: bool) -> None:
+        if index in step.progress.done or self.state in FINAL_STATES:
             return
         runs = step.progress.failures.get(0 if gang else index, [])
         if len(runs) >= queue.max_attempts:
--- a/lavenderstall/pools/job_requests.py
+++ b/lavenderstall/pools/job_requests.py
@@ -17,7 +17,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.coroutines import gather, launch
-from lavenderstall.pools.job import AcceptedJob
+from lavenderstall.pools.job import AcceptedJob, EndedJob
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.peers import PeerTracker
 from lavenderstall.pools.ports import (
@@ -32,9 +32,12 @@
     CANCELS,
     JOBS,
     PROGRESS,
+    STORED,
     Presence,
+    decode_job,
     decode_progress,
     encode,
+    encode_cancellation,
     get_shard,
 )
 from lavenderstall.pools.unreadable_rows import UnreadableRows
@@ -69,19 +72,22 @@
         self._unreadable_rows = UnreadableRows(metrics)
 
     async def submit(self, queue: Queue, job: JobId, spec: JobSpec) -> Presence:
-        """Write a job to the store and send it to the owner of its pool."""
-        row = AcceptedJob(job, queue.name, spec, int(self._read_unix_ms()))
+        """Write a job to the store and send it to the owner of its pool.
+
+        A job with this ID that is stored already stays as it is, in whichever pool.
+        """
+        row = AcceptedJob(job, queue, spec, int(self._read_unix_ms()))
         value = encode(row)
-        outcome = await self._add_hedged(JOBS, queue.pool, job, value)
+        outcome = await self._add_hedged(JOBS, job, value)
         logger.info("job submitted", extra={"job": job, "queue": queue.name,
                     "pool": queue.pool, "outcome": outcome.value})  # fmt: skip
-        if outcome is Presence.PRESENT:
+        if outcome is Presence.ADDED:
             self._peers.send_job_hint(queue.pool, value)
         return outcome
 
-    async def _add_hedged(self, table: str, pool: PoolName, job: JobId, value: bytes) -> Presence:
+    async def _add_hedged(self, table: str, job: JobId, value: bytes) -> Presence:
         """Add a row, hedged through peers if slow; only through peers while the store is lost."""
-        part = get_shard(pool, job)
+        part = get_shard(job)
         if self._store.is_lost():
             return await self._add_through_peers(table, part, job, value)
         hedged_write = HedgedWrite(HEDGED_ATTEMPTS)
@@ -97,11 +103,11 @@
         while hedged_write.attempts_left == HEDGED_ATTEMPTS and self._clock.seconds() < limit:
             await sleep(self._clock, HEDGE_POLL_INTERVAL_S)
         if hedged_write.outcome.called:
-            return Presence.PRESENT
+            return await hedged_write.outcome
         found = await self._add_through_peers(table, part, key, value)
         if (
             hedged_write.attempts_left == HEDGED_ATTEMPTS
-            and found is not Presence.PRESENT
+            and found not in STORED
             and self._store.is_lost()
         ):
             hedged_write.abandon()
@@ -123,16 +129,18 @@
         """Try once to add a row; after an unknown outcome it may still appear."""
         (put,) = transaction.puts
         key = put.key
+        found_values: set[bytes] = set()
 
         async def find() -> Committed | None:
             page = await self._store.read(put.table, transaction.partition, key, 1)
             row = next((row for row in page.rows if row.key == key), None)
+            found_values.update([row.value] if row else [])
             return Committed(row.version, page.store_clock_ms) if row else None
 
         try:
             await commit_and_verify(self._store, self._clock, transaction, find)
-        except RowConflictError:
-            return Presence.PRESENT
+        except RowConflictError as error:
+            found_values.update(row.value for row in error.rows)
         except StoreUnavailableError as error:
             logger.info("writing the row failed", extra={"job": key, "error": str(error)})
             return Presence.ABSENT
@@ -141,7 +149,7 @@
                 "outcome of writing the row is unknown", extra={"job": key, "error": str(error)}
             )
             return Presence.UNKNOWN
-        return Presence.PRESENT
+        return Presence.ADDED if found_values <= {put.value} else Presence.PRESENT
 
     async def read_row(self, table: str, part: str, key: str) -> Row | None:
         """Return one row, or none if it is absent."""
@@ -156,27 +164,32 @@
                 for peer in self._peers.choose_write_proxies()
             ]
         )
-        if Presence.PRESENT in answers:
-            self._metrics.count("rows_passed_on")
-            return Presence.PRESENT
+        for stored in (Presence.ADDED, Presence.PRESENT):
+            if stored in answers:
+                self._metrics.count("rows_passed_on")
+                return stored
         return Presence.UNKNOWN if Presence.UNKNOWN in answers else Presence.ABSENT
 
     async def cancel(self, queue: Queue, job: JobId) -> bool | None:
         """Cancel a job; returns false if there is no such job, and none if unknown."""
+        pool: PoolName | None
         try:
-            known = await self.read_row(JOBS, get_shard(queue.pool, job), job)
-            if known is None:
-                # The row of an ended job may have been deleted.
-                return await self.read_row(PROGRESS, queue.pool, job) is not None
+            row = await self.read_row(JOBS, get_shard(job), job)
+            if row is None:
+                return False
+            known = self._decode_job(row)
+            if isinstance(known, EndedJob):
+                return True
+            pool = known.pool if known else queue.pool
         except LavenderstallError as error:
             logger.info("reading the job row failed", extra={"job": job, "error": str(error)})
-            state = await self._peers.request_state(queue.pool, job)
-            if state is None:
+            pool = await self._peers.find_pool(queue.pool, job)
+            if pool is None:
                 return None
-        outcome = await self._add_hedged(CANCELS, queue.pool, job, b"\x01")
-        logger.info("job cancelled", extra={"job": job, "outcome": outcome.value})
-        if outcome is Presence.PRESENT:
-            self._peers.send_cancel_hint(queue.pool, job)
+        outcome = await self._add_hedged(CANCELS, job, encode_cancellation(pool))
+        logger.info("job cancelled", extra={"job": job, "pool": pool, "outcome": outcome.value})
+        if outcome in STORED:
+            self._peers.send_cancel_hint(pool, job)
             return True
         return None
 
@@ -189,7 +202,7 @@
 
     async def _read_state(self, queue: Queue, job: JobId) -> JobState | None:
         """Return the state of a job from its rows, or none if there are none."""
-        shard = get_shard(queue.pool, job)
+        shard = get_shard(job)
         row, progress, cancel = await gather(
             [
                 self.read_row(JOBS, shard, job),
@@ -197,14 +210,32 @@
                 self.read_row(CANCELS, shard, job),
             ]
         )
-        state = self._decode_state(progress) if progress else JobState.QUEUED
         if row is None:
-            return state if progress else None
-        self._peers.send_job_hint(queue.pool, row.value)
+            return self._decode_state(progress) if progress else None
+        known = self._decode_job(row)
+        pool = known.pool if known else queue.pool
+        if pool != queue.pool:
+            state = await self._peers.request_state(pool, job)
+            if state is not None:
+                return state
+            progress = await self.read_row(PROGRESS, pool, job)
+        if isinstance(known, EndedJob):
+            # Without a progress row, the time for which its state is kept has just ended.
+            return self._decode_state(progress) if progress else None
+        state = self._decode_state(progress) if progress else JobState.QUEUED
+        self._peers.send_job_hint(pool, row.value)
         if state not in FINAL_STATES and cancel is not None:
             return JobState.CANCELLED
         return state
 
+    def _decode_job(self, row: Row) -> AcceptedJob | EndedJob | None:
+        """Return the job of a row, or none if it can't be read."""
+        try:
+            return decode_job(row.value)
+        except UnreadableError as error:
+            self._unreadable_rows.note(row.table, row.key, row.version, error)
+            return None
+
     def _decode_state(self, row: Row) -> JobState:
         try:
             return JobState(decode_progress(row.value).state)
@@ -232,7 +263,7 @@
             found = Presence.UNKNOWN
         self.attempts_left -= 1
         self._any_unknown = self._any_unknown or found is Presence.UNKNOWN
-        if not self.outcome.called and (found is Presence.PRESENT or not self.attempts_left):
+        if not self.outcome.called and (found in STORED or not self.attempts_left):
             self.outcome.callback(self._combine(found))
 
     def abandon(self) -> None:
@@ -241,6 +272,6 @@
             self.outcome.callback(Presence.UNKNOWN)
 
     def _combine(self, last: Presence) -> Presence:
-        if last is Presence.PRESENT:
+        if last in STORED:
             return last
         return Presence.UNKNOWN if self._any_unknown else Presence.ABSENT
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -15,7 +15,7 @@
 from lavenderstall.pools.coroutines import gather, gather_all, launch
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
-from lavenderstall.pools.job import AcceptedJob, JobProgress, check_progress
+from lavenderstall.pools.job import AcceptedJob, EndedJob, JobProgress, check_progress
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
@@ -35,6 +35,7 @@
     decode_job,
     decode_progress,
     decode_roster,
+    encode_cancellation,
     list_shards,
 )
 from lavenderstall.pools.table_reads import read_partition
@@ -113,7 +114,7 @@
         self._dispatch_call: Any = None
         self._jobs_version = 0
         self._cancels_version = 0
-        self._shards = list_shards(pool.name)
+        self._shards = list_shards()
         # Without their progress, tasks of these jobs that are done would run again.
         self._unreadable_jobs: set[JobId] = set()
         self._commands = CommandSender(
@@ -153,7 +154,8 @@
         for row in jobs:
             self._load_job(row, progress.get(JobId(row.key)))
         for row in cancels:
-            self.pool.cancel_job(JobId(row.key))
+            if self._concerns_pool(row):
+                self.pool.cancel_job(JobId(row.key))
         self.pool.takeover.note_loaded()
         logger.info(
             "pool loaded",
@@ -169,6 +171,9 @@
     def _load_job(self, row: Row, progress: JobProgress | None) -> None:
         """Add a job of earlier owners, unless its rows can't be read or it has ended."""
         accepted = self._decode_job(row)
+        if isinstance(accepted, EndedJob):
+            self.pool.archive.note_replaced([accepted.id])
+            return
         if (
             accepted is None
             or accepted.id in self._unreadable_jobs
@@ -313,25 +318,30 @@
             await sleep(self._clock, FEED_PAUSE_S)
 
     def _select_rows(self, page: Page) -> list[Row]:
-        """Return the present rows of this pool."""
+        """Return the rows that are present, of any pool."""
         return [row for row in page.rows if row.partition in self._shards and row.version]
 
+    def _concerns_pool(self, cancellation: Row) -> bool:
+        """Tell whether a cancellation is of a known job, or of one that this pool will get."""
+        known = JobId(cancellation.key) in self.pool.jobs
+        return known or cancellation.value == encode_cancellation(self.pool.name)
+
     def _add_jobs(self, rows: Iterable[Row]) -> list[bool]:
         """Add the jobs of the readable rows, and tell for each whether it is new."""
         accepted = ((row, self._decode_job(row)) for row in rows)
         return [
-            self._apply(row, partial(self.add_job, job)) for row, job in accepted if job is not None
+            self._apply(row, partial(self.add_job, job))
+            for row, job in accepted
+            if isinstance(job, AcceptedJob)
         ]
 
-    def _decode_job(self, row: Row) -> AcceptedJob | None:
-        """Decode a job row, or note why it can't be read and return none."""
-        accepted = self._decode(row, decode_job)
-        if accepted is not None and accepted.id != row.key:
-            self._unreadable_rows.note(
-                row.table, row.key, row.version, f"it holds job {accepted.id}"
-            )
+    def _decode_job(self, row: Row) -> AcceptedJob | EndedJob | None:
+        """Decode a job row of this pool, or note why it can't be read; else return none."""
+        found = self._decode(row, decode_job)
+        if found is not None and found.id != row.key:
+            self._unreadable_rows.note(row.table, row.key, row.version, f"it holds job {found.id}")
             return None
-        return accepted
+        return found if found is not None and found.pool == self.pool.name else None
 
     def _decode(self, row: Row, decode: Callable[[bytes], T]) -> T | None:
         """Decode a row, or note why it can't be read and return none."""
@@ -362,7 +372,8 @@
 
     def _cancel_jobs(self, rows: Iterable[Row]) -> None:
         for row in rows:
-            self._apply(row, partial(self.cancel_job, JobId(row.key)))
+            if self._concerns_pool(row):
+                self._apply(row, partial(self.cancel_job, JobId(row.key)))
 
     async def _read_again(self, table: str, apply: Callable[[list[Row]], Any]) -> int:
         """Apply the rows of all shards and return the version at which their feed starts.
@@ -390,7 +401,7 @@
     def add_hinted_job(self, value: bytes, sender: EntryId) -> None:
         """Add the job of a row that an entry instance has passed on, if it can be read."""
         accepted = self._decode(Row("hints", "", sender, value), decode_job)
-        if accepted is not None:
+        if isinstance(accepted, AcceptedJob) and accepted.pool == self.pool.name:
             self.add_job(accepted)
 
     def add_job(self, row: AcceptedJob) -> bool:
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -16,6 +16,7 @@
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.links import NngLinks
 from lavenderstall.pools.claims import OwnerEvidence
+from lavenderstall.pools.coroutines import gather
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.messages import (
     AdviceAnswer,
@@ -209,11 +210,17 @@
         )
 
     def get_pending(self, pool: PoolName, queue: str, max_age_s: float) -> int | None:
-        """Return how many jobs of a queue wait, or none if unknown or too old."""
-        known = self.owners.get(pool)
-        if known is None or self._read_uptime() - known.last_contact_at > max_age_s:
+        """Return how many jobs of a queue wait, or none if unknown or too old.
+
+        Some may wait in pools that the queue belonged to before.
+        """
+        limit = self._read_uptime() - max_age_s
+        owners = [
+            owner for name, owner in self.owners.items() if name == pool or queue in owner.pending
+        ]
+        if pool not in self.owners or any(owner.last_contact_at < limit for owner in owners):
             return None
-        return known.pending.get(queue, 0)
+        return sum(owner.pending.get(queue, 0) for owner in owners)
 
     def list_heartbeat_recipients(self) -> list[EntryId]:
         """Return the peers to send heartbeats to: pool owners and a few others.
@@ -362,6 +369,16 @@
             return None
         return JobState(answer.state)
 
+    async def find_pool(self, likely: PoolName, job: JobId) -> PoolName | None:
+        """Return the pool whose owner knows a job, or none; the likely one is asked first."""
+        if await self.request_state(likely, job) is not None:
+            return likely
+        others = [pool for pool in self.owners if pool != likely]
+        states = await gather([self.request_state(pool, job) for pool in others])
+        return next(
+            (pool for pool, state in zip(others, states, strict=True) if state is not None), None
+        )
+
     def choose_write_proxies(self) -> list[EntryId]:
         """Return random live peers that reach the store and are not draining."""
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -119,9 +119,11 @@
         """Replace the configuration."""
         self.settings = settings
 
-    def get_queue(self, job: Job) -> Queue | None:
-        """Return the queue of a job, or none if it is not configured any more."""
-        return self.settings.find_queue_by_name(QueueName(job.row.queue))
+    def get_queue(self, job: Job) -> Queue:
+        """Return the queue of a job as configured now, or as accepted if it has left the pool."""
+        accepted = job.row.queue
+        found = self.settings.find_queue_by_name(accepted.name)
+        return found if found is not None and found.pool == self.name else accepted
 
     def add_job(
         self, row: AcceptedJob, progress: JobProgress | None = None, *, inherited: bool = False
@@ -212,7 +214,7 @@
 
     def count_pending(self) -> Counter[QueueName]:
         """Return how many jobs of each queue have no task that a worker has started."""
-        return Counter(QueueName(job.row.queue) for job in self.active.values() if not job.begun)
+        return Counter(job.row.queue.name for job in self.active.values() if not job.begun)
 
     def _archive_ended(self) -> None:
         """Archive jobs whose final state is durable and that have no runs left."""
@@ -504,8 +506,7 @@
             self.update_startable_steps(job)
 
     def _log_state_change(self, job: Job) -> None:
-        queue = self.get_queue(job)
-        objective_s = get_objective_s(job.spec, queue) if queue else 0.0
+        objective_s = get_objective_s(job.spec, self.get_queue(job))
         logger.info(
             "job state changed",
             extra={
--- a/lavenderstall/pools/preemption.py
+++ b/lavenderstall/pools/preemption.py
@@ -96,11 +96,7 @@
             if job is None or id(run) in excluded:
                 continue
             victim_queue = self._pool.get_queue(job)
-            if (
-                victim_queue is not None
-                and victim_queue.priority > queue.priority
-                and is_preemptible(job, run)
-            ):
+            if victim_queue.priority > queue.priority and is_preemptible(job, run):
                 allocation = self._pool.get_allocation(run.task)
                 found.append(
                     (-victim_queue.priority, -allocation.cores_milli, run.percent, run.number, run)
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -6,11 +6,18 @@
 
 import msgspec
 
-from lavenderstall.decoding import UnreadableError, decode_msgpack
+from lavenderstall.decoding import UnreadableError, decode_msgpack, decode_with
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.addresses import is_address
-from lavenderstall.pools.job import AcceptedJob, JobProgress
-from lavenderstall.pools.work import MAX_FIGURE, InvalidJobError, JobState, PoolName, check_job
+from lavenderstall.pools.job import AcceptedJob, EndedJob, JobProgress
+from lavenderstall.pools.work import (
+    MAX_FIGURE,
+    InvalidJobError,
+    JobState,
+    PoolName,
+    check_job,
+    check_queue,
+)
 from lavenderstall.pools.workers import WorkerEntry
 
 JOBS = "jobs"
@@ -20,9 +27,13 @@
 ENTRIES = "entries"
 OWNER_KEY = "owner"
 ROSTER_KEY = "roster"
-# Rows of submissions and cancellations are sharded, as a partition serializes its writes.
-SHARDS_PER_POOL = 8
+# Rows of submissions and cancellations are sharded, as a partition serializes its writes. A job's
+# shard depends on nothing but its ID, so that the job is found under any configuration.
+SHARDS = 16
 LINK_SCHEME = "tcp://"
+JOB_DECODER: msgspec.msgpack.Decoder[AcceptedJob | EndedJob] = msgspec.msgpack.Decoder(
+    AcceptedJob | EndedJob
+)
 STATES = frozenset(state.value for state in JobState)
 
 
@@ -33,14 +44,19 @@
 
 
 class Presence(Enum):
-    """Whether a row is in the store after an attempt to add it."""
+    """Whether a row is in the store after an attempt to add it.
 
+    It is `ADDED` with the value of the attempt, or was `PRESENT` before with another one.
+    """
+
+    ADDED = "added"
     PRESENT = "present"
     ABSENT = "absent"
     UNKNOWN = "unknown"
 
 
 PRESENCES = frozenset(presence.value for presence in Presence)
+STORED = frozenset({Presence.ADDED, Presence.PRESENT})
 
 
 class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
@@ -102,14 +118,14 @@
     power: float = 1.0
 
 
-def get_shard(pool: PoolName, job: str) -> str:
+def get_shard(job: str) -> str:
     """Return the partition with the submission and cancellation rows of a job."""
-    return f"{pool}/{crc32(job.encode()) % SHARDS_PER_POOL}"
+    return f"shard-{crc32(job.encode()) % SHARDS}"
 
 
-def list_shards(pool: PoolName) -> list[str]:
-    """Return the partitions with the submission and cancellation rows of a pool."""
-    return [f"{pool}/{number}" for number in range(SHARDS_PER_POOL)]
+def list_shards() -> list[str]:
+    """Return the partitions with the submission and cancellation rows of all jobs."""
+    return [f"shard-{number}" for number in range(SHARDS)]
 
 
 def encode(value: msgspec.Struct) -> bytes:
@@ -117,14 +133,22 @@
     return msgspec.msgpack.encode(value)
 
 
-def decode_job(value: bytes) -> AcceptedJob:
+def encode_cancellation(pool: PoolName) -> bytes:
+    """Encode the value of a cancellation row: the pool of the job."""
+    return pool.encode()
+
+
+def decode_job(value: bytes) -> AcceptedJob | EndedJob:
     """Decode the value of a job row, or raise `UnreadableError`."""
-    accepted = decode_msgpack(value, AcceptedJob)
+    found = decode_with(JOB_DECODER.decode, value)
+    if isinstance(found, EndedJob):
+        return found
     try:
-        check_job(accepted.spec)
+        check_queue(found.queue)
+        check_job(found.spec)
     except InvalidJobError as error:
         raise UnreadableError(str(error)) from error
-    return accepted
+    return found
 
 
 def decode_progress(value: bytes) -> JobProgress:
--- a/lavenderstall/pools/waiting_steps.py
+++ b/lavenderstall/pools/waiting_steps.py
@@ -47,8 +47,6 @@
 def _iterate_waiting_steps(pool: Pool) -> Iterator[WaitingStep]:
     for step_key, job in pool.list_startable_steps():
         queue = pool.get_queue(job)
-        if queue is None or queue.pool != pool.name:
-            continue
         deadline, expires_at = get_deadlines(job, queue)
         expired = expires_at < pool.now and not job.spec.steps[step_key.step].long_running
         priority = 0 if _is_starving(pool, job, step_key) else queue.priority
--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -166,7 +166,7 @@
     valid_ms: float
 
 
-class Queue(msgspec.Struct, frozen=True):
+class Queue(msgspec.Struct, frozen=True, omit_defaults=True):
     """Configuration of a queue; priority 0 is the highest."""
 
     name: QueueName
@@ -180,6 +180,15 @@
     advising: Advising | None = None
 
 
+def check_queue(queue: Queue) -> None:
+    """Raise `InvalidJobError` if a figure of a job's queue is out of bounds."""
+    figures = [queue.priority, queue.max_attempts, queue.slack, queue.objective_ms]
+    if queue.advising is not None:
+        figures += msgspec.structs.astuple(queue.advising)
+    if not all(0 <= figure <= MAX_FIGURE for figure in figures):
+        raise InvalidJobError(f"queue {queue.name[:20]!r} has a figure out of bounds")
+
+
 class Settings(msgspec.Struct, frozen=True):
     """One version of the configuration; workers of `guarded` pools enforce their capacity."""
 
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -1,7 +1,7 @@
 """Writes of a pool's owner: one transaction at a time, each conditional on its owner row."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from itertools import groupby
 from math import inf
 from typing import NamedTuple
@@ -18,6 +18,7 @@
 from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
 from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import EndedJob
 from lavenderstall.pools.lease_ends import list_lease_ends
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
@@ -66,7 +67,7 @@
 MAX_BATCH_JOBS = 45
 # Progress that ends no job is delayed this long, so that one transaction carries more of it.
 BATCH_DELAY_S = 0.04
-# Jobs whose rows are deleted at a time; each has up to two rows in one partition.
+# Jobs whose rows are replaced or deleted at a time; each has up to two in one partition.
 MAX_DELETED_JOBS = 50
 # Delay after a failed transaction.
 RETRY_DELAY_S = 0.2
@@ -441,7 +442,9 @@
         archive = self._pool.archive
         now = self._read_uptime()
         try:
-            await self._delete_submissions(archive.list_obsolete_submissions(now, MAX_DELETED_JOBS))
+            await self._replace_submissions(
+                archive.list_obsolete_submissions(now, MAX_DELETED_JOBS)
+            )
             await self._delete_progress(archive.list_expired(now, MAX_DELETED_JOBS))
         except LavenderstallError as error:
             logger.info(
@@ -449,17 +452,19 @@
                 extra={"pool": self._pool.name, "error": str(error)},
             )
 
+    async def _replace_submissions(self, jobs: list[JobId]) -> None:
+        """Keep of jobs that have ended only that they have, one transaction per shard."""
+        for shard, shard_jobs in group_by_shard(jobs):
+            puts = [Put(JOBS, job, encode(EndedJob(job, self._pool.name))) for job in shard_jobs]
+            deletes = [Delete(CANCELS, job) for job in shard_jobs]
+            await self._store.commit(Transaction(shard, (), tuple(puts), tuple(deletes)))
+            self._pool.archive.note_replaced(shard_jobs)
+
     async def _delete_submissions(self, jobs: list[JobId]) -> None:
         """Delete the submission and cancellation rows of jobs, one transaction per shard."""
-        name = self._pool.name
-        for shard, group in groupby(
-            sorted(jobs, key=lambda job: get_shard(name, job)),
-            key=lambda job: get_shard(name, job),
-        ):
-            shard_jobs = list(group)
+        for shard, shard_jobs in group_by_shard(jobs):
             deletes = tuple(Delete(table, job) for job in shard_jobs for table in (JOBS, CANCELS))
             await self._store.commit(Transaction(shard, (), (), deletes))
-            self._pool.archive.note_deleted(shard_jobs)
 
     async def _delete_progress(self, jobs: list[JobId]) -> None:
         """Delete the progress rows of jobs whose retention time is over."""
@@ -473,3 +478,9 @@
             self._versions.pop(job, None)
         self._pool.archive.remove(jobs)
         self._metrics.count("jobs_forgotten", len(jobs))
+
+
+def group_by_shard(jobs: Iterable[JobId]) -> Iterator[tuple[str, list[JobId]]]:
+    """Yield each shard with its jobs."""
+    for shard, group in groupby(sorted(jobs, key=get_shard), key=get_shard):
+        yield shard, list(group)
