Reserve room for a step only where all conditions of placement hold

Cause: reservations for gangs chose workers by room and advice, not by label; on idle workers there is room now, so they were kept free for a gang that never starts, again in each dispatch. Of the same class: tasks per worker, interference and isolation were ignored there too; the room kept for awaited advice, preemption and the check whether advice for a gang is worth a call ignored some of them.

Change: Placement.get_task_limits tells how many more tasks of a step a worker may run, whatever its room, and all four paths heed it. A gang that leaves its reserved room unused for 2 s, for whatever reason, reserves none for 8 s, and twice as long each time.

--- a/lavenderstall/pools/advice_requests.py
+++ b/lavenderstall/pools/advice_requests.py
@@ -54,7 +54,10 @@
         if advice.requested_workers:
             requested_workers = set(advice.requested_workers)
             self._placement.reserve_capacity(
-                step, [w for w in available_workers if w.key.id in requested_workers], missing
+                step,
+                waiting_step.state,
+                [w for w in available_workers if w.key.id in requested_workers],
+                missing,
             )
             return
         soon_available = self._list_soon_available(
@@ -62,11 +65,11 @@
         )
         candidates = self._list_candidates(waiting_step, advice, available_workers, soon_available)
         if not candidates or (
-            step.gang and not self._may_fit_gang(step, advice, available_workers)
+            step.gang and not self._may_fit_gang(waiting_step, advice, available_workers)
         ):
             return
         chosen = self._choose_workers(step, advice, candidates, missing)
-        self._placement.reserve_capacity(step, chosen, missing)
+        self._placement.reserve_capacity(step, waiting_step.state, chosen, missing)
         duration_s = get_call_duration_s(advising, len(chosen))
         if not self._try_use_call(duration_s):
             return
@@ -88,17 +91,22 @@
         return chosen[:MAX_WORKERS_PER_CALL]
 
     def _may_fit_gang(
-        self, step: Step, advice: StepAdvice, available_workers: list[Worker]
+        self, waiting_step: WaitingStep, advice: StepAdvice, available_workers: list[Worker]
     ) -> bool:
         """Tell whether a gang may fit now: on allowed workers, or if some have no advice yet."""
+        step = waiting_step.step
+        limits = self._placement.get_task_limits(step, waiting_step.state, available_workers)
         free_slots = sum(
-            count_fitting_tasks(step.allocation, worker.get_free_capacity())
+            min(
+                limits[worker.key.id],
+                count_fitting_tasks(step.allocation, worker.get_free_capacity()),
+            )
             for worker in available_workers
             if worker.key.id in advice.allowed
         )
         known = advice.allowed | advice.denied
         return free_slots >= step.count or any(
-            worker.key.id not in known for worker in available_workers
+            worker.key.id not in known and limits[worker.key.id] for worker in available_workers
         )
 
     def _try_use_call(self, duration_s: float) -> bool:
@@ -125,6 +133,9 @@
         if duration_s <= SHORT_CALL_S or waiting_step.step.gang:
             return set()
         soon_available = set()
+        limits = self._placement.get_task_limits(
+            waiting_step.step, waiting_step.state, available_workers
+        )
         for worker in available_workers:
             name = worker.key.id
             if missing <= 0 or name not in advice.allowed:
@@ -132,6 +143,7 @@
             slots = self._gang_reservations.count_slots(
                 waiting_step.step, worker, duration_s + LEAD_TIME_S
             )
+            slots = min(slots, limits[name])
             slots -= self._assigned_slots.get(name, 0)
             if slots > 0:
                 assigned = min(slots, missing)
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -29,9 +29,9 @@
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
-        self._gang_reservations = GangReservations(pool)
-        self._preemptor = Preemptor(pool)
         self._placement = Placement(pool)
+        self._gang_reservations = GangReservations(pool, self._placement)
+        self._preemptor = Preemptor(pool)
         self._quarantine = Quarantine(pool, self._placement)
         self._advice_requester = AdviceRequester(pool, self._placement, self._gang_reservations)
         # Workers that back off, on which tasks that last may start if they fit nowhere else.
@@ -89,10 +89,8 @@
             waiting_step, available_workers, len(waiting) if step.gang else missing
         )
         if step.gang:
-            advised = waiting_step.queue.advising is not None
-            self._gang_reservations.reserve(
-                waiting_step.step_key, step, usable_workers, advised=advised
-            )
+            open_workers = self._quarantine.list_open(usable_workers)
+            self._gang_reservations.reserve(waiting_step, open_workers)
         self._preempt_for(waiting_step, available_workers, missing)
         return False
 
@@ -148,18 +146,16 @@
             or self.pool.now - waiting_step.state.ready_at < MIN_PREEMPTION_WAIT_S
         ):
             return
-        eligible = [
-            worker
-            for worker in self._list_allowed(waiting_step, available_workers)
-            if self._placement.is_eligible(waiting_step.step, worker)
-        ]
-        eligible.sort(key=lambda worker: self._placement.get_score(waiting_step.step, worker))
-        self._preemptor.preempt_for(waiting_step.queue, waiting_step.step, eligible, missing)
+        step, queue = waiting_step.step, waiting_step.queue
+        allowed = self._list_allowed(waiting_step, self._quarantine.list_open(available_workers))
+        limits = self._placement.get_task_limits(step, waiting_step.state, allowed)
+        allowed.sort(key=lambda worker: self._placement.get_score(step, worker))
+        self._preemptor.preempt_for(queue, step, allowed, limits, missing)
 
     def _list_allowed(self, waiting_step: WaitingStep, workers: list[Worker]) -> list[Worker]:
         """Return the workers that the advice received so far allows for a step."""
         if waiting_step.queue.advising is None:
-            return workers
+            return list(workers)
         advice = self.pool.advice.get(waiting_step.step_key)
         allowed = advice.allowed if advice else set()
         return [worker for worker in workers if worker.key.id in allowed]
--- a/lavenderstall/pools/gang_reservations.py
+++ b/lavenderstall/pools/gang_reservations.py
@@ -2,8 +2,12 @@
 
 from operator import itemgetter
 
+import msgspec
+
 from lavenderstall.pools.job import Run
+from lavenderstall.pools.placement import Placement
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.waiting_steps import WaitingStep
 from lavenderstall.pools.work import Step, StepKey
 from lavenderstall.pools.workers import Worker
 from lavenderstall.resources import Resources
@@ -16,20 +20,52 @@
 STOP_DURATION_S = 0.4
 # Limit on the number of tasks of one step that are counted on one worker.
 MAX_COUNTED_TASKS = 64
+# A gang that doesn't start although its reserved workers have room for this long reserves none for
+# a while, which doubles each time.
+MAX_UNUSED_S = 2.0
+MIN_PAUSE_S = 8.0
+MAX_PAUSE_S = 120.0
+
+
+class UnusedRoom(msgspec.Struct):
+    """Since when a gang has left its reserved room unused, and when it may reserve again.
+
+    Times are seconds of uptime; `since` is -1 while the room isn't free yet.
+    """
+
+    since: float = -1.0
+    paused_until: float = 0.0
+    pause_s: float = MIN_PAUSE_S
+
+    def note_room(self, now: float, *, free: bool) -> None:
+        """Note whether all reserved room is free; pause if that has lasted for too long."""
+        if not free:
+            self.since = -1.0
+        elif self.since < 0:
+            self.since = now
+        elif now - self.since >= MAX_UNUSED_S:
+            self.since = -1.0
+            self.paused_until = now + self.pause_s
+            self.pause_s = min(2 * self.pause_s, MAX_PAUSE_S)
 
 
 class GangReservations:
     """Reserve workers for waiting gangs during one dispatch; times are seconds of uptime."""
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: Pool, placement: Placement) -> None:
         self.pool = pool
+        self._placement = placement
         self._reserved_until: dict[str, float] = {}
         self._reserving_gangs = 0
+        self._unused: dict[StepKey, UnusedRoom] = {}
 
     def clear(self) -> None:
         """Drop all reservations."""
         self._reserved_until = {}
         self._reserving_gangs = 0
+        self._unused = {
+            key: unused for key, unused in self._unused.items() if key in self.pool.startable_steps
+        }
 
     def may_start_on(self, step: Step, worker: Worker) -> bool:
         """Tell whether a worker is unreserved, or a task can backfill it in time."""
@@ -46,16 +82,19 @@
             return workers
         return [worker for worker in workers if self.may_start_on(step, worker)]
 
-    def reserve(
-        self, step_key: StepKey, step: Step, usable_workers: list[Worker], *, advised: bool
-    ) -> None:
+    def reserve(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
         """Reserve the workers on which a waiting gang can start soonest.
 
-        Nothing is reserved for a gang that does not fit on the workers that it may use.
+        Nothing is reserved for a gang that does not fit on the workers that it may use, nor for
+        one that has left its reserved room unused, for whatever reason.
         """
-        if self._reserving_gangs >= MAX_RESERVING_GANGS:
+        step, step_key = waiting_step.step, waiting_step.step_key
+        unused = self._unused.setdefault(step_key, UnusedRoom())
+        if self._reserving_gangs >= MAX_RESERVING_GANGS or self.pool.now < unused.paused_until:
             return
+        advised = waiting_step.queue.advising is not None
         advice = self.pool.advice.get(step_key)
+        limits = self._placement.get_task_limits(step, waiting_step.state, usable_workers)
         eligible = (
             worker
             for worker in usable_workers
@@ -66,16 +105,17 @@
         slot_times = sorted(
             (slot_time, worker.key.id)
             for worker in eligible
-            for slot_time in self._list_slot_times(step, worker)
+            for slot_time in self._list_slot_times(step, worker)[: limits[worker.key.id]]
         )
         if len(slot_times) < step.count:
             return
         chosen = slot_times[: step.count]
+        unused.note_room(self.pool.now, free=chosen[-1][0] <= self.pool.now)
         self._reserved_until.update(dict.fromkeys((name for _, name in chosen), chosen[-1][0]))
         self._reserving_gangs += 1
 
     def count_slots(self, step: Step, worker: Worker, lead_time_s: float) -> int:
-        """Return how many tasks of a step will fit on a worker after some time."""
+        """Return for how many tasks of a step a worker will have room after some time."""
         limit = self.pool.now + lead_time_s
         return sum(slot_time <= limit for slot_time in self._list_slot_times(step, worker))
 
--- a/lavenderstall/pools/placement.py
+++ b/lavenderstall/pools/placement.py
@@ -1,6 +1,6 @@
 """Assignment of the tasks of a step to workers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from itertools import groupby
 from typing import NamedTuple
 
@@ -49,19 +49,44 @@
                 step.allocation
             )
 
-    def reserve_capacity(self, step: Step, workers: list[Worker], missing: int) -> None:
+    def reserve_capacity(
+        self, step: Step, state: StepState, workers: list[Worker], missing: int
+    ) -> None:
         """Reserve capacity for a step's missing tasks; `GangReservations` does so for gangs."""
         if step.gang:
             return
+        limits = self.get_task_limits(step, state, workers)
         for worker in workers:
             free_capacity = self.get_unreserved_capacity(worker)
-            while missing > 0 and step.allocation.fits(free_capacity):
+            left = min(missing, limits[worker.key.id])
+            while left > 0 and step.allocation.fits(free_capacity):
                 free_capacity = free_capacity.subtract(step.allocation)
                 missing -= 1
+                left -= 1
             self._unreserved[worker.key.id] = free_capacity
             if missing <= 0:
                 return
 
+    def get_task_limits(
+        self, step: Step, state: StepState, workers: Iterable[Worker]
+    ) -> dict[str, int]:
+        """Return how many more tasks of a step may start on each worker, whatever room it has.
+
+        What reserves or frees room for a step, or asks for advice, has to heed the limits, as
+        placing does.
+        """
+        runs_per_worker = count_runs_per_worker(state)
+        return {
+            worker.key.id: self._get_task_limit(step, worker, runs_per_worker) for worker in workers
+        }
+
+    def _get_task_limit(self, step: Step, worker: Worker, runs_per_worker: dict[str, int]) -> int:
+        if not self.is_eligible(step, worker):
+            return 0
+        if not step.max_per_worker:
+            return step.count
+        return max(0, step.max_per_worker - runs_per_worker.get(worker.key.id, 0))
+
     def place(
         self, waiting_step: WaitingStep, waiting: list[int], available_workers: list[Worker]
     ) -> list[tuple[int, Candidate]]:
--- a/lavenderstall/pools/preemption.py
+++ b/lavenderstall/pools/preemption.py
@@ -1,7 +1,7 @@
 """Preemption of less urgent runs, which later resume from a checkpoint."""
 
 import logging
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from lavenderstall.pools.gang_reservations import count_fitting_tasks
 from lavenderstall.pools.job import Job, Run, describe_run
@@ -34,21 +34,33 @@
         """Reset for a dispatch."""
         self._expected_capacity = {}
 
-    def preempt_for(self, queue: Queue, step: Step, workers: list[Worker], missing: int) -> None:
+    def preempt_for(
+        self,
+        queue: Queue,
+        step: Step,
+        workers: list[Worker],
+        limits: Mapping[str, int],
+        missing: int,
+    ) -> None:
         """Stop runs on some workers until the missing tasks of a step will fit there.
 
-        For a gang, nothing is stopped unless all of its tasks will fit.
+        `limits` tells how many of them may start on each worker. For a gang, nothing is stopped
+        unless all of its tasks will fit.
         """
+        left = dict(limits)
         for worker in workers:
-            missing -= self._use_expected_capacity(step, worker, missing)
+            fitting = self._use_expected_capacity(step, worker, min(missing, left[worker.key.id]))
+            missing -= fitting
+            left[worker.key.id] -= fitting
         victims: list[Run] = []
         for worker in workers:
-            while missing > 0:
+            while missing > 0 and left[worker.key.id] > 0:
                 chosen = self._choose_victims(queue, step, worker, victims)
                 if not chosen:
                     break
                 victims += chosen
                 missing -= 1
+                left[worker.key.id] -= 1
         if step.gang and missing > 0:
             return
         for run in victims:
