--- a/lavenderstall/errors.py
+++ b/lavenderstall/errors.py
@@ -89,6 +89,10 @@
     """The call failed without changing the store."""
 
 
+class TransactionRejectedError(StoreUnavailableError):
+    """The store rejects a transaction for what it holds, and will reject it again."""
+
+
 class StoreOutcomeUnknownError(LavenderstallError):
     """The store may or may not have executed the write."""
 
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -75,7 +75,9 @@
         step, state = waiting_step.step, waiting_step.state
         if step.gang and any(state.active_runs.values()):
             return True
-        waiting = sorted((state.waiting | state.copies) - state.progress.done)
+        waiting = self._list_recordable(waiting_step)
+        if not waiting:
+            return True
         available_workers = self._gang_reservations.list_available(step, usable_workers)
         missing = len(waiting) - self._start_tasks(waiting_step, waiting, available_workers)
         returning = self._list_returning(waiting_step)
@@ -94,6 +96,23 @@
         self._preempt_for(waiting_step, available_workers, missing)
         return False
 
+    def _list_recordable(self, waiting_step: WaitingStep) -> list[int]:
+        """Return the waiting tasks whose runs can be recorded; others wait for tasks to end."""
+        step, state, job = waiting_step.step, waiting_step.state, waiting_step.job
+        waiting = sorted((state.waiting | state.copies) - state.progress.done)
+        allowance = job.get_start_allowance()
+        if len(waiting) <= allowance:
+            return waiting
+        fresh = [
+            index for index in waiting if not job.get_last_run(Task(*waiting_step.step_key, index))
+        ]
+        if step.gang:
+            held = set(waiting if fresh and not allowance else ())
+        else:
+            held = set(fresh[allowance:])
+        self.pool.counts["starts_held_for_progress"] += len(held)
+        return [index for index in waiting if index not in held]
+
     def _list_returning(self, waiting_step: WaitingStep) -> list[int]:
         """Return the waiting tasks that last and have run before.
 
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -65,6 +65,7 @@
     RowConflictError,
     RowStore,
     SettingsDecoder,
+    StoreLimits,
     Transaction,
     WorkerClient,
 )
@@ -141,6 +142,7 @@
     read_uptime: Callable[[], float]
     read_unix_ms: Callable[[], float]
     metrics: Metrics = msgspec.field(default_factory=Metrics)
+    limits: StoreLimits = StoreLimits()
 
 
 class EntryInstance:
@@ -181,7 +183,12 @@
             self.metrics,
         )
         self.job_requests = JobRequestHandler(
-            self._store, self.peers, dependencies.clock, dependencies.read_unix_ms, self.metrics
+            self._store,
+            self.peers,
+            dependencies.clock,
+            dependencies.read_unix_ms,
+            self.metrics,
+            dependencies.limits,
         )
         self._unreadable_rows = UnreadableRows(self.metrics)
         self._claimer = Claimer(
@@ -496,6 +503,7 @@
             self.metrics,
             claim.sent_at,
             CommitRelay(self.peers, dependencies.read_uptime, self.metrics),
+            dependencies.limits,
         )
         owner = PoolOwner(
             pool,
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -1,14 +1,15 @@
 """State of one accepted job: its steps, runs, attempts and durable progress."""
 
 from collections.abc import Callable, Iterator
-from itertools import chain
+from itertools import chain, islice
 
 import msgspec
 
-from lavenderstall.decoding import UnreadableError
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.crash_records import Crash, confirm_crashes, count_runs, drop_crashes
 from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress
+from lavenderstall.pools.ranges import RangeSet
 from lavenderstall.pools.work import (
     FINAL_STATES,
     EndCause,
@@ -20,7 +21,12 @@
     Task,
 )
 
-MAX_DIGITS = 10
+# Limit on the tasks of a job's occurrences that are open at a time; one occurrence may have more.
+MAX_OPEN_TASKS = 20_000
+# A job starts no further tasks while its progress takes this much, until others are done.
+MAX_PROGRESS_BYTES = 400 * 1024
+# Room that a task which has started takes at most, unless its checkpoint is a long one.
+STARTED_TASK_BYTES = 80
 
 
 class AcceptedJob(msgspec.Struct, tag="accepted", frozen=True, omit_defaults=True):
@@ -48,66 +54,6 @@
     pool: PoolName
 
 
-class RecordedRuns(msgspec.Struct, frozen=True, array_like=True):
-    """Runs that may exist on one worker, as pairs of a task's index and a run number."""
-
-    worker: str
-    incarnation: int
-    runs: list[tuple[int, int]]
-
-
-class StepProgress(msgspec.Struct, omit_defaults=True):
-    """Durable progress of one step of one occurrence.
-
-    `done` holds indexes of tasks; `failures` maps an index to the runs that failed, and `crashes`
-    to the crashes of workers that nothing explains, both with index 0 for a gang. `checkpoints`
-    maps an index to run and checkpoint. `runs` lists every run that may exist. `allowed` and
-    `denied` list workers that advice allows or denies.
-    """
-
-    done: set[int] = set()
-    failures: dict[int, list[int]] = {}
-    checkpoints: dict[int, tuple[int, str]] = {}
-    runs: list[RecordedRuns] = []
-    allowed: set[str] = set()
-    denied: set[str] = set()
-    crashes: dict[int, list[Crash]] = {}
-
-
-class JobProgress(msgspec.Struct, omit_defaults=True):
-    """Durable progress of a job, with steps keyed by `occurrence.step`."""
-
-    state: str = JobState.QUEUED.value
-    steps: dict[str, StepProgress] = {}
-
-    def is_final(self) -> bool:
-        """Tell whether the job has ended and no run of it may exist."""
-        ended = JobState(self.state) in FINAL_STATES
-        return ended and not any(step.runs for step in self.steps.values())
-
-
-def check_progress(progress: JobProgress | None, spec: JobSpec) -> None:
-    """Raise `UnreadableError` if a step or a task isn't one of the job."""
-    for key, found in progress.steps.items() if progress else ():
-        occurrence, _, step = key.partition(".")
-        if not (
-            is_index(occurrence, spec.occurrences)
-            and is_index(step, len(spec.steps))
-            and key == f"{int(occurrence)}.{int(step)}"
-        ):
-            raise UnreadableError(f"{key[:20]!r} is no step of the job")
-        runs = (index for recorded in found.runs for index, _ in recorded.runs)
-        named = (found.done, found.failures, found.checkpoints, found.crashes, runs)
-        count = spec.steps[int(step)].count
-        if not all(0 <= index < count for index in chain.from_iterable(named)):
-            raise UnreadableError(f"step {key} has a task that is none of its {count}")
-
-
-def is_index(text: str, count: int) -> bool:
-    """Tell whether a text is a number from 0 below a count."""
-    return len(text) <= MAX_DIGITS and text.isdecimal() and int(text) < count
-
-
 class Run(msgspec.Struct, eq=False):
     """One execution of a task on a worker; times are in seconds of uptime.
 
@@ -167,17 +113,31 @@
         self.progress = progress or JobProgress()
         self.state = JobState(self.progress.state)
         self.steps: dict[tuple[int, int], StepState] = {}
+        self.done_occurrences = RangeSet(self.progress.done_occurrences)
         # Whether tasks were placed, and whether a worker is known to have started one.
-        self.started = bool(self.progress.steps)
-        self.begun = any(step.done or step.failures for step in self.progress.steps.values())
+        self.started = bool(self.progress.steps or self.done_occurrences)
+        self.begun = bool(self.done_occurrences) or any(
+            step.done or step.done_bits or step.complete or step.failures
+            for step in self.progress.steps.values()
+        )
+        # Whether progress that can't be recorded otherwise leaves out checkpoints, or all but the
+        # state.
+        self.records_minimum = False
+        self.records_state_only = False
+        # Size of the recorded progress, and the tasks that have started first since.
+        self.progress_bytes = len(msgspec.msgpack.encode(progress)) if progress else 0
+        self._unrecorded_starts = 0
         self.durable_state = self.state
         # Number of changes of the crashes recorded for tasks, and of those that are durable.
         self.crash_changes = 0
         self.durable_crash_changes = 0
         self.cancelling = self.state is JobState.CANCELLED
-        for key, progress_row in self.progress.steps.items():
+        for key, progress_row in list(self.progress.steps.items()):
             occurrence, _, step = key.partition(".")
-            self._make_step(int(occurrence), int(step), progress_row)
+            count = self.spec.steps[int(step)].count
+            self._make_step(int(occurrence), int(step), progress_row.read_row(count))
+        for number in {occurrence for occurrence, _ in self.steps}:
+            self._note_occurrence(number)
 
     @property
     def ended(self) -> bool:
@@ -199,15 +159,20 @@
 
     def _make_step(self, occurrence: int, step: int, found: StepProgress | None) -> StepState:
         key = f"{occurrence}.{step}"
+        count = self.spec.steps[step].count
         progress = found or self.progress.steps.get(key) or StepProgress()
+        if occurrence in self.done_occurrences:
+            progress.done = set(range(count))
         self.progress.steps[key] = progress
         step_key = StepKey(self.id, occurrence, step)
-        state = StepState(step_key, progress, self.spec.steps[step].count)
+        state = StepState(step_key, progress, count)
         self.steps[occurrence, step] = state
         return state
 
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Tell whether all tasks of a step are done."""
+        if occurrence in self.done_occurrences:
+            return True
         progress = self.progress.steps.get(f"{occurrence}.{step}")
         return progress is not None and len(progress.done) >= self.spec.steps[step].count
 
@@ -218,12 +183,14 @@
         )
 
     def list_due_occurrences(self, unix_ms: float) -> Iterator[int]:
-        """Yield the occurrences whose start time has passed."""
+        """Yield the earliest occurrences that are not done and whose start time has passed."""
         repeat = self.spec.repeat
         if repeat is None:
             yield 0
             return
-        for number in range(repeat.count):
+        tasks = sum(step.count for step in self.spec.steps)
+        missing = self.done_occurrences.iterate_missing(repeat.count)
+        for number in islice(missing, max(1, MAX_OPEN_TASKS // tasks)):
             if repeat.start_ms + number * repeat.interval_ms > unix_ms:
                 return
             yield number
@@ -241,6 +208,7 @@
         """Add a run that was placed, inherited or found on a worker."""
         step = self.get_step(run.task.occurrence, run.task.step)
         step.active_runs.setdefault(run.task.number, []).append(run)
+        self._unrecorded_starts += 1
         self._note_run_number(step, run.task, run.number)
         step.waiting.discard(run.task.number)
         step.copies.discard(run.task.number)
@@ -281,9 +249,28 @@
             step.waiting.add(task.number)
         if spec.gang and not any(step.active_runs.values()) and not step.progress.done:
             step.waiting = set(range(spec.count))
+        self._note_occurrence(task.occurrence)
         self._check_completed()
         return changed
 
+    def _note_occurrence(self, occurrence: int) -> None:
+        """Note whether all steps of an occurrence are done."""
+        if all(self.is_step_done(occurrence, step) for step in range(len(self.spec.steps))):
+            self.done_occurrences.add(occurrence)
+
+    def drop_done_occurrences(self) -> list[StepKey]:
+        """Drop the steps of repeated occurrences that are done and have no run; return them."""
+        if self.spec.repeat is None:
+            return []
+        kept = {occurrence for (occurrence, _), step in self.steps.items() if step.active_runs}
+        dropped = [
+            key for key in self.steps if key[0] in self.done_occurrences and key[0] not in kept
+        ]
+        for occurrence, step_number in dropped:
+            del self.steps[occurrence, step_number]
+            del self.progress.steps[f"{occurrence}.{step_number}"]
+        return [StepKey(self.id, *key) for key in dropped]
+
     def _drop_run(self, step: StepState, index: int, number: int) -> None:
         runs = [run for run in step.active_runs.get(index, []) if run.number != number]
         if runs:
@@ -294,10 +281,13 @@
     def _note_done(self, step: StepState, index: int, *, gang: bool, count: int) -> bool:
         before = len(step.progress.done)
         step.progress.done |= set(range(count)) if gang else {index}
+        step.progress.forget_attempts(0 if gang else index)
         step.waiting -= step.progress.done
         return len(step.progress.done) > before
 
     def _note_failure(self, step: StepState, index: int, number: int, *, gang: bool) -> bool:
+        if index in step.progress.done:
+            return False
         runs = step.progress.failures.setdefault(0 if gang else index, [])
         if number in runs:
             return False
@@ -316,11 +306,7 @@
             return
         if any(step.long_running for step in self.spec.steps):
             return
-        if all(
-            self.is_step_done(occurrence, step)
-            for occurrence in range(self.spec.occurrences)
-            for step in range(len(self.spec.steps))
-        ):
+        if len(self.done_occurrences) == self.spec.occurrences:
             self.state = JobState.COMPLETED
 
     def record_checkpoint(self, task: Task, number: int, checkpoint: str) -> None:
@@ -328,7 +314,10 @@
         if not checkpoint:
             return
         key = self.get_attempt_key(task)
-        kept = self.get_step(task.occurrence, task.step).progress.checkpoints
+        progress = self.get_step(task.occurrence, task.step).progress
+        if key in progress.done:
+            return
+        kept = progress.checkpoints
         if key not in kept or kept[key][0] <= number:
             kept[key] = (number, checkpoint)
 
@@ -349,7 +338,10 @@
 
     def record_crash(self, task: Task, crash: Crash) -> bool:
         """Record a crash under a run, and tell whether it is new."""
-        kept = self.get_step(task.occurrence, task.step).progress.crashes
+        progress = self.get_step(task.occurrence, task.step).progress
+        if task.number in progress.done:
+            return False
+        kept = progress.crashes
         crashes = kept.setdefault(self.get_attempt_key(task), [])
         if any((each.key, each.run) == (crash.key, crash.run) for each in crashes):
             return False
@@ -399,15 +391,33 @@
 
         For a job that has ended and has no runs left, it holds only the state.
         """
-        self.progress.state = self.state.value
-        if self.ended and not self.list_runs():
+        if self.records_state_only or (self.ended and not self.list_runs()):
             return JobProgress(self.state.value)
-        for step in self.steps.values():
+        steps: dict[str, StepProgress] = {}
+        for (occurrence, number), step in self.steps.items():
             found: dict[WorkerKey, list[tuple[int, int]]] = {}
             for run in chain.from_iterable(step.active_runs.values()):
                 found.setdefault(run.worker, []).append((run.task.number, run.number))
             step.progress.runs = [RecordedRuns(*key, runs) for key, runs in found.items()]
-        return self.progress
+            row = step.progress.make_row(self.spec.steps[number].count)
+            if self.records_minimum:
+                row = msgspec.structs.replace(row, checkpoints={}, allowed=set(), denied=set())
+            if row != StepProgress():
+                steps[f"{occurrence}.{number}"] = row
+        return JobProgress(self.state.value, steps, self.done_occurrences.list_ranges())
+
+    def note_progress_size(self, size: int) -> None:
+        """Note how many bytes the progress takes that is being recorded."""
+        self.progress_bytes = size
+        self._unrecorded_starts = 0
+
+    def get_start_allowance(self) -> int:
+        """Return how many tasks may start that haven't before, so that the progress fits.
+
+        A task that has started before may start again, as it takes little more room.
+        """
+        room = MAX_PROGRESS_BYTES - self.progress_bytes
+        return max(0, room // STARTED_TASK_BYTES - self._unrecorded_starts)
 
     def list_recorded_runs(self) -> list[Run]:
         """Return the runs that an earlier owner has recorded."""
--- a/lavenderstall/pools/job_requests.py
+++ b/lavenderstall/pools/job_requests.py
@@ -26,6 +26,7 @@
     Put,
     Row,
     RowConflictError,
+    StoreLimits,
     Transaction,
 )
 from lavenderstall.pools.records import (
@@ -41,7 +42,14 @@
     get_shard,
 )
 from lavenderstall.pools.unreadable_rows import UnreadableRows
-from lavenderstall.pools.work import FINAL_STATES, JobSpec, JobState, PoolName, Queue
+from lavenderstall.pools.work import (
+    FINAL_STATES,
+    InvalidJobError,
+    JobSpec,
+    JobState,
+    PoolName,
+    Queue,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -63,21 +71,28 @@
         clock: Clock,
         read_unix_ms: Callable[[], float],
         metrics: Metrics,
+        limits: StoreLimits,
     ) -> None:
         self._store = store
         self._peers = peers
         self._clock = clock
         self._read_unix_ms = read_unix_ms
         self._metrics = metrics
+        self._limits = limits
         self._unreadable_rows = UnreadableRows(metrics)
 
     async def submit(self, queue: Queue, job: JobId, spec: JobSpec) -> Presence:
         """Write a job to the store and send it to the owner of its pool.
 
-        A job with this ID that is stored already stays as it is, in whichever pool.
+        A job with this ID that is stored already stays as it is, in whichever pool. Raises
+        `InvalidJobError` for a job that is too large to be stored.
         """
         row = AcceptedJob(job, queue, spec, int(self._read_unix_ms()))
         value = encode(row)
+        if len(value) > self._limits.value_bytes:
+            raise InvalidJobError(
+                f"the job takes {len(value)} bytes as stored, at most {self._limits.value_bytes}"
+            )
         outcome = await self._add_hedged(JOBS, job, value)
         logger.info("job submitted", extra={"job": job, "queue": queue.name,
                     "pool": queue.pool, "outcome": outcome.value})  # fmt: skip
--- a/lavenderstall/pools/monitored_store.py
+++ b/lavenderstall/pools/monitored_store.py
@@ -7,7 +7,11 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from lavenderstall.errors import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    TransactionRejectedError,
+)
 from lavenderstall.pools.ports import Committed, Page, RowStore, Transaction
 
 T = TypeVar("T")
@@ -105,7 +109,9 @@
         self._answered_at = self._read_uptime()
 
     def _handle_failure(self, failure: Failure) -> Failure:
-        if failure.check(StoreUnavailableError, StoreOutcomeUnknownError):
+        if failure.check(TransactionRejectedError):
+            self._mark_answered()
+        elif failure.check(StoreUnavailableError, StoreOutcomeUnknownError):
             self._failed_at = self._read_uptime()
         else:
             self._mark_answered()
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -15,7 +15,7 @@
 from lavenderstall.pools.coroutines import gather, gather_all, launch
 from lavenderstall.pools.dispatch import Dispatcher
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
-from lavenderstall.pools.job import AcceptedJob, EndedJob, JobProgress, check_progress
+from lavenderstall.pools.job import AcceptedJob, EndedJob
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
@@ -25,6 +25,7 @@
     Row,
     WorkerClient,
 )
+from lavenderstall.pools.progress import JobProgress, check_progress
 from lavenderstall.pools.recording import ProgressBatch
 from lavenderstall.pools.records import (
     CANCELS,
@@ -38,6 +39,7 @@
     encode_cancellation,
     list_shards,
 )
+from lavenderstall.pools.row_parts import is_part_key
 from lavenderstall.pools.table_reads import read_partition
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import JobState
@@ -146,7 +148,7 @@
         )
         self.writer.note_row_versions(tuple(chain(roster, progress_rows)))
         self._load_roster(roster)
-        progress = {JobId(row.key): self._decode(row, decode_progress) for row in progress_rows}
+        progress = self._decode_progress(progress_rows)
         for job, found in progress.items():
             if found is not None and found.is_final():
                 self.pool.archive.add(job, JobState(found.state), self.pool.now)
@@ -168,6 +170,15 @@
             },
         )
 
+    def _decode_progress(self, rows: list[Row]) -> dict[JobId, JobProgress | None]:
+        """Return the progress of each job that has any, none where it can't be read."""
+        parts = {row.key: row.value for row in rows if is_part_key(row.key)}
+        return {
+            JobId(row.key): self._decode(row, partial(decode_progress, key=row.key, parts=parts))
+            for row in rows
+            if not is_part_key(row.key)
+        }
+
     def _load_job(self, row: Row, progress: JobProgress | None) -> None:
         """Add a job of earlier owners, unless its rows can't be read or it has ended."""
         accepted = self._decode_job(row)
@@ -190,10 +201,11 @@
 
     def _load_roster(self, rows: list[Row]) -> None:
         """Add the workers that earlier owners used; the registry may not list all of them."""
+        parts = {row.key: row.value for row in rows if is_part_key(row.key)}
         for row in rows:
             if row.key != ROSTER_KEY:
                 continue
-            roster = self._decode(row, decode_roster)
+            roster = self._decode(row, partial(decode_roster, parts=parts))
             if roster is None:
                 self.pool.takeover.note_unknown_workers()
                 continue
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -20,9 +20,10 @@
     StopRun,
 )
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import AcceptedJob, Job, JobProgress, Run, describe_run
+from lavenderstall.pools.job import AcceptedJob, Job, Run, describe_run
 from lavenderstall.pools.late_starts import LateStart, LateStarts
 from lavenderstall.pools.objectives import get_objective_s
+from lavenderstall.pools.progress import JobProgress
 from lavenderstall.pools.reconciliation import apply_poll_response
 from lavenderstall.pools.recording import ProgressRecorder
 from lavenderstall.pools.slowdown import SlowdownEstimator
--- a/lavenderstall/pools/ports.py
+++ b/lavenderstall/pools/ports.py
@@ -10,6 +10,9 @@
 from lavenderstall.pools.work import Settings, Task
 from lavenderstall.pools.workers import WorkerEntry
 
+# Room for the table, the partition, the key and the version of an entry of a transaction.
+ENTRY_BYTES = 512
+
 
 class Row(msgspec.Struct, frozen=True):
     """A row of a table; version 0 means that it is absent."""
@@ -62,6 +65,25 @@
     deletes: tuple[Delete, ...] = ()
 
 
+class StoreLimits(msgspec.Struct, frozen=True):
+    """What a store accepts: the size of a row's value, and of a transaction and its entries."""
+
+    value_bytes: int = 48 * 1024
+    transaction_bytes: int = 750_000
+    entries: int = 100
+
+    def accepts(self, transaction: Transaction) -> bool:
+        """Tell whether a transaction keeps the limits."""
+        rows = [*transaction.conditions, *transaction.puts, *transaction.deletes]
+        values = [len(put.value) for put in transaction.puts]
+        size = sum(values) + ENTRY_BYTES * len(rows)
+        return (
+            len(rows) <= self.entries
+            and size <= self.transaction_bytes
+            and max(values, default=0) <= self.value_bytes
+        )
+
+
 class Committed(msgspec.Struct, frozen=True):
     """Result of a commit: its version and the store's monotonic clock."""
 
--- /dev/null
+++ b/lavenderstall/pools/progress.py
@@ -0,0 +1,116 @@
+"""Durable progress of a job, in a form that grows with what is going on, not with what is done."""
+
+from collections.abc import Iterator
+from itertools import chain
+
+import msgspec
+
+from lavenderstall.decoding import UnreadableError
+from lavenderstall.pools.crash_records import Crash
+from lavenderstall.pools.ranges import are_ranges
+from lavenderstall.pools.work import FINAL_STATES, JobSpec, JobState
+
+MAX_DIGITS = 10
+# Indexes of more done tasks than this take less room as bits.
+MAX_LISTED_DONE = 16
+
+
+class RecordedRuns(msgspec.Struct, frozen=True, array_like=True):
+    """Runs that may exist on one worker, as pairs of a task's index and a run number."""
+
+    worker: str
+    incarnation: int
+    runs: list[tuple[int, int]]
+
+
+class StepProgress(msgspec.Struct, omit_defaults=True):
+    """Durable progress of one step of one occurrence.
+
+    `done` holds indexes of tasks, a row may have them as `done_bits`, and for a step that is
+    `complete` it has none of them. `failures` maps an index to the runs that failed, and `crashes`
+    to the crashes of workers that nothing explains, both with index 0 for a gang. `checkpoints`
+    maps an index to run and checkpoint. `runs` lists every run that may exist. `allowed` and
+    `denied` list workers that advice allows or denies.
+    """
+
+    done: set[int] = set()
+    failures: dict[int, list[int]] = {}
+    checkpoints: dict[int, tuple[int, str]] = {}
+    runs: list[RecordedRuns] = []
+    allowed: set[str] = set()
+    denied: set[str] = set()
+    crashes: dict[int, list[Crash]] = {}
+    done_bits: bytes = b""
+    complete: bool = False
+
+    def make_row(self, count: int) -> "StepProgress":
+        """Return the progress as recorded, of a step of so many tasks."""
+        if len(self.done) >= count:
+            return StepProgress(runs=self.runs, complete=True)
+        if len(self.done) <= MAX_LISTED_DONE:
+            return self
+        bits = sum(1 << index for index in self.done)
+        data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
+        return msgspec.structs.replace(self, done=set(), done_bits=data)
+
+    def read_row(self, count: int) -> "StepProgress":
+        """Return the progress of a recorded step of so many tasks, with all done ones listed."""
+        done = set(range(count)) if self.complete else {*self.done, *self._iterate_bits()}
+        return msgspec.structs.replace(self, done=done, done_bits=b"", complete=False)
+
+    def _iterate_bits(self) -> Iterator[int]:
+        bits = int.from_bytes(self.done_bits, "little")
+        return (index for index in range(bits.bit_length()) if bits >> index & 1)
+
+    def iterate_tasks(self) -> Iterator[int]:
+        """Yield the index of each task that the progress names, some more than once."""
+        runs = (index for recorded in self.runs for index, _ in recorded.runs)
+        bits = self._iterate_bits()
+        return chain(self.done, self.failures, self.checkpoints, self.crashes, runs, bits)
+
+    def forget_attempts(self, index: int) -> None:
+        """Forget what is needed only to run a task again."""
+        for kept in (self.failures, self.checkpoints, self.crashes):
+            kept.pop(index, None)
+
+
+class JobProgress(msgspec.Struct, omit_defaults=True):
+    """Durable progress of a job, with steps keyed by `occurrence.step`.
+
+    Steps of `done_occurrences`, which are ranges, aren't kept. A row with `parts` has only the
+    state, and the whole lies in so many rows beside it.
+    """
+
+    state: str = JobState.QUEUED.value
+    steps: dict[str, StepProgress] = {}
+    done_occurrences: list[tuple[int, int]] = []
+    parts: int = 0
+
+    def is_final(self) -> bool:
+        """Tell whether the job has ended and no run of it may exist."""
+        ended = JobState(self.state) in FINAL_STATES
+        return ended and not self.parts and not any(step.runs for step in self.steps.values())
+
+
+def check_progress(progress: JobProgress | None, spec: JobSpec) -> None:
+    """Raise `UnreadableError` if an occurrence, a step or a task isn't one of the job."""
+    if progress is None:
+        return
+    if not are_ranges(progress.done_occurrences, spec.occurrences):
+        raise UnreadableError("the done occurrences are none of the job")
+    for key, found in progress.steps.items():
+        occurrence, _, step = key.partition(".")
+        if not (
+            is_index(occurrence, spec.occurrences)
+            and is_index(step, len(spec.steps))
+            and key == f"{int(occurrence)}.{int(step)}"
+        ):
+            raise UnreadableError(f"{key[:20]!r} is no step of the job")
+        count = spec.steps[int(step)].count
+        if not all(0 <= index < count for index in found.iterate_tasks()):
+            raise UnreadableError(f"step {key} has a task that is none of its {count}")
+
+
+def is_index(text: str, count: int) -> bool:
+    """Tell whether a text is a number from 0 below a count."""
+    return len(text) <= MAX_DIGITS and text.isdecimal() and int(text) < count
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -9,7 +9,9 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import Job, JobProgress
+from lavenderstall.pools.job import Job
+from lavenderstall.pools.progress import JobProgress
+from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.work import FINAL_STATES, EndCause, JobState, StepKey, get_step_key
 
 if TYPE_CHECKING:
@@ -19,6 +21,8 @@
 START_LEASE_MS = 2500
 # Advice on more workers isn't recorded, as it is rewritten with every change of its job.
 MAX_RECORDED_ADVICE = 40
+# Nor is advice on jobs whose progress takes more than this.
+MAX_ADVISED_BYTES = 32 * 1024
 
 
 class ProgressBatch(msgspec.Struct):
@@ -88,13 +92,19 @@
 
     def _make_progress(self, job: Job) -> JobProgress:
         """Return a job's progress row, including the placement advice for its steps."""
+        for step_key in job.drop_done_occurrences():
+            self._pool.advice.pop(step_key, None)
         for key, step in job.steps.items():
             advice = self._pool.advice.get(StepKey(job.id, *key))
-            if advice is not None and len(advice.allowed | advice.denied) <= MAX_RECORDED_ADVICE:
-                step.progress.allowed = advice.allowed
-                step.progress.denied = advice.denied
+            recorded = advice if advice and self._is_worth_recording(job, advice) else StepAdvice()
+            step.progress.allowed = recorded.allowed
+            step.progress.denied = recorded.denied
         return job.make_progress()
 
+    def _is_worth_recording(self, job: Job, advice: StepAdvice) -> bool:
+        few = len(advice.allowed | advice.denied) <= MAX_RECORDED_ADVICE
+        return few and job.progress_bytes <= MAX_ADVISED_BYTES
+
     def note_recorded(self, batch: ProgressBatch) -> None:
         """Mark a batch as durable and send the starts that were waiting for it."""
         pool = self._pool
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -1,7 +1,9 @@
 """Rows of the pool scheduler in the store: tables, keys and values."""
 
+from collections.abc import Iterable, Mapping
 from enum import Enum
 from itertools import chain
+from types import MappingProxyType
 from zlib import crc32
 
 import msgspec
@@ -9,7 +11,9 @@
 from lavenderstall.decoding import UnreadableError, decode_msgpack, decode_with
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.addresses import is_address
-from lavenderstall.pools.job import AcceptedJob, EndedJob, JobProgress
+from lavenderstall.pools.job import AcceptedJob, EndedJob
+from lavenderstall.pools.progress import JobProgress
+from lavenderstall.pools.row_parts import join_parts, make_part_key, split_value
 from lavenderstall.pools.work import (
     MAX_FIGURE,
     InvalidJobError,
@@ -99,12 +103,14 @@
     """Workers used by owners of a pool, some of which the registry may not list.
 
     No owner extends a lease on a worker in `lease_ends` while the row says so. They hold for the
-    successor of the owner of `term` alone, as others may not have heeded them.
+    successor of the owner of `term` alone, as others may not have heeded them. A row with `parts`
+    has nothing else, and the whole lies in so many rows beside it.
     """
 
     workers: list[WorkerEntry] = []
     lease_ends: list[LeaseEnd] = []
     term: int = 0
+    parts: int = 0
 
 
 class EntryRecord(msgspec.Struct, omit_defaults=True):
@@ -151,17 +157,49 @@
     return found
 
 
-def decode_progress(value: bytes) -> JobProgress:
-    """Decode the value of a progress row, or raise `UnreadableError`."""
+def encode_progress(job: str, progress: JobProgress, limit: int) -> dict[str, bytes]:
+    """Return the values of a job's progress rows by key, each of at most `limit` bytes."""
+    value = encode(progress)
+    if len(value) <= limit:
+        return {job: value}
+    parts = split_value(value, limit)
+    return {job: encode(JobProgress(progress.state, parts=len(parts))), **name_parts(job, parts)}
+
+
+def encode_roster(roster: RosterRow, limit: int) -> dict[str, bytes]:
+    """Return the values of the roster rows by key, each of at most `limit` bytes."""
+    value = encode(roster)
+    if len(value) <= limit:
+        return {ROSTER_KEY: value}
+    parts = split_value(value, limit)
+    return {ROSTER_KEY: encode(RosterRow(parts=len(parts))), **name_parts(ROSTER_KEY, parts)}
+
+
+def name_parts(key: str, parts: Iterable[bytes]) -> dict[str, bytes]:
+    """Return the parts of a value by key."""
+    return {make_part_key(key, number): part for number, part in enumerate(parts, start=1)}
+
+
+def decode_progress(
+    value: bytes, key: str = "", parts: Mapping[str, bytes] = MappingProxyType({})
+) -> JobProgress:
+    """Decode the value of a progress row, or raise `UnreadableError`.
+
+    Without its parts, a row that has any tells no more than the state.
+    """
     progress = decode_msgpack(value, JobProgress)
+    if progress.parts and parts:
+        progress = decode_msgpack(join_parts(key, progress.parts, parts), JobProgress)
     if progress.state not in STATES:
         raise UnreadableError(f"{progress.state[:20]!r} is no state of a job")
     return progress
 
 
-def decode_roster(value: bytes) -> RosterRow:
-    """Decode the value of a roster row, or raise `UnreadableError`."""
+def decode_roster(value: bytes, parts: Mapping[str, bytes] = MappingProxyType({})) -> RosterRow:
+    """Decode the value of a roster row, with its parts, or raise `UnreadableError`."""
     roster = decode_msgpack(value, RosterRow)
+    if roster.parts:
+        roster = decode_msgpack(join_parts(ROSTER_KEY, roster.parts, parts), RosterRow)
     if not all(0 <= each.end_ms <= MAX_FIGURE for each in roster.lease_ends):
         raise UnreadableError("the roster row has an end of leases out of bounds")
     return roster
--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -14,6 +14,8 @@
 MAX_TASKS = 5000
 MAX_STEPS = 64
 MAX_OCCURRENCES = 100_000
+# Tasks that last are all kept at a time, of all occurrences.
+MAX_LASTING_TASKS = 5_000
 # Limit on figures; rows and messages hold whole numbers of at most 63 bits.
 MAX_FIGURE = 2**53 - 1
 
@@ -146,6 +148,9 @@
             raise InvalidJobError(f"step {number} has a figure above {MAX_FIGURE}")
     if spec.repeat is not None:
         check_repeat(spec.repeat)
+    lasting = spec.occurrences * sum(step.count for step in spec.steps if step.long_running)
+    if lasting > MAX_LASTING_TASKS:
+        raise InvalidJobError(f"{lasting} tasks last, at most {MAX_LASTING_TASKS} may in one job")
 
 
 def check_repeat(repeat: Repeat) -> None:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -1,7 +1,7 @@
 """Writes of a pool's owner: one transaction at a time, each conditional on its owner row."""
 
 import logging
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from itertools import groupby
 from math import inf
 from typing import NamedTuple
@@ -12,6 +12,7 @@
     LavenderstallError,
     StoreOutcomeUnknownError,
     StoreUnavailableError,
+    TransactionRejectedError,
 )
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
@@ -29,6 +30,7 @@
     Put,
     Row,
     RowConflictError,
+    StoreLimits,
     Transaction,
 )
 from lavenderstall.pools.recording import ProgressBatch
@@ -46,8 +48,11 @@
     RosterRow,
     decode_owner,
     encode,
+    encode_progress,
+    encode_roster,
     get_shard,
 )
+from lavenderstall.pools.row_parts import count_parts, is_part_key, make_part_key
 from lavenderstall.pools.workers import WorkerEntry
 
 logger = logging.getLogger(__name__)
@@ -65,6 +70,8 @@
 EXPIRY_COMMIT_FACTOR = 5.0
 # Each job needs a condition and a write; the store accepts 100 entries per transaction.
 MAX_BATCH_JOBS = 45
+# The roster lists at most this many workers, so that a transaction can hold it.
+MAX_ROSTER_WORKERS = 2000
 # Progress that ends no job is delayed this long, so that one transaction carries more of it.
 BATCH_DELAY_S = 0.04
 # Jobs whose rows are replaced or deleted at a time; each has up to two in one partition.
@@ -104,11 +111,17 @@
         metrics: Metrics,
         sent_at: float,
         relay: CommitRelay,
+        limits: StoreLimits | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
         self._pool = pool
         self._relay = relay
+        self._limits = limits or StoreLimits()
+        # Jobs of a batch, fewer after the store has rejected one.
+        self._batch_jobs = MAX_BATCH_JOBS
+        # Rows beside the main one that each job, or the roster, may have.
+        self._part_counts: dict[str, int] = {}
         self._owner = owner
         self._version = version
         self._read_uptime = read_uptime
@@ -155,8 +168,9 @@
 
     def note_row_versions(self, rows: tuple[Row, ...]) -> None:
         """Remember the versions of rows that were read, for the conditions of later writes."""
+        self._part_counts.update(count_parts(row.key for row in rows))
         for row in rows:
-            if row.table == PROGRESS:
+            if row.table == PROGRESS and not is_part_key(row.key):
                 self._versions[row.key] = row.version
             elif row.table == OWNERS and row.key == ROSTER_KEY:
                 self._roster_version = row.version
@@ -201,14 +215,15 @@
         if self._pool.takeover.has_unknown_workers():
             return None
         known = {(entry.id, entry.incarnation) for entry in self._roster}
+        in_use = [
+            worker
+            for worker in self._pool.workers.values()
+            if worker.entry.address and (worker.accepted_term or worker.runs or worker.key in known)
+        ]
+        in_use.sort(key=lambda worker: (not worker.runs, worker.key not in known, worker.key))
         workers = tuple(
             sorted(
-                (
-                    worker.entry
-                    for worker in self._pool.workers.values()
-                    if worker.entry.address
-                    and (worker.accepted_term or worker.runs or worker.key in known)
-                ),
+                (worker.entry for worker in in_use[:MAX_ROSTER_WORKERS]),
                 key=lambda entry: entry.id,
             )
         )
@@ -235,11 +250,11 @@
         )
         return sooner and now - self._lease_ends_changed_at >= LEASE_END_INTERVAL_S
 
-    def _encode_roster(self, roster: Roster) -> bytes:
+    def _make_roster(self, roster: Roster) -> RosterRow:
         ends = [
             LeaseEnd(*key, self._get_latest_store_ms(end)) for key, end in roster.lease_ends.items()
         ]
-        return encode(RosterRow(list(roster.workers), ends, self._pool.term))
+        return RosterRow(list(roster.workers), ends, self._pool.term)
 
     def _get_latest_store_ms(self, uptime: float) -> float:
         """Return what the store's clock reads at a time of uptime at the latest."""
@@ -261,16 +276,17 @@
                 worker.lease_end_noted = False
 
     async def _write(self, now: float, roster: Roster | None) -> ProgressBatch | None:
-        batch = self._pool.recorder.take_batch(MAX_BATCH_JOBS)
-        conditions, puts = self._build_progress_update(batch)
-        puts.append(self._build_owner_put(now, batch))
+        batch, transaction = self._take_acceptable_batch(now, roster)
+        self._note_parts_sent(transaction)
         if roster is not None:
-            conditions.append(Condition(OWNERS, ROSTER_KEY, self._roster_version))
-            puts.append(Put(OWNERS, ROSTER_KEY, self._encode_roster(roster)))
             self._note_roster_sent(roster)
-        transaction = Transaction(self._pool.name, tuple(conditions), tuple(puts))
         try:
             committed = await self._commit(transaction)
+        except TransactionRejectedError as error:
+            self._pool.recorder.requeue(batch)
+            self._handle_rejection(now, batch, error)
+            await sleep(self._clock, RETRY_DELAY_S)
+            return None
         except RowConflictError as error:
             self._pool.recorder.requeue(batch)
             self._handle_conflict(error)
@@ -288,6 +304,104 @@
             self._note_roster_durable(roster, now)
         return batch
 
+    def _take_acceptable_batch(
+        self, now: float, roster: Roster | None
+    ) -> tuple[ProgressBatch, Transaction]:
+        """Return the next batch, of as many jobs as the store accepts in one transaction."""
+        jobs = self._batch_jobs
+        while True:
+            batch = self._pool.recorder.take_batch(jobs)
+            transaction = self._build_transaction(now, roster, batch)
+            if self._limits.accepts(transaction) or self._is_minimal(batch):
+                return batch, transaction
+            self._pool.recorder.requeue(batch)
+            if len(batch.progress) == 1:
+                self._shrink_job(next(iter(batch.progress)), "a transaction can't hold it")
+            jobs = max(1, len(batch.progress) // 2)
+
+    def _is_minimal(self, batch: ProgressBatch) -> bool:
+        """Tell whether a batch can't be made smaller."""
+        jobs = [self._pool.jobs[job] for job in batch.progress]
+        return not jobs or (len(jobs) == 1 and jobs[0].records_state_only)
+
+    def _handle_rejection(
+        self, now: float, batch: ProgressBatch, error: TransactionRejectedError
+    ) -> None:
+        """Find the job whose progress the store rejects, so that it stops no other job."""
+        self._note_failure(now, error)
+        logger.error(
+            "transaction rejected",
+            extra={"pool": self._pool.name, "jobs": len(batch.progress), "error": str(error)},
+        )
+        if len(batch.progress) == 1:
+            self._shrink_job(next(iter(batch.progress)), str(error))
+        self._batch_jobs = max(1, len(batch.progress) // 2)
+
+    def _shrink_job(self, job_id: JobId, reason: str) -> None:
+        """Record a job without its checkpoints, or fail it if that was done before."""
+        job = self._pool.jobs[job_id]
+        self._metrics.count("progress_too_large")
+        logger.error(
+            "progress of a job can't be recorded",
+            extra={
+                "job": job_id,
+                "bytes": job.progress_bytes,
+                "fails": job.records_minimum,
+                "reason": reason,
+            },
+        )
+        if job.records_minimum:
+            job.records_state_only = True
+            self._pool.fail_job(job)
+        job.records_minimum = True
+
+    def _build_transaction(
+        self, now: float, roster: Roster | None, batch: ProgressBatch
+    ) -> Transaction:
+        """Return the transaction that records a batch, and the roster if it is to be written."""
+        rows = {PROGRESS: self._encode_progress(batch), OWNERS: {}}
+        conditions = [Condition(OWNERS, OWNER_KEY, self._version)]
+        conditions += [
+            Condition(PROGRESS, job, self._versions.get(job, 0)) for job in batch.progress
+        ]
+        heads: dict[str, set[str]] = {PROGRESS: {*batch.progress}, OWNERS: set()}
+        if roster is not None:
+            conditions.append(Condition(OWNERS, ROSTER_KEY, self._roster_version))
+            rows[OWNERS] = encode_roster(self._make_roster(roster), self._limits.value_bytes)
+            heads[OWNERS] = {ROSTER_KEY}
+        puts = [
+            Put(table, key, value) for table, found in rows.items() for key, value in found.items()
+        ]
+        puts.append(self._build_owner_put(now, batch))
+        deletes = [
+            Delete(table, part)
+            for table, keys in heads.items()
+            for key in keys
+            for part in self._list_obsolete_parts(key, rows[table].keys())
+        ]
+        return Transaction(self._pool.name, tuple(conditions), tuple(puts), tuple(deletes))
+
+    def _list_obsolete_parts(self, key: str, written: Collection[str]) -> list[str]:
+        """Return the former parts of a row that aren't written again."""
+        first = count_parts(written).get(key, 0) + 1
+        return [
+            make_part_key(key, number) for number in range(first, self._part_counts.get(key, 0) + 1)
+        ]
+
+    def _note_parts_sent(self, transaction: Transaction) -> None:
+        """Remember the parts that rows may have until a commit is known to be applied."""
+        for key, count in count_parts(put.key for put in transaction.puts).items():
+            self._part_counts[key] = max(count, self._part_counts.get(key, 0))
+
+    def _encode_progress(self, batch: ProgressBatch) -> dict[str, bytes]:
+        """Return the values of all progress rows of a batch by key."""
+        values: dict[str, bytes] = {}
+        for job_id, progress in batch.progress.items():
+            rows = encode_progress(job_id, progress, self._limits.value_bytes)
+            self._pool.jobs[job_id].note_progress_size(sum(map(len, rows.values())))
+            values |= rows
+        return values
+
     async def _commit(self, transaction: Transaction) -> Committed:
         """Commit a transaction; the owner row that it writes shows whether it was applied.
 
@@ -318,14 +432,6 @@
         )
         return Committed(row.version, page.store_clock_ms)
 
-    def _build_progress_update(self, batch: ProgressBatch) -> tuple[list[Condition], list[Put]]:
-        """Return the conditions and rows that record a batch under this ownership."""
-        conditions = [Condition(OWNERS, OWNER_KEY, self._version)]
-        conditions += [
-            Condition(PROGRESS, job, self._versions.get(job, 0)) for job in batch.progress
-        ]
-        return conditions, [Put(PROGRESS, job, encode(row)) for job, row in batch.progress.items()]
-
     def _build_owner_put(self, now: float, batch: ProgressBatch) -> Put:
         """Return the next owner row.
 
@@ -384,8 +490,14 @@
         if self._unanswered_since >= 0:
             self._unanswered_since = -1.0
             logger.info("store answers again", extra={"pool": self._pool.name})
+        self._batch_jobs = min(2 * self._batch_jobs, MAX_BATCH_JOBS)
+        part_counts = count_parts(put.key for put in transaction.puts)
         for put in transaction.puts:
-            if put.table == PROGRESS:
+            if put.key in part_counts:
+                self._part_counts[put.key] = part_counts[put.key]
+            elif not is_part_key(put.key):
+                self._part_counts.pop(put.key, None)
+            if put.table == PROGRESS and not is_part_key(put.key):
                 self._versions[put.key] = committed.version
             elif put.key == OWNER_KEY:
                 self._version = committed.version
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -1,7 +1,7 @@
 """In-memory fake of the users' platform: store, workers, placement service."""
 
 import json
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from collections import Counter
 from math import inf
 from random import Random
@@ -12,6 +12,8 @@
 STORE = "10.200.1.7:8142"
 ADVISER = "10.200.1.9:8142"
 STORE_DELAY_S = 0.004
+MAX_CALL_ENTRIES = 100
+MAX_CALL_BYTES = 1_000_000
 MAX_HOLD_MS = 6000
 STOP_DELAY_S = 0.1
 GANG_START_TIMEOUT_S = 3.0
@@ -404,6 +406,7 @@
         self.down_partitions: set[str] = set()
         self.feeds_silent = False
         self.keeps_history = True
+        self.max_row_bytes = 65536
         self.start_delay_s = 0.0
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
@@ -491,7 +494,11 @@
         return 200, {**base, "rows": rows}
 
     def transact(self, body: Any) -> tuple[int, Any]:
-        """Apply a transaction."""
+        """Apply a transaction, or reject one that exceeds a limit of the service."""
+        entries = [*body["expectedRevision"], *body["writes"], *body["deletes"]]
+        large = any(len(b64decode(put["value"])) > self.max_row_bytes for put in body["writes"])
+        if large or len(entries) > MAX_CALL_ENTRIES or len(json.dumps(body)) > MAX_CALL_BYTES:
+            return 400, {"error": "a limit is exceeded"}
         found = []
         holds = True
         for condition in body["expectedRevision"]:
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from adapter.store import PlatformStore
+from adapter.store import PlatformStore, make_store_limits
 from adapter.wire import PlatformSettingsDecoder, decode_job_body
 from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkerClient
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
@@ -100,6 +100,7 @@
             read_uptime=cell.clock.seconds,
             read_unix_ms=lambda: cell.clock.seconds() * 1000,
             metrics=metrics,
+            limits=make_store_limits(cell.platform.max_row_bytes),
         )
         self.instance = EntryInstance(identity, dependencies)
         self.instance.start()
@@ -109,11 +110,17 @@
     """Simulate instances, workers and clients."""
 
     def __init__(
-        self, nodes: int = 3, workers: int = 4, advice: bool = True, zones: int = 1
+        self,
+        nodes: int = 3,
+        workers: int = 4,
+        advice: bool = True,
+        zones: int = 1,
+        max_row_bytes: int = 65536,
     ) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         self.platform = FakePlatform(self.clock)
+        self.platform.max_row_bytes = max_row_bytes
         self.nodes: dict[str, Node] = {}
         self.disconnected_pairs: set[frozenset[str]] = set()
         # Addresses that no instance reaches, not even one that starts later.
@@ -254,9 +261,16 @@
             self.clock.advance(STEP_S)
         return bool(condition())
 
-    def submit(self, node: str, pool: str, job: str, steps: list[dict[str, Any]]) -> list[Presence]:
-        """Submit a job; the list gets the outcome once it is known."""
-        body = {"spec": f"spec of {job}", "steps": steps}
+    def submit(
+        self,
+        node: str,
+        pool: str,
+        job: str,
+        steps: list[dict[str, Any]],
+        times: dict[str, int] | None = None,
+    ) -> list[Presence]:
+        """Submit a job, repeated at some times; the list gets the outcome once it is known."""
+        body = {"spec": f"spec of {job}", "steps": steps, **(times or {})}
         self.platform.checker.jobs[job] = body
         spec = decode_job_body(json.dumps(body).encode())
         instance = self.nodes[node].instance
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -19,9 +19,9 @@
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.pools.entry_instance import RECORD_INTERVAL_S
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import JobProgress, StepProgress
 from lavenderstall.pools.messages import JobHint
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
+from lavenderstall.pools.progress import JobProgress, StepProgress
 from lavenderstall.pools.records import EntryRecord, encode, get_shard
 from lavenderstall.pools.work import PoolName, QueueName, Repeat, Step
 from lavenderstall.resources import Resources
--- a/tests/pools/builders.py
+++ b/tests/pools/builders.py
@@ -14,8 +14,10 @@
     StartRun,
 )
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import AcceptedJob, JobProgress
+from lavenderstall.pools.job import AcceptedJob
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.progress import JobProgress
+from lavenderstall.pools.records import encode
 from lavenderstall.pools.work import (
     Advising,
     EndCause,
@@ -135,7 +137,10 @@
 
     def record(self) -> None:
         """Make all progress durable."""
-        self.pool.recorder.note_recorded(self.pool.recorder.take_batch(1000))
+        batch = self.pool.recorder.take_batch(1000)
+        for job, progress in batch.progress.items():
+            self.pool.jobs[job].note_progress_size(len(encode(progress)))
+        self.pool.recorder.note_recorded(batch)
 
     def start(self, advisers: int = 4) -> list[StartRun]:
         """Dispatch, confirm all starts and return them."""
--- a/tests/pools/rowstore.py
+++ b/tests/pools/rowstore.py
@@ -4,13 +4,18 @@
 
 from twisted.internet.defer import Deferred, fail, succeed
 
-from lavenderstall.errors import StoreOutcomeUnknownError, StoreUnavailableError
+from lavenderstall.errors import (
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+    TransactionRejectedError,
+)
 from lavenderstall.pools.ports import (
     Committed,
     HistoryLostError,
     Page,
     Row,
     RowConflictError,
+    StoreLimits,
     Transaction,
 )
 
@@ -24,6 +29,7 @@
         self.store_clock_ms = 1000.0
         self.unavailable = False
         self.drop_responses = False
+        self.limits = StoreLimits()
         # An error that each commit raises instead of being applied.
         self.error: Exception | None = None
         self.deferred: list[Transaction] = []
@@ -40,6 +46,8 @@
         self.advance()
         if self.error is not None:
             return fail(self.error)
+        if not self.limits.accepts(transaction):
+            return fail(TransactionRejectedError("a limit is exceeded", step="commit"))
         if self.unavailable:
             return fail(StoreUnavailableError("store is unavailable", step="commit"))
         if self.defer_writes:
--- a/tests/pools/test_archive.py
+++ b/tests/pools/test_archive.py
@@ -5,7 +5,7 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.archive import RETENTION_S, ROW_REPLACEMENT_DELAY_S, Archive
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun
-from lavenderstall.pools.job import JobProgress, RecordedRuns, StepProgress
+from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress
 from lavenderstall.pools.work import EndCause, JobState, Task
 from tests.pools.builders import JOB, Bench, make_entry, make_job
 
--- a/tests/pools/test_crashes.py
+++ b/tests/pools/test_crashes.py
@@ -8,7 +8,7 @@
 from lavenderstall.pools.crash_records import Crash, Suspicion
 from lavenderstall.pools.effects import RunStatus, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import JobProgress, RecordedRuns, StepProgress
+from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress
 from lavenderstall.pools.work import JobState, Step, Task
 from lavenderstall.pools.workers import MAX_LEASE_MS
 from lavenderstall.resources import Resources
--- a/tests/pools/test_job.py
+++ b/tests/pools/test_job.py
@@ -3,7 +3,8 @@
 import unittest
 
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import Job, JobProgress, Run
+from lavenderstall.pools.job import Job, Run
+from lavenderstall.pools.progress import JobProgress
 from lavenderstall.pools.work import (
     EndCause,
     InvalidJobError,
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -16,7 +16,6 @@
     StopRun,
 )
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import RecordedRuns
 from lavenderstall.pools.pool import (
     BACKOFF_MEMORY_S,
     MAX_BACKOFF_S,
@@ -26,6 +25,7 @@
     STOP_RETRY_S,
     UNRESPONSIVE_S,
 )
+from lavenderstall.pools.progress import RecordedRuns
 from lavenderstall.pools.recording import START_LEASE_MS, ProgressBatch
 from lavenderstall.pools.work import EndCause, JobState, Task
 from lavenderstall.pools.workers import (
--- a/tests/pools/test_records.py
+++ b/tests/pools/test_records.py
@@ -9,12 +9,7 @@
 
 from lavenderstall.decoding import UnreadableError
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
-from lavenderstall.pools.job import (
-    JobProgress,
-    RecordedRuns,
-    StepProgress,
-    check_progress,
-)
+from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress, check_progress
 from lavenderstall.pools.records import (
     EntryRecord,
     OwnerRow,
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -9,8 +9,8 @@
 from lavenderstall.pools.early_reports import MAX_HOLD_S
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import RecordedRuns, StepProgress
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.progress import RecordedRuns, StepProgress
 from lavenderstall.pools.takeover import MAX_LOGGED, EarlierLeases
 from lavenderstall.pools.work import EndCause, JobState, Settings, StepKey, Task
 from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S, MAX_LEASE_MS, MIN_CLOCK_RATE
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -28,7 +28,7 @@
 from lavenderstall.pools.job import EndedJob
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.owner import UNRECORDED_START_DELAY_S
-from lavenderstall.pools.ports import Put, Row, Transaction
+from lavenderstall.pools.ports import Put, Row, StoreLimits, Transaction
 from lavenderstall.pools.recording import ProgressBatch
 from lavenderstall.pools.records import (
     BASE_EXPIRY_MS,
@@ -71,7 +71,9 @@
 class Owner:
     """Owner of a claimed pool with its writer."""
 
-    def __init__(self, rows: FakeRowStore, name: str = "entry-1") -> None:
+    def __init__(
+        self, rows: FakeRowStore, name: str = "entry-1", limits: StoreLimits | None = None
+    ) -> None:
         self.clock = Clock()
         self.uptime = 100.0
         self.claimer = Claimer(
@@ -96,6 +98,7 @@
             Metrics(),
             claim.sent_at,
             CommitRelay(self.peers, lambda: self.uptime, Metrics()),
+            limits or rows.limits,
         )
 
     def claim(self) -> Claim | None:
