Hand an isolated owner's pools over only if another instance is better placed

Cause: an owner that hears no instance of another zone released its pool, whether or not any instance is better placed. With silent connections all are isolated; nobody claims for 6 s, and the next owner releases again. A cancellation that is accepted meanwhile reaches nobody.

Change: instances record in their rows whether they are isolated, as soon as that changes. An owner hands over only after an instance of another zone has recorded later than itself that it isn't, and the first in line answer so. Isolated instances wait with claims only for such ones.

Tests: OwnerTest in tests/platform/test_silent_links.py; on three of its four tests fail (the fourth asks for a hand-over, which stays).

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -91,6 +91,8 @@
 MAX_CLAIM_RANK = 6
 # An instance isolated from other zones claims only pools not renewed for this long.
 ISOLATED_CLAIM_DELAY_MS = 6000.0
+# Instances that answer an isolated owner, those of the lowest claim ranks.
+MAX_ANSWERS = 3
 # A live owner has this long to renew after a store outage.
 RENEWAL_GRACE_S = 1.0
 # An owner keeps a pool at least this long before it hands it over.
@@ -212,6 +214,10 @@
         ]
         self._entry_rows = EntryRowTracker()
         self._entry_records: dict[EntryId, EntryRecord] = {}
+        self._recorded_isolated = False
+        self._writes_record = False
+        # Version of this instance's row since it says that the instance is isolated, else 0.
+        self._isolation_version = 0
         self._claims_in_progress: set[PoolName] = set()
         self._claimed_at: dict[PoolName, float] = {}
         self._running = False
@@ -271,7 +277,14 @@
         return self._store.is_lost() and self.peers.is_isolated()
 
     async def _write_entry_record(self) -> None:
+        await self._write_record()
+        if self.owned_pools:
+            await self._remove_stale_entry_rows()
+        await sleep(self._clock, RECORD_INTERVAL_S)
+
+    async def _write_record(self) -> None:
         identity = self.identity
+        isolated = self.peers.is_isolated()
         record = EntryRecord(
             identity.entry,
             identity.incarnation,
@@ -279,12 +292,26 @@
             identity.link,
             self.draining,
             identity.cpu_capacity,
+            isolated,
         )
         put = Put(ENTRIES, identity.entry, encode(record))
         await self._store.commit(Transaction("", (), (put,)))
-        if self.owned_pools:
-            await self._remove_stale_entry_rows()
-        await sleep(self._clock, RECORD_INTERVAL_S)
+        self._recorded_isolated = isolated
+
+    def _update_record(self) -> None:
+        """Rewrite the record now, unless that is under way."""
+        if not self._writes_record:
+            self._writes_record = True
+            launch(self._rewrite_record())
+
+    async def _rewrite_record(self) -> None:
+        try:
+            await self._write_record()
+        except LavenderstallError as error:
+            logger.info("record not rewritten; retrying", extra={"error": str(error)})
+            await sleep(self._clock, RETRY_DELAY_S)
+        finally:
+            self._writes_record = False
 
     async def _remove_stale_entry_rows(self) -> None:
         """Remove rows of instances that have left, which a restarted instance would count."""
@@ -337,10 +364,29 @@
             peer_state = self.peers.peers.setdefault(name, PeerState(record.zone))
             peer_state.cpu_capacity = record.power
             peer_state.incarnation = record.incarnation
+            newly_isolated = record.isolated and rows[name].version > peer_state.record_version
+            peer_state.isolated = record.isolated
+            peer_state.record_version = rows[name].version
+            if newly_isolated and name != self.identity.entry:
+                self._answer_isolated_owner(name)
+        own = records.get(self.identity.entry)
+        own_version = rows[self.identity.entry].version if own else 0
+        self._isolation_version = own_version if own and own.isolated else 0
         for name in self.peers.peers.keys() - records.keys() - {self.identity.entry}:
             del self.peers.peers[name]
         self._advice_balancer.retain({*self.peers.peers, self.identity.entry})
 
+    def _answer_isolated_owner(self, owner: EntryId) -> None:
+        """Record anew that this instance is not isolated, if it would claim the owner's pools.
+
+        An isolated owner hands its pools over only to instances that have said so since.
+        """
+        if self.peers.is_isolated() or self.draining:
+            return
+        pools = [pool for pool, state in self.peers.owners.items() if state.entry == owner]
+        if any(self._get_claim_rank(pool) < MAX_ANSWERS for pool in pools):
+            self._update_record()
+
     def _decode_entry(self, row: Row) -> EntryRecord | None:
         try:
             return decode_entry(row.key, row.value)
@@ -350,7 +396,9 @@
 
     async def _run_heartbeats(self) -> None:
         self._send_heartbeats()
-        if self.owned_pools and self.peers.is_isolated() and not self._store.is_lost():
+        if self.peers.is_isolated() != self._recorded_isolated and not self._store.is_lost():
+            self._update_record()
+        if self.owned_pools and self._is_better_placed_peer_known():
             self._hand_over_pools("isolated from other zones")
         elif self._store.get_lost_s() > HANDOVER_DELAY_S and any(
             owner.writer.has_recent_relay() for owner in self.owned_pools.values()
@@ -360,6 +408,19 @@
             self._hand_over_pools("an instance with more CPU capacity owns no pool")
         await sleep(self._clock, HEARTBEAT_INTERVAL_S)
 
+    def _is_better_placed_peer_known(self) -> bool:
+        """Tell whether this instance is isolated, and one of another zone that isn't lives.
+
+        Where all instances are isolated, as when their connections are silent, none serves a pool
+        better than its owner.
+        """
+        return (
+            self.peers.is_isolated()
+            and not self._store.is_lost()
+            and self._isolation_version > 0
+            and self.peers.has_connected_peer_elsewhere(since=self._isolation_version)
+        )
+
     def _send_heartbeats(self) -> None:
         now = self.read_uptime()
         lost = self._store.is_lost()
@@ -438,13 +499,15 @@
     def _may_claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> bool:
         """Tell whether this instance may claim.
 
-        An isolated instance defers to others. After a store outage, the current owner gets time to
-        renew first.
+        An isolated instance defers to others if some aren't. After a store outage, the current
+        owner gets time to renew first.
         """
         if self.peers.get_live_owner(pool) and self._store.get_available_s() < RENEWAL_GRACE_S:
             return False
         if snapshot.owner is None or not self.peers.is_isolated():
             return True
+        if not self.peers.has_connected_peer_elsewhere():
+            return True
         return snapshot.store_ms - snapshot.owner.renewed_ms > ISOLATED_CLAIM_DELAY_MS
 
     def _get_claim_rank(self, pool: PoolName) -> int:
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -44,6 +44,7 @@
 OWNER_TIMEOUT_S = 0.55
 # An instance is isolated if it hears no peer of another zone for this long.
 ISOLATION_TIMEOUT_S = 0.8
+HEARTBEATS_AFTER_REDIAL_S = 1.0
 # If no instance of a zone is heard for this long, two heartbeats, its workers may be cut off.
 ZONE_TIMEOUT_S = 0.6
 # A live process accepts a new connection well within this time after one was lost.
@@ -76,7 +77,8 @@
     """A peer as of its last message; times are in seconds of uptime.
 
     `reported_contact_age_ms` is how long ago the peer last heard this instance, as it reported.
-    `disconnected_at` is -1 while there is a connection and before the first one.
+    `disconnected_at` is -1 while there is a connection and before the first one. `record_version`
+    is the version of the peer's row in the store, which says whether it is `isolated`.
     """
 
     zone: str
@@ -90,6 +92,8 @@
     store_reported_at: float = -1.0
     reported_contact_age_ms: float = float("inf")
     disconnected_at: float = -1.0
+    isolated: bool = False
+    record_version: int = 0
 
 
 class PeerTracker:
@@ -225,13 +229,19 @@
     def list_heartbeat_recipients(self) -> list[EntryId]:
         """Return the peers to send heartbeats to: pool owners and a few others.
 
-        The others follow in a hash ring of all instances, so that each instance hears some.
+        The others follow in a hash ring of all instances, so that each instance hears some. A peer
+        whose connection was replaced lately gets some too, which tell since when it wasn't heard.
         """
-        ring = sorted({*self.peers, self.entry}, key=lambda entry: (crc32(entry.encode()), entry))
+        ring = self._list_ring()
         own = ring.index(self.entry)
         others = [*ring[own + 1 :], *ring[:own]][:HEARTBEAT_PEERS]
-        owners = {state.entry for state in self.owners.values()} - {self.entry}
-        return [*owners, *(peer for peer in others if peer not in owners)]
+        limit = self._read_uptime() - HEARTBEATS_AFTER_REDIAL_S
+        others += [peer for peer, state in self.peers.items() if state.reconnected_at > limit]
+        owners = {state.entry for state in self.owners.values()}
+        return [peer for peer in dict.fromkeys([*owners, *others]) if peer != self.entry]
+
+    def _list_ring(self) -> list[EntryId]:
+        return sorted({*self.peers, self.entry}, key=lambda entry: (crc32(entry.encode()), entry))
 
     def is_isolated(self) -> bool:
         """Tell whether no peer of another zone was heard recently.
@@ -243,6 +253,20 @@
         several = len({state.zone for state in remote_peers}) > 1
         return several and all(state.last_contact_at < limit for state in remote_peers)
 
+    def has_connected_peer_elsewhere(self, since: int = 0) -> bool:
+        """Tell whether an instance of another zone has recorded that it is not isolated.
+
+        Its record must be newer than a version of the store, and its process not known to be gone.
+        """
+        return any(
+            state.zone != self.zone
+            and not state.isolated
+            and not state.draining
+            and state.record_version > since
+            and not self.is_disconnected(peer)
+            for peer, state in self.peers.items()
+        )
+
     def is_store_down(self) -> bool:
         """Tell whether a majority in mutual contact with this instance all miss the store."""
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
@@ -342,6 +366,7 @@
             state.unanswered_requests += 1
             if state.unanswered_requests >= MAX_UNANSWERED_REQUESTS:
                 state.unanswered_requests = 0
+                state.reconnected_at = self._read_uptime()
                 logger.info("connection replaced", extra={"peer": peer})
                 self.links.redial(peer)
         answer.callback(None)
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -114,7 +114,10 @@
 
 
 class EntryRecord(msgspec.Struct, omit_defaults=True):
-    """An entry instance: its address for peers (`link`) and its processor share (`power`)."""
+    """An entry instance: its address for peers (`link`) and its processor share (`power`).
+
+    An `isolated` one hears no instance of another zone.
+    """
 
     entry: EntryId
     incarnation: Incarnation
@@ -122,6 +125,7 @@
     link: str
     left: bool = False
     power: float = 1.0
+    isolated: bool = False
 
 
 def get_shard(job: str) -> str:
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -51,7 +51,8 @@
         """Ignore addresses, as names are enough here."""
 
     def redial(self, peer: str) -> None:
-        """Ignore the state of connections."""
+        """Replace the connection to a peer by one that is not silent."""
+        self._cell.silent_links.discard((self._entry, peer))
 
     def send(self, peer: str, message: Any) -> None:
         """Send one message."""
@@ -123,6 +124,8 @@
         self.platform.max_row_bytes = max_row_bytes
         self.nodes: dict[str, Node] = {}
         self.disconnected_pairs: set[frozenset[str]] = set()
+        # Connections, as sender and peer, that stay open and carry nothing until they are replaced.
+        self.silent_links: set[tuple[str, str]] = set()
         # Addresses that no instance reaches, not even one that starts later.
         self.unreachable_workers: set[str] = set()
         self.outcomes: dict[str, list[Presence]] = {}
@@ -219,10 +222,12 @@
         self.disconnected_pairs.add(frozenset((first, second)))
 
     def deliver(self, sender: str, peer: str, data: bytes) -> None:
-        """Deliver a message unless the instances are disconnected."""
+        """Deliver a message unless the instances are disconnected or the connection is silent."""
         node = self.nodes.get(peer)
         if node is None or frozenset((sender, peer)) in self.disconnected_pairs:
             return
+        if (sender, peer) in self.silent_links:
+            return
         envelope = msgspec.msgpack.decode(data, type=Envelope)
         node.clock.callLater(0, node.links.receive, envelope)
 
--- /dev/null
+++ b/tests/platform/test_silent_links.py
@@ -0,0 +1,94 @@
+"""Tests of connections between instances that stay open and carry nothing any more."""
+
+import unittest
+from itertools import combinations
+
+from lavenderstall.pools.work import PoolName
+from tests.platform.simulated_cell import POOLS, SimulatedCell
+from tests.platform.test_faults import measure_ownership_gaps
+
+POOL = PoolName(POOLS[0])
+JOB = f"{1:016x}"
+LASTING = {"count": 2, "cpu": 1000, "taskMemoryMb": 500, "longRunning": True}
+# Time from the acknowledgement of a cancellation until its tasks have to be gone.
+CANCEL_S = 3.0 + 0.4
+# Silence is found within 1.5 s and ends within 1 s more, both ways one after the other.
+RESTORED_S = 2 * (1.5 + 1.0)
+# Time in which another instance takes a pool over.
+TAKEOVER_S = 4.0
+
+
+def start_cell(nodes: int = 6, zones: int = 3) -> SimulatedCell:
+    """Return a settled cell of several zones."""
+    cell = SimulatedCell(nodes, 4, zones=zones)
+    assert cell.run_until(lambda: all(map(cell.find_owner, POOLS)), 4.0)
+    cell.run(4.0)
+    return cell
+
+
+def cut_all(cell: SimulatedCell) -> None:
+    """Disconnect all instances from each other for good; all reach the store."""
+    for first, second in combinations(cell.nodes, 2):
+        cell.disconnect(first, second)
+
+
+class OwnerTest(unittest.TestCase):
+    """Pools whose owner hears no instance of another zone."""
+
+    def test_a_pool_keeps_its_owner_while_no_instance_is_better_placed(self) -> None:
+        """Fails if an owner gives its pool up although all instances are as isolated as it is."""
+        cell = start_cell()
+        owner = cell.find_owner(POOL)
+        gaps = measure_ownership_gaps(cell, POOL, lambda: cut_all(cell), 15.0)
+        self.assertLess(max(gaps), 1.0)
+        self.assertEqual(cell.find_owner(POOL), owner)
+
+    def test_a_cancelled_job_stops_while_instances_do_not_hear_each_other(self) -> None:
+        """Fails if a cancellation is accepted while nobody owns the pool."""
+        for wait_s in (0.5, 1.5, 4.0, 7.0):
+            with self.subTest(wait_s=wait_s):
+                cell = start_cell()
+                cell.submit("entry-0", POOL, JOB, [dict(LASTING)])
+                cell.run(1.0)
+                cut_all(cell)
+                cell.run(wait_s)
+                answers = cell.cancel("entry-1", POOL, JOB)
+                cell.run_until(lambda answers=answers: answers, 2.0)
+                self.assertEqual(answers, [True])
+                cell.run(CANCEL_S)
+                for worker in cell.platform.workers.values():
+                    worker.advance()
+                    self.assertFalse(worker.running)
+
+    def test_a_killed_owner_is_replaced_while_all_are_isolated(self) -> None:
+        """Fails if all instances wait for others that are better placed, of which none is."""
+        cell = start_cell()
+        owner = cell.find_owner(POOL)
+        assert owner is not None
+        cut_all(cell)
+        cell.run(3.0)
+        cell.kill(owner)
+        found = cell.run_until(lambda: cell.find_owner(POOL), TAKEOVER_S)
+        self.assertTrue(found)
+
+    def test_an_owner_in_a_zone_that_is_cut_off_hands_its_pool_over(self) -> None:
+        """Fails if a pool stays with an owner that others, who hear each other, can't ask."""
+        cell = start_cell()
+        owner = cell.find_owner(POOL)
+        assert owner is not None
+        zone = cell.get_zone(owner)
+        for first, second in combinations(cell.nodes, 2):
+            if zone in (cell.get_zone(first), cell.get_zone(second)) and (
+                cell.get_zone(first) != cell.get_zone(second)
+            ):
+                cell.disconnect(first, second)
+
+        def is_elsewhere() -> bool:
+            found = cell.find_owner(POOL)
+            return found is not None and cell.get_zone(found) != zone
+
+        self.assertTrue(cell.run_until(is_elsewhere, TAKEOVER_S))
+
+
+if __name__ == "__main__":
+    unittest.main()
