Replace connections between instances that have fallen silent

Cause: a connection was replaced only when a heartbeat of the peer came or two requests to it stayed unanswered; a connection that is silent both ways has neither, as a peer without heartbeats isn't asked.

Change: an instance replaces its connection to a peer from which heartbeats are expected and of which none came for 1 s, at most each 2 s with jitter, and sends it heartbeats then; they tell since when it was not heard, so that it replaces the other direction. Only senders of heartbeats are watched: four in the ring, owners, and all for an owner.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -398,6 +398,11 @@
         self._send_heartbeats()
         if self.peers.is_isolated() != self._recorded_isolated and not self._store.is_lost():
             self._update_record()
+        for peer in self.peers.list_silent_peers(owns_pools=bool(self.owned_pools)):
+            age_ms = round((self.read_uptime() - self.peers.peers[peer].last_contact_at) * 1000)
+            self.metrics.count("silent_links_replaced")
+            logger.info("silent connection replaced", extra={"peer": peer, "age_ms": age_ms})
+            self._dependencies.links.redial(peer)
         if self.owned_pools and self._is_better_placed_peer_known():
             self._hand_over_pools("isolated from other zones")
         elif self._store.get_lost_s() > HANDOVER_DELAY_S and any(
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -44,6 +44,11 @@
 OWNER_TIMEOUT_S = 0.55
 # An instance is isolated if it hears no peer of another zone for this long.
 ISOLATION_TIMEOUT_S = 0.8
+# A connection is replaced if heartbeats are expected on it and none came for this long, four of
+# them, and again if none come after the interval.
+SILENCE_TIMEOUT_S = 1.0
+MIN_REDIAL_INTERVAL_S = 2.0
+REDIAL_JITTER = 0.5
 HEARTBEATS_AFTER_REDIAL_S = 1.0
 # If no instance of a zone is heard for this long, two heartbeats, its workers may be cut off.
 ZONE_TIMEOUT_S = 0.6
@@ -88,6 +93,7 @@
     draining: bool = False
     unanswered_requests: int = 0
     reconnected_at: float = -10.0
+    redial_at: float = 0.0
     store_lost: bool = True
     store_reported_at: float = -1.0
     reported_contact_age_ms: float = float("inf")
@@ -267,6 +273,38 @@
             for peer, state in self.peers.items()
         )
 
+    def list_silent_peers(self, *, owns_pools: bool) -> list[EntryId]:
+        """Return the peers whose heartbeats have stopped arriving, and note a redial of them.
+
+        A connection may be silent for good without being reset. Heartbeats are expected from the
+        instances that send them to this one: its predecessors in the ring, owners, and all others
+        if it owns a pool.
+        """
+        now = self._read_uptime()
+        silent = [
+            peer
+            for peer in self._list_heartbeat_senders(owns_pools=owns_pools)
+            if self._is_silent(self.peers[peer], now)
+        ]
+        for peer in silent:
+            interval_s = MIN_REDIAL_INTERVAL_S * (1 + REDIAL_JITTER * self._random.random())
+            self.peers[peer].redial_at = now + interval_s
+            self.peers[peer].reconnected_at = now
+        return silent
+
+    def _is_silent(self, state: PeerState, now: float) -> bool:
+        return 0 <= state.last_contact_at < now - SILENCE_TIMEOUT_S and now >= state.redial_at
+
+    def _list_heartbeat_senders(self, *, owns_pools: bool) -> list[EntryId]:
+        others = [peer for peer in self.peers if peer != self.entry]
+        if owns_pools:
+            return others
+        owners = {state.entry for state in self.owners.values()}
+        ring = self._list_ring()
+        own = ring.index(self.entry)
+        before = [*ring[:own][::-1], *ring[own + 1 :][::-1]][:HEARTBEAT_PEERS]
+        return [peer for peer in others if peer in owners or peer in before]
+
     def is_store_down(self) -> bool:
         """Tell whether a majority in mutual contact with this instance all miss the store."""
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
--- a/tests/platform/test_silent_links.py
+++ b/tests/platform/test_silent_links.py
@@ -1,7 +1,8 @@
 """Tests of connections between instances that stay open and carry nothing any more."""
 
 import unittest
-from itertools import combinations
+from itertools import combinations, permutations
+from random import Random
 
 from lavenderstall.pools.work import PoolName
 from tests.platform.simulated_cell import POOLS, SimulatedCell
@@ -90,5 +91,56 @@
         self.assertTrue(cell.run_until(is_elsewhere, TAKEOVER_S))
 
 
+class RedialTest(unittest.TestCase):
+    """Connections that are replaced."""
+
+    def list_deaf(self, cell: SimulatedCell) -> list[tuple[str, str]]:
+        """Return the pairs of instances of which the first doesn't hear the second."""
+        return [
+            (name, peer)
+            for name, peer in permutations(cell.nodes, 2)
+            if peer not in cell.nodes[name].instance.peers.list_live_peers()
+        ]
+
+    def test_silent_connections_are_replaced(self) -> None:
+        """Fails if connections that were not reset stay silent for the rest of the day."""
+        for share, seed in ((0.3, 1), (0.7, 2), (1.0, 3)):
+            with self.subTest(share=share):
+                cell = start_cell()
+                # Some hear each other only if one of them owns a pool.
+                before = self.list_deaf(cell)
+                drawn = Random(seed)
+                links = permutations(cell.nodes, 2)
+                cell.silent_links = {link for link in links if drawn.random() < share}
+                cell.run(RESTORED_S)
+                self.assertLessEqual(set(self.list_deaf(cell)), set(before))
+
+    def test_a_peer_that_is_gone_is_not_dialled_all_the_time(self) -> None:
+        """Fails if a killed or frozen peer costs more than a connection each two seconds."""
+        cell = start_cell()
+        gone = next(name for name in cell.nodes if name != cell.find_owner(POOL))
+        cell.freeze(gone)
+        before = {name: node.instance.metrics.counters.copy() for name, node in cell.nodes.items()}
+        cell.run(10.0)
+        for name, node in cell.nodes.items():
+            counters = node.instance.metrics.counters
+            dialled = counters["silent_links_replaced"] - before[name]["silent_links_replaced"]
+            self.assertLessEqual(dialled, 10.0 / 2.0)
+
+    def test_few_connections_are_watched_in_a_large_cell(self) -> None:
+        """Fails if an instance dials peers again that need not send it anything."""
+        cell = start_cell(nodes=14)
+        owners = {cell.find_owner(pool) for pool in POOLS}
+        replaced = {
+            name: node.instance.metrics.counters["silent_links_replaced"]
+            for name, node in cell.nodes.items()
+            if name not in owners
+        }
+        cell.run(6.0)
+        for name, before in replaced.items():
+            found = cell.nodes[name].instance.metrics.counters["silent_links_replaced"]
+            self.assertEqual(found, before)
+
+
 if __name__ == "__main__":
     unittest.main()
