Take a conflict without readable rows for a row of another submission

Cause: a conflict of a submission whose rows can't be read counted as the own row (ADDED), and the job was passed on to an owner, although another pool may have it. Change: only rows with the very value of the attempt are its own. And a hedge that comes too late answers with a value, not with the result of a deferred that has been taken already. Measured: tests.platform.test_moved_queues and test_faults' submissions pass.

--- a/lavenderstall/pools/job_requests.py
+++ b/lavenderstall/pools/job_requests.py
@@ -118,7 +118,7 @@
         while hedged_write.attempts_left == HEDGED_ATTEMPTS and self._clock.seconds() < limit:
             await sleep(self._clock, HEDGE_POLL_INTERVAL_S)
         if hedged_write.outcome.called:
-            return await hedged_write.outcome
+            return Presence.UNKNOWN
         found = await self._add_through_peers(table, part, key, value)
         if (
             hedged_write.attempts_left == HEDGED_ATTEMPTS
@@ -155,7 +155,8 @@
         try:
             await commit_and_verify(self._store, self._clock, transaction, find)
         except RowConflictError as error:
-            found_values.update(row.value for row in error.rows)
+            own = bool(error.rows) and all(row.value == put.value for row in error.rows)
+            return Presence.ADDED if own else Presence.PRESENT
         except StoreUnavailableError as error:
             logger.info("writing the row failed", extra={"job": key, "error": str(error)})
             return Presence.ABSENT
