Read progress of which all parts are missing as unreadable

Cause: a progress row with parts was read as its state alone if no part of any job was there, so that its owner would have run the job from its start. Change: only callers that pass no parts get the state alone. Test: test_progress_of_which_a_part_is_missing_is_unreadable, which failed before in its last case.

--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -185,14 +185,14 @@
 
 
 def decode_progress(
-    value: bytes, key: str = "", parts: Mapping[str, bytes] = MappingProxyType({})
+    value: bytes, key: str = "", parts: Mapping[str, bytes] | None = None
 ) -> JobProgress:
     """Decode the value of a progress row, or raise `UnreadableError`.
 
-    Without its parts, a row that has any tells no more than the state.
+    `parts` are all parts that were read; with none given, a row that has any tells the state alone.
     """
     progress = decode_msgpack(value, JobProgress)
-    if progress.parts and parts:
+    if progress.parts and parts is not None:
         progress = decode_msgpack(join_parts(key, progress.parts, parts), JobProgress)
     if progress.state not in STATES:
         raise UnreadableError(f"{progress.state[:20]!r} is no state of a job")
--- a/tests/pools/test_progress.py
+++ b/tests/pools/test_progress.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from lavenderstall.decoding import UnreadableError
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun
 from lavenderstall.pools.job import (
@@ -202,6 +203,19 @@
         self.assertEqual(decode_progress(rows[JOB], JOB, parts), progress)
         self.assertEqual(decode_progress(rows[JOB]).state, "running")
 
+    def test_progress_of_which_a_part_is_missing_is_unreadable(self) -> None:
+        """Fails if a job whose parts are lost runs again from its start."""
+        checkpoints = dict.fromkeys(range(99), (1, CHECKPOINT))
+        progress = JobProgress("running", {"0.0": StepProgress(checkpoints=checkpoints)})
+        rows = encode_progress(JOB, progress, 500)
+        parts = {key: value for key, value in rows.items() if key != JOB}
+        for missing in parts:
+            left = {key: value for key, value in parts.items() if key != missing}
+            with self.assertRaises(UnreadableError):
+                decode_progress(rows[JOB], JOB, left)
+        with self.assertRaises(UnreadableError):
+            decode_progress(rows[JOB], JOB, {})
+
 
 if __name__ == "__main__":
     unittest.main()
