Track the parts of rows in one place, and name what a row leaves out

The writer of an owner kept the counts of parts itself, between its commits; they are a class of their own now. No change of behaviour: tests.pools.test_large_rows and test_writer pass as before.

--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -120,9 +120,8 @@
             step.done or step.done_bits or step.complete or step.failures
             for step in self.progress.steps.values()
         )
-        # Whether progress that can't be recorded otherwise leaves out checkpoints, or all but the
-        # state.
-        self.records_minimum = False
+        # What the recorded progress leaves out if it can't be recorded otherwise.
+        self.omits_checkpoints = False
         self.records_state_only = False
         # Size of the recorded progress, and the tasks that have started first since.
         self.progress_bytes = len(msgspec.msgpack.encode(progress)) if progress else 0
@@ -400,7 +399,7 @@
                 found.setdefault(run.worker, []).append((run.task.number, run.number))
             step.progress.runs = [RecordedRuns(*key, runs) for key, runs in found.items()]
             row = step.progress.make_row(self.spec.steps[number].count)
-            if self.records_minimum:
+            if self.omits_checkpoints:
                 row = msgspec.structs.replace(row, checkpoints={}, allowed=set(), denied=set())
             if row != StepProgress():
                 steps[f"{occurrence}.{number}"] = row
--- a/lavenderstall/pools/row_parts.py
+++ b/lavenderstall/pools/row_parts.py
@@ -1,12 +1,40 @@
 """Values that are larger than a row of the store, split over several rows."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from lavenderstall.decoding import UnreadableError
 
 SEPARATOR = "."
 
 
+class PartCounts:
+    """How many parts each row may have, beside the row itself."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+
+    def list_obsolete(self, key: str, written: Iterable[str]) -> list[str]:
+        """Return the parts to delete of a row that is written again, with these keys."""
+        first = count_parts(written).get(key, 0) + 1
+        return [make_part_key(key, number) for number in range(first, self._get(key) + 1)]
+
+    def note_possible(self, keys: Iterable[str]) -> None:
+        """Note the keys of rows that were read, or were sent and may have been written."""
+        for key, count in count_parts(keys).items():
+            self._counts[key] = max(count, self._get(key))
+
+    def note_written(self, keys: Collection[str]) -> None:
+        """Note the keys of rows that were written, in place of all earlier parts."""
+        counts = count_parts(keys)
+        for key in keys:
+            if not is_part_key(key):
+                self._counts.pop(key, None)
+        self._counts.update(counts)
+
+    def _get(self, key: str) -> int:
+        return self._counts.get(key, 0)
+
+
 def make_part_key(key: str, number: int) -> str:
     """Return the key of one part of a row's value; parts count from 1."""
     return f"{key}{SEPARATOR}{number}"
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -1,7 +1,7 @@
 """Writes of a pool's owner: one transaction at a time, each conditional on its owner row."""
 
 import logging
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from itertools import groupby
 from math import inf
 from typing import NamedTuple
@@ -52,7 +52,7 @@
     encode_roster,
     get_shard,
 )
-from lavenderstall.pools.row_parts import count_parts, is_part_key, make_part_key
+from lavenderstall.pools.row_parts import PartCounts, is_part_key
 from lavenderstall.pools.workers import WorkerEntry
 
 logger = logging.getLogger(__name__)
@@ -120,8 +120,7 @@
         self._limits = limits or StoreLimits()
         # Jobs of a batch, fewer after the store has rejected one.
         self._batch_jobs = MAX_BATCH_JOBS
-        # Rows beside the main one that each job, or the roster, may have.
-        self._part_counts: dict[str, int] = {}
+        self._part_counts = PartCounts()
         self._owner = owner
         self._version = version
         self._read_uptime = read_uptime
@@ -168,7 +167,7 @@
 
     def note_row_versions(self, rows: tuple[Row, ...]) -> None:
         """Remember the versions of rows that were read, for the conditions of later writes."""
-        self._part_counts.update(count_parts(row.key for row in rows))
+        self._part_counts.note_possible(row.key for row in rows)
         for row in rows:
             if row.table == PROGRESS and not is_part_key(row.key):
                 self._versions[row.key] = row.version
@@ -277,7 +276,7 @@
 
     async def _write(self, now: float, roster: Roster | None) -> ProgressBatch | None:
         batch, transaction = self._take_acceptable_batch(now, roster)
-        self._note_parts_sent(transaction)
+        self._part_counts.note_possible(put.key for put in transaction.puts)
         if roster is not None:
             self._note_roster_sent(roster)
         try:
@@ -346,14 +345,14 @@
             extra={
                 "job": job_id,
                 "bytes": job.progress_bytes,
-                "fails": job.records_minimum,
+                "fails": job.omits_checkpoints,
                 "reason": reason,
             },
         )
-        if job.records_minimum:
+        if job.omits_checkpoints:
             job.records_state_only = True
             self._pool.fail_job(job)
-        job.records_minimum = True
+        job.omits_checkpoints = True
 
     def _build_transaction(
         self, now: float, roster: Roster | None, batch: ProgressBatch
@@ -377,22 +376,10 @@
             Delete(table, part)
             for table, keys in heads.items()
             for key in keys
-            for part in self._list_obsolete_parts(key, rows[table].keys())
+            for part in self._part_counts.list_obsolete(key, rows[table].keys())
         ]
         return Transaction(self._pool.name, tuple(conditions), tuple(puts), tuple(deletes))
 
-    def _list_obsolete_parts(self, key: str, written: Collection[str]) -> list[str]:
-        """Return the former parts of a row that aren't written again."""
-        first = count_parts(written).get(key, 0) + 1
-        return [
-            make_part_key(key, number) for number in range(first, self._part_counts.get(key, 0) + 1)
-        ]
-
-    def _note_parts_sent(self, transaction: Transaction) -> None:
-        """Remember the parts that rows may have until a commit is known to be applied."""
-        for key, count in count_parts(put.key for put in transaction.puts).items():
-            self._part_counts[key] = max(count, self._part_counts.get(key, 0))
-
     def _encode_progress(self, batch: ProgressBatch) -> dict[str, bytes]:
         """Return the values of all progress rows of a batch by key."""
         values: dict[str, bytes] = {}
@@ -491,12 +478,8 @@
             self._unanswered_since = -1.0
             logger.info("store answers again", extra={"pool": self._pool.name})
         self._batch_jobs = min(2 * self._batch_jobs, MAX_BATCH_JOBS)
-        part_counts = count_parts(put.key for put in transaction.puts)
+        self._part_counts.note_written([put.key for put in transaction.puts])
         for put in transaction.puts:
-            if put.key in part_counts:
-                self._part_counts[put.key] = part_counts[put.key]
-            elif not is_part_key(put.key):
-                self._part_counts.pop(put.key, None)
             if put.table == PROGRESS and not is_part_key(put.key):
                 self._versions[put.key] = committed.version
             elif put.key == OWNER_KEY:
--- a/tests/pools/test_large_rows.py
+++ b/tests/pools/test_large_rows.py
@@ -99,7 +99,7 @@
         owner.step()
         rows.drop_responses = False
         many = len(list_parts(rows, PROGRESS))
-        owner.bench.pool.jobs[LARGE_JOB].records_minimum = True
+        owner.bench.pool.jobs[LARGE_JOB].omits_checkpoints = True
         owner.bench.pool.recorder.mark_changed(LARGE_JOB)
         for _ in range(3):
             owner.step()
