Fence a restarted worker against commands to its former process

Callers saw tasks that had ended done run again. A poll that acknowledges ends got no answer, its worker restarted under its id, and the new process executed the poll seconds later. It forgot ends that no answer had told yet, so the owner took their runs for lost.

Cause: commands to all processes of a worker carried the term of the pool as the fencing token, and Expected-Instance names an id that a restarted worker keeps. So nothing let the new process tell a command to the former one. The same holds for late leases, starts, stops and throttles.

Each incarnation that an owner learns of now has a fencing token of its own, the term times 2^20 plus a count. It gets no tasks before it has answered under that token, and from then on refuses what was sent to its predecessors. A refusal by a worker that the owner has replaced meanwhile doesn't end the ownership. It costs no call and no wait.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -45,6 +45,7 @@
 from lavenderstall.pools.work import JobState
 from lavenderstall.pools.worker_commands import CommandSender
 from lavenderstall.pools.worker_poller import WorkerPoller
+from lavenderstall.pools.workers import Worker
 from lavenderstall.pools.writer import OwnershipLostError, OwnerWriter
 
 T = TypeVar("T")
@@ -516,9 +517,14 @@
         self._execute_effects()
         self._worker_poller.resume_after_commit()
 
-    def check_fenced(self, refusal: Refusal) -> bool:
-        """Tell whether a worker refused the fencing token; if so, stop owning the pool."""
+    def check_fenced(self, worker: Worker, refusal: Refusal) -> bool:
+        """Tell whether a worker refused the fencing token; if so, stop owning the pool.
+
+        A command to a worker that was replaced meanwhile is refused because of this owner's own
+        later commands.
+        """
         if refusal.reason != FENCE:
             return False
-        self.lose_ownership("a worker has seen a higher fencing token")
+        if self.pool.workers.get(worker.key) is worker:
+            self.lose_ownership("a worker has seen a higher fencing token")
         return True
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -57,6 +57,8 @@
 MAX_BACKOFF_S = 8.0
 # A worker that gave no cause for a backoff for this long after one starts with the shortest again.
 BACKOFF_MEMORY_S = 16.0
+# Fencing tokens reserved per term, so that they exceed those of earlier terms.
+TOKENS_PER_TERM = 1 << 20
 # A worker gets no new tasks once its polls have been unanswered for this long.
 UNRESPONSIVE_S = 1.2
 # In an unresponsive zone, a worker gets no new tasks this long after its last answer.
@@ -99,6 +101,7 @@
         self._early_cancels: dict[JobId, None] = {}
         self.workers: dict[WorkerKey, Worker] = {}
         self.latest_incarnations: dict[str, WorkerKey] = {}
+        self._last_token = term * TOKENS_PER_TERM
         # Incarnations that have ended; the registry may still list them for a while.
         self.ended_incarnations: deque[WorkerKey] = deque(maxlen=MAX_ENDED_INCARNATIONS)
         self.startable_steps: set[StepKey] = set()
@@ -278,7 +281,7 @@
 
     def add_worker(self, entry: WorkerEntry) -> Worker:
         """Add a worker, which gets no tasks before it has answered a poll."""
-        worker = Worker(entry)
+        worker = Worker(entry, self._take_fencing_token())
         self.workers[worker.key] = worker
         self.latest_incarnations[entry.id] = worker.key
         logger.info("worker added", extra={"worker": entry.id, "incarnation": entry.incarnation})
@@ -286,6 +289,12 @@
             self._expect_late_start(worker, start)
         return worker
 
+    def _take_fencing_token(self) -> int:
+        """Return a token above all earlier ones, unless those of the term are used up."""
+        highest = (self.term + 1) * TOKENS_PER_TERM - 1
+        self._last_token = min(self._last_token + 1, highest)
+        return self._last_token
+
     def _expect_late_start(self, worker: Worker, start: LateStart) -> None:
         """Track a start that a new process of a worker may still execute, and have it refused."""
         run = Run(start.task, start.number, worker.key, start.sent_at, unanswered_at=self.now)
--- a/lavenderstall/pools/worker_commands.py
+++ b/lavenderstall/pools/worker_commands.py
@@ -13,6 +13,7 @@
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import WorkerClient
+from lavenderstall.pools.workers import Worker
 
 logger = logging.getLogger(__name__)
 
@@ -35,7 +36,7 @@
         read_uptime: Callable[[], float],
         metrics: Metrics,
         note_change: Callable[[], None],
-        check_refusal: Callable[[Refusal], bool],
+        check_refusal: Callable[[Worker, Refusal], bool],
         may_start: Callable[[], bool],
     ) -> None:
         self._pool = pool
@@ -86,22 +87,22 @@
         elif worker is not None:
             started_at = self._read_uptime()
             try:
-                answer = await self._client.start(worker.entry, self._pool.term, command)
+                answer = await self._client.start(worker.entry, worker.fencing_token, command)
             except LavenderstallError as error:
                 self._note_failure(command, error)
             else:
                 self._metrics.record("start_run", self._read_uptime() - started_at)
-                self._note_answer(command, answer)
+                self._note_answer(worker, command, answer)
         self._in_flight[command.worker] -= 1
         if not self._in_flight[command.worker]:
             del self._in_flight[command.worker]
         self._start_next(command.worker)
 
-    def _note_answer(self, command: StartRun, answer: float | Refusal) -> None:
+    def _note_answer(self, worker: Worker, command: StartRun, answer: float | Refusal) -> None:
         self._note_change()
         if not isinstance(answer, Refusal):
             self._pool.note_started(command.worker, command.task, command.number, answer)
-        elif not self._check_refusal(answer):
+        elif not self._check_refusal(worker, answer):
             self._pool.note_refused(command.worker, command.task, command.number, answer)
 
     def _note_failure(self, command: StartRun, error: LavenderstallError) -> None:
@@ -129,7 +130,7 @@
         if worker is None:
             return
         try:
-            answer = await self._client.stop(worker.entry, self._pool.term, command)
+            answer = await self._client.stop(worker.entry, worker.fencing_token, command)
         except LavenderstallError as error:
             logger.info("stop command failed", extra={"job": command.task.job, "error": str(error)})
             return
@@ -137,18 +138,18 @@
         if not isinstance(answer, Refusal):
             self._pool.note_stopped(command.worker, command.task, command.number, answer)
         else:
-            self._check_refusal(answer)
+            self._check_refusal(worker, answer)
 
     async def _pace(self, command: PaceRun) -> None:
         worker = self._pool.workers.get(command.worker)
         if worker is None:
             return
         try:
-            answer = await self._client.throttle(worker.entry, self._pool.term, command)
+            answer = await self._client.throttle(worker.entry, worker.fencing_token, command)
         except LavenderstallError as error:
             logger.info(
                 "throttle command failed", extra={"job": command.task.job, "error": str(error)}
             )
             return
         if isinstance(answer, Refusal):
-            self._check_refusal(answer)
+            self._check_refusal(worker, answer)
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -92,7 +92,7 @@
         try:
             answer = await self._client.poll(
                 worker.entry,
-                self._pool.term,
+                worker.fencing_token,
                 worker.get_acknowledged_seq(asked_at),
                 lease,
                 0 if immediate else self._choose_wait_ms(worker),
@@ -111,8 +111,8 @@
             return
         if isinstance(answer, Refusal):
             self._owner.update_time()
-            self._owner.check_fenced(answer)
-            self._pool.note_poll_refused(worker.key, answer)
+            if not self._owner.check_fenced(worker, answer):
+                self._pool.note_poll_refused(worker.key, answer)
             await sleep(self._clock, POLL_RETRY_DELAY_S)
             return
         if not self._owner.running:
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -47,10 +47,15 @@
 
 
 class Worker:
-    """State of one incarnation of a worker; times are in seconds of uptime."""
+    """State of one incarnation of a worker; times are in seconds of uptime.
 
-    def __init__(self, entry: WorkerEntry) -> None:
+    Its fencing token exceeds those of commands to earlier incarnations, which it refuses once it
+    has answered.
+    """
+
+    def __init__(self, entry: WorkerEntry, fencing_token: int) -> None:
         self.entry = entry
+        self.fencing_token = fencing_token
         self.key = WorkerKey(entry.id, entry.incarnation)
         self.runs: dict[tuple[Task, int], Run] = {}
         self.used = NOTHING
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -119,6 +119,10 @@
                 platform.start_delay_s, self._execute_late, address, path, body, named
             )
             return
+        if path == "/v1/hold" and body["lastSeen"] and address in platform.late_polls:
+            delay = platform.late_polls.pop(address)
+            platform.clock.callLater(delay, self._execute_late, address, path, body, named)
+            return
         if worker is not None and sent_at <= worker.started_at:
             self._clock.callLater(0, self._fail, answer, address, path)
             return
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -408,6 +408,8 @@
         self.keeps_history = True
         self.max_row_bytes = 65536
         self.start_delay_s = 0.0
+        # Workers by address whose next poll that acknowledges ends is executed this much later.
+        self.late_polls: dict[str, float] = {}
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
         self.workers: dict[str, FakeWorker] = {}
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -2,6 +2,7 @@
 
 import unittest
 from typing import Any
+from unittest import mock
 
 from msgspec.structs import replace
 
@@ -23,6 +24,7 @@
     MIN_BACKOFF_S,
     RECENT_ANSWER_S,
     STOP_RETRY_S,
+    TOKENS_PER_TERM,
     UNRESPONSIVE_S,
 )
 from lavenderstall.pools.progress import RecordedRuns
@@ -299,6 +301,19 @@
 class IncarnationTest(unittest.TestCase):
     """Workers that register, exit and restart."""
 
+    def test_fencing_tokens_exceed_those_of_earlier_incarnations_and_terms(self) -> None:
+        """Fails if a new process executes commands that were sent to an earlier one."""
+        tokens = []
+        for term, limit in ((1, TOKENS_PER_TERM), (2, TOKENS_PER_TERM), (3, 1)):
+            with mock.patch("lavenderstall.pools.pool.TOKENS_PER_TERM", limit):
+                bench = Bench(FIRST, term=term * TOKENS_PER_TERM // limit)
+                for incarnation in (2, 3):
+                    tokens.append(next(iter(bench.pool.workers.values())).fencing_token)
+                    bench.register(make_entry("w1", incarnation))
+        first, second, third, fourth, *limited = tokens
+        self.assertTrue(0 < first < second < third < fourth)
+        self.assertEqual(limited, [3 * TOKENS_PER_TERM] * 2)
+
     def test_a_newer_incarnation_ends_the_runs_of_the_older_one(self) -> None:
         for how in ("registered", "answered"):
             with self.subTest(how=how):
--- a/tests/pools/test_worker_commands.py
+++ b/tests/pools/test_worker_commands.py
@@ -9,6 +9,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.effects import FENCE, OTHER_PROCESS, Refusal, StartRun, StopRun
 from lavenderstall.pools.worker_commands import MAX_CONCURRENT_STARTS, CommandSender
+from lavenderstall.pools.workers import Worker
 from tests.pools.builders import JOB, Bench, make_entry, make_job, make_step
 
 FIRST = make_entry("w1")
@@ -56,7 +57,7 @@
             self.commands.send(effect)
         self.worker = next(w for w in self.bench.pool.workers.values() if w.entry is FIRST)
 
-    def check(self, refusal: Refusal) -> bool:
+    def check(self, worker: Worker, refusal: Refusal) -> bool:
         """Record a refusal; return whether the worker has seen a later owner."""
         self.fenced.append(refusal)
         return refusal.reason == FENCE
