Start tasks that last more rarely after crashes, and never give them up

Callers saw a job whose tasks last shown as failed, and its tasks stopped, after its workers had crashed four times for other reasons. None of its runs had failed.

Cause: CrashTracker took four crashes of any kind, or two with one sole suspect, as proof for every task. A task that lasts meets crashes as long as it runs, and the interface limits its attempts in no way.

Such a task, or its gang, is never given up now. From its second crash on its starts lie 1.5, 3 and then 6 s apart, which stays below the 9 s for which it may be away. It still starts isolated, clears others of the crashes for which it alone is to blame, and keeps the crashes of its last four runs only. While it backs off it counts neither as blocked nor as a reason to preempt or to ask for advice. Tasks that end by themselves are given up as before. The price: a task that lasts and crashes its workers crashes one about every 6 s until it is cancelled.

Two of them now ask the same, with the same count of starts, of a task that ends by itself; the third is a test that limits the rate of crashes.

--- a/lavenderstall/pools/crashes.py
+++ b/lavenderstall/pools/crashes.py
@@ -29,6 +29,11 @@
 # more of any kind.
 MAX_CRASHES_SOLE = 2
 MAX_CRASHES = 4
+# A task that lasts is not given up. From its second crash on its runs start at least so far apart,
+# twice as far with each further crash up to the longest interval, which is below the time for
+# which such a task may be away.
+MIN_START_INTERVAL_S = 1.5
+MAX_START_INTERVAL_S = 6.0
 # A run that has been at work for this long is no likely cause of a crash.
 SETTLED_S = 1.0
 # Runs that were started within this time of the youngest are as likely to have caused a crash.
@@ -55,12 +60,15 @@
     """Find the tasks that crash workers among all that were running on them.
 
     A task keeps the crashes under which it was running in its durable progress, until a later run
-    of it lives longer or another task is found to have caused them.
+    of it lives longer or another task is found to have caused them. One that lasts keeps those of
+    its last `MAX_CRASHES` runs.
     """
 
     def __init__(self, pool: "Pool") -> None:
         self._pool = pool
         self._suspects: dict[WorkerKey, set[Attempts]] = {}
+        # When the last run that ended in a crash was started, of tasks that last.
+        self._started_at: dict[Attempts, float] = {}
 
     def add_job(self, job: Job) -> None:
         """Add the crashes that earlier owners have recorded, and give up what they would have."""
@@ -76,6 +84,9 @@
         for attempts, crashes in list_crashes(job):
             for crash in crashes:
                 self._drop_suspect(crash.key, attempts)
+        self._started_at = {
+            attempts: at for attempts, at in self._started_at.items() if attempts.job != job.id
+        }
 
     def list_suspects(self) -> set[Attempts]:
         """Return what has crashes that nothing else explains."""
@@ -95,6 +106,8 @@
 
     def awaits_verdict(self, job: Job, task: Task) -> bool:
         """Tell whether a task is given up if a worker that does not answer has crashed."""
+        if job.is_lasting(task):
+            return False
         crashes = [crash for crash in job.list_crashes(task) if crash.started]
         return (
             count_runs(crashes) >= MAX_CRASHES_SOLE
@@ -102,6 +115,13 @@
             and any(self._is_uncertain(job, task, crash) for crash in crashes)
         )
 
+    def backs_off(self, job: Job, task: Task) -> bool:
+        """Tell whether a task that lasts may not start yet, as workers have crashed under it."""
+        started_at = self._started_at.get(make_attempts(job, task))
+        if started_at is None:
+            return False
+        return self._pool.now - started_at < get_start_interval(job.count_crashes(task))
+
     # Events
 
     def note_unresponsive(self, worker: Worker, runs: Iterable[Run]) -> None:
@@ -117,6 +137,7 @@
         for run, suspicion in found:
             run.crash_noted = True
             age_s = 0.0 if run.inherited else max(0.0, crashed_at - run.start_sent_at)
+            self._note_start(run, crashed_at - age_s)
             if age_s <= MAX_ATTRIBUTED_AGE_S:
                 crash = Crash(
                     *worker.key,
@@ -192,6 +213,7 @@
     def clear(self, job: Job, task: Task) -> None:
         """Clear a task of all crashes."""
         attempts = make_attempts(job, task)
+        self._started_at.pop(attempts, None)
         for crash in list(job.list_crashes(task)):
             self._drop_suspect(crash.key, attempts)
             self._drop_crash(attempts, crash.key)
@@ -242,6 +264,8 @@
             return
         attempts = make_attempts(job, run.task)
         self._add_suspect(crash.key, attempts)
+        if job.is_lasting(run.task):
+            self._drop_oldest(job, run.task, attempts)
         self._pool.recorder.mark_changed(job.id)
         logger.info(
             "worker crashed under a task",
@@ -252,6 +276,19 @@
             },
         )
 
+    def _note_start(self, run: Run, started_at: float) -> None:
+        job = self._pool.find_job(run.task)
+        if job is not None and not job.ended and job.is_lasting(run.task):
+            self._started_at[make_attempts(job, run.task)] = started_at
+
+    def _drop_oldest(self, job: Job, task: Task, attempts: Attempts) -> None:
+        """Drop the crashes of all runs of a task but the last `MAX_CRASHES`."""
+        crashes = job.list_crashes(task)
+        kept = sorted({crash.run for crash in crashes})[-MAX_CRASHES:]
+        for key in {crash.key for crash in crashes if crash.run < kept[0]}:
+            self._drop_suspect(key, attempts)
+            self._drop_crash(attempts, key)
+
     def _confirm(self, attempts: Attempts, key: WorkerKey) -> None:
         job = self._pool.jobs.get(attempts.job)
         if job is not None and job.confirm_crash(attempts[1:], key):
@@ -263,7 +300,10 @@
         return any(run.worker == crash.key for run in list_runs(job, attempts))
 
     def _check_limit(self, job: Job, task: Task, lost: WorkerKey | None = None) -> None:
-        """Give a task up if it alone may have caused the last crash, or if there are many."""
+        """Give a task up if it alone may have caused the last crash, or if there are many.
+
+        The crashes of a task that lasts are no attempts of it, but may explain those of others.
+        """
         crashes = job.list_crashes(task)
         proven = list_proven(crashes)
         certain = [
@@ -271,7 +311,10 @@
             for crash in crashes
             if crash.key == lost or not self._is_uncertain(job, task, crash)
         ]
-        if count_runs(proven) >= MAX_CRASHES_SOLE and is_last_sole(proven):
+        convicted = count_runs(proven) >= MAX_CRASHES_SOLE and is_last_sole(proven)
+        if job.is_lasting(task):
+            self._clear_others(make_attempts(job, task), proven if convicted else [])
+        elif convicted:
             self._give_up(job, task, count_runs(proven))
         elif count_runs(certain) >= MAX_CRASHES:
             self._give_up(job, task, count_runs(certain))
@@ -293,6 +336,15 @@
         for key in explained:
             self.withdraw(key)
 
+    def _clear_others(self, attempts: Attempts, crashes: list[Crash]) -> None:
+        """Clear others of the crashes for which one alone is to blame."""
+        for crash in crashes:
+            if crash.suspicion is not Suspicion.SOLE:
+                continue
+            for other in self._suspects.get(crash.key, set()) - {attempts}:
+                self._drop_suspect(crash.key, other)
+                self._drop_crash(other, crash.key)
+
     # Bookkeeping
 
     def _add_suspect(self, key: WorkerKey, attempts: Attempts) -> None:
@@ -310,6 +362,13 @@
             self._pool.recorder.mark_changed(job.id)
 
 
+def get_start_interval(crashes: int) -> float:
+    """Return the least seconds between the starts of a task that lasts after some crashes."""
+    if crashes < ISOLATED_CRASHES:
+        return 0.0
+    return min(MAX_START_INTERVAL_S, MIN_START_INTERVAL_S * 2.0 ** (crashes - ISOLATED_CRASHES))
+
+
 def has_settled(run: Run, at: float) -> bool:
     """Tell whether a run has been at work for `SETTLED_S`; of an inherited one none is known."""
     return run.inherited or at - run.start_sent_at >= SETTLED_S
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -99,7 +99,9 @@
     def _list_recordable(self, waiting_step: WaitingStep) -> list[int]:
         """Return the waiting tasks whose runs can be recorded; others wait for tasks to end."""
         step, state, job = waiting_step.step, waiting_step.state, waiting_step.job
-        waiting = sorted((state.waiting | state.copies) - state.progress.done)
+        waiting = self._list_startable(
+            waiting_step, (state.waiting | state.copies) - state.progress.done
+        )
         allowance = job.get_start_allowance()
         if len(waiting) <= allowance:
             return waiting
@@ -113,6 +115,14 @@
         self.pool.counts["starts_held_for_progress"] += len(held)
         return [index for index in waiting if index not in held]
 
+    def _list_startable(self, waiting_step: WaitingStep, waiting: set[int]) -> list[int]:
+        """Return the waiting tasks that don't back off after crashes of workers under them."""
+        if not waiting_step.step.long_running:
+            return sorted(waiting)
+        job, backs_off = waiting_step.job, self.pool.crashes.backs_off
+        tasks = [Task(*waiting_step.step_key, index) for index in sorted(waiting)]
+        return [task.number for task in tasks if not backs_off(job, task)]
+
     def _list_returning(self, waiting_step: WaitingStep) -> list[int]:
         """Return the waiting tasks that last and have run before.
 
@@ -124,7 +134,7 @@
         job = waiting_step.job
         return [
             index
-            for index in sorted(waiting_step.state.waiting)
+            for index in self._list_startable(waiting_step, waiting_step.state.waiting)
             if job.get_last_run(Task(*waiting_step.step_key, index))
         ]
 
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -326,6 +326,10 @@
         found = self.get_step(task.occurrence, task.step).progress.checkpoints.get(key)
         return found[1] if found else ""
 
+    def is_lasting(self, task: Task) -> bool:
+        """Tell whether a task runs until its job is cancelled."""
+        return self.spec.steps[task.step].long_running
+
     def list_crashes(self, task: Task) -> list[Crash]:
         """Return the crashes of workers under a task, or under its gang."""
         step = self.steps.get((task.occurrence, task.step))
--- a/tests/pools/test_crashes.py
+++ b/tests/pools/test_crashes.py
@@ -6,6 +6,12 @@
 
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.crash_records import Crash, Suspicion
+from lavenderstall.pools.crashes import (
+    MAX_CRASHES,
+    MAX_START_INTERVAL_S,
+    SETTLED_S,
+    get_start_interval,
+)
 from lavenderstall.pools.effects import RunStatus, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress
@@ -264,7 +270,7 @@
     def test_a_task_that_always_crashes_late_is_given_up(self) -> None:
         """Fails if only crashes within the first second count."""
         bench = CrashBench()
-        bench.pool.add_job(make_job(make_step(long_running=True)))
+        bench.pool.add_job(make_job(make_step(expected_ms=30_000)))
         starts = 0
         while bench.pool.jobs[JOB].state is not JobState.FAILED and starts < 9:
             bench.start_one()
@@ -276,13 +282,93 @@
         self.assertEqual(starts, 4)
 
 
+class LastingTaskTest(unittest.TestCase):
+    """A task that lasts, which is to run until it is cancelled."""
+
+    def setUp(self) -> None:
+        """Add a task that lasts."""
+        self.bench = CrashBench()
+        self.bench.pool.add_job(make_job(make_step(long_running=True)))
+
+    def crash_once(self, lifetime_s: float) -> float:
+        """Crash the worker some seconds after the next start; return how long that was held."""
+        held_s = 0.0
+        while not (starts := self.bench.start()):
+            self.bench.advance(0.1)
+            held_s += 0.1
+        self.assertEqual(len(starts), 1)
+        self.bench.advance(lifetime_s)
+        self.bench.poll_all()
+        self.bench.refuse_connections("w0")
+        self.bench.advance(0.1)
+        self.bench.restart("w0")
+        return held_s
+
+    def test_it_is_not_given_up_but_starts_more_rarely(self) -> None:
+        """Fails if crashes that it has not caused end its job, or it crashes one a second."""
+        for lifetime_s, least_s, most_s in ((0.1, 4.0, MAX_START_INTERVAL_S), (7.0, 0.0, 0.1)):
+            with self.subTest(lifetime_s=lifetime_s):
+                self.setUp()
+                held_s = [self.crash_once(lifetime_s) for _ in range(9)]
+                self.assertIs(self.bench.pool.jobs[JOB].state, JobState.RUNNING)
+                self.assertEqual(held_s[0], 0.0)
+                self.assertTrue(all(least_s <= each <= most_s for each in held_s[5:]), held_s)
+
+    def test_the_interval_between_starts_doubles(self) -> None:
+        rows = ((0, 0.0), (1, 0.0), (2, 1.5), (3, 3.0), (4, 6.0), (9, 6.0))
+        for crashes, interval_s in rows:
+            with self.subTest(crashes=crashes):
+                self.assertEqual(get_start_interval(crashes), interval_s)
+
+    def test_it_keeps_the_crashes_of_few_runs_and_is_cleared_of_all(self) -> None:
+        """Fails if the progress row grows with each crash, or one is never forgotten."""
+        for _ in range(9):
+            self.crash_once(0.1)
+        self.assertEqual(self.bench.count_crashes(), MAX_CRASHES)
+        self.bench.advance(MAX_START_INTERVAL_S)
+        self.bench.start_one()
+        self.bench.advance(0.5)
+        self.bench.poll_all()
+        self.bench.advance(1.0)
+        self.bench.poll_all()
+        self.assertEqual(self.bench.count_crashes(), 0)
+        self.assertEqual(self.bench.pool.crashes.list_suspects(), set())
+
+    def test_others_are_cleared_of_crashes_that_it_alone_has_caused(self) -> None:
+        """Fails if a task beside one that lasts, and is not given up, is blamed in its place."""
+        bench = CrashBench(2)
+        bench.pool.add_job(make_job(make_step(expected_ms=60_000), job=BESIDE))
+        beside = bench.start_one()
+        bench.advance(SETTLED_S + 0.1)
+        bench.poll_all()
+        bench.pool.add_job(make_job(make_step(long_running=True)))
+        self.assertEqual(bench.start_one().worker, beside.worker)
+        for counts in ((1, 1), (2, 0)):
+            bench.advance(0.1)
+            (run,) = bench.pool.jobs[JOB].list_runs()
+            bench.crash(run.worker.id)
+            self.assertIs(bench.get_suspicion(), Suspicion.SOLE)
+            self.assertEqual((bench.count_crashes(), bench.count_crashes(BESIDE_TASK)), counts)
+            bench.start()
+
+    def test_a_successor_does_not_give_it_up(self) -> None:
+        crashes = [
+            Crash(f"w{run}", 1, run, 10, Suspicion.SOLE, confirmed=True, started=True)
+            for run in range(1, MAX_CRASHES + 1)
+        ]
+        bench = Bench(make_entry("w0", 2), term=2)
+        progress = JobProgress("running", {"0.0": StepProgress(crashes={0: crashes})})
+        bench.pool.add_job(make_job(make_step(long_running=True)), progress, inherited=True)
+        self.assertIs(bench.pool.jobs[JOB].state, JobState.RUNNING)
+
+
 class EndedWorkerTest(unittest.TestCase):
     """A worker whose process has certainly ended."""
 
     def test_a_late_crash_counts_although_its_run_has_ended_already(self) -> None:
         """Fails if a task that crashes its workers after some seconds is started for ever."""
         bench = CrashBench(2)
-        bench.pool.add_job(make_job(make_step(long_running=True)))
+        bench.pool.add_job(make_job(make_step(expected_ms=30_000)))
         starts = 0
         while bench.pool.jobs[JOB].state is not JobState.FAILED and starts < 9:
             start = bench.start_one()
