Keep the decisions on who owns a pool apart from input and output

When an owner releases its pool, and whether another instance claims it, was decided within the heartbeat and the claim check of the entry instance, which also send messages and read the store.

`ownership_policy` decides both from a frozen description of what an instance knows. A release has a `ReleaseReason`, a claim a `ClaimDecision`.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -50,6 +50,14 @@
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.objectives import choose_retry_after_s, get_objective_s
 from lavenderstall.pools.owner import PoolOwner
+from lavenderstall.pools.ownership_policy import (
+    ClaimantKnowledge,
+    ClaimDecision,
+    OwnerKnowledge,
+    ReleaseReason,
+    choose_release_reason,
+    decide_claim,
+)
 from lavenderstall.pools.peers import (
     RECONNECT_TIMEOUT_S,
     PeerState,
@@ -89,19 +97,11 @@
 # Instances claim a pool in order of rank, this much after each other.
 CLAIM_DELAY_PER_RANK_S = 0.06
 MAX_CLAIM_RANK = 6
-# An instance isolated from other zones claims only pools not renewed for this long.
-ISOLATED_CLAIM_DELAY_MS = 6000.0
 # Instances that answer an isolated owner, those of the lowest claim ranks.
 MAX_ANSWERS = 3
-# A live owner has this long to renew after a store outage.
-RENEWAL_GRACE_S = 1.0
-# An owner keeps a pool at least this long before it hands it over.
-MIN_OWNERSHIP_S = 3.0
 # Timeouts of writes to the store when a pool is released at shutdown or handed over.
 SHUTDOWN_TIMEOUT_S = 3.0
 HANDOVER_TIMEOUT_S = 1.0
-# An owner whose commits go through peers hands its pools over after this long without the store.
-HANDOVER_DELAY_S = 0.6
 # Interval at which an instance rewrites its row, so that peers keep it.
 RECORD_INTERVAL_S = 10.0
 RETRY_DELAY_S = 0.5
@@ -251,7 +251,7 @@
         self._send_heartbeats()
         await gather(
             [
-                self._release_pool(pool, owner, "shutdown", SHUTDOWN_TIMEOUT_S)
+                self._release_pool(pool, owner, ReleaseReason.SHUTDOWN, SHUTDOWN_TIMEOUT_S)
                 for pool, owner in list(self.owned_pools.items())
             ]
         )
@@ -403,14 +403,7 @@
             self.metrics.count("silent_links_replaced")
             logger.info("silent connection replaced", extra={"peer": peer, "age_ms": age_ms})
             self._dependencies.links.redial(peer)
-        if self.owned_pools and self._is_better_placed_peer_known():
-            self._hand_over_pools("isolated from other zones")
-        elif self._store.get_lost_s() > HANDOVER_DELAY_S and any(
-            owner.writer.has_recent_relay() for owner in self.owned_pools.values()
-        ):
-            self._hand_over_pools("peers reach the store, this instance does not")
-        elif self.owned_pools and self.peers.has_stronger_idle_peer(self.identity.cpu_capacity):
-            self._hand_over_pools("an instance with more CPU capacity owns no pool")
+        self._hand_over_pools()
         await sleep(self._clock, HEARTBEAT_INTERVAL_S)
 
     def _is_better_placed_peer_known(self) -> bool:
@@ -447,13 +440,22 @@
             )
             self.peers.send(entry, heartbeat)
 
-    def _hand_over_pools(self, reason: str) -> None:
+    def _hand_over_pools(self) -> None:
         """Release pools that other instances serve better."""
         for pool, owner in list(self.owned_pools.items()):
-            owned_s = self.read_uptime() - self._claimed_at.get(pool, 0.0)
-            if owned_s > MIN_OWNERSHIP_S and not owner.writer.releasing:
+            reason = choose_release_reason(self._gather_owner_knowledge(pool))
+            if reason is not None and not owner.writer.releasing:
                 launch(self._release_pool(pool, owner, reason, HANDOVER_TIMEOUT_S))
 
+    def _gather_owner_knowledge(self, pool: PoolName) -> OwnerKnowledge:
+        return OwnerKnowledge(
+            owned_s=self.read_uptime() - self._claimed_at.get(pool, 0.0),
+            store_lost_s=self._store.get_lost_s(),
+            relayed=any(owner.writer.has_recent_relay() for owner in self.owned_pools.values()),
+            isolated_until_answered=self._is_better_placed_peer_known(),
+            knows_stronger_idle_peer=self.peers.has_stronger_idle_peer(self.identity.cpu_capacity),
+        )
+
     # Ownership
 
     async def _claim_ownerless_pools(self) -> None:
@@ -483,16 +485,26 @@
             if self.peers.is_owner_active(pool) or self.draining:
                 return
             snapshot = await self._claimer.read_ownership(pool)
-            if self._is_claimable(pool, snapshot) and self._may_claim(pool, snapshot):
+            known = self._gather_claimant_knowledge(pool, snapshot)
+            if decide_claim(known) is ClaimDecision.CLAIM:
                 await self._claim(pool, snapshot)
         except LavenderstallError as error:
             logger.info("reading the pool owner failed", extra={"pool": pool, "error": str(error)})
         finally:
             self._claims_in_progress.discard(pool)
 
-    def _is_claimable(self, pool: PoolName, snapshot: OwnershipSnapshot) -> bool:
-        """Tell whether a pool has no owner, or one that has ended or lost contact."""
-        return snapshot.is_claimable(self._find_owner_evidence(pool, snapshot.owner))
+    def _gather_claimant_knowledge(
+        self, pool: PoolName, snapshot: OwnershipSnapshot
+    ) -> ClaimantKnowledge:
+        return ClaimantKnowledge(
+            snapshot,
+            self._find_owner_evidence(pool, snapshot.owner),
+            draining=self.draining,
+            hears_owner=self.peers.get_live_owner(pool) is not None,
+            store_available_s=self._store.get_available_s(),
+            isolated=self.peers.is_isolated(),
+            knows_connected_peer=self.peers.has_connected_peer_elsewhere(),
+        )
 
     def _find_owner_evidence(self, pool: PoolName, owner: OwnerRow | None) -> OwnerEvidence:
         if owner is None:
@@ -501,20 +513,6 @@
             return OwnerEvidence.ENDED
         return self.peers.find_owner_evidence(pool, owner)
 
-    def _may_claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> bool:
-        """Tell whether this instance may claim.
-
-        An isolated instance defers to others if some aren't. After a store outage, the current
-        owner gets time to renew first.
-        """
-        if self.peers.get_live_owner(pool) and self._store.get_available_s() < RENEWAL_GRACE_S:
-            return False
-        if snapshot.owner is None or not self.peers.is_isolated():
-            return True
-        if not self.peers.has_connected_peer_elsewhere():
-            return True
-        return snapshot.store_ms - snapshot.owner.renewed_ms > ISOLATED_CLAIM_DELAY_MS
-
     def _get_claim_rank(self, pool: PoolName) -> int:
         """Return how many possibly live instances precede this one in claiming the pool."""
         cpu_capacities = self.peers.get_claimant_capacities()
@@ -614,10 +612,10 @@
         logger.warning("pool lost", extra={"pool": pool, "term": owner.pool.term, "reason": reason})
 
     async def _release_pool(
-        self, pool: PoolName, owner: PoolOwner, reason: str, limit_s: float
+        self, pool: PoolName, owner: PoolOwner, reason: ReleaseReason, limit_s: float
     ) -> None:
         await owner.release(limit_s)
-        self._handle_ownership_loss(pool, owner, reason)
+        self._handle_ownership_loss(pool, owner, reason.value)
         self._dependencies.links.broadcast(PoolReleased(pool, owner.pool.term))  # type: ignore[arg-type]
         self.peers.forget_owner(pool, owner.pool.term)
 
