Bound the time for which isolated instances leave a pool to others

Callers saw a cancellation acknowledged and its tasks run on for 5.5 s, and a job accepted that nobody started, while their instance reached the store and heard no other zone.

An isolated instance deferred for 6 s after the last renewal if any row named an instance of another zone that isn't isolated. Such a row may be older than the loss of the instance, and says nothing of whether it reaches the store: where the others hear each other without the store, or have frozen, nobody claims the pool for 6 s.

An isolated instance now defers for 0.6 s after the pool is free for all, by a release or an expiry, and longer by what the store's commits add to the expiry. Others claim within that time: a check each 0.2 s and 0.06 s a rank.

--- a/lavenderstall/pools/ownership_policy.py
+++ b/lavenderstall/pools/ownership_policy.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lavenderstall.pools.claims import OwnerEvidence, OwnershipSnapshot
+from lavenderstall.pools.records import BASE_EXPIRY_MS
 
 # An owner keeps a pool at least this long before it hands it over.
 MIN_OWNERSHIP_S = 3.0
@@ -12,8 +13,8 @@
 HANDOVER_DELAY_S = 0.6
 # A live owner has this long to renew after a store outage.
 RENEWAL_GRACE_S = 1.0
-# An instance isolated from other zones claims only pools not renewed for this long.
-ISOLATED_CLAIM_DELAY_MS = 6000.0
+# Time in which a better placed instance claims a pool: a check of each rank, and a commit.
+DEFERRAL_MS = 600.0
 
 
 class ReleaseReason(Enum):
@@ -83,7 +84,8 @@
 def decide_claim(known: ClaimantKnowledge) -> ClaimDecision:
     """Decide whether an instance claims a pool.
 
-    An isolated instance defers to others if some aren't, but only for a time.
+    An isolated instance defers to others that aren't, but only for a time: what it knows of them
+    may be out of date.
     """
     ownership = known.ownership
     if known.draining:
@@ -92,8 +94,24 @@
         return ClaimDecision.WAIT_FOR_OWNER
     if known.hears_owner and known.store_available_s < RENEWAL_GRACE_S:
         return ClaimDecision.WAIT_FOR_OWNER
-    if ownership.owner is None or not (known.isolated and known.knows_connected_peer):
+    if not (known.isolated and known.knows_connected_peer):
         return ClaimDecision.CLAIM
-    if ownership.store_ms - ownership.owner.renewed_ms > ISOLATED_CLAIM_DELAY_MS:
+    if get_ownerless_ms(ownership) > get_deferral_ms(ownership):
         return ClaimDecision.CLAIM
     return ClaimDecision.WAIT_FOR_BETTER_PLACED
+
+
+def get_ownerless_ms(ownership: OwnershipSnapshot) -> float:
+    """Return for how long a pool has been free for any instance, infinite if it had no owner."""
+    owner = ownership.owner
+    if owner is None:
+        return float("inf")
+    expiry_ms = 0.0 if owner.released else owner.expiry_ms
+    return ownership.store_ms - owner.renewed_ms - expiry_ms
+
+
+def get_deferral_ms(ownership: OwnershipSnapshot) -> float:
+    """Return how long to defer to better placed instances, which is longer if the store is slow."""
+    owner = ownership.owner
+    slowness_ms = max(0.0, owner.expiry_ms - BASE_EXPIRY_MS) if owner is not None else 0.0
+    return DEFERRAL_MS + slowness_ms
--- a/tests/pools/test_ownership_policy.py
+++ b/tests/pools/test_ownership_policy.py
@@ -6,8 +6,8 @@
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.claims import OwnerEvidence, OwnershipSnapshot
 from lavenderstall.pools.ownership_policy import (
+    DEFERRAL_MS,
     HANDOVER_DELAY_S,
-    ISOLATED_CLAIM_DELAY_MS,
     MIN_OWNERSHIP_S,
     RENEWAL_GRACE_S,
     ClaimantKnowledge,
@@ -17,14 +17,18 @@
     choose_release_reason,
     decide_claim,
 )
-from lavenderstall.pools.records import OwnerRow
+from lavenderstall.pools.records import BASE_EXPIRY_MS, OwnerRow
 
 RENEWED_MS = 50_000.0
 
 
-def make_ownership(age_ms: float, released: bool = False) -> OwnershipSnapshot:
+def make_ownership(
+    age_ms: float, released: bool = False, expiry_ms: float = BASE_EXPIRY_MS
+) -> OwnershipSnapshot:
     """Return an owner row that was written `age_ms` ago."""
-    owner = OwnerRow(EntryId("e1"), Incarnation("i"), 3, RENEWED_MS, released=released)
+    owner = OwnerRow(
+        EntryId("e1"), Incarnation("i"), 3, RENEWED_MS, released=released, expiry_ms=expiry_ms
+    )
     return OwnershipSnapshot(None, owner, RENEWED_MS + age_ms)
 
 
@@ -82,18 +86,20 @@
                 self.assertIs(decide_claim(known), expected)
 
     def test_an_isolated_instance_defers_to_others(self) -> None:
-        """Fails if the zone mates of an isolated owner take the pool that it released."""
+        """Fails if zone mates of an isolated owner take its pool, or nobody takes it."""
         table = (
-            (ISOLATED_CLAIM_DELAY_MS, ClaimDecision.WAIT_FOR_BETTER_PLACED),
-            (ISOLATED_CLAIM_DELAY_MS + 1, ClaimDecision.CLAIM),
+            (True, BASE_EXPIRY_MS, DEFERRAL_MS),
+            (False, BASE_EXPIRY_MS, BASE_EXPIRY_MS + DEFERRAL_MS),
+            # A claim takes longer if commits do.
+            (True, BASE_EXPIRY_MS + 500, DEFERRAL_MS + 500),
         )
-        for (age_ms, decision), isolated, others in product(table, (False, True), (False, True)):
-            known = ClaimantKnowledge(
-                make_ownership(age_ms, released=True),
-                isolated=isolated,
-                knows_connected_peer=others,
-            )
-            expected = decision if isolated and others else ClaimDecision.CLAIM
+        for (released, expiry_ms, free_ms), late, isolated, others in product(
+            table, *[(False, True)] * 3
+        ):
+            ownership = make_ownership(free_ms + late, released, expiry_ms)
+            known = ClaimantKnowledge(ownership, isolated=isolated, knows_connected_peer=others)
+            waits = isolated and others and not late
+            expected = ClaimDecision.WAIT_FOR_BETTER_PLACED if waits else ClaimDecision.CLAIM
             with self.subTest(known=known):
                 self.assertIs(decide_claim(known), expected)
 
