Leave a pool released for a stronger instance to that instance

Callers saw a pool without an owner for about half a second each 3 s, for as long as a strong idle instance lived and the other strong ones owned pools.

Instances claim in an order rotated by the index of the pool, so that pools released together get different owners. A single pool without an owner was rotated too: the strongest idle instance came last, a weak one claimed, and handed the pool over again after 3 s.

The rotation counts pools without an active owner only, and an instance that would hand the pool over to a stronger idle one as its owner defers to it for 0.6 s, as isolated instances do. A strong instance that is isolated from other zones counts no longer, as it would hand the pool on.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -194,7 +194,7 @@
     """Return how many instances precede this one in claiming a pool.
 
     Those that own fewer pools, then those with more CPU capacity, go first, rotated by the pool's
-    index, so that pools differ in their first claimant.
+    index among those without an owner, so that they differ in their first claimant.
     """
     order = sorted(
         cpu_capacities, key=lambda e: (owned.get(e, 0), -cpu_capacities[e], crc32(e.encode()), e)
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -504,6 +504,9 @@
             store_available_s=self._store.get_available_s(),
             isolated=self.peers.is_isolated(),
             knows_connected_peer=self.peers.has_connected_peer_elsewhere(),
+            knows_stronger_idle_peer=self.peers.has_stronger_idle_peer(
+                self.identity.cpu_capacity, besides=self._get_index_to_claim(pool)
+            ),
         )
 
     def _find_owner_evidence(self, pool: PoolName, owner: OwnerRow | None) -> OwnerEvidence:
@@ -518,11 +521,16 @@
         cpu_capacities = self.peers.get_claimant_capacities()
         cpu_capacities[self.identity.entry] = self.identity.cpu_capacity
         owned = Counter(owner_state.entry for owner_state in self.peers.owners.values())
-        pools = sorted(self.settings.pools)
-        pool_index = pools.index(pool) if pool in pools else 0
-        rank = get_claim_rank(self.identity.entry, cpu_capacities, owned, pool_index)
+        index = self._get_index_to_claim(pool)
+        rank = get_claim_rank(self.identity.entry, cpu_capacities, owned, index)
         return min(rank, MAX_CLAIM_RANK)
 
+    def _get_index_to_claim(self, pool: PoolName) -> int:
+        """Return how many configured pools without an active owner precede a pool."""
+        return sum(
+            name < pool and not self.peers.is_owner_active(name) for name in self.settings.pools
+        )
+
     async def _claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> None:
         claim = await self._claimer.claim(pool, snapshot)
         if claim is None:
--- a/lavenderstall/pools/ownership_policy.py
+++ b/lavenderstall/pools/ownership_policy.py
@@ -65,6 +65,7 @@
     store_available_s: float = RENEWAL_GRACE_S
     isolated: bool = False
     knows_connected_peer: bool = False
+    knows_stronger_idle_peer: bool = False
 
 
 def choose_release_reason(known: OwnerKnowledge) -> ReleaseReason | None:
@@ -84,8 +85,8 @@
 def decide_claim(known: ClaimantKnowledge) -> ClaimDecision:
     """Decide whether an instance claims a pool.
 
-    An isolated instance defers to others that aren't, but only for a time: what it knows of them
-    may be out of date.
+    It defers to instances for which an owner like it would release the pool, but only for a time:
+    what it knows of them may be out of date.
     """
     ownership = known.ownership
     if known.draining:
@@ -94,7 +95,8 @@
         return ClaimDecision.WAIT_FOR_OWNER
     if known.hears_owner and known.store_available_s < RENEWAL_GRACE_S:
         return ClaimDecision.WAIT_FOR_OWNER
-    if not (known.isolated and known.knows_connected_peer):
+    isolated = known.isolated and known.knows_connected_peer
+    if not isolated and not known.knows_stronger_idle_peer:
         return ClaimDecision.CLAIM
     if get_ownerless_ms(ownership) > get_deferral_ms(ownership):
         return ClaimDecision.CLAIM
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -339,14 +339,22 @@
             and not self.is_disconnected(peer)
         }
 
-    def has_stronger_idle_peer(self, cpu_capacity: float) -> bool:
-        """Tell whether a much larger live peer reaches the store and owns no pool."""
+    def has_stronger_idle_peer(self, cpu_capacity: float, besides: int = 0) -> bool:
+        """Tell whether a much larger live peer reaches the store and owns no pool.
+
+        One that is isolated would hand a pool over to others. With `besides`, there must be one
+        more than so many.
+        """
         owners = {state.entry for state in self.owners.values()}
-        return any(
-            self.peers[peer].cpu_capacity > STRONGER_CAPACITY_FACTOR * cpu_capacity
+        stronger = [
+            peer
             for peer in self.list_live_peers()
-            if peer not in owners and not self.peers[peer].store_lost
-        )
+            if self.peers[peer].cpu_capacity > STRONGER_CAPACITY_FACTOR * cpu_capacity
+            and peer not in owners
+            and not self.peers[peer].store_lost
+            and not self.peers[peer].isolated
+        ]
+        return len(stronger) > besides
 
     def is_in_same_zone(self, peer: EntryId) -> bool:
         """Tell whether a peer is in the same zone."""
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -1,6 +1,7 @@
 """Simulated cell: entry instances on the fake platform, driven by one clock."""
 
 import json
+from collections.abc import Mapping
 from random import Random
 from typing import Any
 
@@ -88,6 +89,7 @@
             Incarnation(f"{name}-{start_number}"),
             cell.get_zone(name),
             f"tcp://{name}:1",
+            cell.capacities.get(name, 1.0),
         )
         dependencies = Dependencies(
             clock=self.clock,
@@ -117,12 +119,15 @@
         advice: bool = True,
         zones: int = 1,
         max_row_bytes: int = 65536,
+        capacities: Mapping[str, float] | None = None,
     ) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
         self.platform = FakePlatform(self.clock)
         self.platform.max_row_bytes = max_row_bytes
         self.nodes: dict[str, Node] = {}
+        # CPU capacities of instances by name, 1 for others.
+        self.capacities = capacities or {}
         self.disconnected_pairs: set[frozenset[str]] = set()
         # Connections, as sender and peer, that stay open and carry nothing until they are replaced.
         self.silent_links: set[tuple[str, str]] = set()
--- a/tests/platform/test_ownerless_pools.py
+++ b/tests/platform/test_ownerless_pools.py
@@ -93,5 +93,26 @@
         self.assertLess(max(gaps), LONGEST_GAP_S)
 
 
+class CapacityTest(unittest.TestCase):
+    """Pools that move to instances with more processor."""
+
+    def test_each_pool_moves_once(self) -> None:
+        """Fails if weak instances claim a pool that was released for a strong one, in turns."""
+        for strong in combinations(("entry-0", "entry-3", "entry-5"), 2):
+            with self.subTest(strong=strong):
+                cell = SimulatedCell(6, 4, zones=3, capacities=dict.fromkeys(strong, 4.0))
+                for name in strong:
+                    cell.kill(name)
+                cell.run(8.0)
+                for name in strong:
+                    cell.start(name)
+                    cell.run(8.0)
+                owners = {pool: cell.find_owner(pool) for pool in POOLS}
+                self.assertLessEqual({*owners.values()}, {*strong})
+                for _ in range(40):
+                    cell.run(0.2)
+                    self.assertEqual({pool: cell.find_owner(pool) for pool in POOLS}, owners)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/pools/test_ownership_policy.py
+++ b/tests/pools/test_ownership_policy.py
@@ -85,20 +85,24 @@
             with self.subTest(known=known):
                 self.assertIs(decide_claim(known), expected)
 
-    def test_an_isolated_instance_defers_to_others(self) -> None:
-        """Fails if zone mates of an isolated owner take its pool, or nobody takes it."""
+    def test_an_instance_defers_to_better_placed_ones(self) -> None:
+        """Fails if instances take a pool that its owner released for others, or nobody does."""
         table = (
             (True, BASE_EXPIRY_MS, DEFERRAL_MS),
             (False, BASE_EXPIRY_MS, BASE_EXPIRY_MS + DEFERRAL_MS),
             # A claim takes longer if commits do.
             (True, BASE_EXPIRY_MS + 500, DEFERRAL_MS + 500),
         )
-        for (released, expiry_ms, free_ms), late, isolated, others in product(
-            table, *[(False, True)] * 3
+        for (released, expiry_ms, free_ms), late, isolated, others, stronger in product(
+            table, *[(False, True)] * 4
         ):
-            ownership = make_ownership(free_ms + late, released, expiry_ms)
-            known = ClaimantKnowledge(ownership, isolated=isolated, knows_connected_peer=others)
-            waits = isolated and others and not late
+            known = ClaimantKnowledge(
+                make_ownership(free_ms + late, released, expiry_ms),
+                isolated=isolated,
+                knows_connected_peer=others,
+                knows_stronger_idle_peer=stronger,
+            )
+            waits = ((isolated and others) or stronger) and not late
             expected = ClaimDecision.WAIT_FOR_BETTER_PLACED if waits else ClaimDecision.CLAIM
             with self.subTest(known=known):
                 self.assertIs(decide_claim(known), expected)
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -202,17 +202,20 @@
 
     def test_pool_moves_to_idle_instance_with_much_more_cpu_capacity(self) -> None:
         rows = (
-            (1.0, False, False),
-            (STRONGER_CAPACITY_FACTOR + 0.1, False, True),
-            (9.0, True, False),
+            (1.0, False, False, False),
+            (STRONGER_CAPACITY_FACTOR + 0.1, False, False, True),
+            (9.0, True, False, False),
+            (9.0, False, True, False),
         )
-        for cpu_capacity, owns, moves in rows:
-            with self.subTest(cpu_capacity=cpu_capacity, owns=owns):
+        for cpu_capacity, owns, isolated, moves in rows:
+            with self.subTest(cpu_capacity=cpu_capacity, owns=owns, isolated=isolated):
                 self.setUp()
                 self.peers.peers[EntryId("e2")].cpu_capacity = cpu_capacity
+                self.peers.peers[EntryId("e2")].isolated = isolated
                 if owns:
                     self.peers.record_owner(EntryId("e2"), OwnerHeartbeat(POOL, 1, {}))
                 self.assertEqual(self.peers.has_stronger_idle_peer(1.0), moves)
+                self.assertFalse(self.peers.has_stronger_idle_peer(1.0, besides=1))
 
     def test_peers_not_heard_for_long_are_no_claimants(self) -> None:
         self.peers.peers[EntryId("e9")] = PeerState("z9")
