Let others claim from an owner whose commits are lost

Callers saw jobs accepted that nobody started for 6 to 9 s, while their pool's owner read the store but its transactions didn't arrive.

An owner told its peers that it can't commit only if the store counts as lost, which it doesn't while reads and feeds are answered. The peers took its heartbeats for those of an active owner and read the owner row no more, although it had expired.

An owner now also tells so once its own renewal is older than the time after which its row may be claimed.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -424,7 +424,9 @@
         lost = self._store.is_lost()
         for name, owner in self.owned_pools.items():
             pending = encode_pending_counts(owner.pool.count_pending())
-            cannot_commit = lost and not owner.writer.has_recent_commit()
+            cannot_commit = owner.writer.has_expired() or (
+                lost and not owner.writer.has_recent_commit()
+            )
             owner_heartbeat = OwnerHeartbeat(name, owner.pool.term, pending, cannot_commit)
             self._dependencies.links.broadcast(owner_heartbeat)  # type: ignore[arg-type]
             self.peers.record_owner(self.identity.entry, owner_heartbeat)
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -155,6 +155,10 @@
         """Tell whether the ownership was confirmed lately, by the store or through a peer."""
         return self._read_uptime() - self.confirmed_at < RECENT_COMMIT_S
 
+    def has_expired(self) -> bool:
+        """Tell whether no renewal was confirmed for so long that the pool may be claimed."""
+        return (self._read_uptime() - self.confirmed_at) * 1000 > self._owner.expiry_ms
+
     def has_recent_relay(self) -> bool:
         """Tell whether a peer has committed for this owner lately."""
         return self._relay.has_recent_commit()
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -58,7 +58,8 @@
 class FakeHttpClient:
     """HTTP client of one instance.
 
-    `unreachable` holds the addresses that it can't reach; with `turned_away` the store rejects it.
+    `unreachable` holds the addresses that it can't reach; with `turned_away` the store rejects it,
+    and with `loses_commits` its transactions don't arrive.
     """
 
     def __init__(self, platform: FakePlatform, clock: PausableClock) -> None:
@@ -66,6 +67,7 @@
         self._clock = clock
         self.unreachable: set[str] = set()
         self.turned_away = False
+        self.loses_commits = False
 
     def request(
         self,
@@ -153,7 +155,7 @@
         self, answer: Deferred[Reply], path: str, query: dict[str, str], body: Any, sent_at: float
     ) -> None:
         platform = self._platform
-        if platform.store_mode == "silent":
+        if platform.store_mode == "silent" or (self.loses_commits and path == "/v1/rows-tx"):
             return
         if platform.store_mode == "busy" or self.turned_away:
             self._reply(answer, 503, {})
--- a/tests/platform/test_ownerless_pools.py
+++ b/tests/platform/test_ownerless_pools.py
@@ -93,6 +93,21 @@
         self.assertLess(max(gaps), LONGEST_GAP_S)
 
 
+class LostCommitTest(unittest.TestCase):
+    """Owners that hear the store but can't write to it."""
+
+    def test_an_owner_whose_commits_are_lost_is_replaced(self) -> None:
+        """Fails if an owner counts as active although it can't renew, as its reads are answered."""
+        for number in range(3):
+            with self.subTest(number=number):
+                cell = start_cell()
+                cell.run(0.3 * number)
+                client = cell.nodes[get_owner(cell)].http_client
+                inject = partial(setattr, client, "loses_commits", True)
+                gaps = measure_ownership_gaps(cell, POOL, inject, 12.0)
+                self.assertLess(max(gaps), LONGEST_GAP_S)
+
+
 class CapacityTest(unittest.TestCase):
     """Pools that move to instances with more processor."""
 
