Find pools that only jobs name, so that each has an owner

Callers saw accepted jobs that nobody ran or ended any more: their pool had left the configuration, and all instances were killed at once.

An instance claims the configured pools and those of which it heard an owner. After all instances have ended nobody has heard the owner of a former pool, so that nobody claims it.

An owner reads the job rows of all pools anyway when it loads and follows them. It now keeps the names of their pools, and its instance claims those that have no owner.

Before, `test_a_removed_pool_has_an_owner_after_all_instances_were_killed` fails.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -467,7 +467,8 @@
 
     def _list_pools(self) -> set[PoolName]:
         """Return the configured pools, and former ones that may have unfinished jobs."""
-        return {*self.settings.pools, *self.peers.get_terms()}
+        of_jobs = [owner.pools_of_jobs for owner in self.owned_pools.values()]
+        return {*self.settings.pools, *self.peers.get_terms()}.union(*of_jobs)
 
     def _start_claim_check(self, pool: PoolName) -> None:
         if (
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -42,7 +42,7 @@
 from lavenderstall.pools.row_parts import is_part_key
 from lavenderstall.pools.table_reads import read_partition
 from lavenderstall.pools.unreadable_rows import UnreadableRows
-from lavenderstall.pools.work import JobState
+from lavenderstall.pools.work import JobState, PoolName
 from lavenderstall.pools.worker_commands import CommandSender
 from lavenderstall.pools.worker_poller import WorkerPoller
 from lavenderstall.pools.writer import OwnershipLostError, OwnerWriter
@@ -119,6 +119,8 @@
         self._shards = list_shards()
         # Without their progress, tasks of these jobs that are done would run again.
         self._unreadable_jobs: set[JobId] = set()
+        # Pools of all jobs that were read; some may be in no configuration any more.
+        self.pools_of_jobs: set[PoolName] = set()
         self._commands = CommandSender(
             pool,
             workers,
@@ -353,7 +355,10 @@
         if found is not None and found.id != row.key:
             self._unreadable_rows.note(row.table, row.key, row.version, f"it holds job {found.id}")
             return None
-        return found if found is not None and found.pool == self.pool.name else None
+        if found is None:
+            return None
+        self.pools_of_jobs.add(found.pool)
+        return found if found.pool == self.pool.name else None
 
     def _decode(self, row: Row, decode: Callable[[bytes], T]) -> T | None:
         """Decode a row, or note why it can't be read and return none."""
--- a/tests/platform/test_moved_queues.py
+++ b/tests/platform/test_moved_queues.py
@@ -117,6 +117,22 @@
         cell.run(12.0)
         self.assertEqual(cell.platform.checker.list_unfinished(), [])
 
+    def test_a_removed_pool_has_an_owner_after_all_instances_were_killed(self) -> None:
+        """Fails if a pool out of the configuration is known to its owners' peers alone."""
+        cell = start_cell()
+        cell.submit("entry-0", FIRST, JOB, [dict(LASTING)])
+        cell.run(1.0)
+        cell.put_settings(2, moved={FIRST: ""}, removes_services=True)
+        cell.run(APPLY_S)
+        for name in list(cell.nodes):
+            cell.kill(name)
+        for number in range(3):
+            cell.start(f"entry-{number}")
+        self.assertTrue(cell.run_until(lambda: cell.find_owner(FIRST), 4.0))
+        cell.run(4.0)
+        running = [worker.running for worker in cell.platform.workers.values() if worker.running]
+        self.assertTrue(running)
+
     def test_a_job_can_be_cancelled_while_the_store_is_away(self) -> None:
         """Fails if only the owner of the queue's present pool is asked which pool has the job."""
         cell = start_cell()
