Test a cell in which all connections to store and workers fall silent

The platform's HTTP client itself runs on simulated connections of the fake platform, with many idle connections to each worker.

--- /dev/null
+++ b/tests/platform/persistent_http_client.py
@@ -0,0 +1,121 @@
+"""The HTTP client of the platform on connections of the fake platform that can fall silent."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.error import ConnectionAborted, ConnectionDone
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+from twisted.web.client import Agent
+
+from adapter.http_client import HttpClient
+from lavenderstall.platform_clients import Reply
+from tests.platform.fake_http_client import FakeHttpClient, PausableClock
+from tests.platform.fake_platform import FakePlatform
+from tests.platform.loopback import Direction, cut_request, is_complete, measure_request
+
+# Longer than the timeout of any request.
+SERVICE_TIMEOUT_S = 60.0
+
+
+class PersistentHttpClient(HttpClient):
+    """The client of one instance, whose connections are simulated."""
+
+    def __init__(self, platform: FakePlatform, clock: PausableClock) -> None:
+        super().__init__(clock)
+        self._agent = Agent.usingEndpointFactory(clock, self, self._pool)
+        self.service = FakeHttpClient(platform, clock)
+        self.clock = clock
+        self.connections: list[SimulatedConnection] = []
+
+    @property
+    def unreachable(self) -> set[str]:
+        """Return the addresses that can't be reached."""
+        return self.service.unreachable
+
+    @unreachable.setter
+    def unreachable(self, addresses: set[str]) -> None:
+        self.service.unreachable = addresses
+
+    def endpointForURI(self, uri: Any) -> "SimulatedEndpoint":
+        """Return the endpoint of a URI."""
+        return SimulatedEndpoint(self, uri.netloc.decode())
+
+    def silence(self, direction: Direction, services: Callable[[str], bool]) -> None:
+        """Let all open connections to some addresses drop what is sent; new ones work."""
+        for connection in self.connections:
+            if services(connection.address):
+                connection.silent = direction
+
+
+class SimulatedEndpoint:
+    """An address to which connections are made."""
+
+    def __init__(self, client: PersistentHttpClient, address: str) -> None:
+        self._client = client
+        self._address = address
+
+    def connect(self, factory: Any) -> "Deferred[Any]":
+        """Open a connection."""
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(SimulatedConnection(self._client, self._address, protocol))
+        return succeed(protocol)
+
+
+class SimulatedConnection(StringTransport):
+    """A connection whose requests the fake platform answers."""
+
+    silent: Direction | None = None
+
+    def __init__(self, client: PersistentHttpClient, address: str, protocol: Any) -> None:
+        super().__init__()
+        self._client = client
+        self.address = address
+        self._client_protocol = protocol
+        self._received = b""
+        self._open = True
+        client.connections.append(self)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of a request."""
+        if self.silent in {Direction.REQUESTS, Direction.BOTH}:
+            return
+        self._received += data
+        while is_complete(self._received):
+            request = self._received[: measure_request(self._received)]
+            self._received = cut_request(self._received)
+            self._execute(request)
+
+    def writeSequence(self, data: Iterable[bytes]) -> None:
+        """Send pieces of a request."""
+        self.write(b"".join(data))
+
+    def loseConnection(self) -> None:
+        """Close the connection."""
+        self._end(ConnectionDone())
+
+    def abortConnection(self) -> None:
+        """Reset the connection."""
+        self._end(ConnectionAborted())
+
+    def _end(self, reason: Exception) -> None:
+        if self._open:
+            self._open = False
+            self._client.connections.remove(self)
+            self._client.clock.callLater(0, self._client_protocol.connectionLost, Failure(reason))
+
+    def _execute(self, request: bytes) -> None:
+        head, _, body = request.partition(b"\r\n\r\n")
+        first, *fields = head.split(b"\r\n")
+        method, path, _ = first.decode().split(" ")
+        headers = {name: [value.strip()] for name, _, value in (f.partition(b":") for f in fields)}
+        call = self._client.service.request(
+            method, self.address, path, body or None, SERVICE_TIMEOUT_S, headers
+        )
+        call.addCallbacks(self._answer, lambda _: self.abortConnection())
+
+    def _answer(self, reply: Reply) -> None:
+        head = f"HTTP/1.1 {reply.status} OK\r\nContent-Length: {len(reply.body)}\r\n\r\n"
+        if self._open and self.silent is None:
+            self._client_protocol.dataReceived(head.encode() + reply.body)
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -1,6 +1,7 @@
 """Simulated cell: entry instances on the fake platform, driven by one clock."""
 
 import json
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -77,7 +78,7 @@
     def __init__(self, cell: "SimulatedCell", name: str, start_number: int) -> None:
         self.name = name
         self.clock = PausableClock(cell.clock)
-        self.http_client: Any = FakeHttpClient(cell.platform, self.clock)
+        self.http_client: Any = cell.http_client_type(cell.platform, self.clock)
         self.http_client.unreachable |= cell.unreachable_workers
         self.links: Any = FakeLinks(cell, name)
         metrics = Metrics()
@@ -110,6 +111,8 @@
 class SimulatedCell:
     """Simulate instances, workers and clients."""
 
+    http_client_type: Callable[[FakePlatform, PausableClock], Any] = FakeHttpClient
+
     def __init__(
         self,
         nodes: int = 3,
