Test calls in flight when connections fall silent, idle ones and connecting

The stand-ins drop by direction: an answer under way arrives if only requests are dropped, and half of one if the rest is.

--- a/tests/platform/loopback.py
+++ b/tests/platform/loopback.py
@@ -58,13 +58,12 @@
         self._service.reactor.callLater(self._service.delay_s, self._answer)
 
     def _answer(self) -> None:
-        if self.silent is Direction.ANSWERS or self not in self._service.connections:
+        if self not in self._service.connections:
             return
         body = self._service.body
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-        sent = body[: len(body) // 2] if self.silent else body
         assert self.transport is not None
-        self.transport.write(head.encode() + sent)
+        self.transport.write(cut_answer(head.encode(), body, self.silent))
 
 
 class LoopbackService(Factory):
@@ -126,6 +125,13 @@
         return results[0]
 
 
+def cut_answer(head: bytes, body: bytes, silent: Direction | None) -> bytes:
+    """Return what arrives of an answer."""
+    if silent in {Direction.ANSWERS, Direction.BOTH}:
+        return b""
+    return head + (body[: len(body) // 2] if silent is Direction.REST_OF_ANSWERS else body)
+
+
 def is_complete(received: bytes) -> bool:
     """Tell whether the bytes begin with a complete request."""
     return b"\r\n\r\n" in received and len(received) >= measure_request(received)
--- a/tests/platform/persistent_http_client.py
+++ b/tests/platform/persistent_http_client.py
@@ -13,7 +13,7 @@
 from lavenderstall.platform_clients import Reply
 from tests.platform.fake_http_client import FakeHttpClient, PausableClock
 from tests.platform.fake_platform import FakePlatform
-from tests.platform.loopback import Direction, cut_request, is_complete, measure_request
+from tests.platform.loopback import Direction, cut_answer, cut_request, is_complete, measure_request
 
 # Longer than the timeout of any request.
 SERVICE_TIMEOUT_S = 60.0
@@ -117,5 +117,6 @@
 
     def _answer(self, reply: Reply) -> None:
         head = f"HTTP/1.1 {reply.status} OK\r\nContent-Length: {len(reply.body)}\r\n\r\n"
-        if self._open and self.silent is None:
-            self._client_protocol.dataReceived(head.encode() + reply.body)
+        arrived = cut_answer(head.encode(), reply.body, self.silent)
+        if self._open and arrived:
+            self._client_protocol.dataReceived(arrived)
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -2,11 +2,19 @@
 
 import unittest
 from collections.abc import Callable
+from itertools import repeat
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred, DeferredList
-
-from adapter.http_client import MAX_IDLE_CONNECTIONS, HttpClient
+from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
+
+from adapter.http_client import (
+    CONNECT_TIMEOUT_S,
+    IDLE_TIMEOUT_S,
+    MAX_IDLE_CONNECTIONS,
+    HttpClient,
+)
 from adapter.store import PlatformStore
 from adapter.workers import PlatformAdviser, PlatformWorkerClient
 from lavenderstall.errors import AnswerLostError, LavenderstallError
@@ -18,7 +26,10 @@
 from lavenderstall.pools.ports import Transaction
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import Task
+from tests.platform.fake_http_client import PausableClock
+from tests.platform.fake_platform import STORE, FakePlatform
 from tests.platform.loopback import Direction, LoopbackReactor, LoopbackService
+from tests.platform.persistent_http_client import PersistentHttpClient
 from tests.pools.builders import make_entry
 
 TIMEOUT_S = 0.3
@@ -156,22 +167,43 @@
             services = [self.make_service(case.answer) for case in CASES]
             for service in services:
                 service.silence(direction)
-            pairs = list(zip(CASES, services, strict=True))
-            limit_s = max(case.noticed_s for case in CASES) + SLACK_S
-            calls = [case.call(self.client, service.address) for case, service in pairs]
-            started_at = self.reactor.seconds()
-            ends = [0.0] * len(calls)
-            for index, call in enumerate(calls):
-                call.addBoth(self.note_end, ends, index)
-            found = self.call_all(calls, limit_s)
-            again = [case.call(self.client, service.address) for case, service in pairs]
-            repeated = self.call_all(again, limit_s)
-            for index, case in enumerate(CASES):
-                with self.subTest(case=case.name, direction=direction):
-                    self.assertIsInstance(found[index], LavenderstallError)
-                    self.assertLess(ends[index] - started_at, case.noticed_s + SLACK_S)
-                    self.assertNotIsInstance(repeated[index], Exception)
-                    self.assertTrue(self.reactor.run_until(services[index].is_sound, SLACK_S))
+            self.assert_second_calls_work(direction, services, lambda: None)
+
+    def test_calls_in_flight_fail_in_time(self) -> None:
+        """Fails if a call waits for good, or its successor does, as its answer was dropped."""
+        for direction in (Direction.ANSWERS, Direction.REST_OF_ANSWERS, Direction.BOTH):
+            services = [self.make_service(case.answer) for case in CASES]
+            for service in services:
+                service.delay_s = TIMEOUT_S / 2
+
+            def silence(direction: Direction = direction, services: Any = services) -> None:
+                self.reactor.run_until(lambda: False, TIMEOUT_S / 4)
+                for service in services:
+                    service.silence(direction)
+
+            self.assert_second_calls_work(direction, services, silence)
+
+    def assert_second_calls_work(
+        self, direction: Direction, services: list[LoopbackService], inject: Callable[[], None]
+    ) -> None:
+        """Assert that one call of each kind fails in time, and that the next one succeeds."""
+        pairs = list(zip(CASES, services, strict=True))
+        limit_s = max(case.noticed_s for case in CASES) + SLACK_S
+        calls = [case.call(self.client, service.address) for case, service in pairs]
+        started_at = self.reactor.seconds()
+        ends = [0.0] * len(calls)
+        for index, call in enumerate(calls):
+            call.addBoth(self.note_end, ends, index)
+        inject()
+        found = self.call_all(calls, limit_s)
+        again = [case.call(self.client, service.address) for case, service in pairs]
+        repeated = self.call_all(again, limit_s)
+        for index, case in enumerate(CASES):
+            with self.subTest(case=case.name, direction=direction):
+                self.assertIsInstance(found[index], LavenderstallError)
+                self.assertLess(ends[index] - started_at, case.noticed_s + SLACK_S)
+                self.assertNotIsInstance(repeated[index], Exception)
+                self.assertTrue(self.reactor.run_until(services[index].is_sound, SLACK_S))
 
     def note_end(self, result: Any, ends: list[float], index: int) -> Any:
         """Record when a call ended."""
@@ -251,6 +283,29 @@
         self.reactor.run_until(lambda: False, SLACK_S)
         self.assertIsInstance(self.reactor.await_result(self.request(service)), Reply)
 
+    def test_an_idle_connection_is_closed(self) -> None:
+        """Fails if a connection that nothing uses is kept, silent or not."""
+        clock = Clock()
+        platform = FakePlatform(clock)
+        client = PersistentHttpClient(platform, PausableClock(clock))
+        client.request("GET", STORE, "/v1/rows-get?table=jobs&part=")
+        clock.pump(repeat(0.1, 10))
+        self.assertEqual(len(client.connections), 1)
+        client.silence(Direction.BOTH, lambda _: True)
+        clock.pump(repeat(1.0, IDLE_TIMEOUT_S))
+        self.assertEqual(client.connections, [])
+
+
+class ConnectingTest(unittest.TestCase):
+    """Connections that are not made."""
+
+    def test_an_attempt_to_connect_ends(self) -> None:
+        """Fails if a host that doesn't answer is waited for as long as the system tries."""
+        reactor = MemoryReactorClock()
+        HttpClient(reactor).request("GET", "10.1.0.1:80", "/").addErrback(lambda _: None)
+        self.assertEqual([client[3] for client in reactor.tcpClients], [CONNECT_TIMEOUT_S])
+        reactor.advance(TIMEOUT_S * 10)
+
 
 if __name__ == "__main__":
     unittest.main()
