Close idle connections that may be silent in a cell's own clients too

Callers of the table, the object store, the membership list and the workers of a cell met the same fault as those of the platform's adapter: up to 16 calls in a row time out, one for each idle connection that fell silent, at 2 s each for the table. A worker whose answer stopped in its body kept its connection open for good, and with it a descriptor: Twisted's readBody can't close it.

The connection pool that closes them stands in a module of its own now and serves all three clients; bodies of workers are read as those of the platform are.

--- a/lavenderstall/platform_clients.py
+++ b/lavenderstall/platform_clients.py
@@ -12,8 +12,6 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
     RequestGenerationFailed,
     RequestNotSent,
     ResponseDone,
@@ -23,6 +21,7 @@
 from zope.interface import implementer
 
 from lavenderstall.clocks import Clock
+from lavenderstall.connections import ConnectionPool, PersistentAgent
 from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import (
     ConflictError,
@@ -107,12 +106,9 @@
     return sent
 
 
-def make_agent(reactor: Any, connections: int = MAX_CONNECTIONS) -> Agent:
+def make_agent(reactor: Any, connections: int = MAX_CONNECTIONS) -> PersistentAgent:
     """Return an agent with persistent connections."""
-    pool = HTTPConnectionPool(reactor)
-    pool.maxPersistentPerHost = connections
-    pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
-    return Agent(reactor, pool=pool)
+    return PersistentAgent(reactor, pool=ConnectionPool(reactor, connections, IDLE_TIMEOUT_S))
 
 
 @implementer(IAgentEndpointFactory)
@@ -152,7 +148,7 @@
         sent = send_request(self._agent, method, f"{self.url}{path}", None, producer)
         sent.addCallback(read_reply)
         sent.addTimeout(self._timeout_s, self._clock)  # type: ignore[arg-type]
-        return sent.addErrback(self._raise_send_error, step)
+        return sent.addErrback(self._raise_send_error, step, f"{self.url}{path}")
 
     def decode(self, reply: Reply, kind: type[T], step: str) -> T:
         """Decode the body of a response with status 200; raise an error for any other."""
@@ -182,11 +178,13 @@
             return StoreUnavailableError(detail, step=step, peer=self.url)
         return StoreOutcomeUnknownError(detail, step=step, peer=self.url)
 
-    def _raise_send_error(self, failure: Failure, step: str) -> Reply:
+    def _raise_send_error(self, failure: Failure, step: str, url: str) -> Reply:
         """Raise the error that tells whether the request was sent."""
         detail = f"{failure.type.__name__ if failure.type else ''}: {failure.getErrorMessage()}"
-        kind = StoreUnavailableError if failure.check(*NOT_SENT) else StoreOutcomeUnknownError
-        raise kind(detail, step=step, peer=self.url) from failure.value
+        if failure.check(*NOT_SENT):
+            raise StoreUnavailableError(detail, step=step, peer=self.url) from failure.value
+        self._agent.close_stale(url)
+        raise StoreOutcomeUnknownError(detail, step=step, peer=self.url) from failure.value
 
 
 class BodyCollector(Protocol):
--- a/lavenderstall/worker_client.py
+++ b/lavenderstall/worker_client.py
@@ -7,9 +7,9 @@
 import msgspec
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectError, ConnectingCancelledError, DNSLookupError
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
 from twisted.web.http_headers import Headers
 
+from lavenderstall.connections import ConnectionPool, PersistentAgent
 from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import (
     AnswerLostError,
@@ -32,6 +32,7 @@
     AddressEndpoints,
     BytesProducer,
     UnusableAddressError,
+    read_reply,
     send_request,
 )
 from lavenderstall.protocol import (
@@ -55,6 +56,8 @@
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_SECONDS = 1.0
+MAX_IDLE_CONNECTIONS = 16
+IDLE_TIMEOUT_SECONDS = 240
 # Errors after which no byte of the request has left this process.
 NOT_SENT = (ConnectError, ConnectingCancelledError, DNSLookupError, UnusableAddressError)
 
@@ -128,12 +131,11 @@
     def __init__(self, reactor: Any, timeout_seconds: float = 1.0) -> None:
         self._reactor = reactor
         self._timeout = timeout_seconds
-        pool = HTTPConnectionPool(reactor, persistent=True)
-        pool.maxPersistentPerHost = 16
+        pool = ConnectionPool(reactor, MAX_IDLE_CONNECTIONS, IDLE_TIMEOUT_SECONDS)
         # Automatic retries could run a call twice.
         pool.retryAutomatically = False
         endpoints = AddressEndpoints(reactor, CONNECT_TIMEOUT_SECONDS)
-        self._agent = Agent.usingEndpointFactory(reactor, endpoints, pool)
+        self._agent: Any = PersistentAgent.usingEndpointFactory(reactor, endpoints, pool)
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -218,12 +220,14 @@
         except NOT_SENT as error:
             raise PeerUnavailableError(str(error), step="connect", peer=worker) from error
         except Exception as error:
+            self._agent.close_stale(url)
             raise AnswerLostError(repr(error), step="await answer", peer=worker) from error
-        body_read = readBody(response)
+        body_read = read_reply(response)
         body_read.addTimeout(max(timeout_seconds, 0.001), self._reactor)
         try:
-            body = await body_read
+            body = (await body_read).body
         except (CancelledError, Exception) as error:
+            self._agent.close_stale(url)
             raise AnswerLostError(repr(error), step="read answer", peer=worker) from error
         self.bytes_received += len(body) + 200
         return response, body
--- a/tests/memory.py
+++ b/tests/memory.py
@@ -1,16 +1,23 @@
 """HTTP between an agent and a service in memory, on a clock that a test advances."""
 
+from typing import Any
+
 import msgspec
 from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.error import ConnectingCancelledError, ConnectionRefusedError
 from twisted.internet.task import Clock
 from twisted.test import iosim
-from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 from twisted.web.resource import Resource
 from twisted.web.server import Request, Site
 
-from lavenderstall.platform_clients import BytesProducer, read_reply
+from lavenderstall.connections import ConnectionPool, PersistentAgent
+from lavenderstall.platform_clients import (
+    IDLE_TIMEOUT_S,
+    MAX_CONNECTIONS,
+    BytesProducer,
+    read_reply,
+)
 
 
 class Response(msgspec.Struct):
@@ -31,7 +38,8 @@
         self.refusing = False
         self.hanging = False
         self.connections = 0
-        self.agent = Agent.usingEndpointFactory(clock, self, HTTPConnectionPool(clock))
+        pool = ConnectionPool(clock, MAX_CONNECTIONS, IDLE_TIMEOUT_S)
+        self.agent: Any = PersistentAgent.usingEndpointFactory(clock, self, pool)
 
     def endpointForURI(self, uri):
         """Return the endpoint of a URL, which is the network itself."""
