Move the ring of heartbeats into a module of its own

Which peers an instance sends heartbeats to and expects them from is decided without any state of the tracker. Nothing else changes; tests.pools.test_peers passes.

--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -6,7 +6,6 @@
 from itertools import count
 from random import Random
 from typing import Any
-from zlib import crc32
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -18,6 +17,7 @@
 from lavenderstall.pools.claims import OwnerEvidence
 from lavenderstall.pools.coroutines import gather
 from lavenderstall.pools.effects import RequestAdvice
+from lavenderstall.pools.heartbeat_ring import list_predecessors, list_successors
 from lavenderstall.pools.messages import (
     AdviceAnswer,
     AdviceRequest,
@@ -58,8 +58,6 @@
 CLAIMANT_TIMEOUT_S = 2.0
 # A pool moves to an instance with this multiple of the owner's CPU capacity.
 STRONGER_CAPACITY_FACTOR = 1.5
-# Peers, besides pool owners, that an instance sends heartbeats to.
-HEARTBEAT_PEERS = 4
 STATE_TIMEOUT_S = 0.35
 WRITE_TIMEOUT_S = 0.7
 # Peers that are asked to add the same row.
@@ -238,17 +236,12 @@
         The others follow in a hash ring of all instances, so that each instance hears some. A peer
         whose connection was replaced lately gets some too, which tell since when it wasn't heard.
         """
-        ring = self._list_ring()
-        own = ring.index(self.entry)
-        others = [*ring[own + 1 :], *ring[:own]][:HEARTBEAT_PEERS]
+        others = list_successors(self.entry, self.peers)
         limit = self._read_uptime() - HEARTBEATS_AFTER_REDIAL_S
         others += [peer for peer, state in self.peers.items() if state.reconnected_at > limit]
         owners = {state.entry for state in self.owners.values()}
         return [peer for peer in dict.fromkeys([*owners, *others]) if peer != self.entry]
 
-    def _list_ring(self) -> list[EntryId]:
-        return sorted({*self.peers, self.entry}, key=lambda entry: (crc32(entry.encode()), entry))
-
     def is_isolated(self) -> bool:
         """Tell whether no peer of another zone was heard recently.
 
@@ -300,9 +293,7 @@
         if owns_pools:
             return others
         owners = {state.entry for state in self.owners.values()}
-        ring = self._list_ring()
-        own = ring.index(self.entry)
-        before = [*ring[:own][::-1], *ring[own + 1 :][::-1]][:HEARTBEAT_PEERS]
+        before = list_predecessors(self.entry, self.peers)
         return [peer for peer in others if peer in owners or peer in before]
 
     def is_store_down(self) -> bool:
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -11,10 +11,10 @@
 
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.pools.claims import OwnerEvidence
+from lavenderstall.pools.heartbeat_ring import HEARTBEAT_PEERS
 from lavenderstall.pools.messages import OwnerHeartbeat, StateAnswer, WriteAnswer
 from lavenderstall.pools.peers import (
     CLAIMANT_TIMEOUT_S,
-    HEARTBEAT_PEERS,
     ISOLATION_TIMEOUT_S,
     LIVENESS_TIMEOUT_S,
     OWNER_TIMEOUT_S,
