Watch all links between instances, and leave those alone that need to carry nothing

What was seen, in a simulated cell of 14 instances: a silent connection to a peer that exchanges no heartbeats with this instance was never replaced, idle or used; five instances did not hear a new owner, as their connections to it were silent before its first message; and seven working connections were replaced every 2.6 s for good after an owner had been away.

Cause: silence was judged from the age of the last contact alone, by three rules at three places, without regard to whether anything should have come through since.

Change: LinkSupervisor decides for all links, and LinkMaintainer logs, counts and replaces. A heartbeat may ask for an answer. An age is reported since the peer is known, if it was never heard.

All of tests.platform.test_faults passes.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -31,6 +31,7 @@
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.entry_rows import EntryRowTracker
 from lavenderstall.pools.job_requests import JobRequestHandler
+from lavenderstall.pools.link_maintenance import LinkMaintainer
 from lavenderstall.pools.messages import (
     AdviceAnswer,
     AdviceRequest,
@@ -105,9 +106,6 @@
 # Interval at which an instance rewrites its row, so that peers keep it.
 RECORD_INTERVAL_S = 10.0
 RETRY_DELAY_S = 0.5
-# The connection to a peer that has not heard this one for this long is replaced.
-ONE_WAY_LOSS_MS = 1500
-MIN_RECONNECT_INTERVAL_S = 2.0
 # Long-poll timeouts of the feeds; a new configuration must apply within two seconds.
 OPERATOR_FEED_WAIT_MS = 1000
 ENTRIES_FEED_WAIT_MS = 4000
@@ -170,6 +168,9 @@
             dependencies.read_uptime,
         )
         self.peers.get_local_state = self.get_local_state
+        self._link_maintainer = LinkMaintainer(
+            self.peers, dependencies.links, dependencies.read_uptime, self.metrics
+        )
         self._advice_balancer = AdviceBalancer(
             identity.entry,
             self.peers.list_live_peers,
@@ -374,6 +375,9 @@
         self._isolation_version = own_version if own and own.isolated else 0
         for name in self.peers.peers.keys() - records.keys() - {self.identity.entry}:
             del self.peers.peers[name]
+        self.peers.link_supervisor.retain(
+            self.peers.peers.keys() - {self.identity.entry}, self.read_uptime()
+        )
         self._advice_balancer.retain({*self.peers.peers, self.identity.entry})
 
     def _answer_isolated_owner(self, owner: EntryId) -> None:
@@ -395,14 +399,10 @@
             return None
 
     async def _run_heartbeats(self) -> None:
+        self._link_maintainer.replace_silent_links(owns_pools=bool(self.owned_pools))
         self._send_heartbeats()
         if self.peers.is_isolated() != self._recorded_isolated and not self._store.is_lost():
             self._update_record()
-        for peer in self.peers.list_silent_peers(owns_pools=bool(self.owned_pools)):
-            age_ms = round((self.read_uptime() - self.peers.peers[peer].last_contact_at) * 1000)
-            self.metrics.count("silent_links_replaced")
-            logger.info("silent connection replaced", extra={"peer": peer, "age_ms": age_ms})
-            self._dependencies.links.redial(peer)
         if self.owned_pools and self._is_better_placed_peer_known():
             self._hand_over_pools("isolated from other zones")
         elif self._store.get_lost_s() > HANDOVER_DELAY_S and any(
@@ -427,25 +427,28 @@
         )
 
     def _send_heartbeats(self) -> None:
-        now = self.read_uptime()
         lost = self._store.is_lost()
         for name, owner in self.owned_pools.items():
             pending = encode_pending_counts(owner.pool.count_pending())
             cannot_commit = lost and not owner.writer.has_recent_commit()
             owner_heartbeat = OwnerHeartbeat(name, owner.pool.term, pending, cannot_commit)
             self._dependencies.links.broadcast(owner_heartbeat)  # type: ignore[arg-type]
+            self.peers.link_supervisor.note_sent(self.peers.peers, self.read_uptime())
             self.peers.record_owner(self.identity.entry, owner_heartbeat)
         for entry in self.peers.list_heartbeat_recipients():
-            peer_state = self.peers.peers.get(entry)
-            age_ms = (
-                int((now - peer_state.last_contact_at) * 1000)
-                if peer_state and peer_state.last_contact_at >= 0
-                else 0
-            )
-            heartbeat = EntryHeartbeat(
-                self.identity.zone, age_ms, self.draining, lost, self.peers.get_terms()
-            )
-            self.peers.send(entry, heartbeat)
+            wants_answer = self.peers.link_supervisor.wants_answer(entry)
+            self.peers.send(entry, self._make_heartbeat(entry, wants_answer=wants_answer))
+
+    def _make_heartbeat(self, peer: EntryId, *, wants_answer: bool = False) -> EntryHeartbeat:
+        age_s = self.peers.link_supervisor.get_contact_age_s(peer, self.read_uptime())
+        return EntryHeartbeat(
+            self.identity.zone,
+            int(age_s * 1000),
+            self.draining,
+            self._store.is_lost(),
+            self.peers.get_terms(),
+            wants_answer,
+        )
 
     def _hand_over_pools(self, reason: str) -> None:
         """Release pools that other instances serve better."""
@@ -653,6 +656,7 @@
         peer_state = self.peers.peers.get(sender)
         if peer_state is not None:
             peer_state.last_contact_at = self.read_uptime()
+            self.peers.link_supervisor.note_received(sender, self.read_uptime())
         if isinstance(message, msgspec.Raw):
             try:
                 message = decode_message(message)
@@ -684,15 +688,10 @@
         for pool, owner in self.owned_pools.items():
             owner.update_time()
             owner.pool.takeover.note_owner_stopped(sender, message.terms.get(pool, 0))
-        if (
-            message.last_contact_age_ms > ONE_WAY_LOSS_MS
-            and self.read_uptime() - peer_state.reconnected_at > MIN_RECONNECT_INTERVAL_S
-        ):
-            peer_state.reconnected_at = self.read_uptime()
-            logger.info(
-                "connection replaced", extra={"peer": sender, "age_ms": message.last_contact_age_ms}
-            )
-            self._dependencies.links.redial(sender)
+        contact_age_s = message.last_contact_age_ms / 1000
+        self.peers.link_supervisor.note_report(sender, contact_age_s, self.read_uptime())
+        if message.wants_answer:
+            self.peers.send_unconfirmed(sender, self._make_heartbeat(sender))
 
     def _check_terms(self, terms: Mapping[PoolName, int]) -> None:
         """Stop owning pools for which a peer reports a higher term."""
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -17,7 +17,8 @@
     """Heartbeat of an entry instance, which also tells whether it reaches the store.
 
     `last_contact_age_ms` is the time since the sender last heard from the receiver; `terms` holds
-    the latest term that it knows of each pool.
+    the latest term that it knows of each pool. A receiver that `wants_answer` is set for sends a
+    heartbeat back at once.
     """
 
     zone: str
@@ -25,6 +26,7 @@
     draining: bool = False
     store_lost: bool = False
     terms: dict[PoolName, int] = {}
+    wants_answer: bool = False
 
 
 class OwnerHeartbeat(msgspec.Struct, tag="OwnerBeat", array_like=True, frozen=True):
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -18,6 +18,7 @@
 from lavenderstall.pools.coroutines import gather
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.heartbeat_ring import list_predecessors, list_successors
+from lavenderstall.pools.link_supervision import LinkChange, LinkSupervisor
 from lavenderstall.pools.messages import (
     AdviceAnswer,
     AdviceRequest,
@@ -44,12 +45,6 @@
 OWNER_TIMEOUT_S = 0.55
 # An instance is isolated if it hears no peer of another zone for this long.
 ISOLATION_TIMEOUT_S = 0.8
-# A connection is replaced if heartbeats are expected on it and none came for this long, four of
-# them, and again if none come after the interval.
-SILENCE_TIMEOUT_S = 1.0
-MIN_REDIAL_INTERVAL_S = 2.0
-REDIAL_JITTER = 0.5
-HEARTBEATS_AFTER_REDIAL_S = 1.0
 # If no instance of a zone is heard for this long, two heartbeats, its workers may be cut off.
 ZONE_TIMEOUT_S = 0.6
 # A live process accepts a new connection well within this time after one was lost.
@@ -62,8 +57,6 @@
 WRITE_TIMEOUT_S = 0.7
 # Peers that are asked to add the same row.
 MAX_WRITE_PROXIES = 2
-# A connection is replaced after this many consecutive unanswered requests.
-MAX_UNANSWERED_REQUESTS = 2
 
 
 class OwnerState(msgspec.Struct):
@@ -89,9 +82,6 @@
     incarnation: Incarnation = Incarnation("")
     last_contact_at: float = -1.0
     draining: bool = False
-    unanswered_requests: int = 0
-    reconnected_at: float = -10.0
-    redial_at: float = 0.0
     store_lost: bool = True
     store_reported_at: float = -1.0
     reported_contact_age_ms: float = float("inf")
@@ -119,11 +109,12 @@
         # The highest terms heard of, also those of owners that have released their pools since.
         self._terms: dict[PoolName, int] = {}
         self.peers: dict[EntryId, PeerState] = {}
+        self.link_supervisor = LinkSupervisor(random)
         self._clock = clock
         self._random = random
         self._read_uptime = read_uptime
         self._request_numbers = count(1)
-        self._pending_requests: dict[int, tuple[EntryId, Deferred[Any]]] = {}
+        self._pending_requests: dict[int, Deferred[Any]] = {}
         self.get_local_state: Callable[[PoolName, JobId], StateAnswer] = lambda pool, job: (
             StateAnswer(0, owned=False)
         )
@@ -233,14 +224,28 @@
     def list_heartbeat_recipients(self) -> list[EntryId]:
         """Return the peers to send heartbeats to: pool owners and a few others.
 
-        The others follow in a hash ring of all instances, so that each instance hears some. A peer
-        whose connection was replaced lately gets some too, which tell since when it wasn't heard.
+        The others follow in a hash ring of all instances, so that each instance hears some. Peers
+        whose link needs attention get some too, which tell since when they weren't heard.
         """
-        others = list_successors(self.entry, self.peers)
-        limit = self._read_uptime() - HEARTBEATS_AFTER_REDIAL_S
-        others += [peer for peer, state in self.peers.items() if state.reconnected_at > limit]
-        owners = {state.entry for state in self.owners.values()}
-        return [peer for peer in dict.fromkeys([*owners, *others]) if peer != self.entry]
+        attended = self.link_supervisor.list_attended(self._read_uptime())
+        return list(dict.fromkeys([*self._list_regular_recipients(), *attended]))
+
+    def _list_regular_recipients(self) -> list[EntryId]:
+        return self._add_owners(list_successors(self.entry, self.peers))
+
+    def _list_regular_senders(self) -> list[EntryId]:
+        return self._add_owners(list_predecessors(self.entry, self.peers))
+
+    def _add_owners(self, peers: list[EntryId]) -> list[EntryId]:
+        owners = [state.entry for state in self.owners.values()]
+        return [peer for peer in dict.fromkeys([*owners, *peers]) if peer != self.entry]
+
+    def check_links(self, *, owns_pools: bool) -> list[LinkChange]:
+        """Return what has changed of the links; an owner and its peers all send heartbeats."""
+        everyone = self.peers.keys() - {self.entry}
+        senders = everyone if owns_pools else set(self._list_regular_senders())
+        recipients = everyone if owns_pools else set(self._list_regular_recipients())
+        return self.link_supervisor.check(senders, recipients, self._read_uptime())
 
     def is_isolated(self) -> bool:
         """Tell whether no peer of another zone was heard recently.
@@ -266,36 +271,6 @@
             for peer, state in self.peers.items()
         )
 
-    def list_silent_peers(self, *, owns_pools: bool) -> list[EntryId]:
-        """Return the peers whose heartbeats have stopped arriving, and note a redial of them.
-
-        A connection may be silent for good without being reset. Heartbeats are expected from the
-        instances that send them to this one: its predecessors in the ring, owners, and all others
-        if it owns a pool.
-        """
-        now = self._read_uptime()
-        silent = [
-            peer
-            for peer in self._list_heartbeat_senders(owns_pools=owns_pools)
-            if self._is_silent(self.peers[peer], now)
-        ]
-        for peer in silent:
-            interval_s = MIN_REDIAL_INTERVAL_S * (1 + REDIAL_JITTER * self._random.random())
-            self.peers[peer].redial_at = now + interval_s
-            self.peers[peer].reconnected_at = now
-        return silent
-
-    def _is_silent(self, state: PeerState, now: float) -> bool:
-        return 0 <= state.last_contact_at < now - SILENCE_TIMEOUT_S and now >= state.redial_at
-
-    def _list_heartbeat_senders(self, *, owns_pools: bool) -> list[EntryId]:
-        others = [peer for peer in self.peers if peer != self.entry]
-        if owns_pools:
-            return others
-        owners = {state.entry for state in self.owners.values()}
-        before = list_predecessors(self.entry, self.peers)
-        return [peer for peer in others if peer in owners or peer in before]
-
     def is_store_down(self) -> bool:
         """Tell whether a majority in mutual contact with this instance all miss the store."""
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
@@ -360,6 +335,13 @@
             self.send(owner.entry, message)
 
     def send(self, peer: EntryId, message: Any) -> bool:
+        """Send a message and tell whether it was queued for the peer, which is to confirm it."""
+        sent = self.send_unconfirmed(peer, message)
+        if sent:
+            self.link_supervisor.note_sent([peer], self._read_uptime())
+        return sent
+
+    def send_unconfirmed(self, peer: EntryId, message: Any) -> bool:
         """Send a message and tell whether it was queued for the peer."""
         try:
             self.links.send(peer, message)
@@ -373,7 +355,7 @@
     def _request(self, peer: EntryId, message: Any, timeout_s: float) -> Deferred[Any]:
         """Send a request; the answer is none after a timeout or if sending fails."""
         answer: Deferred[Any] = Deferred()
-        self._pending_requests[message.request_id] = (peer, answer)
+        self._pending_requests[message.request_id] = answer
         timer = self._clock.callLater(timeout_s, self._time_out, message.request_id)
 
         def finish(result: Any) -> Any:
@@ -387,25 +369,13 @@
         return answer
 
     def _time_out(self, number: int) -> None:
-        peer, answer = self._pending_requests.pop(number, (None, None))
-        if peer is None or answer is None:
-            return
-        state = self.peers.get(peer)
-        if state is not None:
-            state.unanswered_requests += 1
-            if state.unanswered_requests >= MAX_UNANSWERED_REQUESTS:
-                state.unanswered_requests = 0
-                state.reconnected_at = self._read_uptime()
-                logger.info("connection replaced", extra={"peer": peer})
-                self.links.redial(peer)
-        answer.callback(None)
+        answer = self._pending_requests.pop(number, None)
+        if answer is not None:
+            answer.callback(None)
 
     def handle_answer(self, sender: EntryId, message: Any) -> None:
         """Match an answer to its request."""
-        state = self.peers.get(sender)
-        if state is not None:
-            state.unanswered_requests = 0
-        _, answer = self._pending_requests.pop(message.request_id, (None, None))
+        answer = self._pending_requests.pop(message.request_id, None)
         if answer is not None:
             answer.callback(message)
 
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -1,6 +1,7 @@
 """Simulated cell: entry instances on the fake platform, driven by one clock."""
 
 import json
+from collections import defaultdict
 from random import Random
 from typing import Any
 
@@ -52,6 +53,7 @@
 
     def redial(self, peer: str) -> None:
         """Replace the connection to a peer by one that is not silent."""
+        self._cell.redials[self._entry, EntryId(peer)].append(self._cell.clock.seconds())
         self._cell.silent_links.discard((self._entry, peer))
 
     def send(self, peer: str, message: Any) -> None:
@@ -126,6 +128,8 @@
         self.disconnected_pairs: set[frozenset[str]] = set()
         # Connections, as sender and peer, that stay open and carry nothing until they are replaced.
         self.silent_links: set[tuple[str, str]] = set()
+        # Times at which connections were replaced, by sender and peer.
+        self.redials: defaultdict[tuple[str, str], list[float]] = defaultdict(list)
         # Addresses that no instance reaches, not even one that starts later.
         self.unreachable_workers: set[str] = set()
         self.outcomes: dict[str, list[Presence]] = {}
--- a/tests/platform/test_silent_links.py
+++ b/tests/platform/test_silent_links.py
@@ -4,6 +4,10 @@
 from itertools import combinations, permutations
 from random import Random
 
+from twisted.internet.defer import Deferred
+
+from lavenderstall.identifiers import EntryId
+from lavenderstall.pools.entry_instance import HEARTBEAT_INTERVAL_S
 from lavenderstall.pools.work import PoolName
 from tests.platform.simulated_cell import POOLS, SimulatedCell
 from tests.platform.test_faults import measure_ownership_gaps
@@ -127,6 +131,80 @@
             dialled = counters["silent_links_replaced"] - before[name]["silent_links_replaced"]
             self.assertLessEqual(dialled, 10.0 / 2.0)
 
+    def test_a_silent_connection_that_is_used_is_replaced_in_a_large_cell(self) -> None:
+        """Fails if a connection without heartbeats stays silent although requests are lost."""
+        for silent in ("both", "outgoing", "incoming"):
+            with self.subTest(silent=silent):
+                cell = start_cell(nodes=14)
+                name, peer = self.find_idle_pair(cell)
+                cell.silent_links = {
+                    link
+                    for link, ways in (
+                        ((name, peer), ("both", "outgoing")),
+                        ((peer, name), ("both", "incoming")),
+                    )
+                    if silent in ways
+                }
+                peers = cell.nodes[name].instance.peers
+                Deferred.fromCoroutine(peers.request_write(EntryId(peer), "t", "p", "k", b""))
+                cell.run(1.5 + 1.0)
+                self.assertEqual(cell.silent_links, set())
+
+    def test_a_silent_connection_that_is_idle_is_replaced_in_a_large_cell(self) -> None:
+        """Fails if a connection without heartbeats is silent until a message is lost on it."""
+        cell = start_cell(nodes=14)
+        name, peer = self.find_idle_pair(cell)
+        cell.silent_links = {(name, peer), (peer, name)}
+        cell.run(14 * HEARTBEAT_INTERVAL_S + RESTORED_S)
+        self.assertEqual(cell.silent_links, set())
+
+    def test_a_new_owner_is_heard_by_peers_that_it_has_never_heard(self) -> None:
+        """Fails if connections that were silent from the first message on keep a peer cut off."""
+        cell = start_cell(nodes=14)
+        cell.silent_links = set(permutations(cell.nodes, 2))
+        cell.run_until(lambda: not cell.silent_links, 10.0)
+        owner = cell.find_owner(POOL)
+        assert owner is not None
+        cell.kill(owner)
+        cell.silent_links = {
+            (name, peer)
+            for name, peer in permutations(cell.nodes, 2)
+            if peer not in cell.nodes[name].instance.peers.list_live_peers()
+        }
+        cell.run(TAKEOVER_S + RESTORED_S)
+        successor = cell.find_owner(POOL)
+        assert successor is not None
+        deaf = [
+            name
+            for name, node in cell.nodes.items()
+            if node.instance.peers.get_live_owner(POOL) != successor
+        ]
+        self.assertEqual(deaf, [])
+
+    def test_working_connections_are_left_alone_after_an_owner_was_away(self) -> None:
+        """Fails if a peer that needs to hear nothing has its connections replaced for that."""
+        cell = start_cell(nodes=14)
+        owner = cell.find_owner(POOL)
+        assert owner is not None
+        cell.freeze(owner)
+        cell.run(6.0)
+        cell.thaw(owner)
+        cell.run(6.0)
+        cell.redials.clear()
+        cell.run(10.0)
+        self.assertEqual(dict(cell.redials), {})
+
+    def find_idle_pair(self, cell: SimulatedCell) -> tuple[str, str]:
+        """Return two instances that send each other nothing, and own no pool."""
+        owners = {cell.find_owner(pool) for pool in POOLS}
+        return next(
+            (name, peer)
+            for name, peer in permutations(cell.nodes, 2)
+            if not owners & {name, peer}
+            and peer not in cell.nodes[name].instance.peers.list_heartbeat_recipients()
+            and name not in cell.nodes[peer].instance.peers.list_heartbeat_recipients()
+        )
+
     def test_few_connections_are_watched_in_a_large_cell(self) -> None:
         """Fails if an instance dials peers again that need not send it anything."""
         cell = start_cell(nodes=14)
