Let timers follow the time since boot, not the time of day

Callers saw nothing that was reported. An instance whose time of day is set back does nothing at intervals for as long: repeated stops, polls, renewals, heartbeats and time-outs wait. If it is set ahead, calls under way count as unanswered.

Cause: timers of the reactor as installed have absolute times that are read from time.time, while the interface Clock promises monotonic time.

--- a/lavenderstall/clocks.py
+++ b/lavenderstall/clocks.py
@@ -1,4 +1,4 @@
-"""Clock interface, so that tests can advance time."""
+"""Clock interface, so that tests can advance time, and the reactor that provides it."""
 
 import logging
 from collections.abc import Callable
@@ -8,6 +8,8 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
+from lavenderstall.pools.system_time import read_uptime
+
 logger = logging.getLogger(__name__)
 
 
@@ -33,6 +35,18 @@
         """Schedule a call after a delay in seconds."""
 
 
+def get_reactor() -> Any:
+    """Return the reactor of the process, whose timers follow the time since boot.
+
+    Those of a reactor as installed follow the time of day, which may be set back or ahead.
+    """
+    from twisted.internet import reactor  # noqa: PLC0415  (importing it installs it)
+
+    steady_reactor: Any = reactor
+    steady_reactor.seconds = read_uptime
+    return steady_reactor
+
+
 def sleep(clock: Clock, seconds: float) -> "Deferred[None]":
     """Return a deferred that fires after a delay; cancelling it cancels the timer."""
     delayed: Deferred[None] = Deferred(lambda _: timer.cancel())
--- a/lavenderstall/daemon.py
+++ b/lavenderstall/daemon.py
@@ -11,6 +11,7 @@
 
 from twisted.internet.defer import Deferred, maybeDeferred
 
+from lavenderstall.clocks import get_reactor
 from lavenderstall.entry import Dependencies, Entry, Settings
 from lavenderstall.fleet import LeaseTerms
 from lavenderstall.identifiers import EntryId, Incarnation, ZoneName
@@ -173,14 +174,13 @@
 
 def main() -> int:
     """Run an entry instance and return the exit status."""
-    from twisted.internet import reactor  # noqa: PLC0415  (importing it installs the reactor)
-
     try:
         values = parse_options("lavenderstall-entry", OPTIONS)
     except OptionError as error:
         print(f"lavenderstall-entry: {error.detail}", file=sys.stderr)
         return 2
     configure_logs(values["entry"], values["log-level"])
+    reactor = get_reactor()
     run_entry(make_entry(values, reactor), reactor)
     return 0
 
