--- a/tests/platform/test_http_client.py
+++ b/tests/platform/test_http_client.py
@@ -12,11 +12,11 @@
     ConnectionRefusedError,
 )
 from twisted.internet.task import Clock
-from twisted.internet.testing import MemoryReactorClock
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 from twisted.web.client import RequestNotSent, ResponseNeverReceived
 
-from adapter.http_client import HttpClient
+from adapter.http_client import MAX_IDLE_CONNECTIONS, HttpClient
 from lavenderstall.errors import (
     AnswerLostError,
     DisconnectedError,
@@ -25,6 +25,9 @@
 )
 
 TIMEOUT_S = 1.0
+ADDRESS = "10.1.0.1:80"
+OTHER_ADDRESS = "10.1.0.2:80"
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
 def abort(response: Deferred[Any]) -> None:
@@ -95,5 +98,65 @@
         self.assertIs(errors[0].type, PeerUnavailableError)
 
 
+class SilentConnectionsTest(unittest.TestCase):
+    """Idle connections that have fallen silent, while new ones work."""
+
+    def setUp(self) -> None:
+        self.reactor = MemoryReactorClock()
+        self.client = HttpClient(self.reactor)
+        self.connections: list[Any] = []
+        self.outcomes: list[Any] = []
+
+    def request(self, address: str = ADDRESS) -> None:
+        """Send a request, on a new connection if the client opens one."""
+        call = self.client.request("GET", address, "/", timeout_s=TIMEOUT_S)
+        call.addErrback(lambda failure: failure.type)
+        call.addCallback(self.outcomes.append)
+        for *_, factory, _, _ in self.reactor.tcpClients[len(self.connections) :]:
+            connection = factory.buildProtocol(None)
+            connection.makeConnection(StringTransport())
+            self.connections.append(connection)
+
+    def answer(self, *numbers: int) -> None:
+        """Answer the requests on some connections."""
+        for number in numbers:
+            self.connections[number].dataReceived(ANSWER)
+
+    def open_idle(self, count: int, address: str = ADDRESS) -> None:
+        """Open some connections and let their requests be answered."""
+        before = len(self.connections)
+        for _ in range(count):
+            self.request(address)
+        self.answer(*range(before, before + count))
+
+    def test_one_timeout_ends_all_idle_connections(self) -> None:
+        """Fails if each idle connection that is silent costs one more timeout."""
+        for count in (2, 5, MAX_IDLE_CONNECTIONS):
+            with self.subTest(count=count):
+                self.setUp()
+                self.open_idle(count)
+                self.request()
+                self.reactor.advance(TIMEOUT_S)
+                self.assertIs(self.outcomes[-1], AnswerLostError)
+                self.request()
+                self.assertEqual(len(self.connections), count + 1)
+                self.answer(count)
+                self.assertEqual(self.outcomes[-1].status, 200)
+
+    def test_a_timeout_leaves_connections_of_others(self) -> None:
+        """Fails if a request that alone has no answer costs other connections."""
+        self.open_idle(3)
+        self.open_idle(1, OTHER_ADDRESS)
+        self.request()
+        self.reactor.advance(TIMEOUT_S / 2)
+        self.request()
+        self.answer(1)
+        self.reactor.advance(TIMEOUT_S / 2)
+        self.assertIs(self.outcomes[-1], AnswerLostError)
+        self.request()
+        self.request(OTHER_ADDRESS)
+        self.assertEqual(len(self.connections), 4)
+
+
 if __name__ == "__main__":
     unittest.main()
