--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -105,7 +105,7 @@
         named: str = "",
     ) -> None:
         platform = self._platform
-        if self._clock.dead or address in self.unreachable:
+        if self._clock.dead or address in self.unreachable or path in platform.lost_paths:
             return
         if address == STORE:
             self._serve_store(answer, path, query, body, sent_at)
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -389,6 +389,7 @@
     `store_mode` is up, busy (rejects all), silent (ignores requests) or mute (applies transactions
     without a response). Reads of `down_partitions` are rejected, and while `feeds_silent` no feed
     answers. While `start_delay_s` is not 0, starts have no answer and are executed so much later.
+    Calls of `lost_paths` are neither executed nor answered.
     `deadly_tasks` names the tasks that crash each worker that starts them; with `renames_workers` a
     worker that has crashed comes back under another name.
     """
@@ -408,6 +409,7 @@
         self.keeps_history = True
         self.max_row_bytes = 65536
         self.start_delay_s = 0.0
+        self.lost_paths: set[str] = set()
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
         self.workers: dict[str, FakeWorker] = {}
