Send a start again while it has no response

A caller whose job met one lost start waited a second and more: the start was given up after 0.5 s, its run had to be stopped before the task could start elsewhere, and the worker got no tasks for 1 to 8 s.

Workers take repeated starts of one run for one, so a start without a response is sent again after 0.12 s, at once if its connection is lost, and at most three times in the 0.5 s. Any acceptance counts; a refusal counts only if no other attempt may be executed. The copy without a response may still be executed by the worker's next process, so it is tracked as a late start like one that was given up. A start that is stopped or whose owner's time has run out is not repeated.

The test of starts queued behind a failed one now fails all attempts of it, as one lost attempt does not fail a start any more.

--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -80,6 +80,8 @@
     load: float = 0.0
     reported_at: float = -1.0
     voided_at: float = -1.0
+    # When a copy of the start was sent that has no response, although another one has succeeded.
+    copy_sent_at: float = -1.0
     # Whether the crash of its worker that lasts at present was recorded, even if cleared since.
     crash_noted: bool = False
 
--- a/lavenderstall/pools/late_starts.py
+++ b/lavenderstall/pools/late_starts.py
@@ -27,12 +27,17 @@
         self._starts: dict[tuple[str, Task, int], LateStart] = {}
 
     def note_dropped(self, run: Run, now: float) -> None:
-        """Remember a run that is given up, if its start may still arrive."""
-        if run.start_sent and not run.inherited and run.confirmed_at < 0 and run.reported_at < 0:
-            start = LateStart(run.worker.id, run.task, run.number, run.start_sent_at)
-            self._starts[start[:3]] = start
+        """Remember a run that has ended or is given up, if a start of it may still arrive."""
+        unproven = run.confirmed_at < 0 and run.reported_at < 0
+        if run.start_sent and not run.inherited and (unproven or run.copy_sent_at >= 0):
+            sent_at = max(run.start_sent_at, run.copy_sent_at)
+            self.note(LateStart(run.worker.id, run.task, run.number, sent_at))
         self._forget_old(now)
 
+    def note(self, start: LateStart) -> None:
+        """Remember a start that may still arrive."""
+        self._starts[start[:3]] = start
+
     def take_for(self, worker: str, now: float) -> list[LateStart]:
         """Remove and return the starts that a new process of a worker may execute.
 
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -125,6 +125,7 @@
         self._commands = CommandSender(
             pool,
             workers,
+            clock,
             read_uptime,
             metrics,
             self._handle_worker_answer,
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -312,12 +312,15 @@
         """Replace an incarnation of a worker by a newer one.
 
         The newer one may execute a start that was sent to the older one, now or later. So a run
-        that no poll has reported may run there, even if its start was answered.
+        that no poll has reported may run there, even if its start was answered, and one of which
+        a copy of the start has no response.
         """
         older = self.workers[key]
         self.crashes.note_worker_lost(older, restarted=True)
         uncertain_runs = [
-            run for run in older.runs.values() if run.start_sent and run.reported_at < 0
+            run
+            for run in older.runs.values()
+            if run.start_sent and (run.reported_at < 0 or run.copy_sent_at >= 0)
         ]
         for run in uncertain_runs:
             older.drop_run(run.task, run.number, self.get_allocation(run.task))
@@ -330,6 +333,7 @@
         for run in uncertain_runs:
             run.worker = worker.key
             run.confirmed_at = -1.0
+            run.reported_at = -1.0
             run.unanswered_at = self.now
             run.deadline_ms = 0.0
             run.voided_at = -1.0
@@ -489,7 +493,7 @@
             end = RunEnd(seq, task, number, cause, checkpoint)
             self.early_reports.note_end(worker.key, end)
         run = worker.drop_run(task, number, self.get_allocation(task))
-        if run is not None and cause is EndCause.LOST:
+        if run is not None and (cause is EndCause.LOST or run.copy_sent_at >= 0):
             self._late_starts.note_dropped(run, self.now)
         job = self.find_job(task)
         if job is not None:
@@ -655,6 +659,18 @@
         if run is not None and run.confirmed_at < 0:
             run.unanswered_at = self.now
 
+    def note_unanswered_copy(self, key: WorkerKey, task: Task, number: int, sent_at: float) -> None:
+        """Note that a copy of a start has no response, although another one has succeeded.
+
+        The worker takes both for one, but its next process may execute the copy.
+        """
+        worker = self.workers.get(key)
+        run = worker.runs.get((task, number)) if worker else None
+        if run is not None:
+            run.copy_sent_at = sent_at
+        else:
+            self._late_starts.note(LateStart(key.id, task, number, sent_at))
+
     def note_stopped(self, key: WorkerKey, task: Task, number: int, clock_ms: float) -> None:
         """Note that a worker has acknowledged a stop; an unconfirmed run can no longer start."""
         worker = self.workers.get(key)
--- a/lavenderstall/pools/worker_commands.py
+++ b/lavenderstall/pools/worker_commands.py
@@ -6,6 +6,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from lavenderstall.clocks import Clock
 from lavenderstall.errors import LavenderstallError, PeerUnavailableError
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.coroutines import launch
@@ -13,6 +14,7 @@
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import WorkerClient
+from lavenderstall.pools.repeated_starts import RepeatedStart
 from lavenderstall.pools.workers import Worker
 
 logger = logging.getLogger(__name__)
@@ -33,6 +35,7 @@
         self,
         pool: Pool,
         client: WorkerClient,
+        clock: Clock,
         read_uptime: Callable[[], float],
         metrics: Metrics,
         note_change: Callable[[], None],
@@ -41,6 +44,7 @@
     ) -> None:
         self._pool = pool
         self._client = client
+        self._clock = clock
         self._read_uptime = read_uptime
         self._metrics = metrics
         self._note_change = note_change
@@ -85,19 +89,43 @@
             )
             self._pool.note_refused(command.worker, command.task, command.number, NOT_SENT)
         elif worker is not None:
-            started_at = self._read_uptime()
-            try:
-                answer = await self._client.start(worker.entry, worker.fencing_token, command)
-            except LavenderstallError as error:
-                self._note_failure(command, error)
-            else:
-                self._metrics.record("start_run", self._read_uptime() - started_at)
-                self._note_answer(worker, command, answer)
+            await self._start_repeatedly(worker, command)
         self._in_flight[command.worker] -= 1
         if not self._in_flight[command.worker]:
             del self._in_flight[command.worker]
         self._start_next(command.worker)
 
+    async def _start_repeatedly(self, worker: Worker, command: StartRun) -> None:
+        started_at = self._read_uptime()
+        start = RepeatedStart(
+            self._clock,
+            self._read_uptime,
+            lambda: self._client.start(worker.entry, worker.fencing_token, command),
+            lambda: self._may_repeat(worker, command),
+        )
+        outcome = await start.run()
+        if len(start.attempts) > 1:
+            self._metrics.count("starts_repeated")
+            logger.info(
+                "start sent again",
+                extra={**_describe(command), "attempts": len(start.attempts)},
+            )
+        if outcome.error is not None:
+            self._note_failure(command, outcome.error)
+        elif outcome.response is not None:
+            self._metrics.record("start_run", self._read_uptime() - started_at)
+            self._note_answer(worker, command, outcome.response)
+        if outcome.unanswered_at >= 0 and outcome.error is None:
+            self._pool.note_unanswered_copy(
+                command.worker, command.task, command.number, outcome.unanswered_at
+            )
+
+    def _may_repeat(self, worker: Worker, command: StartRun) -> bool:
+        """Tell whether a start is still wanted, and may be sent by this owner."""
+        run = worker.runs.get((command.task, command.number))
+        is_known = self._pool.workers.get(command.worker) is worker
+        return is_known and run is not None and not run.stopping and self._may_start()
+
     def _note_answer(self, worker: Worker, command: StartRun, answer: float | Refusal) -> None:
         self._note_change()
         if not isinstance(answer, Refusal):
@@ -114,13 +142,7 @@
             self._pool.note_refused(command.worker, command.task, command.number, UNREACHABLE)
         logger.info(
             "start has no response; its outcome is unknown" if sent else "start not sent",
-            extra={
-                "job": command.task.job,
-                "task": list(command.task),
-                "run": command.number,
-                "worker": command.worker.id,
-                "error": str(error),
-            },
+            extra={**_describe(command), "error": str(error)},
         )
         for dropped in self._queued.pop(command.worker, ()):
             self._pool.note_refused(dropped.worker, dropped.task, dropped.number, NOT_SENT)
@@ -153,3 +175,13 @@
             return
         if isinstance(answer, Refusal):
             self._check_refusal(worker, answer)
+
+
+def _describe(command: StartRun) -> dict[str, Any]:
+    """Return what identifies a start in logs."""
+    return {
+        "job": command.task.job,
+        "task": list(command.task),
+        "run": command.number,
+        "worker": command.worker.id,
+    }
--- a/tests/platform/test_late_starts.py
+++ b/tests/platform/test_late_starts.py
@@ -10,21 +10,26 @@
 LASTING = {"count": 1, "cpu": 4000, "taskMemoryMb": 500, "longRunning": True}
 # A task that was started late has to be gone this long after its start if its job is cancelled.
 MAX_LIFE_S = 3.4
+# For how long starts have no answer: all attempts of a start, or the first one alone.
+SILENCES_S = (0.6, 0.16)
 
 
 class LateStartTest(unittest.TestCase):
-    """A start has no answer; its worker promises not to execute it, and restarts."""
+    """A start or its first attempt has no answer, and its worker restarts."""
 
-    def start_late(self, delay_s: float, step: dict[str, object]) -> SimulatedCell:
-        """Return a cell with a job of which one start arrives late."""
+    def start_late(
+        self, delay_s: float, step: dict[str, object], silence_s: float
+    ) -> SimulatedCell:
+        """Return a cell with a job of which starts sent in a time without answers arrive late."""
         cell = SimulatedCell(3, 4, advice=False)
         self.assertTrue(cell.run_until(lambda: all(map(cell.find_owner, POOLS)), 3.0))
         # The clocks of restarted workers begin anew, so that the deadline of the start is far.
         cell.run(15.0)
         cell.platform.start_delay_s = delay_s
         cell.submit("entry-0", "routing", JOB, [dict(step)])
-        cell.run(0.6)
+        cell.run(silence_s)
         cell.platform.start_delay_s = 0.0
+        cell.run(SILENCES_S[0] - silence_s)
         return cell
 
     def crash_all(self, cell: SimulatedCell) -> None:
@@ -45,9 +50,16 @@
         return max(lives)
 
     def test_a_task_of_a_cancelled_job_does_not_run_on_at_a_restarted_worker(self) -> None:
-        for cancelled_s, crashed_s, delay_s in product((0.0, 0.7), (0.1, 1.0, 3.0), (6.0, 12.0)):
-            with self.subTest(cancelled_s=cancelled_s, crashed_s=crashed_s, delay_s=delay_s):
-                cell = self.start_late(delay_s, TASK)
+        for silence_s, cancelled_s, crashed_s, delay_s in product(
+            SILENCES_S, (0.0, 0.7), (0.1, 1.0, 3.0), (6.0, 12.0)
+        ):
+            with self.subTest(
+                silence_s=silence_s,
+                cancelled_s=cancelled_s,
+                crashed_s=crashed_s,
+                delay_s=delay_s,
+            ):
+                cell = self.start_late(delay_s, TASK, silence_s)
                 cell.run(cancelled_s)
                 answer = cell.cancel("entry-1", "routing", JOB)
                 cell.run(crashed_s)
@@ -56,9 +68,9 @@
                 self.assertLess(self.measure_life(cell, cell.clock.seconds() + 14.0), MAX_LIFE_S)
 
     def test_a_task_is_not_started_twice_by_a_restarted_worker(self) -> None:
-        for crashed_s, delay_s in product((0.1, 1.0, 3.0), (6.0, 12.0)):
-            with self.subTest(crashed_s=crashed_s, delay_s=delay_s):
-                cell = self.start_late(delay_s, LASTING)
+        for silence_s, crashed_s, delay_s in product(SILENCES_S, (0.1, 1.0, 3.0), (6.0, 12.0)):
+            with self.subTest(silence_s=silence_s, crashed_s=crashed_s, delay_s=delay_s):
+                cell = self.start_late(delay_s, LASTING, silence_s)
                 cell.run(crashed_s)
                 self.crash_all(cell)
                 cell.run(20.0)
--- a/tests/pools/test_worker_commands.py
+++ b/tests/pools/test_worker_commands.py
@@ -3,11 +3,13 @@
 import unittest
 from typing import Any
 
+from twisted.internet import task
 from twisted.internet.defer import Deferred
 
-from lavenderstall.errors import AnswerLostError, PeerUnavailableError
+from lavenderstall.errors import AnswerLostError, LavenderstallError, PeerUnavailableError
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.effects import FENCE, OTHER_PROCESS, Refusal, StartRun, StopRun
+from lavenderstall.pools.repeated_starts import REPEAT_DELAY_S
 from lavenderstall.pools.worker_commands import MAX_CONCURRENT_STARTS, CommandSender
 from lavenderstall.pools.workers import Worker
 from tests.pools.builders import JOB, Bench, make_entry, make_job, make_step
@@ -39,6 +41,7 @@
     def setUp(self) -> None:
         """Dispatch one start more than may be in flight."""
         self.client = Client()
+        self.clock = task.Clock()
         self.bench = Bench(FIRST, make_entry("w2", capacity=FIRST.capacity))
         self.bench.pool.set_workers([FIRST])
         self.fenced: list[Refusal] = []
@@ -46,6 +49,7 @@
         self.commands = CommandSender(
             self.bench.pool,
             self.client,  # type: ignore[arg-type]
+            self.clock,
             lambda: self.bench.now,
             Metrics(),
             lambda: None,
@@ -79,6 +83,13 @@
         command = self.client.starts[number][0]
         return self.worker.runs[command.task, command.number]
 
+    def fail_start(self, number: int, error: LavenderstallError) -> None:
+        """Fail all attempts of the start that was sent at this position."""
+        command = self.client.starts[number][0]
+        for sent, answer in iter(self.client.starts):
+            if sent is command and not answer.called:
+                answer.errback(error)
+
     def test_starts_queued_behind_a_failed_start_are_dropped(self) -> None:
         rows = (
             (AnswerLostError("late", step="start"), MAX_CONCURRENT_STARTS, 1),
@@ -87,11 +98,42 @@
         for error, live, waiting in rows:
             with self.subTest(error=type(error).__name__):
                 self.setUp()
-                self.client.starts[0][1].errback(error)
+                self.fail_start(0, error)
                 self.assertEqual(len(self.worker.runs), live)
                 state = self.bench.pool.jobs[JOB].get_step(0, 0)
                 self.assertEqual(len(state.waiting), waiting)
-                self.assertEqual(len(self.client.starts), MAX_CONCURRENT_STARTS)
+                started = {command.task for command, _ in self.client.starts}
+                self.assertEqual(len(started), MAX_CONCURRENT_STARTS)
+
+    def test_a_start_without_a_response_is_sent_again(self) -> None:
+        # Else its task waits for the timeout, a stop and another worker.
+        command, first = self.client.starts[0]
+        self.clock.advance(REPEAT_DELAY_S)
+        again = [answer for sent, answer in self.client.starts if sent is command]
+        self.assertEqual(len(again), 2)
+        again[1].callback(self.bench.clock_ms())
+        run = self.get_run(0)
+        self.assertGreaterEqual(run.confirmed_at, 0)
+        self.assertGreaterEqual(run.copy_sent_at, 0)
+        self.assertEqual(self.worker.backoff_until, 0)
+        first.errback(AnswerLostError("late", step="start"))
+        self.assertIn((command.task, command.number), self.worker.runs)
+
+    def test_a_start_that_is_stopped_or_may_not_be_sent_is_not_repeated(self) -> None:
+        def stop(run: Any) -> None:
+            run.stopping = True
+
+        def lose_ownership(run: Any) -> None:
+            self.owned = False
+
+        for change in (stop, lose_ownership):
+            with self.subTest(change=change.__name__):
+                self.setUp()
+                command = self.client.starts[0][0]
+                change(self.get_run(0))
+                self.clock.advance(REPEAT_DELAY_S)
+                sent = [found for found, _ in self.client.starts if found is command]
+                self.assertEqual(len(sent), 1)
 
     def test_refusals_reach_the_pool_and_the_owner(self) -> None:
         rows = (("room", 1), (FENCE, 0), (OTHER_PROCESS, 4))
