Send a poll again once its worker should have answered it

Callers waited 1.5 to 2.5 s for each lost poll: the ends of tasks are told by polls, and a poll without an answer was given up 0.7 s beyond its wait of 0.8 or 1.6 s. With a tenth of the commands lost, the next step of most jobs met one.

A second poll follows 0.1 s after the first one should have been answered; the first answer counts. It neither waits nor acknowledges ends nor extends leases, as the worker may have restarted meanwhile. A silent worker is noticed no later than before. If only the second one is answered, polls get lost on live workers: for 3 s they wait 0.2 s at most, or longer where so many polls would return without an end. Starts are repeated after 0.1 s now.

Test: tests/platform/test_lost_commands.py, a tenth of all commands lost and executed late.

--- a/lavenderstall/pools/repeated_starts.py
+++ b/lavenderstall/pools/repeated_starts.py
@@ -17,7 +17,7 @@
 logger = logging.getLogger(__name__)
 
 # Several times as long as a healthy worker takes to respond.
-REPEAT_DELAY_S = 0.12
+REPEAT_DELAY_S = 0.1
 MAX_ATTEMPTS = 3
 # The outcome of a start is unknown after this long without a response.
 START_TIMEOUT_S = 0.5
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 from twisted.internet.defer import Deferred
@@ -16,6 +17,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.coroutines import launch
 from lavenderstall.pools.effects import Refusal
+from lavenderstall.pools.hedged_polls import HedgedPoll
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.ports import Lease, WorkerClient
 from lavenderstall.pools.workers import MAX_LEASE_MS, Worker
@@ -29,6 +31,12 @@
 POLL_WAIT_MS = 1600
 SHORT_POLL_WAIT_MS = 800
 SHORT_RUN_MS = 2500
+# While polls get lost they wait no longer than this, as the ends that they should tell of wait too.
+LOSSY_POLL_WAIT_MS = 200
+# They wait longer if there are so many that more would return without an end.
+MAX_IDLE_POLLS_PER_S = 100
+# Polls count as getting lost for this long after a live worker has left one unanswered.
+LOSS_MEMORY_S = 3.0
 # Timeout of the commit of ended runs, after which their worker is polled again.
 COMMIT_TIMEOUT_S = 0.25
 # Pause between polls that return at once, as those about a lost run.
@@ -55,6 +63,7 @@
         self._metrics = metrics
         self._polled_workers: set[WorkerKey] = set()
         self._awaiting_commit: list[Deferred[None]] = []
+        self._lost_at = -LOSS_MEMORY_S
 
     def resume_after_commit(self) -> None:
         """Resume polls that wait for a commit."""
@@ -89,14 +98,19 @@
             or any(run.unanswered_at >= 0 for run in worker.runs.values())
         )
         lease = self._make_lease(worker, asked_at)
+        wait_ms = 0 if immediate else self._choose_wait_ms(worker)
+        poll = partial(self._client.poll, worker.entry, worker.fencing_token)
+        acknowledged_seq = worker.get_acknowledged_seq(asked_at)
+        hedged_poll = HedgedPoll(
+            self._clock,
+            self._read_uptime,
+            partial(poll, acknowledged_seq, lease, wait_ms),
+            partial(poll, 0, None, 0),
+            wait_ms,
+            self._note_loss,
+        )
         try:
-            answer = await self._client.poll(
-                worker.entry,
-                worker.fencing_token,
-                worker.get_acknowledged_seq(asked_at),
-                lease,
-                0 if immediate else self._choose_wait_ms(worker),
-            )
+            outcome = await hedged_poll.run()
         except LavenderstallError as error:
             self._owner.update_time()
             self._pool.note_unresponsive(
@@ -109,6 +123,7 @@
             logger.info("poll failed", extra={"worker": worker.key.id, "error": str(error)})
             await sleep(self._clock, POLL_RETRY_DELAY_S)
             return
+        answer = outcome.answer
         if isinstance(answer, Refusal):
             self._owner.update_time()
             if not self._owner.check_fenced(worker, answer):
@@ -118,8 +133,8 @@
         if not self._owner.running:
             return
         self._owner.update_time()
-        self._pool.note_poll(worker.key, answer, asked_at)
-        self._metrics.record("look", self._pool.now - asked_at)
+        self._pool.note_poll(worker.key, answer, outcome.asked_at)
+        self._metrics.record("look", self._pool.now - outcome.asked_at)
         self._owner.schedule_dispatch()
         if worker.applied_seq > worker.committed_seq or worker.lease_end_noted:
             # A worker answers every poll at once until its ended runs are acknowledged, and gets no
@@ -128,9 +143,18 @@
         elif immediate:
             await sleep(self._clock, IMMEDIATE_POLL_PAUSE_S)
 
+    def _note_loss(self) -> None:
+        """Note that a live worker has left a poll unanswered."""
+        self._metrics.count("looks_lost")
+        self._lost_at = self._read_uptime()
+
     def _choose_wait_ms(self, worker: Worker) -> int:
         short = any(self._pool.is_short_run(run, SHORT_RUN_MS) for run in worker.runs.values())
-        return SHORT_POLL_WAIT_MS if short else POLL_WAIT_MS
+        wait_ms = SHORT_POLL_WAIT_MS if short else POLL_WAIT_MS
+        if self._read_uptime() - self._lost_at > LOSS_MEMORY_S:
+            return wait_ms
+        shortest_ms = len(self._polled_workers) * 1000 // MAX_IDLE_POLLS_PER_S
+        return min(wait_ms, max(LOSSY_POLL_WAIT_MS, shortest_ms))
 
     def _wait_for_commit(self) -> Deferred[None]:
         """Return a deferred that fires at the next commit or after `COMMIT_TIMEOUT_S`."""
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -18,6 +18,8 @@
 from tests.platform.fake_platform import ADVISER, STORE, FakePlatform
 
 WORKER_DELAY_S = 0.001
+# When commands are executed that get no answer.
+LATE_S = (2.0, 12.0)
 # Interval at which a long poll is checked.
 POLL_INTERVAL_S = 0.04
 
@@ -88,6 +90,11 @@
         query = {key: values[-1] for key, values in parse_qs(parts.query).items()}
         named = (headers or {}).get(b"Expected-Instance", [b""])[0].decode()
         arrive = (answer, address, parts.path, query, decoded, self._clock.seconds(), named)
+        if address in self._platform.workers and self._platform.loses_command():
+            delay = self._platform.random.uniform(*LATE_S)
+            late = (address, parts.path, decoded, named)
+            self._platform.clock.callLater(delay, self._execute_late, *late)
+            return answer
         delay = self._platform.store_delay_s if address == STORE else WORKER_DELAY_S
         self._platform.clock.callLater(delay, self._arrive, *arrive)
         return answer
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -412,6 +412,8 @@
         self.keeps_history = True
         self.max_row_bytes = 65536
         self.start_delay_s = 0.0
+        # Share of the commands to workers that get no answer and are executed late.
+        self.lost_share = 0.0
         # Workers by address whose next poll that acknowledges ends is executed this much later.
         self.late_polls: dict[str, float] = {}
         self.lost_paths: set[str] = set()
@@ -421,6 +423,10 @@
         self.calls = 0
         self.allowed_share = 1.0
 
+    def loses_command(self) -> bool:
+        """Tell whether the next command to a worker gets no answer and is executed late."""
+        return bool(self.lost_share) and self.random.random() < self.lost_share
+
     def add_worker(self, worker: FakeWorker) -> None:
         """Add a worker and register it."""
         self.workers[worker.address] = worker
