Clean up beside the renewals of an owner, not between them

An owner that replaces the rows of ended jobs, each 4 s, confirmed its ownership, recorded progress and released its pool only afterwards. With a store that takes 0.2 s a call that is 4.3 s: starts and final states wait, the pool may be claimed, and a hand-over runs into its time-out.

Cause: up to 16 transactions one after the other in the writer's loop.

They now run in a loop of their own. The deletion of progress, whose condition is the version of the owner row, takes turns with transactions that change that row.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -130,7 +130,6 @@
         )
         self._worker_poller = WorkerPoller(self, workers, clock, read_uptime, metrics)
         self.running = False
-        self._cleaned_at = read_uptime()
         self._registry_read_at = -REGISTRY_MAX_AGE_S
         self.on_ownership_lost: Callable[[str], None] = lambda reason: None
 
@@ -222,9 +221,14 @@
 
     def start(self) -> None:
         """Start to serve the pool."""
-        for loop in (self._poll_registry, self._review, self._follow_jobs):
+        for loop in (
+            self._poll_registry,
+            self._review,
+            self._follow_jobs,
+            self._follow_cancels,
+            self._clean_up,
+        ):
             launch(self._repeat(loop))
-        launch(self._repeat(self._follow_cancels))
 
     async def release(self, limit_s: float) -> None:
         """Release the pool once all progress is recorded, or stop without that after `limit_s`.
@@ -279,9 +283,10 @@
             self.running = False
         elif batch is not None:
             await self._handle_batch(batch)
-        if self._read_uptime() - self._cleaned_at > CLEANUP_INTERVAL_S:
-            self._cleaned_at = self._read_uptime()
-            await self.writer.delete_obsolete_rows()
+
+    async def _clean_up(self) -> None:
+        await sleep(self._clock, CLEANUP_INTERVAL_S)
+        await self.writer.delete_obsolete_rows()
 
     async def _handle_batch(self, batch: ProgressBatch) -> None:
         """Handle a commit, after one in an outage once the capacities of workers are read again."""
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -6,6 +6,8 @@
 from math import inf
 from typing import NamedTuple
 
+from twisted.internet.defer import DeferredLock
+
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import (
@@ -120,6 +122,8 @@
         self._limits = limits or StoreLimits()
         # Jobs of a batch, fewer after the store has rejected one.
         self._batch_jobs = MAX_BATCH_JOBS
+        # Held during a transaction with a condition on the owner row, whose version it may change.
+        self._lock = DeferredLock()
         self._part_counts = PartCounts()
         self._owner = owner
         self._version = version
@@ -194,6 +198,13 @@
 
         Raises `OwnershipLostError` if the pool has another owner.
         """
+        await self._lock.acquire()
+        try:
+            return await self._write_due()
+        finally:
+            self._lock.release()
+
+    async def _write_due(self) -> ProgressBatch | None:
         now = self._read_uptime()
         renewal_due = now - self.confirmed_at >= RENEW_INTERVAL_S
         roster = self._get_changed_roster(now)
@@ -566,9 +577,13 @@
         if not jobs:
             return
         await self._delete_submissions(jobs)
-        condition = Condition(OWNERS, OWNER_KEY, self._version)
         deletes = tuple(Delete(PROGRESS, job) for job in jobs)
-        await self._store.commit(Transaction(self._pool.name, (condition,), (), deletes))
+        await self._lock.acquire()
+        try:
+            condition = Condition(OWNERS, OWNER_KEY, self._version)
+            await self._store.commit(Transaction(self._pool.name, (condition,), (), deletes))
+        finally:
+            self._lock.release()
         for job in jobs:
             self._versions.pop(job, None)
         self._pool.archive.remove(jobs)
