--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -285,8 +285,8 @@
             await self._handle_batch(batch)
 
     async def _clean_up(self) -> None:
-        await sleep(self._clock, CLEANUP_INTERVAL_S)
         await self.writer.delete_obsolete_rows()
+        await sleep(self._clock, CLEANUP_INTERVAL_S)
 
     async def _handle_batch(self, batch: ProgressBatch) -> None:
         """Handle a commit, after one in an outage once the capacities of workers are read again."""
