Move the times of the system beside the clocks that use them

The cell's daemon and the platform's process both take their reactor from clocks, which imported the time since boot from the sub-package of pools. Nothing else changes; tests.platform.test_process passes.

--- a/lavenderstall/clocks.py
+++ b/lavenderstall/clocks.py
@@ -8,7 +8,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
-from lavenderstall.pools.system_time import read_uptime
+from lavenderstall.system_time import read_uptime
 
 logger = logging.getLogger(__name__)
 
