--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -7,6 +7,7 @@
 
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.crash_records import Crash, confirm_crashes, count_runs, drop_crashes
+from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress
 from lavenderstall.pools.ranges import RangeSet
@@ -440,8 +441,8 @@
         ]
 
 
-def describe_run(run: Run) -> dict[str, object]:
-    """Return the fields that identify a run in a log line."""
+def describe_run(run: Run | StartRun) -> dict[str, object]:
+    """Return the fields that identify a run, or the start of one, in a log line."""
     return {
         "job": run.task.job,
         "task": list(run.task),
--- a/lavenderstall/pools/worker_commands.py
+++ b/lavenderstall/pools/worker_commands.py
@@ -12,6 +12,7 @@
 from lavenderstall.pools.coroutines import launch
 from lavenderstall.pools.effects import PaceRun, Refusal, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import describe_run
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import WorkerClient
 from lavenderstall.pools.repeated_starts import RepeatedStart
@@ -108,7 +109,7 @@
             self._metrics.count("starts_repeated")
             logger.info(
                 "start sent again",
-                extra={**_describe(command), "attempts": len(start.attempts)},
+                extra={**describe_run(command), "attempts": len(start.attempts)},
             )
         if outcome.error is not None:
             self._note_failure(command, outcome.error)
@@ -142,7 +143,7 @@
             self._pool.note_refused(command.worker, command.task, command.number, UNREACHABLE)
         logger.info(
             "start has no response; its outcome is unknown" if sent else "start not sent",
-            extra={**_describe(command), "error": str(error)},
+            extra={**describe_run(command), "error": str(error)},
         )
         for dropped in self._queued.pop(command.worker, ()):
             self._pool.note_refused(dropped.worker, dropped.task, dropped.number, NOT_SENT)
@@ -175,13 +176,3 @@
             return
         if isinstance(answer, Refusal):
             self._check_refusal(worker, answer)
-
-
-def _describe(command: StartRun) -> dict[str, Any]:
-    """Return what identifies a start in logs."""
-    return {
-        "job": command.task.job,
-        "task": list(command.task),
-        "run": command.number,
-        "worker": command.worker.id,
-    }
