Probe each idle link from one end only

Both ends probed the link between them, one idle peer at each heartbeat. Now an instance probes the half of the ring after it, one idle peer each 0.5 s, so a round takes as long as before. An answer counts as a message that the peer should have heard, so the other end replaces its connection as soon as the peer reports that it didn't; before, that took a probe of its own.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -691,7 +691,7 @@
         contact_age_s = message.last_contact_age_ms / 1000
         self.peers.link_supervisor.note_report(sender, contact_age_s, self.read_uptime())
         if message.wants_answer:
-            self.peers.send_unconfirmed(sender, self._make_heartbeat(sender))
+            self.peers.answer(sender, self._make_heartbeat(sender))
 
     def _check_terms(self, terms: Mapping[PoolName, int]) -> None:
         """Stop owning pools for which a peer reports a higher term."""
--- a/lavenderstall/pools/heartbeat_ring.py
+++ b/lavenderstall/pools/heartbeat_ring.py
@@ -19,6 +19,12 @@
     return _list_others(entry, peers)[::-1][:HEARTBEAT_PEERS]
 
 
+def list_probed(entry: EntryId, peers: Iterable[EntryId]) -> list[EntryId]:
+    """Return the half of the peers whose links an instance probes; the others probe it."""
+    others = _list_others(entry, peers)
+    return others[: (len(others) + 1) // 2]
+
+
 def _list_others(entry: EntryId, peers: Iterable[EntryId]) -> list[EntryId]:
     """Return all other instances in the order of the ring, beginning after one."""
     ring = sorted({*peers, entry}, key=lambda name: (crc32(name.encode()), name))
--- a/lavenderstall/pools/link_supervision.py
+++ b/lavenderstall/pools/link_supervision.py
@@ -29,6 +29,8 @@
 RECOVERY_INTERVAL_S = 0.5
 # Peers get heartbeats for this long after their link was replaced or works again.
 ATTENTION_S = 1.0
+# Interval at which one of the links that carry nothing is probed.
+PROBE_INTERVAL_S = 0.5
 # After a longer pause between two checks the messages of the pause may not have been read yet.
 PAUSE_S = 0.6
 # Times of messages are remembered at this resolution, the latest ones only.
@@ -68,12 +70,14 @@
 
     `received_at` and `confirmed_at` are the latest times at which something came through, first the
     time since when the peer is known. `sent_at` holds times of messages that the peer has not
-    confirmed. Heartbeats are expected since `expected_since`, an answer since `asked_at`.
+    confirmed; it is asked to if `needs_confirmation`. Heartbeats are expected since
+    `expected_since`, an answer since `asked_at`.
     """
 
     received_at: float
     confirmed_at: float
     sent_at: deque[float] = msgspec.field(default_factory=lambda: deque(maxlen=MAX_SEND_TIMES))
+    needs_confirmation: bool = False
     expected_since: float | None = None
     asked_at: float | None = None
     silent_since: dict[Direction, float] = msgspec.field(default_factory=dict)
@@ -92,7 +96,8 @@
         self._links: dict[EntryId, LinkState] = {}
         self._checked_at = 0.0
         self._resumed_at = 0.0
-        self._next_probe = 0
+        self._probed_at = 0.0
+        self._probes = 0
 
     def retain(self, peers: Collection[EntryId], now: float) -> None:
         """Supervise the links to these peers and to no others."""
@@ -111,11 +116,17 @@
             link.replace_at = min(link.replace_at, earliest)
 
     def note_sent(self, peers: Iterable[EntryId], now: float) -> None:
-        """Record that messages were sent to peers, which are to confirm them."""
+        """Record that messages were sent to peers."""
         for link in filter(None, map(self._links.get, peers)):
             if not link.sent_at or now - link.sent_at[-1] >= SEND_RESOLUTION_S:
                 link.sent_at.append(now)
 
+    def require_confirmation(self, peer: EntryId) -> None:
+        """Require that a peer confirms what was sent to it."""
+        link = self._links.get(peer)
+        if link is not None:
+            link.needs_confirmation = True
+
     def note_report(self, peer: EntryId, contact_age_s: float, now: float) -> None:
         """Record how long ago a peer has heard this instance, as it reports."""
         link = self._links.get(peer)
@@ -125,6 +136,7 @@
         link.confirmed_at = max(link.confirmed_at, heard_at)
         while link.sent_at and link.sent_at[0] <= heard_at:
             link.sent_at.popleft()
+        link.needs_confirmation = link.needs_confirmation and bool(link.sent_at)
         if link.asked_at is not None and link.asked_at <= heard_at:
             link.asked_at = None
         if contact_age_s <= SILENCE_TIMEOUT_S:
@@ -135,20 +147,25 @@
     # Decisions
 
     def check(
-        self, senders: Collection[EntryId], recipients: Collection[EntryId], now: float
+        self,
+        senders: Collection[EntryId],
+        recipients: Collection[EntryId],
+        probed: Iterable[EntryId],
+        now: float,
     ) -> list[LinkChange]:
         """Return what has changed since the last check, with the links to replace now.
 
         `senders` are the peers that send heartbeats to this instance all the time, and
-        `recipients` those that expect them from it. Other peers are asked for an answer if
-        something was sent to them, and else one of them at each check.
+        `recipients` those that expect them from it. Other peers are asked for an answer if they
+        are to confirm something, and those of `probed` in turn.
         """
         if now - self._checked_at > PAUSE_S:
             self._resumed_at = now
         self._checked_at = now
         for peer, link in self._links.items():
             self._expect(link, now, sends=peer in senders, watches=peer in recipients)
-        self._probe_next({*senders, *recipients}, now)
+        if now - self._probed_at >= PROBE_INTERVAL_S:
+            self._probe_next([peer for peer in probed if peer not in {*senders, *recipients}], now)
         return [change for peer in self._links for change in self._check_link(peer, now)]
 
     def list_attended(self, now: float) -> list[EntryId]:
@@ -183,17 +200,15 @@
             link.expected_since = None
         elif link.expected_since is None:
             link.expected_since = now
-        if link.sent_at and not watches and link.asked_at is None:
+        if link.needs_confirmation and not watches and link.asked_at is None:
             link.asked_at = now
 
-    def _probe_next(self, excluded: Collection[EntryId], now: float) -> None:
+    def _probe_next(self, idle: list[EntryId], now: float) -> None:
         """Ask the next peer in turn of those whose links carry nothing."""
-        idle = sorted(self._links.keys() - excluded)
-        if not idle:
-            return
-        self._next_probe = (self._next_probe + 1) % len(idle)
-        link = self._links[idle[self._next_probe]]
-        if link.asked_at is None and not link.silent_since:
+        self._probed_at = now
+        self._probes += 1
+        link = self._links.get(idle[self._probes % len(idle)]) if idle else None
+        if link is not None and link.asked_at is None and not link.silent_since:
             link.asked_at = now
 
     def _check_link(self, peer: EntryId, now: float) -> Iterator[LinkChange]:
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -17,7 +17,7 @@
 from lavenderstall.pools.claims import OwnerEvidence
 from lavenderstall.pools.coroutines import gather
 from lavenderstall.pools.effects import RequestAdvice
-from lavenderstall.pools.heartbeat_ring import list_predecessors, list_successors
+from lavenderstall.pools.heartbeat_ring import list_predecessors, list_probed, list_successors
 from lavenderstall.pools.link_supervision import LinkChange, LinkSupervisor
 from lavenderstall.pools.messages import (
     AdviceAnswer,
@@ -228,9 +228,10 @@
         whose link needs attention get some too, which tell since when they weren't heard.
         """
         attended = self.link_supervisor.list_attended(self._read_uptime())
-        return list(dict.fromkeys([*self._list_regular_recipients(), *attended]))
+        return list(dict.fromkeys([*self.list_regular_recipients(), *attended]))
 
-    def _list_regular_recipients(self) -> list[EntryId]:
+    def list_regular_recipients(self) -> list[EntryId]:
+        """Return the peers that always get heartbeats: pool owners and the next in the ring."""
         return self._add_owners(list_successors(self.entry, self.peers))
 
     def _list_regular_senders(self) -> list[EntryId]:
@@ -244,8 +245,9 @@
         """Return what has changed of the links; an owner and its peers all send heartbeats."""
         everyone = self.peers.keys() - {self.entry}
         senders = everyone if owns_pools else set(self._list_regular_senders())
-        recipients = everyone if owns_pools else set(self._list_regular_recipients())
-        return self.link_supervisor.check(senders, recipients, self._read_uptime())
+        recipients = everyone if owns_pools else set(self.list_regular_recipients())
+        probed = list_probed(self.entry, self.peers)
+        return self.link_supervisor.check(senders, recipients, probed, self._read_uptime())
 
     def is_isolated(self) -> bool:
         """Tell whether no peer of another zone was heard recently.
@@ -335,19 +337,20 @@
             self.send(owner.entry, message)
 
     def send(self, peer: EntryId, message: Any) -> bool:
-        """Send a message and tell whether it was queued for the peer, which is to confirm it."""
-        sent = self.send_unconfirmed(peer, message)
+        """Send a message that is to be confirmed, and tell whether it was queued for the peer."""
+        sent = self.answer(peer, message)
         if sent:
-            self.link_supervisor.note_sent([peer], self._read_uptime())
+            self.link_supervisor.require_confirmation(peer)
         return sent
 
-    def send_unconfirmed(self, peer: EntryId, message: Any) -> bool:
-        """Send a message and tell whether it was queued for the peer."""
+    def answer(self, peer: EntryId, message: Any) -> bool:
+        """Send a message whose loss the peer notices, and tell whether it was queued."""
         try:
             self.links.send(peer, message)
         except PeerUnavailableError as error:
             logger.info("message dropped", extra={"peer": peer, "error": str(error)})
             return False
+        self.link_supervisor.note_sent([peer], self._read_uptime())
         return True
 
     # Requests
--- a/tests/platform/test_silent_links.py
+++ b/tests/platform/test_silent_links.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred
 
 from lavenderstall.identifiers import EntryId
-from lavenderstall.pools.entry_instance import HEARTBEAT_INTERVAL_S
+from lavenderstall.pools.link_supervision import PROBE_INTERVAL_S
 from lavenderstall.pools.work import PoolName
 from tests.platform.simulated_cell import POOLS, SimulatedCell
 from tests.platform.test_faults import measure_ownership_gaps
@@ -133,18 +133,10 @@
 
     def test_a_silent_connection_that_is_used_is_replaced_in_a_large_cell(self) -> None:
         """Fails if a connection without heartbeats stays silent although requests are lost."""
-        for silent in ("both", "outgoing", "incoming"):
+        for silent in ({"outgoing"}, {"incoming"}, {"outgoing", "incoming"}):
             with self.subTest(silent=silent):
                 cell = start_cell(nodes=14)
-                name, peer = self.find_idle_pair(cell)
-                cell.silent_links = {
-                    link
-                    for link, ways in (
-                        ((name, peer), ("both", "outgoing")),
-                        ((peer, name), ("both", "incoming")),
-                    )
-                    if silent in ways
-                }
+                name, peer = self.silence_idle_pair(cell, silent)
                 peers = cell.nodes[name].instance.peers
                 Deferred.fromCoroutine(peers.request_write(EntryId(peer), "t", "p", "k", b""))
                 cell.run(1.5 + 1.0)
@@ -152,11 +144,12 @@
 
     def test_a_silent_connection_that_is_idle_is_replaced_in_a_large_cell(self) -> None:
         """Fails if a connection without heartbeats is silent until a message is lost on it."""
-        cell = start_cell(nodes=14)
-        name, peer = self.find_idle_pair(cell)
-        cell.silent_links = {(name, peer), (peer, name)}
-        cell.run(14 * HEARTBEAT_INTERVAL_S + RESTORED_S)
-        self.assertEqual(cell.silent_links, set())
+        for silent in ({"outgoing"}, {"incoming"}, {"outgoing", "incoming"}):
+            with self.subTest(silent=silent):
+                cell = start_cell(nodes=14)
+                self.silence_idle_pair(cell, silent)
+                cell.run(14 * PROBE_INTERVAL_S / 2 + RESTORED_S)
+                self.assertEqual(cell.silent_links, set())
 
     def test_a_new_owner_is_heard_by_peers_that_it_has_never_heard(self) -> None:
         """Fails if connections that were silent from the first message on keep a peer cut off."""
@@ -194,6 +187,13 @@
         cell.run(10.0)
         self.assertEqual(dict(cell.redials), {})
 
+    def silence_idle_pair(self, cell: SimulatedCell, silent: set[str]) -> tuple[str, str]:
+        """Silence the connections of two idle instances in directions as seen by the first."""
+        name, peer = self.find_idle_pair(cell)
+        links = {"outgoing": (name, peer), "incoming": (peer, name)}
+        cell.silent_links = {links[direction] for direction in silent}
+        return name, peer
+
     def find_idle_pair(self, cell: SimulatedCell) -> tuple[str, str]:
         """Return two instances that send each other nothing, and own no pool."""
         owners = {cell.find_owner(pool) for pool in POOLS}
--- a/tests/pools/test_link_supervision.py
+++ b/tests/pools/test_link_supervision.py
@@ -54,7 +54,7 @@
 
     def run_round(self) -> None:
         """Check the links, exchange heartbeats and let the interval pass."""
-        found = self.supervisor.check(self.senders, self.recipients, self.now)
+        found = self.supervisor.check(self.senders, self.recipients, [PEER], self.now)
         self.changes += [(self.now, change) for change in found if change.peer == PEER]
         asked = self.supervisor.wants_answer(PEER)
         self.asked_rounds += asked
@@ -100,6 +100,7 @@
                 cut_at = bench.now
                 if not sends:
                     bench.supervisor.note_sent([PEER], bench.now)
+                    bench.supervisor.require_confirmation(PEER)
                 bench.run(FOUND_S + ROUND_S)
                 for direction in directions:
                     times = bench.list_times(LinkFellSilent, direction)
