Replace a link after three missed heartbeats, before its owner counts as isolated

An owner is isolated after 0.8 s without a word from another zone, and its links were replaced after 1.0 s.

Links are silent after 0.75 s now.

--- a/lavenderstall/pools/link_supervision.py
+++ b/lavenderstall/pools/link_supervision.py
@@ -13,8 +13,8 @@
 
 from lavenderstall.identifiers import EntryId
 
-# A link is silent if nothing came through for this long, four heartbeats.
-SILENCE_TIMEOUT_S = 1.0
+# A link is silent if nothing came through for this long, three heartbeats.
+SILENCE_TIMEOUT_S = 0.75
 # A peer had no chance yet to report a message that was sent more recently.
 REPORT_DELAY_S = 0.5
 # A silent link is replaced again after this interval. The kernel repeats a connection attempt after
