Test how long silent callers hold a connection to a cell's own interface

No fault was found: 60 s without a byte, and 15 s more for an answer that isn't read, as on the platform. The simulated caller serves both interfaces.

--- a/tests/platform/test_caller_connections.py
+++ b/tests/platform/test_caller_connections.py
@@ -6,17 +6,13 @@
 from typing import Any
 
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
 from twisted.web.resource import Resource
 
 from adapter.http_api import JobsResource, MetricsResource, ReadyResource, make_site
 from lavenderstall.metrics import Metrics
+from tests.callers import IDLE_S, UNREAD_S, CallerConnection
 from tests.platform.simulated_cell import POOLS, SimulatedCell
 
-# Time without a byte from the caller, after which its connection is closed.
-IDLE_S = 60.0
-# Further time for bytes that the caller doesn't read.
-UNREAD_S = 15.0
 # Time in which a request ends while nothing answers.
 HANDLED_S = 4.0
 JOB_PATH = f"/{POOLS[0]}/{1:016x}"
@@ -26,30 +22,6 @@
 DELETE = f"DELETE {JOB_PATH} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
 
 
-class CallerConnection:
-    """A connection of a caller, who reads what is sent or doesn't, to a resource."""
-
-    def __init__(self, resource: Resource, clock: Any, *, reading: bool) -> None:
-        site = make_site(resource)
-        site.reactor = clock
-        self._reading = reading
-        self._transport = StringTransport()
-        self._protocol: Any = site.buildProtocol(None)
-        self._protocol.makeConnection(self._transport)
-
-    def send(self, data: bytes) -> None:
-        """Send bytes."""
-        self._protocol.dataReceived(data)
-
-    def get_answers(self) -> int:
-        """Return the number of answers."""
-        return self._transport.value().count(b"HTTP/1.1 ")
-
-    def is_closed(self) -> bool:
-        """Tell whether the socket is closed; after an orderly close, once all bytes are read."""
-        return self._transport.disconnected or (self._reading and self._transport.disconnecting)
-
-
 class SilentCallerTest(unittest.TestCase):
     """Connections on which the caller says nothing any more."""
 
@@ -81,7 +53,7 @@
         )
         for name, resource, sent, reading, answers, closed_after_s in rows:
             with self.subTest(name=name):
-                connection = CallerConnection(resource, self.clock, reading=reading)
+                connection = CallerConnection(make_site(resource), self.clock, reading=reading)
                 connection.send(sent)
                 self.assertEqual(connection.get_answers(), answers)
                 self.assertEqual(self.instance.requests_in_flight, 0)
@@ -101,7 +73,8 @@
                 cell = SimulatedCell(3, 2, advice=False)
                 self.assertTrue(cell.run_until(lambda cell=cell: cell.find_owner(POOLS[0]), 4.0))
                 instance = cell.nodes["entry-0"].instance
-                connection = CallerConnection(JobsResource(instance), cell.clock, reading=True)
+                site = make_site(JobsResource(instance))
+                connection = CallerConnection(site, cell.clock, reading=True)
                 cell.platform.store_mode = "silent"
                 connection.send(request)
                 cell.run(HANDLED_S)
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -1,10 +1,12 @@
 """Tests of the HTTP interface: invalid requests are rejected and change nothing."""
 
 import unittest
+from itertools import repeat
 
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.internet.task import Clock
 
 from lavenderstall.access import hash_token
 from lavenderstall.bodies import Rejection
@@ -12,7 +14,8 @@
 from lavenderstall.errors import Outcome
 from lavenderstall.protocol import Put, Transaction
 from lavenderstall.schemas import Operator, Quota, Right, Team
-from lavenderstall.web import MAX_BODY_BYTES, ApiResource, BoundedRequest
+from lavenderstall.web import MAX_BODY_BYTES, ApiResource, BoundedRequest, make_site
+from tests.callers import IDLE_S, UNREAD_S, CallerConnection
 from tests.cells import TEAM, Cell, make_job
 from tests.memory import MemoryNetwork, Response
 from tests.oddities import ODD_VALUES, NoText, list_odd_objects
@@ -347,3 +350,28 @@
         site.cell.run(3)
         found = site.fetch("GET", "/v1/jobs/night", None)
         self.assertEqual(msgspec.json.decode(found.body)["job"]["state"], "done")
+
+
+class SilentCallerTest(unittest.TestCase):
+    """Connections on which the caller says nothing any more."""
+
+    def test_a_silent_connection_is_closed(self) -> None:
+        """Fails if a caller that says nothing any more, or reads nothing, holds a descriptor."""
+        entry = HttpCell().node.entry
+        head = b"POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n"
+        page = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
+        for name, sent, reading, answers, closed_after_s in (
+            ("silent within a head", head[:20], True, 0, IDLE_S),
+            ("silent within a body", head + b"{", True, 0, IDLE_S),
+            ("silent after an answer", page, True, 1, IDLE_S),
+            ("answer not read", page, False, 1, IDLE_S + UNREAD_S),
+        ):
+            with self.subTest(name=name):
+                clock = Clock()
+                connection = CallerConnection(make_site(entry), clock, reading=reading)
+                connection.send(sent)
+                self.assertEqual(connection.get_answers(), answers)
+                clock.pump(repeat(1.0, round(closed_after_s) - 1))
+                self.assertFalse(connection.is_closed())
+                clock.pump([1.0, 1.0])
+                self.assertTrue(connection.is_closed())
