--- a/tests/platform/test_silent_cell.py
+++ b/tests/platform/test_silent_cell.py
@@ -109,9 +109,10 @@
 
     def test_a_job_cancelled_just_before_stops_in_time(self) -> None:
         """Fails if an acknowledged cancellation waits for one silent connection after another."""
-        for direction, name in product(Direction, SERVICES):
-            with self.subTest(direction=direction, services=name):
+        for direction, name, feed_age_s in product(Direction, SERVICES, (0.0, 0.8)):
+            with self.subTest(direction=direction, services=name, feed_age_s=feed_age_s):
                 cell = start_cell()
+                cell.run(feed_age_s)
                 answers = cell.cancel("entry-1", POOL, JOB)
                 self.assertTrue(cell.run_until(lambda answers=answers: answers, ACKNOWLEDGED_S))
                 cell.silence(direction, SERVICES[name])
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -15,15 +15,17 @@
     MAX_IDLE_CONNECTIONS,
     HttpClient,
 )
-from adapter.store import PlatformStore
+from adapter.store import READ_TIMEOUT_S, PlatformStore
 from adapter.workers import PlatformAdviser, PlatformWorkerClient
-from lavenderstall.errors import AnswerLostError, LavenderstallError
+from lavenderstall.errors import AnswerLostError, LavenderstallError, StoreUnavailableError
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.platform_clients import Reply
 from lavenderstall.pools.effects import PaceRun, StartRun, StopRun
+from lavenderstall.pools.entry_instance import ENTRIES_FEED_WAIT_MS, OPERATOR_FEED_WAIT_MS
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.ports import Transaction
+from lavenderstall.pools.owner import FEED_WAIT_MS
+from lavenderstall.pools.ports import Page, Transaction
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import Task
 from tests.platform.fake_http_client import PausableClock
@@ -296,6 +298,30 @@
         self.assertEqual(client.connections, [])
 
 
+class FeedTest(unittest.TestCase):
+    """Feeds of the store on a clock of the test."""
+
+    def test_a_silent_feed_is_followed_again(self) -> None:
+        """Fails if a feed is waited for longer than its own wait and the timeout of a read."""
+        for wait_ms in (OPERATOR_FEED_WAIT_MS, FEED_WAIT_MS, ENTRIES_FEED_WAIT_MS):
+            for direction in Direction:
+                with self.subTest(wait_ms=wait_ms, direction=direction):
+                    clock = Clock()
+                    client = PersistentHttpClient(FakePlatform(clock), PausableClock(clock))
+                    store = make_store(client, STORE)
+                    store.read("entries", "")
+                    clock.pump(repeat(0.1, 10))
+                    client.silence(direction, lambda _: True)
+                    results: list[Any] = []
+                    store.poll_changes("entries", 0, wait_ms).addBoth(results.append)
+                    clock.pump(repeat(0.1, wait_ms // 100 + round(READ_TIMEOUT_S * 10) + 1))
+                    self.assertIsInstance(results[0].value, StoreUnavailableError)
+                    self.assertEqual(client.connections, [])
+                    store.poll_changes("entries", 0, wait_ms).addBoth(results.append)
+                    clock.pump(repeat(0.1, wait_ms // 100 + 2))
+                    self.assertIsInstance(results[1], Page)
+
+
 class ConnectingTest(unittest.TestCase):
     """Connections that are not made."""
 
