Read the rows of a table whose feed does not answer

A cancellation was acknowledged and its tasks ran on for as long as the feeds of the pool's owner stayed unanswered, if the message to the owner was lost too, although the store answered its other calls. Accepted jobs waited likewise.

A feed that failed was polled again and nothing else. Now the owner also reads the rows, at most once a second, unless the store counts as lost. The feed goes on from the version where it was.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -74,6 +74,9 @@
 # Rows per page; small enough for a slow link to carry within a call's timeout.
 PAGE_ROWS = 150
 RETRY_DELAY_S = 0.2
+# Interval at which the rows are read of a table whose feed doesn't answer.
+TABLE_READ_INTERVAL_S = 1.0
+HISTORY_LOST = "the history of changes was lost"
 # Pause after a feed returned only known jobs.
 FEED_PAUSE_S = 0.4
 RELEASE_POLL_INTERVAL_S = 0.01
@@ -117,6 +120,7 @@
         self._dispatch_call: Any = None
         self._jobs_version = 0
         self._cancels_version = 0
+        self._tables_read_at: dict[str, float] = {}
         self._shards = list_shards()
         # Without their progress, tasks of these jobs that are done would run again.
         self._unreadable_jobs: set[JobId] = set()
@@ -326,9 +330,9 @@
 
     async def _follow_jobs(self) -> None:
         try:
-            page = await self._store.poll_changes(JOBS, self._jobs_version, FEED_WAIT_MS)
+            page = await self._poll_feed(JOBS, self._jobs_version, self._add_jobs)
         except HistoryLostError:
-            self._jobs_version = await self._read_again(JOBS, self._add_jobs)
+            self._jobs_version = await self._read_again(JOBS, self._add_jobs, HISTORY_LOST)
             await sleep(self._clock, RETRY_DELAY_S)
             return
         rows = self._select_rows(page)
@@ -338,6 +342,19 @@
             # Job hints of entry instances arrived earlier than the feed.
             await sleep(self._clock, FEED_PAUSE_S)
 
+    async def _poll_feed(self, table: str, version: int, apply: Callable[[list[Row]], Any]) -> Page:
+        """Poll a feed; if it fails while the store answers other calls, read the rows instead."""
+        try:
+            return await self._store.poll_changes(table, version, FEED_WAIT_MS)
+        except HistoryLostError:
+            raise
+        except LavenderstallError:
+            due = self._read_uptime() - self._tables_read_at.get(table, 0.0) > TABLE_READ_INTERVAL_S
+            if due and not self._store.is_lost():
+                self._tables_read_at[table] = self._read_uptime()
+                await self._read_again(table, apply, "their feed does not answer")
+            raise
+
     def _select_rows(self, page: Page) -> list[Row]:
         """Return the rows that are present, of any pool."""
         return [row for row in page.rows if row.partition in self._shards and row.version]
@@ -386,9 +403,9 @@
 
     async def _follow_cancels(self) -> None:
         try:
-            page = await self._store.poll_changes(CANCELS, self._cancels_version, FEED_WAIT_MS)
+            page = await self._poll_feed(CANCELS, self._cancels_version, self._cancel_jobs)
         except HistoryLostError:
-            self._cancels_version = await self._read_again(CANCELS, self._cancel_jobs)
+            self._cancels_version = await self._read_again(CANCELS, self._cancel_jobs, HISTORY_LOST)
             await sleep(self._clock, RETRY_DELAY_S)
             return
         self._cancel_jobs(self._select_rows(page))
@@ -399,15 +416,20 @@
             if self._concerns_pool(row):
                 self._apply(row, partial(self.cancel_job, JobId(row.key)))
 
-    async def _read_again(self, table: str, apply: Callable[[list[Row]], Any]) -> int:
+    async def _read_again(self, table: str, apply: Callable[[list[Row]], Any], reason: str) -> int:
         """Apply the rows of all shards and return the version at which their feed starts.
 
         If a shard can't be read, those of the others are applied before the error is raised.
         """
         found, errors = await gather_all(self._read_partition(table, part) for part in self._shards)
         logger.info(
-            "rows read again, as the history of changes was lost",
-            extra={"table": table, "pool": self.pool.name, "partitions_failed": len(errors)},
+            "rows read again",
+            extra={
+                "table": table,
+                "pool": self.pool.name,
+                "reason": reason,
+                "partitions_failed": len(errors),
+            },
         )
         apply(list(chain.from_iterable(rows for rows, _ in found)))
         if errors:
--- a/tests/platform/test_cancellations.py
+++ b/tests/platform/test_cancellations.py
@@ -48,6 +48,12 @@
     cell.clock.callLater(0.1, cell.platform.lost_paths.clear)
 
 
+def lose_hint_and_all_feed_calls(cell: SimulatedCell, owner: str, writer: str) -> None:
+    """Lose the message, and let no call of a feed be answered any more."""
+    lose_hint(cell, owner, writer)
+    cell.platform.lost_paths = {FEED}
+
+
 def lose_hint_and_history(cell: SimulatedCell, owner: str, writer: str) -> None:
     """Lose the message, and let the store forget all changes just after the cancellation."""
     lose_hint(cell, owner, writer)
@@ -129,6 +135,7 @@
                 do_nothing,
                 lose_hint,
                 lose_hint_and_feed_call,
+                lose_hint_and_all_feed_calls,
                 lose_hint_and_history,
                 lose_stops,
                 lose_stops_and_polls,
