--- a/lavenderstall/pools/link_supervision.py
+++ b/lavenderstall/pools/link_supervision.py
@@ -165,7 +165,8 @@
         for peer, link in self._links.items():
             self._expect(link, now, sends=peer in senders, watches=peer in recipients)
         if now - self._probed_at >= PROBE_INTERVAL_S:
-            self._probe_next([peer for peer in probed if peer not in {*senders, *recipients}], now)
+            regular = {*senders, *recipients}
+            self._probe_next([peer for peer in probed if peer not in regular], now)
         return [change for peer in self._links for change in self._check_link(peer, now)]
 
     def list_attended(self, now: float) -> list[EntryId]:
