Replace a link early only to a peer that is heard again and doesn't hear this instance

Any message after a silence allowed a replacement 0.5 s after the last one. The links to a peer that is slow, with more than 0.75 s between its heartbeats, were so replaced at each of them, though they work. Now the peer has to report first that it hears nothing; else the interval of 2 s holds.

The new test of a slow peer fails on the code before (replaced each 1.25 s) and passes now.

--- a/lavenderstall/pools/link_supervision.py
+++ b/lavenderstall/pools/link_supervision.py
@@ -25,7 +25,8 @@
 STEADY_REPLACEMENTS = 10
 REPLACEMENT_BACKOFF = 1.25
 MAX_REPLACEMENT_INTERVAL_S = 6.0
-# A peer that is heard again accepts connections, so that none of the intervals above is waited for.
+# A peer that is heard again, but doesn't hear this instance, accepts connections, so that none of
+# the intervals above is waited for.
 RECOVERY_INTERVAL_S = 0.5
 # Peers get heartbeats for this long after their link was replaced or works again.
 ATTENTION_S = 1.0
@@ -71,7 +72,8 @@
     `received_at` and `confirmed_at` are the latest times at which something came through, first the
     time since when the peer is known. `sent_at` holds times of messages that the peer has not
     confirmed; it is asked to if `needs_confirmation`. Heartbeats are expected since
-    `expected_since`, an answer since `asked_at`.
+    `expected_since`, an answer since `asked_at`. A link `is_recovering` if the peer is heard again
+    and hasn't reported yet whether it hears this instance.
     """
 
     received_at: float
@@ -83,6 +85,7 @@
     silent_since: dict[Direction, float] = msgspec.field(default_factory=dict)
     unreported: list[LinkChange] = msgspec.field(default_factory=list)
     attended_until: float = 0.0
+    is_recovering: bool = False
     replaced_at: float | None = None
     replace_at: float = 0.0
     replacements: int = 0
@@ -112,8 +115,7 @@
             return
         link.received_at = now
         if self._note_restored(peer, link, Direction.INCOMING, now):
-            earliest = RECOVERY_INTERVAL_S + (link.replaced_at or 0.0)
-            link.replace_at = min(link.replace_at, earliest)
+            link.is_recovering = True
 
     def note_sent(self, peers: Iterable[EntryId], now: float) -> None:
         """Record that messages were sent to peers."""
@@ -141,8 +143,10 @@
             link.asked_at = None
         if contact_age_s <= SILENCE_TIMEOUT_S:
             self._note_restored(peer, link, Direction.OUTGOING, now)
+            link.is_recovering = False
         elif link.sent_at and now - link.sent_at[0] > REPORT_DELAY_S:
             self._note_silent(peer, link, Direction.OUTGOING, now)
+            self._advance_replacement(link)
 
     # Decisions
 
@@ -242,6 +246,12 @@
         direction, since = min(link.silent_since.items(), key=lambda item: item[1])
         return LinkReplaced(peer, direction, now - since)
 
+    def _advance_replacement(self, link: LinkState) -> None:
+        """Replace the link to a peer that is heard again, but doesn't hear this instance, soon."""
+        if link.is_recovering and link.replaced_at is not None:
+            link.replace_at = min(link.replace_at, link.replaced_at + RECOVERY_INTERVAL_S)
+        link.is_recovering = False
+
     def _choose_interval_s(self, replacements: int) -> float:
         growth = REPLACEMENT_BACKOFF ** max(0, replacements - STEADY_REPLACEMENTS)
         interval_s = min(MIN_REPLACEMENT_INTERVAL_S * growth, MAX_REPLACEMENT_INTERVAL_S)
--- a/tests/pools/test_link_supervision.py
+++ b/tests/pools/test_link_supervision.py
@@ -182,6 +182,18 @@
                 bench.run(RECOVERED_S)
                 self.assertTrue([t for t in bench.list_times(LinkReplaced) if t >= heard_at])
 
+    def test_a_link_to_a_slow_peer_that_hears_this_instance_is_not_replaced_often(self) -> None:
+        """Fails if each heartbeat of a peer that is slow to send them brings a replacement."""
+        bench = Bench((PEER,), (PEER,))
+        for _ in range(20):
+            bench.hears = False
+            bench.run(1.25)
+            bench.hears = True
+            bench.run(ROUND_S)
+        times = bench.list_times(LinkReplaced)
+        gaps = [later - time for time, later in pairwise(times)]
+        self.assertGreaterEqual(min(gaps), MIN_REPLACEMENT_INTERVAL_S)
+
     def test_a_restored_link_is_reported_once(self) -> None:
         """Fails if the end of a silence isn't told, or the gauges go on counting it."""
         bench = Bench((PEER,), (PEER,))
