Let steps that can't start delay no others

Cause: a dispatch served no step behind 24 blocked ones (MOST_BLOCKED), whatever they waited for. Each blocked step was looked at against all workers, so that the limit bounded the cost of a dispatch.

Change: room only shrinks during a dispatch. Shortages holds the needs that were found unmet in it: of steps that no worker suits, that have no room, for which preemption makes none, and of gangs with nothing to reserve. A step that needs at least as much of the same kind is passed over without a look at the workers. Labels that no worker has count as one. BlockedQuota keeps the limit of 24 for steps that no shortage covers (with advice, tasks per worker, failures or crashes), which no longer ends the dispatch: four further ones are looked at in turn, and a step with tickets is always placed. At most 24 covered steps preempt, and as many are explained in the log, as before.

Tests: BlockedStepsTest in tests/pools/test_shortages.py and tests/pools/test_blocked_quota.py; on 12 of the 13 kinds of blocked steps, both mixtures, and all cases of the quota fail. The kind that passed there is that of lasting tasks, which were counted apart.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -1,9 +1,9 @@
 """Dispatch of waiting tasks to the workers of a pool."""
 
 import logging
-from collections import Counter
 
 from lavenderstall.pools.advice_requests import AdviceRequester
+from lavenderstall.pools.blocked_quota import BlockedQuota
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.gang_reservations import GangReservations
 from lavenderstall.pools.job import Run
@@ -11,15 +11,13 @@
 from lavenderstall.pools.pool import MIN_BACKOFF_S, RUNS_PER_TERM, Pool
 from lavenderstall.pools.preemption import MIN_PREEMPTION_WAIT_S, Preemptor
 from lavenderstall.pools.quarantine import Assignments, Quarantine
-from lavenderstall.pools.waiting_steps import WaitingStep, list_waiting_steps
+from lavenderstall.pools.shortages import ShortageTracker
+from lavenderstall.pools.waiting_steps import WaitingStep, is_plain, list_waiting_steps
 from lavenderstall.pools.work import Task
 from lavenderstall.pools.workers import Worker
 
 logger = logging.getLogger(__name__)
 
-# A dispatch serves no more steps after this many blocked ones, to bound requests for advice; steps
-# whose tasks last count apart, as these are to run wherever there is room.
-MOST_BLOCKED = 24
 # The reason why a step waits is logged at most this often.
 EXPLAIN_S = 1.0
 
@@ -36,6 +34,8 @@
         self._advice_requester = AdviceRequester(pool, self._placement, self._gang_reservations)
         # Workers that back off, on which tasks that last may start if they fit nowhere else.
         self._retriable_workers: list[Worker] = []
+        self._shortages = ShortageTracker(self._gang_reservations)
+        self._quota = BlockedQuota()
 
     def dispatch(self, short_calls: int, long_calls: int) -> None:
         """Start the tasks that fit, and request advice within limits on short and long calls."""
@@ -47,13 +47,69 @@
         usable_workers = [w for w in sound_workers if w.backoff_until <= self.pool.now]
         self._retriable_workers = [w for w in sound_workers if self._is_retriable(w)]
         self._quarantine.clear(usable_workers)
-        blocked: Counter[bool] = Counter()
+        self._shortages.clear(self.pool.workers.values())
+        self._quota.clear()
         for waiting_step in list_waiting_steps(self.pool):
-            lasting = waiting_step.step.long_running
-            if blocked[lasting] < MOST_BLOCKED:
-                blocked[lasting] += not self._serve(waiting_step, usable_workers)
+            self._consider(waiting_step, usable_workers)
+        self._quota.end_dispatch()
         self._advice_requester.prefetch_advice(usable_workers)
 
+    def _consider(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Serve a step unless it is known to be blocked, or too many others are."""
+        step = waiting_step.step
+        if waiting_step.state.progress.crashes:
+            self._serve_within_quota(waiting_step, usable_workers)
+        elif self._shortages.is_unsuited(step):
+            self._explain_shortage(waiting_step, usable_workers)
+        elif waiting_step.queue.advising is not None:
+            self._serve_within_quota(waiting_step, usable_workers)
+        elif self._shortages.lacks_room(step, returning=bool(self._list_returning(waiting_step))):
+            self._explain_shortage(waiting_step, usable_workers)
+            self._make_room(waiting_step, usable_workers)
+        elif is_plain(waiting_step):
+            self._serve(waiting_step, usable_workers)
+        else:
+            self._serve_within_quota(waiting_step, usable_workers)
+
+    def _serve_within_quota(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Serve a step that may be blocked for reasons of its own, if it is its turn."""
+        if self._quota.has_turn(waiting_step):
+            if not self._serve(waiting_step, usable_workers):
+                self._quota.note_blocked(waiting_step)
+        elif waiting_step.queue.advising is not None:
+            self._use_tickets(waiting_step, usable_workers)
+
+    def _use_tickets(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Start the tasks of a step that fit on the workers it has tickets for."""
+        advice = self.pool.advice.get(waiting_step.step_key)
+        if advice is None or not advice.tickets or waiting_step.state.progress.crashes:
+            return
+        step = waiting_step.step
+        if step.gang and any(waiting_step.state.active_runs.values()):
+            return
+        waiting = self._list_recordable(waiting_step)
+        allowed = [worker for worker in usable_workers if worker.key.id in advice.tickets]
+        if waiting:
+            available_workers = self._gang_reservations.list_available(step, allowed)
+            self._start_tasks(waiting_step, waiting, available_workers)
+
+    def _make_room(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Reserve or preempt for a step that has no room now."""
+        step, state = waiting_step.step, waiting_step.state
+        if step.gang and any(state.active_runs.values()):
+            return
+        preempting = self._may_preempt_for(waiting_step) and self._quota.may_preempt(waiting_step)
+        reserving = step.gang and not self._shortages.lacks_reservation(step)
+        waiting = self._list_recordable(waiting_step) if preempting or reserving else []
+        if not waiting:
+            return
+        available_workers = self._gang_reservations.list_available(step, usable_workers)
+        if reserving:
+            self._reserve(waiting_step, usable_workers)
+        if preempting:
+            self._quota.note_preempting(waiting_step)
+            self._preempt_for(waiting_step, available_workers, len(waiting))
+
     def _is_sound(self, worker: Worker) -> bool:
         """Tell whether tasks may start on a worker, unless it backs off."""
         return (
@@ -81,21 +137,42 @@
         available_workers = self._gang_reservations.list_available(step, usable_workers)
         missing = len(waiting) - self._start_tasks(waiting_step, waiting, available_workers)
         returning = self._list_returning(waiting_step)
+        missing_returning = len(returning)
         if returning:
             available_workers = [*usable_workers, *self._retriable_workers]
-            missing -= self._start_tasks(waiting_step, returning, available_workers)
+            started = self._start_tasks(waiting_step, returning, available_workers)
+            missing -= started
+            missing_returning -= started
         if not missing:
             return True
+        self._note_shortage(waiting_step, returning=missing_returning > 0)
         self._explain(waiting_step, usable_workers)
         self._advice_requester.request_advice(
             waiting_step, available_workers, len(waiting) if step.gang else missing
         )
         if step.gang:
-            open_workers = self._quarantine.list_open(usable_workers)
-            self._gang_reservations.reserve(waiting_step, open_workers)
-        self._preempt_for(waiting_step, available_workers, missing)
+            self._reserve(waiting_step, usable_workers)
+        if self._may_preempt_for(waiting_step):
+            self._preempt_for(waiting_step, available_workers, missing)
         return False
 
+    def _note_shortage(self, waiting_step: WaitingStep, *, returning: bool) -> None:
+        """Note what a blocked step shows about others of the same needs."""
+        self._shortages.check_suited(waiting_step.step)
+        if not is_plain(waiting_step):
+            return
+        self._shortages.note_no_room(waiting_step.step, returning=False)
+        if returning:
+            self._shortages.note_no_room(waiting_step.step, returning=True)
+
+    def _reserve(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Reserve workers for a waiting gang."""
+        open_workers = self._quarantine.list_open(usable_workers)
+        if not self._gang_reservations.reserve(waiting_step, open_workers) and is_plain(
+            waiting_step
+        ):
+            self._shortages.note_no_reservation(waiting_step.step)
+
     def _list_recordable(self, waiting_step: WaitingStep) -> list[int]:
         """Return the waiting tasks whose runs can be recorded; others wait for tasks to end."""
         step, state, job = waiting_step.step, waiting_step.state, waiting_step.job
@@ -166,20 +243,25 @@
             self._start(waiting_step, index, candidate)
         return len(assignments)
 
+    def _may_preempt_for(self, waiting_step: WaitingStep) -> bool:
+        """Tell whether a step has waited for long enough and may find runs to preempt."""
+        return (
+            not waiting_step.expired
+            and self.pool.now - waiting_step.state.ready_at >= MIN_PREEMPTION_WAIT_S
+            and not self._shortages.lacks_victims(waiting_step.step, waiting_step.queue.priority)
+        )
+
     def _preempt_for(
         self, waiting_step: WaitingStep, available_workers: list[Worker], missing: int
     ) -> None:
-        """Preempt less urgent runs for a step that has waited for `MIN_PREEMPTION_WAIT_S`."""
-        if (
-            waiting_step.expired
-            or self.pool.now - waiting_step.state.ready_at < MIN_PREEMPTION_WAIT_S
-        ):
-            return
+        """Preempt less urgent runs for a step."""
         step, queue = waiting_step.step, waiting_step.queue
         allowed = self._list_allowed(waiting_step, self._quarantine.list_open(available_workers))
         limits = self._placement.get_task_limits(step, waiting_step.state, allowed)
         allowed.sort(key=lambda worker: self._placement.get_score(step, worker))
-        self._preemptor.preempt_for(queue, step, allowed, limits, missing)
+        sufficient = self._preemptor.preempt_for(queue, step, allowed, limits, missing)
+        if not sufficient and is_plain(waiting_step):
+            self._shortages.note_no_victims(step, queue.priority)
 
     def _list_allowed(self, waiting_step: WaitingStep, workers: list[Worker]) -> list[Worker]:
         """Return the workers that the advice received so far allows for a step."""
@@ -218,6 +300,11 @@
             },
         )
 
+    def _explain_shortage(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Log why a step waits that is passed over, for the most urgent ones."""
+        if self._quota.take_explanation():
+            self._explain(waiting_step, usable_workers)
+
     def _count_set_aside(self) -> dict[str, int]:
         """Return how many registered workers get no tasks, by the reasons that end by themselves.
 
--- a/lavenderstall/pools/gang_reservations.py
+++ b/lavenderstall/pools/gang_reservations.py
@@ -67,6 +67,10 @@
             key: unused for key, unused in self._unused.items() if key in self.pool.startable_steps
         }
 
+    def exist(self) -> bool:
+        """Tell whether any worker is reserved."""
+        return bool(self._reserved_until)
+
     def may_start_on(self, step: Step, worker: Worker) -> bool:
         """Tell whether a worker is unreserved, or a task can backfill it in time."""
         until = self._reserved_until.get(worker.key.id)
@@ -82,16 +86,19 @@
             return workers
         return [worker for worker in workers if self.may_start_on(step, worker)]
 
-    def reserve(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
-        """Reserve the workers on which a waiting gang can start soonest.
+    def reserve(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> bool:
+        """Reserve the workers on which a waiting gang can start soonest, if there are enough.
 
         Nothing is reserved for a gang that does not fit on the workers that it may use, nor for
-        one that has left its reserved room unused, for whatever reason.
+        one that has left its reserved room unused, for whatever reason. Return false if another
+        gang of the same needs would not get any workers either.
         """
         step, step_key = waiting_step.step, waiting_step.step_key
         unused = self._unused.setdefault(step_key, UnusedRoom())
-        if self._reserving_gangs >= MAX_RESERVING_GANGS or self.pool.now < unused.paused_until:
-            return
+        if self._reserving_gangs >= MAX_RESERVING_GANGS:
+            return False
+        if self.pool.now < unused.paused_until:
+            return True
         advised = waiting_step.queue.advising is not None
         advice = self.pool.advice.get(step_key)
         limits = self._placement.get_task_limits(step, waiting_step.state, usable_workers)
@@ -108,11 +115,12 @@
             for slot_time in self._list_slot_times(step, worker)[: limits[worker.key.id]]
         )
         if len(slot_times) < step.count:
-            return
+            return False
         chosen = slot_times[: step.count]
         unused.note_room(self.pool.now, free=chosen[-1][0] <= self.pool.now)
         self._reserved_until.update(dict.fromkeys((name for _, name in chosen), chosen[-1][0]))
         self._reserving_gangs += 1
+        return True
 
     def count_slots(self, step: Step, worker: Worker, lead_time_s: float) -> int:
         """Return for how many tasks of a step a worker will have room after some time."""
--- a/lavenderstall/pools/preemption.py
+++ b/lavenderstall/pools/preemption.py
@@ -41,8 +41,8 @@
         workers: list[Worker],
         limits: Mapping[str, int],
         missing: int,
-    ) -> None:
-        """Stop runs on some workers until the missing tasks of a step will fit there.
+    ) -> bool:
+        """Stop runs until the missing tasks of a step will fit, and tell whether they will.
 
         `limits` tells how many of them may start on each worker. For a gang, nothing is stopped
         unless all of its tasks will fit.
@@ -62,9 +62,10 @@
                 missing -= 1
                 left[worker.key.id] -= 1
         if step.gang and missing > 0:
-            return
+            return False
         for run in victims:
             self._preempt(run)
+        return missing <= 0
 
     def _use_expected_capacity(self, step: Step, worker: Worker, missing: int) -> int:
         """Subtract missing tasks from the expected free capacity, and return how many fit."""
--- a/lavenderstall/pools/waiting_steps.py
+++ b/lavenderstall/pools/waiting_steps.py
@@ -33,6 +33,18 @@
         return self.job.get_step(self.step_key.occurrence, self.step_key.step)
 
 
+def is_plain(waiting_step: WaitingStep) -> bool:
+    """Tell whether a step starts wherever any other step of the same needs would."""
+    state = waiting_step.state
+    return not (
+        waiting_step.queue.advising is not None
+        or waiting_step.step.max_per_worker
+        or state.copies
+        or state.failed_on
+        or state.progress.crashes
+    )
+
+
 def get_deadlines(job: Job, queue: Queue) -> tuple[float, float]:
     """Return when a job becomes late and when its result becomes worthless."""
     objective_s = get_objective_s(job.spec, queue)
--- a/tests/pools/test_dispatch.py
+++ b/tests/pools/test_dispatch.py
@@ -7,7 +7,8 @@
 from hypothesis import strategies as st
 
 from lavenderstall.identifiers import JobId
-from lavenderstall.pools.dispatch import EXPLAIN_S, MOST_BLOCKED
+from lavenderstall.pools.blocked_quota import MOST_BLOCKED
+from lavenderstall.pools.dispatch import EXPLAIN_S
 from lavenderstall.pools.effects import Refusal, RequestAdvice, RunStatus, StartRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.pool import MIN_BACKOFF_S
