--- a/bench/modules.py
+++ b/bench/modules.py
@@ -39,9 +39,13 @@
     "store_writes_peak_9",
     "store_writes_peak_150",
 )
+BLOCKED_NAMES = tuple(
+    f"blocked_{part}_{count}" for count in (0, 24, 1000, 20_000) for part in ("dispatch", "starts")
+)
 
 BENCHES = {
     "decide": BenchModule("bench.decide", DECIDE_NAMES),
+    "blocked": BenchModule("bench.blocked_steps", BLOCKED_NAMES),
     "cancel": BenchModule("bench.cancel", ("cancel_wave",)),
     "waits": BenchModule("bench.waits", (*WAIT_NAMES, "wait_p99_gang_95_bound")),
     "packing": BenchModule("bench.packing", ("packing",)),
