Log since when a configuration was not known to be the newest one

A refusal said its version, and an applied version the one before, but nothing told how old the instance's knowledge was, so that a feed without answers, a busy process and a read that is behind could not be told apart afterwards. Both lines now have unconfirmed_ms, and the metrics page has settings_unconfirmed_seconds. The configuration's feed moves from the entry instance to a module of its own; nothing else changes. Tests of feeds, unreadable data and silent connections pass.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -85,6 +85,7 @@
     decode_entry,
     encode,
 )
+from lavenderstall.pools.settings_tracker import SettingsTracker
 from lavenderstall.pools.table_watch import TableWatch
 from lavenderstall.pools.takeover import EarlierLeases
 from lavenderstall.pools.unreadable_rows import UnreadableRows
@@ -106,11 +107,8 @@
 # Interval at which an instance rewrites its row, so that peers keep it.
 RECORD_INTERVAL_S = 10.0
 RETRY_DELAY_S = 0.5
-# Long-poll timeouts of the feeds; a new configuration must apply within two seconds.
-OPERATOR_FEED_WAIT_MS = 1000
+# Long-poll timeout of the feed of instances.
 ENTRIES_FEED_WAIT_MS = 4000
-OPERATOR_TABLE = "op"
-SETTINGS_KEY = "config"
 
 
 class InstanceIdentity(msgspec.Struct, frozen=True):
@@ -151,7 +149,6 @@
     def __init__(self, identity: InstanceIdentity, dependencies: Dependencies) -> None:
         self.identity = identity
         self.metrics = dependencies.metrics
-        self.settings = Settings(0)
         self.owned_pools: dict[PoolName, PoolOwner] = {}
         self.draining = False
         self.requests_in_flight = 0
@@ -201,18 +198,22 @@
             dependencies.read_uptime,
             self._unreadable_rows,
         )
-        self._table_watches = [
-            TableWatch(
-                self._store,
-                dependencies.clock,
-                OPERATOR_TABLE,
-                self._apply_operator_rows,
-                OPERATOR_FEED_WAIT_MS,
-            ),
-            TableWatch(
-                self._store, dependencies.clock, ENTRIES, self._update_peers, ENTRIES_FEED_WAIT_MS
-            ),
-        ]
+        self.settings_tracker = SettingsTracker(
+            self._store,
+            dependencies.clock,
+            dependencies.read_uptime,
+            dependencies.settings,
+            self._apply_settings,
+            self.metrics,
+        )
+        self._entries_watch = TableWatch(
+            self._store,
+            dependencies.clock,
+            dependencies.read_uptime,
+            ENTRIES,
+            self._update_peers,
+            ENTRIES_FEED_WAIT_MS,
+        )
         self._entry_rows = EntryRowTracker()
         self._entry_records: dict[EntryId, EntryRecord] = {}
         self._recorded_isolated = False
@@ -230,8 +231,8 @@
         self._running = True
         self._dependencies.links.set_receiver(self.receive)
         self._dependencies.links.set_connection_listener(self._handle_link_change)
-        for table_watch in self._table_watches:
-            table_watch.start()
+        self.settings_tracker.start()
+        self._entries_watch.start()
         for step in (self._run_heartbeats, self._claim_ownerless_pools, self._write_entry_record):
             launch(self._repeat(step))
 
@@ -260,8 +261,8 @@
     def stop(self) -> None:
         """Stop feeds and periodic steps."""
         self._running = False
-        for table_watch in self._table_watches:
-            table_watch.stop()
+        self.settings_tracker.stop()
+        self._entries_watch.stop()
 
     def is_ready(self) -> bool:
         """Tell whether to accept callers; other zones serve those of a partitioned instance."""
@@ -326,26 +327,12 @@
 
     # Configuration and peers
 
-    def _apply_operator_rows(self, rows: Mapping[str, Row]) -> None:
-        others = sorted(rows.keys() - {SETTINGS_KEY})
-        if others:
-            logger.info("unknown operator rows ignored", extra={"keys": others[:10]})
-        row = rows.get(SETTINGS_KEY)
-        if row is None:
-            return
-        try:
-            settings = self._dependencies.settings.decode(row.value)
-        except ValueError as error:
-            self.metrics.count("settings_rejected")
-            logger.warning("invalid configuration rejected", extra={"error": str(error)})
-            return
-        if settings.version <= self.settings.version:
-            return
-        logger.info(
-            "configuration applied",
-            extra={"version": settings.version, "before": self.settings.version},
-        )
-        self.settings = settings
+    @property
+    def settings(self) -> Settings:
+        """Return the configuration in force here."""
+        return self.settings_tracker.settings
+
+    def _apply_settings(self, settings: Settings) -> None:
         for owner in self.owned_pools.values():
             owner.pool.set_settings(settings)
             owner.schedule_dispatch()
--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -24,12 +24,14 @@
         self,
         store: RowStore,
         clock: Clock,
+        read_uptime: Callable[[], float],
         table: str,
         on_change: Callable[[Mapping[str, Row]], None],
         wait_ms: int,
     ) -> None:
         self._store = store
         self._clock = clock
+        self._read_uptime = read_uptime
         self._table = table
         self._on_change = on_change
         self._wait_ms = wait_ms
@@ -39,6 +41,9 @@
         self._changed = False
         self._running = False
         self._feed_lost = False
+        # When the copy was last known to be up to date, and when it was before that.
+        self.confirmed_at = read_uptime()
+        self.confirmed_before = self.confirmed_at
 
     def start(self) -> None:
         """Start following the table."""
@@ -65,9 +70,11 @@
 
     async def _read_changes(self) -> None:
         """Read changes and pass all rows on, again if the listener failed with them before."""
+        asked_at = self._read_uptime()
         if self._version < 0:
             self._rows, self._version = await self._read_all()
             self._changed = True
+            self._confirm(asked_at)
         else:
             page = await self._store.poll_changes(self._table, self._version, self._wait_ms)
             changed = [row for row in page.rows if not row.partition]
@@ -75,6 +82,7 @@
                 self._update_row(row)
             self._version = page.version
             self._changed = self._changed or bool(changed)
+            self._confirm(min(self._read_uptime(), asked_at + self._wait_ms / 1000))
         if self._changed:
             self._on_change(self._rows)
             self._changed = False
@@ -82,6 +90,11 @@
             self._feed_lost = False
             logger.info("feed restored", extra={"table": self._table, "version": self._version})
 
+    def _confirm(self, at: float) -> None:
+        """Note that the copy had all changes made until some time."""
+        self.confirmed_before = self.confirmed_at
+        self.confirmed_at = max(self.confirmed_at, at)
+
     async def _read_all(self) -> tuple[dict[str, Row], int]:
         rows, version = await read_partition(self._store, self._table, "")
         return {row.key: row for row in rows}, version
--- a/tests/platform/test_caller_connections.py
+++ b/tests/platform/test_caller_connections.py
@@ -32,6 +32,7 @@
             read_uptime=self.clock.seconds,
             metrics=Metrics(),
             settings=SimpleNamespace(version=0),
+            settings_tracker=SimpleNamespace(get_unconfirmed_s=lambda: 0.0),
             draining=False,
             is_ready=lambda: True,
         )
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -21,8 +21,9 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.platform_clients import Reply
+from lavenderstall.pools import settings_tracker
 from lavenderstall.pools.effects import PaceRun, StartRun, StopRun
-from lavenderstall.pools.entry_instance import ENTRIES_FEED_WAIT_MS, OPERATOR_FEED_WAIT_MS
+from lavenderstall.pools.entry_instance import ENTRIES_FEED_WAIT_MS
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.owner import FEED_WAIT_MS
 from lavenderstall.pools.ports import Page, Transaction
@@ -303,7 +304,7 @@
 
     def test_a_silent_feed_is_followed_again(self) -> None:
         """Fails if a feed is waited for longer than its own wait and the timeout of a read."""
-        for wait_ms in (OPERATOR_FEED_WAIT_MS, FEED_WAIT_MS, ENTRIES_FEED_WAIT_MS):
+        for wait_ms in (settings_tracker.FEED_WAIT_MS, FEED_WAIT_MS, ENTRIES_FEED_WAIT_MS):
             for direction in Direction:
                 with self.subTest(wait_ms=wait_ms, direction=direction):
                     clock = Clock()
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -332,7 +332,8 @@
         """Fails if a configuration is not applied until the next one is written."""
         cell = start_cell()
         for node in cell.nodes.values():
-            decoder = node.instance._dependencies.settings
+            tracker = node.instance.settings_tracker
+            decoder = tracker._decoder
             failures = [IndexError("an odd row")]
 
             def decode(value: bytes, failures: Any = failures, decoder: Any = decoder) -> Any:
@@ -340,7 +341,7 @@
                     raise failures.pop()
                 return decoder.decode(value)
 
-            node.instance._dependencies.settings = SimpleNamespace(decode=decode)
+            tracker._decoder = SimpleNamespace(decode=decode)
         cell.put_settings(2)
         cell.run(3.0)
         versions = {node.instance.settings.version for node in cell.nodes.values()}
