--- a/tests/callers.py
+++ b/tests/callers.py
@@ -25,6 +25,10 @@
         """Send bytes."""
         self._protocol.dataReceived(data)
 
+    def read(self) -> str:
+        """Return what was received."""
+        return self._transport.value().decode()
+
     def get_answers(self) -> int:
         """Return the number of answers."""
         return self._transport.value().count(b"HTTP/1.1 ")
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -60,14 +60,15 @@
 class FakeHttpClient:
     """HTTP client of one instance.
 
-    `unreachable` holds the addresses that it can't reach; with `turned_away` the store rejects it,
-    and with `loses_commits` its transactions don't arrive.
+    `unreachable` holds the addresses that it can't reach, and calls of `lost_paths` don't arrive;
+    with `turned_away` the store rejects it, and with `loses_commits` its transactions don't arrive.
     """
 
     def __init__(self, platform: FakePlatform, clock: PausableClock) -> None:
         self._platform = platform
         self._clock = clock
         self.unreachable: set[str] = set()
+        self.lost_paths: set[str] = set()
         self.turned_away = False
         self.loses_commits = False
 
@@ -114,7 +115,9 @@
         named: str = "",
     ) -> None:
         platform = self._platform
-        if self._clock.dead or address in self.unreachable or path in platform.lost_paths:
+        if self._clock.dead or address in self.unreachable:
+            return
+        if path in platform.lost_paths or path in self.lost_paths:
             return
         if address == STORE:
             self._serve_store(answer, path, query, body, sent_at)
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -392,7 +392,8 @@
     `store_mode` is up, busy (rejects all), silent (ignores requests) or mute (applies transactions
     without a response). Reads of `down_partitions` are rejected, and while `feeds_silent` no feed
     answers. While `start_delay_s` is not 0, starts have no answer and are executed so much later.
-    Calls of `lost_paths` are neither executed nor answered.
+    Calls of `lost_paths` are neither executed nor answered. With `read_as_of` rows are read as of
+    an earlier version; with `hides_read_age` the answer tells the newest version nevertheless.
     `deadly_tasks` names the tasks that crash each worker that starts them; with `renames_workers` a
     worker that has crashed comes back under another name.
     """
@@ -417,6 +418,8 @@
         # Workers by address whose next poll that acknowledges ends is executed this much later.
         self.late_polls: dict[str, float] = {}
         self.lost_paths: set[str] = set()
+        self.read_as_of: int | None = None
+        self.hides_read_age = False
         self.deadly_tasks: set[str] = set()
         self.renames_workers = False
         self.workers: dict[str, FakeWorker] = {}
@@ -472,6 +475,16 @@
         self.rows[table, part, key] = row
         self.feed.append(row)
 
+    def list_rows(self) -> dict[tuple[str, str, str], dict[str, Any]]:
+        """Return the rows that are read now, by table, part and key."""
+        if self.read_as_of is None:
+            return self.rows
+        found: dict[tuple[str, str, str], dict[str, Any]] = {}
+        for row in self.feed:
+            if row["schemaVersion"] <= self.read_as_of:
+                found[row["table"], row["part"], row["key"]] = row
+        return {key: row for key, row in found.items() if not row.get("deleted")}
+
     def drop_history(self) -> None:
         """Forget all changes, and let feeds answer again."""
         self.oldest = self.version + 1
@@ -485,10 +498,12 @@
         if path == "/v1/rows-get" and query.get("part", "") in self.down_partitions:
             return 503, {}
         if path == "/v1/rows-get":
+            if self.read_as_of is not None and not self.hides_read_age:
+                base["schemaVersion"] = self.read_as_of
             rows = sorted(
                 (
                     row
-                    for (table, part, key), row in self.rows.items()
+                    for (table, part, key), row in self.list_rows().items()
                     if table == query["table"]
                     and part == query.get("part", "")
                     and key >= query.get("from", "")
