Read the rows of a table while its feed is overdue

Callers were refused by an older configuration for as long as the feed of the operator's rows went unanswered: the feed was the only path on which an instance learnt it, and its time-out of 2 s plus the pause before the retry is longer than the 2 s in which a change has to be in force. Rows are told apart by version, so that answers may come in any order.

--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -1,23 +1,28 @@
-"""A local copy of a table, kept up to date through the store's feed."""
+"""A local copy of a table, kept up to date by the store's feed, and by reads if it is overdue."""
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 from lavenderstall.clocks import Clock, sleep
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.pools.coroutines import launch
-from lavenderstall.pools.ports import HistoryLostError, Row, RowStore
+from lavenderstall.pools.ports import HistoryLostError, Page, Row, RowStore
 from lavenderstall.pools.table_reads import read_partition
 
 logger = logging.getLogger(__name__)
 
 RETRY_DELAY_S = 0.2
+# A feed is overdue if it isn't answered so long after its wait; the rows are read then.
+OVERDUE_S = 0.4
+READ_INTERVAL_S = 1.0
 
 
 class TableWatch:
     """Follow the rows of one table whose part is empty.
 
-    `wait_ms` is the long-poll timeout; a shorter one detects a dead connection sooner.
+    `wait_ms` is the long-poll timeout. Rows are told apart by their versions, so that answers may
+    arrive in any order, and none replaces a row by an older one.
     """
 
     def __init__(
@@ -34,13 +39,19 @@
         self._read_uptime = read_uptime
         self._table = table
         self._on_change = on_change
-        self._wait_ms = wait_ms
+        self._wait_s = wait_ms / 1000
         self._rows: dict[str, Row] = {}
-        self._version = -1
+        # Version after which the feed goes on; -1 while its history is lost, and at the start.
+        self._feed_version = -1
+        # Newest version of any answer.
+        self._newest_version = -1
+        # Newest version at which all rows were read; a row that wasn't there then is gone.
+        self._snapshot_version = -1
         # Whether rows have changed since the listener last handled them.
-        self._changed = False
+        self._changed = True
         self._running = False
         self._feed_lost = False
+        self._read_at = -READ_INTERVAL_S
         # When the copy was last known to be up to date, and when it was before that.
         self.confirmed_at = read_uptime()
         self.confirmed_before = self.confirmed_at
@@ -48,19 +59,17 @@
     def start(self) -> None:
         """Start following the table."""
         self._running = True
-        launch(self._run())
+        launch(self._repeat(self._follow_feed))
+        launch(self._repeat(self._read_if_overdue))
 
     def stop(self) -> None:
         """Stop following the table."""
         self._running = False
 
-    async def _run(self) -> None:
+    async def _repeat(self, step: Callable[[], Any]) -> None:
         while self._running:
             try:
-                await self._read_changes()
-            except HistoryLostError:
-                self._version = -1
-                await sleep(self._clock, RETRY_DELAY_S)
+                await step()
             except LavenderstallError as error:
                 self._log_feed_loss(error)
                 await sleep(self._clock, RETRY_DELAY_S)
@@ -68,42 +77,99 @@
                 logger.exception("processing rows failed", extra={"table": self._table})
                 await sleep(self._clock, RETRY_DELAY_S)
 
-    async def _read_changes(self) -> None:
-        """Read changes and pass all rows on, again if the listener failed with them before."""
-        asked_at = self._read_uptime()
-        if self._version < 0:
-            self._rows, self._version = await self._read_all()
-            self._changed = True
-            self._confirm(asked_at)
+    async def _follow_feed(self) -> None:
+        """Apply the next changes; read all rows if the changes before are not known."""
+        if self._feed_version < 0:
+            self._feed_version = await self._read_rows()
         else:
-            page = await self._store.poll_changes(self._table, self._version, self._wait_ms)
-            changed = [row for row in page.rows if not row.partition]
-            for row in changed:
-                self._update_row(row)
-            self._version = page.version
-            self._changed = self._changed or bool(changed)
-            self._confirm(min(self._read_uptime(), asked_at + self._wait_ms / 1000))
-        if self._changed:
-            self._on_change(self._rows)
-            self._changed = False
+            await self._poll_feed()
         if self._feed_lost:
             self._feed_lost = False
-            logger.info("feed restored", extra={"table": self._table, "version": self._version})
+            logger.info(
+                "feed restored", extra={"table": self._table, "version": self._feed_version}
+            )
 
-    def _confirm(self, at: float) -> None:
-        """Note that the copy had all changes made until some time."""
-        self.confirmed_before = self.confirmed_at
-        self.confirmed_at = max(self.confirmed_at, at)
+    async def _poll_feed(self) -> None:
+        asked_at = self._read_uptime()
+        try:
+            page = await self._store.poll_changes(
+                self._table, self._feed_version, round(self._wait_s * 1000)
+            )
+        except HistoryLostError:
+            self._feed_version = -1
+            await sleep(self._clock, RETRY_DELAY_S)
+            return
+        self._apply_changes(page)
+        self._feed_version = page.version
+        self._confirm(page.version, min(self._read_uptime(), asked_at + self._wait_s))
+        self._notify()
+
+    async def _read_if_overdue(self) -> None:
+        due_in_s = self._get_read_due_at() - self._read_uptime()
+        if due_in_s > 0:
+            await sleep(self._clock, due_in_s)
+        else:
+            await self._read_rows()
+
+    def _get_read_due_at(self) -> float:
+        overdue_at = self.confirmed_at + self._wait_s + OVERDUE_S
+        return max(overdue_at, self._read_at + READ_INTERVAL_S)
 
-    async def _read_all(self) -> tuple[dict[str, Row], int]:
+    async def _read_rows(self) -> int:
+        """Read all rows, and return the version after which their feed goes on."""
+        self._read_at = asked_at = self._read_uptime()
         rows, version = await read_partition(self._store, self._table, "")
-        return {row.key: row for row in rows}, version
+        self._apply_snapshot(rows, version)
+        self._confirm(version, asked_at)
+        self._notify()
+        return version
+
+    def _apply_snapshot(self, rows: Iterable[Row], version: int) -> None:
+        """Take newer rows over; drop those that are gone, unless others knew a newer version."""
+        found = {row.key: row for row in rows}
+        for row in found.values():
+            self._update_row(row)
+        if version >= self._newest_version:
+            for key in self._rows.keys() - found.keys():
+                self._remove_row(key, version)
+            self._snapshot_version = version
+
+    def _apply_changes(self, page: Page) -> None:
+        for row in page.rows:
+            if row.partition:
+                continue
+            if row.version:
+                self._update_row(row)
+            else:
+                self._remove_row(row.key, page.version)
 
     def _update_row(self, row: Row) -> None:
-        if row.version:
+        known = self._rows.get(row.key)
+        known_version = known.version if known is not None else self._snapshot_version
+        if known_version < row.version:
             self._rows[row.key] = row
-        else:
-            self._rows.pop(row.key, None)
+            self._changed = True
+
+    def _remove_row(self, key: str, version: int) -> None:
+        """Remove a row that was gone at some version."""
+        known = self._rows.get(key)
+        if known is not None and known.version <= version:
+            del self._rows[key]
+            self._changed = True
+
+    def _confirm(self, version: int, at: float) -> None:
+        """Note that the copy has all changes until some time, unless the answer is behind."""
+        if version < self._newest_version:
+            return
+        self._newest_version = version
+        self.confirmed_before = self.confirmed_at
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def _notify(self) -> None:
+        """Pass all rows on if they changed, or if the listener failed with them before."""
+        if self._changed:
+            self._on_change(self._rows)
+            self._changed = False
 
     def _log_feed_loss(self, error: LavenderstallError) -> None:
         if not self._feed_lost:
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -80,6 +80,7 @@
         body: bytes | None = None,
         timeout_s: float = 1.0,
         headers: dict[bytes, list[bytes]] | None = None,
+        overdue_s: float | None = None,
     ) -> Deferred[Reply]:
         """Send one request and return its response."""
         self._platform.calls += 1
--- /dev/null
+++ b/tests/pools/test_table_watch.py
@@ -0,0 +1,125 @@
+"""Tests of the local copy of a table."""
+
+import unittest
+from collections.abc import Mapping
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from lavenderstall.errors import StoreUnavailableError
+from lavenderstall.pools.ports import HistoryLostError, Page, Row
+from lavenderstall.pools.table_watch import OVERDUE_S, READ_INTERVAL_S, TableWatch
+
+TABLE = "op"
+WAIT_S = 1.0
+
+
+def make_page(version: int, *rows: Row) -> Page:
+    """Return a page as of a version."""
+    return Page(rows, version, 0.0)
+
+
+def make_row(key: str, version: int) -> Row:
+    """Return a row with a version; version 0 is a deletion."""
+    return Row(TABLE, "", key, f"{key}{version}".encode(), version)
+
+
+class ScriptedStore:
+    """A store whose polls are answered by the test; reads return `page`, or fail without one."""
+
+    def __init__(self) -> None:
+        self.page: Page | None = make_page(2, make_row("a", 1), make_row("b", 2))
+        self.polls: list[Deferred[Page]] = []
+        self.reads = 0
+
+    def read(self, table: str, partition: str, start_key: str = "", limit: int = 0) -> "object":
+        """Return all rows."""
+        self.reads += 1
+        if self.page is None:
+            raise StoreUnavailableError("away", step="read")
+        return succeed(self.page)
+
+    def poll_changes(self, table: str, version: int, wait_ms: int) -> "Deferred[Page]":
+        """Wait for the test's answer."""
+        poll: Deferred[Page] = Deferred()
+        self.polls.append(poll)
+        return poll
+
+
+class TableWatchTest(unittest.TestCase):
+    """Answers of the feed and of reads, in any order."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.store = ScriptedStore()
+        self.seen: list[dict[str, int]] = []
+        self.watch = TableWatch(
+            self.store,  # type: ignore[arg-type]
+            self.clock,
+            self.clock.seconds,
+            TABLE,
+            self.note,
+            round(WAIT_S * 1000),
+        )
+        self.watch.start()
+
+    def note(self, rows: Mapping[str, Row]) -> None:
+        """Note the versions of the rows."""
+        self.seen.append({key: row.version for key, row in rows.items()})
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        self.clock.pump([0.05] * round(seconds / 0.05))
+
+    def test_answers_apply_by_their_versions(self) -> None:
+        """Fails if a row returns to an older version, or a deleted row comes back."""
+        rows: tuple[tuple[str, Page, dict[str, int]], ...] = (
+            ("newer row", make_page(3, make_row("a", 3)), {"a": 3, "b": 2}),
+            ("older row", make_page(3, make_row("b", 1)), {"a": 1, "b": 2}),
+            ("new row", make_page(3, make_row("c", 3)), {"a": 1, "b": 2, "c": 3}),
+            ("deletion", make_page(3, make_row("b", 0)), {"a": 1}),
+            ("deletion before", make_page(1, make_row("b", 0)), {"a": 1, "b": 2}),
+            (
+                "deleted and added",
+                make_page(4, make_row("b", 0), make_row("b", 4)),
+                {"a": 1, "b": 4},
+            ),
+        )
+        for name, page, expected in rows:
+            with self.subTest(name=name):
+                self.setUp()
+                self.store.polls[-1].callback(page)
+                self.assertEqual(self.seen[-1], expected)
+
+    def test_rows_are_read_while_the_feed_is_overdue(self) -> None:
+        """Fails if a feed without an answer hides changes."""
+        self.store.page = make_page(5, make_row("a", 5))
+        self.advance(WAIT_S + OVERDUE_S + 0.1)
+        self.assertEqual(self.seen[-1], {"a": 5})
+        self.assertEqual(len(self.store.polls), 1)
+        reads = self.store.reads
+        self.store.polls[-1].callback(make_page(4, make_row("b", 0), make_row("b", 4)))
+        self.assertEqual(self.seen[-1], {"a": 5}, "a row came back that was gone")
+        self.advance(WAIT_S)
+        self.assertEqual(self.store.reads, reads)
+
+    def test_rows_that_are_behind_replace_none(self) -> None:
+        """Fails if an answer that is behind counts as the newest."""
+        self.store.polls[-1].callback(make_page(7, make_row("a", 7)))
+        confirmed_at = self.watch.confirmed_at
+        self.store.page = make_page(3, make_row("a", 1))
+        self.store.polls[-1].errback(HistoryLostError("lost", step="poll"))
+        self.advance(0.5)
+        self.assertEqual(self.seen[-1], {"a": 7, "b": 2})
+        self.assertEqual(self.watch.confirmed_at, confirmed_at)
+
+    def test_an_absent_store_is_not_flooded(self) -> None:
+        """Fails if rows are read without a pause while the store is away."""
+        self.store.page = None
+        reads = self.store.reads
+        self.advance(10.0)
+        self.assertLessEqual(self.store.reads - reads, 10.0 / READ_INTERVAL_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
