Learn a newer configuration from peers that have it

An instance that the store turns away, or whose reads were behind, kept an older configuration although all its peers had the newer one, and refused callers of queues that had been added. Heartbeats now tell the sender's version. Versions only rise, so a message that arrives late does no harm, and a row that can't be read is left.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -42,6 +42,8 @@
     JobHint,
     OwnerHeartbeat,
     PoolReleased,
+    SettingsAnswer,
+    SettingsRequest,
     StateAnswer,
     StateRequest,
     WriteAnswer,
@@ -204,6 +206,7 @@
             dependencies.read_uptime,
             dependencies.settings,
             self._apply_settings,
+            self.peers,
             self.metrics,
         )
         self._entries_watch = TableWatch(
@@ -388,6 +391,7 @@
     async def _run_heartbeats(self) -> None:
         self._link_maintainer.replace_silent_links(owns_pools=bool(self.owned_pools))
         self._send_heartbeats()
+        self.settings_tracker.ask_if_behind()
         if self.peers.is_isolated() != self._recorded_isolated and not self._store.is_lost():
             self._update_record()
         self._hand_over_pools()
@@ -430,6 +434,7 @@
             self._store.is_lost(),
             self.peers.get_terms(),
             wants_answer,
+            self.settings.version,
         )
 
     def _hand_over_pools(self) -> None:
@@ -680,6 +685,7 @@
         peer_state.draining = message.draining
         peer_state.reported_contact_age_ms = message.last_contact_age_ms
         self.peers.record_store_state(sender, lost=message.store_lost)
+        self.settings_tracker.note_peer_version(sender, message.settings_version)
         self._check_terms(message.terms)
         for pool, owner in self.owned_pools.items():
             owner.update_time()
@@ -717,6 +723,10 @@
         found = self.get_local_state(message.pool, message.job)
         self.peers.send(sender, msgspec.structs.replace(found, request_id=message.request_id))
 
+    @handle.register
+    def _(self, message: SettingsRequest, sender: EntryId) -> None:
+        self.peers.answer(sender, self.settings_tracker.answer(message))
+
     @handle.register
     def _(self, message: AdviceRequest, sender: EntryId) -> None:
         launch(self._advice_client.answer_peer(message, sender))
@@ -740,6 +750,7 @@
 
     @handle.register(CommitAnswer)
     @handle.register(StateAnswer)
+    @handle.register(SettingsAnswer)
     @handle.register(AdviceAnswer)
     @handle.register(WriteAnswer)
     def _(self, message: Any, sender: EntryId) -> None:
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -4,6 +4,7 @@
 """
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
@@ -18,7 +19,7 @@
 
     `last_contact_age_ms` is the time since the sender last heard from the receiver; `terms` holds
     the latest term that it knows of each pool. A receiver that `wants_answer` is set for sends a
-    heartbeat back at once.
+    heartbeat back at once. `settings_version` is the sender's configuration.
     """
 
     zone: str
@@ -27,6 +28,7 @@
     store_lost: bool = False
     terms: dict[PoolName, int] = {}
     wants_answer: bool = False
+    settings_version: int = 0
 
 
 class OwnerHeartbeat(msgspec.Struct, tag="OwnerBeat", array_like=True, frozen=True):
@@ -75,6 +77,25 @@
     state: str = ""
 
 
+class SettingsRequest(msgspec.Struct, tag="SettingsAsk", array_like=True, frozen=True):
+    """Ask a peer for its configuration if it is newer than a version."""
+
+    request_id: int
+    version: int
+
+
+class SettingsAnswer(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Return the version of the sender's configuration, and its row if that is newer.
+
+    A newer one may have been in the store for `unconfirmed_ms`.
+    """
+
+    request_id: int
+    version: int
+    unconfirmed_ms: Annotated[int, msgspec.Meta(ge=0)]
+    row: Row | None = None
+
+
 class AdviceRequest(msgspec.Struct, tag="AdviceAsk", array_like=True, frozen=True):
     """Ask a peer to call the placement service."""
 
@@ -152,6 +173,8 @@
     | CancelHint
     | StateRequest
     | StateAnswer
+    | SettingsRequest
+    | SettingsAnswer
     | AdviceRequest
     | AdviceAnswer
     | WriteRequest
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -28,6 +28,8 @@
     JobHint,
     Message,
     OwnerHeartbeat,
+    SettingsAnswer,
+    SettingsRequest,
     StateAnswer,
     StateRequest,
     WriteAnswer,
@@ -55,6 +57,7 @@
 STRONGER_CAPACITY_FACTOR = 1.5
 STATE_TIMEOUT_S = 0.35
 WRITE_TIMEOUT_S = 0.7
+SETTINGS_TIMEOUT_S = 0.5
 # Peers that are asked to add the same row.
 MAX_WRITE_PROXIES = 2
 
@@ -416,13 +419,27 @@
 
     def choose_write_proxies(self) -> list[EntryId]:
         """Return random live peers that reach the store and are not draining."""
+        live = self._list_peers_with_store()
+        return self._random.sample(live, min(MAX_WRITE_PROXIES, len(live)))
+
+    def choose_peer_with_store(self) -> EntryId | None:
+        """Return a random live peer that reaches the store and is not draining, or none."""
+        live = self._list_peers_with_store()
+        return self._random.choice(live) if live else None
+
+    def _list_peers_with_store(self) -> list[EntryId]:
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
-        live = [
+        return [
             peer
             for peer, state in self.peers.items()
             if state.store_reported_at > limit and not state.store_lost and not state.draining
         ]
-        return self._random.sample(live, min(MAX_WRITE_PROXIES, len(live)))
+
+    async def request_settings(self, peer: EntryId, version: int) -> SettingsAnswer | None:
+        """Ask a peer for a configuration newer than a version; returns none without an answer."""
+        message = SettingsRequest(next(self._request_numbers), version)
+        answer: SettingsAnswer | None = await self._request(peer, message, SETTINGS_TIMEOUT_S)
+        return answer
 
     async def request_write(
         self, peer: EntryId, table: str, part: str, key: str, value: bytes
--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -52,9 +52,8 @@
         self._running = False
         self._feed_lost = False
         self._read_at = -READ_INTERVAL_S
-        # When the copy was last known to be up to date, and when it was before that.
+        # When the listener last had all changes.
         self.confirmed_at = read_uptime()
-        self.confirmed_before = self.confirmed_at
 
     def start(self) -> None:
         """Start following the table."""
@@ -66,6 +65,11 @@
         """Stop following the table."""
         self._running = False
 
+    def add_row(self, row: Row) -> None:
+        """Take over a row that was learnt otherwise, if it is newer than the known one."""
+        self._update_row(row)
+        self._notify()
+
     async def _repeat(self, step: Callable[[], Any]) -> None:
         while self._running:
             try:
@@ -101,8 +105,8 @@
             return
         self._apply_changes(page)
         self._feed_version = page.version
-        self._confirm(page.version, min(self._read_uptime(), asked_at + self._wait_s))
         self._notify()
+        self._confirm(page.version, min(self._read_uptime(), asked_at + self._wait_s))
 
     async def _read_if_overdue(self) -> None:
         due_in_s = self._get_read_due_at() - self._read_uptime()
@@ -120,8 +124,8 @@
         self._read_at = asked_at = self._read_uptime()
         rows, version = await read_partition(self._store, self._table, "")
         self._apply_snapshot(rows, version)
-        self._confirm(version, asked_at)
         self._notify()
+        self._confirm(version, asked_at)
         return version
 
     def _apply_snapshot(self, rows: Iterable[Row], version: int) -> None:
@@ -158,11 +162,10 @@
             self._changed = True
 
     def _confirm(self, version: int, at: float) -> None:
-        """Note that the copy has all changes until some time, unless the answer is behind."""
+        """Note that the listener has all changes until some time, unless the answer is behind."""
         if version < self._newest_version:
             return
         self._newest_version = version
-        self.confirmed_before = self.confirmed_at
         self.confirmed_at = max(self.confirmed_at, at)
 
     def _notify(self) -> None:
