Pass a configuration to all owners before anything that may fail

Owners were told one after another, each with a dispatch in between. An error there left the owners behind it with the older version until the next change, as the version already counted as applied. No code is known that raises there: the fault is possible, and was not seen.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -336,8 +336,10 @@
         return self.settings_tracker.settings
 
     def _apply_settings(self, settings: Settings) -> None:
+        """Pass the configuration to all owners before anything follows that may fail."""
         for owner in self.owned_pools.values():
             owner.pool.set_settings(settings)
+        for owner in self.owned_pools.values():
             owner.schedule_dispatch()
         for pool in settings.pools:
             self._start_claim_check(pool)
