Read rows again for some seconds after a lost history

A read after a lost history may be behind, and then hid a change until the next one: its version was taken for that of its rows, and the feed went on after it. The rows are now read every 1.5 s for 7.5 s after a lost history.

--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Iterable, Mapping
+from math import inf
 from typing import Any
 
 from lavenderstall.clocks import Clock, sleep
@@ -16,6 +17,9 @@
 # A feed is overdue if it isn't answered so long after its wait; the rows are read then.
 OVERDUE_S = 0.4
 READ_INTERVAL_S = 1.0
+# After a lost history reads may be behind for some seconds, so the rows are read again and again.
+VERIFICATION_PERIOD_S = 7.5
+VERIFICATION_INTERVAL_S = 1.5
 
 
 class TableWatch:
@@ -51,7 +55,8 @@
         self._changed = True
         self._running = False
         self._feed_lost = False
-        self._read_at = -READ_INTERVAL_S
+        self._read_at = -inf
+        self._history_lost_at = -inf
         # When the listener last had all changes.
         self.confirmed_at = read_uptime()
 
@@ -101,6 +106,7 @@
             )
         except HistoryLostError:
             self._feed_version = -1
+            self._history_lost_at = self._read_uptime()
             await sleep(self._clock, RETRY_DELAY_S)
             return
         self._apply_changes(page)
@@ -116,8 +122,10 @@
             await self._read_rows()
 
     def _get_read_due_at(self) -> float:
-        overdue_at = self.confirmed_at + self._wait_s + OVERDUE_S
-        return max(overdue_at, self._read_at + READ_INTERVAL_S)
+        due_at = self.confirmed_at + self._wait_s + OVERDUE_S
+        if self._read_at < self._history_lost_at + VERIFICATION_PERIOD_S:
+            due_at = min(due_at, self._read_at + VERIFICATION_INTERVAL_S)
+        return max(due_at, self._read_at + READ_INTERVAL_S)
 
     async def _read_rows(self) -> int:
         """Read all rows, and return the version after which their feed goes on."""
@@ -142,15 +150,14 @@
         for row in page.rows:
             if row.partition:
                 continue
-            if row.version:
-                self._update_row(row)
-            else:
+            if not row.version:
                 self._remove_row(row.key, page.version)
+            elif row.key in self._rows or row.version > self._snapshot_version:
+                self._update_row(row)
 
     def _update_row(self, row: Row) -> None:
         known = self._rows.get(row.key)
-        known_version = known.version if known is not None else self._snapshot_version
-        if known_version < row.version:
+        if known is None or known.version < row.version:
             self._rows[row.key] = row
             self._changed = True
 
--- a/tests/pools/test_table_watch.py
+++ b/tests/pools/test_table_watch.py
@@ -8,7 +8,13 @@
 
 from lavenderstall.errors import StoreUnavailableError
 from lavenderstall.pools.ports import HistoryLostError, Page, Row
-from lavenderstall.pools.table_watch import OVERDUE_S, READ_INTERVAL_S, TableWatch
+from lavenderstall.pools.table_watch import (
+    OVERDUE_S,
+    READ_INTERVAL_S,
+    RETRY_DELAY_S,
+    VERIFICATION_PERIOD_S,
+    TableWatch,
+)
 
 TABLE = "op"
 WAIT_S = 1.0
@@ -113,6 +119,21 @@
         self.assertEqual(self.seen[-1], {"a": 7, "b": 2})
         self.assertEqual(self.watch.confirmed_at, confirmed_at)
 
+    def test_rows_are_read_again_for_a_while_after_a_lost_history(self) -> None:
+        """Fails if rows that were behind stay, or if reads go on for good."""
+        self.store.polls[-1].errback(HistoryLostError("lost", step="poll"))
+        self.advance(RETRY_DELAY_S + 0.1)
+        self.store.page = make_page(2, make_row("a", 1), make_row("b", 2), make_row("c", 2))
+        for _ in range(round(VERIFICATION_PERIOD_S)):
+            self.store.polls[-1].callback(make_page(2))
+            self.advance(WAIT_S)
+        self.assertEqual(self.seen[-1], {"a": 1, "b": 2, "c": 2})
+        reads = self.store.reads
+        for _ in range(round(VERIFICATION_PERIOD_S)):
+            self.store.polls[-1].callback(make_page(2))
+            self.advance(WAIT_S)
+        self.assertLessEqual(self.store.reads - reads, 1)
+
     def test_an_absent_store_is_not_flooded(self) -> None:
         """Fails if rows are read without a pause while the store is away."""
         self.store.page = None
