--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -109,6 +109,8 @@
 # Interval at which an instance rewrites its row, so that peers keep it.
 RECORD_INTERVAL_S = 10.0
 RETRY_DELAY_S = 0.5
+# Time in which a request that was sent is handled.
+CONFIRMATION_MARGIN_S = 0.2
 # Long-poll timeout of the feed of instances.
 ENTRIES_FEED_WAIT_MS = 4000
 
@@ -117,7 +119,8 @@
     """Identify an entry instance and its peer address.
 
     `cpu_capacity` is its share of processors; instances with more of it own pools first. A task
-    takes `remote_factor` times as long on another rack than that of its data.
+    takes `remote_factor` times as long on another rack than that of its data. Callers may rely on a
+    configuration `config_apply_s` after it was stored.
     """
 
     entry: EntryId
@@ -126,6 +129,7 @@
     link: str
     cpu_capacity: float = 1.0
     remote_factor: float = REMOTE_FACTOR
+    config_apply_s: float = 2.0
 
 
 class Dependencies(msgspec.Struct):
@@ -271,6 +275,11 @@
         """Tell whether to accept callers; other zones serve those of a partitioned instance."""
         return not self.draining and self.settings.version > 0 and not self.is_partitioned()
 
+    def is_configuration_current(self) -> bool:
+        """Tell whether callers can't rely on a newer configuration yet, if there is one."""
+        unconfirmed_s = self.settings_tracker.get_unconfirmed_s()
+        return unconfirmed_s <= self.identity.config_apply_s - CONFIRMATION_MARGIN_S
+
     def choose_retry_after_s(self, spec: JobSpec, queue: Queue) -> int:
         """Return the seconds after which a caller whose job was not accepted should retry."""
         return choose_retry_after_s(
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -152,6 +152,7 @@
             (SETTINGS + "[limits]\ncpuShare = -1.0", "cpuShare"),
             (SETTINGS + "[limits]\ncores = inf", "cores"),
             (SETTINGS + "[bounds]\nremoteFactor = -1", "remoteFactor"),
+            (SETTINGS + "[bounds]\nconfigApplyMs = -1", "configApplyMs"),
         )
         for text, expected in rows:
             with self.subTest(expected=expected), self.assertRaisesRegex(SettingsError, expected):
