Keep the fields of a known queue that a new version makes unreadable

A route of which one field could not be read was left out of the version that held it, so that callers of a queue that had been served got 404, and its accepted jobs lost their limits. The fields that can't be read now stay as they were in the version before; the others are taken over. A route that is new is left out as before.

--- a/lavenderstall/pools/ports.py
+++ b/lavenderstall/pools/ports.py
@@ -182,5 +182,8 @@
 class SettingsDecoder(Protocol):
     """Decoder of the operator's configuration."""
 
-    def decode(self, value: bytes) -> Settings:
-        """Return the configuration in a row's value, or raise `ValueError`."""
+    def decode(self, value: bytes, before: Settings) -> Settings:
+        """Return the configuration in a row's value, or raise `ValueError`.
+
+        What can't be read of a queue stays as in the configuration `before`.
+        """
--- a/lavenderstall/pools/settings_tracker.py
+++ b/lavenderstall/pools/settings_tracker.py
@@ -120,7 +120,7 @@
     def _is_newer(self, row: Row) -> bool:
         """Tell whether a peer's row has a newer version; one that can't be read has none."""
         try:
-            return self._decoder.decode(row.value).version > self.settings.version
+            return self._decoder.decode(row.value, self.settings).version > self.settings.version
         except ValueError as error:
             logger.warning("invalid configuration rejected", extra={"error": str(error)})
             return False
@@ -140,7 +140,7 @@
         if row is None:
             return
         try:
-            settings = self._decoder.decode(row.value)
+            settings = self._decoder.decode(row.value, self.settings)
         except ValueError as error:
             self._metrics.count("settings_rejected")
             logger.warning("invalid configuration rejected", extra={"error": str(error)})
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -336,10 +336,12 @@
             decoder = tracker._decoder
             failures = [IndexError("an odd row")]
 
-            def decode(value: bytes, failures: Any = failures, decoder: Any = decoder) -> Any:
+            def decode(
+                value: bytes, before: Any, failures: Any = failures, decoder: Any = decoder
+            ) -> Any:
                 if failures:
                     raise failures.pop()
-                return decoder.decode(value)
+                return decoder.decode(value, before)
 
             tracker._decoder = SimpleNamespace(decode=decode)
         cell.put_settings(2)
--- a/tests/pools/test_settings_tracker.py
+++ b/tests/pools/test_settings_tracker.py
@@ -67,7 +67,7 @@
             store,
             self.clock,
             self.clock.seconds,
-            SimpleNamespace(decode=lambda value: Settings(int(value))),
+            SimpleNamespace(decode=lambda value, before: Settings(int(value))),
             lambda settings: self.applied.append(settings.version),
             self.peers,  # type: ignore[arg-type]
             Metrics(),
