Find queues by an index, not by a look at each one

Each request looked at all queues of the configuration, and each step of a job at all names. A busy process delays the answer of its feed.

--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -1,6 +1,7 @@
 """Declared work: jobs, steps, tasks and queues."""
 
 from enum import Enum
+from functools import cached_property
 from typing import NamedTuple, NewType
 
 import msgspec
@@ -194,7 +195,7 @@
         raise InvalidJobError(f"queue {queue.name[:20]!r} has a figure out of bounds")
 
 
-class Settings(msgspec.Struct, frozen=True):
+class Settings(msgspec.Struct, frozen=True, dict=True):
     """One version of the configuration; workers of `guarded` pools enforce their capacity."""
 
     version: int
@@ -202,11 +203,26 @@
     guarded: frozenset[PoolName] = frozenset()
     pools: frozenset[PoolName] = frozenset()
 
+    # Of queues with the same prefix or name, the first one counts.
+
+    @cached_property
+    def _queues_by_prefix(self) -> dict[tuple[str, str], Queue]:
+        return {(queue.host, queue.prefix): queue for queue in reversed(self.queues)}
+
+    @cached_property
+    def _prefix_lengths(self) -> tuple[int, ...]:
+        return tuple(sorted({len(queue.prefix) for queue in self.queues}, reverse=True))
+
+    @cached_property
+    def _queues_by_name(self) -> dict[QueueName, Queue]:
+        return {queue.name: queue for queue in reversed(self.queues)}
+
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of a path, or none."""
-        fitting = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
-        return max(fitting, key=lambda queue: len(queue.prefix), default=None)
+        prefixes = (path[:length] for length in self._prefix_lengths if length <= len(path))
+        found = (self._queues_by_prefix.get((host, prefix)) for prefix in prefixes)
+        return next((queue for queue in found if queue is not None), None)
 
     def find_queue_by_name(self, name: QueueName) -> Queue | None:
         """Return a queue by name, or none."""
-        return next((queue for queue in self.queues if queue.name == name), None)
+        return self._queues_by_name.get(name)
