--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -1,6 +1,6 @@
 """Progress of a pool that isn't durable yet, and starts deferred until it is."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from itertools import chain, islice
 from typing import TYPE_CHECKING
 
@@ -25,6 +25,14 @@
 MAX_ADVISED_BYTES = 32 * 1024
 
 
+def partition(
+    commands: list[StartRun], predicate: Callable[[StartRun], bool]
+) -> tuple[list[StartRun], list[StartRun]]:
+    """Return the commands that fulfil a predicate, and those that don't."""
+    found = [(predicate(command), command) for command in commands]
+    return [c for fulfils, c in found if fulfils], [c for fulfils, c in found if not fulfils]
+
+
 class ProgressBatch(msgspec.Struct):
     """Progress that one transaction makes durable.
 
@@ -150,30 +158,51 @@
         self._send_starts(starts)
 
     def _send_starts(self, commands: Iterable[StartRun]) -> None:
-        for command in commands:
-            self._send_start(command)
-
-    def _send_start(self, command: StartRun) -> None:
-        """Send one start, or end its run if it is stopping, has no ticket or may not fit now.
+        """Send starts, and end runs that can't start now; of a gang all start or none."""
+        startable, others = partition(list(commands), self._may_start)
+        incomplete = {get_step_key(each.task) for each in others if self._is_of_gang(each)}
+        for command in others:
+            self._drop_start(command)
+        for command in startable:
+            # The end of another run may have stopped this one.
+            if get_step_key(command.task) in incomplete or not self._may_start(command):
+                self._drop_start(command)
+            else:
+                self._send_start(command)
+
+    def _may_start(self, command: StartRun) -> bool:
+        """Tell whether a run is still wanted, has a ticket and fits its worker.
 
         Nothing is sent while the roster may tell when the leases on the worker end.
         """
-        pool = self._pool
-        worker = pool.workers.get(command.worker)
+        worker = self._pool.workers.get(command.worker)
         run = worker.runs.get((command.task, command.number)) if worker else None
-        if worker is None or run is None:
-            return
-        ticket = self._get_ticket(command)
+        if worker is None or run is None or run.stopping:
+            return False
         full = worker.is_overcommitted() or worker.unsized_runs
-        if run.stopping or ticket is None or full or worker.lease_end_noted:
-            pool.end_run(worker, run.task, run.number, EndCause.LOST, "")
-            return
+        return not full and not worker.lease_end_noted and self._get_ticket(command) is not None
+
+    def _is_of_gang(self, command: StartRun) -> bool:
+        job = self._pool.jobs.get(command.task.job)
+        return job is not None and job.spec.steps[command.task.step].gang
+
+    def _drop_start(self, command: StartRun) -> None:
+        """End a run whose start is not sent."""
+        worker = self._pool.workers.get(command.worker)
+        if worker is not None and (command.task, command.number) in worker.runs:
+            self._pool.end_run(worker, command.task, command.number, EndCause.LOST, "")
+
+    def _send_start(self, command: StartRun) -> None:
+        pool = self._pool
+        worker = pool.workers[command.worker]
+        run = worker.runs[command.task, command.number]
         run.start_sent = True
         run.start_sent_at = pool.now
         run.deadline_ms = worker.estimate_clock(pool.now) + START_LEASE_MS
         worker.note_lease(run.deadline_ms)
+        deadline_ms, ticket = int(run.deadline_ms), self._get_ticket(command) or ""
         pool.effects.append(
-            msgspec.structs.replace(command, deadline_ms=int(run.deadline_ms), ticket=ticket)
+            msgspec.structs.replace(command, deadline_ms=deadline_ms, ticket=ticket)
         )
 
     def _get_ticket(self, command: StartRun) -> str | None:
