--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -514,6 +514,8 @@
     def _handle_conflict(self, error: RowConflictError) -> None:
         """Update the row versions after a conflict, or raise if the ownership is lost."""
         self._unanswered_since = -1.0
+        # The row that says so was not written.
+        self._owner.released = False
         for row in error.rows:
             if row.table == OWNERS and row.key == OWNER_KEY:
                 self._check_owner(row)
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -603,6 +603,25 @@
         successor = Owner(rows, "entry-2")
         self.assertEqual(successor.claim(), None)
 
+    def test_a_pool_is_released_only_once_the_store_says_so(self) -> None:
+        """Fails if an owner stops after a conflict, with its last progress unrecorded."""
+        rows = FakeRowStore()
+        owner = make_owner(rows)
+        owner.finish_task(0, 1)
+        owner.step()
+        owner.finish_task(1, 2)
+        row = rows.rows[PROGRESS, POOL, JOB]
+        rows.version += 1
+        rows.rows[PROGRESS, POOL, JOB] = replace(row, version=rows.version)
+        owner.writer.releasing = True
+        owner.step()
+        self.assertFalse(owner.writer.released)
+        self.assertFalse(decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value).released)
+        owner.step()
+        self.assertTrue(owner.writer.released)
+        self.assertTrue(decode_owner(rows.rows[OWNERS, POOL, OWNER_KEY].value).released)
+        self.assertEqual(read_done(rows), {0, 1})
+
 
 if __name__ == "__main__":
     unittest.main()
