Bound the open occurrences of all jobs of a pool together

Each job whose times are due opened occurrences of up to 20,000 tasks, so that memory and the time of the periodic check grew with the number of such jobs. Each job keeps at least one open occurrence, so a job behind a large one goes on, one occurrence at a time.

--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -22,7 +22,7 @@
     Task,
 )
 
-# Limit on the tasks of a job's occurrences that are open at a time; one occurrence may have more.
+# Limit on the tasks of all open occurrences of a pool; one occurrence of each job may have more.
 MAX_OPEN_TASKS = 20_000
 # A job starts no further tasks while its progress takes this much, until others are done.
 MAX_PROGRESS_BYTES = 400 * 1024
@@ -184,15 +184,29 @@
             self.is_step_done(occurrence, earlier) for earlier in self.spec.steps[step].after
         )
 
-    def list_due_occurrences(self, unix_ms: float) -> Iterator[int]:
-        """Yield the earliest occurrences that are not done and whose start time has passed."""
+    def count_open_tasks(self) -> int:
+        """Return the tasks of the occurrences that are open; a job that runs once has none."""
+        if self.spec.repeat is None:
+            return 0
+        return len({occurrence for occurrence, _ in self.steps}) * self._count_tasks()
+
+    def _count_tasks(self) -> int:
+        """Return the tasks of one occurrence."""
+        return sum(step.count for step in self.spec.steps)
+
+    def list_due_occurrences(
+        self, unix_ms: float, max_tasks: int = MAX_OPEN_TASKS
+    ) -> Iterator[int]:
+        """Yield the earliest occurrences that are not done and whose start time has passed.
+
+        They have at most `max_tasks` tasks, but are one at least.
+        """
         repeat = self.spec.repeat
         if repeat is None:
             yield 0
             return
-        tasks = sum(step.count for step in self.spec.steps)
         missing = self.done_occurrences.iterate_missing(repeat.count)
-        for number in islice(missing, max(1, MAX_OPEN_TASKS // tasks)):
+        for number in islice(missing, max(1, max_tasks // self._count_tasks())):
             if repeat.start_ms + number * repeat.interval_ms > unix_ms:
                 return
             yield number
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -20,7 +20,7 @@
     StopRun,
 )
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import AcceptedJob, Job, Run, describe_run
+from lavenderstall.pools.job import MAX_OPEN_TASKS, AcceptedJob, Job, Run, describe_run
 from lavenderstall.pools.late_starts import LateStart, LateStarts
 from lavenderstall.pools.objectives import get_objective_s
 from lavenderstall.pools.progress import JobProgress
@@ -106,6 +106,8 @@
         self.ended_incarnations: deque[WorkerKey] = deque(maxlen=MAX_ENDED_INCARNATIONS)
         self.startable_steps: set[StepKey] = set()
         self.repeating_jobs: set[JobId] = set()
+        # Tasks of the open occurrences of these jobs.
+        self._open_tasks = 0
         self.advice: dict[StepKey, StepAdvice] = {}
         self.slowdowns = SlowdownEstimator()
         self.effects: list[Effect] = []
@@ -190,7 +192,9 @@
         """Find the steps of a job whose tasks may start now."""
         if job.ended or self.takeover.blocks_job(job.id):
             return
-        for occurrence in job.list_due_occurrences(self.unix_ms):
+        open_tasks = job.count_open_tasks()
+        max_tasks = open_tasks + max(0, MAX_OPEN_TASKS - self._open_tasks)
+        for occurrence in job.list_due_occurrences(self.unix_ms, max_tasks):
             for number in range(len(job.spec.steps)):
                 if job.is_step_done(occurrence, number) or not job.is_step_ready(
                     occurrence, number
@@ -201,6 +205,7 @@
                     if state.ready_at < 0:
                         state.ready_at = self.now
                     self.startable_steps.add(state.step_key)
+        self._open_tasks += job.count_open_tasks() - open_tasks
 
     def _close_job(self, job: Job) -> None:
         """Stop all runs of a job that has ended."""
@@ -722,6 +727,7 @@
             if not worker.registered and not worker.runs and not self.takeover.awaits_worker(key):
                 self._remove_worker(key)
         self.request_copies()
+        self._open_tasks = sum(self.jobs[job].count_open_tasks() for job in self.repeating_jobs)
         for job_id in list(self.repeating_jobs):
             self.update_startable_steps(self.jobs[job_id])
         self._archive_ended()
--- a/tests/pools/test_progress.py
+++ b/tests/pools/test_progress.py
@@ -83,6 +83,22 @@
         self.assertLessEqual(len(job.steps) * width, MAX_OPEN_TASKS)
         self.assertLess(len(encode(job.make_progress())), MAX_PROGRESS_BYTES)
 
+    def test_occurrences_of_many_jobs_are_opened_in_turn(self) -> None:
+        """Fails if the memory of an instance grows with the number of jobs whose times are due."""
+        bench = Bench(WORKER)
+        jobs = [JobId(f"{number:016x}") for number in range(12)]
+        steps = [make_step(40), *(make_step(40, after=(number,)) for number in range(4))]
+        for job in jobs:
+            bench.pool.add_job(replace(make_repeated(100_000, *steps), id=job))
+        bench.advance(1.0)
+        opened = [bench.pool.jobs[job].count_open_tasks() for job in jobs]
+        self.assertGreaterEqual(min(opened), 200)
+        self.assertLessEqual(sum(opened), MAX_OPEN_TASKS + len(jobs) * 200)
+        bench.pool.cancel_job(max(jobs, key=lambda job: bench.pool.jobs[job].count_open_tasks()))
+        bench.advance(1.0)
+        reopened = [bench.pool.jobs[job].count_open_tasks() for job in jobs]
+        self.assertGreater(sum(reopened[1:]), sum(opened[1:]))
+
     def test_tasks_wait_while_the_progress_of_their_job_is_large(self) -> None:
         """Fails if more tasks start than a transaction can record."""
         bench = Bench(WORKER)
