--- a/lavenderstall/pools/settings_tracker.py
+++ b/lavenderstall/pools/settings_tracker.py
@@ -89,23 +89,27 @@
     def ask_if_behind(self) -> None:
         """Ask a peer if one has a newer version, or if the store hasn't answered for too long."""
         now = self._read_uptime()
-        if now - self._asked_at < PEER_REQUEST_INTERVAL_S:
-            return
-        peer: EntryId | None = None
-        if self._newer.version > self.settings.version:
-            peer = self._newer.peer if now - self._newer.heard_at >= PEER_LAG_S else None
-        elif self.get_unconfirmed_s() > UNCONFIRMED_S:
-            peer = self._peers.choose_peer_with_store()
+        peer = self._choose_peer(now)
         if peer is not None:
             self._asked_at = now
             launch(self._ask(peer))
 
+    def _choose_peer(self, now: float) -> EntryId | None:
+        """Return the peer to ask now, if any."""
+        if now - self._asked_at < PEER_REQUEST_INTERVAL_S:
+            return None
+        if self._newer.version > self.settings.version:
+            return self._newer.peer if now - self._newer.heard_at >= PEER_LAG_S else None
+        if self.get_unconfirmed_s() > UNCONFIRMED_S:
+            return self._peers.choose_peer_with_store()
+        return None
+
     async def _ask(self, peer: EntryId) -> None:
         asked_at = self._read_uptime()
         answer = await self._peers.request_settings(peer, self.settings.version)
+        # Heartbeats tell the version again, perhaps of another peer.
+        self._newer = PeerVersion()
         if answer is None:
-            # Another peer may have the version too.
-            self._newer = PeerVersion()
             return
         if answer.row is not None and self._is_newer(answer.row):
             logger.info(
