--- a/tests/pools/test_settings_tracker.py
+++ b/tests/pools/test_settings_tracker.py
@@ -103,13 +103,16 @@
         self.assertEqual(self.ask_after(PEER_REQUEST_INTERVAL_S - 0.01), [])
         self.assertTrue(self.ask_after(0.02))
 
-    def test_another_peer_is_asked_after_one_that_does_not_answer(self) -> None:
-        """Fails if a peer that has gone keeps its version from being fetched."""
-        self.tracker.note_peer_version(PEER, 4)
-        self.ask_after(PEER_LAG_S + 0.01)
-        self.peers.answers[-1].callback(None)
-        self.tracker.note_peer_version(OTHER, 4)
-        self.assertEqual(self.ask_after(PEER_REQUEST_INTERVAL_S), [(OTHER, 3)])
+    def test_another_peer_is_asked_after_one_that_does_not_help(self) -> None:
+        """Fails if a peer that has gone, or has no newer version, is asked again and again."""
+        for answer in (None, SettingsAnswer(1, 3, 0), SettingsAnswer(1, 2, 0)):
+            with self.subTest(answer=answer):
+                self.setUp()
+                self.tracker.note_peer_version(PEER, 4)
+                self.ask_after(PEER_LAG_S + 0.01)
+                self.peers.answers[-1].callback(answer)
+                self.tracker.note_peer_version(OTHER, 4)
+                self.assertEqual(self.ask_after(PEER_REQUEST_INTERVAL_S), [(OTHER, 3)])
 
     def test_an_answer_applies_if_it_is_newer(self) -> None:
         """Fails if a peer's row is not applied, or if one that is no newer is."""
