Wait for answers of the store that arrive slowly

While one arrives, neither rows nor a peer are asked, a poll isn't sent while rows are read, and the feed goes on after the version that was read. Rows are read if the feed itself is silent, not if it is behind; large tables aren't read again after a lost history.

--- /dev/null
+++ b/lavenderstall/callbacks.py
@@ -0,0 +1,5 @@
+"""Default callbacks."""
+
+
+def do_nothing() -> None:
+    """Do nothing."""
--- a/lavenderstall/platform_clients.py
+++ b/lavenderstall/platform_clients.py
@@ -20,6 +20,7 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
+from lavenderstall.callbacks import do_nothing
 from lavenderstall.clocks import Clock
 from lavenderstall.connections import ConnectionPool, PersistentAgent
 from lavenderstall.decoding import UnreadableError, decode_json
@@ -59,6 +60,7 @@
     UnusableAddressError,
 )
 NO_CLOSE_REASON = Failure(ConnectionDone())
+SUCCESS = 200
 # Statuses that guarantee that a request had no effect.
 REJECTED_STATUSES = frozenset({400, 404, 405, 413, 429, 503})
 
@@ -194,13 +196,15 @@
     connection of an HTTP/1.1 response.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_data: Callable[[], None] = do_nothing) -> None:
         self._parts: list[bytes] = []
+        self._on_data = on_data
         self.body: Deferred[bytes] = Deferred(self._close)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Append a chunk of the body."""
         self._parts.append(data)
+        self._on_data()
 
     def connectionLost(self, reason: Failure = NO_CLOSE_REASON) -> None:  # noqa: N802
         """Deliver the complete body, or the reason why it is incomplete."""
@@ -217,9 +221,14 @@
             cast(Any, self.transport).loseConnection()
 
 
-def read_reply(response: Any) -> Deferred[Reply]:
-    """Read the body of a response; fail if it is shorter than declared."""
-    collector = BodyCollector()
+def read_reply(response: Any, on_data: Callable[[], None] = do_nothing) -> Deferred[Reply]:
+    """Read the body of a response; fail if it is shorter than declared.
+
+    `on_data` is called for the head of a successful response, and for each chunk of its body.
+    """
+    note = on_data if response.code == SUCCESS else do_nothing
+    note()
+    collector = BodyCollector(note)
     response.deliverBody(collector)
     return collector.body.addCallback(lambda body: Reply(response.code, body))
 
--- a/lavenderstall/pools/monitored_store.py
+++ b/lavenderstall/pools/monitored_store.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from lavenderstall.callbacks import do_nothing
 from lavenderstall.errors import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -79,14 +80,27 @@
         return call.addCallback(self._record_duration, sent_at)
 
     def read(
-        self, table: str, partition: str, start_key: str = "", limit: int = 0
+        self,
+        table: str,
+        partition: str,
+        start_key: str = "",
+        limit: int = 0,
+        on_progress: Callable[[], None] = do_nothing,
     ) -> "Deferred[Page]":
         """Return rows of a partition in key order, beginning at a key."""
-        return self._track(self._store.read(table, partition, start_key, limit), 0.0)
-
-    def poll_changes(self, table: str, version: int, wait_ms: int) -> "Deferred[Page]":
+        call = self._store.read(table, partition, start_key, limit, on_progress)
+        return self._track(call, 0.0)
+
+    def poll_changes(
+        self,
+        table: str,
+        version: int,
+        wait_ms: int,
+        on_progress: Callable[[], None] = do_nothing,
+    ) -> "Deferred[Page]":
         """Return rows of all partitions changed after a version."""
-        return self._track(self._store.poll_changes(table, version, wait_ms), wait_ms / 1000)
+        call = self._store.poll_changes(table, version, wait_ms, on_progress)
+        return self._track(call, wait_ms / 1000)
 
     def _track(self, call: "Deferred[T]", wait_s: float) -> "Deferred[T]":
         if not call.called:
--- a/lavenderstall/pools/ports.py
+++ b/lavenderstall/pools/ports.py
@@ -1,10 +1,12 @@
 """Interfaces of the pool scheduler to the store, workers, registry and placement service."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 from twisted.internet.defer import Deferred
 
+from lavenderstall.callbacks import do_nothing
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.pools.effects import Advice, PaceRun, PollResponse, Refusal, StartRun, StopRun
 from lavenderstall.pools.work import Settings, Task
@@ -115,11 +117,25 @@
         """Apply a transaction atomically."""
 
     def read(
-        self, table: str, partition: str, start_key: str = "", limit: int = 0
+        self,
+        table: str,
+        partition: str,
+        start_key: str = "",
+        limit: int = 0,
+        on_progress: Callable[[], None] = do_nothing,
     ) -> "Deferred[Page]":
-        """Return rows of a partition in key order, beginning at a key."""
+        """Return rows of a partition in key order, beginning at a key.
+
+        `on_progress` is called for each part of the answer that arrives.
+        """
 
-    def poll_changes(self, table: str, version: int, wait_ms: int) -> "Deferred[Page]":
+    def poll_changes(
+        self,
+        table: str,
+        version: int,
+        wait_ms: int,
+        on_progress: Callable[[], None] = do_nothing,
+    ) -> "Deferred[Page]":
         """Wait for rows changed after a version, or fail with `HistoryLostError`."""
 
 
--- a/lavenderstall/pools/settings_tracker.py
+++ b/lavenderstall/pools/settings_tracker.py
@@ -96,7 +96,7 @@
 
     def _choose_peer(self, now: float) -> EntryId | None:
         """Return the peer to ask now, if any."""
-        if now - self._asked_at < PEER_REQUEST_INTERVAL_S:
+        if now - self._asked_at < PEER_REQUEST_INTERVAL_S or self._watch.is_receiving():
             return None
         if self._newer.version > self.settings.version:
             return self._newer.peer if now - self._newer.heard_at >= PEER_LAG_S else None
--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -17,9 +17,13 @@
 # A feed is overdue if it isn't answered so long after its wait; the rows are read then.
 OVERDUE_S = 0.4
 READ_INTERVAL_S = 1.0
+# Interval at which the feed looks whether rows are still being read.
+READING_CHECK_S = 0.05
 # After a lost history reads may be behind for some seconds, so the rows are read again and again.
 VERIFICATION_PERIOD_S = 7.5
 VERIFICATION_INTERVAL_S = 1.5
+# Larger tables would keep a slow link busy.
+MAX_VERIFIED_BYTES = 32 * 1024
 
 
 class TableWatch:
@@ -55,7 +59,11 @@
         self._changed = True
         self._running = False
         self._feed_lost = False
+        self._reading = False
         self._read_at = -inf
+        # When the last part of any answer arrived, and of one of the feed.
+        self._progress_at = -inf
+        self._feed_heard_at = read_uptime()
         self._history_lost_at = -inf
         # When the listener last had all changes.
         self.confirmed_at = read_uptime()
@@ -88,8 +96,12 @@
 
     async def _follow_feed(self) -> None:
         """Apply the next changes; read all rows if the changes before are not known."""
+        if self._reading:
+            # Both answers would share the link.
+            await sleep(self._clock, READING_CHECK_S)
+            return
         if self._feed_version < 0:
-            self._feed_version = await self._read_rows()
+            await self._read_rows()
         else:
             await self._poll_feed()
         if self._feed_lost:
@@ -101,16 +113,18 @@
     async def _poll_feed(self) -> None:
         asked_at = self._read_uptime()
         try:
+            wait_ms = round(self._wait_s * 1000)
             page = await self._store.poll_changes(
-                self._table, self._feed_version, round(self._wait_s * 1000)
+                self._table, self._feed_version, wait_ms, self._note_feed_progress
             )
         except HistoryLostError:
             self._feed_version = -1
-            self._history_lost_at = self._read_uptime()
+            self._history_lost_at = self._feed_heard_at = self._read_uptime()
             await sleep(self._clock, RETRY_DELAY_S)
             return
+        self._feed_heard_at = self._read_uptime()
         self._apply_changes(page)
-        self._feed_version = page.version
+        self._feed_version = max(self._feed_version, page.version)
         self._notify()
         self._confirm(page.version, min(self._read_uptime(), asked_at + self._wait_s))
 
@@ -122,19 +136,41 @@
             await self._read_rows()
 
     def _get_read_due_at(self) -> float:
-        due_at = self.confirmed_at + self._wait_s + OVERDUE_S
-        if self._read_at < self._history_lost_at + VERIFICATION_PERIOD_S:
+        due_at = self._feed_heard_at + self._wait_s + OVERDUE_S
+        verifies = self._read_at < self._history_lost_at + VERIFICATION_PERIOD_S
+        if verifies and self._get_size() <= MAX_VERIFIED_BYTES:
             due_at = min(due_at, self._read_at + VERIFICATION_INTERVAL_S)
-        return max(due_at, self._read_at + READ_INTERVAL_S)
+        # An answer that arrives slowly would arrive more slowly beside a second one.
+        return max(due_at, self._read_at + READ_INTERVAL_S, self._progress_at + OVERDUE_S)
+
+    def _get_size(self) -> int:
+        """Return the size of all values in bytes."""
+        return sum(len(row.value) for row in self._rows.values())
+
+    def is_receiving(self) -> bool:
+        """Tell whether a part of an answer has arrived just now."""
+        return self._read_uptime() - self._progress_at < OVERDUE_S
 
-    async def _read_rows(self) -> int:
-        """Read all rows, and return the version after which their feed goes on."""
+    def _note_progress(self) -> None:
+        self._progress_at = self._read_uptime()
+
+    def _note_feed_progress(self) -> None:
+        self._feed_heard_at = self._progress_at = self._read_uptime()
+
+    async def _read_rows(self) -> None:
+        """Read all rows; the feed goes on after their version."""
         self._read_at = asked_at = self._read_uptime()
-        rows, version = await read_partition(self._store, self._table, "")
+        self._reading = True
+        try:
+            rows, version = await read_partition(
+                self._store, self._table, "", on_progress=self._note_progress
+            )
+        finally:
+            self._reading = False
         self._apply_snapshot(rows, version)
+        self._feed_version = max(self._feed_version, version)
         self._notify()
         self._confirm(version, asked_at)
-        return version
 
     def _apply_snapshot(self, rows: Iterable[Row], version: int) -> None:
         """Take newer rows over; drop those that are gone, unless others knew a newer version."""
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -1,6 +1,7 @@
 """Clocks and HTTP clients of instances on the fake platform, with fault injection."""
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -8,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from adapter.http_client import CONNECT_TIMEOUT_S
+from lavenderstall.callbacks import do_nothing
 from lavenderstall.errors import (
     AnswerLostError,
     DisconnectedError,
@@ -81,6 +83,8 @@
         timeout_s: float = 1.0,
         headers: dict[bytes, list[bytes]] | None = None,
         overdue_s: float | None = None,
+        silence_s: float | None = None,
+        on_progress: Callable[[], None] = do_nothing,
     ) -> Deferred[Reply]:
         """Send one request and return its response."""
         self._platform.calls += 1
--- a/tests/platform/persistent_http_client.py
+++ b/tests/platform/persistent_http_client.py
@@ -1,6 +1,7 @@
 """The HTTP client of the platform on connections of the fake platform that can fall silent."""
 
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
@@ -17,6 +18,8 @@
 
 # Longer than the timeout of any request.
 SERVICE_TIMEOUT_S = 60.0
+# Bytes of an answer that arrive at a time on a slow link.
+PART_BYTES = 16 * 1024
 
 
 class PersistentHttpClient(HttpClient):
@@ -28,6 +31,9 @@
         self.service = FakeHttpClient(platform, clock)
         self.clock = clock
         self.connections: list[SimulatedConnection] = []
+        # Rate of the link on which answers arrive one after another, and when it is free again.
+        self.link_bytes_per_s = inf
+        self.link_free_at = 0.0
 
     @property
     def unreachable(self) -> set[str]:
@@ -118,5 +124,20 @@
     def _answer(self, reply: Reply) -> None:
         head = f"HTTP/1.1 {reply.status} OK\r\nContent-Length: {len(reply.body)}\r\n\r\n"
         arrived = cut_answer(head.encode(), reply.body, self.silent)
-        if self._open and arrived:
-            self._client_protocol.dataReceived(arrived)
+        if self._client.link_bytes_per_s == inf:
+            self._receive(arrived)
+        else:
+            self._receive_slowly(arrived)
+
+    def _receive_slowly(self, data: bytes) -> None:
+        """Receive data in parts, after what else is on its way on the link."""
+        client, clock = self._client, self._client.clock
+        for start in range(0, len(data), PART_BYTES):
+            part = data[start : start + PART_BYTES]
+            began_at = max(clock.seconds(), client.link_free_at)
+            client.link_free_at = began_at + len(part) / client.link_bytes_per_s
+            clock.callLater(client.link_free_at - clock.seconds(), self._receive, part)
+
+    def _receive(self, data: bytes) -> None:
+        if self._open and data:
+            self._client_protocol.dataReceived(data)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -128,6 +128,50 @@
         cell.run(2.0)
 
 
+class SlowLinkTest(unittest.TestCase):
+    """A large configuration that arrives slowly at one instance, and changes throughout."""
+
+    # As on a link of 10 Mbit/s.
+    LINK_BYTES_PER_S = 1_250_000.0
+    # Time in which a change of a large cell has to be in force.
+    APPLY_S = 3.0
+    CHANGE_INTERVAL_S = 1.5
+
+    def put(self, cell: SimulatedCell, version: int) -> None:
+        """Store a configuration that takes a second to arrive."""
+        (row,) = [row for key, row in cell.platform.rows.items() if key[0] == "op"]
+        found = json.loads(b64decode(row["value"]))
+        padding = "x" * round(self.LINK_BYTES_PER_S * 0.75)
+        cell.platform.put("op", "", "config", {**found, "version": version, "padding": padding})
+
+    def test_changes_are_in_force_in_time_beside_a_slow_link(self) -> None:
+        """Fails if an answer that arrives slowly is cut off, or competes with a second one."""
+        for lost_s in (0.0, 1.0, 3.0):
+            with self.subTest(lost_s=lost_s):
+                cell = start_cell(PersistentCell)
+                client = cell.nodes["entry-1"].http_client
+                client.link_bytes_per_s = self.LINK_BYTES_PER_S
+                stored_at: dict[int, float] = {}
+                late: list[str] = []
+                for version in range(2, 14):
+                    self.put(cell, version)
+                    stored_at[version] = cell.clock.seconds()
+                    if version == 5:
+                        client.service.lost_paths = {FEED} if lost_s else set()
+                        cell.clock.callLater(lost_s, client.service.lost_paths.clear)
+                    for _ in range(round(self.CHANGE_INTERVAL_S / 0.1)):
+                        cell.run(0.1)
+                        known = cell.nodes["entry-1"].instance.settings.version
+                        due = [
+                            each
+                            for each, at in stored_at.items()
+                            if at < cell.clock.seconds() - self.APPLY_S
+                        ]
+                        if known < max(due, default=0):
+                            late.append(f"{known} at {cell.clock.seconds():.1f}, due {max(due)}")
+                self.assertEqual(late, [])
+
+
 class LostHistoryTest(unittest.TestCase):
     """Reads are behind for some seconds after the store lost its history."""
 
--- a/tests/pools/rowstore.py
+++ b/tests/pools/rowstore.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.defer import Deferred, fail, succeed
 
+from lavenderstall.callbacks import do_nothing
 from lavenderstall.errors import (
     StoreOutcomeUnknownError,
     StoreUnavailableError,
@@ -85,7 +86,12 @@
         return Committed(self.version, self.store_clock_ms)
 
     def read(
-        self, table: str, partition: str, start_key: str = "", limit: int = 0
+        self,
+        table: str,
+        partition: str,
+        start_key: str = "",
+        limit: int = 0,
+        on_progress: Callable[[], None] = do_nothing,
     ) -> Deferred[Page]:
         """Return rows of a partition in key order, beginning at a key."""
         if self.unavailable:
@@ -100,7 +106,13 @@
         )
         return succeed(Page(tuple(rows[: limit or None]), self.version, self.store_clock_ms))
 
-    def poll_changes(self, table: str, version: int, wait_ms: int) -> Deferred[Page]:
+    def poll_changes(
+        self,
+        table: str,
+        version: int,
+        wait_ms: int,
+        on_progress: Callable[[], None] = do_nothing,
+    ) -> Deferred[Page]:
         """Return rows changed after a version."""
         if self.unavailable:
             return fail(StoreUnavailableError("store is unavailable", step="follow"))
--- a/tests/pools/test_commits.py
+++ b/tests/pools/test_commits.py
@@ -33,13 +33,13 @@
         return self.commits[-1]
 
     def read(
-        self, table: str, partition: str, start_key: str = "", limit: int = 0
+        self, table: str, partition: str, start_key: str = "", limit: int = 0, *_: Any
     ) -> Deferred[Any]:
         """Record a read until the test answers it."""
         self.reads.append(Deferred())
         return self.reads[-1]
 
-    def poll_changes(self, table: str, version: int, wait_ms: int) -> Deferred[Any]:
+    def poll_changes(self, table: str, version: int, wait_ms: int, *_: Any) -> Deferred[Any]:
         """Record a read until the test answers it."""
         return self.read(table, "")
 
--- a/tests/pools/test_settings_tracker.py
+++ b/tests/pools/test_settings_tracker.py
@@ -21,6 +21,7 @@
     UNCONFIRMED_S,
     SettingsTracker,
 )
+from lavenderstall.pools.table_watch import OVERDUE_S
 from lavenderstall.pools.work import Settings
 
 PEER, OTHER = EntryId("entry-1"), EntryId("entry-2")
@@ -58,10 +59,11 @@
         self.clock.advance(100.0)
         self.peers = Peers()
         self.applied: list[int] = []
+        self.receive_part: list[Any] = []
         # The store answers once, and is silent then.
         answers = iter([succeed(Page((make_row(3),), 3, 0.0))])
         store: Any = SimpleNamespace(
-            read=lambda *_: next(answers, Deferred()), poll_changes=lambda *_: Deferred()
+            read=lambda *_: next(answers, Deferred()), poll_changes=self.poll
         )
         self.tracker = SettingsTracker(
             store,
@@ -74,6 +76,11 @@
         )
         self.tracker.start()
 
+    def poll(self, table: str, version: int, wait_ms: int, on_progress: Any) -> "Deferred[Page]":
+        """Wait for changes that never come."""
+        self.receive_part.append(on_progress)
+        return Deferred()
+
     def ask_after(self, seconds: float) -> list[tuple[EntryId, int]]:
         """Return which peer is asked after some time, if any."""
         self.clock.advance(seconds)
@@ -96,6 +103,14 @@
                 self.tracker.note_peer_version(PEER, version)
                 self.assertEqual(self.ask_after(wait_s), expected)
 
+    def test_no_peer_is_asked_while_an_answer_of_the_store_arrives(self) -> None:
+        """Fails if an answer that arrives slowly has to share the link with a peer's."""
+        self.tracker.note_peer_version(PEER, 4)
+        self.clock.advance(PEER_LAG_S)
+        self.receive_part[-1]()
+        self.assertEqual(self.ask_after(OVERDUE_S / 2), [])
+        self.assertEqual(self.ask_after(OVERDUE_S), [(PEER, 3)])
+
     def test_peers_are_asked_with_pauses(self) -> None:
         """Fails if a peer is asked with each heartbeat."""
         self.tracker.note_peer_version(PEER, 4)
--- a/tests/pools/test_table_watch.py
+++ b/tests/pools/test_table_watch.py
@@ -1,7 +1,8 @@
 """Tests of the local copy of a table."""
 
 import unittest
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
@@ -38,15 +39,18 @@
         self.polls: list[Deferred[Page]] = []
         self.reads = 0
 
-    def read(self, table: str, partition: str, start_key: str = "", limit: int = 0) -> "object":
+    def read(self, table: str, partition: str, *_: Any) -> "object":
         """Return all rows."""
         self.reads += 1
         if self.page is None:
             raise StoreUnavailableError("away", step="read")
         return succeed(self.page)
 
-    def poll_changes(self, table: str, version: int, wait_ms: int) -> "Deferred[Page]":
+    def poll_changes(
+        self, table: str, version: int, wait_ms: int, on_progress: Callable[[], None]
+    ) -> "Deferred[Page]":
         """Wait for the test's answer."""
+        self.receive_part = on_progress
         poll: Deferred[Page] = Deferred()
         self.polls.append(poll)
         return poll
@@ -109,6 +113,18 @@
         self.advance(WAIT_S)
         self.assertEqual(self.store.reads, reads)
 
+    def test_no_rows_are_read_while_the_feed_is_answered_slowly(self) -> None:
+        """Fails if an answer that arrives slowly has to share the link with a second one."""
+        reads = self.store.reads
+        self.advance(WAIT_S)
+        for _ in range(20):
+            self.store.receive_part()
+            self.advance(OVERDUE_S / 2)
+        self.assertEqual(self.store.reads, reads)
+        self.assertTrue(self.watch.is_receiving())
+        self.advance(WAIT_S + OVERDUE_S + 0.1)
+        self.assertEqual(self.store.reads, reads + 1)
+
     def test_rows_that_are_behind_replace_none(self) -> None:
         """Fails if an answer that is behind counts as the newest."""
         self.store.polls[-1].callback(make_page(7, make_row("a", 7)))
