Show that tasks are away for too long after their owners are gone for good

A cell of six instances loses one to four owners for good, with or without their connections closed, about when the worker of a task that lasts leaves, is cut off or vanishes. The simulated cell can lose an instance with its host.

--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -213,6 +213,10 @@
         for node in self.nodes.values():
             node.clock.callLater(LINK_DELAY_S, node.links.watcher, name, False)
 
+    def remove(self, name: str) -> None:
+        """End an instance with its host; its connections fall silent."""
+        self.nodes.pop(name).clock.dead = True
+
     def restart_owner(self, pool: str) -> None:
         """Kill the owner of a pool, if it has one, and start it again at once."""
         owner = self.find_owner(pool)
--- /dev/null
+++ b/tests/platform/test_owners_gone_for_good.py
@@ -0,0 +1,133 @@
+"""Tests of whole cells in which owners go for good when a task that lasts loses its worker."""
+
+import unittest
+from collections.abc import Callable
+from math import inf
+from typing import NamedTuple
+
+from tests.platform.fake_platform import FakeWorker
+from tests.platform.simulated_cell import POOLS, SimulatedCell
+from tests.platform.test_lasting_tasks import (
+    AWAY_S,
+    CALM_S,
+    DRAIN_S,
+    JOB,
+    LASTING,
+    POOL,
+    REST_S,
+    WATCH_S,
+    EndWorker,
+    cut_off,
+    leave,
+    leave_and_reset,
+    leave_with_host,
+    list_running,
+)
+
+INSTANCES = 6
+# When the first owner goes, in seconds after the end of its worker.
+DELAYS_S = (-0.3, 0.1, 0.7, 1.5, 4.0)
+# From the end of one owner to that of the next; longer than a successor needs to take over.
+INTERVALS_S = (1.0, 2.5, 5.0)
+
+
+def vanish(cell: SimulatedCell, worker: FakeWorker) -> None:
+    """Lose a worker with its host, without any notice."""
+    worker.host_gone = True
+    worker.leave()
+    cell.cut_off(worker)
+
+
+def kill(cell: SimulatedCell, name: str) -> None:
+    """End an instance whose host closes its connections."""
+    cell.kill(name)
+
+
+def remove(cell: SimulatedCell, name: str) -> None:
+    """End an instance with its host, so that its connections fall silent."""
+    cell.remove(name)
+
+
+# Ends an instance that does not come back.
+EndInstance = Callable[[SimulatedCell, str], None]
+
+
+class Loss(NamedTuple):
+    """Owners that go for good, the first of them `delay_s` after the end of a worker."""
+
+    end_owner: EndInstance
+    delay_s: float
+    owners: int = 1
+    interval_s: float = 0.0
+
+    @property
+    def last_at(self) -> float:
+        """Return when the last owner goes, in seconds after the end of the worker."""
+        return self.delay_s + (self.owners - 1) * self.interval_s
+
+
+ENDS: tuple[EndWorker, ...] = (leave, leave_and_reset, leave_with_host, cut_off, vanish)
+LOSSES = (
+    *(Loss(end, delay_s) for end in (kill, remove) for delay_s in DELAYS_S),
+    *(Loss(kill, delay_s, 2, 1.0) for delay_s in DELAYS_S),
+    *(Loss(kill, 0.1, 4, interval_s) for interval_s in INTERVALS_S),
+    *(Loss(remove, 0.1, 3, interval_s) for interval_s in INTERVALS_S[1:]),
+)
+
+
+def start_lasting_task(planned: bool) -> tuple[SimulatedCell, FakeWorker]:
+    """Return a cell with a task that lasts, and its worker, which is about to leave if planned."""
+    cell = SimulatedCell(INSTANCES, 8, advice=False)
+    assert cell.run_until(lambda: all(cell.find_owner(pool) for pool in POOLS), 3.0)
+    cell.run(1.5)
+    cell.submit("entry-0", POOL, JOB, [dict(LASTING)])
+    assert cell.run_until(lambda: bool(list_running(cell)), 2.0)
+    cell.run(1.0)
+    (worker,) = list_running(cell)
+    if planned:
+        worker.drain(DRAIN_S + WATCH_S)
+        cell.run(DRAIN_S)
+    return cell, worker
+
+
+def end_owner(cell: SimulatedCell, end: EndInstance) -> None:
+    """End the owner of the pool for good, if it has one."""
+    owner = cell.find_owner(POOL)
+    if owner is not None:
+        end(cell, owner)
+
+
+def measure_return(
+    cell: SimulatedCell, worker: FakeWorker, end_worker: EndWorker, loss: Loss
+) -> tuple[float, float]:
+    """Return when the run of the task ended and when the next began, after the worker's end."""
+    worker_ends_at = cell.clock.seconds() + max(0.0, -loss.delay_s)
+    cell.clock.callLater(max(0.0, -loss.delay_s), end_worker, cell, worker)
+    for number in range(loss.owners):
+        at_s = worker_ends_at + loss.delay_s + number * loss.interval_s
+        cell.clock.callLater(at_s - cell.clock.seconds(), end_owner, cell, loss.end_owner)
+    assert cell.run_until(lambda: not list_running(cell), WATCH_S)
+    ended_s = cell.clock.seconds() - worker_ends_at
+    returned = cell.run_until(lambda: bool(list_running(cell)), 2 * WATCH_S)
+    returned_s = cell.clock.seconds() - worker_ends_at if returned else inf
+    cell.run(2.0)
+    return ended_s, returned_s
+
+
+class OwnersGoneForGoodTest(unittest.TestCase):
+    """A task that lasts loses its worker about when its pool loses its owner, for good."""
+
+    def test_a_task_that_lasts_is_not_away_for_too_long(self) -> None:
+        """Fails if each successor waits anew for all that an owner before it may have done."""
+        for end_worker in ENDS:
+            for loss in LOSSES:
+                with self.subTest(end=end_worker.__name__, loss=loss):
+                    cell, worker = start_lasting_task(end_worker in ENDS[:3])
+                    ended_s, returned_s = measure_return(cell, worker, end_worker, loss)
+                    calm_s = max(ended_s + REST_S, loss.last_at + CALM_S)
+                    self.assertLess(returned_s, calm_s + AWAY_S)
+                    self.assertEqual(cell.platform.checker.violations, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
