Log whose leases a takeover waits for, and for how long

A wait for leases of an earlier owner left a line without the pool, the term and the owner, and the claim did not tell how long each earlier owner's leases may last, so that a wait for a lost owner, one that begins anew with each change of owners and a task that nobody knows of could not be told apart. Both lines say so now, and the counter takeover_waits_ms sums the waits up.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -160,6 +160,10 @@
                 "released": bool(previous and previous.released),
                 "silent_ms": round(snapshot.store_ms - previous.renewed_ms) if previous else None,
                 "recorded": records_complete,
+                "leases_left_ms": [
+                    [each.entry, each.term, round(each.leases_end_ms - snapshot.store_ms)]
+                    for each in owner.earlier or ()
+                ],
             },
         )
         records_complete = records_complete and has_complete_records(
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -179,13 +179,22 @@
         since = self._awaited_since.pop(worker, None)
         if since is None:
             return
+        waited_ms = round((self._pool.now - since) * 1000)
         self._pool.counts["takeover_workers_resolved"] += 1
+        self._pool.counts["takeover_waits_ms"] += waited_ms
         logger.info(
             "worker of an earlier owner resolved",
             extra={
+                "pool": self._pool.name,
+                "term": self._pool.term,
                 "worker": worker.id,
                 "how": how,
-                "waited_ms": round((self._pool.now - since) * 1000),
+                "waited_ms": waited_ms,
+                "noted": worker in self.noted_lease_ends,
+                "owners": [
+                    [each.entry, each.term, round((each.expire_at - self._pool.now) * 1000)]
+                    for each in self.earlier_owners
+                ],
             },
         )
 
