Let leases end with the ownership that they rest on

Cause: an owner acts for 7 s after its last renewal, and what it extended in the last moment lasted for 6.4 s more. A successor that does not reach the worker has to wait for both, from the time at which it read the owner row.

A poll or start now extends a lease until 7 s after the last confirmed renewal at most, and the owner row tells when the leases that rest on it have expired: 7.4 s after the renewal. Both waits overlap. While all instances miss the store nobody can take over, so an owner that hears that from each of them goes on extending leases of full length after 5 s. A claim within 4 s of the renewal, by an instance that has heard this owner's heartbeats, shows that this has not begun; other claims wait longer, at most as long as before. Rows of earlier releases have no such figure, and are waited for as before.

The class of the fault: durations of what an unheard process may do are added up, each counted from the end of the one before, where all of them can be bounded by one moment that is durable.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -10,6 +10,11 @@
 from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.pools.earlier_owners import (
+    get_leases_end_ms,
+    had_short_outage,
+    list_earlier_owners,
+)
 from lavenderstall.pools.ports import (
     Committed,
     Condition,
@@ -22,7 +27,6 @@
 from lavenderstall.pools.records import (
     OWNER_KEY,
     OWNERS,
-    EarlierOwner,
     OwnerRow,
     decode_owner,
     encode,
@@ -35,21 +39,12 @@
 # Records of an owner that renewed within this time are complete, as it starts unrecorded runs
 # only after `owner.UNRECORDED_START_DELAY_S`.
 COMPLETE_RECORDS_MS = 3500.0
-# An owner without the store acts for `owner.OWNERSHIP_TIMEOUT_S`; runs end a lease later.
-OLD_OWNER_TIMEOUT_S = 7.0
-LEASE_S = 6.0
 # Two intervals of renewal remain.
 SUSPECTED_EXPIRY_REDUCTION_MS = 500.0
 # An owner estimates the store's clock since its last answer; a later renewal is none.
 MAX_RENEWAL_LEAD_MS = 60_000.0
 # An owner whose row can't be read has no time in which its ownership may not be claimed.
 UNKNOWN_EXPIRY_MS = -1.0
-SLOWEST_CLOCK_RATE = 0.98
-SAFETY_MARGIN_S = 0.3
-# Longest time from the moment at which a lease is extended until it has expired.
-LEASE_LIFETIME_S = LEASE_S / SLOWEST_CLOCK_RATE + SAFETY_MARGIN_S
-# Stands for owners of which nothing is known.
-UNKNOWN_ENTRY = EntryId("")
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -76,11 +71,15 @@
 
 
 class OwnershipSnapshot(msgspec.Struct, frozen=True):
-    """The owner row of a pool and the store's clock at one moment."""
+    """The owner row of a pool and the store's clock at one moment.
+
+    It was asked for at `asked_at`, in seconds of uptime.
+    """
 
     row: Row | None
     owner: OwnerRow | None
     store_ms: float
+    asked_at: float = 0.0
 
     def is_claimable(self, evidence: OwnerEvidence = OwnerEvidence.NONE) -> bool:
         """Tell whether the pool has no owner, or one that has released it, ended or expired.
@@ -114,10 +113,11 @@
 
     async def read_ownership(self, pool: PoolName) -> OwnershipSnapshot:
         """Read the owner row of a pool."""
+        asked_at = self._read_uptime()
         page = await self._store.read(OWNERS, pool, OWNER_KEY, 1)
         row = next((row for row in page.rows if row.key == OWNER_KEY), None)
         owner = self._decode_owner(row, page.store_clock_ms) if row else None
-        return OwnershipSnapshot(row, owner, page.store_clock_ms)
+        return OwnershipSnapshot(row, owner, page.store_clock_ms, asked_at)
 
     def _decode_owner(self, row: Row, store_ms: float) -> OwnerRow:
         try:
@@ -129,9 +129,17 @@
             self._unreadable_rows.note(row.table, f"{row.partition}/{row.key}", row.version, error)
             return make_unknown_owner(row)
 
-    async def claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> Claim | None:
-        """Claim a pool; returns none on a conflict or failed write."""
+    async def claim(
+        self, pool: PoolName, snapshot: OwnershipSnapshot, *, known_to_owner: bool = False
+    ) -> Claim | None:
+        """Claim a pool; returns none on a conflict or failed write.
+
+        An owner to which this instance is known extends no lease beyond its ownership unless this
+        instance misses the store.
+        """
         previous = snapshot.owner
+        sent_at = self._read_uptime()
+        latest_store_ms = snapshot.store_ms + (sent_at - snapshot.asked_at) * 1000
         records_complete = has_complete_records(previous, snapshot.store_ms)
         owner = OwnerRow(
             self._entry,
@@ -140,10 +148,10 @@
             snapshot.store_ms,
             unrecorded=not records_complete,
             earlier=list_earlier_owners(previous, snapshot.store_ms),
+            leases_end_ms=get_leases_end_ms(latest_store_ms),
         )
         condition = Condition(OWNERS, OWNER_KEY, snapshot.row.version if snapshot.row else 0)
         put = Put(OWNERS, OWNER_KEY, encode(owner))
-        sent_at = self._read_uptime()
         try:
             committed = await self._store.commit(Transaction(pool, (condition,), (put,)))
         except RowConflictError:
@@ -151,6 +159,8 @@
         except LavenderstallError as error:
             logger.info("claim failed", extra={"pool": pool, "error": str(error)})
             return None
+        if known_to_owner and had_short_outage(previous, committed.store_clock_ms):
+            owner.earlier = list_earlier_owners(previous, snapshot.store_ms, short_outage=True)
         logger.info(
             "pool claimed",
             extra={
@@ -214,27 +224,3 @@
     if previous is None or previous.unrecorded:
         return previous is None
     return previous.released or store_ms - previous.renewed_ms <= COMPLETE_RECORDS_MS
-
-
-def get_old_run_lifetime_s(previous: OwnerRow | None) -> float:
-    """Return how long runs of an earlier owner may last on unreachable workers."""
-    if previous is None:
-        return 0.0
-    return LEASE_LIFETIME_S if previous.released else OLD_OWNER_TIMEOUT_S + LEASE_LIFETIME_S
-
-
-def list_earlier_owners(previous: OwnerRow | None, store_ms: float) -> list[EarlierOwner]:
-    """Return the owners before a claim whose leases may last, by the owner row read before it.
-
-    The row's owner had sent its last renewal before the row was read, and acts for
-    `OLD_OWNER_TIMEOUT_S` after it.
-    """
-    if previous is None:
-        return []
-    end_ms = store_ms + get_old_run_lifetime_s(previous) * 1000
-    earlier = previous.earlier
-    if earlier is None:
-        longest_ms = (OLD_OWNER_TIMEOUT_S + LEASE_LIFETIME_S) * 1000
-        earlier = [EarlierOwner(UNKNOWN_ENTRY, previous.term - 1, store_ms + longest_ms)]
-    lasting = [each for each in earlier if each.leases_end_ms > store_ms]
-    return [*lasting, EarlierOwner(previous.entry, previous.term, end_ms)]
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -19,7 +19,6 @@
 from lavenderstall.pools.advice_balancer import AdviceBalancer
 from lavenderstall.pools.advice_client import AdviceClient, LocalAdviceClient
 from lavenderstall.pools.claims import (
-    LEASE_LIFETIME_S,
     Claim,
     Claimer,
     OwnerEvidence,
@@ -28,6 +27,7 @@
 )
 from lavenderstall.pools.commit_relay import CommitRelay, answer_commit
 from lavenderstall.pools.coroutines import gather, launch
+from lavenderstall.pools.earlier_owners import LEASE_LIFETIME_S
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.entry_rows import EntryRowTracker
 from lavenderstall.pools.job_requests import JobRequestHandler
@@ -541,7 +541,8 @@
         )
 
     async def _claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> None:
-        claim = await self._claimer.claim(pool, snapshot)
+        known = snapshot.owner is not None and self.peers.is_known_to_owner(pool, snapshot.owner)
+        claim = await self._claimer.claim(pool, snapshot, known_to_owner=known)
         if claim is None:
             return
         owner = self._make_owner(pool, claim)
@@ -600,6 +601,7 @@
             lambda request: self._start_advice_request(owner, request),
             self._advice_balancer.count_idle,
             self.peers.is_store_down,
+            self.peers.is_store_down_everywhere,
             self.peers.list_unresponsive_zones,
             self.metrics,
         )
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -14,6 +14,11 @@
 from lavenderstall.pools.advice_balancer import IdleAdviserCount
 from lavenderstall.pools.coroutines import gather, gather_all, launch
 from lavenderstall.pools.dispatch import Dispatcher
+from lavenderstall.pools.earlier_owners import (
+    LEASE_S,
+    OUTAGE_LEASES_DELAY_S,
+    OWNERSHIP_TIMEOUT_S,
+)
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
 from lavenderstall.pools.job import AcceptedJob, EndedJob
 from lavenderstall.pools.monitored_store import MonitoredStore
@@ -52,8 +57,6 @@
 
 logger = logging.getLogger(__name__)
 
-# An owner that has not confirmed its ownership for this long extends no leases.
-OWNERSHIP_TIMEOUT_S = 7.0
 # Without the store for this long, and with peers that miss it too, an owner starts runs without
 # recording them. Longer than `claims.COMPLETE_RECORDS_MS` plus the time for a claim to be heard.
 UNRECORDED_START_DELAY_S = 4.0
@@ -100,6 +103,7 @@
         request_advice: RequestAdviceFunction,
         count_idle_advisers: Callable[[], IdleAdviserCount],
         is_store_down: Callable[[], bool],
+        is_store_down_everywhere: Callable[[], bool],
         list_unresponsive_zones: Callable[[], frozenset[str]],
         metrics: Metrics,
     ) -> None:
@@ -114,6 +118,7 @@
         self._request_advice = request_advice
         self._count_idle_advisers = count_idle_advisers
         self._is_store_down = is_store_down
+        self._is_store_down_everywhere = is_store_down_everywhere
         self._list_unresponsive_zones = list_unresponsive_zones
         self._metrics = metrics
         self._unreadable_rows = UnreadableRows(metrics)
@@ -278,8 +283,22 @@
         """Tell whether ownership was confirmed recently enough to extend leases."""
         return self.running and self._read_uptime() - self.writer.confirmed_at < OWNERSHIP_TIMEOUT_S
 
+    def get_lease_limit(self) -> float:
+        """Return until when a lease may last, in seconds of uptime.
+
+        It ends with the ownership that it rests on, so that a successor waits no longer than for
+        that. While all instances miss the store there can be no successor.
+        """
+        now = self._read_uptime()
+        limit = self.writer.confirmed_at + OWNERSHIP_TIMEOUT_S
+        unconfirmed_s = now - self.writer.confirmed_at
+        if unconfirmed_s > OUTAGE_LEASES_DELAY_S and self._is_store_down_everywhere():
+            return max(limit, now + LEASE_S)
+        return limit
+
     def update_time(self) -> None:
-        """Update the time and the unresponsive zones of the pool."""
+        """Update the time, the limit of leases and the unresponsive zones of the pool."""
+        self.pool.lease_limit = self.get_lease_limit()
         self.pool.unresponsive_zones = self._list_unresponsive_zones()
         self.pool.advance(self._read_uptime(), self._read_unix_ms())
 
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -92,6 +92,11 @@
     isolated: bool = False
     record_version: int = 0
 
+    def is_in_contact(self, since: float) -> bool:
+        """Tell whether each heard the other, and the peer told of its store, after a time."""
+        heard = self.store_reported_at > since
+        return heard and self.reported_contact_age_ms < LIVENESS_TIMEOUT_S * 1000
+
 
 class PeerTracker:
     """Track peers and pool owners, and send requests to peers."""
@@ -282,13 +287,20 @@
         others = [
             state for peer, state in self.peers.items() if peer != self.entry and not state.draining
         ]
-        heard = [
-            s
-            for s in others
-            if s.store_reported_at > limit and s.reported_contact_age_ms < LIVENESS_TIMEOUT_S * 1000
-        ]
+        heard = [state for state in others if state.is_in_contact(limit)]
         return 2 * (len(heard) + 1) > len(others) + 1 and all(s.store_lost for s in heard)
 
+    def is_store_down_everywhere(self) -> bool:
+        """Tell whether all other instances, in mutual contact with this one, miss the store."""
+        limit = self._read_uptime() - LIVENESS_TIMEOUT_S
+        others = (state for peer, state in self.peers.items() if peer != self.entry)
+        return all(state.is_in_contact(limit) and state.store_lost for state in others)
+
+    def is_known_to_owner(self, pool: PoolName, owner: OwnerRow) -> bool:
+        """Tell whether the owner of a term has sent heartbeats to this instance."""
+        known = self.owners.get(pool)
+        return known is not None and (known.entry, known.term) == (owner.entry, owner.term)
+
     def list_live_peers(self) -> list[EntryId]:
         """Return the peers that are live and not draining."""
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Collection, Iterable, Iterator
+from math import inf
 
 import msgspec
 
@@ -114,6 +115,8 @@
         self.settings = Settings(0)
         # Zones in which no entry instance responds; they may be partitioned.
         self.unresponsive_zones: frozenset[str] = frozenset()
+        # Until when leases may last, in seconds of uptime.
+        self.lease_limit = inf
         self._capacity_changed_at = -CAPACITY_CHANGE_S
         self.now = 0.0
         self.unix_ms = 0.0
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -198,11 +198,11 @@
         run = worker.runs[command.task, command.number]
         run.start_sent = True
         run.start_sent_at = pool.now
-        run.deadline_ms = worker.estimate_clock(pool.now) + START_LEASE_MS
+        run.deadline_ms = worker.choose_deadline_ms(pool.now, START_LEASE_MS, pool.lease_limit)
         worker.note_lease(run.deadline_ms)
-        deadline_ms, ticket = int(run.deadline_ms), self._get_ticket(command) or ""
+        ticket = self._get_ticket(command) or ""
         pool.effects.append(
-            msgspec.structs.replace(command, deadline_ms=deadline_ms, ticket=ticket)
+            msgspec.structs.replace(command, deadline_ms=run.deadline_ms, ticket=ticket)
         )
 
     def _get_ticket(self, command: StartRun) -> str | None:
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -77,7 +77,8 @@
     A pool is `released` once its owner has stopped scheduling. With `unrecorded`, tasks may be
     running that are in no progress row. `sequence` counts the transactions of this ownership. An
     owner that hasn't renewed for `expiry_ms` may be replaced. `earlier` lists the owners before it
-    whose leases may last; none means that they are not known.
+    whose leases may last; none means that they are not known. The leases that rest on this renewal
+    end by `leases_end_ms` on the store's clock; 0 means that it is not known.
     """
 
     entry: EntryId
@@ -89,6 +90,7 @@
     sequence: int = 0
     expiry_ms: float = BASE_EXPIRY_MS
     earlier: list[EarlierOwner] | None = None
+    leases_end_ms: float = 0.0
 
 
 class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -212,7 +214,7 @@
 def decode_owner(value: bytes) -> OwnerRow:
     """Decode the value of an owner row, or raise `UnreadableError`."""
     owner = decode_msgpack(value, OwnerRow)
-    figures = [owner.term, owner.sequence, owner.renewed_ms]
+    figures = [owner.term, owner.sequence, owner.renewed_ms, owner.leases_end_ms]
     figures += chain.from_iterable((each.term, each.leases_end_ms) for each in owner.earlier or ())
     in_bounds = all(0 <= figure <= MAX_FIGURE for figure in figures)
     if not in_bounds or not 0 <= owner.expiry_ms <= MAX_EXPIRY_MS:
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lavenderstall.identifiers import EntryId, JobId
-from lavenderstall.pools.claims import LEASE_LIFETIME_S
+from lavenderstall.pools.earlier_owners import LEASE_LIFETIME_S
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Job, Run
 from lavenderstall.pools.step_advice import StepAdvice
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -181,6 +181,6 @@
             or worker.lease_end_noted
         ):
             return None
-        deadline = int(worker.estimate_clock(now)) + MAX_LEASE_MS
+        deadline = worker.choose_deadline_ms(now, MAX_LEASE_MS, self._owner.get_lease_limit())
         worker.note_lease(deadline)
         return Lease(deadline)
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -129,6 +129,10 @@
         """Estimate the worker's clock in milliseconds from its last reading."""
         return self.clock_ms + max(0.0, now - self.clock_at) * 1000
 
+    def choose_deadline_ms(self, now: float, lease_ms: float, limit: float) -> int:
+        """Return the deadline of a lease on the worker's clock, at `limit` at the latest."""
+        return int(min(self.estimate_clock(now) + lease_ms, self.estimate_clock(limit)))
+
     def note_lease(self, deadline_ms: float) -> None:
         """Record a lease that was sent, with its deadline on the worker's clock."""
         self.lease_ms = max(self.lease_ms, deadline_ms)
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -20,6 +20,7 @@
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
 from lavenderstall.pools.commits import commit_and_verify
+from lavenderstall.pools.earlier_owners import get_leases_end_ms
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import EndedJob
 from lavenderstall.pools.lease_ends import list_lease_ends
@@ -453,6 +454,7 @@
         if not self._announces_unrecorded:
             self._may_start_unrecorded = False
         self._owner.earlier = self._list_earlier_owners(now)
+        self._owner.leases_end_ms = get_leases_end_ms(self._get_latest_store_ms(now))
         self._owner.unrecorded = self._announces_unrecorded or self._pool.has_unrecorded(
             batch.progress
         )
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -72,6 +72,8 @@
         self.former_capacities: list[tuple[float, dict[str, int]]] = []
         self.state = "ready"
         self.speed = 1.0
+        # Rate of the worker's own clock.
+        self.clock_rate = 1.0
         self.hangs = False
         self.fails = False
         # Rows of another form that it adds to its lists of runs.
@@ -148,7 +150,7 @@
 
     def clock_ms(self) -> float:
         """Return the worker's clock in milliseconds."""
-        return 1000 + (self.platform.clock.seconds() - self.started_at) * 1000
+        return 1000 + (self.platform.clock.seconds() - self.started_at) * 1000 * self.clock_rate
 
     def advance(self) -> None:
         """Advance the runs to the present time."""
--- a/tests/platform/test_owners_gone_for_good.py
+++ b/tests/platform/test_owners_gone_for_good.py
@@ -25,6 +25,7 @@
 )
 
 INSTANCES = 6
+SLOWEST_CLOCK_RATE = 0.98
 # When the first owner goes, in seconds after the end of its worker.
 DELAYS_S = (-0.3, 0.1, 0.7, 1.5, 4.0)
 # From the end of one owner to that of the next; longer than a successor needs to take over.
@@ -76,8 +77,13 @@
 
 
 def start_lasting_task(planned: bool) -> tuple[SimulatedCell, FakeWorker]:
-    """Return a cell with a task that lasts, and its worker, which is about to leave if planned."""
+    """Return a cell with a task that lasts, and its worker, which is about to leave if planned.
+
+    The clocks of all workers are slow.
+    """
     cell = SimulatedCell(INSTANCES, 8, advice=False)
+    for each in cell.platform.workers.values():
+        each.clock_rate = SLOWEST_CLOCK_RATE
     assert cell.run_until(lambda: all(cell.find_owner(pool) for pool in POOLS), 3.0)
     cell.run(1.5)
     cell.submit("entry-0", POOL, JOB, [dict(LASTING)])
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -178,6 +178,19 @@
                     self.hear(name, **fields)
                 self.assertEqual(self.peers.is_store_down(), store_down)
 
+    def test_the_store_is_down_everywhere_only_if_each_peer_says_so(self) -> None:
+        """Fails if an owner takes an instance that it does not hear for one without the store."""
+        lost = {"store_lost": True}
+        unheard = {**lost, "store_reported_at": 100.0 - LIVENESS_TIMEOUT_S - 0.1}
+        deaf = {**lost, "reported_contact_age_ms": 1000 * LIVENESS_TIMEOUT_S}
+        rows = ((lost, True), ({}, False), (unheard, False), (deaf, False))
+        for fields, everywhere in rows:
+            with self.subTest(fields=fields):
+                self.setUp()
+                self.hear("e1", "e2", "e3", "e4", **lost)
+                self.hear("e2", **fields)
+                self.assertEqual(self.peers.is_store_down_everywhere(), everywhere)
+
     def test_only_live_peers_that_reach_the_store_are_asked_to_write(self) -> None:
         rows = (
             {"store_lost": True},
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -4,8 +4,8 @@
 from itertools import product
 
 from lavenderstall.identifiers import EntryId, JobId
-from lavenderstall.pools.claims import LEASE_LIFETIME_S
 from lavenderstall.pools.dispatch import Dispatcher
+from lavenderstall.pools.earlier_owners import LEASE_LIFETIME_S
 from lavenderstall.pools.early_reports import MAX_HOLD_S
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun, StopRun
 from lavenderstall.pools.identity import WorkerKey
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -14,15 +14,17 @@
 from lavenderstall.pools.archive import RETENTION_S, ROW_REPLACEMENT_DELAY_S
 from lavenderstall.pools.claims import (
     COMPLETE_RECORDS_MS,
-    LEASE_S,
-    OLD_OWNER_TIMEOUT_S,
     Claim,
     Claimer,
     get_claim_rank,
-    get_old_run_lifetime_s,
     has_complete_records,
 )
 from lavenderstall.pools.commit_relay import RELAY_CHECK_INTERVAL_S, CommitRelay
+from lavenderstall.pools.earlier_owners import (
+    LEASE_S,
+    OWNERSHIP_TIMEOUT_S,
+    get_old_run_lifetime_s,
+)
 from lavenderstall.pools.effects import RunEnd, RunStatus, StartRun
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import EndedJob
@@ -351,7 +353,7 @@
                 self.assertFalse(claim.records_complete)
                 ends_ms = [each.leases_end_ms for each in claim.owner.earlier or ()]
                 last_s = (max(ends_ms) - rows.store_clock_ms) / 1000
-                self.assertGreater(last_s, OLD_OWNER_TIMEOUT_S + LEASE_S)
+                self.assertGreater(last_s, OWNERSHIP_TIMEOUT_S + LEASE_S)
 
     def test_a_successor_is_told_when_leases_on_a_silent_worker_end(self) -> None:
         """Fails if the successor waits for longer, or not for as long as leases may last.
