Keep the wait for a lost owner below the time in which a task that lasts is due

A task that lasts is due again 7 s after the last disturbance at the latest (4 s of calm and 3 s). With leases that end 7 s after the renewal that they rest on, a successor waited for 7.4 s and some reaction time, so a task was still late if its worker vanished 1.6 s or more before its owner, unless that had noticed it. Leases rest on a renewal for 6.2 s now, 6.6 s on the slowest clock with the margin; an owner that is the only one to miss the store acts as long, 7 s before. If all instances miss it, it acts for 7 s as before, and extends leases from 4.2 s on.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -17,6 +17,7 @@
 from lavenderstall.pools.earlier_owners import (
     LEASE_S,
     OUTAGE_LEASES_DELAY_S,
+    OWNED_LEASES_S,
     OWNERSHIP_TIMEOUT_S,
 )
 from lavenderstall.pools.effects import FENCE, Refusal, RequestAdvice
@@ -281,7 +282,7 @@
 
     def has_confirmed_ownership(self) -> bool:
         """Tell whether ownership was confirmed recently enough to extend leases."""
-        return self.running and self._read_uptime() - self.writer.confirmed_at < OWNERSHIP_TIMEOUT_S
+        return self.running and self._read_uptime() < self.get_lease_limit()
 
     def get_lease_limit(self) -> float:
         """Return until when a lease may last, in seconds of uptime.
@@ -290,11 +291,11 @@
         that. While all instances miss the store there can be no successor.
         """
         now = self._read_uptime()
-        limit = self.writer.confirmed_at + OWNERSHIP_TIMEOUT_S
         unconfirmed_s = now - self.writer.confirmed_at
-        if unconfirmed_s > OUTAGE_LEASES_DELAY_S and self._is_store_down_everywhere():
-            return max(limit, now + LEASE_S)
-        return limit
+        in_outage = OUTAGE_LEASES_DELAY_S < unconfirmed_s < OWNERSHIP_TIMEOUT_S
+        if in_outage and self._is_store_down_everywhere():
+            return now + LEASE_S
+        return self.writer.confirmed_at + OWNED_LEASES_S
 
     def update_time(self) -> None:
         """Update the time, the limit of leases and the unresponsive zones of the pool."""
