Tell the next owner which workers have not answered this one

With owners that change again and again a task that lasts was away for 6.6 s after the last of them: a successor that never reached the worker of the task can't have extended a lease there, but the next one counted on it. The roster told ends of leases only for workers that leave or are gone, after a failed poll.

An owner now tells the end of leases for each worker that has not answered it 0.25 s after it has read all rows; as before, such a worker gets no lease until the row has been withdrawn. Price: a worker that answers late after a takeover gets its lease one commit later, and none while the store is away.

--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -20,6 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
+# A live worker answers the first poll of a new owner well within this time.
+FIRST_ANSWER_S = 0.25
 # What a takeover still waits for is logged at this interval, for so many workers and steps.
 WAIT_LOG_INTERVAL_S = 1.0
 MAX_LOGGED = 10
@@ -48,7 +50,8 @@
         # Whether earlier owners may have used workers that no row names.
         self._unknown_workers = False
         self._blocked_jobs: set[JobId] = set()
-        self._loaded = False
+        # When all rows of inherited jobs had been read, -1 before.
+        self._loaded_at = -1.0
         # Workers with inherited runs, and since when their reports are awaited.
         self._awaited_since: dict[WorkerKey, float] = {}
         self._logged_at = -1.0
@@ -159,11 +162,15 @@
 
     def note_loaded(self) -> None:
         """Note that all rows of inherited jobs have been read."""
-        self._loaded = True
+        self._loaded_at = self._pool.now
+
+    def is_overdue(self) -> bool:
+        """Tell whether workers that have not answered this owner yet are likely to be silent."""
+        return self._loaded_at >= 0 and self._pool.now - self._loaded_at > FIRST_ANSWER_S
 
     def is_blocking(self) -> bool:
         """Tell whether inherited jobs are blocked, or would be once they are read."""
-        return bool(self._blocked_jobs) or not (self._loaded or self._recorded)
+        return bool(self._blocked_jobs) or not (self._loaded_at >= 0 or self._recorded)
 
     def blocks_job(self, job: JobId) -> bool:
         """Tell whether the tasks of a job may not start yet."""
--- a/tests/pools/test_lease_ends.py
+++ b/tests/pools/test_lease_ends.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from lavenderstall.identifiers import EntryId
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.lease_ends import list_lease_ends
+from lavenderstall.pools.takeover import FIRST_ANSWER_S, EarlierLeases
 from lavenderstall.pools.workers import WorkerState
 from tests.pools.builders import Bench, make_entry, make_job, make_step
 
@@ -49,6 +51,29 @@
             with self.subTest(fields=fields):
                 self.assertEqual(KEY in self.list_ends(self.make_silent_worker(**fields)), told)
 
+    def test_ends_are_told_of_workers_that_do_not_answer_a_new_owner(self) -> None:
+        """Fails if the next owner waits for leases that this one can't have extended."""
+        for waited_s, answered, told in (
+            (FIRST_ANSWER_S, False, False),
+            (FIRST_ANSWER_S + 0.1, False, True),
+            (FIRST_ANSWER_S + 0.1, True, False),
+        ):
+            with self.subTest(waited_s=waited_s, answered=answered):
+                bench = Bench()
+                takeover = bench.pool.takeover
+                takeover.add_earlier_owners([EarlierLeases(EntryId("e1"), 1, bench.now + LEASE_S)])
+                takeover.add_workers([ENTRY])
+                bench.pool.set_workers([ENTRY])
+                takeover.note_loaded()
+                if answered:
+                    bench.poll(ENTRY)
+                bench.advance(waited_s)
+                expected = {KEY: LEASE_S - waited_s} if told else {}
+                found = self.list_ends(bench)
+                self.assertEqual(found.keys(), expected.keys())
+                for key, left_s in expected.items():
+                    self.assertAlmostEqual(found[key], left_s)
+
     def test_the_end_is_that_of_the_last_lease(self) -> None:
         """Fails if a successor starts the task while its lease may last, or much later."""
         bench = self.make_silent_worker()
