Let an owner extend leases in an outage though some instances have gone before

An owner doesn't ask instances that it had not heard for 10 s when it lost the store. Its heartbeats name those that it has not heard for 5 s; an instance that is named, or hasn't heard the owner for 3.5 s, can't count on being asked and waits for the longer time after a claim. An instance that goes less than 10 s before an outage still ends the leases of an outage of more than 6.2 s.

test_lease_bounds: tasks survive an outage of 10 s with an instance gone 11 s before (failed before), and none starts twice if an instance that was parted for 4 to 12 s takes over. The heartbeat has one field more, empty as a rule.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -428,7 +428,9 @@
             cannot_commit = owner.writer.has_expired() or (
                 lost and not owner.writer.has_recent_commit()
             )
-            owner_heartbeat = OwnerHeartbeat(name, owner.pool.term, pending, cannot_commit)
+            owner_heartbeat = OwnerHeartbeat(
+                name, owner.pool.term, pending, cannot_commit, self.peers.list_absent()
+            )
             self._dependencies.links.broadcast(owner_heartbeat)  # type: ignore[arg-type]
             self.peers.link_supervisor.note_sent(self.peers.peers, self.read_uptime())
             self.peers.record_owner(self.identity.entry, owner_heartbeat)
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -32,12 +32,16 @@
 
 
 class OwnerHeartbeat(msgspec.Struct, tag="OwnerBeat", array_like=True, frozen=True):
-    """Heartbeat of a pool's owner: waiting jobs of each queue, and whether it lost the store."""
+    """Heartbeat of a pool's owner: waiting jobs of each queue, and whether it lost the store.
+
+    It does not need the word of an `absent` instance that the store is down.
+    """
 
     pool: PoolName
     term: int
     pending: dict[str, int]
     store_lost: bool = False
+    absent: frozenset[EntryId] = frozenset()
 
 
 class PoolReleased(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -104,7 +104,7 @@
         request_advice: RequestAdviceFunction,
         count_idle_advisers: Callable[[], IdleAdviserCount],
         is_store_down: Callable[[], bool],
-        is_store_down_everywhere: Callable[[], bool],
+        is_store_down_everywhere: Callable[[float], bool],
         list_unresponsive_zones: Callable[[], frozenset[str]],
         metrics: Metrics,
     ) -> None:
@@ -291,11 +291,11 @@
         that. While all instances miss the store there can be no successor.
         """
         now = self._read_uptime()
-        unconfirmed_s = now - self.writer.confirmed_at
-        in_outage = OUTAGE_LEASES_DELAY_S < unconfirmed_s < OWNERSHIP_TIMEOUT_S
-        if in_outage and self._is_store_down_everywhere():
+        confirmed_at = self.writer.confirmed_at
+        in_outage = OUTAGE_LEASES_DELAY_S < now - confirmed_at < OWNERSHIP_TIMEOUT_S
+        if in_outage and self._is_store_down_everywhere(confirmed_at):
             return now + LEASE_S
-        return self.writer.confirmed_at + OWNED_LEASES_S
+        return confirmed_at + OWNED_LEASES_S
 
     def update_time(self) -> None:
         """Update the time, the limit of leases and the unresponsive zones of the pool."""
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -58,6 +58,13 @@
 STATE_TIMEOUT_S = 0.35
 WRITE_TIMEOUT_S = 0.7
 SETTINGS_TIMEOUT_S = 0.5
+# A peer that was not heard for this long when the store was lost need not confirm that it is lost
+# everywhere.
+ABSENCE_S = 10.0
+# An owner tells all instances in its heartbeats of those that it has not heard for this long.
+ABSENCE_NOTICE_S = 5.0
+# The last heartbeat of an owner is recent if it would have told of an absence that counts.
+RECENT_HEARTBEAT_S = 3.5
 # Peers that are asked to add the same row.
 MAX_WRITE_PROXIES = 2
 
@@ -70,6 +77,7 @@
     last_contact_at: float
     pending: dict[str, int]
     store_lost: bool = False
+    absent: frozenset[EntryId] = frozenset()
 
 
 class PeerState(msgspec.Struct):
@@ -148,7 +156,12 @@
                     extra={"pool": heartbeat.pool, "owner": sender, "term": heartbeat.term},
                 )
             self.owners[heartbeat.pool] = OwnerState(
-                sender, heartbeat.term, self._read_uptime(), heartbeat.pending, heartbeat.store_lost
+                sender,
+                heartbeat.term,
+                self._read_uptime(),
+                heartbeat.pending,
+                heartbeat.store_lost,
+                heartbeat.absent,
             )
 
     def forget_owner(self, pool: PoolName, term: int) -> None:
@@ -290,16 +303,38 @@
         heard = [state for state in others if state.is_in_contact(limit)]
         return 2 * (len(heard) + 1) > len(others) + 1 and all(s.store_lost for s in heard)
 
-    def is_store_down_everywhere(self) -> bool:
-        """Tell whether all other instances, in mutual contact with this one, miss the store."""
-        limit = self._read_uptime() - LIVENESS_TIMEOUT_S
-        others = (state for peer, state in self.peers.items() if peer != self.entry)
-        return all(state.is_in_contact(limit) and state.store_lost for state in others)
+    def is_store_down_everywhere(self, since: float) -> bool:
+        """Tell whether all other instances, in mutual contact with this one, miss the store.
+
+        Those count for none that were not heard for `ABSENCE_S` when the store was lost.
+        """
+        now = self._read_uptime()
+        limit = now - LIVENESS_TIMEOUT_S
+        return all(
+            state.last_contact_at < since - ABSENCE_S
+            or (state.is_in_contact(limit) and state.store_lost)
+            for peer, state in self.peers.items()
+            if peer != self.entry
+        )
+
+    def list_absent(self) -> frozenset[EntryId]:
+        """Return the instances that may soon count as absent, as they are told in heartbeats."""
+        limit = self._read_uptime() - ABSENCE_NOTICE_S
+        others = ((peer, state) for peer, state in self.peers.items() if peer != self.entry)
+        return frozenset(peer for peer, state in others if state.last_contact_at < limit)
 
     def is_known_to_owner(self, pool: PoolName, owner: OwnerRow) -> bool:
-        """Tell whether the owner of a term has sent heartbeats to this instance."""
+        """Tell whether an owner asks this instance before it takes the store to be down for all.
+
+        Its heartbeats were heard shortly before, and say that it hears this instance.
+        """
         known = self.owners.get(pool)
-        return known is not None and (known.entry, known.term) == (owner.entry, owner.term)
+        return (
+            known is not None
+            and (known.entry, known.term) == (owner.entry, owner.term)
+            and self.entry not in known.absent
+            and self._read_uptime() - known.last_contact_at < RECENT_HEARTBEAT_S
+        )
 
     def list_live_peers(self) -> list[EntryId]:
         """Return the peers that are live and not draining."""
--- a/tests/platform/test_lease_bounds.py
+++ b/tests/platform/test_lease_bounds.py
@@ -1,6 +1,7 @@
 """Tests of whole cells in which an owner without the store goes on extending leases."""
 
 import unittest
+from itertools import product
 from typing import NamedTuple
 
 from lavenderstall.pools.earlier_owners import (
@@ -8,6 +9,7 @@
     OWNED_LEASES_S,
     OWNERSHIP_TIMEOUT_S,
 )
+from lavenderstall.pools.peers import ABSENCE_S
 from lavenderstall.pools.worker_poller import POLL_WAIT_MS
 from tests.platform.fake_platform import STORE, FakeWorker
 from tests.platform.simulated_cell import SimulatedCell
@@ -118,11 +120,36 @@
         part_cell(cell, {successor})
         cell.platform.store_mode = "up"
 
+    def test_no_task_starts_twice_if_an_instance_parted_for_long_takes_over(self) -> None:
+        """Fails if an owner asks only those that it hears, and one of the others counts on it."""
+        for parted_s in (4.0, 9.0, 12.0):
+            for leaves_store in (True, False):
+                with self.subTest(parted_s=parted_s, leaves_store=leaves_store):
+                    cell, _, owner = self.start()
+                    parted = next(name for name in cell.nodes if name != owner)
+                    for name in cell.nodes.keys() - {parted}:
+                        cell.disconnect(name, parted)
+                    cell.run(parted_s)
+                    for name, node in cell.nodes.items():
+                        if name != parted or leaves_store:
+                            node.http_client.unreachable.add(STORE)
+                    cell.run(0.5)
+                    cell.nodes[parted].http_client.unreachable.discard(STORE)
+                    cell.run(WATCH_S)
+                    self.assertEqual(cell.platform.checker.violations, [])
+                    self.assertEqual(len(list_running(cell)), 1)
+
     def test_tasks_survive_an_outage_that_all_instances_see(self) -> None:
-        """Fails if leases end with the ownership although nobody can take the pool over."""
-        for mode in ("silent", "busy"):
-            with self.subTest(mode=mode):
+        """Fails if leases end with the ownership although nobody can take the pool over.
+
+        An instance that has gone long before does not count.
+        """
+        for mode, gone in product(("silent", "busy"), (False, True)):
+            with self.subTest(mode=mode, gone=gone):
                 cell, worker = start_lasting_task(planned=False)
+                if gone:
+                    cell.remove(next(name for name in cell.nodes if name != cell.find_owner(POOL)))
+                    cell.run(ABSENCE_S + 1.0)
                 cell.platform.store_mode = mode
                 for _ in range(round(LONG_OUTAGE_S)):
                     cell.run(1.0)
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -14,10 +14,13 @@
 from lavenderstall.pools.heartbeat_ring import HEARTBEAT_PEERS
 from lavenderstall.pools.messages import OwnerHeartbeat, StateAnswer, WriteAnswer
 from lavenderstall.pools.peers import (
+    ABSENCE_NOTICE_S,
+    ABSENCE_S,
     CLAIMANT_TIMEOUT_S,
     ISOLATION_TIMEOUT_S,
     LIVENESS_TIMEOUT_S,
     OWNER_TIMEOUT_S,
+    RECENT_HEARTBEAT_S,
     RECONNECT_TIMEOUT_S,
     STRONGER_CAPACITY_FACTOR,
     ZONE_TIMEOUT_S,
@@ -181,15 +184,49 @@
     def test_the_store_is_down_everywhere_only_if_each_peer_says_so(self) -> None:
         """Fails if an owner takes an instance that it does not hear for one without the store."""
         lost = {"store_lost": True}
+        lost_at = 96.0
         unheard = {**lost, "store_reported_at": 100.0 - LIVENESS_TIMEOUT_S - 0.1}
         deaf = {**lost, "reported_contact_age_ms": 1000 * LIVENESS_TIMEOUT_S}
-        rows = ((lost, True), ({}, False), (unheard, False), (deaf, False))
+        silent = {"store_reported_at": 0.0, "last_contact_at": lost_at - ABSENCE_S + 0.1}
+        absent = {"store_reported_at": 0.0, "last_contact_at": lost_at - ABSENCE_S - 0.1}
+        rows = (
+            (lost, True),
+            ({}, False),
+            (unheard, False),
+            (deaf, False),
+            (silent, False),
+            (absent, True),
+        )
         for fields, everywhere in rows:
             with self.subTest(fields=fields):
                 self.setUp()
                 self.hear("e1", "e2", "e3", "e4", **lost)
                 self.hear("e2", **fields)
-                self.assertEqual(self.peers.is_store_down_everywhere(), everywhere)
+                self.assertEqual(self.peers.is_store_down_everywhere(lost_at), everywhere)
+
+    def test_an_owner_asks_an_instance_that_it_hears_whether_the_store_is_down(self) -> None:
+        """Fails if an instance counts on being asked that may be absent to the owner."""
+        owner = OwnerRow(EntryId("e2"), Incarnation("i1"), 4)
+        me, other = EntryId("e0"), EntryId("e9")
+        rows = (
+            (4, {other}, 0.0, True),
+            (3, {other}, 0.0, False),
+            (4, {me, other}, 0.0, False),
+            (4, {other}, RECENT_HEARTBEAT_S + 0.1, False),
+        )
+        self.assertLess(ABSENCE_NOTICE_S + RECENT_HEARTBEAT_S, ABSENCE_S)
+        for term, absent, passed_s, known in rows:
+            with self.subTest(term=term, absent=absent, passed_s=passed_s):
+                self.setUp()
+                heartbeat = OwnerHeartbeat(POOL, term, {}, absent=frozenset(absent))
+                self.peers.record_owner(EntryId("e2"), heartbeat)
+                self.now += passed_s
+                self.assertEqual(self.peers.is_known_to_owner(POOL, owner), known)
+
+    def test_an_owner_tells_of_instances_that_it_has_not_heard_for_long(self) -> None:
+        self.now += ABSENCE_NOTICE_S + 0.1
+        self.hear("e1", "e3")
+        self.assertEqual(self.peers.list_absent(), {"e2", "e4"})
 
     def test_only_live_peers_that_reach_the_store_are_asked_to_write(self) -> None:
         rows = (
