Bound leases by the slowest clock, and read the clocks of idle workers

The deadline that rests on the ownership now assumes the slowest clock, and a worker whose clock was read 60 s ago is polled, which is one poll a minute for an idle one.

--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -406,10 +406,13 @@
     def needs_polling(self, worker: Worker) -> bool:
         """Tell whether a worker is to be polled continuously.
 
-        An unresponsive one is polled even without runs, as it gets no tasks before it answers.
+        An unresponsive one is polled even without runs, as it gets no tasks before it answers, and
+        one whose clock was read long ago, as leases end by its clock.
         """
         if not worker.entry.address:
             return False
+        if worker.registered and worker.has_old_clock(self.now):
+            return True
         unresponsive = worker.registered and (
             worker.unresponsive_since >= 0 or not self.is_responsive(worker)
         )
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -95,6 +95,7 @@
             not worker.accepted_term
             or not self._pool.is_responsive(worker)
             or worker.lease_end_noted
+            or worker.has_old_clock(asked_at)
             or any(run.unanswered_at >= 0 for run in worker.runs.values())
         )
         lease = self._make_lease(worker, asked_at)
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -19,6 +19,8 @@
 # A restarted worker may execute a command sent to its earlier incarnation this much later. The
 # command's deadline does not prevent it, as the clock of the worker has started again.
 MAX_COMMAND_DELAY_S = 13.0
+# Age of a clock reading, 1.2 s off by then at the slowest rate, at which an idle worker is polled.
+MAX_CLOCK_AGE_S = 60.0
 # Time for the worker to notice that a lease has expired and to end the process.
 LEASE_EXPIRY_MARGIN_S = 0.15
 
@@ -130,8 +132,13 @@
         return self.clock_ms + max(0.0, now - self.clock_at) * 1000
 
     def choose_deadline_ms(self, now: float, lease_ms: float, limit: float) -> int:
-        """Return the deadline of a lease on the worker's clock, at `limit` at the latest."""
-        return int(min(self.estimate_clock(now) + lease_ms, self.estimate_clock(limit)))
+        """Return the deadline of a lease on the worker's clock, which it reaches before `limit`."""
+        passed_s = max(0.0, limit - self.clock_at) * MIN_CLOCK_RATE
+        return int(min(self.estimate_clock(now) + lease_ms, self.clock_ms + passed_s * 1000))
+
+    def has_old_clock(self, now: float) -> bool:
+        """Tell whether the clock was read so long ago that its estimate is far off."""
+        return self.clock_at >= 0 and now - self.clock_at > MAX_CLOCK_AGE_S
 
     def note_lease(self, deadline_ms: float) -> None:
         """Record a lease that was sent, with its deadline on the worker's clock."""
--- a/tests/platform/test_owners_gone_for_good.py
+++ b/tests/platform/test_owners_gone_for_good.py
@@ -85,14 +85,13 @@
 )
 
 
-def start_lasting_task(planned: bool) -> tuple[SimulatedCell, FakeWorker]:
-    """Return a cell with a task that lasts, and its worker, which is about to leave if planned.
-
-    The clocks of all workers are slow.
-    """
+def start_lasting_task(
+    planned: bool, clock_rate: float = SLOWEST_CLOCK_RATE
+) -> tuple[SimulatedCell, FakeWorker]:
+    """Return a cell with a task that lasts, and its worker, which is about to leave if planned."""
     cell = SimulatedCell(INSTANCES, 8, advice=False)
     for each in cell.platform.workers.values():
-        each.clock_rate = SLOWEST_CLOCK_RATE
+        each.clock_rate = clock_rate
     assert cell.run_until(lambda: all(cell.find_owner(pool) for pool in POOLS), 3.0)
     cell.run(1.5)
     cell.submit("entry-0", POOL, JOB, [dict(LASTING)])
