Let an owner trust only answers of its peers that the store is down

Owners send their uptime with each heartbeat, peers echo the last one, and an owner counts a loss only if it was told after a heartbeat that is at most 0.8 s old.

The class of the fault: the arrival of a message taken for present contact. The majority that lets unrecorded starts begin in an outage still counts messages by their arrival.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -429,7 +429,12 @@
                 lost and not owner.writer.has_recent_commit()
             )
             owner_heartbeat = OwnerHeartbeat(
-                name, owner.pool.term, pending, cannot_commit, self.peers.list_absent()
+                name,
+                owner.pool.term,
+                pending,
+                cannot_commit,
+                self.peers.list_absent(),
+                int(self.read_uptime() * 1000),
             )
             self._dependencies.links.broadcast(owner_heartbeat)  # type: ignore[arg-type]
             self.peers.link_supervisor.note_sent(self.peers.peers, self.read_uptime())
@@ -448,6 +453,7 @@
             self.peers.get_terms(),
             wants_answer,
             self.settings.version,
+            self.peers.get_echo_ms(peer),
         )
 
     def _hand_over_pools(self) -> None:
@@ -700,6 +706,7 @@
         peer_state.draining = message.draining
         peer_state.reported_contact_age_ms = message.last_contact_age_ms
         self.peers.record_store_state(sender, lost=message.store_lost)
+        peer_state.loss_confirmed_ms = message.echo_ms if message.store_lost else -1
         self.settings_tracker.note_peer_version(sender, message.settings_version)
         self._check_terms(message.terms)
         for pool, owner in self.owned_pools.items():
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -19,7 +19,8 @@
 
     `last_contact_age_ms` is the time since the sender last heard from the receiver; `terms` holds
     the latest term that it knows of each pool. A receiver that `wants_answer` is set for sends a
-    heartbeat back at once. `settings_version` is the sender's configuration.
+    heartbeat back at once. `settings_version` is the sender's configuration, `echo_ms` the
+    `sent_ms` of the last heartbeat that the receiver sent as an owner.
     """
 
     zone: str
@@ -29,12 +30,14 @@
     terms: dict[PoolName, int] = {}
     wants_answer: bool = False
     settings_version: int = 0
+    echo_ms: int = 0
 
 
 class OwnerHeartbeat(msgspec.Struct, tag="OwnerBeat", array_like=True, frozen=True):
     """Heartbeat of a pool's owner: waiting jobs of each queue, and whether it lost the store.
 
-    It does not need the word of an `absent` instance that the store is down.
+    It does not need the word of an `absent` instance that the store is down. `sent_ms` is its
+    uptime, which peers echo, so that it can tell how old their messages are.
     """
 
     pool: PoolName
@@ -42,6 +45,7 @@
     pending: dict[str, int]
     store_lost: bool = False
     absent: frozenset[EntryId] = frozenset()
+    sent_ms: int = 0
 
 
 class PoolReleased(msgspec.Struct, tag=True, array_like=True, frozen=True):
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -85,7 +85,9 @@
 
     `reported_contact_age_ms` is how long ago the peer last heard this instance, as it reported.
     `disconnected_at` is -1 while there is a connection and before the first one. `record_version`
-    is the version of the peer's row in the store, which says whether it is `isolated`.
+    is the version of the peer's row in the store, which says whether it is `isolated`. At
+    `heard_ms`, on its clock, it sent its last heartbeat as an owner. It has said that it misses the
+    store since this instance sent a heartbeat at `loss_confirmed_ms`, -1 if it has not.
     """
 
     zone: str
@@ -99,6 +101,8 @@
     disconnected_at: float = -1.0
     isolated: bool = False
     record_version: int = 0
+    heard_ms: int = 0
+    loss_confirmed_ms: int = -1
 
     def is_in_contact(self, since: float) -> bool:
         """Tell whether each heard the other, and the peer told of its store, after a time."""
@@ -146,6 +150,9 @@
 
     def record_owner(self, sender: EntryId, heartbeat: OwnerHeartbeat) -> None:
         """Record the owner of a pool unless one with a higher term is known."""
+        state = self.peers.get(sender)
+        if state is not None:
+            state.heard_ms = heartbeat.sent_ms
         highest = max(heartbeat.term, self._terms.get(heartbeat.pool, 0))
         self._terms[heartbeat.pool] = highest
         known = self.owners.get(heartbeat.pool)
@@ -304,7 +311,7 @@
         return 2 * (len(heard) + 1) > len(others) + 1 and all(s.store_lost for s in heard)
 
     def is_store_down_everywhere(self, since: float) -> bool:
-        """Tell whether all other instances, in mutual contact with this one, miss the store.
+        """Tell whether all other instances have answered just now that they miss the store.
 
         Those count for none that were not heard for `ABSENCE_S` when the store was lost.
         """
@@ -312,11 +319,16 @@
         limit = now - LIVENESS_TIMEOUT_S
         return all(
             state.last_contact_at < since - ABSENCE_S
-            or (state.is_in_contact(limit) and state.store_lost)
+            or limit < state.loss_confirmed_ms / 1000 <= now
             for peer, state in self.peers.items()
             if peer != self.entry
         )
 
+    def get_echo_ms(self, peer: EntryId) -> int:
+        """Return when a peer sent its last heartbeat as an owner, on its clock; 0 without any."""
+        state = self.peers.get(peer)
+        return state.heard_ms if state is not None else 0
+
     def list_absent(self) -> frozenset[EntryId]:
         """Return the instances that may soon count as absent, as they are told in heartbeats."""
         limit = self._read_uptime() - ABSENCE_NOTICE_S
--- a/tests/platform/test_lease_evidence.py
+++ b/tests/platform/test_lease_evidence.py
@@ -3,9 +3,11 @@
 import unittest
 from base64 import b64decode
 from collections.abc import Callable
+from itertools import product
 from typing import Any
 
 from lavenderstall.pools.records import OWNER_KEY, OWNERS, PROGRESS, OwnerRow, decode_owner
+from tests.platform.fake_platform import STORE
 from tests.platform.simulated_cell import SimulatedCell
 from tests.platform.test_lasting_tasks import (
     JOB,
@@ -81,6 +83,56 @@
         self.assertEqual(len(list_running(cell)), 1)
 
 
+class OutageLeaseTest(LeaseReviewCase):
+    """An owner takes old reports of its peers for present ones, and extends full leases."""
+
+    def test_no_task_starts_twice_whose_owner_is_frozen_at_the_end_of_an_outage(self) -> None:
+        """Fails if an owner that wakes up trusts reports that were sent before a claim."""
+        for frozen_at_s, back_s, thawed_s in product((1.2, 1.6, 2.0), (3.0, 3.4), (5.3, 6.0)):
+            with self.subTest(frozen_at_s=frozen_at_s, back_s=back_s, thawed_s=thawed_s):
+                cell, owner = self.start()
+                cell.platform.store_mode = "silent"
+                cell.run(frozen_at_s)
+                cell.freeze(owner)
+                cell.run(back_s - frozen_at_s)
+                cell.platform.store_mode = "up"
+                cell.run(thawed_s - back_s)
+                cell.thaw(owner)
+                cell.run(WATCH_S)
+                self.check(cell)
+
+    def test_no_task_starts_twice_if_messages_to_its_owner_are_late(self) -> None:
+        """Fails if reports count from their arrival, so that a late one outlasts a claim."""
+        for late_s, back_s, phase_s in ((3.0, 2.5, 0.0), (2.5, 2.9, 0.0), (2.5, 2.9, 1.2)):
+            for deaf in (False, True):
+                with self.subTest(late_s=late_s, back_s=back_s, phase_s=phase_s, deaf=deaf):
+                    cell, owner = self.start()
+                    cell.run(phase_s)
+                    deaf_at = cell.clock.seconds() + back_s - 0.5 if deaf else None
+                    delay_messages(cell, owner, late_s, deaf_at)
+                    cell.nodes[owner].http_client.unreachable.add(STORE)
+                    cell.platform.store_mode = "silent"
+                    cell.run(back_s)
+                    cell.platform.store_mode = "up"
+                    cell.run(WATCH_S)
+                    self.check(cell)
+
+
+def delay_messages(
+    cell: SimulatedCell, owner: str, late_s: float, deaf_at: float | None = None
+) -> None:
+    """Delay all messages to an instance, and lose those from it from a time on, if any."""
+    deliver = cell.deliver
+
+    def deliver_late(sender: str, peer: str, data: bytes) -> None:
+        if peer == owner:
+            cell.clock.callLater(late_s, deliver, sender, peer, data)
+        elif sender != owner or deaf_at is None or cell.clock.seconds() < deaf_at:
+            deliver(sender, peer, data)
+
+    cell.deliver = deliver_late  # type: ignore[method-assign]
+
+
 class OldClockTest(LeaseReviewCase):
     """A worker without runs is not polled, so the estimate of its slow clock runs ahead."""
 
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -182,20 +182,17 @@
                 self.assertEqual(self.peers.is_store_down(), store_down)
 
     def test_the_store_is_down_everywhere_only_if_each_peer_says_so(self) -> None:
-        """Fails if an owner takes an instance that it does not hear for one without the store."""
-        lost = {"store_lost": True}
-        lost_at = 96.0
-        unheard = {**lost, "store_reported_at": 100.0 - LIVENESS_TIMEOUT_S - 0.1}
-        deaf = {**lost, "reported_contact_age_ms": 1000 * LIVENESS_TIMEOUT_S}
-        silent = {"store_reported_at": 0.0, "last_contact_at": lost_at - ABSENCE_S + 0.1}
-        absent = {"store_reported_at": 0.0, "last_contact_at": lost_at - ABSENCE_S - 0.1}
+        """Fails if an owner takes an old answer of an instance for a present one, or none."""
+        lost_at, asked_ms = 96.0, 99_900
+        lost = {"loss_confirmed_ms": asked_ms}
+        absent_at = lost_at - ABSENCE_S
         rows = (
             (lost, True),
-            ({}, False),
-            (unheard, False),
-            (deaf, False),
-            (silent, False),
-            (absent, True),
+            ({"loss_confirmed_ms": -1}, False),
+            ({"loss_confirmed_ms": 100_000 - 1000 * LIVENESS_TIMEOUT_S}, False),
+            ({"loss_confirmed_ms": 100_001}, False),
+            ({"loss_confirmed_ms": -1, "last_contact_at": absent_at + 0.1}, False),
+            ({"loss_confirmed_ms": -1, "last_contact_at": absent_at - 0.1}, True),
         )
         for fields, everywhere in rows:
             with self.subTest(fields=fields):
