Show that a task is away for too long after a claim without an answer

A table of takeovers plays what may be impaired while a pool changes owners and a task that lasts loses its worker: connections to the store that are silent, a store that answers in parts, late or not at all, a registry that is out of date or incomplete. Of these only one is red: the store applies a claim and the answer is lost. The simulated connections now end as the host of a worker ends them, and refuse new ones while no process listens there.

--- a/tests/platform/persistent_http_client.py
+++ b/tests/platform/persistent_http_client.py
@@ -4,13 +4,19 @@
 from math import inf
 from typing import Any
 
-from twisted.internet.defer import Deferred, succeed
-from twisted.internet.error import ConnectionAborted, ConnectionDone
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.error import (
+    ConnectionAborted,
+    ConnectionDone,
+    ConnectionLost,
+    ConnectionRefusedError,
+)
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 from twisted.web.client import Agent
 
 from adapter.http_client import HttpClient
+from lavenderstall.errors import DisconnectedError, PeerClosedError, PeerUnavailableError
 from lavenderstall.platform_clients import Reply
 from tests.platform.fake_http_client import FakeHttpClient, PausableClock
 from tests.platform.fake_platform import FakePlatform
@@ -28,6 +34,7 @@
     def __init__(self, platform: FakePlatform, clock: PausableClock) -> None:
         super().__init__(clock)
         self._agent = Agent.usingEndpointFactory(clock, self, self._pool)
+        self._platform = platform
         self.service = FakeHttpClient(platform, clock)
         self.clock = clock
         self.connections: list[SimulatedConnection] = []
@@ -48,6 +55,13 @@
         """Return the endpoint of a URI."""
         return SimulatedEndpoint(self, uri.netloc.decode())
 
+    def refuses(self, address: str) -> bool:
+        """Tell whether the host of a worker answers at an address, without a process."""
+        worker = self._platform.workers.get(address)
+        if worker is None or address in self.unreachable:
+            return False
+        return not worker.up and not worker.host_gone
+
     def silence(self, direction: Direction, services: Callable[[str], bool]) -> None:
         """Let all open connections to some addresses drop what is sent; new ones work."""
         for connection in self.connections:
@@ -63,7 +77,9 @@
         self._address = address
 
     def connect(self, factory: Any) -> "Deferred[Any]":
-        """Open a connection."""
+        """Open a connection, unless no process listens at the address of a host."""
+        if self._client.refuses(self._address):
+            return fail(ConnectionRefusedError())
         protocol = factory.buildProtocol(None)
         protocol.makeConnection(SimulatedConnection(self._client, self._address, protocol))
         return succeed(protocol)
@@ -119,7 +135,18 @@
         call = self._client.service.request(
             method, self.address, path, body or None, SERVICE_TIMEOUT_S, headers
         )
-        call.addCallbacks(self._answer, lambda _: self.abortConnection())
+        call.addCallbacks(self._answer, self._end_unanswered)
+
+    def _end_unanswered(self, failure: Failure) -> None:
+        """End the connection as the host did that it leads to, unless that is not heard of."""
+        if self.silent is not None:
+            return
+        if failure.check(PeerClosedError) or self._client.refuses(self.address):
+            self.loseConnection()
+        elif failure.check(DisconnectedError):
+            self._end(ConnectionLost())
+        elif not failure.check(PeerUnavailableError):
+            self.abortConnection()
 
     def _answer(self, reply: Reply) -> None:
         head = f"HTTP/1.1 {reply.status} OK\r\nContent-Length: {len(reply.body)}\r\n\r\n"
