Read a claim back whose answer was lost

A task that lasts was away for up to 14.58 s after its worker was gone (bound 13.92 s; 13.58 s with a bound of 9.02 s) if its owner was gone too and the store applied the claim of the pool without an answer. Cause: the claimant took its claim for failed after 1.4 s and did not act, while the row named it as the owner. Whoever claimed next, mostly once the row had expired after 1 s, waited for all that this claimant could have done, and could not use the shorter bound on the owner before it, as that holds only for the claim that follows it.

A claim is now committed as the owner's other transactions are: while no answer arrives the row is read back, from 0.1 s on, and a row that equals the claim in all its fields is the claim. The claimant then owns the pool, from the time at which the claim was sent. The store's clock is that of the read, which is later than the claim, so that waits that are counted from it become longer and never shorter.

Evidence: in the log of a case (kill, 0.3 s before the worker leaves, answers lost for 1 s) term 3 is claimed at 106.28 from entry-2, whose own claim of term 2 is logged as failed at 106.60, and the worker waits with left_ms 12685.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -3,25 +3,28 @@
 import logging
 from collections.abc import Callable, Mapping
 from enum import Enum
+from functools import partial
 from zlib import crc32
 
 import msgspec
 
+from lavenderstall.clocks import Clock
 from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
 from lavenderstall.identifiers import EntryId, Incarnation
+from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.earlier_owners import (
     get_leases_end_ms,
     had_short_outage,
     list_earlier_owners,
 )
+from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.ports import (
     Committed,
     Condition,
     Put,
     Row,
     RowConflictError,
-    RowStore,
     Transaction,
 )
 from lavenderstall.pools.records import (
@@ -99,13 +102,15 @@
 
     def __init__(
         self,
-        store: RowStore,
+        store: MonitoredStore,
+        clock: Clock,
         entry: EntryId,
         incarnation: Incarnation,
         read_uptime: Callable[[], float],
         unreadable_rows: UnreadableRows,
     ) -> None:
         self._store = store
+        self._clock = clock
         self._unreadable_rows = unreadable_rows
         self._entry = entry
         self._incarnation = incarnation
@@ -153,7 +158,12 @@
         condition = Condition(OWNERS, OWNER_KEY, snapshot.row.version if snapshot.row else 0)
         put = Put(OWNERS, OWNER_KEY, encode(owner))
         try:
-            committed = await self._store.commit(Transaction(pool, (condition,), (put,)))
+            committed = await commit_and_verify(
+                self._store,
+                self._clock,
+                Transaction(pool, (condition,), (put,)),
+                partial(self._find_claim, pool, owner),
+            )
         except RowConflictError:
             return None
         except LavenderstallError as error:
@@ -187,6 +197,14 @@
             records_complete,
         )
 
+    async def _find_claim(self, pool: PoolName, claimed: OwnerRow) -> Committed | None:
+        """Return the result of a claim if its owner row is in the store."""
+        found = await self.read_ownership(pool)
+        if found.row is None or found.owner != claimed:
+            return None
+        logger.info("claim without a response was applied", extra={"pool": pool})
+        return Committed(found.row.version, found.store_ms)
+
 
 def make_unknown_owner(row: Row) -> OwnerRow:
     """Return what is certain of the owner whose row can't be read; it may be replaced at once.
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -199,6 +199,7 @@
         self._unreadable_rows = UnreadableRows(self.metrics)
         self._claimer = Claimer(
             self._store,
+            dependencies.clock,
             identity.entry,
             identity.incarnation,
             dependencies.read_uptime,
--- a/tests/pools/test_claims.py
+++ b/tests/pools/test_claims.py
@@ -4,6 +4,7 @@
 
 from msgspec.structs import replace
 from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
 
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.metrics import Metrics
@@ -24,6 +25,7 @@
     had_short_outage,
     list_earlier_owners,
 )
+from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.peers import LIVENESS_TIMEOUT_S
 from lavenderstall.pools.ports import Put, Transaction
 from lavenderstall.pools.records import (
@@ -152,7 +154,12 @@
         """Claim the pool 0.5 s after its row was read."""
         uptimes = iter((10.0, 10.5))
         claimer = Claimer(
-            rows, EntryId("e2"), Incarnation("j"), lambda: next(uptimes), UnreadableRows(Metrics())
+            MonitoredStore(rows, lambda: 0.0),
+            Clock(),
+            EntryId("e2"),
+            Incarnation("j"),
+            lambda: next(uptimes),
+            UnreadableRows(Metrics()),
         )
         found: list[Claim | None] = []
 
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -70,6 +70,13 @@
 OTHER = JobId("00000000000000b2")
 
 
+def make_claimer(rows: FakeRowStore, name: str) -> Claimer:
+    """Return a claimer of an instance whose time stands still."""
+    store = MonitoredStore(rows, lambda: 0.0)
+    unreadable_rows = UnreadableRows(Metrics())
+    return Claimer(store, Clock(), EntryId(name), Incarnation(name), lambda: 0.0, unreadable_rows)
+
+
 class Owner:
     """Owner of a claimed pool with its writer."""
 
@@ -79,7 +86,8 @@
         self.clock = Clock()
         self.uptime = 100.0
         self.claimer = Claimer(
-            rows,
+            MonitoredStore(rows, lambda: self.uptime),
+            self.clock,
             EntryId(name),
             Incarnation(name),
             lambda: self.uptime,
@@ -309,9 +317,7 @@
         table = ((0.0, False), (row.expiry_ms, False), (row.expiry_ms + 1, True))
         for passed_ms, claimable in table:
             with self.subTest(passed_ms=passed_ms):
-                other = Claimer(
-                    rows, EntryId("e2"), Incarnation("e2"), lambda: 0.0, UnreadableRows(Metrics())
-                )
+                other = make_claimer(rows, "e2")
                 rows.store_clock_ms = row.renewed_ms + passed_ms
                 seen: list[bool] = []
                 Deferred.fromCoroutine(other.read_ownership(POOL)).addCallback(
@@ -409,10 +415,7 @@
 
     def test_one_of_two_claims_wins(self) -> None:
         rows = FakeRowStore()
-        claimers = [
-            Claimer(rows, EntryId(name), Incarnation(name), lambda: 0.0, UnreadableRows(Metrics()))
-            for name in ("e1", "e2")
-        ]
+        claimers = [make_claimer(rows, name) for name in ("e1", "e2")]
         snapshots: list[object] = []
         for claimer in claimers:
             Deferred.fromCoroutine(claimer.read_ownership(POOL)).addCallback(snapshots.append)
