Show that a late claimant waits for an owner that nobody has heard

If the store takes no claims for 3 to 4.5 s from the end of an owner on, the next owner waits for all that the one before could do in an outage, 13.4 s from its last renewal, although nobody has heard that owner since its end and the outage's leases need each instance to hear it. The other impairments of the store stay in a test of their own that is green, with the case of 1 s for each and two ends of workers.

--- a/tests/platform/test_silent_takeovers.py
+++ b/tests/platform/test_silent_takeovers.py
@@ -183,19 +183,22 @@
     rewrite()
 
 
-STORE_IMPAIRMENTS: tuple[tuple[str, object], ...] = (
+# The first prevent claims, the others do not.
+CLAIM_IMPAIRMENTS: tuple[tuple[str, object], ...] = (
     ("down_partitions", {POOL}),
-    ("down_partitions", {get_shard(JOB)}),
-    ("down_partitions", set(list_shards()[::2])),
     ("down_partitions", {POOL, "", *list_shards()}),
-    ("feeds_silent", True),
     ("lost_paths", {"/v1/rows-get"}),
     ("lost_paths", {"/v1/rows-tx"}),
-    ("store_delay_s", 0.3),
-    ("store_delay_s", 0.9),
     ("store_mode", "busy"),
     ("store_mode", "silent"),
 )
+LOAD_IMPAIRMENTS: tuple[tuple[str, object], ...] = (
+    ("down_partitions", {get_shard(JOB)}),
+    ("down_partitions", set(list_shards()[::2])),
+    ("feeds_silent", True),
+    ("store_delay_s", 0.3),
+    ("store_delay_s", 0.9),
+)
 REGISTRY_IMPAIRMENTS: tuple[Callable[[float, PersistentCell], None], ...] = (
     partial(hold_registry, 1.0),
     partial(hold_registry, 0.5),
@@ -253,11 +256,21 @@
 
     def test_a_successor_loads_while_the_store_is_impaired(self) -> None:
         """Fails if a successor gives the pool up, or knows late that the task waits."""
-        moments = ((leave_and_reset, kill, -0.3, 0.2, 1.0), (cut_off, remove, 0.7, -0.05, 3.0))
-        for impairment, moment in product(STORE_IMPAIRMENTS, moments):
-            end_worker, change, at_s, lead_s, lasts_s = moment
-            with self.subTest(end=end_worker.__name__, impairment=impairment, at_s=at_s):
-                event = Event(at_s - lead_s, partial(impair, *impairment, lasts_s), lasts_s)
+        short = product((*CLAIM_IMPAIRMENTS, *LOAD_IMPAIRMENTS), ((-0.3, 0.2, 1.0),))
+        long = product(LOAD_IMPAIRMENTS, ((0.7, -0.05, 3.0),))
+        for impairment, (at_s, lead_s, lasts_s) in (*short, *long):
+            for end_worker, change in ((leave_and_reset, kill), (cut_off, remove)):
+                with self.subTest(end=end_worker.__name__, impairment=impairment, at_s=at_s):
+                    event = Event(at_s - lead_s, partial(impair, *impairment, lasts_s), lasts_s)
+                    self.assert_returns(end_worker, [event, *list_changes(change, at_s)])
+
+    def test_a_pool_cannot_be_claimed_for_some_time(self) -> None:
+        """Fails if a late claimant waits for an owner that has not been heard since its end."""
+        moments = ((leave_and_reset, kill, -0.3), (cut_off, remove, 0.7))
+        for impairment, lasts_s, moment in product(CLAIM_IMPAIRMENTS, (3.0, 4.5), moments):
+            end_worker, change, at_s = moment
+            with self.subTest(end=end_worker.__name__, impairment=impairment, lasts_s=lasts_s):
+                event = Event(at_s + 0.05, partial(impair, *impairment, lasts_s), lasts_s)
                 self.assert_returns(end_worker, [event, *list_changes(change, at_s)])
 
     def test_a_claim_gets_no_answer(self) -> None:
