Wait for starts that a restarted worker may execute late, whoever owns the pool

An owner counts on starts without an answer for 13 s and a lease if their worker restarts under its name. An end that the roster tells holds by itself: it counts all that may be done there, and nothing is added while the row says so.

--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -92,8 +92,11 @@
             self.leases_expire_at = max(owner.expire_at for owner in self.earlier_owners)
 
     def get_lease_expiry(self, worker: WorkerKey) -> float:
-        """Return when leases of earlier owners on a worker have expired."""
-        return min(self.leases_expire_at, self.noted_lease_ends.get(worker, self.leases_expire_at))
+        """Return when leases of earlier owners on a worker have expired.
+
+        A noted end also counts starts that the worker may execute late, so it may be a later one.
+        """
+        return self.noted_lease_ends.get(worker, self.leases_expire_at)
 
     def add_workers(self, entries: Iterable[WorkerEntry]) -> None:
         """Add the workers that earlier owners used; the registry may not list all of them.
