Rule out leases in an outage by the last heartbeat heard, and by claims without a renewal

An owner extends such leases only while each other instance answers its heartbeats with the word that the store is down. So a claimant knows from the last heartbeat that it heard until when that can have been, whenever it claims; its term is told to all as soon as it has claimed. An owner extends no lease before its first renewal, which is made at once, so a claim that was never renewed adds nothing to the wait. The row of a claim tells both ends of the owners before it, as the claim may be applied late; who reads it judges by what it knows. Leases in an outage begin after 5.2 s in place of 4.2 s, and long polls end in time for it.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -14,9 +14,10 @@
 from lavenderstall.identifiers import EntryId, Incarnation
 from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.earlier_owners import (
+    get_latest_renewal_ms,
     get_leases_end_ms,
-    had_short_outage,
     list_earlier_owners,
+    shorten_leases,
 )
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.ports import (
@@ -30,6 +31,7 @@
 from lavenderstall.pools.records import (
     OWNER_KEY,
     OWNERS,
+    EarlierOwner,
     OwnerRow,
     decode_owner,
     encode,
@@ -63,6 +65,11 @@
     records_complete: bool
 
 
+# Tells whether an earlier owner can't have extended leases in an outage, by when it renewed at the
+# earliest and at the latest, in seconds of uptime.
+RulesOutOutage = Callable[[EarlierOwner, float, float], bool]
+
+
 class OwnerEvidence(Enum):
     """What an instance knows of a pool's owner besides its row."""
 
@@ -135,12 +142,15 @@
             return make_unknown_owner(row)
 
     async def claim(
-        self, pool: PoolName, snapshot: OwnershipSnapshot, *, known_to_owner: bool = False
+        self,
+        pool: PoolName,
+        snapshot: OwnershipSnapshot,
+        rules_out_outage: RulesOutOutage = lambda owner, earliest, latest: False,
     ) -> Claim | None:
         """Claim a pool; returns none on a conflict or failed write.
 
-        An owner to which this instance is known extends no lease beyond its ownership unless this
-        instance misses the store.
+        An earlier owner of which leases in an outage are ruled out has extended none beyond its
+        ownership. The row tells the longer time, as it may be written late.
         """
         previous = snapshot.owner
         sent_at = self._read_uptime()
@@ -169,8 +179,11 @@
         except LavenderstallError as error:
             logger.info("claim failed", extra={"pool": pool, "error": str(error)})
             return None
-        if known_to_owner and had_short_outage(previous, committed.store_clock_ms):
-            owner.earlier = list_earlier_owners(previous, snapshot.store_ms, short_outage=True)
+        uptimes = (sent_at, self._read_uptime())
+        owner.earlier = [
+            _bound_by_evidence(each, committed.store_clock_ms, uptimes, rules_out_outage)
+            for each in owner.earlier or ()
+        ]
         logger.info(
             "pool claimed",
             extra={
@@ -206,6 +219,23 @@
         return Committed(found.row.version, found.store_ms)
 
 
+def _bound_by_evidence(
+    owner: EarlierOwner,
+    store_ms: float,
+    uptimes: tuple[float, float],
+    rules_out_outage: RulesOutOutage,
+) -> EarlierOwner:
+    """Return an earlier owner with the leases that it may have extended.
+
+    The store's clock was read between two times of uptime.
+    """
+    if not owner.owned_end_ms:
+        return owner
+    earliest = uptimes[0] - (store_ms - owner.renewed_ms) / 1000
+    latest = uptimes[1] - (store_ms - get_latest_renewal_ms(owner)) / 1000
+    return shorten_leases(owner) if rules_out_outage(owner, earliest, latest) else owner
+
+
 def make_unknown_owner(row: Row) -> OwnerRow:
     """Return what is certain of the owner whose row can't be read; it may be replaced at once.
 
--- a/lavenderstall/pools/earlier_owners.py
+++ b/lavenderstall/pools/earlier_owners.py
@@ -13,16 +13,13 @@
 SAFETY_MARGIN_S = 0.3
 # Longest time from the moment at which a lease is extended until it has expired.
 LEASE_LIFETIME_S = LEASE_S / MIN_CLOCK_RATE + SAFETY_MARGIN_S
-# Longest time from a renewal until the leases have expired that rest on it.
-OWNED_LEASES_LIFETIME_S = OWNED_LEASES_S / MIN_CLOCK_RATE + SAFETY_MARGIN_S
+# Longest time from a renewal until the leases have expired that rest on it, by any clock.
+OWNED_LEASES_LIFETIME_S = OWNED_LEASES_S + SAFETY_MARGIN_S
 # Longest time until leases have expired that are extended in an outage of the store.
 OUTAGE_LEASES_LIFETIME_S = OWNERSHIP_TIMEOUT_S + LEASE_LIFETIME_S
 # After this long without the store, and if all instances miss it, an owner extends leases for the
-# whole of their length. A long poll returns before those that rest on the renewal end.
-OUTAGE_LEASES_DELAY_S = 4.2
-# A claim so soon after a renewal reaches an owner before it extends such leases, with a time in
-# which its peers count as heard between the two.
-MAX_SHORT_OUTAGE_MS = 3200.0
+# whole of their length.
+OUTAGE_LEASES_DELAY_S = 5.2
 # Stands for owners of which nothing is known.
 UNKNOWN_ENTRY = EntryId("")
 
@@ -39,30 +36,41 @@
     return LEASE_LIFETIME_S if previous.released else OUTAGE_LEASES_LIFETIME_S
 
 
-def had_short_outage(previous: OwnerRow | None, store_ms: float) -> bool:
-    """Tell whether an owner had no time to extend leases beyond its ownership."""
-    return previous is not None and store_ms - previous.renewed_ms <= MAX_SHORT_OUTAGE_MS
-
-
-def list_earlier_owners(
-    previous: OwnerRow | None, store_ms: float, *, short_outage: bool = False
-) -> list[EarlierOwner]:
+def list_earlier_owners(previous: OwnerRow | None, store_ms: float) -> list[EarlierOwner]:
     """Return the owners before a claim whose leases may last, by the owner row read before it.
 
-    The owner of that row had sent its last renewal before, and the row says when the leases that
-    rest on it end. Without a `short_outage`, it may have extended more of them until then.
+    The owner of that row had sent its last renewal before, and extends none before its first one.
+    While it holds the pool it may extend more leases in an outage than the row says.
     """
     if previous is None:
         return []
-    end_ms = store_ms + get_old_run_lifetime_s(previous) * 1000
-    if previous.leases_end_ms:
-        outage_s = 0.0 if short_outage else OUTAGE_LEASES_LIFETIME_S - OWNED_LEASES_LIFETIME_S
-        end_ms = min(end_ms, previous.leases_end_ms + outage_s * 1000)
-        if previous.released:
-            end_ms = previous.leases_end_ms
     earlier = previous.earlier
     if earlier is None:
         longest_ms = store_ms + OUTAGE_LEASES_LIFETIME_S * 1000
         earlier = [EarlierOwner(UNKNOWN_ENTRY, previous.term - 1, longest_ms)]
     lasting = [each for each in earlier if each.leases_end_ms > store_ms]
-    return [*lasting, EarlierOwner(previous.entry, previous.term, end_ms)]
+    if previous.leases_end_ms and not previous.sequence:
+        return lasting
+    return [*lasting, _bound_leases(previous, store_ms)]
+
+
+def _bound_leases(owner: OwnerRow, store_ms: float) -> EarlierOwner:
+    """Return when the leases of an owner end, by its row."""
+    end_ms = store_ms + get_old_run_lifetime_s(owner) * 1000
+    if not owner.leases_end_ms:
+        return EarlierOwner(owner.entry, owner.term, end_ms)
+    if owner.released:
+        return EarlierOwner(owner.entry, owner.term, owner.leases_end_ms)
+    outage_ms = (OUTAGE_LEASES_LIFETIME_S - OWNED_LEASES_LIFETIME_S) * 1000
+    end_ms = min(end_ms, owner.leases_end_ms + outage_ms)
+    return EarlierOwner(owner.entry, owner.term, end_ms, owner.leases_end_ms, owner.renewed_ms)
+
+
+def shorten_leases(owner: EarlierOwner) -> EarlierOwner:
+    """Return an earlier owner that can't have extended leases in an outage."""
+    return EarlierOwner(owner.entry, owner.term, min(owner.leases_end_ms, owner.owned_end_ms))
+
+
+def get_latest_renewal_ms(owner: EarlierOwner) -> float:
+    """Return when an earlier owner renewed at the latest, by the store's clock."""
+    return owner.owned_end_ms - OWNED_LEASES_LIFETIME_S * 1000
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -3,7 +3,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Mapping
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from math import inf
 from random import Random
 from typing import Any
@@ -550,10 +550,11 @@
         )
 
     async def _claim(self, pool: PoolName, snapshot: OwnershipSnapshot) -> None:
-        known = snapshot.owner is not None and self.peers.is_known_to_owner(pool, snapshot.owner)
-        claim = await self._claimer.claim(pool, snapshot, known_to_owner=known)
+        rules_out_outage = partial(self.peers.rules_out_outage_leases, pool)
+        claim = await self._claimer.claim(pool, snapshot, rules_out_outage)
         if claim is None:
             return
+        self.peers.note_term(pool, claim.owner.term)
         owner = self._make_owner(pool, claim)
         owner.start_renewal()
         try:
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 from itertools import chain
+from math import inf
 from typing import Any, TypeVar
 
 from lavenderstall.clocks import Clock, sleep
@@ -289,8 +290,10 @@
 
         It ends with the ownership that it rests on, so that a successor waits no longer than for
         that. While all instances miss the store there can be no successor, unless the pool may have
-        been released.
+        been released. Before the first renewal there is no lease.
         """
+        if not self.writer.renewed:
+            return -inf
         now = self._read_uptime()
         confirmed_at = self.writer.confirmed_at
         in_outage = OUTAGE_LEASES_DELAY_S < now - confirmed_at < OWNERSHIP_TIMEOUT_S
@@ -299,6 +302,10 @@
             return now + LEASE_S
         return confirmed_at + OWNED_LEASES_S
 
+    def get_unconfirmed_s(self) -> float:
+        """Return the time since the last renewal that was confirmed, in seconds."""
+        return self._read_uptime() - self.writer.confirmed_at
+
     def update_time(self) -> None:
         """Update the time, the limit of leases and the unresponsive zones of the pool."""
         self.pool.lease_limit = self.get_lease_limit()
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -16,6 +16,7 @@
 from lavenderstall.links import NngLinks
 from lavenderstall.pools.claims import OwnerEvidence
 from lavenderstall.pools.coroutines import gather
+from lavenderstall.pools.earlier_owners import OUTAGE_LEASES_DELAY_S
 from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.heartbeat_ring import list_predecessors, list_probed, list_successors
 from lavenderstall.pools.link_supervision import LinkChange, LinkSupervisor
@@ -36,7 +37,7 @@
     WriteRequest,
 )
 from lavenderstall.pools.ports import Transaction
-from lavenderstall.pools.records import PRESENCES, STATES, OwnerRow, Presence
+from lavenderstall.pools.records import PRESENCES, STATES, EarlierOwner, OwnerRow, Presence
 from lavenderstall.pools.work import JobState, PoolName
 
 logger = logging.getLogger(__name__)
@@ -63,7 +64,7 @@
 ABSENCE_S = 10.0
 # An owner tells all instances in its heartbeats of those that it has not heard for this long.
 ABSENCE_NOTICE_S = 5.0
-# The last heartbeat of an owner is recent if it would have told of an absence that counts.
+# An owner that was heard so shortly before its last renewal would have told of an absence.
 RECENT_HEARTBEAT_S = 3.5
 # Peers that are asked to add the same row.
 MAX_WRITE_PROXIES = 2
@@ -335,19 +336,28 @@
         others = ((peer, state) for peer, state in self.peers.items() if peer != self.entry)
         return frozenset(peer for peer, state in others if state.last_contact_at < limit)
 
-    def is_known_to_owner(self, pool: PoolName, owner: OwnerRow) -> bool:
-        """Tell whether an owner asks this instance before it takes the store to be down for all.
+    def rules_out_outage_leases(
+        self, pool: PoolName, owner: EarlierOwner, earliest: float, latest: float
+    ) -> bool:
+        """Tell whether an owner can't have extended leases in an outage of the store.
 
-        Its heartbeats were heard shortly before, and say that it hears this instance.
+        It needs the answer of this instance to a recent heartbeat for that, unless this instance is
+        absent for it. `earliest` and `latest` are when it may have renewed last.
         """
         known = self.owners.get(pool)
+        if known is None or (known.entry, known.term) != (owner.entry, owner.term):
+            return False
+        answered_until = known.last_contact_at + LIVENESS_TIMEOUT_S
         return (
-            known is not None
-            and (known.entry, known.term) == (owner.entry, owner.term)
-            and self.entry not in known.absent
-            and self._read_uptime() - known.last_contact_at < RECENT_HEARTBEAT_S
+            self.entry not in known.absent
+            and known.last_contact_at > latest - RECENT_HEARTBEAT_S
+            and answered_until < earliest + OUTAGE_LEASES_DELAY_S
         )
 
+    def note_term(self, pool: PoolName, term: int) -> None:
+        """Note the term of a claim, so that earlier owners hear of it at once."""
+        self._terms[pool] = max(term, self._terms.get(pool, 0))
+
     def list_live_peers(self) -> list[EntryId]:
         """Return the peers that are live and not draining."""
         limit = self._read_uptime() - LIVENESS_TIMEOUT_S
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -64,11 +64,17 @@
 
 
 class EarlierOwner(msgspec.Struct, frozen=True, array_like=True):
-    """An earlier owner of a pool; its leases end by `leases_end_ms` on the store's clock."""
+    """An earlier owner of a pool; its leases end by `leases_end_ms` on the store's clock.
+
+    Those end by `owned_end_ms` that rest on its last renewal, at `renewed_ms` at the earliest; 0
+    means that it is not known.
+    """
 
     entry: EntryId
     term: int
     leases_end_ms: float
+    owned_end_ms: float = 0.0
+    renewed_ms: float = 0.0
 
 
 class OwnerRow(msgspec.Struct, omit_defaults=True):
@@ -215,7 +221,10 @@
     """Decode the value of an owner row, or raise `UnreadableError`."""
     owner = decode_msgpack(value, OwnerRow)
     figures = [owner.term, owner.sequence, owner.renewed_ms, owner.leases_end_ms]
-    figures += chain.from_iterable((each.term, each.leases_end_ms) for each in owner.earlier or ())
+    figures += chain.from_iterable(
+        (each.term, each.leases_end_ms, each.owned_end_ms, each.renewed_ms)
+        for each in owner.earlier or ()
+    )
     in_bounds = all(0 <= figure <= MAX_FIGURE for figure in figures)
     if not in_bounds or not 0 <= owner.expiry_ms <= MAX_EXPIRY_MS:
         raise UnreadableError("the owner row has a figure out of bounds")
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -16,6 +16,7 @@
 )
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.coroutines import launch
+from lavenderstall.pools.earlier_owners import OUTAGE_LEASES_DELAY_S
 from lavenderstall.pools.effects import Refusal
 from lavenderstall.pools.hedged_polls import HedgedPoll
 from lavenderstall.pools.identity import WorkerKey
@@ -33,6 +34,8 @@
 SHORT_RUN_MS = 2500
 # While polls get lost they wait no longer than this, as the ends that they should tell of wait too.
 LOSSY_POLL_WAIT_MS = 200
+# Polls return this long after leases may be extended in an outage of the store.
+OUTAGE_POLL_MARGIN_S = 0.1
 # They wait longer if there are so many that more would return without an end.
 MAX_IDLE_POLLS_PER_S = 100
 # Polls count as getting lost for this long after a live worker has left one unanswered.
@@ -152,11 +155,17 @@
     def _choose_wait_ms(self, worker: Worker) -> int:
         short = any(self._pool.is_short_run(run, SHORT_RUN_MS) for run in worker.runs.values())
         wait_ms = SHORT_POLL_WAIT_MS if short else POLL_WAIT_MS
+        wait_ms = min(wait_ms, self._get_outage_wait_ms())
         if self._read_uptime() - self._lost_at > LOSS_MEMORY_S:
             return wait_ms
         shortest_ms = len(self._polled_workers) * 1000 // MAX_IDLE_POLLS_PER_S
         return min(wait_ms, max(LOSSY_POLL_WAIT_MS, shortest_ms))
 
+    def _get_outage_wait_ms(self) -> int:
+        """Return the longest wait after which leases can be extended in an outage in time."""
+        left_s = OUTAGE_LEASES_DELAY_S + OUTAGE_POLL_MARGIN_S - self._owner.get_unconfirmed_s()
+        return int(left_s * 1000) if left_s > OUTAGE_POLL_MARGIN_S else POLL_WAIT_MS
+
     def _wait_for_commit(self) -> Deferred[None]:
         """Return a deferred that fires at the next commit or after `COMMIT_TIMEOUT_S`."""
         waiting: Deferred[None] = Deferred()
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -142,6 +142,8 @@
         # Whether the durable roster row is that of the owner before this one, and tells of some.
         self._inherits_lease_ends = False
         self.confirmed_at = sent_at
+        # Whether the ownership was renewed since the claim.
+        self.renewed = False
         # Whether to release the pool in the next transaction that leaves no progress unrecorded.
         self.releasing = False
         self._written_at = 0.0
@@ -211,7 +213,7 @@
 
     async def _write_due(self) -> ProgressBatch | None:
         now = self._read_uptime()
-        renewal_due = now - self.confirmed_at >= RENEW_INTERVAL_S
+        renewal_due = not self.renewed or now - self.confirmed_at >= RENEW_INTERVAL_S
         roster = self._get_changed_roster(now)
         batch_due = (
             bool(self._pool.recorder.changed_jobs) and now - self._written_at >= BATCH_DELAY_S
@@ -482,6 +484,7 @@
 
     def _note_success(self, now: float, transaction: Transaction, committed: Committed) -> None:
         self.confirmed_at = now
+        self.renewed = True
         self._written_at = now
         relayed_s = self._relay.get_commit_s(now)
         # The wait before a peer was asked does not tell how fast the store is.
