Read rows in place of the feed while large rows outpace it

On a slow link an instance refused callers by versions that grew older and older, while a configuration changed faster than it arrives: the feed returned all versions since the last one, each answer held more of them, and the newest came last. An answer that holds over 32 KB of superseded versions is now followed by reads of the rows, one version each, until a read brings nothing that is newer; then the feed goes on. Rows that were read count as an answer of the feed, so none are read beside its next poll.

--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -26,6 +26,8 @@
 VERIFICATION_INTERVAL_S = 1.5
 # Larger tables would keep a slow link busy.
 MAX_VERIFIED_BYTES = 32 * 1024
+# Rows are read in place of the feed if its answer holds more of superseded versions.
+MAX_SUPERSEDED_BYTES = 32 * 1024
 
 
 class TableWatch:
@@ -66,8 +68,10 @@
         # When rows were last asked for that have been read.
         self._snapshot_at = -inf
         self._polled_at = -inf
-        # Whether a poll has failed since the rows were read.
+        # Whether rows are to be read before the feed goes on, which may return each missed version.
         self._missed_changes = False
+        # Whether large rows change faster than the feed's answers arrive.
+        self._outpaced = False
         # When the last part of any answer arrived, and of one of the feed.
         self._progress_at = -inf
         self._feed_heard_at = read_uptime()
@@ -117,6 +121,7 @@
         """Read all rows, as the feed may return each missed version; poll it if that fails."""
         try:
             await self._read_rows()
+            self._feed_heard_at = self._read_uptime()
         except LavenderstallError:
             if self._read_uptime() - self._polled_at < FALLBACK_POLL_INTERVAL_S:
                 raise
@@ -137,8 +142,8 @@
         except LavenderstallError:
             self._missed_changes = self._snapshot_at <= asked_at
             raise
-        self._missed_changes = False
         self._feed_heard_at = self._read_uptime()
+        self._missed_changes = self._outpaced = _count_superseded_bytes(page) > MAX_SUPERSEDED_BYTES
         self._apply_changes(page)
         self._feed_version = max(self._feed_version, page.version)
         self._note_restored()
@@ -187,8 +192,8 @@
         finally:
             self._reading = False
         self._snapshot_at = asked_at
-        self._missed_changes = False
         self._apply_snapshot(rows, version)
+        self._missed_changes = self._outpaced = self._outpaced and self._changed
         self._feed_version = max(self._feed_version, version)
         self._notify()
         self._confirm(version, asked_at)
@@ -249,3 +254,10 @@
         if not self._feed_lost:
             self._feed_lost = True
             logger.warning("feed lost", extra={"table": self._table, "error": str(error)})
+
+
+def _count_superseded_bytes(page: Page) -> int:
+    """Return the size of the values that later ones on the page replace, in bytes."""
+    rows = [row for row in page.rows if not row.partition]
+    newest = {row.key: row for row in rows}
+    return sum(len(row.value) for row in rows if newest[row.key] is not row)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -288,6 +288,35 @@
                 self.assertEqual(self.play(interrupt, case).list_late(), [])
 
 
+class FrequentChangesTest(unittest.TestCase):
+    """Large versions that come faster than they arrive on a slow link."""
+
+    CHANGES_S = 16.0
+
+    def play(self, transfer_s: float, interval_s: float) -> Delays:
+        """Store versions throughout, and return when an instance with a slow link has each."""
+        cell = start_cell(PersistentCell, nodes=2)
+        node, clock = cell.nodes["entry-1"], cell.clock
+        node.http_client.link_bytes_per_s = LINK_BYTES_PER_S
+        delays = Delays(clock.seconds())
+        for version in range(2, round(self.CHANGES_S / interval_s) + 2):
+            put_large(cell, version, transfer_s)
+            delays.stored_at[version] = clock.seconds()
+            for _ in range(round(interval_s / STEP_S)):
+                cell.run(STEP_S)
+                delays.note(clock.seconds(), node.instance.settings.version)
+        return delays
+
+    def test_the_delay_of_changes_does_not_grow(self) -> None:
+        """Fails if all versions arrive one after another, each later than the one before."""
+        for transfer_s, interval_s in ((0.5, 0.25), (0.75, 0.5), (1.0, 0.5), (1.5, 1.0)):
+            with self.subTest(transfer_s=transfer_s, interval_s=interval_s):
+                delays = self.play(transfer_s, interval_s)
+                later = list(delays.stored_at)[len(delays.stored_at) // 2 :]
+                # A version may be stored just after the one before it began to arrive.
+                self.assertLess(max(map(delays.get_delay, later)), 2 * transfer_s + 0.2)
+
+
 class LostHistoryTest(unittest.TestCase):
     """Reads are behind for some seconds after the store lost its history."""
 
--- a/tests/pools/test_table_watch.py
+++ b/tests/pools/test_table_watch.py
@@ -11,6 +11,7 @@
 from lavenderstall.pools.ports import HistoryLostError, Page, Row
 from lavenderstall.pools.table_watch import (
     FALLBACK_POLL_INTERVAL_S,
+    MAX_SUPERSEDED_BYTES,
     OVERDUE_S,
     READ_INTERVAL_S,
     RETRY_DELAY_S,
@@ -149,6 +150,19 @@
         self.assertEqual(self.store.reads, reads)
         self.assertEqual(self.store.versions, [2, 9])
 
+    def test_rows_are_read_while_large_ones_change_faster_than_the_feed_arrives(self) -> None:
+        """Fails if superseded versions arrive one after another, or if reads go on for good."""
+        for size, expected in ((MAX_SUPERSEDED_BYTES + 1, [2, 5]), (10, [2, 4])):
+            with self.subTest(size=size):
+                self.setUp()
+                self.store.page = make_page(5, make_row("a", 5))
+                superseded = Row(TABLE, "", "a", b"x" * size, 3)
+                reads = self.store.reads
+                self.store.polls[-1].callback(make_page(4, superseded, make_row("a", 4)))
+                self.assertEqual(self.store.versions, expected)
+                # The last read brings nothing that is newer.
+                self.assertEqual(self.store.reads - reads, 2 if expected == [2, 5] else 0)
+
     def test_the_feed_is_polled_now_and_then_while_reads_fail(self) -> None:
         """Fails if reads that fail alone hide changes for good, or if a poll follows each."""
         self.store.page = None
