--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -3,6 +3,7 @@
 import logging
 from collections import Counter, deque
 from collections.abc import Collection, Iterable, Iterator
+from math import inf
 
 import msgspec
 
@@ -114,6 +115,8 @@
         self.settings = Settings(0)
         # Zones in which no entry instance responds; they may be partitioned.
         self.unresponsive_zones: frozenset[str] = frozenset()
+        # Until when leases may last, in seconds of uptime.
+        self.lease_limit = inf
         self._capacity_changed_at = -CAPACITY_CHANGE_S
         self.now = 0.0
         self.unix_ms = 0.0
@@ -403,10 +406,13 @@
     def needs_polling(self, worker: Worker) -> bool:
         """Tell whether a worker is to be polled continuously.
 
-        An unresponsive one is polled even without runs, as it gets no tasks before it answers.
+        An unresponsive one is polled even without runs, as it gets no tasks before it answers, and
+        one whose clock was read long ago, as leases end by its clock.
         """
         if not worker.entry.address:
             return False
+        if worker.registered and worker.has_old_clock(self.now):
+            return True
         unresponsive = worker.registered and (
             worker.unresponsive_since >= 0 or not self.is_responsive(worker)
         )
