--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -160,11 +160,13 @@
         attempts: int = 3,
         moved: dict[str, str] | None = None,
         removes_services: bool = False,
+        priorities: Mapping[str, int] | None = None,
     ) -> None:
         """Write a configuration.
 
         `moved` maps pools to those that their queues are sent to, or to "" without their queue;
-        their services stay unless `removes_services`.
+        their services stay unless `removes_services`. `priorities` maps pools to those of their
+        queues, 0 for others.
         """
         targets = dict(zip(POOLS, POOLS, strict=True)) | (moved or {})
         routes = [
@@ -173,6 +175,7 @@
                 "host": "h",
                 "prefix": f"/{pool}/",
                 "service": targets[pool],
+                "priority": (priorities or {}).get(pool, 0),
                 "maxAttempts": attempts,
                 "slackFactor": 2.0,
                 "targetDurationMs": 500,
