Remember under each owner which tasks that last have run before

Cause: a task that lasts and has run before heeds no reservations of gangs and no backoff beyond 1 s, but an owner knew of earlier runs only from runs that were recorded as live. Once the end of the last run is recorded, the row of the job names no run, and a successor took the task for a new one: reservations held all idle workers until the job had no run for 10 s, or for as long as they lasted if other tasks of it ran on.

The progress row now tells of each task that lasts that it has had a run: as the index, of more than 16 tasks as a bit. It is written with the run, before its start. Rows without it are read as before. A job of 200 such tasks takes less than 100 bytes for it. The run's number is kept as before; what counts attempts and isolates is unchanged.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -212,7 +212,7 @@
         return [
             index
             for index in self._list_startable(waiting_step, waiting_step.state.waiting)
-            if job.get_last_run(Task(*waiting_step.step_key, index))
+            if job.has_lasted(Task(*waiting_step.step_key, index))
         ]
 
     def _start_tasks(
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -239,6 +239,8 @@
     def _note_run_number(self, step: StepState, task: Task, number: int) -> None:
         key = self.get_attempt_key(task)
         step.last_runs[key] = max(step.last_runs.get(key, 0), number)
+        if self.is_lasting(task):
+            step.progress.placed.add(task.number)
 
     def get_last_run(self, task: Task) -> int:
         """Return the highest run number of a task, or of its gang."""
@@ -347,6 +349,10 @@
         """Tell whether a task runs until its job is cancelled."""
         return self.spec.steps[task.step].long_running
 
+    def has_lasted(self, task: Task) -> bool:
+        """Tell whether a task that lasts has had a run, under this owner or an earlier one."""
+        return task.number in self.get_step(task.occurrence, task.step).progress.placed
+
     def list_crashes(self, task: Task) -> list[Crash]:
         """Return the crashes of workers under a task, or under its gang."""
         step = self.steps.get((task.occurrence, task.step))
--- a/lavenderstall/pools/progress.py
+++ b/lavenderstall/pools/progress.py
@@ -11,8 +11,8 @@
 from lavenderstall.pools.work import FINAL_STATES, JobSpec, JobState
 
 MAX_DIGITS = 10
-# Indexes of more done tasks than this take less room as bits.
-MAX_LISTED_DONE = 16
+# More indexes of tasks than this take less room as bits.
+MAX_LISTED = 16
 
 
 class RecordedRuns(msgspec.Struct, frozen=True, array_like=True):
@@ -30,7 +30,8 @@
     `complete` it has none of them. `failures` maps an index to the runs that failed, and `crashes`
     to the crashes of workers that nothing explains, both with index 0 for a gang. `checkpoints`
     maps an index to run and checkpoint. `runs` lists every run that may exist. `allowed` and
-    `denied` list workers that advice allows or denies.
+    `denied` list workers that advice allows or denies. `placed` holds indexes of tasks that last
+    and have had a run, and a row may have them as `placed_bits`.
     """
 
     done: set[int] = set()
@@ -42,31 +43,39 @@
     crashes: dict[int, list[Crash]] = {}
     done_bits: bytes = b""
     complete: bool = False
+    placed: set[int] = set()
+    placed_bits: bytes = b""
 
     def make_row(self, count: int) -> "StepProgress":
         """Return the progress as recorded, of a step of so many tasks."""
         if len(self.done) >= count:
             return StepProgress(runs=self.runs, complete=True)
-        if len(self.done) <= MAX_LISTED_DONE:
-            return self
-        bits = sum(1 << index for index in self.done)
-        data = bits.to_bytes((bits.bit_length() + 7) // 8, "little")
-        return msgspec.structs.replace(self, done=set(), done_bits=data)
+        row = self
+        if len(self.done) > MAX_LISTED:
+            row = msgspec.structs.replace(row, done=set(), done_bits=encode_indexes(self.done))
+        if len(self.placed) > MAX_LISTED:
+            bits = encode_indexes(self.placed)
+            row = msgspec.structs.replace(row, placed=set(), placed_bits=bits)
+        return row
 
     def read_row(self, count: int) -> "StepProgress":
-        """Return the progress of a recorded step of so many tasks, with all done ones listed."""
-        done = set(range(count)) if self.complete else {*self.done, *self._iterate_bits()}
-        return msgspec.structs.replace(self, done=done, done_bits=b"", complete=False)
-
-    def _iterate_bits(self) -> Iterator[int]:
-        bits = int.from_bytes(self.done_bits, "little")
-        return (index for index in range(bits.bit_length()) if bits >> index & 1)
+        """Return the progress of a recorded step of so many tasks, with all indexes listed."""
+        listed = {*self.done, *decode_indexes(self.done_bits)}
+        return msgspec.structs.replace(
+            self,
+            done=set(range(count)) if self.complete else listed,
+            done_bits=b"",
+            complete=False,
+            placed={*self.placed, *decode_indexes(self.placed_bits)},
+            placed_bits=b"",
+        )
 
     def iterate_tasks(self) -> Iterator[int]:
         """Yield the index of each task that the progress names, some more than once."""
         runs = (index for recorded in self.runs for index, _ in recorded.runs)
-        bits = self._iterate_bits()
-        return chain(self.done, self.failures, self.checkpoints, self.crashes, runs, bits)
+        attempts = chain(self.failures, self.checkpoints, self.crashes, runs)
+        bits = chain(decode_indexes(self.done_bits), decode_indexes(self.placed_bits))
+        return chain(self.done, self.placed, attempts, bits)
 
     def forget_attempts(self, index: int) -> None:
         """Forget what is needed only to run a task again."""
@@ -92,6 +101,18 @@
         return ended and not self.parts and not any(step.runs for step in self.steps.values())
 
 
+def encode_indexes(indexes: set[int]) -> bytes:
+    """Return a bit for each index."""
+    bits = sum(1 << index for index in indexes)
+    return bits.to_bytes((bits.bit_length() + 7) // 8, "little")
+
+
+def decode_indexes(data: bytes) -> Iterator[int]:
+    """Yield the indexes whose bits are set."""
+    bits = int.from_bytes(data, "little")
+    return (index for index in range(bits.bit_length()) if bits >> index & 1)
+
+
 def check_progress(progress: JobProgress | None, spec: JobSpec) -> None:
     """Raise `UnreadableError` if an occurrence, a step or a task isn't one of the job."""
     if progress is None:
--- a/tests/pools/test_progress.py
+++ b/tests/pools/test_progress.py
@@ -199,6 +199,19 @@
         self.assertEqual(found.done, done)
         self.assertEqual(found.failures, {3: [1]} if len(done) < 200 else {})
 
+    @given(st.sets(st.integers(0, 199)))
+    def test_tasks_that_last_and_were_placed_are_read_back(self, tasks: set[int]) -> None:
+        """Fails if a successor takes tasks that last for new ones once they have no run."""
+        spec = make_job(make_step(200, long_running=True))
+        job = Job(spec, 0.0, None)
+        for number in tasks:
+            job.end_run(Task(JOB, 0, 0, number), 1, EndCause.LOST, make_queue())
+        row = encode(job.make_progress())
+        successor = Job(spec, 0.0, decode_progress(row))
+        found = {number for number in range(200) if successor.has_lasted(Task(JOB, 0, 0, number))}
+        self.assertEqual(found, tasks)
+        self.assertLess(len(row), 100)
+
     def test_what_a_done_task_needed_to_run_again_is_dropped(self) -> None:
         """Fails if checkpoints and failures of done tasks stay for as long as the job goes on."""
         job = Job(make_job(make_step(3, checkpointing=True)), 0.0, None)
--- a/tests/pools/test_records.py
+++ b/tests/pools/test_records.py
@@ -34,6 +34,7 @@
             checkpoints={1: (3, "c")},
             runs=[RecordedRuns("w1", 1, [(1, 4)])],
             allowed={"w1"},
+            placed={1},
         )
     },
 )
