Show that a gang that lasts waits for room that other gangs have reserved

The cases of test_room_that_gangs_wait_for with a gang of three tasks that last in place of single ones: all 6 are late on. In the one that was measured (the worker leaves, the owner restarts) the gang is away for 11.1 s, where 9.2 s are allowed and workers are idle; 6.0 s under an owner that stays. No task runs twice.

--- a/tests/platform/test_room_after_takeovers.py
+++ b/tests/platform/test_room_after_takeovers.py
@@ -293,6 +293,14 @@
             for fields in product(ends, ENDS_OF_OWNERS, DELAYS_S[:1], steps)
         )
 
+    def test_room_of_a_gang_that_lasts(self) -> None:
+        """Fails if a gang that lasts and has run before heeds reservations of other gangs."""
+        ends = (LEAVES, RETURNS_RENAMED)
+        self.check(
+            Case(reserve_for_gangs, *fields, {"gang": True})
+            for fields in product(ends, ENDS_OF_OWNERS, DELAYS_S[:1])
+        )
+
     def test_room_among_changes(self) -> None:
         """Fails if routes, leaving workers, backoff or blocked steps hold a task back."""
         ends = (LEAVES, RETURNS_RENAMED)
