Start gangs that last again wherever there is room

Cause: only single tasks that last and have run before were let pass reservations of gangs and a backoff beyond 1 s. A gang waited until it counted as starving, after 10 s without any run; a successor counts these from its load.

A gang all of whose members have had a run is now tried on all workers, as single tasks are. One with a new member is not, so that no part of a gang starts. Nothing of it starts unless all members fit, as before.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -141,8 +141,8 @@
         if returning:
             available_workers = [*usable_workers, *self._retriable_workers]
             started = self._start_tasks(waiting_step, returning, available_workers)
-            missing -= started
             missing_returning -= started
+            missing = missing_returning if step.gang else missing - started
         if not missing:
             return True
         self._note_shortage(waiting_step, returning=missing_returning > 0)
@@ -204,16 +204,18 @@
         """Return the waiting tasks that last and have run before.
 
         As they are to run again wherever there is room, they heed neither reservations for gangs,
-        which their earlier runs preceded, nor a backoff beyond the shortest one.
+        which their earlier runs preceded, nor a backoff beyond the shortest one. Of a gang all
+        return, or none.
         """
-        if not waiting_step.step.long_running or waiting_step.step.gang:
+        step, job = waiting_step.step, waiting_step.job
+        if not step.long_running:
             return []
-        job = waiting_step.job
-        return [
+        found = [
             index
             for index in self._list_startable(waiting_step, waiting_step.state.waiting)
             if job.has_lasted(Task(*waiting_step.step_key, index))
         ]
+        return [] if step.gang and len(found) < step.count else found
 
     def _start_tasks(
         self, waiting_step: WaitingStep, waiting: list[int], workers: list[Worker]
