Guard the return of tasks under which workers have crashed before

Workers crash under runs of 12 to 3 s, four times; then one is lost with its host, or returns under another name, 0.3 s before or 0.1 s after the end of its owner. All 12 cases are in time.

--- a/tests/platform/test_room_after_takeovers.py
+++ b/tests/platform/test_room_after_takeovers.py
@@ -30,6 +30,10 @@
 LEAD_S = 1.0
 # From the end of a worker to that of its owner, which knows of it.
 DELAYS_S = (0.7, 1.5)
+# The same for an owner that may not have noticed.
+EARLY_DELAYS_S = (-0.3, 0.1)
+# How long runs last that end in crashes, each shorter than the first, so that all are kept.
+CRASHED_RUNS_S = (12.0, 4.0, 3.0, 3.0)
 
 
 class EndOfWorker(NamedTuple):
@@ -59,6 +63,13 @@
     worker.leave()
 
 
+def leave_with_host(cell: SimulatedCell, worker: FakeWorker) -> None:
+    """End a worker with its host, so that it refuses no connections."""
+    worker.disconnection = "reset"
+    worker.host_gone = True
+    worker.leave()
+
+
 def crash(cell: SimulatedCell, worker: FakeWorker) -> None:
     """Crash a worker that starts again under its name."""
     worker.crash(RESTART_S)
@@ -92,10 +103,11 @@
 
 
 LEAVES = EndOfWorker("leaves", leave, planned=True)
+LOST_WITH_HOST = EndOfWorker("is lost with its host", leave_with_host)
 CRASHES = EndOfWorker("crashes", crash, impaired_s=RESTART_S)
 RETURNS_RENAMED = EndOfWorker("returns under another name", crash_and_rename, impaired_s=RESTART_S)
 CUT_OFF = EndOfWorker("is cut off", cut_off)
-ENDS_OF_WORKERS = (LEAVES, CRASHES, RETURNS_RENAMED, CUT_OFF)
+ENDS_OF_WORKERS = (LEAVES, LOST_WITH_HOST, CRASHES, RETURNS_RENAMED, CUT_OFF)
 ENDS_OF_OWNERS = (
     EndOfOwner("restarted", restart, RESTART_S),
     EndOfOwner("killed", kill),
@@ -240,20 +252,46 @@
         end(cell, owner)
 
 
+def crash_repeatedly(cell: SimulatedCell) -> FakeWorker:
+    """Crash the workers of tasks that last again and again; return one that has some now."""
+    for run_s in CRASHED_RUNS_S:
+        cell.run(run_s)
+        for each in list_workers(cell):
+            if each.running:
+                crash_and_rename(cell, each)
+        assert cell.run_until(lambda: len(list_lasting(cell)) == TASKS, MAX_REST_S)
+    return next(each for each in list_workers(cell) if each.running)
+
+
 def play(case: Case) -> tuple[SimulatedCell, list[Absence]]:
     """Play a case, and return the cell and the absences that lasted for too long."""
     cell, worker = start_lasting_tasks(case.step)
-    if case.end_of_worker.planned:
+    return cell, end_and_list_late(cell, worker, *case[1:4], case.contest)
+
+
+def contest_nothing(cell: SimulatedCell, worker: FakeWorker) -> float:
+    """Leave the room to the tasks that last."""
+    return 0.0
+
+
+def end_and_list_late(
+    cell: SimulatedCell,
+    worker: FakeWorker,
+    end_of_worker: EndOfWorker,
+    end_of_owner: EndOfOwner,
+    delay_s: float,
+    contest: Contest = contest_nothing,
+) -> list[Absence]:
+    """End a worker and its owner while room is contested; return the absences that are too long."""
+    if end_of_worker.planned:
         worker.drain(DRAIN_S + LEAD_S)
         cell.run(DRAIN_S)
-    contested_s = case.contest(cell, worker)
+    contested_s = contest(cell, worker)
     ends_at = cell.clock.seconds() + LEAD_S
-    cell.clock.callLater(LEAD_S, case.end_of_worker.end, cell, worker)
-    cell.clock.callLater(LEAD_S + case.delay_s, end_owner, cell, case.end_of_owner.end)
-    disturbed_s = case.delay_s + case.end_of_owner.impaired_s
-    return cell, list_late(
-        cell, ends_at + max(contested_s, case.end_of_worker.impaired_s, disturbed_s)
-    )
+    cell.clock.callLater(LEAD_S, end_of_worker.end, cell, worker)
+    cell.clock.callLater(LEAD_S + delay_s, end_owner, cell, end_of_owner.end)
+    disturbed_s = delay_s + end_of_owner.impaired_s
+    return list_late(cell, ends_at + max(contested_s, end_of_worker.impaired_s, disturbed_s))
 
 
 def list_late(cell: SimulatedCell, calm_at: float) -> list[Absence]:
@@ -309,6 +347,17 @@
             for number, (contest, end) in enumerate(product(CONTESTS[:-1], ends))
         )
 
+    def test_a_task_under_which_workers_have_crashed(self) -> None:
+        """Fails if a successor delays a start by too long an interval after earlier crashes."""
+        cases = product((LOST_WITH_HOST, RETURNS_RENAMED), ENDS_OF_OWNERS, EARLY_DELAYS_S)
+        for end_of_worker, end_of_owner, delay_s in cases:
+            with self.subTest(worker=end_of_worker.name, owner=end_of_owner.name, delay_s=delay_s):
+                cell, _ = start_lasting_tasks({})
+                worker = crash_repeatedly(cell)
+                late = end_and_list_late(cell, worker, end_of_worker, end_of_owner, delay_s)
+                self.assertEqual(late, [])
+                self.assertEqual(cell.platform.checker.violations, [])
+
 
 if __name__ == "__main__":
     unittest.main()
