--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -154,17 +154,8 @@
         """
         previous = snapshot.owner
         sent_at = self._read_uptime()
-        latest_store_ms = snapshot.store_ms + (sent_at - snapshot.asked_at) * 1000
         records_complete = has_complete_records(previous, snapshot.store_ms)
-        owner = OwnerRow(
-            self._entry,
-            self._incarnation,
-            (previous.term if previous else 0) + 1,
-            snapshot.store_ms,
-            unrecorded=not records_complete,
-            earlier=list_earlier_owners(previous, snapshot.store_ms),
-            leases_end_ms=get_leases_end_ms(latest_store_ms),
-        )
+        owner = self._make_owner_row(snapshot, sent_at, unrecorded=not records_complete)
         condition = Condition(OWNERS, OWNER_KEY, snapshot.row.version if snapshot.row else 0)
         put = Put(OWNERS, OWNER_KEY, encode(owner))
         try:
@@ -184,21 +175,7 @@
             _bound_by_evidence(each, committed.store_clock_ms, uptimes, rules_out_outage)
             for each in owner.earlier or ()
         ]
-        logger.info(
-            "pool claimed",
-            extra={
-                "pool": pool,
-                "term": owner.term,
-                "before": previous.entry if previous else None,
-                "released": bool(previous and previous.released),
-                "silent_ms": round(snapshot.store_ms - previous.renewed_ms) if previous else None,
-                "recorded": records_complete,
-                "leases_left_ms": [
-                    [each.entry, each.term, round(each.leases_end_ms - snapshot.store_ms)]
-                    for each in owner.earlier or ()
-                ],
-            },
-        )
+        _log_claim(pool, owner, snapshot)
         records_complete = records_complete and has_complete_records(
             previous, committed.store_clock_ms
         )
@@ -210,6 +187,25 @@
             records_complete,
         )
 
+    def _make_owner_row(
+        self, snapshot: OwnershipSnapshot, sent_at: float, *, unrecorded: bool
+    ) -> OwnerRow:
+        """Return the row of a claim that is sent now.
+
+        The ownership counts from the time of the snapshot, its leases from that of the claim.
+        """
+        previous = snapshot.owner
+        latest_store_ms = snapshot.store_ms + (sent_at - snapshot.asked_at) * 1000
+        return OwnerRow(
+            self._entry,
+            self._incarnation,
+            (previous.term if previous else 0) + 1,
+            snapshot.store_ms,
+            unrecorded=unrecorded,
+            earlier=list_earlier_owners(previous, snapshot.store_ms),
+            leases_end_ms=get_leases_end_ms(latest_store_ms),
+        )
+
     async def _find_claim(self, pool: PoolName, claimed: OwnerRow) -> Committed | None:
         """Return the result of a claim if its owner row is in the store."""
         found = await self.read_ownership(pool)
@@ -219,6 +215,25 @@
         return Committed(found.row.version, found.store_ms)
 
 
+def _log_claim(pool: PoolName, owner: OwnerRow, snapshot: OwnershipSnapshot) -> None:
+    previous = snapshot.owner
+    logger.info(
+        "pool claimed",
+        extra={
+            "pool": pool,
+            "term": owner.term,
+            "before": previous.entry if previous else None,
+            "released": bool(previous and previous.released),
+            "silent_ms": round(snapshot.store_ms - previous.renewed_ms) if previous else None,
+            "recorded": not owner.unrecorded,
+            "leases_left_ms": [
+                [each.entry, each.term, round(each.leases_end_ms - snapshot.store_ms)]
+                for each in owner.earlier or ()
+            ],
+        },
+    )
+
+
 def _bound_by_evidence(
     owner: EarlierOwner,
     store_ms: float,
