--- a/tests/platform/test_lease_review.py
+++ b/tests/platform/test_lease_review.py
@@ -241,6 +241,47 @@
         watch_commits(cell, lose)
 
 
+class LateStartTest(LeaseReviewCase):
+    """A start is on its way for seconds; its worker has restarted, and the owner is gone."""
+
+    WARM_UP_S = 30.0
+
+    def test_no_task_starts_twice_whose_start_a_restarted_worker_executes_late(self) -> None:
+        """Fails if a successor knows less of starts that may be executed late than the owner did.
+
+        The owner, which the restarted worker does not answer, reckons with them for 13 s.
+        """
+        for late_s, gone_s in ((6.0, 1.6), (8.0, 1.6), (8.0, 2.5)):
+            with self.subTest(late_s=late_s, gone_s=gone_s):
+                cell = SimulatedCell(3, 8, advice=False)
+                cell.run(self.WARM_UP_S)
+                owner = cell.find_owner(POOL)
+                assert owner is not None
+                self.restart_worker(cell, owner, late_s)
+                cell.run(gone_s)
+                cell.kill(owner)
+                cell.run(2 * WATCH_S)
+                self.check(cell)
+
+    def restart_worker(self, cell: SimulatedCell, owner: str, late_s: float) -> None:
+        """Start a task, on a worker that restarts before, and is then reached by no instance."""
+        pool = cell.nodes[owner].instance.owned_pools[POOL].pool  # type: ignore[index]
+        cell.platform.start_delay_s = late_s
+        cell.submit(next(name for name in cell.nodes if name != owner), POOL, JOB, [dict(LASTING)])
+        self.assertTrue(
+            cell.run_until(lambda: any(each.runs for each in pool.workers.values()), 3.0)
+        )
+        cell.run(0.1)
+        (chosen,) = (each for each in pool.workers.values() if each.runs)
+        worker = cell.platform.workers[chosen.entry.address]
+        cell.unreachable_workers.add(worker.address)
+        for node in cell.nodes.values():
+            node.http_client.unreachable.add(worker.address)
+        worker.crash()
+        cell.run(0.5)
+        cell.platform.start_delay_s = 0.0
+
+
 class Interruption(NamedTuple):
     """Claims after which the store falls silent, or else their owners go for good."""
 
