--- a/tests/platform/test_lease_review.py
+++ b/tests/platform/test_lease_review.py
@@ -346,5 +346,29 @@
         return over_at
 
 
+class OwnerGoneInOutageTest(unittest.TestCase):
+    """A worker leaves as planned and its owner is gone for good, both as an outage begins."""
+
+    def test_a_task_that_lasts_is_not_away_for_too_long_after_an_outage(self) -> None:
+        """Fails if a successor waits for leases of an outage in which the owner was gone."""
+        for outage_s in (2.5, 3.0, 4.0, 5.0, 6.0):
+            for end in (kill, remove):
+                with self.subTest(outage_s=outage_s, owner=end.__name__):
+                    cell, worker = start_lasting_task(planned=True)
+                    began_at = cell.clock.seconds()
+                    owner = cell.find_owner(POOL)
+                    assert owner is not None
+                    cell.platform.store_mode = "silent"
+                    cell.clock.callLater(outage_s, setattr, cell.platform, "store_mode", "up")
+                    leave(cell, worker)
+                    cell.run(0.3)
+                    end(cell, owner)
+                    cell.run(0.1)
+                    self.assertTrue(cell.run_until(lambda: bool(list_running(cell)), 2 * WATCH_S))
+                    away_s = cell.clock.seconds() - began_at
+                    self.assertLess(away_s, max(REST_S, outage_s + CALM_S) + AWAY_S)
+                    self.assertEqual(cell.platform.checker.violations, [])
+
+
 if __name__ == "__main__":
     unittest.main()
