--- a/tests/platform/test_lease_review.py
+++ b/tests/platform/test_lease_review.py
@@ -1,4 +1,4 @@
-"""Tests of whole cells from a review: leases that outlast a wait, and waits that are too long."""
+"""Tests of whole cells in which leases outlast the wait for them, or the wait is too long."""
 
 import unittest
 from base64 import b64decode
@@ -354,20 +354,24 @@
         for outage_s in (2.5, 3.0, 4.0, 5.0, 6.0):
             for end in (kill, remove):
                 with self.subTest(outage_s=outage_s, owner=end.__name__):
-                    cell, worker = start_lasting_task(planned=True)
-                    began_at = cell.clock.seconds()
-                    owner = cell.find_owner(POOL)
-                    assert owner is not None
-                    cell.platform.store_mode = "silent"
-                    cell.clock.callLater(outage_s, setattr, cell.platform, "store_mode", "up")
-                    leave(cell, worker)
-                    cell.run(0.3)
-                    end(cell, owner)
-                    cell.run(0.1)
-                    self.assertTrue(cell.run_until(lambda: bool(list_running(cell)), 2 * WATCH_S))
-                    away_s = cell.clock.seconds() - began_at
+                    away_s = self.measure_absence(outage_s, end)
                     self.assertLess(away_s, max(REST_S, outage_s + CALM_S) + AWAY_S)
-                    self.assertEqual(cell.platform.checker.violations, [])
+
+    def measure_absence(self, outage_s: float, end: EndInstance) -> float:
+        """End a worker and its owner in an outage, and return when the task runs again."""
+        cell, worker = start_lasting_task(planned=True)
+        began_at = cell.clock.seconds()
+        owner = cell.find_owner(POOL)
+        assert owner is not None
+        cell.platform.store_mode = "silent"
+        cell.clock.callLater(outage_s, setattr, cell.platform, "store_mode", "up")
+        leave(cell, worker)
+        cell.run(0.3)
+        end(cell, owner)
+        cell.run(0.1)
+        self.assertTrue(cell.run_until(lambda: bool(list_running(cell)), 2 * WATCH_S))
+        self.assertEqual(cell.platform.checker.violations, [])
+        return cell.clock.seconds() - began_at
 
 
 if __name__ == "__main__":
