--- a/tests/platform/test_lease_evidence.py
+++ b/tests/platform/test_lease_evidence.py
@@ -38,7 +38,6 @@
 # After an answer has arrived.
 ANSWERED_S = 0.006
 OUTAGE_S = 1.5
-LONG_OUTAGE_S = 10.0
 
 # How late messages are, when the store is back, and when the outage begins.
 LATE_MESSAGES = (
@@ -86,7 +85,7 @@
         cell.disconnect(owner, name)
 
 
-class OwnersWorkerCase(unittest.TestCase):
+class HiddenWorkerCase(unittest.TestCase):
     """The worker of a task has a slow clock and is reached by its owner alone."""
 
     def start(self) -> tuple[SimulatedCell, str]:
@@ -104,7 +103,7 @@
         self.assertEqual(len(list_running(cell)), 1)
 
 
-class OutageLeaseTest(OwnersWorkerCase):
+class OutageLeaseTest(HiddenWorkerCase):
     """An owner takes old reports of its peers for present ones, and extends full leases."""
 
     def test_no_task_starts_twice_whose_owner_is_frozen_at_the_end_of_an_outage(self) -> None:
@@ -154,7 +153,7 @@
     cell.deliver = deliver_late  # type: ignore[method-assign]
 
 
-class OldClockTest(OwnersWorkerCase):
+class OldClockTest(HiddenWorkerCase):
     """A worker without runs is not polled, so the estimate of its slow clock runs ahead."""
 
     IDLE_S = 200.0
@@ -201,7 +200,7 @@
         self.assertTrue(frozen)
 
 
-class ReleasedPoolTest(OwnersWorkerCase):
+class ReleasedPoolTest(HiddenWorkerCase):
     """An isolated owner releases its pool, and loses the store with the answer."""
 
     def test_no_task_starts_twice_whose_owner_does_not_know_that_the_pool_is_free(self) -> None:
@@ -228,7 +227,7 @@
         watch_commits(cell, lose)
 
 
-class LateStartTest(OwnersWorkerCase):
+class LateStartTest(HiddenWorkerCase):
     """A start is on its way for seconds; its worker has restarted, and the owner is gone."""
 
     WARM_UP_S = 30.0
