Acknowledge ends only within 50 ms of an answer of the same process

Callers saw: a task that had ended `done` ran a second time on a worker that had restarted under its name within 0.3 s (TWICE). No late call is needed.

Cause: a poll acknowledged the ends of the worker's former process if an answer was less than 0.3 s old. A process that had started meanwhile and had carried out a start meant for its predecessor forgot its own first ends, which nobody had read. docs/platform.md named this as an open question.

Change: an answer counts as a sign of the same process for 50 ms. A poll that comes later acknowledges nothing, is answered at once, as the worker lists ends, and the poll after it acknowledges them.

test_ends_are_acknowledged_only_to_a_certain_incarnation asks for it from 0.06 s on, where it allowed acknowledgements until 0.5 s.

--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -14,8 +14,9 @@
 MIN_CLOCK_RATE = 0.98
 # Longest lease on a run, on the worker's clock.
 MAX_LEASE_MS = 6000
-# A poll answered this recently shows that a worker's incarnation is the same.
-FRESH_POLL_S = 0.3
+# A poll answered this recently shows that a worker's incarnation is the same; a new process takes
+# longer to start, and to end a run.
+FRESH_POLL_S = 0.05
 # A restarted worker may execute a command sent to its earlier incarnation this much later. The
 # command's deadline does not prevent it, as the clock of the worker has started again.
 MAX_COMMAND_DELAY_S = 13.0
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -446,7 +446,7 @@
         bench = Bench(FIRST)
         worker = bench.pool.workers[WorkerKey("w1", 1)]
         worker.committed_seq = 7
-        for passed, seq in ((0.1, 7), (0.5, 0)):
+        for passed, seq in ((0.04, 7), (0.06, 0)):
             with self.subTest(passed=passed):
                 self.assertEqual(worker.get_acknowledged_seq(worker.polled_at + passed), seq)
 
