--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -1,6 +1,7 @@
 """Dispatch of waiting tasks to the workers of a pool."""
 
 import logging
+from collections.abc import Iterable
 
 from lavenderstall.pools.advice_requests import AdviceRequester
 from lavenderstall.pools.blocked_quota import BlockedQuota
@@ -14,7 +15,7 @@
 from lavenderstall.pools.shortages import ShortageTracker
 from lavenderstall.pools.waiting_steps import WaitingStep, is_plain, list_waiting_steps
 from lavenderstall.pools.work import Task
-from lavenderstall.pools.workers import Worker
+from lavenderstall.pools.workers import MIN_RETRY_S, Worker
 
 logger = logging.getLogger(__name__)
 
@@ -34,6 +35,7 @@
         self._advice_requester = AdviceRequester(pool, self._placement, self._gang_reservations)
         # Workers that back off, on which tasks that last may start if they fit nowhere else.
         self._retriable_workers: list[Worker] = []
+        self._sound_workers: dict[str, Worker] = {}
         self._shortages = ShortageTracker(self._gang_reservations)
         self._quota = BlockedQuota()
 
@@ -46,6 +48,7 @@
         sound_workers = [worker for worker in self.pool.workers.values() if self._is_sound(worker)]
         usable_workers = [w for w in sound_workers if w.backoff_until <= self.pool.now]
         self._retriable_workers = [w for w in sound_workers if self._is_retriable(w)]
+        self._sound_workers = {worker.key.id: worker for worker in sound_workers}
         self._quarantine.clear(usable_workers)
         self._shortages.clear(self.pool.workers.values())
         self._quota.clear()
@@ -57,6 +60,7 @@
     def _consider(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
         """Serve a step unless it is known to be blocked, or too many others are."""
         step = waiting_step.step
+        self._start_pinned(waiting_step, usable_workers)
         if waiting_step.state.progress.crashes:
             self._serve_within_quota(waiting_step, usable_workers)
         elif self._shortages.is_unsuited(step):
@@ -71,6 +75,31 @@
         else:
             self._serve_within_quota(waiting_step, usable_workers)
 
+    def _start_pinned(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
+        """Start the tasks that may start on one worker alone, as far as it may start any.
+
+        They heed neither reservations nor a backoff, as they can't start elsewhere. A gang waits
+        until all of its members may start anywhere.
+        """
+        pinned = self._list_pinned(waiting_step, waiting_step.state.waiting)
+        if not pinned:
+            return
+        startable = [] if waiting_step.step.gang else self._list_ready(waiting_step, pinned)
+        started = 0
+        for index in startable:
+            worker = self._sound_workers.get(pinned[index])
+            if worker is not None and self.pool.now - worker.refused_at >= MIN_RETRY_S:
+                started += self._start_tasks(waiting_step, [index], [worker])
+        self.pool.counts["starts_pinned"] += started
+        if started < len(pinned):
+            self._explain(waiting_step, usable_workers)
+
+    def _list_pinned(self, waiting_step: WaitingStep, waiting: Iterable[int]) -> dict[int, str]:
+        """Return the waiting tasks that may start on one worker alone, with its name."""
+        tasks = (Task(*waiting_step.step_key, index) for index in waiting)
+        pinned = self.pool.late_starts.list_pinned(waiting_step.job, tasks)
+        return {task.number: worker for task, worker in pinned.items()}
+
     def _serve_within_quota(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
         """Serve a step that may be blocked for reasons of its own, if it is its turn."""
         if self._quota.has_turn(waiting_step):
@@ -193,6 +222,13 @@
         return [index for index in waiting if index not in held]
 
     def _list_startable(self, waiting_step: WaitingStep, waiting: set[int]) -> list[int]:
+        """Return the waiting tasks that may start now, on any worker."""
+        pinned = self._list_pinned(waiting_step, waiting)
+        if pinned and waiting_step.step.gang:
+            return []
+        return self._list_ready(waiting_step, waiting - pinned.keys())
+
+    def _list_ready(self, waiting_step: WaitingStep, waiting: Iterable[int]) -> list[int]:
         """Return the waiting tasks that don't back off after crashes of workers under them."""
         if not waiting_step.step.long_running:
             return sorted(waiting)
@@ -288,6 +324,7 @@
                 "job": waiting_step.job.id,
                 "step": waiting_step.step_key.step,
                 "waiting": len(state.waiting),
+                "pinned": len(self._list_pinned(waiting_step, state.waiting)),
                 "expired": waiting_step.expired,
                 "usable": len(usable_workers),
                 **self._count_set_aside(),
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from itertools import chain, islice
+from typing import NamedTuple
 
 import msgspec
 
@@ -55,6 +56,20 @@
     pool: PoolName
 
 
+class Copies(NamedTuple):
+    """Starts of one run of which it is unknown whether the worker has executed them.
+
+    The last one was sent at `sent_at` seconds of uptime.
+    """
+
+    left: int = 0
+    sent_at: float = -1.0
+
+    def without_one(self) -> "Copies":
+        """Return those that are left once the worker has executed one."""
+        return Copies(max(0, self.left - 1), self.sent_at)
+
+
 class Run(msgspec.Struct, eq=False):
     """One execution of a task on a worker; times are in seconds of uptime.
 
@@ -81,8 +96,10 @@
     load: float = 0.0
     reported_at: float = -1.0
     voided_at: float = -1.0
-    # When a copy of the start was sent that has no response, although another one has succeeded.
-    copy_sent_at: float = -1.0
+    # The worker takes all copies of a start for one, but its next process may execute any of them.
+    copies: Copies = Copies()
+    # Whether the start carries a ticket, without which no next process of the worker executes it.
+    ticketed: bool = False
     # Whether the crash of its worker that lasts at present was recorded, even if cleared since.
     crash_noted: bool = False
 
@@ -277,10 +294,14 @@
             self.done_occurrences.add(occurrence)
 
     def drop_done_occurrences(self) -> list[StepKey]:
-        """Drop the steps of repeated occurrences that are done and have no run; return them."""
+        """Drop the steps of repeated occurrences that are done and can't run; return them."""
         if self.spec.repeat is None:
             return []
-        kept = {occurrence for (occurrence, _), step in self.steps.items() if step.active_runs}
+        kept = {
+            occurrence
+            for (occurrence, _), step in self.steps.items()
+            if step.active_runs or step.progress.late
+        }
         dropped = [
             key for key in self.steps if key[0] in self.done_occurrences and key[0] not in kept
         ]
@@ -415,10 +436,15 @@
     def make_progress(self) -> JobProgress:
         """Return the durable progress with the current state and runs.
 
-        For a job that has ended and has no runs left, it holds only the state.
+        For a job that has ended and has no runs left, it holds only the state and late starts.
         """
         if self.records_state_only or (self.ended and not self.list_runs()):
-            return JobProgress(self.state.value)
+            late = {
+                f"{occurrence}.{number}": StepProgress(late=step.progress.late)
+                for (occurrence, number), step in self.steps.items()
+                if step.progress.late
+            }
+            return JobProgress(self.state.value, late)
         steps: dict[str, StepProgress] = {}
         for (occurrence, number), step in self.steps.items():
             found: dict[WorkerKey, list[tuple[int, int]]] = {}
--- a/lavenderstall/pools/late_starts.py
+++ b/lavenderstall/pools/late_starts.py
@@ -1,61 +1,258 @@
-"""Starts without an answer, which a restarted worker may still execute."""
+"""Starts without an answer, which a next process of their worker may still execute."""
 
-from typing import NamedTuple
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from itertools import chain
+from typing import TYPE_CHECKING, NamedTuple
 
-from lavenderstall.pools.job import Run
-from lavenderstall.pools.work import Task
-from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S
+from lavenderstall.identifiers import JobId
+from lavenderstall.pools.identity import WorkerKey
+from lavenderstall.pools.job import Copies, Job, Run
+from lavenderstall.pools.progress import JobProgress, RecordedLateStart
+from lavenderstall.pools.work import EndCause, Task
+from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S, Worker
+
+if TYPE_CHECKING:
+    from lavenderstall.pools.pool import Pool
+
+# A task that lasts awaits the worker that may still start it for this long after the worker's last
+# sign of life; with the time to start elsewhere, that is below the longest time it may be away.
+MAX_LASTING_WAIT_S = 6.0
+# Ends after which a task must not run again once they are acknowledged.
+FINAL_CAUSES = frozenset({EndCause.DONE, EndCause.FAILED})
 
 
 class LateStart(NamedTuple):
-    """A start that has had no answer, and when it was sent in seconds of uptime."""
+    """A start of which copies have had no answer.
+
+    One that `binds` its task is executed by a next process of the worker, which refuses others.
+    `heard_at` is when the worker last gave a sign of life before the run was dropped, in seconds of
+    uptime.
+    """
 
     worker: str
     task: Task
     number: int
-    sent_at: float
+    copies: Copies
+    binds: bool = True
+    heard_at: float = -1.0
 
 
 class LateStarts:
     """Remember starts that a worker was proven never to execute, while they may arrive.
 
     The proof ends with the worker's process: one that starts again under the same name knows
-    neither the stop of a run nor the fencing token or the clock by which it was refused.
+    neither the stop of a run nor the fencing token or the clock by which it was refused. Nothing
+    sent to it in time can make it refuse them. So until then their tasks are pinned: they start on
+    that worker alone, and ends of them are not acknowledged.
     """
 
-    def __init__(self) -> None:
-        self._starts: dict[tuple[str, Task, int], LateStart] = {}
+    def __init__(self, pool: "Pool") -> None:
+        self._pool = pool
+        self._starts: dict[JobId, dict[Task, list[LateStart]]] = {}
+        # Until when such a start may arrive at a worker and is not refused.
+        self._expected_until: dict[str, float] = {}
+        # Ends that are not acknowledged yet, in the order of their numbers.
+        self._held_ends: defaultdict[WorkerKey, list[tuple[int, Task]]] = defaultdict(list)
+
+    # Starts
 
-    def note_dropped(self, run: Run, now: float) -> None:
+    def note_dropped(self, worker: Worker, run: Run) -> None:
         """Remember a run that has ended or is given up, if a start of it may still arrive."""
-        unproven = run.confirmed_at < 0 and run.reported_at < 0
-        if run.start_sent and not run.inherited and (unproven or run.copy_sent_at >= 0):
-            sent_at = max(run.start_sent_at, run.copy_sent_at)
-            self.note(LateStart(run.worker.id, run.task, run.number, sent_at))
-        self._forget_old(now)
+        if run.copies.left:
+            binds = self._may_bind(run.task, ticketed=run.ticketed)
+            start = LateStart(
+                worker.key.id, run.task, run.number, run.copies, binds, worker.alive_at
+            )
+            self.note(start)
+
+    def note_copies(
+        self, worker: str, task: Task, number: int, copies: Copies, *, ticketed: bool
+    ) -> None:
+        """Remember copies of the start of a run that has ended or is given up."""
+        binds = self._may_bind(task, ticketed=ticketed)
+        self.note(LateStart(worker, task, number, copies, binds))
+
+    def add_recorded(self, job_id: JobId, progress: JobProgress) -> None:
+        """Remember the starts that an earlier owner has recorded, as if they had just been sent."""
+        for key, step in progress.steps.items():
+            occurrence, _, number = key.partition(".")
+            for late in step.late:
+                task = Task(job_id, int(occurrence), int(number), late.index)
+                run = self._find_run(task, late)
+                if run is None:
+                    copies = Copies(late.copies, self._pool.now)
+                    self.note(LateStart(late.worker, task, late.run, copies))
+                else:
+                    run.copies = Copies(run.copies.left + late.copies, self._pool.now)
+
+    def _find_run(self, task: Task, late: RecordedLateStart) -> Run | None:
+        """Return the run that is known to exist of a recorded start, or none."""
+        job = self._pool.find_job(task)
+        runs = job.get_step(task.occurrence, task.step).active_runs if job else {}
+        found = (run for run in runs.get(task.number, ()) if run.number == late.run)
+        return next((run for run in found if run.worker.id == late.worker), None)
+
+    def list_recorded(self, job: Job) -> dict[tuple[int, int], list[RecordedLateStart]]:
+        """Return the starts of a job's tasks to record for the next owner, by step."""
+        found: dict[tuple[int, int], list[RecordedLateStart]] = defaultdict(list)
+        for start in chain(self._list_of_job(job), self._iterate_copied_runs(job)):
+            late = RecordedLateStart(
+                start.worker, start.task.number, start.number, start.copies.left
+            )
+            found[start.task.occurrence, start.task.step].append(late)
+        return found
+
+    def _list_of_job(self, job: Job) -> list[LateStart]:
+        starts = chain.from_iterable(self._starts.get(job.id, {}).values())
+        return [start for start in starts if self._binds(start)]
+
+    def _iterate_copied_runs(self, job: Job) -> Iterator[LateStart]:
+        """Yield the late starts of runs that haven't ended."""
+        for run in job.list_runs():
+            overdue = run.confirmed_at >= 0 or run.unanswered_at >= 0 or run.copies.left > 1
+            binds = self._may_bind(run.task, ticketed=run.ticketed)
+            if overdue and binds and not run.inherited and self._may_execute(run.copies):
+                yield LateStart(run.worker.id, run.task, run.number, run.copies)
+
+    def _may_bind(self, task: Task, *, ticketed: bool) -> bool:
+        """Tell whether a start binds its task; copies of speculative ones may run in parallel."""
+        job = self._pool.find_job(task)
+        return not ticketed and not (job and job.spec.steps[task.step].speculative)
 
     def note(self, start: LateStart) -> None:
         """Remember a start that may still arrive."""
-        self._starts[start[:3]] = start
+        self.forget(start.worker, start.task, start.number)
+        tasks = self._starts.setdefault(start.task.job, {})
+        tasks.setdefault(start.task, []).append(start)
+        if start.binds:
+            until = start.copies.sent_at + MAX_COMMAND_DELAY_S
+            self._expected_until[start.worker] = max(
+                until, self._expected_until.get(start.worker, until)
+            )
+
+    def take(self, worker: str, task: Task, number: int) -> Copies:
+        """Remove and return the copies of a start that a worker has executed after all."""
+        starts = (s for s in self._list_of_task(task) if (s.worker, s.number) == (worker, number))
+        copies = next((start.copies for start in starts), Copies())
+        self.forget(worker, task, number)
+        return copies
+
+    def forget(self, worker: str, task: Task, number: int) -> None:
+        """Forget a start that was answered after all."""
+        found = self._list_of_task(task)
+        self._keep(task, [s for s in found if (s.worker, s.number) != (worker, number)])
+
+    def forget_worker(self, worker: str) -> None:
+        """Forget the starts of a worker that has no further process."""
+        self._pool.counts["late_starts_void"] += len(self.take_for(worker))
+        self._expected_until.pop(worker, None)
+
+    def forget_old(self) -> None:
+        """Forget the starts that can't arrive any more."""
+        for start in self._list_all():
+            if not self._may_execute(start.copies):
+                self.forget(*start[:3])
+        self._expected_until = {
+            worker: until
+            for worker, until in self._expected_until.items()
+            if until >= self._pool.now
+        }
 
-    def take_for(self, worker: str, now: float) -> list[LateStart]:
+    def take_for(self, worker: str) -> list[LateStart]:
         """Remove and return the starts that a new process of a worker may execute.
 
         They are tracked as runs of it from then on, and remembered again if those are given up.
         """
-        self._forget_old(now)
-        found = [start for start in self._starts.values() if start.worker == worker]
+        self.forget_old()
+        found = [start for start in self._list_all() if start.worker == worker]
         for start in found:
             self.forget(*start[:3])
         return found
 
-    def forget(self, worker: str, task: Task, number: int) -> None:
-        """Forget a start that was answered after all."""
-        self._starts.pop((worker, task, number), None)
-
-    def _forget_old(self, now: float) -> None:
-        while self._starts:
-            oldest = next(iter(self._starts))
-            if now - self._starts[oldest].sent_at <= MAX_COMMAND_DELAY_S:
-                return
-            del self._starts[oldest]
+    def concern(self, worker: str) -> bool:
+        """Tell whether a next process of a worker may execute a start and not refuse it."""
+        return self._pool.now <= self._expected_until.get(worker, -1.0)
+
+    def _keep(self, task: Task, starts: list[LateStart]) -> None:
+        tasks = self._starts.get(task.job, {})
+        if starts:
+            tasks[task] = starts
+        else:
+            tasks.pop(task, None)
+        if not tasks:
+            self._starts.pop(task.job, None)
+
+    def _list_all(self) -> list[LateStart]:
+        tasks = chain.from_iterable(tasks.values() for tasks in self._starts.values())
+        return list(chain.from_iterable(tasks))
+
+    def _list_of_task(self, task: Task) -> list[LateStart]:
+        return self._starts.get(task.job, {}).get(task, [])
+
+    def _may_execute(self, copies: Copies) -> bool:
+        """Tell whether a next process of the worker may execute a copy."""
+        return copies.left > 0 and self._pool.now - copies.sent_at <= MAX_COMMAND_DELAY_S
+
+    def _binds(self, start: LateStart) -> bool:
+        return start.binds and self._may_execute(start.copies)
+
+    # Tasks
+
+    def list_pinned(self, job: Job, tasks: Iterable[Task]) -> dict[Task, str]:
+        """Return those of a job's tasks that may start on one worker alone, with its name."""
+        if job.id not in self._starts:
+            return {}
+        found = ((task, self._find_worker(job, task)) for task in tasks)
+        return {task: worker for task, worker in found if worker is not None}
+
+    def is_pinned(self, job: Job, run: Run) -> bool:
+        """Tell whether the task of a run could start again on the same worker alone."""
+        binds = self._may_bind(run.task, ticketed=run.ticketed) and self._may_execute(run.copies)
+        return binds or self._find_worker(job, run.task) is not None
+
+    def _find_worker(self, job: Job, task: Task) -> str | None:
+        """Return the worker that a task is pinned to, or none."""
+        starts = [start for start in self._list_of_task(task) if self._binds(start)]
+        if job.is_lasting(task):
+            starts = [start for start in starts if self._is_awaited(start)]
+        return max(starts, key=lambda start: start.copies.sent_at).worker if starts else None
+
+    def _is_awaited(self, start: LateStart) -> bool:
+        """Tell whether a task that lasts still awaits the worker that may start it."""
+        key = self._pool.latest_incarnations.get(start.worker)
+        worker = self._pool.workers.get(key) if key else None
+        heard_at = max(start.heard_at, worker.alive_at if worker else -1.0)
+        return self._pool.now - heard_at <= MAX_LASTING_WAIT_S
+
+    # Ends
+
+    def note_end(self, worker: WorkerKey, seq: int, task: Task, cause: EndCause) -> None:
+        """Hold the acknowledgement of an end while its task may be started late."""
+        job = self._pool.find_job(task)
+        lasts = job is not None and job.is_lasting(task)
+        if seq and cause in FINAL_CAUSES and not lasts and self._may_be_started(task):
+            self._held_ends[worker].append((seq, task))
+            self._pool.counts["ends_held"] += 1
+
+    def list_held_seqs(self) -> dict[WorkerKey, int]:
+        """Return the first end of each worker that must not be acknowledged yet."""
+        for worker, ends in list(self._held_ends.items()):
+            held = [(seq, task) for seq, task in ends if self._may_be_started(task)]
+            if held and worker in self._pool.workers:
+                self._held_ends[worker] = held
+            else:
+                del self._held_ends[worker]
+        return {worker: ends[0][0] for worker, ends in self._held_ends.items()}
+
+    def release_ends(self, worker: WorkerKey) -> None:
+        """Let all ends of a worker be acknowledged, as it can't list more of them at a time."""
+        if self._held_ends.pop(worker, None) is not None:
+            self._pool.counts["ends_released"] += 1
+
+    def holds_end(self, worker: WorkerKey) -> bool:
+        """Tell whether an end of a worker must not be acknowledged yet."""
+        return worker in self._held_ends
+
+    def _may_be_started(self, task: Task) -> bool:
+        return any(self._binds(start) for start in self._list_of_task(task))
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -169,6 +169,7 @@
         for job, found in progress.items():
             if found is not None and found.is_final():
                 self.pool.archive.add(job, JobState(found.state), self.pool.now)
+                self.pool.late_starts.add_recorded(job, found)
         self._unreadable_jobs = {job for job, found in progress.items() if found is None}
         for row in jobs:
             self._load_job(row, progress.get(JobId(row.key)))
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -21,7 +21,14 @@
     StopRun,
 )
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import MAX_OPEN_TASKS, AcceptedJob, Job, Run, describe_run
+from lavenderstall.pools.job import (
+    MAX_OPEN_TASKS,
+    AcceptedJob,
+    Copies,
+    Job,
+    Run,
+    describe_run,
+)
 from lavenderstall.pools.late_starts import LateStart, LateStarts
 from lavenderstall.pools.objectives import get_objective_s
 from lavenderstall.pools.progress import JobProgress
@@ -93,7 +100,7 @@
         self.recorder = ProgressRecorder(self)
         self.crashes = CrashTracker(self)
         self.early_reports = EarlyReports(self)
-        self._late_starts = LateStarts()
+        self.late_starts = LateStarts(self)
         self.jobs: dict[JobId, Job] = {}
         self.active: dict[JobId, Job] = {}
         self.archive = Archive()
@@ -262,7 +269,7 @@
             self._update_worker(key, entry)
         for key, worker in list(self.workers.items()):
             worker.registered = key in listed or (incomplete and worker.registered)
-            if not worker.registered and not worker.runs and not self.takeover.awaits_worker(key):
+            if self._is_obsolete(worker):
                 self._remove_worker(key)
 
     def _update_worker(self, key: WorkerKey, entry: WorkerEntry) -> None:
@@ -292,7 +299,7 @@
         self.workers[worker.key] = worker
         self.latest_incarnations[entry.id] = worker.key
         logger.info("worker added", extra={"worker": entry.id, "incarnation": entry.incarnation})
-        for start in self._late_starts.take_for(entry.id, self.now):
+        for start in self.late_starts.take_for(entry.id):
             self._expect_late_start(worker, start)
         return worker
 
@@ -304,7 +311,15 @@
 
     def _expect_late_start(self, worker: Worker, start: LateStart) -> None:
         """Track a start that a new process of a worker may still execute, and have it refused."""
-        run = Run(start.task, start.number, worker.key, start.sent_at, unanswered_at=self.now)
+        run = Run(
+            start.task,
+            start.number,
+            worker.key,
+            start.copies.sent_at,
+            unanswered_at=self.now,
+            copies=start.copies,
+            ticketed=not start.binds,
+        )
         job = self.find_job(start.task)
         if job is None:
             worker.add_unsized_run(run)
@@ -328,7 +343,7 @@
         uncertain_runs = [
             run
             for run in older.runs.values()
-            if run.start_sent and (run.reported_at < 0 or run.copy_sent_at >= 0)
+            if run.start_sent and (run.reported_at < 0 or run.copies.left)
         ]
         for run in uncertain_runs:
             older.drop_run(run.task, run.number, self.get_allocation(run.task))
@@ -398,6 +413,15 @@
             },
         )
 
+    def _is_obsolete(self, worker: Worker) -> bool:
+        """Tell whether a worker isn't registered and nothing that it may still do matters."""
+        return not (
+            worker.registered
+            or worker.runs
+            or self.takeover.awaits_worker(worker.key)
+            or self.late_starts.concern(worker.key.id)
+        )
+
     def _remove_worker(self, key: WorkerKey) -> None:
         self.workers.pop(key, None)
         if self.latest_incarnations.get(key.id) == key:
@@ -407,10 +431,13 @@
         """Tell whether a worker is to be polled continuously.
 
         An unresponsive one is polled even without runs, as it gets no tasks before it answers, and
-        one whose clock was read long ago, as leases end by its clock.
+        one whose clock was read long ago, as leases end by its clock, or whose next process may
+        execute a start late.
         """
         if not worker.entry.address:
             return False
+        if self.late_starts.concern(worker.key.id):
+            return True
         if worker.registered and worker.has_old_clock(self.now):
             return True
         unresponsive = worker.registered and (
@@ -504,8 +531,11 @@
             end = RunEnd(seq, task, number, cause, checkpoint)
             self.early_reports.note_end(worker.key, end)
         run = worker.drop_run(task, number, self.get_allocation(task))
-        if run is not None and (cause is EndCause.LOST or run.copy_sent_at >= 0):
-            self._late_starts.note_dropped(run, self.now)
+        if run is not None:
+            if cause is not EndCause.LOST and run.confirmed_at < 0:
+                run.copies = run.copies.without_one()
+            self.late_starts.note_dropped(worker, run)
+        self.late_starts.note_end(worker.key, seq, task, cause)
         job = self.find_job(task)
         if job is not None:
             self.apply_end(job, task, number, cause, checkpoint)
@@ -557,8 +587,10 @@
             self.note_unresponsive(key)
 
     def _note_process_gone(self, key: WorkerKey) -> None:
+        """Note that another worker has the address, which refuses commands to this one."""
         self.ended_incarnations.append(key)
         self.note_worker_lost(key, "another process has its address")
+        self.late_starts.forget_worker(key.id)
 
     def note_unresponsive(
         self,
@@ -606,6 +638,8 @@
             return
         worker.set_clock(clock_ms, self.now)
         run = worker.runs.get((task, number))
+        if run is not None:
+            run.copies = Copies()
         if run is not None and run.confirmed_at < 0:
             run.confirmed_at = self.now
             run.percent_changed_at = self.now
@@ -634,9 +668,10 @@
             if advice is not None:
                 advice.drop_ticket(key.id)
         elif refusal.reason not in {"late", "old"}:
+            worker.refused_at = self.now
             self.back_off(worker)
         self.end_run(worker, task, number, EndCause.LOST, "")
-        self._late_starts.forget(key.id, task, number)
+        self.late_starts.forget(key.id, task, number)
         if refusal.reason == OTHER_PROCESS:
             self._note_process_gone(key)
         job = self.jobs.get(task.job)
@@ -670,17 +705,28 @@
         if run is not None and run.confirmed_at < 0:
             run.unanswered_at = self.now
 
-    def note_unanswered_copy(self, key: WorkerKey, task: Task, number: int, sent_at: float) -> None:
-        """Note that a copy of a start has no response, although another one has succeeded.
-
-        The worker takes both for one, but its next process may execute the copy.
-        """
-        worker = self.workers.get(key)
+    def note_copies(
+        self,
+        key: WorkerKey,
+        task: Task,
+        number: int,
+        copies: Copies,
+        *,
+        answered: bool,
+        ticketed: bool,
+    ) -> None:
+        """Note the copies of a start that have no response; others may have been `answered`."""
+        worker = self.workers.get(self.latest_incarnations.get(key.id, key))
         run = worker.runs.get((task, number)) if worker else None
         if run is not None:
-            run.copy_sent_at = sent_at
+            executed = not answered and run.confirmed_at >= 0
+            run.copies = copies.without_one() if executed else copies
+            if run.copies.left and not ticketed and task.job in self.jobs:
+                self.recorder.mark_changed(task.job)
+        elif copies.left:
+            self.late_starts.note_copies(key.id, task, number, copies, ticketed=ticketed)
         else:
-            self._late_starts.note(LateStart(key.id, task, number, sent_at))
+            self.late_starts.forget(key.id, task, number)
 
     def note_stopped(self, key: WorkerKey, task: Task, number: int, clock_ms: float) -> None:
         """Note that a worker has acknowledged a stop; an unconfirmed run can no longer start."""
@@ -730,8 +776,9 @@
             for run in list(worker.runs.values()):
                 if run.stopping:
                     self.stop(run)
-            if not worker.registered and not worker.runs and not self.takeover.awaits_worker(key):
+            if self._is_obsolete(worker):
                 self._remove_worker(key)
+        self.late_starts.forget_old()
         self.request_copies()
         self._open_tasks = sum(self.jobs[job].count_open_tasks() for job in self.repeating_jobs)
         for job_id in list(self.repeating_jobs):
@@ -750,6 +797,9 @@
         for run in list(worker.runs.values()):
             if not run.start_sent:
                 continue
+            if run.inherited:
+                # Its record tells of late starts, if there were any.
+                run.copies = Copies()
             self.counts["runs_lapsed"] += 1
             logger.info("run lost as its lease expired", extra=describe_run(run))
             self.end_run(worker, run.task, run.number, EndCause.LOST, "")
--- a/lavenderstall/pools/progress.py
+++ b/lavenderstall/pools/progress.py
@@ -23,15 +23,25 @@
     runs: list[tuple[int, int]]
 
 
+class RecordedLateStart(msgspec.Struct, frozen=True, array_like=True):
+    """Copies of the start of a run that a next process of a worker may execute late."""
+
+    worker: str
+    index: int
+    run: int
+    copies: int
+
+
 class StepProgress(msgspec.Struct, omit_defaults=True):
     """Durable progress of one step of one occurrence.
 
     `done` holds indexes of tasks, a row may have them as `done_bits`, and for a step that is
     `complete` it has none of them. `failures` maps an index to the runs that failed, and `crashes`
     to the crashes of workers that nothing explains, both with index 0 for a gang. `checkpoints`
-    maps an index to run and checkpoint. `runs` lists every run that may exist. `allowed` and
-    `denied` list workers that advice allows or denies. `placed` holds indexes of tasks that last
-    and have had a run, and a row may have them as `placed_bits`.
+    maps an index to run and checkpoint. `runs` lists every run that may exist, and `late` starts
+    that may be executed late. `allowed` and `denied` list workers that advice allows or denies.
+    `placed` holds indexes of tasks that last and have had a run, and a row may have them as
+    `placed_bits`.
     """
 
     done: set[int] = set()
@@ -45,11 +55,12 @@
     complete: bool = False
     placed: set[int] = set()
     placed_bits: bytes = b""
+    late: list[RecordedLateStart] = []
 
     def make_row(self, count: int) -> "StepProgress":
         """Return the progress as recorded, of a step of so many tasks."""
         if len(self.done) >= count:
-            return StepProgress(runs=self.runs, complete=True)
+            return StepProgress(runs=self.runs, complete=True, late=self.late)
         row = self
         if len(self.done) > MAX_LISTED:
             row = msgspec.structs.replace(row, done=set(), done_bits=encode_indexes(self.done))
@@ -73,7 +84,8 @@
     def iterate_tasks(self) -> Iterator[int]:
         """Yield the index of each task that the progress names, some more than once."""
         runs = (index for recorded in self.runs for index, _ in recorded.runs)
-        attempts = chain(self.failures, self.checkpoints, self.crashes, runs)
+        late = (start.index for start in self.late)
+        attempts = chain(self.failures, self.checkpoints, self.crashes, runs, late)
         bits = chain(decode_indexes(self.done_bits), decode_indexes(self.placed_bits))
         return chain(self.done, self.placed, attempts, bits)
 
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -21,6 +21,8 @@
 
 # A poll response with this many ends may be incomplete.
 MAX_ENDS_PER_RESPONSE = 500
+# Acknowledgements are held for so many ends of a worker at most, so that later ends are listed.
+MAX_HELD_ENDS = MAX_ENDS_PER_RESPONSE // 2
 
 
 def apply_poll_response(
@@ -33,6 +35,8 @@
     worker.applied_seq = max(worker.applied_seq, answer.skipped_seq)
     for row in answer.running:
         apply_run_status(pool, worker, row)
+    if len(answer.ended) > MAX_HELD_ENDS:
+        pool.late_starts.release_ends(worker.key)
     if len(answer.ended) < MAX_ENDS_PER_RESPONSE and not answer.incomplete:
         present = {(row.task, row.number) for row in answer.running}
         end_missing_runs(pool, worker, present, asked_at)
@@ -72,6 +76,7 @@
         run = adopt_run(pool, worker, row, job)
     run.inherited = False
     if run.confirmed_at < 0:
+        run.copies = run.copies.without_one()
         run.confirmed_at = pool.now
         run.percent_changed_at = pool.now
         run.initial_percent = row.percent
@@ -92,7 +97,10 @@
 
 def adopt_run(pool: "Pool", worker: Worker, row: RunStatus, job: Job | None) -> Run:
     """Add a run of an earlier owner, and stop it if it is unknown or superfluous."""
-    run = Run(row.task, row.number, worker.key, pool.now, percent_changed_at=pool.now)
+    copies = pool.late_starts.take(worker.key.id, row.task, row.number)
+    run = Run(
+        row.task, row.number, worker.key, pool.now, percent_changed_at=pool.now, copies=copies
+    )
     if job is None:
         worker.add_unsized_run(run)
         pool.stop(run)
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -9,7 +9,7 @@
 from lavenderstall.identifiers import JobId
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import Job
+from lavenderstall.pools.job import Copies, Job
 from lavenderstall.pools.progress import JobProgress
 from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.work import FINAL_STATES, EndCause, JobState, StepKey, get_step_key
@@ -86,7 +86,7 @@
         starts = chain.from_iterable(self._pending_starts.pop(job, []) for job in jobs)
         jobs_by_id = self._pool.jobs
         covered_workers = {} if self.changed_jobs else self._pool.workers
-        held_seqs = self._pool.early_reports.list_held_seqs()
+        held_seqs = self._list_held_seqs()
         return ProgressBatch(
             {job: self._make_progress(jobs_by_id[job]) for job in jobs},
             {job: jobs_by_id[job].state for job in jobs},
@@ -98,8 +98,18 @@
             {job: jobs_by_id[job].crash_changes for job in jobs},
         )
 
+    def _list_held_seqs(self) -> dict[WorkerKey, int]:
+        """Return the first end of each worker that must not be acknowledged yet."""
+        held = self._pool.early_reports.list_held_seqs()
+        for worker, seq in self._pool.late_starts.list_held_seqs().items():
+            held[worker] = min(seq, held.get(worker, seq))
+        return held
+
     def _make_progress(self, job: Job) -> JobProgress:
-        """Return a job's progress row, including the placement advice for its steps."""
+        """Return a job's progress row, including late starts and the advice for its steps."""
+        late = self._pool.late_starts.list_recorded(job)
+        for key, step in job.steps.items():
+            step.progress.late = late.get(key, [])
         for step_key in job.drop_done_occurrences():
             self._pool.advice.pop(step_key, None)
         for key, step in job.steps.items():
@@ -198,6 +208,8 @@
         run = worker.runs[command.task, command.number]
         run.start_sent = True
         run.start_sent_at = pool.now
+        run.copies = Copies(1, pool.now)
+        run.ticketed = bool(command.ticket)
         run.deadline_ms = worker.choose_deadline_ms(pool.now, START_LEASE_MS, pool.lease_limit)
         worker.note_lease(run.deadline_ms)
         ticket = self._get_ticket(command) or ""
--- a/lavenderstall/pools/repeated_starts.py
+++ b/lavenderstall/pools/repeated_starts.py
@@ -13,6 +13,7 @@
 from lavenderstall.clocks import Clock
 from lavenderstall.errors import AnswerLostError, LavenderstallError, PeerUnavailableError
 from lavenderstall.pools.effects import FENCE, Refusal
+from lavenderstall.pools.job import Copies
 
 logger = logging.getLogger(__name__)
 
@@ -47,13 +48,18 @@
 class StartOutcome(msgspec.Struct, frozen=True):
     """What is known of a start; without a response, `error` tells why it is unknown or not sent.
 
-    `unanswered_at` is when the last attempt was sent that has no response, -1 if all have one. The
-    worker may execute such an attempt late, although another one has succeeded.
+    `copies` are the attempts that have no response. The worker may execute them late, although
+    another one has succeeded.
     """
 
     response: float | Refusal | None = None
     error: LavenderstallError | None = None
-    unanswered_at: float = -1.0
+    copies: Copies = Copies()
+
+    @property
+    def accepted(self) -> bool:
+        """Tell whether the worker has started the run, or had done so before."""
+        return self.response is not None and not isinstance(self.response, Refusal)
 
 
 def find_outcome(attempts: Sequence[Attempt], *, expired: bool) -> StartOutcome | None:
@@ -61,14 +67,15 @@
 
     A refusal counts only if no other attempt may be executed.
     """
-    unanswered_at = max((each.sent_at for each in attempts if each.unanswered), default=-1.0)
+    unanswered = [each.sent_at for each in attempts if each.unanswered]
+    copies = Copies(len(unanswered), max(unanswered)) if unanswered else Copies()
     for each in attempts:
         if _is_accepted(each) or _is_fenced(each):
-            return StartOutcome(each.response, unanswered_at=unanswered_at)
+            return StartOutcome(each.response, None, copies)
     if not expired and any(each.pending for each in attempts):
         return None
-    if unanswered_at >= 0:
-        return StartOutcome(error=_describe_loss(attempts), unanswered_at=unanswered_at)
+    if unanswered:
+        return StartOutcome(None, _describe_loss(attempts), copies)
     refusal = next((each.response for each in attempts if each.response is not None), None)
     return StartOutcome(refusal, None if refusal else attempts[0].error)
 
@@ -87,7 +94,10 @@
 
 
 class RepeatedStart:
-    """Send a start, and send it again while it has no response and may be repeated."""
+    """Send a start, and send it again while it has no response and may be repeated.
+
+    `note_settled` gets the outcome by all attempts, if some were pending when it was known.
+    """
 
     def __init__(
         self,
@@ -95,12 +105,14 @@
         read_uptime: Callable[[], float],
         send: Callable[[], "Deferred[float | Refusal]"],
         may_repeat: Callable[[], bool],
+        note_settled: Callable[[StartOutcome], None],
     ) -> None:
         self.attempts: list[Attempt] = []
         self._clock = clock
         self._read_uptime = read_uptime
         self._send = send
         self._may_repeat = may_repeat
+        self._note_settled = note_settled
         self._outcome: Deferred[StartOutcome] = Deferred()
         self._started_at = clock.seconds()
         self._schedule(1)
@@ -150,6 +162,7 @@
 
     def _finish(self, *, expired: bool = False) -> None:
         if self._outcome.called:
+            self._settle()
             return
         outcome = find_outcome(self.attempts, expired=expired)
         if outcome is None:
@@ -158,6 +171,12 @@
             self._timer.cancel()
         self._outcome.callback(outcome)
 
+    def _settle(self) -> None:
+        """Report the outcome once no response may arrive any more."""
+        outcome = find_outcome(self.attempts, expired=False)
+        if outcome is not None and not any(each.pending for each in self.attempts):
+            self._note_settled(outcome)
+
 
 def _get_error(failure: Failure) -> LavenderstallError:
     """Return a typed error; after an unexpected one the outcome is unknown."""
--- a/lavenderstall/pools/supervision.py
+++ b/lavenderstall/pools/supervision.py
@@ -66,7 +66,7 @@
         return
     if pool.request_copy(run):
         return
-    if step.speculative:
+    if step.speculative or pool.late_starts.is_pinned(job, run):
         return
     state.moved.add(run.task.number)
     state.failed_on.setdefault(run.task.number, set()).add(worker.key.id)
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -9,7 +9,7 @@
 from lavenderstall.identifiers import EntryId, JobId
 from lavenderstall.pools.earlier_owners import LEASE_LIFETIME_S
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.job import Job, Run
+from lavenderstall.pools.job import Copies, Job, Run
 from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.work import StepKey, get_step_key
 from lavenderstall.pools.workers import Worker, WorkerEntry, WorkerState
@@ -125,6 +125,7 @@
             self._blocked_jobs.add(job.id)
         for run in job.list_recorded_runs():
             self._track_run(job, run)
+        self._pool.late_starts.add_recorded(job.id, job.progress)
         if not job.ended:
             self._restore_advice(job)
 
@@ -150,6 +151,9 @@
             self._pool.crashes.note_earlier_incarnation(job, run, recorded_key)
             worker.note_possible_starts(self._pool.now)
         run.worker = worker.key
+        # Nothing tells whether the worker has executed the start.
+        run.copies = Copies(1, self._pool.now)
+        run.ticketed = self._pool.get_queue(job).advising is not None
         job.add_run(run)
         worker.add_run(run, self._pool.get_allocation(run.task))
         self._awaited_since.setdefault(worker.key, self._pool.now)
--- a/lavenderstall/pools/worker_commands.py
+++ b/lavenderstall/pools/worker_commands.py
@@ -3,7 +3,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 from typing import Any
 
 from lavenderstall.clocks import Clock
@@ -15,7 +15,7 @@
 from lavenderstall.pools.job import describe_run
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import WorkerClient
-from lavenderstall.pools.repeated_starts import RepeatedStart
+from lavenderstall.pools.repeated_starts import RepeatedStart, StartOutcome
 from lavenderstall.pools.workers import Worker
 
 logger = logging.getLogger(__name__)
@@ -103,6 +103,7 @@
             self._read_uptime,
             lambda: self._client.start(worker.entry, worker.fencing_token, command),
             lambda: self._may_repeat(worker, command),
+            partial(self._note_settled, command),
         )
         outcome = await start.run()
         if len(start.attempts) > 1:
@@ -116,10 +117,24 @@
         elif outcome.response is not None:
             self._metrics.record("start_run", self._read_uptime() - started_at)
             self._note_answer(worker, command, outcome.response)
-        if outcome.unanswered_at >= 0 and outcome.error is None:
-            self._pool.note_unanswered_copy(
-                command.worker, command.task, command.number, outcome.unanswered_at
-            )
+        if outcome.copies.left:
+            self._note_copies(command, outcome)
+
+    def _note_settled(self, command: StartRun, outcome: StartOutcome) -> None:
+        """Note what late responses to a start tell of its copies."""
+        if outcome.accepted:
+            self._note_change()
+            self._note_copies(command, outcome)
+
+    def _note_copies(self, command: StartRun, outcome: StartOutcome) -> None:
+        self._pool.note_copies(
+            command.worker,
+            command.task,
+            command.number,
+            outcome.copies,
+            answered=outcome.accepted,
+            ticketed=bool(command.ticket),
+        )
 
     def _may_repeat(self, worker: Worker, command: StartRun) -> bool:
         """Tell whether a start is still wanted, and may be sent by this owner."""
--- a/lavenderstall/pools/worker_poller.py
+++ b/lavenderstall/pools/worker_poller.py
@@ -45,6 +45,10 @@
 # Pause between polls that return at once, as those about a lost run.
 IMMEDIATE_POLL_PAUSE_S = 0.02
 POLL_RETRY_DELAY_S = 0.15
+# The same if the next process of a worker may execute a start late, which its first poll prevents.
+URGENT_RETRY_DELAY_S = 0.03
+# Pause between polls of a worker that lists ends which must not be acknowledged yet.
+HELD_POLL_PAUSE_S = 0.1
 
 
 class WorkerPoller:
@@ -125,7 +129,8 @@
             )
             self._metrics.count("looks_failed")
             logger.info("poll failed", extra={"worker": worker.key.id, "error": str(error)})
-            await sleep(self._clock, POLL_RETRY_DELAY_S)
+            urgent = self._pool.late_starts.concern(worker.key.id)
+            await sleep(self._clock, URGENT_RETRY_DELAY_S if urgent else POLL_RETRY_DELAY_S)
             return
         answer = outcome.answer
         if isinstance(answer, Refusal):
@@ -140,7 +145,11 @@
         self._pool.note_poll(worker.key, answer, outcome.asked_at)
         self._metrics.record("look", self._pool.now - outcome.asked_at)
         self._owner.schedule_dispatch()
-        if worker.applied_seq > worker.committed_seq or worker.lease_end_noted:
+        if self._pool.late_starts.holds_end(worker.key):
+            # What may be acknowledged is so by a poll that follows the answer at once.
+            if not any(end.seq <= worker.committed_seq for end in answer.ended):
+                await sleep(self._clock, HELD_POLL_PAUSE_S)
+        elif worker.applied_seq > worker.committed_seq or worker.lease_end_noted:
             # A worker answers every poll at once until its ended runs are acknowledged, and gets no
             # lease until the roster does not tell of its end any more.
             await self._wait_for_commit()
--- a/lavenderstall/pools/workers.py
+++ b/lavenderstall/pools/workers.py
@@ -22,6 +22,8 @@
 MAX_COMMAND_DELAY_S = 13.0
 # Age of a clock reading, 1.2 s off by then at the slowest rate, at which an idle worker is polled.
 MAX_CLOCK_AGE_S = 60.0
+# A worker that has refused a start because of its own state gets none for this long.
+MIN_RETRY_S = 1.0
 # Time for the worker to notice that a lease has expired and to end the process.
 LEASE_EXPIRY_MARGIN_S = 0.15
 
@@ -80,6 +82,8 @@
         self.backoff_until = 0.0
         # When the last of the faults was noted for which the worker backs off.
         self.backed_off_at = 0.0
+        # When it last refused a start because of its own state.
+        self.refused_at = -MIN_RETRY_S
         self.registered = True
         self.listed_at = 0.0
         self.backoff_count = 0
--- a/tests/platform/fake_http_client.py
+++ b/tests/platform/fake_http_client.py
@@ -20,8 +20,10 @@
 from tests.platform.fake_platform import ADVISER, STORE, FakePlatform
 
 WORKER_DELAY_S = 0.001
-# When commands are executed that get no answer.
+# When commands are executed that get no answer, and until when they are tried while no process of
+# their worker is up.
 LATE_S = (2.0, 12.0)
+LATE_RETRY_S = 0.005
 # Interval at which a long poll is checked.
 POLL_INTERVAL_S = 0.04
 
@@ -96,9 +98,9 @@
         query = {key: values[-1] for key, values in parse_qs(parts.query).items()}
         named = (headers or {}).get(b"Expected-Instance", [b""])[0].decode()
         arrive = (answer, address, parts.path, query, decoded, self._clock.seconds(), named)
-        if address in self._platform.workers and self._platform.loses_command():
+        if address in self._platform.workers and self._platform.loses_command(parts.path):
             delay = self._platform.random.uniform(*LATE_S)
-            late = (address, parts.path, decoded, named)
+            late = (address, parts.path, decoded, named, self._clock.seconds() + LATE_S[1])
             self._platform.clock.callLater(delay, self._execute_late, *late)
             return answer
         delay = self._platform.store_delay_s if address == STORE else WORKER_DELAY_S
@@ -132,13 +134,13 @@
             return
         worker = platform.workers.get(address)
         if path == "/v1/run-start" and platform.start_delay_s:
-            platform.clock.callLater(
-                platform.start_delay_s, self._execute_late, address, path, body, named
-            )
+            late = (address, path, body, named, sent_at + LATE_S[1])
+            platform.clock.callLater(platform.start_delay_s, self._execute_late, *late)
             return
         if path == "/v1/hold" and body["lastSeen"] and address in platform.late_polls:
             delay = platform.late_polls.pop(address)
-            platform.clock.callLater(delay, self._execute_late, address, path, body, named)
+            late = (address, path, body, named, sent_at + LATE_S[1])
+            platform.clock.callLater(delay, self._execute_late, *late)
             return
         if worker is not None and sent_at <= worker.started_at:
             self._clock.callLater(0, self._fail, answer, address, path)
@@ -164,11 +166,18 @@
             return
         self._reply(answer, status, found)
 
-    def _execute_late(self, address: str, path: str, body: Any, named: str) -> None:
-        """Execute a command by whatever process of the named worker has the address now."""
+    def _execute_late(self, address: str, path: str, body: Any, named: str, limit: float) -> None:
+        """Execute a command by whatever process of the named worker has the address next.
+
+        It is lost if there is none by a limit.
+        """
         worker = self._platform.workers.get(address)
+        clock = self._platform.clock
         if worker is not None and worker.up and named in {"", worker.name}:
             worker.serve(path, body)
+        elif clock.seconds() < limit:
+            late = (address, path, body, named, limit)
+            clock.callLater(LATE_RETRY_S, self._execute_late, *late)
 
     def _serve_store(
         self, answer: Deferred[Reply], path: str, query: dict[str, str], body: Any, sent_at: float
--- a/tests/platform/fake_platform.py
+++ b/tests/platform/fake_platform.py
@@ -416,8 +416,10 @@
         self.keeps_history = True
         self.max_row_bytes = 65536
         self.start_delay_s = 0.0
-        # Share of the commands to workers that get no answer and are executed late.
+        # Shares of the commands to workers, and of the starts alone, that get no answer and are
+        # executed late.
         self.lost_share = 0.0
+        self.lost_start_share = 0.0
         # Workers by address whose next poll that acknowledges ends is executed this much later.
         self.late_polls: dict[str, float] = {}
         self.lost_paths: set[str] = set()
@@ -430,9 +432,10 @@
         self.calls = 0
         self.allowed_share = 1.0
 
-    def loses_command(self) -> bool:
+    def loses_command(self, path: str) -> bool:
         """Tell whether the next command to a worker gets no answer and is executed late."""
-        return bool(self.lost_share) and self.random.random() < self.lost_share
+        share = max(self.lost_share, self.lost_start_share * (path == "/v1/run-start"))
+        return bool(share) and self.random.random() < share
 
     def add_worker(self, worker: FakeWorker) -> None:
         """Add a worker and register it."""
--- a/tests/platform/test_worker_crashes.py
+++ b/tests/platform/test_worker_crashes.py
@@ -5,6 +5,8 @@
 from random import Random
 from typing import NamedTuple
 
+from lavenderstall.pools.records import Presence
+from lavenderstall.pools.work import FINAL_STATES, JobState
 from tests.platform.simulated_cell import POOLS, SimulatedCell
 
 POOL = POOLS[0]
@@ -13,12 +15,19 @@
 
 
 class Crashes(NamedTuple):
-    """Crashes of the workers of a pool, in any order, beside jobs whose tasks work for so long."""
+    """Crashes of the workers of a pool, in any order, beside jobs whose tasks work for so long.
+
+    A share of the starts has no answer for some time, and is executed late.
+    """
 
     work_s: float
     count: int
     interval_s: float
     down_s: float
+    late_share: float = 0.5
+    late_s: float = 5.5
+    # Share of the crashes at which the owner of the pool is killed too, and started again.
+    takeover_share: float = 0.0
 
 
 class Play(NamedTuple):
@@ -46,6 +55,8 @@
         found = [each for each in workers if each.up]
         if found:
             random.choice(found).crash(crashes.down_s)
+        if random.random() < crashes.takeover_share:
+            cell.restart_owner(POOL)
 
     for number in range(crashes.count):
         cell.clock.callLater(FIRST_CRASH_S + number * crashes.interval_s, crash)
@@ -56,20 +67,32 @@
     cell = SimulatedCell(3, WORKERS, advice=False)
     assert cell.run_until(lambda: all(map(cell.find_owner, POOLS)), 3.0)
     cell.run(1.0)
+    cell.platform.random.seed(seed)
+    cell.platform.lost_start_share = crashes.late_share
     submit_jobs(cell, play, crashes.work_s)
     crash_workers(cell, crashes, seed)
+    cell.run(crashes.late_s)
+    cell.platform.lost_start_share = 0.0
     cell.run(play.settle_s)
     return cell
 
 
+def list_states(cell: SimulatedCell) -> set[JobState]:
+    """Return the states of all accepted jobs as told to callers."""
+    accepted = [job for job, outcome in cell.outcomes.items() if outcome == [Presence.ADDED]]
+    found = [cell.get_state("entry-0", POOL, job) for job in accepted]
+    cell.run(0.5)
+    return {each[0] for each in found}
+
+
 class QuickRestartTest(unittest.TestCase):
     """Workers restart before their owner can know, and run short tasks before it polls them."""
 
     PLAY = Play(jobs=240, interval_s=0.05, settle_s=15.0)
     CRASHES = (
-        Crashes(work_s=0.1, count=60, interval_s=0.2, down_s=0.06),
-        Crashes(work_s=0.06, count=60, interval_s=0.2, down_s=0.08),
-        Crashes(work_s=0.15, count=60, interval_s=0.2, down_s=0.12),
+        Crashes(work_s=0.1, count=60, interval_s=0.2, down_s=0.06, late_share=0.0),
+        Crashes(work_s=0.06, count=60, interval_s=0.2, down_s=0.08, late_share=0.0),
+        Crashes(work_s=0.15, count=60, interval_s=0.2, down_s=0.12, late_share=0.0),
     )
     SEEDS = range(4)
 
@@ -81,5 +104,43 @@
                 self.assertEqual(cell.platform.checker.violations, [])
 
 
+class LateStartTest(unittest.TestCase):
+    """Workers crash again and again while starts have no answer."""
+
+    PLAY = Play(jobs=60, interval_s=0.1, settle_s=40.0)
+    CRASHES = (
+        Crashes(work_s=6.0, count=8, interval_s=1.5, down_s=1.0),
+        Crashes(work_s=6.0, count=24, interval_s=0.5, down_s=0.2),
+        Crashes(work_s=2.0, count=30, interval_s=0.4, down_s=0.3),
+        Crashes(work_s=0.5, count=40, interval_s=0.3, down_s=0.06),
+        Crashes(work_s=0.5, count=12, interval_s=1.0, down_s=1.5),
+        Crashes(work_s=2.0, count=4, interval_s=3.0, down_s=7.0),
+        Crashes(work_s=1.0, count=40, interval_s=0.4, down_s=0.3, late_share=0.2, late_s=14.0),
+    )
+    TAKEOVERS = (
+        Crashes(work_s=6.0, count=8, interval_s=1.5, down_s=1.0, takeover_share=0.3),
+        Crashes(work_s=2.0, count=20, interval_s=0.6, down_s=0.3, takeover_share=0.2),
+        Crashes(work_s=0.5, count=20, interval_s=0.6, down_s=0.5, takeover_share=0.2),
+    )
+    SEEDS = range(3)
+
+    def check(self, crashes: Crashes, seed: int) -> None:
+        """Play crashes, and check that no task runs twice and that all jobs end."""
+        with self.subTest(crashes=crashes, seed=seed):
+            cell = run_play(self.PLAY, crashes, seed)
+            self.assertEqual(cell.platform.checker.violations, [])
+            self.assertLessEqual(list_states(cell), FINAL_STATES)
+
+    def test_the_next_process_of_a_worker_does_not_run_a_task_again(self) -> None:
+        """Fails if a task is placed elsewhere while a former start of it may still arrive."""
+        for crashes, seed in product(self.CRASHES, self.SEEDS):
+            self.check(crashes, seed)
+
+    def test_the_next_owner_knows_of_starts_that_may_arrive_late(self) -> None:
+        """Fails if a task is placed elsewhere after a change of owners."""
+        for crashes, seed in product(self.TAKEOVERS, self.SEEDS):
+            self.check(crashes, seed)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/pools/test_pool.py
+++ b/tests/pools/test_pool.py
@@ -266,17 +266,31 @@
         bench.poll(FIRST)
         self.assertNotIn((order.task, order.number), bench.pool.workers[order.worker].runs)
 
-    def test_a_task_restarts_once_its_lease_must_have_expired(self) -> None:
-        bench = Bench(FIRST, SECOND)
-        bench.pool.add_job(make_job())
-        order = self.start(bench)
-        entry = SECOND if order.worker.id == "w1" else FIRST
-        bench.pool.set_workers([entry])
-        bench.advance(4.0)
-        self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
-        bench.advance(3.0)
-        (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
-        self.assertEqual(again.worker.id, entry.id)
+    def test_a_task_restarts_once_nothing_may_run_it_any_more(self) -> None:
+        """Fails if it waits for longer, or starts while its worker may run or start it."""
+        lasting = make_step(long_running=True)
+        rows = (
+            ("started", make_step(), True, 4.0, 7.0),
+            ("without an answer", make_step(), False, MAX_COMMAND_DELAY_S - 0.5, 14.0),
+            ("lasting, without an answer", lasting, False, 4.0, 7.0),
+        )
+        for name, step, started, held_s, limit_s in rows:
+            with self.subTest(name=name):
+                bench = Bench(FIRST, SECOND)
+                bench.pool.add_job(make_job(step))
+                order = self.start(bench)
+                if started:
+                    clock_ms = bench.clock_ms()
+                    bench.pool.note_started(order.worker, order.task, order.number, clock_ms)
+                entry = SECOND if order.worker.id == "w1" else FIRST
+                bench.pool.set_workers([entry])
+                bench.advance(held_s)
+                bench.poll(entry)
+                self.assertEqual([e for e in bench.dispatch() if isinstance(e, StartRun)], [])
+                bench.advance(limit_s - held_s)
+                bench.poll(entry)
+                (again,) = (e for e in bench.dispatch() if isinstance(e, StartRun))
+                self.assertEqual(again.worker.id, entry.id)
 
     def test_refusals_let_the_task_start_elsewhere(self) -> None:
         for reason in ("room", "unhealthy", "ticket", "unreachable"):
--- a/tests/pools/test_repeated_starts.py
+++ b/tests/pools/test_repeated_starts.py
@@ -8,6 +8,7 @@
 
 from lavenderstall.errors import AnswerLostError, DisconnectedError, PeerUnavailableError
 from lavenderstall.pools.effects import FENCE, Refusal
+from lavenderstall.pools.job import Copies
 from lavenderstall.pools.repeated_starts import (
     MAX_ATTEMPTS,
     REPEAT_DELAY_S,
@@ -34,11 +35,12 @@
         refused, old = Attempt(2.0, response=ROOM), Attempt(2.0, response=OLD)
         unsent = Attempt(2.0, error=NOT_SENT)
         fenced = Attempt(2.0, response=FENCED)
-        unknown = StartOutcome(error=LOST, unanswered_at=1.0)
+        unknown = StartOutcome(error=LOST, copies=Copies(1, 1.0))
+        unknown_twice = StartOutcome(error=LOST, copies=Copies(2, 1.0))
         rows: tuple[tuple[list[Attempt], bool, StartOutcome | None], ...] = (
             ([accepted], False, StartOutcome(CLOCK_MS)),
-            ([pending, accepted], False, StartOutcome(CLOCK_MS, unanswered_at=1.0)),
-            ([lost, accepted], False, StartOutcome(CLOCK_MS, unanswered_at=1.0)),
+            ([pending, accepted], False, StartOutcome(CLOCK_MS, copies=Copies(1, 1.0))),
+            ([lost, accepted], False, StartOutcome(CLOCK_MS, copies=Copies(1, 1.0))),
             ([refused], False, StartOutcome(ROOM)),
             ([refused, unsent], False, StartOutcome(ROOM)),
             ([pending], False, None),
@@ -47,8 +49,8 @@
             ([lost, old], False, unknown),
             ([lost, unsent], False, unknown),
             ([unsent], False, StartOutcome(error=NOT_SENT)),
-            ([pending, fenced], False, StartOutcome(FENCED, unanswered_at=1.0)),
-            ([lost, pending], True, unknown),
+            ([pending, fenced], False, StartOutcome(FENCED, copies=Copies(1, 1.0))),
+            ([lost, pending], True, unknown_twice),
         )
         for attempts, expired, expected in rows:
             with self.subTest(attempts=attempts, expired=expired):
@@ -64,7 +66,14 @@
         self.answers: list[Deferred[Any]] = []
         self.may_repeat = True
         self.outcomes: list[StartOutcome] = []
-        start = RepeatedStart(self.clock, self.clock.seconds, self.send, lambda: self.may_repeat)
+        self.settled: list[StartOutcome] = []
+        start = RepeatedStart(
+            self.clock,
+            self.clock.seconds,
+            self.send,
+            lambda: self.may_repeat,
+            self.settled.append,
+        )
         start.run().addCallback(self.outcomes.append)
 
     def send(self) -> Deferred[Any]:
@@ -79,14 +88,16 @@
         self.assertEqual(len(self.answers), MAX_ATTEMPTS)
         self.answers[-1].callback(CLOCK_MS)
         unanswered_at = REPEAT_DELAY_S * (MAX_ATTEMPTS - 2)
-        self.assertEqual(self.outcomes, [StartOutcome(CLOCK_MS, unanswered_at=unanswered_at)])
+        expected = StartOutcome(CLOCK_MS, copies=Copies(MAX_ATTEMPTS - 1, unanswered_at))
+        self.assertEqual(self.outcomes, [expected])
         self.assertEqual(self.clock.getDelayedCalls(), [])
 
     def test_a_lost_connection_is_replaced_at_once(self) -> None:
         self.answers[0].errback(DisconnectedError("reset", step="start"))
         self.assertEqual(len(self.answers), 2)
         self.answers[1].callback(CLOCK_MS)
-        self.assertEqual(self.outcomes, [StartOutcome(CLOCK_MS, unanswered_at=0.0)])
+        expected = StartOutcome(CLOCK_MS, copies=Copies(1, 0.0))
+        self.assertEqual(self.outcomes, [expected])
         self.clock.advance(START_TIMEOUT_S)
         self.assertEqual(len(self.answers), 2)
 
@@ -99,6 +110,24 @@
             answer.callback(CLOCK_MS)
         self.assertEqual(len(self.outcomes), 1)
 
+    def test_late_responses_tell_which_copies_are_left(self) -> None:
+        """Fails if a copy that was answered late counts as one that may still be executed."""
+        rows: tuple[tuple[tuple[Any, ...], int], ...] = (
+            ((CLOCK_MS, CLOCK_MS), 0),
+            ((CLOCK_MS, LOST), 1),
+            ((LOST, LOST), 2),
+        )
+        for responses, left in rows:
+            with self.subTest(responses=responses):
+                self.setUp()
+                self.clock.pump([REPEAT_DELAY_S] * (MAX_ATTEMPTS - 1))
+                self.answers[-1].callback(CLOCK_MS)
+                for answer, response in zip(self.answers, responses, strict=False):
+                    self.assertEqual(self.settled, [])
+                    answer.errback(response) if response is LOST else answer.callback(response)
+                (settled,) = self.settled
+                self.assertEqual((settled.accepted, settled.copies.left), (True, left))
+
     def test_an_answered_start_is_not_repeated(self) -> None:
         rows: tuple[tuple[Any, int], ...] = ((CLOCK_MS, 1), (ROOM, 1), (FENCED, 1))
         for response, attempts in rows:
@@ -114,7 +143,8 @@
         self.answers[0].errback(LOST)
         self.clock.advance(START_TIMEOUT_S)
         self.assertEqual(len(self.answers), 1)
-        self.assertEqual(self.outcomes, [StartOutcome(error=LOST, unanswered_at=0.0)])
+        expected = StartOutcome(error=LOST, copies=Copies(1, 0.0))
+        self.assertEqual(self.outcomes, [expected])
 
 
 if __name__ == "__main__":
--- a/tests/pools/test_worker_commands.py
+++ b/tests/pools/test_worker_commands.py
@@ -114,7 +114,7 @@
         again[1].callback(self.bench.clock_ms())
         run = self.get_run(0)
         self.assertGreaterEqual(run.confirmed_at, 0)
-        self.assertGreaterEqual(run.copy_sent_at, 0)
+        self.assertEqual(run.copies.left, 1)
         self.assertEqual(self.worker.backoff_until, 0)
         first.errback(AnswerLostError("late", step="start"))
         self.assertIn((command.task, command.number), self.worker.runs)
