Open the occurrences of a repeated job as their tasks can be started

Cause: each end of a run went over all due occurrences, up to 20,000 tasks, each dispatch sorted their steps, and each tenth of a second and each commit counted them. The work grew with the square of their number, so that the owner missed its renewals, and so did its successors.

The end of a run looks at its own occurrence. Starts of occurrences under way are limited, so that other jobs don't queue behind them; while that binds, the jobs with the fewest runs go first. Occurrences are late by their own times. A job may have any number of occurrences, where 100,000 were the limit.

Ruled out: the loading of the job and its row, which hold nothing for an occurrence that isn't open.

Tests: test_occurrences_of_many_jobs_are_opened_in_turn asked that other jobs open more occurrences when one is cancelled, as all were open up to the limit. It asks now that each job opens more as its tasks start, below the same limit.

--- a/lavenderstall/pools/advice_requests.py
+++ b/lavenderstall/pools/advice_requests.py
@@ -192,7 +192,7 @@
             queue = self._pool.get_queue(job)
             if queue.advising is None:
                 continue
-            for occurrence in job.list_due_occurrences(self._pool.unix_ms):
+            for occurrence in job.occurrences.list_open():
                 self._prefetch_occurrence(job, occurrence, queue, queue.advising, usable_workers)
 
     def _prefetch_occurrence(
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -13,7 +13,12 @@
 from lavenderstall.pools.preemption import MIN_PREEMPTION_WAIT_S, Preemptor
 from lavenderstall.pools.quarantine import Assignments, Quarantine
 from lavenderstall.pools.shortages import ShortageTracker
-from lavenderstall.pools.waiting_steps import WaitingStep, is_plain, list_waiting_steps
+from lavenderstall.pools.waiting_steps import (
+    WaitingStep,
+    is_plain,
+    list_waiting_steps,
+    order_by_runs,
+)
 from lavenderstall.pools.work import Task
 from lavenderstall.pools.workers import MIN_RETRY_S, Worker
 
@@ -21,6 +26,10 @@
 
 # The reason why a step waits is logged at most this often.
 EXPLAIN_S = 1.0
+# Occurrences of repeated jobs start while fewer starts than this are under way, in all or a worker,
+# so that a backlog of them does not hold up the starts of other jobs.
+MIN_STARTING = 64
+STARTING_PER_WORKER = 2
 
 
 class Dispatcher:
@@ -38,9 +47,12 @@
         self._sound_workers: dict[str, Worker] = {}
         self._shortages = ShortageTracker(self._gang_reservations)
         self._quota = BlockedQuota()
+        # Whether the last dispatch has held occurrences back.
+        self._holds_back = False
 
     def dispatch(self, short_calls: int, long_calls: int) -> None:
         """Start the tasks that fit, and request advice within limits on short and long calls."""
+        self.pool.occurrences.open_due()
         self._gang_reservations.clear()
         self._preemptor.clear()
         self._placement.clear()
@@ -52,11 +64,29 @@
         self._quarantine.clear(usable_workers)
         self._shortages.clear(self.pool.workers.values())
         self._quota.clear()
-        for waiting_step in list_waiting_steps(self.pool):
-            self._consider(waiting_step, usable_workers)
+        self._consider_all(list_waiting_steps(self.pool), usable_workers)
         self._quota.end_dispatch()
         self._advice_requester.prefetch_advice(usable_workers)
 
+    def _consider_all(self, waiting_steps: list[WaitingStep], usable_workers: list[Worker]) -> None:
+        """Serve the steps, but those of repeated jobs only while few of their starts are under way.
+
+        If some were held back in the last dispatch, the jobs with the fewest runs go first.
+        """
+        max_starting = max(MIN_STARTING, STARTING_PER_WORKER * len(usable_workers))
+        starting = self.pool.count_starting_occurrences()
+        if self._holds_back:
+            waiting_steps = order_by_runs(waiting_steps)
+        self._holds_back = False
+        for waiting_step in waiting_steps:
+            repeated = waiting_step.job.spec.repeat is not None
+            if repeated and starting >= max_starting and waiting_step.job.run_count:
+                self._holds_back = True
+                continue
+            before = len(self.pool.starting)
+            self._consider(waiting_step, usable_workers)
+            starting += (len(self.pool.starting) - before) * repeated
+
     def _consider(self, waiting_step: WaitingStep, usable_workers: list[Worker]) -> None:
         """Serve a step unless it is known to be blocked, or too many others are."""
         step = waiting_step.step
@@ -370,6 +400,7 @@
         waiting_step.job.add_run(run)
         worker.add_run(run, step.allocation)
         self._placement.subtract_allocation(worker, step)
+        pool.starting[task, number] = pool.now
         pool.counts["starts"] += 1
         payload = waiting_step.job.spec.payload
         start = StartRun(worker.key, task, number, payload, 0, run.checkpoint, candidate.ticket)
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -1,7 +1,7 @@
 """State of one accepted job: its steps, runs, attempts and durable progress."""
 
-from collections.abc import Callable, Iterator
-from itertools import chain, islice
+from collections.abc import Callable
+from itertools import chain
 from typing import NamedTuple
 
 import msgspec
@@ -10,7 +10,13 @@
 from lavenderstall.pools.crash_records import Crash, confirm_crashes, count_runs, drop_crashes
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.identity import WorkerKey
-from lavenderstall.pools.progress import JobProgress, RecordedRuns, StepProgress
+from lavenderstall.pools.occurrences import Occurrences
+from lavenderstall.pools.progress import (
+    JobProgress,
+    RecordedLateStart,
+    RecordedRuns,
+    StepProgress,
+)
 from lavenderstall.pools.ranges import RangeSet
 from lavenderstall.pools.work import (
     FINAL_STATES,
@@ -23,8 +29,6 @@
     Task,
 )
 
-# Limit on the tasks of all open occurrences of a pool; one occurrence of each job may have more.
-MAX_OPEN_TASKS = 20_000
 # A job starts no further tasks while its progress takes this much, until others are done.
 MAX_PROGRESS_BYTES = 400 * 1024
 # Room that a task which has started takes at most, unless its checkpoint is a long one.
@@ -121,6 +125,10 @@
         self.copies: set[int] = set()
         self.wait_logged_at = -10.0
 
+    def may_run(self) -> bool:
+        """Tell whether a task runs, or may be started late."""
+        return bool(self.active_runs or self.progress.late)
+
 
 class Job:
     """Track the progress of one accepted job."""
@@ -133,10 +141,18 @@
         self.progress = progress or JobProgress()
         self.state = JobState(self.progress.state)
         self.steps: dict[tuple[int, int], StepState] = {}
-        self.done_occurrences = RangeSet(self.progress.done_occurrences)
+        done = RangeSet(self.progress.done_occurrences)
+        self.occurrences = Occurrences(self.spec.repeat, done)
+        # Occurrences that are done and whose steps are still kept.
+        self._obsolete: set[int] = set()
+        # Steps of which starts that may be executed late are recorded.
+        self._late_steps: set[tuple[int, int]] = set()
+        self.lasts = any(step.long_running for step in self.spec.steps)
+        # Runs that have not ended.
+        self.run_count = 0
         # Whether tasks were placed, and whether a worker is known to have started one.
-        self.started = bool(self.progress.steps or self.done_occurrences)
-        self.begun = bool(self.done_occurrences) or any(
+        self.started = bool(self.progress.steps or done)
+        self.begun = bool(done) or any(
             step.done or step.done_bits or step.complete or step.failures
             for step in self.progress.steps.values()
         )
@@ -155,6 +171,8 @@
             occurrence, _, step = key.partition(".")
             count = self.spec.steps[int(step)].count
             self._make_step(int(occurrence), int(step), progress_row.read_row(count))
+            if progress_row.late:
+                self._late_steps.add((int(occurrence), int(step)))
         for number in {occurrence for occurrence, _ in self.steps}:
             self._note_occurrence(number)
 
@@ -180,8 +198,10 @@
         key = f"{occurrence}.{step}"
         count = self.spec.steps[step].count
         progress = found or self.progress.steps.get(key) or StepProgress()
-        if occurrence in self.done_occurrences:
+        if self.occurrences.is_done(occurrence):
             progress.done = set(range(count))
+            self._obsolete.add(occurrence)
+        self.occurrences.note_open(occurrence)
         self.progress.steps[key] = progress
         step_key = StepKey(self.id, occurrence, step)
         state = StepState(step_key, progress, count)
@@ -190,7 +210,7 @@
 
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Tell whether all tasks of a step are done."""
-        if occurrence in self.done_occurrences:
+        if self.occurrences.is_done(occurrence):
             return True
         progress = self.progress.steps.get(f"{occurrence}.{step}")
         return progress is not None and len(progress.done) >= self.spec.steps[step].count
@@ -205,28 +225,14 @@
         """Return the tasks of the occurrences that are open; a job that runs once has none."""
         if self.spec.repeat is None:
             return 0
-        return len({occurrence for occurrence, _ in self.steps}) * self._count_tasks()
-
-    def _count_tasks(self) -> int:
-        """Return the tasks of one occurrence."""
-        return sum(step.count for step in self.spec.steps)
+        return self.occurrences.count_open() * sum(step.count for step in self.spec.steps)
 
-    def list_due_occurrences(
-        self, unix_ms: float, max_tasks: int = MAX_OPEN_TASKS
-    ) -> Iterator[int]:
-        """Yield the earliest occurrences that are not done and whose start time has passed.
-
-        They have at most `max_tasks` tasks, but are one at least.
-        """
-        repeat = self.spec.repeat
-        if repeat is None:
-            yield 0
-            return
-        missing = self.done_occurrences.iterate_missing(repeat.count)
-        for number in islice(missing, max(1, max_tasks // self._count_tasks())):
-            if repeat.start_ms + number * repeat.interval_ms > unix_ms:
-                return
-            yield number
+    def get_due_at(self, occurrence: int) -> float:
+        """Return when an occurrence was due, in seconds of uptime."""
+        if self.spec.repeat is None:
+            return self.submitted_at
+        due_ms = self.occurrences.get_due_ms(occurrence)
+        return self.submitted_at + (due_ms - self.row.accepted_ms) / 1000
 
     def list_runs(self) -> list[Run]:
         """Return all runs that have not ended."""
@@ -241,6 +247,7 @@
         """Add a run that was placed, inherited or found on a worker."""
         step = self.get_step(run.task.occurrence, run.task.step)
         step.active_runs.setdefault(run.task.number, []).append(run)
+        self.run_count += 1
         self._unrecorded_starts += 1
         self._note_run_number(step, run.task, run.number)
         step.waiting.discard(run.task.number)
@@ -291,27 +298,39 @@
     def _note_occurrence(self, occurrence: int) -> None:
         """Note whether all steps of an occurrence are done."""
         if all(self.is_step_done(occurrence, step) for step in range(len(self.spec.steps))):
-            self.done_occurrences.add(occurrence)
+            self.occurrences.note_done(occurrence)
+            self._obsolete.add(occurrence)
+
+    def set_late_starts(self, found: dict[tuple[int, int], list[RecordedLateStart]]) -> None:
+        """Set the starts to record by step; steps that are not named have none."""
+        for key in self._late_steps - found.keys():
+            if key in self.steps:
+                self.steps[key].progress.late = []
+        for key, late in found.items():
+            self.get_step(*key).progress.late = late
+        self._late_steps = set(found)
 
     def drop_done_occurrences(self) -> list[StepKey]:
         """Drop the steps of repeated occurrences that are done and can't run; return them."""
         if self.spec.repeat is None:
             return []
-        kept = {
-            occurrence
-            for (occurrence, _), step in self.steps.items()
-            if step.active_runs or step.progress.late
-        }
-        dropped = [
-            key for key in self.steps if key[0] in self.done_occurrences and key[0] not in kept
-        ]
-        for occurrence, step_number in dropped:
-            del self.steps[occurrence, step_number]
-            del self.progress.steps[f"{occurrence}.{step_number}"]
-        return [StepKey(self.id, *key) for key in dropped]
+        dropped: list[StepKey] = []
+        for occurrence in list(self._obsolete):
+            keys = [(occurrence, number) for number in range(len(self.spec.steps))]
+            found = [key for key in keys if key in self.steps]
+            if any(self.steps[key].may_run() for key in found):
+                continue
+            self._obsolete.discard(occurrence)
+            for key in found:
+                del self.steps[key]
+                del self.progress.steps[f"{key[0]}.{key[1]}"]
+            dropped += [StepKey(self.id, *key) for key in found]
+        return dropped
 
     def _drop_run(self, step: StepState, index: int, number: int) -> None:
-        runs = [run for run in step.active_runs.get(index, []) if run.number != number]
+        before = step.active_runs.get(index, [])
+        runs = [run for run in before if run.number != number]
+        self.run_count -= len(before) - len(runs)
         if runs:
             step.active_runs[index] = runs
         else:
@@ -343,9 +362,7 @@
     def _check_completed(self) -> None:
         if self.state in FINAL_STATES or self.cancelling:
             return
-        if any(step.long_running for step in self.spec.steps):
-            return
-        if len(self.done_occurrences) == self.spec.occurrences:
+        if not self.lasts and self.occurrences.are_done():
             self.state = JobState.COMPLETED
 
     def record_checkpoint(self, task: Task, number: int, checkpoint: str) -> None:
@@ -456,7 +473,7 @@
                 row = msgspec.structs.replace(row, checkpoints={}, allowed=set(), denied=set())
             if row != StepProgress():
                 steps[f"{occurrence}.{number}"] = row
-        return JobProgress(self.state.value, steps, self.done_occurrences.list_ranges())
+        return JobProgress(self.state.value, steps, self.occurrences.list_done())
 
     def note_progress_size(self, size: int) -> None:
         """Note how many bytes the progress takes that is being recorded."""
--- a/lavenderstall/pools/late_starts.py
+++ b/lavenderstall/pools/late_starts.py
@@ -50,6 +50,8 @@
     def __init__(self, pool: "Pool") -> None:
         self._pool = pool
         self._starts: dict[JobId, dict[Task, list[LateStart]]] = {}
+        # Runs that have not ended of which further copies of the start may arrive.
+        self._copied: dict[JobId, dict[tuple[Task, int], Run]] = {}
         # Until when such a start may arrive at a worker and is not refused.
         self._expected_until: dict[str, float] = {}
         # Ends that are not acknowledged yet, in the order of their numbers.
@@ -59,6 +61,7 @@
 
     def note_dropped(self, worker: Worker, run: Run) -> None:
         """Remember a run that has ended or is given up, if a start of it may still arrive."""
+        self._forget_copied(run)
         if run.copies.left:
             binds = self._may_bind(run.task, ticketed=run.ticketed)
             start = LateStart(
@@ -66,6 +69,19 @@
             )
             self.note(start)
 
+    def note_copied(self, run: Run) -> None:
+        """Note that copies of a run's start have no response, or that all have one by now."""
+        if run.copies.left and self._may_bind(run.task, ticketed=run.ticketed):
+            self._copied.setdefault(run.task.job, {})[run.task, run.number] = run
+        else:
+            self._forget_copied(run)
+
+    def _forget_copied(self, run: Run) -> None:
+        runs = self._copied.get(run.task.job, {})
+        runs.pop((run.task, run.number), None)
+        if not runs:
+            self._copied.pop(run.task.job, None)
+
     def note_copies(
         self, worker: str, task: Task, number: int, copies: Copies, *, ticketed: bool
     ) -> None:
@@ -85,6 +101,7 @@
                     self.note(LateStart(late.worker, task, late.run, copies))
                 else:
                     run.copies = Copies(run.copies.left + late.copies, self._pool.now)
+                    self.note_copied(run)
 
     def _find_run(self, task: Task, late: RecordedLateStart) -> Run | None:
         """Return the run that is known to exist of a recorded start, or none."""
@@ -109,10 +126,8 @@
 
     def _iterate_copied_runs(self, job: Job) -> Iterator[LateStart]:
         """Yield the late starts of runs that haven't ended."""
-        for run in job.list_runs():
-            overdue = run.confirmed_at >= 0 or run.unanswered_at >= 0 or run.copies.left > 1
-            binds = self._may_bind(run.task, ticketed=run.ticketed)
-            if overdue and binds and not run.inherited and self._may_execute(run.copies):
+        for run in self._copied.get(job.id, {}).values():
+            if self._may_execute(run.copies):
                 yield LateStart(run.worker.id, run.task, run.number, run.copies)
 
     def _may_bind(self, task: Task, *, ticketed: bool) -> bool:
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -22,7 +22,6 @@
 )
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import (
-    MAX_OPEN_TASKS,
     AcceptedJob,
     Copies,
     Job,
@@ -31,10 +30,12 @@
 )
 from lavenderstall.pools.late_starts import LateStart, LateStarts
 from lavenderstall.pools.objectives import get_objective_s
+from lavenderstall.pools.occurrence_opening import OccurrenceOpener
 from lavenderstall.pools.progress import JobProgress
 from lavenderstall.pools.reconciliation import apply_poll_response
 from lavenderstall.pools.recording import ProgressRecorder
 from lavenderstall.pools.slowdown import SlowdownEstimator
+from lavenderstall.pools.startable_steps import StartableSteps
 from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.takeover import Takeover
 from lavenderstall.pools.work import (
@@ -112,10 +113,10 @@
         self._last_token = term * TOKENS_PER_TERM
         # Incarnations that have ended; the registry may still list them for a while.
         self.ended_incarnations: deque[WorkerKey] = deque(maxlen=MAX_ENDED_INCARNATIONS)
-        self.startable_steps: set[StepKey] = set()
-        self.repeating_jobs: set[JobId] = set()
-        # Tasks of the open occurrences of these jobs.
-        self._open_tasks = 0
+        # Runs that were placed and of whose start the outcome isn't known, with the time.
+        self.starting: dict[tuple[Task, int], float] = {}
+        self.startable_steps = StartableSteps()
+        self.occurrences = OccurrenceOpener(self)
         self.advice: dict[StepKey, StepAdvice] = {}
         self.slowdowns = SlowdownEstimator()
         self.effects: list[Effect] = []
@@ -159,8 +160,6 @@
             return True
         self.active[row.id] = job
         self.crashes.add_job(job)
-        if row.spec.repeat is not None:
-            self.repeating_jobs.add(row.id)
         if row.id in self._early_cancels:
             del self._early_cancels[row.id]
             self.cancel_job(row.id)
@@ -202,31 +201,49 @@
         """Find the steps of a job whose tasks may start now."""
         if job.ended or self.takeover.blocks_job(job.id):
             return
-        open_tasks = job.count_open_tasks()
-        max_tasks = open_tasks + max(0, MAX_OPEN_TASKS - self._open_tasks)
-        for occurrence in job.list_due_occurrences(self.unix_ms, max_tasks):
-            for number in range(len(job.spec.steps)):
-                if job.is_step_done(occurrence, number) or not job.is_step_ready(
-                    occurrence, number
-                ):
-                    continue
-                state = job.get_step(occurrence, number)
-                if state.waiting:
-                    if state.ready_at < 0:
-                        state.ready_at = self.now
-                    self.startable_steps.add(state.step_key)
-        self._open_tasks += job.count_open_tasks() - open_tasks
+        for occurrence in job.occurrences.list_open():
+            self.update_occurrence(job, occurrence)
+        self.occurrences.add_job(job)
+
+    def update_occurrence(self, job: Job, occurrence: int) -> int:
+        """Find the steps of an open occurrence whose tasks may start now; return how many wait."""
+        waiting = 0
+        if job.ended or self.takeover.blocks_job(job.id):
+            return waiting
+        for number in range(len(job.spec.steps)):
+            if job.is_step_done(occurrence, number) or not job.is_step_ready(occurrence, number):
+                continue
+            state = job.get_step(occurrence, number)
+            if state.waiting:
+                if state.ready_at < 0:
+                    state.ready_at = self.now
+                self.startable_steps.add(state.step_key)
+                waiting += len(state.waiting)
+        return waiting
+
+    def count_starting_occurrences(self) -> int:
+        """Return how many runs of repeated jobs were placed and are not known to have started."""
+        jobs = (self.jobs.get(task.job) for task, _ in self.starting)
+        return sum(job is not None and job.spec.repeat is not None for job in jobs)
+
+    def count_waiting_tasks(self, job: Job, limit: int) -> int:
+        """Return how many tasks of a job may start now and wait, counted up to a limit."""
+        count = 0
+        for step_key in self.startable_steps.iterate_job(job.id):
+            count += len(job.get_step(*step_key[1:]).waiting)
+            if count >= limit:
+                break
+        return count
 
     def _close_job(self, job: Job) -> None:
         """Stop all runs of a job that has ended."""
         if self.active.pop(job.id, None) is not None:
             self._unarchived.add(job.id)
             self.crashes.forget_job(job)
-            self.repeating_jobs.discard(job.id)
+            self.occurrences.forget_job(job.id)
+            self.startable_steps.discard_job(job.id)
             for occurrence, step in job.steps:
-                step_key = StepKey(job.id, occurrence, step)
-                self.startable_steps.discard(step_key)
-                self.advice.pop(step_key, None)
+                self.advice.pop(StepKey(job.id, occurrence, step), None)
         for run in job.list_runs():
             self.stop(run)
 
@@ -239,7 +256,7 @@
         for job_id in list(self._unarchived):
             job = self.jobs[job_id]
             waits = job.durable_state not in FINAL_STATES or job_id in self.recorder.changed_jobs
-            if not waits and not job.list_runs():
+            if not waits and not job.run_count:
                 self._unarchived.discard(job_id)
                 del self.jobs[job_id]
                 self.archive.add(job_id, job.state, self.now)
@@ -527,6 +544,7 @@
 
         `seq` is the number of the end at its worker, 0 if the worker has not reported it.
         """
+        self.starting.pop((task, number), None)
         if task.job not in self.jobs:
             end = RunEnd(seq, task, number, cause, checkpoint)
             self.early_reports.note_end(worker.key, end)
@@ -557,7 +575,7 @@
             self._close_job(job)
         else:
             self._stop_superfluous_copies(job, task)
-            self.update_startable_steps(job)
+            self.update_occurrence(job, task.occurrence)
 
     def _log_state_change(self, job: Job) -> None:
         objective_s = get_objective_s(job.spec, self.get_queue(job))
@@ -633,6 +651,7 @@
 
     def note_started(self, key: WorkerKey, task: Task, number: int, clock_ms: float) -> None:
         """Note that a worker has started a run."""
+        self.starting.pop((task, number), None)
         worker = self.workers.get(key)
         if worker is None:
             return
@@ -697,6 +716,7 @@
 
     def note_unanswered(self, key: WorkerKey, task: Task, number: int) -> None:
         """Note that a start was not answered; the worker may still execute it, even later."""
+        self.starting.pop((task, number), None)
         worker = self.workers.get(key)
         if worker is None:
             return
@@ -721,6 +741,7 @@
         if run is not None:
             executed = not answered and run.confirmed_at >= 0
             run.copies = copies.without_one() if executed else copies
+            self.late_starts.note_copied(run)
             if run.copies.left and not ticketed and task.job in self.jobs:
                 self.recorder.mark_changed(task.job)
         elif copies.left:
@@ -780,9 +801,8 @@
                 self._remove_worker(key)
         self.late_starts.forget_old()
         self.request_copies()
-        self._open_tasks = sum(self.jobs[job].count_open_tasks() for job in self.repeating_jobs)
-        for job_id in list(self.repeating_jobs):
-            self.update_startable_steps(self.jobs[job_id])
+        self.occurrences.count_tasks()
+        self.occurrences.open_due()
         self._archive_ended()
         self.takeover.check()
 
@@ -807,7 +827,7 @@
 
     def list_startable_steps(self) -> Iterator[tuple[StepKey, Job]]:
         """Yield the steps that have tasks to start, and drop those that have none."""
-        for step_key in list(self.startable_steps):
+        for step_key in self.startable_steps:
             job = self.jobs.get(step_key.job)
             state = None if job is None or job.ended else job.get_step(*step_key[1:])
             if job is None or state is None or not (state.waiting or state.copies):
--- a/lavenderstall/pools/progress.py
+++ b/lavenderstall/pools/progress.py
@@ -10,7 +10,7 @@
 from lavenderstall.pools.ranges import are_ranges
 from lavenderstall.pools.work import FINAL_STATES, JobSpec, JobState
 
-MAX_DIGITS = 10
+MAX_DIGITS = 16
 # More indexes of tasks than this take less room as bits.
 MAX_LISTED = 16
 
--- a/lavenderstall/pools/ranges.py
+++ b/lavenderstall/pools/ranges.py
@@ -1,7 +1,7 @@
 """Sets of whole numbers from 0, kept as ranges."""
 
 from bisect import bisect_right
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from itertools import pairwise
 
 
@@ -10,6 +10,7 @@
 
     def __init__(self, ranges: Iterable[tuple[int, int]] = ()) -> None:
         self._ranges: list[tuple[int, int]] = list(ranges)
+        self._count = sum(end - start for start, end in self._ranges)
 
     def __contains__(self, number: object) -> bool:
         if not isinstance(number, int):
@@ -18,12 +19,13 @@
         return index >= 0 and number < self._ranges[index][1]
 
     def __len__(self) -> int:
-        return sum(end - start for start, end in self._ranges)
+        return self._count
 
     def add(self, number: int) -> None:
         """Add one number, and join the ranges beside it."""
         if number in self:
             return
+        self._count += 1
         index = bisect_right(self._ranges, (number, float("inf")))
         start, end = number, number + 1
         if index < len(self._ranges) and self._ranges[index][0] == end:
@@ -37,13 +39,10 @@
         """Return the ranges in order, each without its end."""
         return list(self._ranges)
 
-    def iterate_missing(self, count: int) -> Iterator[int]:
-        """Yield the numbers below a count that are not in the set, in order."""
-        next_number = 0
-        for start, end in self._ranges:
-            yield from range(next_number, min(start, count))
-            next_number = end
-        yield from range(next_number, count)
+    def find_missing(self, number: int) -> int:
+        """Return the first number from one on that is not in the set."""
+        index = bisect_right(self._ranges, (number, float("inf"))) - 1
+        return max(number, self._ranges[index][1]) if index >= 0 else number
 
 
 def are_ranges(ranges: list[tuple[int, int]], count: int) -> bool:
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -105,6 +105,7 @@
         worker.add_unsized_run(run)
         pool.stop(run)
         return run
+    pool.late_starts.note_copied(run)
     step = job.spec.steps[row.task.step]
     worker.add_run(run, step.allocation)
     state = job.get_step(row.task.occurrence, row.task.step)
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -107,17 +107,19 @@
 
     def _make_progress(self, job: Job) -> JobProgress:
         """Return a job's progress row, including late starts and the advice for its steps."""
-        late = self._pool.late_starts.list_recorded(job)
-        for key, step in job.steps.items():
-            step.progress.late = late.get(key, [])
+        job.set_late_starts(self._pool.late_starts.list_recorded(job))
         for step_key in job.drop_done_occurrences():
             self._pool.advice.pop(step_key, None)
+        if self._pool.get_queue(job).advising is not None:
+            self._set_advice(job)
+        return job.make_progress()
+
+    def _set_advice(self, job: Job) -> None:
         for key, step in job.steps.items():
             advice = self._pool.advice.get(StepKey(job.id, *key))
             recorded = advice if advice and self._is_worth_recording(job, advice) else StepAdvice()
             step.progress.allowed = recorded.allowed
             step.progress.denied = recorded.denied
-        return job.make_progress()
 
     def _is_worth_recording(self, job: Job, advice: StepAdvice) -> bool:
         few = len(advice.allowed | advice.denied) <= MAX_RECORDED_ADVICE
--- a/lavenderstall/pools/waiting_steps.py
+++ b/lavenderstall/pools/waiting_steps.py
@@ -45,10 +45,11 @@
     )
 
 
-def get_deadlines(job: Job, queue: Queue) -> tuple[float, float]:
-    """Return when a job becomes late and when its result becomes worthless."""
+def get_deadlines(job: Job, queue: Queue, occurrence: int) -> tuple[float, float]:
+    """Return when an occurrence of a job becomes late and when its result becomes worthless."""
     objective_s = get_objective_s(job.spec, queue)
-    return job.submitted_at + objective_s, job.submitted_at + EXPIRED_FACTOR * objective_s
+    due_at = job.get_due_at(occurrence)
+    return due_at + objective_s, due_at + EXPIRED_FACTOR * objective_s
 
 
 def list_waiting_steps(pool: Pool) -> list[WaitingStep]:
@@ -56,10 +57,17 @@
     return sorted(_iterate_waiting_steps(pool), key=lambda waiting_step: waiting_step[:4])
 
 
+def order_by_runs(waiting_steps: list[WaitingStep]) -> list[WaitingStep]:
+    """Return the steps with those of repeated jobs last, the ones with the fewest runs first."""
+    repeated = [each for each in waiting_steps if each.job.spec.repeat is not None]
+    others = [each for each in waiting_steps if each.job.spec.repeat is None]
+    return others + sorted(repeated, key=lambda each: (*each[:2], each.job.run_count))
+
+
 def _iterate_waiting_steps(pool: Pool) -> Iterator[WaitingStep]:
     for step_key, job in pool.list_startable_steps():
         queue = pool.get_queue(job)
-        deadline, expires_at = get_deadlines(job, queue)
+        deadline, expires_at = get_deadlines(job, queue, step_key.occurrence)
         expired = expires_at < pool.now and not job.spec.steps[step_key.step].long_running
         priority = 0 if _is_starving(pool, job, step_key) else queue.priority
         yield WaitingStep(expired, priority, deadline, step_key, job, queue)
@@ -68,4 +76,4 @@
 def _is_starving(pool: Pool, job: Job, step_key: StepKey) -> bool:
     """Tell whether a step has waited for `STARVATION_S` while its job has no run."""
     ready_at = job.get_step(step_key.occurrence, step_key.step).ready_at
-    return 0 <= ready_at < pool.now - STARVATION_S and not job.list_runs()
+    return 0 <= ready_at < pool.now - STARVATION_S and not job.run_count
--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -14,7 +14,6 @@
 
 MAX_TASKS = 5000
 MAX_STEPS = 64
-MAX_OCCURRENCES = 100_000
 # Tasks that last are all kept at a time, of all occurrences.
 MAX_LASTING_TASKS = 5_000
 # Limit on figures; rows and messages hold whole numbers of at most 63 bits.
@@ -155,9 +154,9 @@
 
 
 def check_repeat(repeat: Repeat) -> None:
-    """Raise `InvalidJobError` if the occurrences are too many, or their times are no times."""
-    if not 1 <= repeat.count <= MAX_OCCURRENCES:
-        raise InvalidJobError(f"a job runs 1 to {MAX_OCCURRENCES} times, not {repeat.count}")
+    """Raise `InvalidJobError` if a figure is out of bounds; there may be any number of times."""
+    if not 1 <= repeat.count <= MAX_FIGURE:
+        raise InvalidJobError(f"a job runs 1 to {MAX_FIGURE} times, not {repeat.count}")
     if min(repeat.start_ms, repeat.interval_ms) < 0:
         raise InvalidJobError("the time or the interval of the occurrences is negative")
     if max(repeat.start_ms, repeat.interval_ms) > MAX_FIGURE:
