Keep the progress of an ended job in one row

test_small_rows failed on: a job that had ended on a store of small rows left parts of its progress behind, as its row listed starts that may arrive late and was split. The parts of a row are deleted when it is written again, which the last row of a job is not.

Change: the row of an ended job leaves such starts out if it doesn't fit. The next owner then acknowledges ends of that job that it would have held.

--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -170,10 +170,15 @@
 
 
 def encode_progress(job: str, progress: JobProgress, limit: int) -> dict[str, bytes]:
-    """Return the values of a job's progress rows by key, each of at most `limit` bytes."""
+    """Return the values of a job's progress rows by key, each of at most `limit` bytes.
+
+    That of a job that has ended is one row, without late starts if they take too much.
+    """
     value = encode(progress)
     if len(value) <= limit:
         return {job: value}
+    if progress.is_final():
+        return {job: encode(JobProgress(progress.state))}
     parts = split_value(value, limit)
     return {job: encode(JobProgress(progress.state, parts=len(parts))), **name_parts(job, parts)}
 
--- a/tests/pools/test_progress.py
+++ b/tests/pools/test_progress.py
@@ -16,7 +16,12 @@
     Job,
 )
 from lavenderstall.pools.occurrence_opening import MAX_OPEN_TASKS
-from lavenderstall.pools.progress import JobProgress, StepProgress, check_progress
+from lavenderstall.pools.progress import (
+    JobProgress,
+    RecordedLateStart,
+    StepProgress,
+    check_progress,
+)
 from lavenderstall.pools.records import decode_progress, encode, encode_progress
 from lavenderstall.pools.work import (
     MAX_LASTING_TASKS,
@@ -234,6 +239,16 @@
         self.assertEqual(decode_progress(rows[JOB], JOB, parts), progress)
         self.assertEqual(decode_progress(rows[JOB]).state, "running")
 
+    def test_the_progress_of_an_ended_job_is_one_row(self) -> None:
+        """Fails if parts of it are left over once the row is deleted."""
+        for starts, kept in ((1, True), (400, False)):
+            with self.subTest(starts=starts):
+                late = [RecordedLateStart("w1", index, 1, 1) for index in range(starts)]
+                progress = JobProgress("completed", {"0.0": StepProgress(late=late)})
+                rows = encode_progress(JOB, progress, 500)
+                self.assertEqual(list(rows), [JOB])
+                self.assertEqual(bool(decode_progress(rows[JOB]).steps), kept)
+
     def test_progress_of_which_a_part_is_missing_is_unreadable(self) -> None:
         """Fails if a job whose parts are lost runs again from its start."""
         checkpoints = dict.fromkeys(range(99), (1, CHECKPOINT))
