Count copies of starts that were under way when their owner was killed

An owner is killed within 0.3 s of a start that is being sent again; the run is recorded, its copies are not, so the next owner places the task elsewhere when its worker crashes, or acknowledges its end.

Change: the owner row says until when all starts are settled: the time of the oldest one whose outcome isn't known, and no later than the last commit that left no change unrecorded. Progress rows say when they were written. The next owner counts three copies, the most that are sent, for each run recorded after that, and for runs that no row names. Claims pass the time on for as long as a start may be late.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -204,6 +204,7 @@
             unrecorded=unrecorded,
             earlier=list_earlier_owners(previous, snapshot.store_ms),
             leases_end_ms=get_leases_end_ms(latest_store_ms),
+            settled_ms=previous.settled_ms if previous else 0.0,
         )
 
     async def _find_claim(self, pool: PoolName, claimed: OwnerRow) -> Committed | None:
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -586,6 +586,7 @@
         )
         pool.set_settings(self.settings)
         pool.takeover.add_earlier_owners(self._list_earlier_leases(claim))
+        pool.takeover.settled_ms = claim.owner.settled_ms
         writer = OwnerWriter(
             self._store,
             dependencies.clock,
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -817,9 +817,6 @@
         for run in list(worker.runs.values()):
             if not run.start_sent:
                 continue
-            if run.inherited:
-                # Its record tells of late starts, if there were any.
-                run.copies = Copies()
             self.counts["runs_lapsed"] += 1
             logger.info("run lost as its lease expired", extra=describe_run(run))
             self.end_run(worker, run.task, run.number, EndCause.LOST, "")
--- a/lavenderstall/pools/progress.py
+++ b/lavenderstall/pools/progress.py
@@ -99,13 +99,15 @@
     """Durable progress of a job, with steps keyed by `occurrence.step`.
 
     Steps of `done_occurrences`, which are ranges, aren't kept. A row with `parts` has only the
-    state, and the whole lies in so many rows beside it.
+    state, and the whole lies in so many rows beside it. It was recorded at `recorded_ms` on the
+    store's clock.
     """
 
     state: str = JobState.QUEUED.value
     steps: dict[str, StepProgress] = {}
     done_occurrences: list[tuple[int, int]] = []
     parts: int = 0
+    recorded_ms: float = 0.0
 
     def is_final(self) -> bool:
         """Tell whether the job has ended and no run of it may exist."""
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -4,7 +4,8 @@
 from typing import TYPE_CHECKING
 
 from lavenderstall.pools.effects import PollResponse, RunEnd, RunStatus
-from lavenderstall.pools.job import Job, Run, describe_run
+from lavenderstall.pools.job import Copies, Job, Run, describe_run
+from lavenderstall.pools.repeated_starts import MAX_ATTEMPTS
 from lavenderstall.pools.supervision import (
     check_worker_faults,
     pace_best_effort_runs,
@@ -105,6 +106,9 @@
         worker.add_unsized_run(run)
         pool.stop(run)
         return run
+    run.ticketed = pool.get_queue(job).advising is not None
+    if pool.takeover.may_lack_copies():
+        run.copies = Copies(max(MAX_ATTEMPTS, copies.left), pool.now)
     pool.late_starts.note_copied(run)
     step = job.spec.steps[row.task.step]
     worker.add_run(run, step.allocation)
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -84,7 +84,8 @@
     running that are in no progress row. `sequence` counts the transactions of this ownership. An
     owner that hasn't renewed for `expiry_ms` may be replaced. `earlier` lists the owners before it
     whose leases may last; none means that they are not known. The leases that rest on this renewal
-    end by `leases_end_ms` on the store's clock; 0 means that it is not known.
+    end by `leases_end_ms` on the store's clock; 0 means that it is not known. Progress that was
+    recorded by `settled_ms` on that clock tells of all starts that have no answer.
     """
 
     entry: EntryId
@@ -97,6 +98,7 @@
     expiry_ms: float = BASE_EXPIRY_MS
     earlier: list[EarlierOwner] | None = None
     leases_end_ms: float = 0.0
+    settled_ms: float = 0.0
 
 
 class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -226,6 +228,7 @@
     """Decode the value of an owner row, or raise `UnreadableError`."""
     owner = decode_msgpack(value, OwnerRow)
     figures = [owner.term, owner.sequence, owner.renewed_ms, owner.leases_end_ms]
+    figures.append(owner.settled_ms)
     figures += chain.from_iterable(
         (each.term, each.leases_end_ms, each.owned_end_ms, each.renewed_ms)
         for each in owner.earlier or ()
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -10,9 +10,15 @@
 from lavenderstall.pools.earlier_owners import LEASE_LIFETIME_S
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Copies, Job, Run
+from lavenderstall.pools.repeated_starts import MAX_ATTEMPTS
 from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.work import StepKey, get_step_key
-from lavenderstall.pools.workers import Worker, WorkerEntry, WorkerState
+from lavenderstall.pools.workers import (
+    MAX_COMMAND_DELAY_S,
+    Worker,
+    WorkerEntry,
+    WorkerState,
+)
 from lavenderstall.resources import NOTHING
 
 if TYPE_CHECKING:
@@ -61,6 +67,8 @@
         # When the leases on workers expire that earlier owners knew to be silent.
         self.noted_lease_ends: dict[WorkerKey, float] = {}
         self.complete = False
+        # Progress recorded until then tells of all starts that have no answer (the store's clock).
+        self.settled_ms = 0.0
 
     def add_earlier_owners(self, owners: Iterable[EarlierLeases]) -> None:
         """Add the earlier owners whose leases may last."""
@@ -151,8 +159,8 @@
             self._pool.crashes.note_earlier_incarnation(job, run, recorded_key)
             worker.note_possible_starts(self._pool.now)
         run.worker = worker.key
-        # Nothing tells whether the worker has executed the start.
-        run.copies = Copies(1, self._pool.now)
+        if job.progress.recorded_ms > self.settled_ms:
+            run.copies = Copies(MAX_ATTEMPTS, self._pool.now)
         run.ticketed = self._pool.get_queue(job).advising is not None
         job.add_run(run)
         worker.add_run(run, self._pool.get_allocation(run.task))
@@ -167,6 +175,11 @@
         worker.registered = False
         return worker
 
+    def may_lack_copies(self) -> bool:
+        """Tell whether runs that no row names may have starts without an answer."""
+        loaded_s = self._pool.now - self._loaded_at if self._loaded_at >= 0 else 0.0
+        return not self._recorded and loaded_s <= MAX_COMMAND_DELAY_S
+
     def note_loaded(self) -> None:
         """Note that all rows of inherited jobs have been read."""
         self._loaded_at = self._pool.now
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -56,7 +56,7 @@
     get_shard,
 )
 from lavenderstall.pools.row_parts import PartCounts, is_part_key
-from lavenderstall.pools.workers import WorkerEntry
+from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S, WorkerEntry
 
 logger = logging.getLogger(__name__)
 
@@ -86,6 +86,8 @@
 # by this much.
 LEASE_END_INTERVAL_S = 0.2
 LEASE_END_TOLERANCE_S = 0.5
+# Estimates of the store's clock by one owner differ by less.
+CLOCK_MARGIN_MS = 100.0
 
 
 class OwnershipLostError(Exception):
@@ -149,6 +151,11 @@
         self._written_at = 0.0
         self._last_commit_s = 0.0
         self._unanswered_since = -1.0
+        # Until when recorded progress tells of all starts without an answer, by the durable owner
+        # row, and until when that of the owner before this one holds (seconds of uptime).
+        self._settled_ms = owner.settled_ms
+        self._inherited_settled_ms = owner.settled_ms
+        self._inherited_until = sent_at + MAX_COMMAND_DELAY_S
         # Whether the owner row allows unrecorded runs: as last built, and as last made durable.
         self._announces_unrecorded = False
         self._may_start_unrecorded = False
@@ -402,6 +409,7 @@
         """Return the values of all progress rows of a batch by key."""
         values: dict[str, bytes] = {}
         for job_id, progress in batch.progress.items():
+            progress.recorded_ms = self._get_latest_store_ms(self._read_uptime())
             rows = encode_progress(job_id, progress, self._limits.value_bytes)
             self._pool.jobs[job_id].note_progress_size(sum(map(len, rows.values())))
             values |= rows
@@ -457,6 +465,7 @@
             self._may_start_unrecorded = False
         self._owner.earlier = self._list_earlier_owners(now)
         self._owner.leases_end_ms = get_leases_end_ms(self._get_latest_store_ms(now))
+        self._owner.settled_ms = self._get_settled_ms(now)
         self._owner.unrecorded = self._announces_unrecorded or self._pool.has_unrecorded(
             batch.progress
         )
@@ -469,6 +478,19 @@
             if each.expire_at > now
         ]
 
+    def _get_settled_ms(self, now: float) -> float:
+        """Return until when progress recorded so far tells of all starts without an answer.
+
+        What is recorded later may name runs of which the start has been sent again since.
+        """
+        if self._pool.recorder.changed_jobs:
+            return self._settled_ms
+        oldest = next(iter(self._pool.starting.values()), now)
+        settled_ms = self._get_latest_store_ms(min(now, oldest)) - CLOCK_MARGIN_MS
+        if now < self._inherited_until:
+            settled_ms = min(settled_ms, self._inherited_settled_ms)
+        return max(settled_ms, self._settled_ms)
+
     def _is_store_slow(self) -> bool:
         """Tell whether commits take so long that starts should not wait for them."""
         limit_s = FAST_COMMIT_S if self._announces_unrecorded else SLOW_COMMIT_S
@@ -498,6 +520,7 @@
             self._unanswered_since = -1.0
             logger.info("store answers again", extra={"pool": self._pool.name})
         self._batch_jobs = min(2 * self._batch_jobs, MAX_BATCH_JOBS)
+        self._settled_ms = self._owner.settled_ms
         self._part_counts.note_written([put.key for put in transaction.puts])
         for put in transaction.puts:
             if put.table == PROGRESS and not is_part_key(put.key):
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from lavenderstall.callbacks import do_nothing
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.archive import RETENTION_S, ROW_REPLACEMENT_DELAY_S
@@ -51,6 +52,7 @@
 from lavenderstall.pools.takeover import Takeover
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import EndCause, JobState, Task
+from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S
 from lavenderstall.pools.writer import (
     FAST_COMMIT_S,
     RENEW_INTERVAL_S,
@@ -628,5 +630,72 @@
         self.assertEqual(read_done(rows), {0, 1})
 
 
+class SettledStartsTest(unittest.TestCase):
+    """Until when the rows tell the next owner of all starts that have no answer."""
+
+    def setUp(self) -> None:
+        """Claim a pool and let the time pass in which the rows of earlier owners count."""
+        self.rows = FakeRowStore()
+        self.owner = self.follow_clock(Owner(self.rows))
+        self.owner.step(MAX_COMMAND_DELAY_S + 1.0)
+
+    def follow_clock(self, owner: Owner) -> Owner:
+        """Let the store's clock follow that of an owner."""
+        before_ms = self.rows.store_clock_ms - owner.uptime * 1000
+
+        def advance() -> None:
+            self.rows.store_clock_ms = before_ms + owner.uptime * 1000
+
+        self.rows.advance = advance
+        return owner
+
+    def read_settled_age_s(self) -> float:
+        """Return how long before its last renewal the owner has settled all starts."""
+        row = decode_owner(self.rows.rows[OWNERS, POOL, OWNER_KEY].value)
+        return (row.renewed_ms - row.settled_ms) / 1000
+
+    def test_it_is_the_time_of_the_oldest_start_under_way(self) -> None:
+        """Fails if the next owner takes a start for settled that may have been sent again."""
+        self.owner.step()
+        self.assertLess(self.read_settled_age_s(), 0.3)
+        starting = self.owner.bench.pool.starting
+        starting[Task(JOB, 0, 0, 0), 1] = self.owner.uptime
+        starting[Task(JOB, 0, 0, 1), 1] = self.owner.uptime + 0.5
+        for _ in range(3):
+            self.owner.step()
+        self.assertGreater(self.read_settled_age_s(), 2.9)
+        del starting[Task(JOB, 0, 0, 0), 1]
+        self.owner.step()
+        self.assertGreater(self.read_settled_age_s(), 3.4)
+        starting.clear()
+        self.owner.step()
+        self.assertLess(self.read_settled_age_s(), 0.3)
+
+    def test_it_stays_while_changes_are_not_recorded(self) -> None:
+        """Fails if starts count as settled whose copies are known to no row."""
+        self.owner.step()
+        self.rows.unavailable = True
+        self.owner.bench.pool.add_job(make_job())
+        self.owner.bench.pool.recorder.mark_changed(JOB)
+        self.owner.step()
+        self.rows.unavailable = False
+        for _ in range(2):
+            self.owner.writer._batch_jobs = 0
+            self.owner.step()
+        self.assertGreater(self.read_settled_age_s(), 1.9)
+
+    def test_a_successor_heeds_that_of_the_owner_before_it(self) -> None:
+        """Fails if a third owner takes starts of the first one for settled."""
+        self.owner.bench.pool.starting[Task(JOB, 0, 0, 0), 1] = self.owner.uptime
+        self.owner.step()
+        self.rows.advance = do_nothing
+        self.rows.store_clock_ms += LATER_MS
+        successor = self.follow_clock(Owner(self.rows, "entry-2"))
+        successor.step()
+        self.assertGreater(self.read_settled_age_s(), LATER_MS / 1000)
+        successor.step(MAX_COMMAND_DELAY_S)
+        self.assertLess(self.read_settled_age_s(), 0.3)
+
+
 if __name__ == "__main__":
     unittest.main()
