Drop answers of peers to an earlier process or to another request

Cause: each process numbered its requests to peers from 1, and an answer ended whichever request had its number, whoever sent it and of whatever type. A peer that stood still answers the requests of the killed process to the next one.

Change: numbers begin at a place that the incarnation of the process gives; an answer counts only from the peer that was asked and of the type asked for. An answer of another type raised AttributeError before.

--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -164,6 +164,7 @@
         self.read_uptime = dependencies.read_uptime
         self.peers = PeerTracker(
             identity.entry,
+            identity.incarnation,
             identity.zone,
             dependencies.links,
             dependencies.clock,
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -3,12 +3,10 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from itertools import count
 from random import Random
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
-from twisted.internet.defer import Deferred
 
 from lavenderstall.clocks import Clock
 from lavenderstall.errors import PeerUnavailableError
@@ -36,10 +34,13 @@
     WriteAnswer,
     WriteRequest,
 )
+from lavenderstall.pools.peer_requests import PeerRequests
 from lavenderstall.pools.ports import Transaction
 from lavenderstall.pools.records import PRESENCES, STATES, EarlierOwner, OwnerRow, Presence
 from lavenderstall.pools.work import JobState, PoolName
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 # A peer or owner is live if heard within this time.
@@ -117,6 +118,7 @@
     def __init__(
         self,
         entry: EntryId,
+        incarnation: Incarnation,
         zone: str,
         links: NngLinks,
         clock: Clock,
@@ -131,11 +133,9 @@
         self._terms: dict[PoolName, int] = {}
         self.peers: dict[EntryId, PeerState] = {}
         self.link_supervisor = LinkSupervisor(random)
-        self._clock = clock
         self._random = random
         self._read_uptime = read_uptime
-        self._request_numbers = count(1)
-        self._pending_requests: dict[int, Deferred[Any]] = {}
+        self._requests = PeerRequests(incarnation, clock)
         self.get_local_state: Callable[[PoolName, JobId], StateAnswer] = lambda pool, job: (
             StateAnswer(0, owned=False)
         )
@@ -435,43 +435,30 @@
 
     # Requests
 
-    def _request(self, peer: EntryId, message: Any, timeout_s: float) -> Deferred[Any]:
-        """Send a request; the answer is none after a timeout or if sending fails."""
-        answer: Deferred[Any] = Deferred()
-        self._pending_requests[message.request_id] = answer
-        timer = self._clock.callLater(timeout_s, self._time_out, message.request_id)
-
-        def finish(result: Any) -> Any:
-            if timer.active():
-                timer.cancel()
-            return result
-
-        answer.addBoth(finish)
-        if not self.send(peer, message):
-            self._time_out(message.request_id)
-        return answer
-
-    def _time_out(self, number: int) -> None:
-        answer = self._pending_requests.pop(number, None)
-        if answer is not None:
-            answer.callback(None)
-
     def handle_answer(self, sender: EntryId, message: Any) -> None:
         """Match an answer to its request."""
-        answer = self._pending_requests.pop(message.request_id, None)
-        if answer is not None:
-            answer.callback(message)
+        self._requests.handle_answer(sender, message)
+
+    async def _request(
+        self, peer: EntryId, message: Any, answer_type: type[T], timeout_s: float
+    ) -> T | None:
+        """Send a request; the answer is none after a timeout or if sending fails."""
+        number = message.request_id
+        answer = self._requests.expect(peer, number, answer_type, timeout_s)
+        if not self.send(peer, message):
+            self._requests.abandon(number)
+        return await answer
 
     async def request_state(self, pool: PoolName, job: JobId) -> JobState | None:
         """Return the state of a job as known to the pool owner, or none."""
         owner = self.get_live_owner(pool)
         if owner is None:
             return None
-        number = next(self._request_numbers)
         if owner == self.entry:
             answer: StateAnswer | None = self.get_local_state(pool, job)
         else:
-            answer = await self._request(owner, StateRequest(number, pool, job), STATE_TIMEOUT_S)
+            message = StateRequest(self._requests.make_number(), pool, job)
+            answer = await self._request(owner, message, StateAnswer, STATE_TIMEOUT_S)
         if answer is None or not answer.owned or answer.state not in STATES:
             return None
         return JobState(answer.state)
@@ -506,41 +493,37 @@
 
     async def request_settings(self, peer: EntryId, version: int) -> SettingsAnswer | None:
         """Ask a peer for a configuration newer than a version; returns none without an answer."""
-        message = SettingsRequest(next(self._request_numbers), version)
-        answer: SettingsAnswer | None = await self._request(peer, message, SETTINGS_TIMEOUT_S)
-        return answer
+        message = SettingsRequest(self._requests.make_number(), version)
+        return await self._request(peer, message, SettingsAnswer, SETTINGS_TIMEOUT_S)
 
     async def request_write(
         self, peer: EntryId, table: str, part: str, key: str, value: bytes
     ) -> Presence:
         """Ask a peer to add a row to the store."""
-        number = next(self._request_numbers)
-        message = WriteRequest(number, table, part, key, value)
-        answer: WriteAnswer | None = await self._request(peer, message, WRITE_TIMEOUT_S)
+        message = WriteRequest(self._requests.make_number(), table, part, key, value)
+        answer = await self._request(peer, message, WriteAnswer, WRITE_TIMEOUT_S)
         if answer is None or answer.outcome not in PRESENCES:
             return Presence.UNKNOWN
         return Presence(answer.outcome)
 
     async def request_commit(self, peer: EntryId, transaction: Transaction) -> CommitAnswer | None:
         """Ask a peer to commit a transaction; returns none without an answer."""
-        message = CommitRequest(next(self._request_numbers), transaction)
-        answer: CommitAnswer | None = await self._request(peer, message, WRITE_TIMEOUT_S)
-        return answer
+        message = CommitRequest(self._requests.make_number(), transaction)
+        return await self._request(peer, message, CommitAnswer, WRITE_TIMEOUT_S)
 
     async def request_advice(
         self, peer: EntryId, request: RequestAdvice, timeout_s: float
     ) -> AdviceAnswer | None:
         """Ask a peer to call the placement service; returns none without an answer."""
         message = AdviceRequest(
-            next(self._request_numbers),
+            self._requests.make_number(),
             request.step_key.job,
             request.step_key.occurrence,
             request.step_key.step,
             request.workers,
             request.expected_ms / 1000,
         )
-        answer: AdviceAnswer | None = await self._request(peer, message, timeout_s)
-        return answer
+        return await self._request(peer, message, AdviceAnswer, timeout_s)
 
 
 def encode_pending_counts(counts: Counter[Any]) -> dict[str, int]:
--- a/tests/pools/ownership_model.py
+++ b/tests/pools/ownership_model.py
@@ -109,8 +109,14 @@
         self._recorded_at = 0.0
         self._claiming: Claiming | None = None
         self.peers = PeerTracker(
-            self.name, self.zone, None, Clock(), Random(number), lambda: model.now  # type: ignore[arg-type]
-        )  # fmt: skip
+            self.name,
+            Incarnation(self.name),
+            self.zone,
+            None,  # type: ignore[arg-type]
+            Clock(),
+            Random(number),
+            lambda: model.now,
+        )
 
     def step(self) -> None:
         """Handle messages, then decide and act."""
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -2,18 +2,29 @@
 
 import unittest
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Coroutine, Mapping
+from itertools import chain
 from random import Random
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.pools.claims import OwnerEvidence
 from lavenderstall.pools.earlier_owners import OUTAGE_LEASES_DELAY_S
+from lavenderstall.pools.effects import RequestAdvice
 from lavenderstall.pools.heartbeat_ring import HEARTBEAT_PEERS
-from lavenderstall.pools.messages import OwnerHeartbeat, StateAnswer, WriteAnswer
+from lavenderstall.pools.messages import (
+    AdviceAnswer,
+    CommitAnswer,
+    CommitOutcome,
+    OwnerHeartbeat,
+    SettingsAnswer,
+    StateAnswer,
+    WriteAnswer,
+)
 from lavenderstall.pools.peers import (
     ABSENCE_NOTICE_S,
     ABSENCE_S,
@@ -28,8 +39,9 @@
     PeerState,
     PeerTracker,
 )
+from lavenderstall.pools.ports import Transaction
 from lavenderstall.pools.records import EarlierOwner, OwnerRow, Presence
-from lavenderstall.pools.work import PoolName
+from lavenderstall.pools.work import JobState, PoolName, StepKey
 
 POOL = PoolName("routing")
 ZONES = {"e1": "z1", "e2": "z2", "e3": "z2", "e4": "z3"}
@@ -45,6 +57,25 @@
         """Record one message."""
         self.messages.append((peer, message))
 
+    def list_request_numbers(self) -> list[int]:
+        """Return the numbers of the requests among the messages."""
+        return [message.request_id for _, message in self.messages]
+
+
+def make_tracker(
+    name: str, incarnation: str, links: RecordingLinks, read_uptime: Callable[[], float]
+) -> PeerTracker:
+    """Return the tracker of a process of an instance in zone z1."""
+    return PeerTracker(
+        EntryId(name),
+        Incarnation(incarnation),
+        "z1",
+        links,  # type: ignore[arg-type]
+        Clock(),
+        Random(1),
+        read_uptime,
+    )
+
 
 class PeersTest(unittest.TestCase):
     """Conclusions from heartbeats and connections."""
@@ -52,14 +83,8 @@
     def setUp(self) -> None:
         """Make an instance in zone z1 that has heard all peers."""
         self.now = 100.0
-        self.peers = PeerTracker(
-            EntryId("e0"),
-            "z1",
-            RecordingLinks(),
-            Clock(),
-            Random(1),
-            lambda: self.now,  # type: ignore[arg-type]
-        )
+        self.links = RecordingLinks()
+        self.peers = make_tracker("e0", "i1", self.links, lambda: self.now)
         for name, zone in ZONES.items():
             self.peers.peers[EntryId(name)] = PeerState(zone)
         self.hear(*ZONES)
@@ -86,10 +111,67 @@
         write = self.peers.request_write(EntryId("e2"), "jobs", "p", "k", b"")
         for call in (state, write):
             Deferred.fromCoroutine(call).addBoth(found.append)
-        self.peers.handle_answer(EntryId("e1"), StateAnswer(1, owned=True, state="asleep"))
-        self.peers.handle_answer(EntryId("e2"), WriteAnswer(2, "perhaps"))
+        numbers = self.links.list_request_numbers()
+        answer = StateAnswer(numbers[0], owned=True, state="asleep")
+        self.peers.handle_answer(EntryId("e1"), answer)
+        self.peers.handle_answer(EntryId("e2"), WriteAnswer(numbers[1], "perhaps"))
         self.assertEqual(found, [None, Presence.UNKNOWN])
 
+    def start(self, call: Coroutine[Any, Any, Any]) -> list[Any]:
+        """Start a request, and return the list that its answer will be added to."""
+        found: list[Any] = []
+        Deferred.fromCoroutine(call).addBoth(found.append)
+        return found
+
+    def test_answers_to_a_former_process_are_dropped(self) -> None:
+        """Fails if a restarted instance takes the state of another job for that of its own."""
+        heartbeat = OwnerHeartbeat(POOL, 1, {})
+        numbers: list[list[int]] = []
+        for incarnation in ("i1", "i2", "i3"):
+            links = RecordingLinks()
+            peers = make_tracker("e0", incarnation, links, lambda: self.now)
+            peers.peers[EntryId("e1")] = PeerState("z1", last_contact_at=self.now)
+            peers.record_owner(EntryId("e1"), heartbeat)
+            found = [self.start(peers.request_state(POOL, JobId(f"{n:016}"))) for n in range(50)]
+            for number in chain.from_iterable(numbers):
+                answer = StateAnswer(number, owned=True, state=JobState.COMPLETED.value)
+                peers.handle_answer(EntryId("e1"), answer)
+            self.assertEqual(found, [[]] * 50)
+            numbers.append(links.list_request_numbers())
+            for number in numbers[-1]:
+                answer = StateAnswer(number, owned=True, state=JobState.RUNNING.value)
+                peers.handle_answer(EntryId("e1"), answer)
+            self.assertEqual(found, [[JobState.RUNNING]] * 50)
+
+    def test_answers_of_another_peer_or_type_are_dropped(self) -> None:
+        """Fails if a message with the number of a request ends it, whatever it says."""
+        peer, other = EntryId("e1"), EntryId("e2")
+        self.peers.record_owner(peer, OwnerHeartbeat(POOL, 1, {}))
+        advice = RequestAdvice(StepKey(JobId("a" * 16), 0, 0), ("w1",), 100)
+        rows = (
+            (self.peers.request_state(POOL, JobId("a" * 16)), StateAnswer(0, owned=True)),
+            (self.peers.request_write(peer, "jobs", "p", "k", b""), WriteAnswer(0, "present")),
+            (self.peers.request_settings(peer, 3), SettingsAnswer(0, 3, 0)),
+            (
+                self.peers.request_commit(peer, Transaction("", (), ())),
+                CommitAnswer(0, CommitOutcome.UNAVAILABLE),
+            ),
+            (self.peers.request_advice(peer, advice, 1.0), AdviceAnswer(0, available=False)),
+        )
+        answers = [answer for _, answer in rows]
+        for call, answer in rows:
+            with self.subTest(answer=type(answer).__name__):
+                found = self.start(call)
+                number = self.links.list_request_numbers()[-1]
+                for wrong in (each for each in answers if type(each) is not type(answer)):
+                    message = msgspec.structs.replace(wrong, request_id=number)
+                    self.peers.handle_answer(peer, message)
+                message = msgspec.structs.replace(answer, request_id=number)
+                self.peers.handle_answer(other, message)
+                self.assertEqual(found, [])
+                self.peers.handle_answer(peer, message)
+                self.assertEqual(len(found), 1)
+
     def test_zone_is_silent_if_no_instance_of_it_is_heard(self) -> None:
         self.now += ZONE_TIMEOUT_S + 0.1
         rows = (
@@ -248,7 +330,7 @@
         names = [EntryId(f"entry-{number}") for number in range(31)]
         heartbeats: Counter[EntryId] = Counter()
         for name in names:
-            peers = PeerTracker(name, "z1", RecordingLinks(), Clock(), Random(1), lambda: 0.0)  # type: ignore[arg-type]
+            peers = make_tracker(name, "i1", RecordingLinks(), lambda: 0.0)
             peers.peers = {other: PeerState("z2") for other in names if other != name}
             heartbeats.update(peers.list_heartbeat_recipients())
         self.assertEqual(set(heartbeats.values()), {HEARTBEAT_PEERS})
