Give a task up only if crashes of workers under it are no chance

Cause: two crashes were proof if the task was the only young run on the last worker, or four of any kind, however often workers crashed by themselves.

Change: the owner estimates how often workers crash by chance, and gives a task up once its crashes are 10,000 times as likely if it causes them. A later crash than 0.2 s after the start speaks against it. The next owner finds the latest crashes in the owner row. Ordinary tasks start 1.5 s apart from their second crash on.

--- a/lavenderstall/pools/claims.py
+++ b/lavenderstall/pools/claims.py
@@ -205,6 +205,7 @@
             earlier=list_earlier_owners(previous, snapshot.store_ms),
             leases_end_ms=get_leases_end_ms(latest_store_ms),
             settled_ms=previous.settled_ms if previous else 0.0,
+            crashed_ms=previous.crashed_ms if previous else [],
         )
 
     async def _find_claim(self, pool: PoolName, claimed: OwnerRow) -> Committed | None:
--- a/lavenderstall/pools/crash_records.py
+++ b/lavenderstall/pools/crash_records.py
@@ -1,5 +1,6 @@
 """Durable records of the crashes of workers under a task."""
 
+from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
@@ -16,7 +17,7 @@
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """The crash of a worker under a run, and how long the run had lived at most.
+    """The crash of a worker under a run, and how long after it had answered the start.
 
     It is `confirmed` once the worker's process has certainly ended; until then it may only have
     been cut off. The run is `started` if the worker had said so; otherwise the start may not have
@@ -38,13 +39,16 @@
 
 
 def count_runs(crashes: list[Crash]) -> int:
-    """Return how many runs have ended in crashes; the members of a gang share one."""
-    return len({crash.run for crash in crashes})
+    """Return how many runs have ended in crashes."""
+    return len(group_by_run(crashes))
 
 
-def list_proven(crashes: list[Crash]) -> list[Crash]:
-    """Return the crashes that have certainly happened while their runs were there."""
-    return [crash for crash in crashes if crash.confirmed and crash.started]
+def group_by_run(crashes: Iterable[Crash]) -> dict[int, list[Crash]]:
+    """Return the crashes by run; the members of a gang share one."""
+    found: dict[int, list[Crash]] = {}
+    for crash in crashes:
+        found.setdefault(crash.run, []).append(crash)
+    return found
 
 
 def is_last_sole(crashes: list[Crash]) -> bool:
--- a/lavenderstall/pools/crashes.py
+++ b/lavenderstall/pools/crashes.py
@@ -6,13 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from lavenderstall.identifiers import JobId
-from lavenderstall.pools.crash_records import (
-    Crash,
-    Suspicion,
-    count_runs,
-    is_last_sole,
-    list_proven,
-)
+from lavenderstall.pools.crash_evidence import MIN_RUNS, QUICK_CRASH_S, CrashRate, convict, is_quick
+from lavenderstall.pools.crash_records import Crash, Suspicion, count_runs
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import Job, Run, describe_run
 from lavenderstall.pools.work import Task
@@ -25,13 +20,12 @@
 
 # A task with this many crashes runs isolated, as does one that has likely caused its first.
 ISOLATED_CRASHES = 2
-# A task is given up after this many proven crashes if it alone may have caused the last, or after
-# more of any kind.
-MAX_CRASHES_SOLE = 2
+# Crashes are kept of so many last runs of a task that lasts, and of one that ends by itself.
 MAX_CRASHES = 4
-# A task that lasts is not given up. From its second crash on its runs start at least so far apart,
-# twice as far with each further crash up to the longest interval, which is below the time for
-# which such a task may be away.
+MAX_CRASHES_ENDING = 8
+# From its second crash on, the runs of a task that lasts start at least so far apart, twice as far
+# with each further crash up to the longest interval, which is below the time for which such a task
+# may be away. Those of one that ends by itself keep the shortest interval.
 MIN_START_INTERVAL_S = 1.5
 MAX_START_INTERVAL_S = 6.0
 # A run that has been at work for this long is no likely cause of a crash.
@@ -60,15 +54,16 @@
     """Find the tasks that crash workers among all that were running on them.
 
     A task keeps the crashes under which it was running in its durable progress, until a later run
-    of it lives longer or another task is found to have caused them. One that lasts keeps those of
-    its last `MAX_CRASHES` runs.
+    of it lives longer or another task is found to have caused them. It is given up only if crashes
+    by chance are out of the question, as the end of a worker is no failure of its tasks.
     """
 
     def __init__(self, pool: "Pool") -> None:
         self._pool = pool
         self._suspects: dict[WorkerKey, set[Attempts]] = {}
-        # When the last run that ended in a crash was started, of tasks that last.
+        # When the last run that ended in a crash was started.
         self._started_at: dict[Attempts, float] = {}
+        self.rate = CrashRate()
 
     def add_job(self, job: Job) -> None:
         """Add the crashes that earlier owners have recorded, and give up what they would have."""
@@ -109,18 +104,39 @@
         if job.is_lasting(task):
             return False
         crashes = [crash for crash in job.list_crashes(task) if crash.started]
-        return (
-            count_runs(crashes) >= MAX_CRASHES_SOLE
-            and is_last_sole(crashes)
-            and any(self._is_uncertain(job, task, crash) for crash in crashes)
-        )
+        uncertain = any(self._is_uncertain(job, task, crash) for crash in crashes)
+        return uncertain and self._convict(crashes)
 
     def backs_off(self, job: Job, task: Task) -> bool:
-        """Tell whether a task that lasts may not start yet, as workers have crashed under it."""
+        """Tell whether a task may not start yet, as workers have crashed under it."""
+        if not self._started_at:
+            return False
         started_at = self._started_at.get(make_attempts(job, task))
         if started_at is None:
             return False
-        return self._pool.now - started_at < get_start_interval(job.count_crashes(task))
+        interval_s = get_start_interval(job.count_crashes(task))
+        if not job.is_lasting(task):
+            interval_s = min(interval_s, MIN_START_INTERVAL_S)
+        return self._pool.now - started_at < interval_s
+
+    def _convict(self, crashes: list[Crash]) -> bool:
+        """Tell whether the crashes under a task are no chance, by how often those happen."""
+        if count_runs(crashes) < MIN_RUNS:
+            return False
+        workers = sum(worker.registered for worker in self._pool.workers.values())
+        explained = {crash.key for crash in crashes} | self._list_explained()
+        return convict(crashes, self.rate.estimate(workers, self._pool.now, explained))
+
+    def _list_explained(self) -> set[WorkerKey]:
+        """Return the crashes that a task has likely caused, as several came at once after it."""
+        found: set[WorkerKey] = set()
+        for attempts in self.list_suspects():
+            job = self._pool.jobs.get(attempts.job)
+            crashes = job.list_crashes(Task(*attempts)) if job else []
+            quick = [crash for crash in crashes if is_quick(crash)]
+            if count_runs(quick) >= MIN_RUNS:
+                found |= {crash.key for crash in quick}
+        return found
 
     # Events
 
@@ -130,13 +146,13 @@
             return
         crashed_at = worker.unresponsive_since if worker.unresponsive_since >= 0 else self._pool.now
         found = [
-            (run, self._rate(worker, run))
+            (run, self._rate_run(worker, run))
             for run in list(runs)
             if (run.start_sent or run.inherited) and not run.crash_noted
         ]
         for run, suspicion in found:
             run.crash_noted = True
-            age_s = 0.0 if run.inherited else max(0.0, crashed_at - run.start_sent_at)
+            age_s = get_age_s(run, crashed_at)
             self._note_start(run, crashed_at - age_s)
             if age_s <= MAX_ATTRIBUTED_AGE_S:
                 crash = Crash(
@@ -147,6 +163,12 @@
                     started=run.confirmed_at >= 0,
                 )
                 self._record(run, crash)
+        if found or not worker.runs:
+            quick = any(
+                get_age_s(run, crashed_at) <= QUICK_CRASH_S and suspicion is not Suspicion.POSSIBLE
+                for run, suspicion in found
+            )
+            self.rate.note(worker.key, crashed_at, quick=quick)
 
     def note_worker_lost(self, worker: Worker, *, restarted: bool) -> None:
         """Record a crash for all runs on a worker that is lost, unless it was about to leave.
@@ -185,6 +207,7 @@
     def note_answered(self, worker: Worker) -> None:
         """Withdraw the crash of a worker that answers after all."""
         self.withdraw(worker.key)
+        self.rate.withdraw(worker.key)
         if worker.unresponsive_since >= 0:
             for run in worker.runs.values():
                 run.crash_noted = False
@@ -220,7 +243,7 @@
 
     # Decisions
 
-    def _rate(self, worker: Worker, run: Run) -> Suspicion:
+    def _rate_run(self, worker: Worker, run: Run) -> Suspicion:
         """Rate how likely a run has caused the loss of its worker.
 
         Runs that had settled when the worker last existed for certain are no likely cause.
@@ -264,8 +287,8 @@
             return
         attempts = make_attempts(job, run.task)
         self._add_suspect(crash.key, attempts)
-        if job.is_lasting(run.task):
-            self._drop_oldest(job, run.task, attempts)
+        kept = MAX_CRASHES if job.is_lasting(run.task) else MAX_CRASHES_ENDING
+        self._drop_oldest(job, run.task, attempts, kept)
         self._pool.recorder.mark_changed(job.id)
         logger.info(
             "worker crashed under a task",
@@ -278,13 +301,13 @@
 
     def _note_start(self, run: Run, started_at: float) -> None:
         job = self._pool.find_job(run.task)
-        if job is not None and not job.ended and job.is_lasting(run.task):
+        if job is not None and not job.ended:
             self._started_at[make_attempts(job, run.task)] = started_at
 
-    def _drop_oldest(self, job: Job, task: Task, attempts: Attempts) -> None:
-        """Drop the crashes of all runs of a task but the last `MAX_CRASHES`."""
+    def _drop_oldest(self, job: Job, task: Task, attempts: Attempts, count: int) -> None:
+        """Drop the crashes of all runs of a task but the last ones."""
         crashes = job.list_crashes(task)
-        kept = sorted({crash.run for crash in crashes})[-MAX_CRASHES:]
+        kept = sorted({crash.run for crash in crashes})[-count:]
         for key in {crash.key for crash in crashes if crash.run < kept[0]}:
             self._drop_suspect(key, attempts)
             self._drop_crash(attempts, key)
@@ -300,23 +323,19 @@
         return any(run.worker == crash.key for run in list_runs(job, attempts))
 
     def _check_limit(self, job: Job, task: Task, lost: WorkerKey | None = None) -> None:
-        """Give a task up if it alone may have caused the last crash, or if there are many.
+        """Give a task up if it is certain to crash its workers.
 
         The crashes of a task that lasts are no attempts of it, but may explain those of others.
         """
-        crashes = job.list_crashes(task)
-        proven = list_proven(crashes)
         certain = [
             crash
-            for crash in crashes
-            if crash.key == lost or not self._is_uncertain(job, task, crash)
+            for crash in job.list_crashes(task)
+            if crash.confirmed or (crash.key == lost and not crash.started)
         ]
-        convicted = count_runs(proven) >= MAX_CRASHES_SOLE and is_last_sole(proven)
+        convicted = self._convict(certain)
         if job.is_lasting(task):
-            self._clear_others(make_attempts(job, task), proven if convicted else [])
+            self._clear_others(make_attempts(job, task), certain if convicted else [])
         elif convicted:
-            self._give_up(job, task, count_runs(proven))
-        elif count_runs(certain) >= MAX_CRASHES:
             self._give_up(job, task, count_runs(certain))
 
     def _give_up(self, job: Job, task: Task, count: int) -> None:
@@ -335,12 +354,14 @@
         self._pool.fail_job(job)
         for key in explained:
             self.withdraw(key)
+            self.rate.withdraw(key)
 
     def _clear_others(self, attempts: Attempts, crashes: list[Crash]) -> None:
         """Clear others of the crashes for which one alone is to blame."""
         for crash in crashes:
             if crash.suspicion is not Suspicion.SOLE:
                 continue
+            self.rate.withdraw(crash.key)
             for other in self._suspects.get(crash.key, set()) - {attempts}:
                 self._drop_suspect(crash.key, other)
                 self._drop_crash(other, crash.key)
@@ -369,6 +390,12 @@
     return min(MAX_START_INTERVAL_S, MIN_START_INTERVAL_S * 2.0 ** (crashes - ISOLATED_CRASHES))
 
 
+def get_age_s(run: Run, at: float) -> float:
+    """Return how long ago a worker had answered a start, or else was sent it; 0 if inherited."""
+    began_at = run.answered_at if run.answered_at >= 0 else run.start_sent_at
+    return 0.0 if run.inherited else max(0.0, at - began_at)
+
+
 def has_settled(run: Run, at: float) -> bool:
     """Tell whether a run has been at work for `SETTLED_S`; of an inherited one none is known."""
     return run.inherited or at - run.start_sent_at >= SETTLED_S
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -260,8 +260,6 @@
 
     def _list_ready(self, waiting_step: WaitingStep, waiting: Iterable[int]) -> list[int]:
         """Return the waiting tasks that don't back off after crashes of workers under them."""
-        if not waiting_step.step.long_running:
-            return sorted(waiting)
         job, backs_off = waiting_step.job, self.pool.crashes.backs_off
         tasks = [Task(*waiting_step.step_key, index) for index in sorted(waiting)]
         return [task.number for task in tasks if not backs_off(job, task)]
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -588,6 +588,10 @@
         pool.set_settings(self.settings)
         pool.takeover.add_earlier_owners(self._list_earlier_leases(claim))
         pool.takeover.settled_ms = claim.owner.settled_ms
+        pool.crashes.rate.add_earlier(
+            self.read_uptime() - (claim.committed.store_clock_ms - crashed_ms) / 1000
+            for crashed_ms in claim.owner.crashed_ms
+        )
         writer = OwnerWriter(
             self._store,
             dependencies.clock,
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -88,7 +88,9 @@
     start_sent: bool = True
     inherited: bool = False
     deadline_ms: float = 0.0
+    # When the worker is known to have begun the run, and when it has answered the start.
     confirmed_at: float = -1.0
+    answered_at: float = -1.0
     unanswered_at: float = -1.0
     stopping: bool = False
     stop_sent_at: float = -1.0
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -373,6 +373,7 @@
         for run in uncertain_runs:
             run.worker = worker.key
             run.confirmed_at = -1.0
+            run.answered_at = -1.0
             run.reported_at = -1.0
             run.unanswered_at = self.now
             run.deadline_ms = 0.0
@@ -659,6 +660,7 @@
         run = worker.runs.get((task, number))
         if run is not None:
             run.copies = Copies()
+            run.answered_at = self.now
         if run is not None and run.confirmed_at < 0:
             run.confirmed_at = self.now
             run.percent_changed_at = self.now
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -85,7 +85,8 @@
     owner that hasn't renewed for `expiry_ms` may be replaced. `earlier` lists the owners before it
     whose leases may last; none means that they are not known. The leases that rest on this renewal
     end by `leases_end_ms` on the store's clock; 0 means that it is not known. Progress that was
-    recorded by `settled_ms` on that clock tells of all starts that have no answer.
+    recorded by `settled_ms` on that clock tells of all starts that have no answer. `crashed_ms`
+    tells when workers have crashed lately.
     """
 
     entry: EntryId
@@ -99,6 +100,7 @@
     earlier: list[EarlierOwner] | None = None
     leases_end_ms: float = 0.0
     settled_ms: float = 0.0
+    crashed_ms: list[float] = []
 
 
 class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
@@ -228,7 +230,7 @@
     """Decode the value of an owner row, or raise `UnreadableError`."""
     owner = decode_msgpack(value, OwnerRow)
     figures = [owner.term, owner.sequence, owner.renewed_ms, owner.leases_end_ms]
-    figures.append(owner.settled_ms)
+    figures += [owner.settled_ms, *owner.crashed_ms]
     figures += chain.from_iterable(
         (each.term, each.leases_end_ms, each.owned_end_ms, each.renewed_ms)
         for each in owner.earlier or ()
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -466,6 +466,10 @@
         self._owner.earlier = self._list_earlier_owners(now)
         self._owner.leases_end_ms = get_leases_end_ms(self._get_latest_store_ms(now))
         self._owner.settled_ms = self._get_settled_ms(now)
+        self._owner.crashed_ms = [
+            max(0.0, self._get_latest_store_ms(at))
+            for at in self._pool.crashes.rate.list_latest(now)
+        ]
         self._owner.unrecorded = self._announces_unrecorded or self._pool.has_unrecorded(
             batch.progress
         )
