Look at no more than 1,024 waiting steps in a dispatch

Cause: each dispatch sorted all steps that wait and looked at each of them; each heartbeat counted all jobs without a run.

Change: steps are kept by kind (queue, label, size within a factor of two) and deadline. Up to 1,024 are all looked at, as before; of more, each kind has a share for its most urgent steps and for others in turn. If some start while others were left out, the next dispatch follows at once. Jobs that are pending are kept by queue.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -47,6 +47,8 @@
         self._sound_workers: dict[str, Worker] = {}
         self._shortages = ShortageTracker(self._gang_reservations)
         self._quota = BlockedQuota()
+        # Whether the last dispatch has started tasks, and has not looked at all that wait.
+        self.may_start_more = False
         # Whether the last dispatch has held occurrences back.
         self._holds_back = False
 
@@ -64,7 +66,13 @@
         self._quarantine.clear(usable_workers)
         self._shortages.clear(self.pool.workers.values())
         self._quota.clear()
-        self._consider_all(list_waiting_steps(self.pool), usable_workers)
+        starting = len(self.pool.starting)
+        waiting_steps = list_waiting_steps(self.pool)
+        self._consider_all(waiting_steps, usable_workers)
+        self.may_start_more = (
+            len(self.pool.startable_steps) > len(waiting_steps)
+            and len(self.pool.starting) > starting
+        )
         self._quota.end_dispatch()
         self._advice_requester.prefetch_advice(usable_workers)
 
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -563,6 +563,8 @@
         started = self._read_uptime()
         self.dispatcher.dispatch(*self._count_idle_advisers())
         self._metrics.record("dispatch", self._read_uptime() - started)
+        if self.dispatcher.may_start_more:
+            self.schedule_dispatch()
         if self._may_start_unrecorded():
             self.pool.recorder.send_unrecorded_starts(self.writer.list_roster())
 
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -1,7 +1,7 @@
 """State of one pool: its jobs and workers, and the effects to perform."""
 
 import logging
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Collection, Iterable, Iterator
 from math import inf
 
@@ -38,6 +38,7 @@
 from lavenderstall.pools.startable_steps import StartableSteps
 from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.takeover import Takeover
+from lavenderstall.pools.urgency import rate_step
 from lavenderstall.pools.work import (
     FINAL_STATES,
     EndCause,
@@ -104,6 +105,8 @@
         self.late_starts = LateStarts(self)
         self.jobs: dict[JobId, Job] = {}
         self.active: dict[JobId, Job] = {}
+        # Those of them of which no task has been started by a worker.
+        self._pending: defaultdict[QueueName, set[JobId]] = defaultdict(set)
         self.archive = Archive()
         self._unarchived: set[JobId] = set()
         # Jobs that were cancelled before their submission arrived.
@@ -159,6 +162,8 @@
             self._unarchived.add(row.id)
             return True
         self.active[row.id] = job
+        if not job.begun:
+            self._pending[row.queue.name].add(row.id)
         self.crashes.add_job(job)
         if row.id in self._early_cancels:
             del self._early_cancels[row.id]
@@ -217,10 +222,14 @@
             if state.waiting:
                 if state.ready_at < 0:
                     state.ready_at = self.now
-                self.startable_steps.add(state.step_key)
+                self._add_startable_step(job, state.step_key)
                 waiting += len(state.waiting)
         return waiting
 
+    def _add_startable_step(self, job: Job, step_key: StepKey) -> None:
+        if step_key not in self.startable_steps:
+            self.startable_steps.add(step_key, rate_step(job, self.get_queue(job), step_key))
+
     def count_starting_occurrences(self) -> int:
         """Return how many runs of repeated jobs were placed and are not known to have started."""
         jobs = (self.jobs.get(task.job) for task, _ in self.starting)
@@ -237,6 +246,7 @@
 
     def _close_job(self, job: Job) -> None:
         """Stop all runs of a job that has ended."""
+        self._pending[job.row.queue.name].discard(job.id)
         if self.active.pop(job.id, None) is not None:
             self._unarchived.add(job.id)
             self.crashes.forget_job(job)
@@ -249,7 +259,12 @@
 
     def count_pending(self) -> Counter[QueueName]:
         """Return how many jobs of each queue have no task that a worker has started."""
-        return Counter(job.row.queue.name for job in self.active.values() if not job.begun)
+        return Counter({queue: len(jobs) for queue, jobs in self._pending.items() if jobs})
+
+    def note_begun(self, job: Job) -> None:
+        """Note that a worker has started a task of a job."""
+        job.begun = True
+        self._pending[job.row.queue.name].discard(job.id)
 
     def _archive_ended(self) -> None:
         """Archive jobs whose final state is durable and that have no runs left."""
@@ -501,7 +516,7 @@
         if run.task.number not in state.copies:
             logger.info("speculative copy requested", extra=describe_run(run))
             state.copies.add(run.task.number)
-            self.startable_steps.add(state.step_key)
+            self._add_startable_step(job, state.step_key)
         return True
 
     # Answers of workers
@@ -563,7 +578,8 @@
         self, job: Job, task: Task, number: int, cause: EndCause, checkpoint: str
     ) -> None:
         """Apply the end of a run to its job."""
-        job.begun = job.begun or cause is not EndCause.LOST
+        if cause is not EndCause.LOST:
+            self.note_begun(job)
         job.record_checkpoint(task, number, checkpoint)
         before = job.state
         if cause is EndCause.DONE:
@@ -664,12 +680,9 @@
         if run is not None and run.confirmed_at < 0:
             run.confirmed_at = self.now
             run.percent_changed_at = self.now
-            self._note_begun(task)
-
-    def _note_begun(self, task: Task) -> None:
-        job = self.jobs.get(task.job)
-        if job is not None:
-            job.begun = True
+            job = self.jobs.get(task.job)
+            if job is not None:
+                self.note_begun(job)
 
     def note_refused(self, key: WorkerKey, task: Task, number: int, refusal: Refusal) -> None:
         """Note that a worker has not started a run and never will."""
@@ -825,14 +838,19 @@
         self.takeover.note_worker_reported(worker.key, "leases expired")
 
     def list_startable_steps(self) -> Iterator[tuple[StepKey, Job]]:
-        """Yield the steps that have tasks to start, and drop those that have none."""
-        for step_key in self.startable_steps:
-            job = self.jobs.get(step_key.job)
-            state = None if job is None or job.ended else job.get_step(*step_key[1:])
-            if job is None or state is None or not (state.waiting or state.copies):
-                self.startable_steps.discard(step_key)
+        """Yield the steps to look at that have tasks to start, and drop those that have none."""
+        for step_key in self.startable_steps.select(self.now, self._has_tasks_to_start):
+            if self._has_tasks_to_start(step_key):
+                yield step_key, self.jobs[step_key.job]
             else:
-                yield step_key, job
+                self.startable_steps.discard(step_key)
+
+    def _has_tasks_to_start(self, step_key: StepKey) -> bool:
+        job = self.jobs.get(step_key.job)
+        if job is None or job.ended:
+            return False
+        state = job.get_step(*step_key[1:])
+        return bool(state.waiting or state.copies)
 
     def pop_effects(self) -> list[Effect]:
         """Return and clear the effects to perform."""
--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -89,7 +89,7 @@
     pool.crashes.note_alive(run)
     run.checkpoint = row.checkpoint
     if job is not None:
-        job.begun = True
+        pool.note_begun(job)
     if job is not None and row.checkpoint and not job.ended:
         job.record_checkpoint(row.task, row.number, row.checkpoint)
     if job is None or job.ended:
--- a/lavenderstall/pools/waiting_steps.py
+++ b/lavenderstall/pools/waiting_steps.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from lavenderstall.pools.job import Job, StepState
-from lavenderstall.pools.objectives import EXPIRED_FACTOR, get_objective_s
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.urgency import get_deadlines
 from lavenderstall.pools.work import Queue, Step, StepKey
 
 # A step that has waited this long while its job has no run gets the highest priority.
@@ -45,15 +45,8 @@
     )
 
 
-def get_deadlines(job: Job, queue: Queue, occurrence: int) -> tuple[float, float]:
-    """Return when an occurrence of a job becomes late and when its result becomes worthless."""
-    objective_s = get_objective_s(job.spec, queue)
-    due_at = job.get_due_at(occurrence)
-    return due_at + objective_s, due_at + EXPIRED_FACTOR * objective_s
-
-
 def list_waiting_steps(pool: Pool) -> list[WaitingStep]:
-    """Return the steps that have tasks to start, most urgent first."""
+    """Return the steps with tasks to start that a dispatch looks at, most urgent first."""
     return sorted(_iterate_waiting_steps(pool), key=lambda waiting_step: waiting_step[:4])
 
 
