Load the jobs of a pool in turns of 100 rows

Change: rows are decoded and applied 100 at a time. Meanwhile the writer renews the ownership alone, as it knows progress and workers only in part; before, it saw an empty pool until all was loaded. Rows that are read again after a lost feed are applied in the same way.

Tests: tests/platform/test_many_jobs.py; its first test fails without the turns (1,500 rows in one, 100 allowed). Its second plays 1,500 jobs with three owners that end.

--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -1,7 +1,7 @@
 """The owner of a pool: executes the pool's decisions and reports events back to it."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from functools import partial
 from itertools import chain
 from math import inf
@@ -72,6 +72,8 @@
 REVIEW_INTERVAL_S = 0.1
 # Changes within this time, more than one reactor turn, share a dispatch.
 DISPATCH_DELAY_S = 0.003
+# Rows of jobs that are decoded and applied in one turn, which takes some ten milliseconds.
+TURN_ROWS = 100
 # Long-poll timeout of the row feeds.
 FEED_WAIT_MS = 1000
 # The rows are read if nothing of a feed's answer has come so long after its call.
@@ -164,18 +166,12 @@
             [self._read_partition(OWNERS, name), self._read_partition(PROGRESS, name)]
         )
         self.writer.note_row_versions(tuple(chain(roster, progress_rows)))
-        self._load_roster(roster)
-        progress = self._decode_progress(progress_rows)
-        for job, found in progress.items():
-            if found is not None and found.is_final():
-                self.pool.archive.add(job, JobState(found.state), self.pool.now)
-                self.pool.late_starts.add_recorded(job, found)
-        self._unreadable_jobs = {job for job, found in progress.items() if found is None}
-        for row in jobs:
-            self._load_job(row, progress.get(JobId(row.key)))
-        for row in cancels:
-            if self._concerns_pool(row):
-                self.pool.cancel_job(JobId(row.key))
+        self.writer.loading = True
+        try:
+            await self._load_rows(roster, progress_rows, jobs, cancels)
+        finally:
+            self.writer.loading = False
+        self.update_time()
         self.pool.takeover.note_loaded()
         logger.info(
             "pool loaded",
@@ -188,13 +184,36 @@
             },
         )
 
-    def _decode_progress(self, rows: list[Row]) -> dict[JobId, JobProgress | None]:
+    async def _load_rows(
+        self, roster: list[Row], progress_rows: list[Row], jobs: list[Row], cancels: list[Row]
+    ) -> None:
+        """Add what earlier owners knew, and let renewals and heartbeats go on meanwhile."""
+        self._load_roster(roster)
+        progress = await self._decode_progress(progress_rows)
+        for job, found in progress.items():
+            if found is not None and found.is_final():
+                self.pool.archive.add(job, JobState(found.state), self.pool.now)
+                self.pool.late_starts.add_recorded(job, found)
+        self._unreadable_jobs = {job for job, found in progress.items() if found is None}
+        async for row in self._take_turns(jobs):
+            self._load_job(row, progress.get(JobId(row.key)))
+        async for row in self._take_turns(cancels):
+            if self._concerns_pool(row):
+                self.pool.cancel_job(JobId(row.key))
+
+    async def _take_turns(self, rows: Iterable[Row]) -> AsyncIterator[Row]:
+        """Yield rows, and let other work of the process have its turn between them."""
+        for number, row in enumerate(rows, 1):
+            yield row
+            if number % TURN_ROWS == 0:
+                await sleep(self._clock, 0.0)
+
+    async def _decode_progress(self, rows: list[Row]) -> dict[JobId, JobProgress | None]:
         """Return the progress of each job that has any, none where it can't be read."""
         parts = {row.key: row.value for row in rows if is_part_key(row.key)}
         return {
             JobId(row.key): self._decode(row, partial(decode_progress, key=row.key, parts=parts))
-            for row in rows
-            if not is_part_key(row.key)
+            async for row in self._take_turns(row for row in rows if not is_part_key(row.key))
         }
 
     def _load_job(self, row: Row, progress: JobProgress | None) -> None:
@@ -487,7 +506,8 @@
                 "partitions_failed": len(errors),
             },
         )
-        apply(list(chain.from_iterable(rows for rows, _ in found)))
+        async for row in self._take_turns(chain.from_iterable(rows for rows, _ in found)):
+            apply([row])
         if errors:
             raise errors[0]
         return min(version for _, version in found)
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -148,6 +148,8 @@
         self.renewed = False
         # Whether to release the pool in the next transaction that leaves no progress unrecorded.
         self.releasing = False
+        # Whether the pool is known in part, so that only the ownership is renewed.
+        self.loading = False
         self._written_at = 0.0
         self._last_commit_s = 0.0
         self._unanswered_since = -1.0
@@ -221,7 +223,10 @@
     async def _write_due(self) -> ProgressBatch | None:
         now = self._read_uptime()
         renewal_due = not self.renewed or now - self.confirmed_at >= RENEW_INTERVAL_S
-        roster = self._get_changed_roster(now)
+        if self.loading and not renewal_due:
+            await sleep(self._clock, POLL_INTERVAL_S)
+            return None
+        roster = None if self.loading else self._get_changed_roster(now)
         batch_due = (
             bool(self._pool.recorder.changed_jobs) and now - self._written_at >= BATCH_DELAY_S
         )
@@ -332,7 +337,7 @@
         self, now: float, roster: Roster | None
     ) -> tuple[ProgressBatch, Transaction]:
         """Return the next batch, of as many jobs as the store accepts in one transaction."""
-        jobs = self._batch_jobs
+        jobs = 0 if self.loading else self._batch_jobs
         while True:
             batch = self._pool.recorder.take_batch(jobs)
             transaction = self._build_transaction(now, roster, batch)
