--- a/lavenderstall/pools/crash_evidence.py
+++ b/lavenderstall/pools/crash_evidence.py
@@ -12,7 +12,8 @@
 )
 from lavenderstall.pools.identity import WorkerKey
 
-# A task that crashes workers does so this soon after its start was answered.
+# Assumed, as nothing states it: a task that crashes workers does so this soon after its start was
+# answered. One that does so later is not found.
 QUICK_CRASH_S = 0.06
 # Density of the crashes that a task causes, in 1/s, by how long after that they are noticed, in
 # seconds. Those that come later say little about it.
