Refuse calls without a key of a known team, and keep the team of each job

Keys are kept as keyed digests only. An accepted job keeps its team. The rule for limits of 0 and the reading of bearer tokens are now shared with the product's own cell.

--- a/lavenderstall/access.py
+++ b/lavenderstall/access.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from lavenderstall.errors import LavenderstallError
+from lavenderstall.bearer_tokens import AccessError, read_bearer_token
 from lavenderstall.identifiers import TeamName
 from lavenderstall.schemas import Declaration, Operator, Right, Team
 
@@ -26,14 +26,6 @@
 MAX_WRONG_TOKENS_PER_S = 50
 
 
-class AccessError(LavenderstallError):
-    """A token is missing, unknown or lacks a right; `status` is the HTTP status."""
-
-    def __init__(self, detail: str, *, status: int) -> None:
-        super().__init__(detail, step="access")
-        self.status = status
-
-
 class Caller(msgspec.Struct, frozen=True):
     """Authenticated sender of a request: an operator with a right, or a team."""
 
@@ -62,14 +54,6 @@
     return hmac.compare_digest(hash_token(token, bytes.fromhex(salt)), declared)
 
 
-def read_bearer_token(header: str | None) -> str:
-    """Return the token of an `Authorization` header, or raise `AccessError`."""
-    scheme, _, token = (header or "").strip().partition(" ")
-    if scheme.lower() != "bearer" or not token.strip():
-        raise AccessError("a bearer token is required", status=401)
-    return token.strip()
-
-
 class Access:
     """Authenticate callers by token.
 
--- a/lavenderstall/admission.py
+++ b/lavenderstall/admission.py
@@ -13,6 +13,7 @@
 
 STEP = "admission"
 
+UNLIMITED = 1 << 60
 KIND_BOUND = 200_000
 TEAM_BOUND = 100_000
 # A team over its share of a kind's bound may fill the queue to this fraction; the rest is left
@@ -43,6 +44,14 @@
     waiting: int | None = None
 
 
+def make_running_limit(amounts: Resources) -> Resources | None:
+    """Return the limit on what a team runs; an amount of 0 means no limit, all 0 means none."""
+    if amounts == NOTHING:
+        return None
+    fields = amounts.__struct_fields__
+    return Resources(**{name: getattr(amounts, name) or UNLIMITED for name in fields})
+
+
 class DrainRate:
     """Measure events per second with exponential decay over `DRAIN_WINDOW_S`."""
 
--- /dev/null
+++ b/lavenderstall/bearer_tokens.py
@@ -0,0 +1,50 @@
+"""Bearer tokens of HTTP requests, and the teams that they belong to."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterable
+
+from lavenderstall.errors import LavenderstallError
+from lavenderstall.identifiers import TeamName
+
+SECRET_BYTES = 32
+
+
+class AccessError(LavenderstallError):
+    """A token is missing, unknown or lacks a right; `status` is the HTTP status."""
+
+    def __init__(self, detail: str, *, status: int) -> None:
+        super().__init__(detail, step="access")
+        self.status = status
+
+
+def read_bearer_token(header: str | None) -> str:
+    """Return the token of an `Authorization` header, or raise `AccessError`."""
+    scheme, _, token = (header or "").strip().partition(" ")
+    if scheme.lower() != "bearer" or not token.strip():
+        raise AccessError("a bearer token is required", status=401)
+    return token.strip()
+
+
+class TeamKeys:
+    """Find the team of a key; only keyed digests of the keys are kept."""
+
+    def __init__(self, keys: Iterable[tuple[str, TeamName]] = ()) -> None:
+        self._secret = secrets.token_bytes(SECRET_BYTES)
+        self._teams: dict[bytes, TeamName] = {}
+        for key, team in keys:
+            self._teams.setdefault(self._digest(key), team)
+
+    def __repr__(self) -> str:
+        return f"TeamKeys(count={len(self._teams)})"
+
+    def _digest(self, key: str) -> bytes:
+        return hmac.digest(self._secret, key.encode("utf-8", "surrogatepass"), hashlib.sha256)
+
+    def get_team(self, header: str | None) -> TeamName:
+        """Return the team of an `Authorization` header, or raise `AccessError`."""
+        team = self._teams.get(self._digest(read_bearer_token(header)))
+        if team is None:
+            raise AccessError("the token is not known", status=401)
+        return team
--- a/lavenderstall/job_admission.py
+++ b/lavenderstall/job_admission.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from functools import reduce
 
-from lavenderstall.admission import Admission, Quota
+from lavenderstall.admission import Admission, Quota, make_running_limit
 from lavenderstall.clocks import Clock
 from lavenderstall.configuration import ConfigurationView
 from lavenderstall.errors import Outcome, RefusedError
@@ -11,19 +11,15 @@
 from lavenderstall.messages import SliceSummary
 from lavenderstall.protocol import Kind
 from lavenderstall.records import JobSpec
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import Resources
 from lavenderstall.schemas import Demand, Policy, Team
 
-UNLIMITED = 1 << 60
 OBSERVE_INTERVAL_SECONDS = 1.0
 
 
 def make_quota(team: Team) -> Quota:
     """Return the quota of a team; an amount of 0 means no limit."""
-    bound = team.quota.resources
-    amounts = {name: getattr(bound, name) or UNLIMITED for name in bound.__struct_fields__}
-    running = None if bound == NOTHING else Resources(**amounts)
-    return Quota(running, team.quota.waiting or None)
+    return Quota(make_running_limit(team.quota.resources), team.quota.waiting or None)
 
 
 def compute_unit_resources(spec: JobSpec) -> Resources:
--- a/lavenderstall/operations.py
+++ b/lavenderstall/operations.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from lavenderstall.access import AccessError, Caller
+from lavenderstall.access import Caller
+from lavenderstall.bearer_tokens import AccessError
 from lavenderstall.bindings import check_request_id
 from lavenderstall.bodies import (
     ApplyAnswer,
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -120,7 +120,8 @@
 
     `cpu_capacity` is its share of processors; instances with more of it own pools first. A task
     takes `remote_factor` times as long on another rack than that of its data. Callers may rely on a
-    configuration `config_apply_s` after it was stored.
+    configuration `config_apply_s` after it was stored. If set, no key may work for longer than
+    `revocation_s` after a configuration without it was stored.
     """
 
     entry: EntryId
@@ -130,6 +131,7 @@
     cpu_capacity: float = 1.0
     remote_factor: float = REMOTE_FACTOR
     config_apply_s: float = 2.0
+    revocation_s: float | None = None
 
 
 class Dependencies(msgspec.Struct):
@@ -282,6 +284,13 @@
         unconfirmed_s = self.settings_tracker.get_unconfirmed_s()
         return unconfirmed_s <= self.identity.config_apply_s - CONFIRMATION_MARGIN_S
 
+    def may_trust_keys(self) -> bool:
+        """Tell whether no key that is known here can have been removed for too long."""
+        bound_s = self.identity.revocation_s
+        if bound_s is None:
+            return True
+        return self.settings_tracker.get_unconfirmed_s() <= bound_s - CONFIRMATION_MARGIN_S
+
     def choose_retry_after_s(self, spec: JobSpec, queue: Queue) -> int:
         """Return the seconds after which a caller whose job was not accepted should retry."""
         return choose_retry_after_s(
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lavenderstall.identifiers import JobId
+from lavenderstall.identifiers import JobId, TeamName
 from lavenderstall.pools.crash_records import Crash, confirm_crashes, count_runs, drop_crashes
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.identity import WorkerKey
@@ -18,6 +18,7 @@
     StepProgress,
 )
 from lavenderstall.pools.ranges import RangeSet
+from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.work import (
     FINAL_STATES,
     EndCause,
@@ -36,7 +37,7 @@
 
 
 class AcceptedJob(msgspec.Struct, tag="accepted", frozen=True, omit_defaults=True):
-    """A stored job: what was submitted and when (Unix milliseconds).
+    """A stored job: what was submitted, by which team, and when (Unix milliseconds).
 
     `queue` is its queue as it was configured then. The job stays in that queue's pool, whatever
     later configurations say of the queue.
@@ -46,6 +47,7 @@
     queue: Queue
     spec: JobSpec
     accepted_ms: int = 0
+    team: TeamName = NO_TEAM
 
     @property
     def pool(self) -> PoolName:
--- a/lavenderstall/pools/job_requests.py
+++ b/lavenderstall/pools/job_requests.py
@@ -13,7 +13,7 @@
     StoreOutcomeUnknownError,
     StoreUnavailableError,
 )
-from lavenderstall.identifiers import JobId
+from lavenderstall.identifiers import JobId, TeamName
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commits import commit_and_verify
 from lavenderstall.pools.coroutines import gather, launch
@@ -41,6 +41,7 @@
     encode_cancellation,
     get_shard,
 )
+from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import (
     FINAL_STATES,
@@ -81,20 +82,22 @@
         self._limits = limits
         self._unreadable_rows = UnreadableRows(metrics)
 
-    async def submit(self, queue: Queue, job: JobId, spec: JobSpec) -> Presence:
-        """Write a job to the store and send it to the owner of its pool.
+    async def submit(
+        self, queue: Queue, job: JobId, spec: JobSpec, team: TeamName = NO_TEAM
+    ) -> Presence:
+        """Write a job of a team to the store and send it to the owner of its pool.
 
         A job with this ID that is stored already stays as it is, in whichever pool. Raises
         `InvalidJobError` for a job that is too large to be stored.
         """
-        row = AcceptedJob(job, queue, spec, int(self._read_unix_ms()))
+        row = AcceptedJob(job, queue, spec, int(self._read_unix_ms()), team)
         value = encode(row)
         if len(value) > self._limits.value_bytes:
             raise InvalidJobError(
                 f"the job takes {len(value)} bytes as stored, at most {self._limits.value_bytes}"
             )
         outcome = await self._add_hedged(JOBS, job, value)
-        logger.info("job submitted", extra={"job": job, "queue": queue.name,
+        logger.info("job submitted", extra={"job": job, "queue": queue.name, "team": team,
                     "pool": queue.pool, "outcome": outcome.value})  # fmt: skip
         if outcome is Presence.ADDED:
             self._peers.send_job_hint(queue.pool, value)
--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -6,7 +6,9 @@
 
 import msgspec
 
-from lavenderstall.identifiers import JobId
+from lavenderstall.bearer_tokens import TeamKeys
+from lavenderstall.identifiers import JobId, TeamName
+from lavenderstall.pools.teams import Team
 from lavenderstall.resources import MAX_AMOUNT, NOTHING, Resources
 
 PoolName = NewType("PoolName", str)
@@ -172,7 +174,10 @@
 
 
 class Queue(msgspec.Struct, frozen=True, omit_defaults=True):
-    """Configuration of a queue; priority 0 is the highest."""
+    """Configuration of a queue; priority 0 is the highest.
+
+    Calls of a `public` one need no key.
+    """
 
     name: QueueName
     host: str
@@ -183,6 +188,7 @@
     slack: float = 1.0
     objective_ms: float = 0.0
     advising: Advising | None = None
+    public: bool = False
 
 
 def check_queue(queue: Queue) -> None:
@@ -195,12 +201,17 @@
 
 
 class Settings(msgspec.Struct, frozen=True, dict=True):
-    """One version of the configuration; workers of `guarded` pools enforce their capacity."""
+    """One version of the configuration; workers of `guarded` pools enforce their capacity.
+
+    Without `keys`, calls need none.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     guarded: frozenset[PoolName] = frozenset()
     pools: frozenset[PoolName] = frozenset()
+    teams: tuple[Team, ...] = ()
+    keys: TeamKeys | None = None
 
     # Of queues with the same prefix or name, the first one counts.
 
@@ -222,6 +233,14 @@
         found = (self._queues_by_prefix.get((host, prefix)) for prefix in prefixes)
         return next((queue for queue in found if queue is not None), None)
 
+    @cached_property
+    def _teams_by_name(self) -> dict[TeamName, Team]:
+        return {team.name: team for team in reversed(self.teams)}
+
+    def find_team(self, name: TeamName) -> Team | None:
+        """Return a team by name, or none."""
+        return self._teams_by_name.get(name)
+
     def find_queue_by_name(self, name: QueueName) -> Queue | None:
         """Return a queue by name, or none."""
         return self._queues_by_name.get(name)
--- a/lavenderstall/queries.py
+++ b/lavenderstall/queries.py
@@ -7,7 +7,8 @@
 import msgspec
 from twisted.internet.defer import Deferred
 
-from lavenderstall.access import AccessError, Caller
+from lavenderstall.access import Caller
+from lavenderstall.bearer_tokens import AccessError
 from lavenderstall.bodies import SpanInfo, TraceAnswer
 from lavenderstall.decoding import UnreadableError, decode_json
 from lavenderstall.errors import AnswerLostError, LavenderstallError, PeerUnavailableError
--- a/lavenderstall/rejections.py
+++ b/lavenderstall/rejections.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from lavenderstall.access import AccessError
 from lavenderstall.admission import AdmissionReason
+from lavenderstall.bearer_tokens import AccessError
 from lavenderstall.bodies import Rejection
 from lavenderstall.changes import ChangeRefusedError, VersionConflictError
 from lavenderstall.declarations import DeclarationError
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -5,7 +5,8 @@
 from unittest import mock
 
 from lavenderstall import access
-from lavenderstall.access import Access, AccessError, hash_token, make_token
+from lavenderstall.access import Access, hash_token, make_token
+from lavenderstall.bearer_tokens import AccessError
 from lavenderstall.schemas import Operator, Right, Team
 
 SALT = bytes(16)
