Hold starts that would take a team above its quota in one pool

Change: each pool counts what the runs of a team need, from placement to end, and a dispatch starts no more of its tasks than fit the quota; of a gang all or none. Pools do not know of each other yet: team_shares is where that is to go.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -13,6 +13,8 @@
 from lavenderstall.pools.preemption import MIN_PREEMPTION_WAIT_S, Preemptor
 from lavenderstall.pools.quarantine import Assignments, Quarantine
 from lavenderstall.pools.shortages import ShortageTracker
+from lavenderstall.pools.team_usage import count_startable
+from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.waiting_steps import (
     WaitingStep,
     is_plain,
@@ -123,6 +125,7 @@
         if not pinned:
             return
         startable = [] if waiting_step.step.gang else self._list_ready(waiting_step, pinned)
+        startable = self._limit_to_quota(waiting_step, startable)
         started = 0
         for index in startable:
             worker = self._sound_workers.get(pinned[index])
@@ -248,7 +251,7 @@
         )
         allowance = job.get_start_allowance()
         if len(waiting) <= allowance:
-            return waiting
+            return self._limit_to_quota(waiting_step, waiting)
         fresh = [
             index for index in waiting if not job.get_last_run(Task(*waiting_step.step_key, index))
         ]
@@ -257,7 +260,20 @@
         else:
             held = set(fresh[allowance:])
         self.pool.counts["starts_held_for_progress"] += len(held)
-        return [index for index in waiting if index not in held]
+        return self._limit_to_quota(waiting_step, [i for i in waiting if i not in held])
+
+    def _limit_to_quota(self, waiting_step: WaitingStep, waiting: list[int]) -> list[int]:
+        """Return as many of the waiting tasks as their team may start; of a gang all or none."""
+        step, team = waiting_step.step, waiting_step.job.row.team
+        if team == NO_TEAM:
+            return waiting
+        limit = self.pool.team_shares.get_limit(team)
+        startable = count_startable(self.pool.team_usage.get(team), limit, step.need)
+        if startable is None or startable >= len(waiting):
+            return waiting
+        kept = [] if step.gang else waiting[:startable]
+        self.pool.counts["starts_held_for_quota"] += len(waiting) - len(kept)
+        return kept
 
     def _list_startable(self, waiting_step: WaitingStep, waiting: set[int]) -> list[int]:
         """Return the waiting tasks that may start now, on any worker."""
@@ -287,6 +303,7 @@
             for index in self._list_startable(waiting_step, waiting_step.state.waiting)
             if job.has_lasted(Task(*waiting_step.step_key, index))
         ]
+        found = self._limit_to_quota(waiting_step, found)
         return [] if step.gang and len(found) < step.count else found
 
     def _start_tasks(
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -18,6 +18,7 @@
     StepProgress,
 )
 from lavenderstall.pools.ranges import RangeSet
+from lavenderstall.pools.team_usage import TeamUsage
 from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.work import (
     FINAL_STATES,
@@ -137,8 +138,15 @@
 class Job:
     """Track the progress of one accepted job."""
 
-    def __init__(self, row: AcceptedJob, submitted_at: float, progress: JobProgress | None) -> None:
+    def __init__(
+        self,
+        row: AcceptedJob,
+        submitted_at: float,
+        progress: JobProgress | None,
+        team_usage: TeamUsage | None = None,
+    ) -> None:
         self.row = row
+        self._team_usage = TeamUsage() if team_usage is None else team_usage
         self.id = row.id
         self.spec = row.spec
         self.submitted_at = submitted_at
@@ -252,6 +260,7 @@
         step = self.get_step(run.task.occurrence, run.task.step)
         step.active_runs.setdefault(run.task.number, []).append(run)
         self.run_count += 1
+        self._team_usage.add(self.row.team, self.spec.steps[run.task.step].need)
         self._unrecorded_starts += 1
         self._note_run_number(step, run.task, run.number)
         step.waiting.discard(run.task.number)
@@ -335,6 +344,8 @@
         before = step.active_runs.get(index, [])
         runs = [run for run in before if run.number != number]
         self.run_count -= len(before) - len(runs)
+        for _ in range(len(before) - len(runs)):
+            self._team_usage.subtract(self.row.team, self.spec.steps[step.step_key.step].need)
         if runs:
             step.active_runs[index] = runs
         else:
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -38,6 +38,8 @@
 from lavenderstall.pools.startable_steps import StartableSteps
 from lavenderstall.pools.step_advice import StepAdvice
 from lavenderstall.pools.takeover import Takeover
+from lavenderstall.pools.team_shares import LocalShares, TeamShares
+from lavenderstall.pools.team_usage import TeamUsage
 from lavenderstall.pools.urgency import rate_step
 from lavenderstall.pools.work import (
     FINAL_STATES,
@@ -122,6 +124,9 @@
         self.occurrences = OccurrenceOpener(self)
         self.advice: dict[StepKey, StepAdvice] = {}
         self.slowdowns = SlowdownEstimator()
+        # What each team has running in this pool, and what it may start here of its quota.
+        self.team_usage = TeamUsage()
+        self.team_shares: TeamShares = LocalShares(self)
         self.effects: list[Effect] = []
         self.settings = Settings(0)
         # Zones in which no entry instance responds; they may be partitioned.
@@ -152,7 +157,7 @@
         if row.id in self.jobs or row.id in self.archive:
             return False
         age = max(0.0, self.unix_ms - row.accepted_ms) / 1000 if inherited else 0.0
-        job = Job(row, self.now - age, progress)
+        job = Job(row, self.now - age, progress, self.team_usage)
         self.jobs[row.id] = job
         if inherited:
             self.takeover.add_job(job)
