Decode the messages of workers in a module of their own

Change: what workers and the placement service send moves to worker_wire.py, unchanged; teams were already apart.

--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -15,13 +15,12 @@
 from adapter.http_api import JobsResource, Response
 from adapter.settings import SettingsError, read_node_settings
 from adapter.store import PlatformStore
-from adapter.wire import (
+from adapter.wire import PlatformSettingsDecoder, decode_job_body
+from adapter.worker_wire import (
     MAX_CAPACITY,
     MAX_UNIX_MS,
-    PlatformSettingsDecoder,
     WireWorker,
     WireWorkerStatus,
-    decode_job_body,
     decode_worker,
     format_task_name,
     parse_task_name,
--- a/tests/platform/test_unreadable_data.py
+++ b/tests/platform/test_unreadable_data.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
-from adapter.wire import decode_status
+from adapter.worker_wire import decode_status
 from adapter.workers import REGISTRY_TABLE
 from lavenderstall.decoding import UnreadableError
 from lavenderstall.errors import LavenderstallError
