Count runs of a team that need nothing

Cause: the use of a team was deleted with its first run that needs nothing, so the end of the second one raised a KeyError within the answer of a poll, and the rest of that answer was lost. Change: a use that is gone already stays gone. The quota within one pool gets its tests: lowered quotas, gangs, a small team beside a flood, runs that are stopping, unanswered, cancelled or found after a takeover. Measured: the two cases with such runs fail before with the KeyError; all 10 tests pass.

--- a/lavenderstall/pools/team_usage.py
+++ b/lavenderstall/pools/team_usage.py
@@ -38,7 +38,8 @@
             return
         left = self.get(team).subtract(need)
         if left == NOTHING:
-            del self._used[team]
+            # Runs that need nothing may be left.
+            self._used.pop(team, None)
         else:
             self._used[team] = left
 
