Date a confirmation of the configuration by what it can know

Cause: a withdrawn key may work for as long as the configuration counts as confirmed. An answer of the feed with changes confirmed up to a second after it was made, and a start counted as a confirmation, so that an old configuration learnt from a peer out of touch was trusted. Change: an answer with changes is dated by the store's clock since the answer before; nothing is confirmed at a start.

--- a/lavenderstall/pools/settings_tracker.py
+++ b/lavenderstall/pools/settings_tracker.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Mapping
+from math import inf
 
 import msgspec
 
@@ -24,6 +25,7 @@
 # A peer is asked once the store hasn't told for this long that the version is the newest.
 UNCONFIRMED_S = FEED_WAIT_MS / 1000 + OVERDUE_S
 PEER_REQUEST_INTERVAL_S = 0.5
+MAX_UNCONFIRMED_S = 3600.0
 OPERATOR_TABLE = "op"
 SETTINGS_KEY = "config"
 
@@ -55,7 +57,7 @@
         self.settings = Settings(0)
         self._row: Row | None = None
         self._peers = peers
-        self._peer_confirmed_at = read_uptime()
+        self._peer_confirmed_at = -inf
         # The newest version that a peer has told of, when it was first heard of, and from whom.
         self._newer = PeerVersion()
         self._asked_at = -PEER_REQUEST_INTERVAL_S
@@ -78,8 +80,12 @@
         self._watch.stop()
 
     def get_unconfirmed_s(self) -> float:
-        """Return for how long a newer version may have been in the store, in seconds."""
-        return self._read_uptime() - max(self._watch.confirmed_at, self._peer_confirmed_at)
+        """Return for how long a newer version may have been in the store, in seconds.
+
+        Before anything was confirmed, or long after, it is `MAX_UNCONFIRMED_S`.
+        """
+        confirmed_at = max(self._watch.confirmed_at, self._peer_confirmed_at)
+        return min(self._read_uptime() - confirmed_at, MAX_UNCONFIRMED_S)
 
     def note_peer_version(self, peer: EntryId, version: int) -> None:
         """Note the version that a peer has."""
--- a/lavenderstall/pools/table_watch.py
+++ b/lavenderstall/pools/table_watch.py
@@ -24,6 +24,8 @@
 # After a lost history reads may be behind for some seconds, so the rows are read again and again.
 VERIFICATION_PERIOD_S = 7.5
 VERIFICATION_INTERVAL_S = 1.5
+# Seconds of this host per second of the store's clock, at least.
+MIN_CLOCK_RATE = 0.95
 # Larger tables would keep a slow link busy.
 MAX_VERIFIED_BYTES = 32 * 1024
 # Rows are read in place of the feed if its answer holds more of superseded versions.
@@ -76,8 +78,11 @@
         self._progress_at = -inf
         self._feed_heard_at = read_uptime()
         self._history_lost_at = -inf
+        # The store's clock in the last answer of the feed, which was made no earlier than this.
+        self._dated_at = -inf
+        self._dated_clock_ms = 0.0
         # When the listener last had all changes.
-        self.confirmed_at = read_uptime()
+        self.confirmed_at = -inf
 
     def start(self) -> None:
         """Start following the table."""
@@ -148,7 +153,7 @@
         self._feed_version = max(self._feed_version, page.version)
         self._note_restored()
         self._notify()
-        self._confirm(page.version, min(self._read_uptime(), asked_at + self._wait_s))
+        self._confirm(page.version, self._estimate_made_at(page, asked_at))
 
     async def _read_if_overdue(self) -> None:
         due_in_s = self._get_read_due_at() - self._read_uptime()
@@ -237,6 +242,19 @@
         self._newest_version = version
         self.confirmed_at = max(self.confirmed_at, at)
 
+    def _estimate_made_at(self, page: Page, asked_at: float) -> float:
+        """Return a time before which an answer of the feed was not made, in seconds of uptime.
+
+        An answer without rows was made after the wait; one with rows may be made at once and be on
+        its way for long, so it is dated by the store's clock since the answer before.
+        """
+        passed_s = (page.store_clock_ms - self._dated_clock_ms) / 1000 * MIN_CLOCK_RATE
+        dated_at = self._dated_at + max(0.0, passed_s)
+        earliest_at = asked_at if page.rows else asked_at + self._wait_s
+        made_at = min(self._read_uptime(), max(earliest_at, dated_at))
+        self._dated_at, self._dated_clock_ms = made_at, page.store_clock_ms
+        return made_at
+
     def _notify(self) -> None:
         """Pass all rows on if they changed, or if the listener failed with them before."""
         if self._changed:
--- a/tests/pools/test_settings_tracker.py
+++ b/tests/pools/test_settings_tracker.py
@@ -14,6 +14,7 @@
 from lavenderstall.pools.messages import Message, SettingsAnswer, SettingsRequest, decode_message
 from lavenderstall.pools.ports import Page, Row
 from lavenderstall.pools.settings_tracker import (
+    MAX_UNCONFIRMED_S,
     OPERATOR_TABLE,
     PEER_LAG_S,
     PEER_REQUEST_INTERVAL_S,
@@ -65,6 +66,10 @@
         store: Any = SimpleNamespace(
             read=lambda *_: next(answers, Deferred()), poll_changes=self.poll
         )
+        self.make_tracker(store)
+
+    def make_tracker(self, store: Any) -> None:
+        """Start to follow the configuration of a store."""
         self.tracker = SettingsTracker(
             store,
             self.clock,
@@ -156,6 +161,21 @@
                 self.peers.answers[-1].callback(SettingsAnswer(1, version, unconfirmed_ms))
                 self.assertAlmostEqual(self.tracker.get_unconfirmed_s(), expected_s)
 
+    def test_a_start_confirms_nothing(self) -> None:
+        """Fails if an instance that starts takes what a peer out of touch has for the newest."""
+        for unconfirmed_ms, expected_s in ((200, 0.3), (9000, 9.1), (10**9, MAX_UNCONFIRMED_S)):
+            with self.subTest(unconfirmed_ms=unconfirmed_ms):
+                silent: Any = SimpleNamespace(read=lambda *_: Deferred(), poll_changes=self.poll)
+                self.make_tracker(silent)
+                self.assertEqual(self.tracker.get_unconfirmed_s(), MAX_UNCONFIRMED_S)
+                self.tracker.note_peer_version(PEER, 4)
+                self.ask_after(PEER_LAG_S + 0.01)
+                self.clock.advance(0.1)
+                answer = SettingsAnswer(1, 4, unconfirmed_ms, make_row(4))
+                self.peers.answers[-1].callback(answer)
+                self.assertEqual(self.tracker.settings.version, 4)
+                self.assertAlmostEqual(self.tracker.get_unconfirmed_s(), expected_s)
+
     def test_an_answer_holds_the_row_only_for_an_older_version(self) -> None:
         """Fails if a configuration is sent to a peer that has it."""
         for version, expected in ((0, make_row(3)), (2, make_row(3)), (3, None), (4, None)):
--- a/tests/pools/test_table_watch.py
+++ b/tests/pools/test_table_watch.py
@@ -186,6 +186,30 @@
         self.assertEqual(self.seen[-1], {"a": 7, "b": 2})
         self.assertEqual(self.watch.confirmed_at, confirmed_at)
 
+    def test_an_answer_with_changes_confirms_no_more_than_it_can_know(self) -> None:
+        """Fails if a change counts as known that came while the answer was on its way."""
+        rows = (
+            # Seconds from the poll to its answer, the store's clock, rows, and seconds confirmed.
+            (1.0, 101_000.0, 0, 1.0),
+            (3.0, 101_000.0, 0, 1.0),
+            (0.9, 0.0, 1, 0.0),
+            (0.9, 100_200.0, 1, 0.19),
+            (3.0, 100_200.0, 1, 0.19),
+            (0.9, 900_000.0, 1, 0.9),
+        )
+        for arrived_s, clock_ms, changes, expected_s in rows:
+            with self.subTest(arrived_s=arrived_s, clock_ms=clock_ms, changes=changes):
+                self.setUp()
+                self.clock.advance(WAIT_S)
+                self.store.polls[-1].callback(Page((), 2, 100_000.0))
+                asked_at = self.clock.seconds()
+                self.assertEqual(self.watch.confirmed_at, asked_at)
+                self.store.page = None
+                self.clock.advance(arrived_s)
+                changed = (make_row("a", 7),) * changes
+                self.store.polls[-1].callback(Page(changed, 7, clock_ms))
+                self.assertAlmostEqual(self.watch.confirmed_at - asked_at, expected_s)
+
     def test_rows_are_read_again_for_a_while_after_a_lost_history(self) -> None:
         """Fails if rows that were behind stay, or if reads go on for good."""
         self.store.polls[-1].errback(HistoryLostError("lost", step="poll"))
