Let nobody in by a configuration without teams if withdrawn keys must fail closed

Cause: calls needed keys only if the configuration has a list of teams, so a deployment was open to all once its last team was taken away and the empty list left out.

--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -92,6 +92,7 @@
             cell.get_zone(name),
             f"tcp://{name}:1",
             cell.capacities.get(name, 1.0),
+            revocation_s=cell.revocation_s,
         )
         dependencies = Dependencies(
             clock=self.clock,
@@ -100,7 +101,9 @@
             registry=PlatformRegistry(store, unreadable_rows),
             workers=PlatformWorkerClient(self.http_client, unreadable_rows),
             adviser=PlatformAdviser(self.http_client, ADVISER, unreadable_rows),
-            settings=PlatformSettingsDecoder(unreadable_rows),
+            settings=PlatformSettingsDecoder(
+                unreadable_rows, requires_keys=cell.revocation_s is not None
+            ),
             links=self.links,
             read_uptime=cell.clock.seconds,
             read_unix_ms=lambda: cell.clock.seconds() * 1000,
@@ -124,6 +127,8 @@
         zones: int = 1,
         max_row_bytes: int = 65536,
         capacities: Mapping[str, float] | None = None,
+        teams: Sequence[Mapping[str, Any]] | None = None,
+        revocation_s: float | None = None,
     ) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
@@ -132,6 +137,9 @@
         self.nodes: dict[str, Node] = {}
         # CPU capacities of instances by name, 1 for others.
         self.capacities = capacities or {}
+        # Teams of each configuration from now on, or none if calls need no keys.
+        self.teams = teams
+        self.revocation_s = revocation_s
         self.disconnected_pairs: set[frozenset[str]] = set()
         # Connections, as sender and peer, that stay open and carry nothing until they are replaced.
         self.silent_links: set[tuple[str, str]] = set()
@@ -194,7 +202,9 @@
             for pool in POOLS
             if targets[pool] or not removes_services
         ]
-        value = {"version": version, "routes": routes, "services": services}
+        value: dict[str, Any] = {"version": version, "routes": routes, "services": services}
+        if self.teams is not None:
+            value["tenants"] = self.teams
         self.platform.put("op", "", "config", value)
 
     # Instances
