--- a/lavenderstall/bearer_tokens.py
+++ b/lavenderstall/bearer_tokens.py
@@ -37,7 +37,12 @@
             self._teams.setdefault(self._digest(key), team)
 
     def __repr__(self) -> str:
-        return f"TeamKeys(count={len(self._teams)})"
+        return f"TeamKeys(count={self.count})"
+
+    @property
+    def count(self) -> int:
+        """Return the number of keys."""
+        return len(self._teams)
 
     def _digest(self, key: str) -> bytes:
         return hmac.digest(self._secret, key.encode("utf-8", "surrogatepass"), hashlib.sha256)
--- a/lavenderstall/pools/settings_tracker.py
+++ b/lavenderstall/pools/settings_tracker.py
@@ -70,6 +70,8 @@
         )
         metrics.register_gauge("settings_version", lambda: self.settings.version)
         metrics.register_gauge("settings_unconfirmed_seconds", self.get_unconfirmed_s)
+        metrics.register_gauge("settings_teams", lambda: len(self.settings.teams))
+        metrics.register_gauge("settings_keys", self._count_keys)
 
     def start(self) -> None:
         """Start following the configuration."""
@@ -87,6 +89,10 @@
         confirmed_at = max(self._watch.confirmed_at, self._peer_confirmed_at)
         return min(self._read_uptime() - confirmed_at, MAX_UNCONFIRMED_S)
 
+    def _count_keys(self) -> int:
+        """Return the number of keys in force."""
+        return 0 if self.settings.keys is None else self.settings.keys.count
+
     def note_peer_version(self, peer: EntryId, version: int) -> None:
         """Note the version that a peer has."""
         if version > max(self._newer.version, self.settings.version):
