--- a/tests/pools/test_team_usage.py
+++ b/tests/pools/test_team_usage.py
@@ -181,6 +181,27 @@
         self.assertEqual(self.get_used(), 2)
         self.assertEqual(self.start(), {})
 
+    def test_a_start_that_the_next_process_of_a_worker_executes_counts(self) -> None:
+        """Fails if a start that may be executed late isn't counted, or is counted twice."""
+        job = self.submit(WATER, make_step(2, expected_ms=60_000))
+        self.assertEqual(self.start(), {job: 2})
+        for order in self.starts:
+            self.leave_unanswered(order)
+        others = [entry for entry in WORKERS if entry not in map(self.find_entry, self.starts)]
+        later = {
+            order.worker.id: msgspec.structs.replace(self.find_entry(order), incarnation=2)
+            for order in self.starts
+        }
+        self.bench.pool.set_workers([*others, *later.values()])
+        self.assertEqual(self.get_used(), 2)
+        for name, entry in later.items():
+            own = [order for order in self.starts if order.worker.id == name]
+            running = [RunStatus(order.task, order.number, "", 10.0) for order in own]
+            self.bench.poll(entry, running)
+        self.assertEqual(self.get_used(), 2)
+        self.submit(WATER, make_step(2))
+        self.assertEqual(self.start(), {})
+
     def leave_unanswered(self, order: StartRun) -> None:
         """Let a start get no answer."""
         self.bench.pool.note_unanswered(order.worker, order.task, order.number)
