--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -74,6 +74,9 @@
     OddTenant("keys of another type", WATER_TENANT | {"apiKeys": SECRET}, Team(WATER), False),
     OddTenant("odd key", WATER_TENANT | {"apiKeys": [7, SECRET]}, Team(WATER), True),
     OddTenant("empty key", WATER_TENANT | {"apiKeys": ["", SECRET]}, Team(WATER), True),
+    OddTenant(
+        "key that can't be sent", WATER_TENANT | {"apiKeys": [" x ", SECRET]}, Team(WATER), True
+    ),
     OddTenant("huge key", WATER_TENANT | {"apiKeys": [MEGABYTE, SECRET]}, Team(WATER), True),
     OddTenant("two odd keys", WATER_TENANT | {"apiKeys": [[], SECRET, {}]}, Team(WATER), True, 2),
     OddTenant("key twice", WATER_TENANT | {"apiKeys": [SECRET, SECRET]}, Team(WATER), True, 0),
