--- a/lavenderstall/bearer_tokens.py
+++ b/lavenderstall/bearer_tokens.py
@@ -9,6 +9,8 @@
 from lavenderstall.identifiers import TeamName
 
 SECRET_BYTES = 32
+# Digests can be compared within this process alone.
+SECRET = secrets.token_bytes(SECRET_BYTES)
 
 
 class AccessError(LavenderstallError):
@@ -31,7 +33,6 @@
     """Find the team of a key; only keyed digests of the keys are kept."""
 
     def __init__(self, keys: Iterable[tuple[str, TeamName]] = ()) -> None:
-        self._secret = secrets.token_bytes(SECRET_BYTES)
         self._teams: dict[bytes, TeamName] = {}
         for key, team in keys:
             self._teams.setdefault(self._digest(key), team)
@@ -44,8 +45,12 @@
         """Return the number of keys."""
         return len(self._teams)
 
+    def list_digests(self, team: TeamName) -> frozenset[bytes]:
+        """Return the digests of a team's keys, which tell those of two versions apart."""
+        return frozenset(digest for digest, each in self._teams.items() if each == team)
+
     def _digest(self, key: str) -> bytes:
-        return hmac.digest(self._secret, key.encode("utf-8", "surrogatepass"), hashlib.sha256)
+        return hmac.digest(SECRET, key.encode("utf-8", "surrogatepass"), hashlib.sha256)
 
     def get_team(self, header: str | None) -> TeamName:
         """Return the team of an `Authorization` header, or raise `AccessError`."""
--- a/lavenderstall/changes.py
+++ b/lavenderstall/changes.py
@@ -136,12 +136,12 @@
     return f"{PREFIX_CHANGE}{number:0{NUMBER_DIGITS}d}"
 
 
-def item_to_builtins(item: Item | None) -> dict[str, Any] | None:
+def item_to_builtins(item: msgspec.Struct | None) -> dict[str, Any] | None:
     """Return an item as built-in types, which compare regardless of key order."""
     return None if item is None else msgspec.json.decode(msgspec.json.encode(item))
 
 
-def equal_items(one: Item | None, other: Item | None) -> bool:
+def equal_items(one: msgspec.Struct | None, other: msgspec.Struct | None) -> bool:
     """Return whether two items have equal fields."""
     return one == other or item_to_builtins(one) == item_to_builtins(other)
 
@@ -188,7 +188,9 @@
     return fields
 
 
-def diff_fields(before: Item | None, after: Item | None) -> tuple[FieldChange, ...]:
+def diff_fields(
+    before: msgspec.Struct | None, after: msgspec.Struct | None
+) -> tuple[FieldChange, ...]:
     """Return the fields that differ, without default values if an item is added or removed."""
     to_builtins = (
         item_to_builtins if before is None or after is None else _to_builtins_with_defaults
@@ -201,7 +203,9 @@
     )
 
 
-def diff_item(key: ItemKey, before: Item | None, after: Item | None) -> Difference | None:
+def diff_item(
+    key: ItemKey, before: msgspec.Struct | None, after: msgspec.Struct | None
+) -> Difference | None:
     """Return how an item differs, or none."""
     if equal_items(before, after):
         return None
@@ -214,7 +218,7 @@
 
 
 def diff_items(
-    current: Mapping[ItemKey, Item], wanted: Mapping[ItemKey, Item | None]
+    current: Mapping[ItemKey, msgspec.Struct], wanted: Mapping[ItemKey, msgspec.Struct | None]
 ) -> tuple[Difference, ...]:
     """Return how the wanted items differ; none removes an item, unlisted items stay."""
     found = (diff_item(key, current.get(key), wanted[key]) for key in sorted(wanted))
--- a/lavenderstall/query/formatters/table.py
+++ b/lavenderstall/query/formatters/table.py
@@ -43,7 +43,8 @@
     return f"{milliseconds}ms"
 
 
-def _replace_controls(text: str) -> str:
+def replace_controls(text: str) -> str:
+    """Replace characters that could act on a terminal."""
     return CONTROL_CHARACTERS.sub("?", text)
 
 
@@ -67,8 +68,8 @@
 
 def _make_cells(row: AnyInfo, columns: Sequence[str]) -> list[str]:
     if isinstance(row, CountInfo):
-        return [_replace_controls(value) for value in row.values] + [str(row.count)]
-    cells = (_replace_controls(_format_value(name, getattr(row, name))) for name in columns)
+        return [replace_controls(value) for value in row.values] + [str(row.count)]
+    cells = (replace_controls(_format_value(name, getattr(row, name))) for name in columns)
     return [
         cell if len(cell) <= MAX_CELL_WIDTH else cell[: MAX_CELL_WIDTH - 3] + "..."
         for cell in cells
@@ -95,7 +96,7 @@
 def _list_alternatives(row: AnyInfo) -> Iterable[str]:
     """Yield the workers that were not chosen, which are too long for a column."""
     if isinstance(row, ReasonInfo):
-        yield from (f"    {_replace_controls(text)}" for text in row.alternatives)
+        yield from (f"    {replace_controls(text)}" for text in row.alternatives)
 
 
 def format_differences(differences: Iterable[Difference], *, colour: bool = False) -> str:
@@ -105,21 +106,21 @@
         sign = SIGNS[difference.action]
         lines.append(
             _colour_text(
-                f"{sign} {_replace_controls(str(difference.key))}", SIGN_COLOURS[sign], colour
+                f"{sign} {replace_controls(str(difference.key))}", SIGN_COLOURS[sign], colour
             )
         )
         for field in difference.fields:
-            before = "absent" if field.before is None else _replace_controls(field.before)
-            after = "absent" if field.after is None else _replace_controls(field.after)
-            lines.append(f"    {_replace_controls(field.path)}: {before} -> {after}")
+            before = "absent" if field.before is None else replace_controls(field.before)
+            after = "absent" if field.after is None else replace_controls(field.after)
+            lines.append(f"    {replace_controls(field.path)}: {before} -> {after}")
     return "".join(f"{line}\n" for line in lines)
 
 
 def _format_change(change: ChangeInfo, committed: bool) -> Iterable[str]:
     origin = "automatic, by" if change.automatic else "by"
-    yield f"change {change.id}, {change.state.value}, {origin} {_replace_controls(change.author)}"
+    yield f"change {change.id}, {change.state.value}, {origin} {replace_controls(change.author)}"
     if change.reason:
-        yield f"reason: {_replace_controls(change.reason)}"
+        yield f"reason: {replace_controls(change.reason)}"
     links = (("undoes", change.undoes), ("decides", change.decides))
     yield from (f"{word} change {number}" for word, number in links if number)
     if change.decided_by:
@@ -140,7 +141,7 @@
         )
     for missing in answer.missing:
         where = ", ".join(missing.slices) or missing.owner
-        yield f"missing: {_replace_controls(where)}: {_replace_controls(missing.reason)}"
+        yield f"missing: {replace_controls(where)}: {replace_controls(missing.reason)}"
 
 
 class TableFormatter(Formatter):
@@ -167,6 +168,6 @@
             lines.append("no rows")
         text = "".join(f"{line}\n" for line in lines)
         text += format_differences(answer.differences, colour=colour)
-        footer = [_replace_controls(answer.note)] if answer.note else []
+        footer = [replace_controls(answer.note)] if answer.note else []
         footer += _format_footer(answer)
         return text + "".join(f"{line}\n" for line in footer)
