Move the bounded request body out of the cell's interface

The platform's ports need the same buffer of bodies in memory, and importing lavenderstall.web would load the whole cell into each entry process.

--- a/lavenderstall/web.py
+++ b/lavenderstall/web.py
@@ -4,7 +4,6 @@
 import logging
 import re
 from collections.abc import Awaitable, Callable
-from io import BytesIO
 from typing import Any, ClassVar
 
 import msgspec
@@ -17,6 +16,7 @@
 from lavenderstall.access import Caller
 from lavenderstall.bindings import check_request_id
 from lavenderstall.bodies import ApplyRequest, JobRequest, QueryRequest, list_unknown_fields
+from lavenderstall.bounded_requests import DEFAULT_MAX_BODY_BYTES, BoundedRequest
 from lavenderstall.call_routing import CallRequest
 from lavenderstall.deadlines import Deadline
 from lavenderstall.decoding import UnreadableError, decode_json
@@ -29,7 +29,7 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_BODY_BYTES = DEFAULT_MAX_BODY_BYTES
 MAX_DEADLINE_MS = 600_000
 JOB_POLL_SECONDS = 0.1
 JSON = "application/json"
@@ -57,25 +57,6 @@
     service: ServiceName
 
 
-class BoundedRequest(Request):
-    """Buffer bodies in memory, since instances have no disks, and discard oversized ones."""
-
-    oversized = False
-    content: BytesIO
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802  (name set by twisted.web)
-        """Start a body; `length` is `None` if the request does not declare it."""
-        self.content = BytesIO()
-        self.oversized = length is not None and length > MAX_BODY_BYTES
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802  (name set by twisted.web)
-        """Buffer a chunk of the body, or mark the request as oversized."""
-        if self.oversized or self.content.tell() + len(data) > MAX_BODY_BYTES:
-            self.oversized = True
-            return
-        self.content.write(data)
-
-
 class RequestContext:
     """Path arguments, headers, query arguments and body of one request."""
 
