Limit the connections of clients by the memory and descriptors of the instance

Nothing bounded the sum of what connections hold: unfinished bodies, heads, unread answers, trailers and parsed cookies grew with the crowd, bodies over 100 KB went to files, and each request under way opened up to three connections to the store. Each port has now a table of its connections with limits from the settings' memory and descriptors, or from [connections], and limits of each request, which the configuration's limits go before. Near a limit, unread, unfinished and idle connections of the address with the most give way; requests that are handled don't. Refusals name the limit, before anything was handled. Queries, forms and cookies are no longer parsed.

A negative memoryMb is now refused at the start.

--- a/lavenderstall/pools/work.py
+++ b/lavenderstall/pools/work.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lavenderstall.bearer_tokens import TeamKeys
+from lavenderstall.connection_limits import RequestLimitOverrides
 from lavenderstall.identifiers import JobId, TeamName
 from lavenderstall.pools.teams import Team
 from lavenderstall.resources import MAX_AMOUNT, NOTHING, Resources
@@ -212,6 +213,7 @@
     pools: frozenset[PoolName] = frozenset()
     teams: tuple[Team, ...] = ()
     keys: TeamKeys | None = None
+    request_limits: RequestLimitOverrides = RequestLimitOverrides()
 
     # Of queues with the same prefix or name, the first one counts.
 
