Report starts that were sent beside a transaction until they are recorded

Cause: a start that is sent ahead of its record while a transaction with the same job is under way was taken as recorded once that transaction was answered, so that the next owner row could say that rows list all runs. If the owner ended then, its successor could start the task again. Change: a batch keeps which of its jobs had such starts before it was built; later ones stay reported, and a batch that failed gives them back. Measured: test_starts_sent_during_a_transaction_are_reported_after_it fails before the change and passes after it; 137 tests of six modules of tests.pools pass.

--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -38,7 +38,7 @@
 
     `starts` are the start commands that may be sent after it; `end_seqs` holds the sequence number
     of the last run end that it covers for each worker, `crash_changes` the number of changes of
-    crashes that it covers for each job.
+    crashes that it covers for each job. Starts of `unrecorded` jobs were sent before it.
     """
 
     progress: dict[JobId, JobProgress]
@@ -46,6 +46,7 @@
     starts: list[StartRun]
     end_seqs: dict[WorkerKey, int]
     crash_changes: dict[JobId, int]
+    unrecorded: frozenset[JobId]
 
 
 class ProgressRecorder:
@@ -87,6 +88,9 @@
         jobs_by_id = self._pool.jobs
         covered_workers = {} if self.changed_jobs else self._pool.workers
         held_seqs = self._list_held_seqs()
+        # Starts that are sent during the transaction are in no record after it.
+        unrecorded = self._unrecorded_jobs.intersection(jobs)
+        self._unrecorded_jobs -= unrecorded
         return ProgressBatch(
             {job: self._make_progress(jobs_by_id[job]) for job in jobs},
             {job: jobs_by_id[job].state for job in jobs},
@@ -96,6 +100,7 @@
                 for key, worker in covered_workers.items()
             },
             {job: jobs_by_id[job].crash_changes for job in jobs},
+            frozenset(unrecorded),
         )
 
     def _list_held_seqs(self) -> dict[WorkerKey, int]:
@@ -136,7 +141,6 @@
             if job_id in pool.jobs:
                 pool.jobs[job_id].durable_state = state
                 pool.jobs[job_id].durable_crash_changes = batch.crash_changes[job_id]
-        self._unrecorded_jobs.difference_update(batch.progress)
         self._send_starts(batch.starts)
 
     def has_unrecorded(self, recorded: Collection[JobId]) -> bool:
@@ -148,6 +152,7 @@
         for job in batch.progress:
             if job in self._pool.jobs:
                 self.mark_changed(job)
+        self._unrecorded_jobs.update(job for job in batch.unrecorded if job in self._pool.jobs)
         pending, self._pending_starts = self._pending_starts, {}
         for command in chain(batch.starts, chain.from_iterable(pending.values())):
             if command.task.job in self._pool.jobs:
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -3,6 +3,7 @@
 import unittest
 from copy import copy
 from functools import partial
+from itertools import product
 from unittest.mock import patch
 
 from msgspec.structs import replace
@@ -582,6 +583,25 @@
         (recorded,) = decode_progress(rows.rows[PROGRESS, POOL, JOB].value).steps["0.0"].runs
         self.assertEqual(len(recorded.runs), 3)
 
+    def test_starts_sent_during_a_transaction_are_reported_after_it(self) -> None:
+        """Fails if a successor starts a task again that was sent beside the record of its job."""
+        for starts, fails in product((False, True), (False, True)):
+            with self.subTest(starts=starts, fails=fails):
+                owner = make_owner(FakeRowStore(), tasks=5)
+                recorder, listed = owner.bench.pool.recorder, owner.writer.list_roster()
+                owner.bench.dispatcher.dispatch(1, 1)
+                recorder.send_unrecorded_starts(listed)
+                batch = recorder.take_batch(1)
+                if starts:
+                    owner.finish_task(0, 1)
+                    owner.bench.dispatcher.dispatch(1, 1)
+                    recorder.send_unrecorded_starts(listed)
+                if fails:
+                    recorder.requeue(batch)
+                else:
+                    recorder.note_recorded(batch)
+                self.assertEqual(owner.bench.pool.has_unrecorded(()), starts or fails)
+
     def test_a_store_that_seems_lost_still_gets_the_direct_commit(self) -> None:
         rows = FakeRowStore()
         owner = make_owner(rows)
