Share the quota of a team over all pools

Change: the store holds a row of shares for each team, whose sum stays within the quota; owners start within their share, lend what they don't use, and take over shares under their own term. LocalShares stays for pools without a store.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -23,6 +23,7 @@
 )
 from lavenderstall.pools.work import Task
 from lavenderstall.pools.workers import MIN_RETRY_S, Worker
+from lavenderstall.resources import Resources
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +69,7 @@
         self._quarantine.clear(usable_workers)
         self._shortages.clear(self.pool.workers.values())
         self._quota.clear()
+        self.pool.team_shares.begin_dispatch()
         starting = len(self.pool.starting)
         waiting_steps = list_waiting_steps(self.pool)
         self._consider_all(waiting_steps, usable_workers)
@@ -76,6 +78,7 @@
             and len(self.pool.starting) > starting
         )
         self._quota.end_dispatch()
+        self.pool.team_shares.end_dispatch()
         self._advice_requester.prefetch_advice(usable_workers)
 
     def _consider_all(self, waiting_steps: list[WaitingStep], usable_workers: list[Worker]) -> None:
@@ -267,14 +270,39 @@
         step, team = waiting_step.step, waiting_step.job.row.team
         if team == NO_TEAM:
             return waiting
-        limit = self.pool.team_shares.get_limit(team)
-        startable = count_startable(self.pool.team_usage.get(team), limit, step.need)
+        shares = self.pool.team_shares
+        limit, quota = shares.get_limit(team), shares.get_quota(team)
+        startable = count_startable(self.pool.team_usage.get(team), limit, quota, step.need)
         if startable is None or startable >= len(waiting):
             return waiting
         kept = [] if step.gang else waiting[:startable]
+        shares.note_wish(
+            team, waiting_step.step_key, step.need, len(waiting), len(kept), gang=step.gang
+        )
         self.pool.counts["starts_held_for_quota"] += len(waiting) - len(kept)
+        self._explain_quota(waiting_step, len(waiting) - len(kept), limit)
         return kept
 
+    def _explain_quota(self, waiting_step: WaitingStep, held: int, limit: Resources | None) -> None:
+        """Log that tasks wait for their team's quota, at most once per `EXPLAIN_S` and step."""
+        now, state = self.pool.now, waiting_step.state
+        if now - state.wait_logged_at < EXPLAIN_S or now - state.ready_at < EXPLAIN_S:
+            return
+        state.wait_logged_at = now
+        team = waiting_step.job.row.team
+        logger.info(
+            "tasks of a step are waiting",
+            extra={
+                "job": waiting_step.job.id,
+                "step": waiting_step.step_key.step,
+                "waiting": len(state.waiting),
+                "quota": held,
+                "team": team,
+                "share": limit,
+                "used": self.pool.team_usage.get(team),
+            },
+        )
+
     def _list_startable(self, waiting_step: WaitingStep, waiting: set[int]) -> list[int]:
         """Return the waiting tasks that may start now, on any worker."""
         pinned = self._list_pinned(waiting_step, waiting)
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -40,10 +40,13 @@
     CommitRequest,
     EntryHeartbeat,
     JobHint,
+    Message,
     OwnerHeartbeat,
     PoolReleased,
     SettingsAnswer,
     SettingsRequest,
+    ShareRequest,
+    SharesHint,
     StateAnswer,
     StateRequest,
     WriteAnswer,
@@ -88,6 +91,7 @@
     encode,
 )
 from lavenderstall.pools.settings_tracker import SettingsTracker
+from lavenderstall.pools.share_keeper import ShareKeeper
 from lavenderstall.pools.table_watch import TableWatch
 from lavenderstall.pools.takeover import EarlierLeases
 from lavenderstall.pools.unreadable_rows import UnreadableRows
@@ -594,6 +598,15 @@
             remote_factor=self.identity.remote_factor,
             counts=self.metrics.counters,
         )
+        shares = ShareKeeper(
+            pool,
+            self._store,
+            dependencies.clock,
+            self.read_uptime,
+            self.metrics,
+            self._send_to_pool_owner,
+        )
+        pool.team_shares = shares
         pool.set_settings(self.settings)
         pool.takeover.add_earlier_owners(self._list_earlier_leases(claim))
         pool.takeover.settled_ms = claim.owner.settled_ms
@@ -630,6 +643,9 @@
             self.peers.list_unresponsive_zones,
             self.metrics,
         )
+        owner.shares = shares
+        shares.is_running = lambda: owner.running
+        shares.on_change = owner.schedule_dispatch
         owner.on_ownership_lost = lambda reason: self._handle_ownership_loss(name, owner, reason)
         return owner
 
@@ -663,6 +679,13 @@
         self._dependencies.links.broadcast(PoolReleased(pool, owner.pool.term))  # type: ignore[arg-type]
         self.peers.forget_owner(pool, owner.pool.term)
 
+    def _send_to_pool_owner(self, pool: PoolName, message: Message) -> None:
+        """Send a message to the owner of a pool, which may be this instance."""
+        if pool in self.owned_pools:
+            self._clock.callLater(0.0, self.handle, message, self.identity.entry)
+        else:
+            self.peers.send_to_owner(pool, message)
+
     def _start_advice_request(self, owner: PoolOwner, request: RequestAdvice) -> None:
         launch(self._request_advice(owner, request))
 
@@ -745,6 +768,18 @@
         self.peers.forget_owner(message.pool, message.term)
         self._start_claim_check(message.pool)
 
+    @handle.register
+    def _(self, message: ShareRequest, sender: EntryId) -> None:
+        owner = self.owned_pools.get(message.pool)
+        if owner is not None and owner.shares is not None:
+            owner.shares.handle_request(message)
+
+    @handle.register
+    def _(self, message: SharesHint, sender: EntryId) -> None:
+        owner = self.owned_pools.get(message.pool)
+        if owner is not None and owner.shares is not None:
+            owner.shares.handle_rows(message.rows)
+
     @handle.register
     def _(self, message: JobHint, sender: EntryId) -> None:
         owner = self.owned_pools.get(message.pool)
--- a/lavenderstall/pools/messages.py
+++ b/lavenderstall/pools/messages.py
@@ -11,6 +11,7 @@
 from lavenderstall.decoding import decode_with
 from lavenderstall.identifiers import EntryId, Incarnation, JobId
 from lavenderstall.pools.ports import Row, Transaction
+from lavenderstall.pools.share_decisions import TeamDemand
 from lavenderstall.pools.work import PoolName
 
 
@@ -173,6 +174,21 @@
     detail: str = ""
 
 
+class ShareRequest(msgspec.Struct, tag="ShareAsk", array_like=True, frozen=True):
+    """Ask the owner of a pool for shares of teams that the owner of another one lacks."""
+
+    pool: PoolName
+    asking: PoolName
+    demands: tuple[TeamDemand, ...]
+
+
+class SharesHint(msgspec.Struct, tag=True, array_like=True, frozen=True):
+    """Tell the owner of a pool of rows of shares that another owner has written or read."""
+
+    pool: PoolName
+    rows: tuple[Row, ...]
+
+
 Message = (
     EntryHeartbeat
     | OwnerHeartbeat
@@ -189,10 +205,20 @@
     | WriteAnswer
     | CommitRequest
     | CommitAnswer
+    | ShareRequest
+    | SharesHint
 )
 
 # Messages that may be dropped: a later one replaces them, or another path carries them too.
-HINTS = (EntryHeartbeat, OwnerHeartbeat, PoolReleased, JobHint, CancelHint)
+HINTS = (
+    EntryHeartbeat,
+    OwnerHeartbeat,
+    PoolReleased,
+    JobHint,
+    CancelHint,
+    ShareRequest,
+    SharesHint,
+)
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True):
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -47,6 +47,7 @@
     list_shards,
 )
 from lavenderstall.pools.row_parts import is_part_key
+from lavenderstall.pools.share_keeper import ShareKeeper
 from lavenderstall.pools.table_reads import read_partition
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from lavenderstall.pools.work import JobState, PoolName
@@ -138,6 +139,7 @@
         self._unreadable_jobs: set[JobId] = set()
         # Pools of all jobs that were read; some may be in no configuration any more.
         self.pools_of_jobs: set[PoolName] = set()
+        self.shares: ShareKeeper | None = None
         self._commands = CommandSender(
             pool,
             workers,
@@ -256,6 +258,8 @@
         """Start to renew the ownership, while rows are still being loaded."""
         self.running = True
         launch(self._repeat(self._run_writer))
+        if self.shares is not None:
+            self.shares.schedule_check()
 
     def start(self) -> None:
         """Start to serve the pool."""
@@ -372,6 +376,8 @@
     async def _review(self) -> None:
         self.update_time()
         self.pool.run_periodic_checks()
+        if self.shares is not None:
+            self.shares.schedule_check()
         self._worker_poller.poll_workers()
         self._dispatch()
         await sleep(self._clock, REVIEW_INTERVAL_S)
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -405,13 +405,14 @@
 
     def send_job_hint(self, pool: PoolName, value: bytes) -> None:
         """Send a job row to the owner of its pool."""
-        self._send_hint(pool, JobHint(pool, value))
+        self.send_to_owner(pool, JobHint(pool, value))
 
     def send_cancel_hint(self, pool: PoolName, job: JobId) -> None:
         """Tell the owner of a pool that a job was cancelled."""
-        self._send_hint(pool, CancelHint(pool, job))
+        self.send_to_owner(pool, CancelHint(pool, job))
 
-    def _send_hint(self, pool: PoolName, message: Message) -> None:
+    def send_to_owner(self, pool: PoolName, message: Message) -> None:
+        """Send a message to the owner of a pool, if one is known."""
         owner = self.owners.get(pool)
         if owner is not None:
             self.send(owner.entry, message)
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -143,6 +143,7 @@
     def set_settings(self, settings: Settings) -> None:
         """Replace the configuration."""
         self.settings = settings
+        self.team_shares.set_settings(settings)
 
     def get_queue(self, job: Job) -> Queue:
         """Return the queue of a job as configured now, or as accepted if it has left the pool."""
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -192,6 +192,10 @@
         """Tell whether inherited jobs are blocked, or would be once they are read."""
         return bool(self._blocked_jobs) or not (self._loaded_at >= 0 or self._recorded)
 
+    def may_lack_runs(self) -> bool:
+        """Tell whether earlier owners may have started tasks, or yet start some, unknown here."""
+        return not self._recorded and (self._loaded_at < 0 or self._awaits_reports())
+
     def blocks_job(self, job: JobId) -> bool:
         """Tell whether the tasks of a job may not start yet."""
         return job in self._blocked_jobs
--- a/lavenderstall/pools/team_usage.py
+++ b/lavenderstall/pools/team_usage.py
@@ -43,13 +43,19 @@
             self._used[team] = left
 
 
-def count_startable(used: Resources, limit: Resources | None, need: Resources) -> int | None:
+def count_startable(
+    used: Resources, limit: Resources | None, quota: Resources | None, need: Resources
+) -> int | None:
     """Return how many more tasks of a need a team may start, or none if there is no limit.
 
-    A task that exceeds the limit by itself starts while nothing else of the team runs.
+    The limit is a pool's share of the quota. A task that exceeds the quota by itself starts while
+    nothing else of the team runs, in a pool that has the whole quota. While any amount exceeds the
+    limit, as after a change, nothing starts.
     """
-    if limit is None:
+    if limit is None or quota is None:
         return None
+    if any(getattr(used, name) > getattr(limit, name) for name in LIMITED):
+        return 0
     counts = [
         max(0, getattr(limit, name) - getattr(used, name)) // getattr(need, name)
         for name in LIMITED
@@ -57,4 +63,7 @@
     ]
     if not counts:
         return None
-    return max(min(counts), int(used == NOTHING))
+    may_exceed = used == NOTHING and all(
+        min(getattr(need, name), getattr(quota, name)) <= getattr(limit, name) for name in LIMITED
+    )
+    return max(min(counts), int(may_exceed))
--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -2,7 +2,7 @@
 
 import json
 from collections import defaultdict
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -13,11 +13,12 @@
 from adapter.store import PlatformStore, make_store_limits
 from adapter.wire import PlatformSettingsDecoder, decode_job_body
 from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkerClient
-from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.identifiers import EntryId, Incarnation, JobId, TeamName
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.entry_instance import Dependencies, EntryInstance, InstanceIdentity
 from lavenderstall.pools.messages import Envelope
 from lavenderstall.pools.records import Presence
+from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from tests.platform.fake_http_client import FakeHttpClient, PausableClock
 from tests.platform.fake_platform import (
@@ -124,6 +125,7 @@
         zones: int = 1,
         max_row_bytes: int = 65536,
         capacities: Mapping[str, float] | None = None,
+        tenants: Iterable[Mapping[str, Any]] = (),
     ) -> None:
         self.clock = Clock()
         self.clock.advance(100.0)
@@ -142,6 +144,8 @@
         self.outcomes: dict[str, list[Presence]] = {}
         self._starts = 0
         self._zones = zones
+        # Teams of the configuration, in the platform's words.
+        self.tenants = list(tenants)
         self.put_settings(1, advice=advice)
         for number in range(workers):
             pool = POOLS[number % len(POOLS)]
@@ -195,6 +199,8 @@
             if targets[pool] or not removes_services
         ]
         value = {"version": version, "routes": routes, "services": services}
+        if self.tenants:
+            value["tenants"] = self.tenants
         self.platform.put("op", "", "config", value)
 
     # Instances
@@ -291,6 +297,7 @@
         job: str,
         steps: list[dict[str, Any]],
         times: dict[str, int] | None = None,
+        team: TeamName = NO_TEAM,
     ) -> list[Presence]:
         """Submit a job, repeated at some times; the list gets the outcome once it is known."""
         body = {"spec": f"spec of {job}", "steps": steps, **(times or {})}
@@ -302,9 +309,8 @@
         self.outcomes[job] = found
         if queue is None:
             return found
-        Deferred.fromCoroutine(instance.job_requests.submit(queue, JobId(job), spec)).addCallback(
-            found.append
-        )
+        submission = instance.job_requests.submit(queue, JobId(job), spec, team)
+        Deferred.fromCoroutine(submission).addCallback(found.append)
         return found
 
     def cancel(self, node: str, pool: str, job: str) -> list[bool | None]:
