--- a/tests/platform/simulated_cell.py
+++ b/tests/platform/simulated_cell.py
@@ -13,11 +13,12 @@
 from adapter.store import PlatformStore, make_store_limits
 from adapter.wire import PlatformSettingsDecoder, decode_job_body
 from adapter.workers import PlatformAdviser, PlatformRegistry, PlatformWorkerClient
-from lavenderstall.identifiers import EntryId, Incarnation, JobId
+from lavenderstall.identifiers import EntryId, Incarnation, JobId, TeamName
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.entry_instance import Dependencies, EntryInstance, InstanceIdentity
 from lavenderstall.pools.messages import Envelope
 from lavenderstall.pools.records import Presence
+from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.unreadable_rows import UnreadableRows
 from tests.platform.fake_http_client import FakeHttpClient, PausableClock
 from tests.platform.fake_platform import (
@@ -301,6 +302,7 @@
         job: str,
         steps: list[dict[str, Any]],
         times: dict[str, int] | None = None,
+        team: TeamName = NO_TEAM,
     ) -> list[Presence]:
         """Submit a job, repeated at some times; the list gets the outcome once it is known."""
         body = {"spec": f"spec of {job}", "steps": steps, **(times or {})}
@@ -312,9 +314,8 @@
         self.outcomes[job] = found
         if queue is None:
             return found
-        Deferred.fromCoroutine(instance.job_requests.submit(queue, JobId(job), spec)).addCallback(
-            found.append
-        )
+        submission = instance.job_requests.submit(queue, JobId(job), spec, team)
+        Deferred.fromCoroutine(submission).addCallback(found.append)
         return found
 
     def cancel(self, node: str, pool: str, job: str) -> list[bool | None]:
