Order jobs that wait for room by what their delay costs

Steps waited in the order of their deadlines, also while a pool had too little room: a wide job went before ten small ones that became late meanwhile, late jobs before those that could still be in time, and a team that sent many times its share displaced the others. While what waits exceeds what is free, owners now rank jobs: worthless results last, then what teams have beyond their parts of the room by weight, then by priority; within it as many are kept in time as there is room for (Moore and Hodgson's choice, by what a job gives for the work that is left).

--- a/bench/packing.py
+++ b/bench/packing.py
@@ -7,10 +7,9 @@
 from bench.draws import Source, draw_request, make_workers
 from bench.figures import Figure, make_figure
 from lavenderstall.decisions import Plan, apply, decide
-from lavenderstall.lanes import measure_dominant_share
 from lavenderstall.protocol import Kind
 from lavenderstall.requests import TaskRequest
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import NOTHING, Resources, measure_dominant_share
 from lavenderstall.slice_state import SliceState
 
 PACKING = 0.95
--- a/lavenderstall/headroom.py
+++ b/lavenderstall/headroom.py
@@ -1,11 +1,10 @@
 """Headroom that work above its fair share leaves free for arrivals of others."""
 
 from lavenderstall.identifiers import TeamName
-from lavenderstall.lanes import measure_dominant_share
 from lavenderstall.protocol import Kind
 from lavenderstall.reasons import Reason
 from lavenderstall.requests import TaskRequest
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import NOTHING, Resources, measure_dominant_share
 from lavenderstall.slice_state import SliceState
 from lavenderstall.worker_index import DIMENSIONS, WorkerGroup
 
--- a/lavenderstall/lanes.py
+++ b/lavenderstall/lanes.py
@@ -257,20 +257,6 @@
         return None
 
 
-def measure_dominant_share(used: Resources, capacity: Resources) -> float:
-    """Return the dominant share: the largest used fraction of any resource."""
-    share = 0.0
-    if capacity.cores_milli:
-        share = used.cores_milli / capacity.cores_milli
-    if capacity.memory_mb:
-        share = max(share, used.memory_mb / capacity.memory_mb)
-    if capacity.accelerators:
-        share = max(share, used.accelerators / capacity.accelerators)
-    if capacity.slots:
-        share = max(share, used.slots / capacity.slots)
-    return share
-
-
 class TeamSettings(msgspec.Struct):
     """Weight and quota of a team."""
 
--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -338,6 +338,7 @@
         """Tell whether a step has waited for long enough and may find runs to preempt."""
         return (
             not waiting_step.expired
+            and not waiting_step.yields
             and self.pool.now - waiting_step.state.ready_at >= MIN_PREEMPTION_WAIT_S
             and not self._shortages.lacks_victims(waiting_step.step, waiting_step.queue.priority)
         )
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -121,7 +121,8 @@
     `cpu_capacity` is its share of processors; instances with more of it own pools first. A task
     takes `remote_factor` times as long on another rack than that of its data. Callers may rely on a
     configuration `config_apply_s` after it was stored. If set, no key may work for longer than
-    `revocation_s` after a configuration without it was stored.
+    `revocation_s` after a configuration without it was stored. Owners with `orders_overload` order
+    jobs that wait for room by what their delay costs.
     """
 
     entry: EntryId
@@ -132,6 +133,7 @@
     remote_factor: float = REMOTE_FACTOR
     config_apply_s: float = 2.0
     revocation_s: float | None = None
+    orders_overload: bool = False
 
 
 class Dependencies(msgspec.Struct):
@@ -593,6 +595,7 @@
             recorded=claim.records_complete,
             remote_factor=self.identity.remote_factor,
             counts=self.metrics.counters,
+            orders_overload=self.identity.orders_overload,
         )
         pool.set_settings(self.settings)
         pool.takeover.add_earlier_owners(self._list_earlier_leases(claim))
--- a/lavenderstall/pools/job.py
+++ b/lavenderstall/pools/job.py
@@ -18,6 +18,7 @@
     StepProgress,
 )
 from lavenderstall.pools.ranges import RangeSet
+from lavenderstall.pools.running_totals import RunGroup, RunningTotals
 from lavenderstall.pools.team_usage import TeamUsage
 from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.work import (
@@ -27,6 +28,7 @@
     JobState,
     PoolName,
     Queue,
+    Step,
     StepKey,
     Task,
 )
@@ -144,9 +146,11 @@
         submitted_at: float,
         progress: JobProgress | None,
         team_usage: TeamUsage | None = None,
+        running_totals: RunningTotals | None = None,
     ) -> None:
         self.row = row
         self._team_usage = TeamUsage() if team_usage is None else team_usage
+        self._running_totals = RunningTotals() if running_totals is None else running_totals
         self.id = row.id
         self.spec = row.spec
         self.submitted_at = submitted_at
@@ -260,7 +264,9 @@
         step = self.get_step(run.task.occurrence, run.task.step)
         step.active_runs.setdefault(run.task.number, []).append(run)
         self.run_count += 1
-        self._team_usage.add(self.row.team, self.spec.steps[run.task.step].need)
+        declared = self.spec.steps[run.task.step]
+        self._team_usage.add(self.row.team, declared.need)
+        self._running_totals.add(self._get_run_group(declared), declared.allocation)
         self._unrecorded_starts += 1
         self._note_run_number(step, run.task, run.number)
         step.waiting.discard(run.task.number)
@@ -344,13 +350,18 @@
         before = step.active_runs.get(index, [])
         runs = [run for run in before if run.number != number]
         self.run_count -= len(before) - len(runs)
+        declared = self.spec.steps[step.step_key.step]
         for _ in range(len(before) - len(runs)):
-            self._team_usage.subtract(self.row.team, self.spec.steps[step.step_key.step].need)
+            self._team_usage.subtract(self.row.team, declared.need)
+            self._running_totals.subtract(self._get_run_group(declared), declared.allocation)
         if runs:
             step.active_runs[index] = runs
         else:
             step.active_runs.pop(index, None)
 
+    def _get_run_group(self, declared: Step) -> RunGroup:
+        return RunGroup(self.row.queue.name, self.row.team, declared.long_running)
+
     def _note_done(self, step: StepState, index: int, *, gang: bool, count: int) -> bool:
         before = len(step.progress.done)
         step.progress.done |= set(range(count)) if gang else {index}
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -34,6 +34,7 @@
 from lavenderstall.pools.progress import JobProgress
 from lavenderstall.pools.reconciliation import apply_poll_response
 from lavenderstall.pools.recording import ProgressRecorder
+from lavenderstall.pools.running_totals import RunningTotals
 from lavenderstall.pools.slowdown import SlowdownEstimator
 from lavenderstall.pools.startable_steps import StartableSteps
 from lavenderstall.pools.step_advice import StepAdvice
@@ -95,8 +96,11 @@
         recorded: bool = True,
         remote_factor: float = REMOTE_FACTOR,
         counts: Counter[str] | None = None,
+        orders_overload: bool = False,
     ) -> None:
         self.name = name
+        # Whether jobs that wait for room are ordered by what their delay costs.
+        self.orders_overload = orders_overload
         self.term = term
         # Slowdown of a task on a rack without its data.
         self.remote_factor = remote_factor
@@ -126,6 +130,7 @@
         self.slowdowns = SlowdownEstimator()
         # What each team has running in this pool, and what it may start here of its quota.
         self.team_usage = TeamUsage()
+        self.running_totals = RunningTotals()
         self.team_shares: TeamShares = LocalShares(self)
         self.effects: list[Effect] = []
         self.settings = Settings(0)
@@ -157,7 +162,7 @@
         if row.id in self.jobs or row.id in self.archive:
             return False
         age = max(0.0, self.unix_ms - row.accepted_ms) / 1000 if inherited else 0.0
-        job = Job(row, self.now - age, progress, self.team_usage)
+        job = Job(row, self.now - age, progress, self.team_usage, self.running_totals)
         self.jobs[row.id] = job
         if inherited:
             self.takeover.add_job(job)
--- a/lavenderstall/pools/slowdown.py
+++ b/lavenderstall/pools/slowdown.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         self._kinds: dict[tuple[str, str], RunningMean] = defaultdict(RunningMean)
         self._workers: dict[str, RunningMean] = defaultdict(RunningMean)
+        self._images: dict[str, RunningMean] = defaultdict(RunningMean)
 
     def record(self, image: str, kind: str, worker: str, slowdown: float) -> None:
         """Record the slowdown of one run."""
@@ -40,6 +41,7 @@
         kind_value = kind_mean.value if kind_mean.count else slowdown
         kind_mean.add(slowdown)
         self._workers[worker].add(slowdown / max(kind_value, 0.01))
+        self._images[image].add(slowdown)
 
     def estimate(self, image: str, kind: str, worker: str) -> float:
         """Return the expected slowdown on a worker."""
@@ -47,3 +49,8 @@
         kind_slowdown = kind_mean.blend(1.0) if kind_mean else 1.0
         worker_mean = self._workers.get(worker)
         return kind_slowdown * (worker_mean.blend(1.0) if worker_mean else 1.0)
+
+    def estimate_image(self, image: str) -> float:
+        """Return the expected slowdown on the workers that have run an image lately."""
+        mean = self._images.get(image)
+        return mean.blend(1.0) if mean else 1.0
--- a/lavenderstall/pools/waiting_steps.py
+++ b/lavenderstall/pools/waiting_steps.py
@@ -4,7 +4,9 @@
 from typing import NamedTuple
 
 from lavenderstall.pools.job import Job, StepState
+from lavenderstall.pools.overload_order import Rank
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.room_demand import rank_steps
 from lavenderstall.pools.urgency import get_deadlines
 from lavenderstall.pools.work import Queue, Step, StepKey
 
@@ -13,7 +15,10 @@
 
 
 class WaitingStep(NamedTuple):
-    """A step with tasks to start; the first four fields are the sort key."""
+    """A step with tasks to start; the first four fields are the sort key.
+
+    It has a rank only while the pool has too little room, and is sorted by that first.
+    """
 
     expired: bool
     priority: int
@@ -21,6 +26,8 @@
     step_key: StepKey
     job: Job
     queue: Queue
+    starving: bool = False
+    rank: Rank | None = None
 
     @property
     def step(self) -> Step:
@@ -32,6 +39,12 @@
         """Return the state of the step."""
         return self.job.get_step(self.step_key.occurrence, self.step_key.step)
 
+    @property
+    def yields(self) -> bool:
+        """Tell whether no run is to be preempted for the step, whatever its priority."""
+        rank = self.rank
+        return rank is not None and (rank.worthless or rank.above_share)
+
 
 def is_plain(waiting_step: WaitingStep) -> bool:
     """Tell whether a step starts wherever any other step of the same needs would."""
@@ -47,7 +60,8 @@
 
 def list_waiting_steps(pool: Pool) -> list[WaitingStep]:
     """Return the steps with tasks to start that a dispatch looks at, most urgent first."""
-    return sorted(_iterate_waiting_steps(pool), key=lambda waiting_step: waiting_step[:4])
+    waiting_steps = sorted(_iterate_waiting_steps(pool), key=lambda each: each[:4])
+    return rank_steps(pool, waiting_steps) if pool.orders_overload else waiting_steps
 
 
 def order_by_runs(waiting_steps: list[WaitingStep]) -> list[WaitingStep]:
@@ -62,8 +76,9 @@
         queue = pool.get_queue(job)
         deadline, expires_at = get_deadlines(job, queue, step_key.occurrence)
         expired = expires_at < pool.now and not job.spec.steps[step_key.step].long_running
-        priority = 0 if _is_starving(pool, job, step_key) else queue.priority
-        yield WaitingStep(expired, priority, deadline, step_key, job, queue)
+        starving = _is_starving(pool, job, step_key)
+        priority = 0 if starving else queue.priority
+        yield WaitingStep(expired, priority, deadline, step_key, job, queue, starving)
 
 
 def _is_starving(pool: Pool, job: Job, step_key: StepKey) -> bool:
--- a/lavenderstall/queues.py
+++ b/lavenderstall/queues.py
@@ -17,12 +17,11 @@
     Waiting,
     implies_no_fit,
     make_shape_key,
-    measure_dominant_share,
 )
 from lavenderstall.protocol import Kind
 from lavenderstall.reasons import Reason
 from lavenderstall.requests import TaskRequest
-from lavenderstall.resources import NOTHING, Resources
+from lavenderstall.resources import NOTHING, Resources, measure_dominant_share
 from lavenderstall.slice_state import SliceState
 from lavenderstall.worker_index import WorkerState, count_fits, find_shortage
 
--- a/lavenderstall/resources.py
+++ b/lavenderstall/resources.py
@@ -61,6 +61,20 @@
 NOTHING = Resources()
 
 
+def measure_dominant_share(used: Resources, capacity: Resources) -> float:
+    """Return the dominant share: the largest used fraction of any resource."""
+    share = 0.0
+    if capacity.cores_milli:
+        share = used.cores_milli / capacity.cores_milli
+    if capacity.memory_mb:
+        share = max(share, used.memory_mb / capacity.memory_mb)
+    if capacity.accelerators:
+        share = max(share, used.accelerators / capacity.accelerators)
+    if capacity.slots:
+        share = max(share, used.slots / capacity.slots)
+    return share
+
+
 def check_not_negative(amounts: Resources) -> None:
     """Raise `ValueError` if a component is negative."""
     if min(msgspec.structs.astuple(amounts)) >= 0:
