--- a/lavenderstall/pools/fair_shares.py
+++ b/lavenderstall/fair_shares.py
@@ -1,10 +1,13 @@
-"""Division of a pool's room between teams by their weights."""
+"""Division of room between teams by their weights."""
 
 from collections.abc import Mapping
 from typing import TypeVar
 
 T = TypeVar("T")
 
+TEAM_EXCESS_FACTOR = 2.0
+"""A team floods the others at this many times its fair share."""
+
 
 def divide_room(demands: Mapping[T, float], weights: Mapping[T, float]) -> dict[T, float]:
     """Return the part of the room, 1 in all, that each demand may use.
--- a/lavenderstall/headroom.py
+++ b/lavenderstall/headroom.py
@@ -1,5 +1,6 @@
 """Headroom that work above its fair share leaves free for arrivals of others."""
 
+from lavenderstall.fair_shares import TEAM_EXCESS_FACTOR
 from lavenderstall.identifiers import TeamName
 from lavenderstall.protocol import Kind
 from lavenderstall.reasons import Reason
@@ -12,8 +13,6 @@
 """Largest fraction kept free: about three standard deviations of half a second of arrivals."""
 HEADROOM_PER_USE = 0.25
 """Headroom in proportion to what others use, so that it stays small while they use little."""
-TEAM_EXCESS_FACTOR = 2.0
-"""A team is above its fair share at this many times the mean of the other teams of its kind."""
 KIND_EXCESS_FACTOR = 1.5
 """A kind is above its fair share at this many times its guaranteed share."""
 
@@ -28,6 +27,7 @@
 ) -> float:
     """Return the fraction that a team leaves free for others, 0 within its fair share.
 
+    Its share is measured against the mean of the other teams of its kind.
     The weights are that of the team and the sum of those of all active teams of the kind.
     """
     kind_used = state.kind_used.get(kind, NOTHING)
--- a/lavenderstall/pools/overload_order.py
+++ b/lavenderstall/pools/overload_order.py
@@ -1,15 +1,15 @@
 """Order of jobs that wait while a pool has too little room for all of them."""
 
 from collections import defaultdict
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from enum import IntEnum
 from heapq import heappop, heappush
 from itertools import groupby
 from math import inf
 from typing import NamedTuple
 
+from lavenderstall.fair_shares import TEAM_EXCESS_FACTOR, divide_room
 from lavenderstall.identifiers import TeamName
-from lavenderstall.pools.fair_shares import divide_room
 from lavenderstall.pools.work import QueueName
 
 # Declared durations are rough: a result counts as worthless beforehand only if it would be so
@@ -17,6 +17,8 @@
 CERTAIN_PART = 0.5
 # Below this, differences between a team's use and its part of the room are rounding.
 EPSILON = 1e-9
+# A single team has nobody to share the room with.
+MIN_TEAMS = 2
 
 
 class PendingWork(NamedTuple):
@@ -61,15 +63,21 @@
     UNLIKELY = 2
 
 
-class Rank(NamedTuple):
-    """Place in the order; the lowest goes first.
+class Excess(IntEnum):
+    """How a team's use without a job compares to its part of the room."""
+
+    BELOW = 0
+    ABOVE = 1
+    FLOODING = 2
 
-    A job that is `above_share` belongs to a team that uses its part of the room without it.
-    """
+
+class Rank(NamedTuple):
+    """Place in the order; the lowest goes first."""
 
     worthless: bool
-    above_share: bool
+    flooding: bool
     priority: int
+    above_share: bool
     outlook: Outlook
     position: float
 
@@ -77,89 +85,102 @@
 def rank_work(pending: Sequence[PendingWork], room: PoolRoom, now: float) -> list[Rank]:
     """Return the ranks of jobs that wait, so that what is delayed costs callers least.
 
-    Results that are worthless come last, then what teams have beyond their parts of the room, then
-    lower priorities. Of the rest as many jobs are kept in time as there is room for, those first
-    that give most for their work. Others follow, first those whose results come late but in time
-    to be of use.
+    Results that are worthless come last, then what teams have far beyond their parts of the room,
+    then lower priorities, and of a priority what is beyond the parts. Of the rest as many jobs are
+    kept in time as there is room for, those first that give most for their work. Others follow,
+    first those whose results come late but in time to be of use.
     """
-    above = _find_above_share(pending, room, now)
-    densities = _measure_densities(pending)
-    classes = [
-        (_is_worthless(work, now), above[number], 0 if work.starving else work.priority)
-        for number, work in enumerate(pending)
-    ]
-    ranks: dict[int, Rank] = {}
-    ahead_s = 0.0
-    numbers = sorted(range(len(pending)), key=classes.__getitem__)
-    for (worthless, above_share, priority), group in groupby(numbers, classes.__getitem__):
-        members = list(group)
-        if worthless:
-            for number in members:
-                position = pending[number].deadline
-                ranks[number] = Rank(True, above_share, priority, Outlook.UNLIKELY, position)
-            continue
-        selection = _Selection(pending, densities, room, now)
-        for outlook, get_limit in _LIMITS:
-            chosen, members, ahead_s = selection.choose(members, get_limit, ahead_s)
-            for number, start_by in chosen:
-                ranks[number] = Rank(False, above_share, priority, outlook, start_by)
-        for number in members:
-            position = -densities[number]
-            ranks[number] = Rank(False, above_share, priority, Outlook.UNLIKELY, position)
-    return [ranks[number] for number in range(len(pending))]
-
+    ranker = _Ranker(pending, room, now)
+    ranks = ranker.rank([Excess.BELOW] * len(pending))
+    excesses = _measure_excesses(pending, room, ranks)
+    return ranker.rank(excesses) if any(excesses) else ranks
 
-_LIMITS: tuple[tuple[Outlook, Callable[[PendingWork], float]], ...] = (
-    (Outlook.IN_TIME, lambda work: work.deadline),
-    (Outlook.LATE, lambda work: work.expires_at),
-)
 
-
-class _Selection:
-    """Choose the jobs that can keep a limit, by the algorithm of Moore and Hodgson.
+class _Ranker:
+    """Rank jobs by class, and those of a class by what they can still reach.
 
     A wide job takes as long as the whole pool needs for it, if that is longer than its path.
     """
 
-    def __init__(
-        self, pending: Sequence[PendingWork], densities: Sequence[float], room: PoolRoom, now: float
-    ) -> None:
-        self._pending = pending
-        self._densities = densities
-        self._rate = max(room.turnover, EPSILON)
+    def __init__(self, pending: Sequence[PendingWork], room: PoolRoom, now: float) -> None:
+        rate = max(room.turnover, EPSILON)
+        densities = _measure_densities(pending)
+        spans_s = [0.0 if work.lasts else max(work.path_s, work.left / rate) for work in pending]
         self._now = now
-
-    def choose(
-        self, members: list[int], get_limit: Callable[[PendingWork], float], ahead_s: float
-    ) -> tuple[list[tuple[int, float]], list[int], float]:
-        """Return the chosen jobs with their latest starts, the others, and the work ahead."""
-        rows = sorted(
-            (get_limit(self._pending[n]) - self._get_span_s(self._pending[n]), n) for n in members
-        )
-        # The jobs chosen so far, those first that give least for their work.
-        chosen: list[tuple[float, int, float]] = []
+        self._pending = pending
+        self._worthless = [_is_worthless(work, now) for work in pending]
+        self._densities = [
+            inf if work.lasts or work.starving else density
+            for work, density in zip(pending, densities, strict=True)
+        ]
+        # How long the whole pool needs for each job, and the latest starts by outlook.
+        self._loads_s = [work.left / rate for work in pending]
+        self._latest_starts = {
+            Outlook.IN_TIME: [
+                work.deadline - span_s for work, span_s in zip(pending, spans_s, strict=True)
+            ],
+            Outlook.LATE: [
+                work.expires_at - span_s for work, span_s in zip(pending, spans_s, strict=True)
+            ],
+        }
+
+    def rank(self, excesses: Sequence[Excess]) -> list[Rank]:
+        """Return the ranks of all jobs."""
+        classes = [
+            (
+                worthless,
+                excess is Excess.FLOODING,
+                0 if work.starving else work.priority,
+                excess is not Excess.BELOW,
+            )
+            for work, worthless, excess in zip(
+                self._pending, self._worthless, excesses, strict=True
+            )
+        ]
+        ranks: dict[int, Rank] = {}
+        ahead_s = 0.0
+        numbers = sorted(range(len(classes)), key=classes.__getitem__)
+        for key, group in groupby(numbers, classes.__getitem__):
+            members = list(group)
+            if self._worthless[members[0]]:
+                for number in members:
+                    ranks[number] = Rank(*key, Outlook.UNLIKELY, self._pending[number].deadline)
+                continue
+            for outlook, latest_starts in self._latest_starts.items():
+                chosen, members, ahead_s = self._choose(members, latest_starts, ahead_s)
+                for number in chosen:
+                    ranks[number] = Rank(*key, outlook, latest_starts[number])
+            for number in members:
+                ranks[number] = Rank(*key, Outlook.UNLIKELY, -self._densities[number])
+        return [ranks[number] for number in range(len(classes))]
+
+    def _choose(
+        self, members: list[int], latest_starts: Sequence[float], ahead_s: float
+    ) -> tuple[list[int], list[int], float]:
+        """Return the jobs that can start in time, the others, and the work ahead of later ones.
+
+        Jobs are added in the order of their latest starts. Once one would start too late, those
+        that give least for their work are left out, as in the algorithm of Moore and Hodgson.
+        """
+        densities, loads_s = self._densities, self._loads_s
+        chosen: list[tuple[float, int]] = []
         rejected: list[int] = []
-        for start_by, number in rows:
-            work = self._pending[number]
-            exempt = work.lasts or work.starving
-            if start_by < self._now and not exempt:
+        for number in sorted(members, key=latest_starts.__getitem__):
+            delay_s = latest_starts[number] - self._now
+            if delay_s < 0 and densities[number] < inf:
                 rejected.append(number)
                 continue
-            heappush(chosen, (inf if exempt else self._densities[number], number, start_by))
-            starts_at = self._now + ahead_s
-            ahead_s += work.left / self._rate
-            while starts_at > start_by and chosen[0][0] < inf:
-                _, dropped, _ = heappop(chosen)
+            heappush(chosen, (densities[number], number))
+            starts_after_s = ahead_s
+            ahead_s += loads_s[number]
+            while starts_after_s > delay_s and chosen[0][0] < inf:
+                _, dropped = heappop(chosen)
                 rejected.append(dropped)
-                dropped_s = self._pending[dropped].left / self._rate
-                ahead_s -= dropped_s
+                ahead_s -= loads_s[dropped]
                 if dropped == number:
                     break
-                starts_at -= dropped_s
-        return [(number, start_by) for _, number, start_by in chosen], rejected, ahead_s
-
-    def _get_span_s(self, work: PendingWork) -> float:
-        return 0.0 if work.lasts else max(work.path_s, work.left / self._rate)
+                starts_after_s -= loads_s[dropped]
+        return [number for _, number in chosen], rejected, ahead_s
 
 
 def _is_worthless(work: PendingWork, now: float) -> bool:
@@ -181,35 +202,37 @@
     ]
 
 
-def _find_above_share(pending: Sequence[PendingWork], room: PoolRoom, now: float) -> list[bool]:
-    """Tell of each job whether its team uses its part of the room without it.
+def _measure_excesses(
+    pending: Sequence[PendingWork], room: PoolRoom, ranks: Sequence[Rank]
+) -> list[Excess]:
+    """Return how each team's use without a job, and without its later ones, exceeds its part.
 
     What a team holds at lower priorities doesn't count, as it gives way.
     """
     rows: defaultdict[TeamName, list[int]] = defaultdict(list)
-    for number, work in enumerate(pending):
-        rows[work.team].append(number)
+    for number in sorted(range(len(pending)), key=ranks.__getitem__):
+        rows[pending[number].team].append(number)
     demands = {team: sum(part for _, part in held) for team, held in room.held.items()}
     for team, numbers in rows.items():
         demands[team] = demands.get(team, 0.0) + sum(pending[n].room for n in numbers)
     parts = divide_room(demands, room.weights)
-    above = [False] * len(pending)
+    excesses = [Excess.BELOW] * len(pending)
+    if len(demands) < MIN_TEAMS:
+        return excesses
     for team, numbers in rows.items():
         if demands[team] <= parts[team] + EPSILON:
             continue
         taken = 0.0
-        for number in sorted(numbers, key=lambda n: _get_turn(pending[n], now)):
+        for number in numbers:
             work = pending[number]
-            held = sum(
-                part for priority, part in room.held.get(team, ()) if priority <= work.priority
-            )
-            above[number] = held + taken >= parts[team] - EPSILON
+            held = room.held.get(team, ())
+            used = taken + sum(part for priority, part in held if priority <= work.priority)
+            excesses[number] = _compare(used, parts[team])
             taken += work.room
-    return above
+    return excesses
 
 
-def _get_turn(work: PendingWork, now: float) -> tuple[bool, bool, int, bool, float]:
-    """Return the order in which a team's jobs take its part of the room."""
-    start_by = work.deadline - work.path_s
-    late = start_by < now and not work.lasts
-    return not work.starving, _is_worthless(work, now), work.priority, late, start_by
+def _compare(used: float, part: float) -> Excess:
+    if used < part - EPSILON:
+        return Excess.BELOW
+    return Excess.FLOODING if used >= TEAM_EXCESS_FACTOR * part else Excess.ABOVE
--- a/lavenderstall/pools/pool.py
+++ b/lavenderstall/pools/pool.py
@@ -34,6 +34,7 @@
 from lavenderstall.pools.progress import JobProgress
 from lavenderstall.pools.reconciliation import apply_poll_response
 from lavenderstall.pools.recording import ProgressRecorder
+from lavenderstall.pools.room_demand import RoomDemand
 from lavenderstall.pools.running_totals import RunningTotals
 from lavenderstall.pools.slowdown import SlowdownEstimator
 from lavenderstall.pools.startable_steps import StartableSteps
@@ -101,6 +102,7 @@
         self.name = name
         # Whether jobs that wait for room are ordered by what their delay costs.
         self.orders_overload = orders_overload
+        self.room_demand = RoomDemand(self)
         self.term = term
         # Slowdown of a task on a rack without its data.
         self.remote_factor = remote_factor
--- a/lavenderstall/pools/room_demand.py
+++ b/lavenderstall/pools/room_demand.py
@@ -1,13 +1,14 @@
 """What the steps that wait in a pool ask for, and the room that it has for them."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from functools import reduce
+from math import inf
 from typing import TYPE_CHECKING, NamedTuple
 
 from lavenderstall.identifiers import JobId, TeamName
 from lavenderstall.pools.job import Job
-from lavenderstall.pools.objectives import EXPIRED_FACTOR, get_objective_s
+from lavenderstall.pools.objectives import EXPIRED_FACTOR
 from lavenderstall.pools.overload_order import PendingWork, PoolRoom, Rank, rank_work
 from lavenderstall.pools.teams import NO_TEAM
 from lavenderstall.pools.work import StepKey
@@ -24,6 +25,8 @@
 TURNS = 4
 # A task that runs takes this part of its declared duration on.
 RUNNING_PART = 0.5
+# What is left of an occurrence is measured anew after this long.
+MAX_AGE_S = 0.3
 
 
 class Remainder(NamedTuple):
@@ -34,19 +37,68 @@
     path_s: float
 
 
-def rank_steps(pool: "Pool", waiting_steps: list["WaitingStep"]) -> list["WaitingStep"]:
-    """Return the steps by rank while they exceed the room of the pool, else as they are."""
-    workers = [worker for worker in pool.workers.values() if _accepts_tasks(pool, worker)]
-    if not _exceed_room(waiting_steps, workers):
-        return waiting_steps
-    capacity = _add_up(worker.entry.capacity for worker in workers)
-    occurrences: defaultdict[tuple[JobId, int], list[WaitingStep]] = defaultdict(list)
-    for waiting_step in waiting_steps:
-        occurrences[waiting_step.step_key[:2]].append(waiting_step)
-    pending = [_describe(pool, steps, capacity) for steps in occurrences.values()]
-    ranks = rank_work(pending, _measure_room(pool, capacity), pool.now)
-    pool.counts["dispatches_without_room"] += 1
-    return _sort_by_rank(occurrences.values(), ranks)
+UNKNOWN = Remainder(0.0, 0.0, 0.0)
+
+
+class RoomDemand:
+    """Rank the steps that wait in a pool while they exceed its room."""
+
+    def __init__(self, pool: "Pool") -> None:
+        self._pool = pool
+        # What is left of occurrences, and when it was measured.
+        self._remainders: dict[tuple[JobId, int], tuple[float, Remainder]] = {}
+
+    def rank(self, waiting_steps: list["WaitingStep"]) -> list["WaitingStep"]:
+        """Return the steps by rank while they exceed the room of the pool, else as they are."""
+        pool = self._pool
+        workers = [worker for worker in pool.workers.values() if _accepts_tasks(pool, worker)]
+        if not _exceed_room(waiting_steps, workers):
+            return waiting_steps
+        capacity = _add_up(worker.entry.capacity for worker in workers)
+        occurrences: defaultdict[tuple[JobId, int], list[WaitingStep]] = defaultdict(list)
+        for waiting_step in waiting_steps:
+            occurrences[waiting_step.step_key[:2]].append(waiting_step)
+        pending = [self._describe(key, steps, capacity) for key, steps in occurrences.items()]
+        self._forget_all_but(occurrences)
+        ranks = rank_work(pending, _measure_room(pool, capacity), pool.now)
+        pool.counts["dispatches_without_room"] += 1
+        return _sort_by_rank(occurrences.values(), ranks)
+
+    def _describe(
+        self, key: tuple[JobId, int], steps: Sequence["WaitingStep"], capacity: Resources
+    ) -> PendingWork:
+        """Return what is left of the occurrence that steps with tasks to start belong to."""
+        now, first = self._pool.now, steps[0]
+        job, queue, deadline = first.job, first.queue, first.deadline
+        measured_at, remainder = self._remainders.get(key, (-inf, UNKNOWN))
+        if now - measured_at > MAX_AGE_S:
+            remainder = _measure_remainder(self._pool, job, key[1], capacity)
+            self._remainders[key] = now, remainder
+        room, lasts, starving = 0.0, False, False
+        for each in steps:
+            step = each.step
+            room += measure_dominant_share(step.allocation, capacity) * len(each.state.waiting)
+            lasts = lasts or step.long_running
+            starving = starving or (each.starving and (step.gang or _is_turn(now)))
+        return PendingWork(
+            queue.name,
+            job.row.team,
+            queue.priority,
+            deadline,
+            deadline + (EXPIRED_FACTOR - 1) * (deadline - job.get_due_at(key[1])),
+            remainder.path_s,
+            room,
+            remainder.left,
+            remainder.total,
+            lasts,
+            starving,
+        )
+
+    def _forget_all_but(self, occurrences: Collection[tuple[JobId, int]]) -> None:
+        if len(self._remainders) > 2 * len(occurrences):
+            self._remainders = {
+                key: row for key, row in self._remainders.items() if key in occurrences
+            }
 
 
 def _sort_by_rank(
@@ -76,16 +128,18 @@
 
 def _exceed_room(waiting_steps: Iterable["WaitingStep"], workers: Sequence[Worker]) -> bool:
     """Tell whether steps of any label, or all of them, need more than is free."""
-    needs: defaultdict[str, Resources] = defaultdict(Resources)
+    free: dict[str, Resources] = {}
     for waiting_step in waiting_steps:
         state, step = waiting_step.state, waiting_step.step
         need = _multiply(step.allocation, len(state.waiting) + len(state.copies))
         for label in {"", step.label}:
-            needs[label] = needs[label].add(need)
-    return any(
-        not need.fits(_add_up(w.get_free_capacity() for w in workers if _has_label(w, label)))
-        for label, need in needs.items()
-    )
+            if label not in free:
+                able = (worker for worker in workers if _has_label(worker, label))
+                free[label] = _add_up(worker.get_free_capacity() for worker in able)
+            if not need.fits(free[label]):
+                return True
+            free[label] = free[label].subtract(need)
+    return False
 
 
 def _has_label(worker: Worker, label: str) -> bool:
@@ -102,32 +156,6 @@
     )
 
 
-def _describe(pool: "Pool", steps: Sequence["WaitingStep"], capacity: Resources) -> PendingWork:
-    """Return what is left of the occurrence that steps with tasks to start belong to."""
-    first = steps[0]
-    job, queue, occurrence = first.job, first.queue, first.step_key.occurrence
-    objective_s = get_objective_s(job.spec, queue)
-    deadline = job.get_due_at(occurrence) + objective_s
-    remainder = _measure_remainder(pool, job, occurrence, capacity)
-    room = sum(
-        measure_dominant_share(each.step.allocation, capacity) * len(each.state.waiting)
-        for each in steps
-    )
-    return PendingWork(
-        queue.name,
-        job.row.team,
-        queue.priority,
-        deadline,
-        deadline + (EXPIRED_FACTOR - 1) * objective_s,
-        remainder.path_s,
-        room,
-        remainder.left,
-        remainder.total,
-        any(each.step.long_running for each in steps),
-        any(each.starving and (each.step.gang or _is_turn(pool.now)) for each in steps),
-    )
-
-
 def _is_turn(now: float) -> bool:
     """Tell whether steps that starve go first now."""
     return int(now / TURN_S) % TURNS == 0
--- a/lavenderstall/pools/waiting_steps.py
+++ b/lavenderstall/pools/waiting_steps.py
@@ -6,7 +6,6 @@
 from lavenderstall.pools.job import Job, StepState
 from lavenderstall.pools.overload_order import Rank
 from lavenderstall.pools.pool import Pool
-from lavenderstall.pools.room_demand import rank_steps
 from lavenderstall.pools.urgency import get_deadlines
 from lavenderstall.pools.work import Queue, Step, StepKey
 
@@ -43,7 +42,7 @@
     def yields(self) -> bool:
         """Tell whether no run is to be preempted for the step, whatever its priority."""
         rank = self.rank
-        return rank is not None and (rank.worthless or rank.above_share)
+        return rank is not None and (rank.worthless or rank.flooding)
 
 
 def is_plain(waiting_step: WaitingStep) -> bool:
@@ -61,7 +60,7 @@
 def list_waiting_steps(pool: Pool) -> list[WaitingStep]:
     """Return the steps with tasks to start that a dispatch looks at, most urgent first."""
     waiting_steps = sorted(_iterate_waiting_steps(pool), key=lambda each: each[:4])
-    return rank_steps(pool, waiting_steps) if pool.orders_overload else waiting_steps
+    return pool.room_demand.rank(waiting_steps) if pool.orders_overload else waiting_steps
 
 
 def order_by_runs(waiting_steps: list[WaitingStep]) -> list[WaitingStep]:
