--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -380,6 +380,7 @@
                 "waiting": len(state.waiting),
                 "pinned": len(self._list_pinned(waiting_step, state.waiting)),
                 "expired": waiting_step.expired,
+                "order": waiting_step.rank.reason.value if waiting_step.rank else "",
                 "usable": len(usable_workers),
                 **self._count_set_aside(),
                 "allowed": len(allowed),
--- a/lavenderstall/pools/overload_order.py
+++ b/lavenderstall/pools/overload_order.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
-from enum import IntEnum
+from enum import Enum, IntEnum
 from heapq import heappop, heappush
 from itertools import groupby
 from math import inf
@@ -71,6 +71,17 @@
     FLOODING = 2
 
 
+class WaitReason(Enum):
+    """Why others go first while there is too little room."""
+
+    WORTHLESS = "the result is of no use any more"
+    FLOODING = "the team is far above its share"
+    ABOVE_SHARE = "the team is above its share"
+    LATE = "others can still be in time"
+    UNLIKELY = "others can still be of use, or need less work"
+    ROOM = "no room"
+
+
 class Rank(NamedTuple):
     """Place in the order; the lowest goes first."""
 
@@ -81,6 +92,19 @@
     outlook: Outlook
     position: float
 
+    @property
+    def reason(self) -> WaitReason:
+        """Return the first reason for which others go first."""
+        if self.worthless:
+            return WaitReason.WORTHLESS
+        if self.flooding:
+            return WaitReason.FLOODING
+        if self.above_share:
+            return WaitReason.ABOVE_SHARE
+        if self.outlook is Outlook.IN_TIME:
+            return WaitReason.ROOM
+        return WaitReason.LATE if self.outlook is Outlook.LATE else WaitReason.UNLIKELY
+
 
 def rank_work(pending: Sequence[PendingWork], room: PoolRoom, now: float) -> list[Rank]:
     """Return the ranks of jobs that wait, so that what is delayed costs callers least.
--- a/tests/pools/test_startable_steps.py
+++ b/tests/pools/test_startable_steps.py
@@ -99,10 +99,11 @@
         rows = (make_job(*steps, job=make_key(number).job) for number in range(jobs))
         return Backlog(*rows)
 
-    def measure(self, jobs: int) -> int:
+    def measure(self, jobs: int, *, orders_overload: bool = False) -> int:
         """Return the calls of some rounds, once as much runs as fits."""
         first = make_step(need=SMALL, expected_ms=100)
         backlog = self.fill_pool(jobs, first, make_step(after=(0,), need=SMALL))
+        backlog.bench.pool.orders_overload = orders_overload
         for _ in range(ROUNDS):
             backlog.run_round()
         return count_calls(lambda: [self.run_round(backlog) for _ in range(ROUNDS)])
@@ -116,6 +117,13 @@
         """Fails if an owner is busy for longer the more jobs wait."""
         self.assertLess(self.measure(20_000), 1.1 * self.measure(4_000))
 
+    def test_the_order_for_too_little_room_costs_little(self) -> None:
+        """Fails if an owner is busy with the order rather than with starts."""
+        plain = self.measure(4_000)
+        ordered = self.measure(4_000, orders_overload=True)
+        self.assertLess(ordered, 1.5 * plain)
+        self.assertLess(self.measure(8_000, orders_overload=True), 1.1 * ordered)
+
     def test_all_jobs_are_done_in_the_end(self) -> None:
         """Fails if a job that was left out once is forgotten."""
         backlog = self.fill_pool(6_000, make_step(need=SMALL, expected_ms=100))
