Choose the runs to preempt by what their jobs lose

Of the runs that a queue may preempt the largest went first, also if their jobs became late by it while others could have waited.

--- a/lavenderstall/pools/preemption.py
+++ b/lavenderstall/pools/preemption.py
@@ -3,9 +3,13 @@
 import logging
 from collections.abc import Iterable, Iterator, Mapping
 
+from lavenderstall.identifiers import JobId
 from lavenderstall.pools.gang_reservations import count_fitting_tasks
 from lavenderstall.pools.job import Job, Run, describe_run
 from lavenderstall.pools.pool import Pool
+from lavenderstall.pools.room_demand import measure_path_s
+from lavenderstall.pools.urgency import get_deadlines
+from lavenderstall.pools.victims import VictimLoss, rate_victim
 from lavenderstall.pools.work import Queue, Step
 from lavenderstall.pools.workers import Worker
 from lavenderstall.resources import Resources
@@ -29,10 +33,13 @@
     def __init__(self, pool: Pool) -> None:
         self._pool = pool
         self._expected_capacity: dict[str, Resources] = {}
+        # What occurrences of jobs lose if they are preempted.
+        self._losses: dict[tuple[JobId, int], VictimLoss] = {}
 
     def clear(self) -> None:
         """Reset for a dispatch."""
         self._expected_capacity = {}
+        self._losses = {}
 
     def preempt_for(
         self,
@@ -102,7 +109,10 @@
         return []
 
     def _list_victims(self, queue: Queue, worker: Worker, excluded: set[int]) -> Iterator[Run]:
-        """Yield the runs that a queue may preempt, least urgent and largest first."""
+        """Yield the runs that a queue may preempt, least urgent and largest first.
+
+        Where jobs that wait are ordered by what their delay costs, runs are too.
+        """
         found = []
         for run in worker.runs.values():
             job = self._pool.find_job(run.task)
@@ -111,11 +121,23 @@
             victim_queue = self._pool.get_queue(job)
             if victim_queue.priority > queue.priority and is_preemptible(job, run):
                 allocation = self._pool.get_allocation(run.task)
-                found.append(
-                    (-victim_queue.priority, -allocation.cores_milli, run.percent, run.number, run)
-                )
+                loss = self._rate(job, victim_queue, run.task.occurrence)
+                size = -allocation.cores_milli
+                found.append((-victim_queue.priority, loss, size, run.percent, run.number, run))
         yield from (entry[-1] for entry in sorted(found, key=lambda entry: entry[:-1]))
 
+    def _rate(self, job: Job, queue: Queue, occurrence: int) -> VictimLoss:
+        """Return what an occurrence of a job loses if it is preempted."""
+        if not self._pool.orders_overload:
+            return VictimLoss.NOTHING
+        key = job.id, occurrence
+        if key not in self._losses:
+            now = self._pool.now
+            deadline, expires_at = get_deadlines(job, queue, occurrence)
+            left_s = measure_path_s(self._pool, job, occurrence)
+            self._losses[key] = rate_victim(left_s, deadline - now, expires_at - now)
+        return self._losses[key]
+
     def _preempt(self, run: Run) -> None:
         job = self._pool.jobs[run.task.job]
         state = job.get_step(run.task.occurrence, run.task.step)
--- a/lavenderstall/pools/room_demand.py
+++ b/lavenderstall/pools/room_demand.py
@@ -181,6 +181,11 @@
     return Remainder(left, total, max(paths))
 
 
+def measure_path_s(pool: "Pool", job: Job, occurrence: int) -> float:
+    """Return how many seconds an occurrence of a job still takes at least."""
+    return _measure_remainder(pool, job, occurrence, NOTHING).path_s
+
+
 def _measure_room(pool: "Pool", capacity: Resources) -> PoolRoom:
     """Return how the room is used, and by which teams."""
     held: defaultdict[TeamName, list[tuple[int, float]]] = defaultdict(list)
