--- a/lavenderstall/pools/overload_order.py
+++ b/lavenderstall/pools/overload_order.py
@@ -12,8 +12,9 @@
 from lavenderstall.identifiers import TeamName
 from lavenderstall.pools.work import QueueName
 
-# Declared durations are rough: a result counts as worthless beforehand only if it would be so
-# although the job took this part of its declared duration.
+# Declared durations are rough: a job counts as late beforehand only if it would be although it took
+# this part of its declared duration, and its result as worthless for a smaller part.
+LIKELY_PART = 0.7
 CERTAIN_PART = 0.5
 # Below this, differences between a team's use and its part of the room are rounding.
 EPSILON = 1e-9
@@ -129,7 +130,10 @@
     def __init__(self, pending: Sequence[PendingWork], room: PoolRoom, now: float) -> None:
         rate = max(room.turnover, EPSILON)
         densities = _measure_densities(pending)
-        spans_s = [0.0 if work.lasts else max(work.path_s, work.left / rate) for work in pending]
+        spans_s = [
+            0.0 if work.lasts else LIKELY_PART * max(work.path_s, work.left / rate)
+            for work in pending
+        ]
         self._now = now
         self._pending = pending
         self._worthless = [_is_worthless(work, now) for work in pending]
