--- a/tests/pools/overload_simulation.py
+++ b/tests/pools/overload_simulation.py
@@ -12,7 +12,15 @@
 import msgspec
 
 from lavenderstall.identifiers import JobId, TeamName
-from lavenderstall.pools.effects import Effect, RunEnd, RunStatus, StartRun, StopRun
+from lavenderstall.pools.effects import (
+    Advice,
+    Effect,
+    RequestAdvice,
+    RunEnd,
+    RunStatus,
+    StartRun,
+    StopRun,
+)
 from lavenderstall.pools.job import AcceptedJob
 from lavenderstall.pools.objectives import EXPIRED_FACTOR, get_objective_s
 from lavenderstall.pools.pool import Pool
@@ -28,11 +36,13 @@
     Task,
 )
 from lavenderstall.resources import Resources
-from tests.pools.builders import POOL, Bench, make_entry
+from tests.pools.builders import ADVISED, POOL, Bench, make_entry
 
 TICK_S = 0.05
 # Spread of the logarithm of actual durations of jobs against declared ones.
 ESTIMATE_SPREAD = 0.4
+# Part of the workers that the placement service allows for a step.
+ALLOWED_PART = 0.7
 # Time after the last arrival in which jobs may still end.
 DRAIN_S = 120.0
 WORKERS = tuple(
@@ -111,6 +121,7 @@
         self._stopped: set[tuple[Task, int]] = set()
         # When runs have begun, and how long they take.
         self._begun: dict[tuple[Task, int], tuple[float, float, StartRun]] = {}
+        self._requests: list[tuple[float, int, RequestAdvice]] = []
         self._numbers = count()
         self._starts: list[tuple[Task, str]] = []
 
@@ -134,6 +145,7 @@
                 spec = JobSpec("payload", arrival.steps)
                 self._pool.add_job(AcceptedJob(job, arrival.queue, spec, 0, arrival.team))
             self._end_runs()
+            self._answer_requests()
             self._start_runs(bench.dispatch())
             for job in jobs.keys() - ended_at.keys():
                 found = self._pool.get_state(job)
@@ -146,6 +158,9 @@
         for effect in effects:
             if isinstance(effect, StopRun):
                 self._stop_run(effect)
+            if isinstance(effect, RequestAdvice):
+                answered_at = bench.now + effect.expected_ms / 1000
+                heappush(self._requests, (answered_at, next(self._numbers), effect))
             if not isinstance(effect, StartRun):
                 continue
             self._pool.note_started(effect.worker, effect.task, effect.number, bench.clock_ms())
@@ -163,6 +178,18 @@
         if begun is not None:
             heappush(self._ends, (self._bench.now, next(self._numbers), begun[2]))
 
+    def _answer_requests(self) -> None:
+        """Let the placement service allow most of the workers, the same for each task of a step."""
+        while self._requests and self._requests[0][0] <= self._bench.now:
+            _, _, request = heappop(self._requests)
+            rows = tuple(
+                (name, f"t-{name}")
+                for name in request.workers
+                if Random(f"{request.step_key}{name}").random() < ALLOWED_PART
+            )
+            advice = Advice(rows, ADVISED.valid_ms)
+            self._pool.note_advice(request.step_key, advice, request.workers)
+
     def _end_runs(self) -> None:
         ended: defaultdict[str, list[RunEnd]] = defaultdict(list)
         while self._ends and self._ends[0][0] <= self._bench.now:
--- a/tests/pools/test_overload_order.py
+++ b/tests/pools/test_overload_order.py
@@ -8,12 +8,13 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from lavenderstall.identifiers import TeamName
 from lavenderstall.pools.overload_order import PendingWork, PoolRoom, rank_work
 from lavenderstall.pools.teams import NO_TEAM, Team
 from lavenderstall.pools.work import Queue, QueueName
-from tests.pools.builders import make_queue, make_step
+from tests.pools.builders import ADVISED, make_queue, make_step
 from tests.pools.overload_simulation import (
     Arrival,
     Order,
@@ -25,6 +26,7 @@
 
 NOW = 1000.0
 URGENT = make_queue(name="urgent", prefix="/u/", slack=1.5, objective_ms=250.0)
+ADVISED_QUEUE = replace(URGENT, advising=ADVISED)
 LARGE = make_queue(name="large", prefix="/l/", priority=2, slack=1.5, objective_ms=3_000.0)
 TEAMS = tuple(TeamName(f"team-{number}") for number in range(6))
 FLOODING, OTHERS = TEAMS[0], TEAMS[1:]
@@ -177,6 +179,14 @@
     ]
 
 
+def draw_advised_burst(random: Random) -> list[Arrival]:
+    """Return the same load, with urgent jobs that may run on some workers only."""
+    return [
+        arrival._replace(queue=ADVISED_QUEUE) if arrival.queue is URGENT else arrival
+        for arrival in draw_burst(random)
+    ]
+
+
 def draw_wide_jobs(random: Random) -> list[Arrival]:
     """Return a load of urgent jobs, some of them of a hundred times the work of others."""
     return [
@@ -209,6 +219,7 @@
 EQUAL_TEAMS = tuple(Team(name) for name in TEAMS)
 LOADS = {
     "burst": Load("burst", draw_burst),
+    "advised burst": Load("advised burst", draw_advised_burst),
     "wide jobs": Load("wide jobs", draw_wide_jobs),
     "calm": Load("calm", draw_calm),
     "teams": Load("teams", draw_teams, EQUAL_TEAMS),
@@ -250,7 +261,7 @@
 
     def test_more_urgent_jobs_are_in_time(self) -> None:
         """Fails if room goes to jobs that are late anyway, or to one in place of ten others."""
-        for name in ("burst", "wide jobs", "flood"):
+        for name in ("burst", "advised burst", "wide jobs", "flood"):
             found = {order: add_up_queue(name, URGENT, order) for order in Order}
             for other in (Order.ARRIVAL, Order.DEADLINE):
                 with self.subTest(name, other=other):
