Keep room for urgent work free of long tasks while there is too little

Change: each dispatch measures what the queues of each priority need; less urgent work leaves free the recent peak of what is more urgent, a quarter more, but keeps 0.4 of the pool itself. Only with the order for too little room.

--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -1,13 +1,16 @@
 """Dispatch of waiting tasks to the workers of a pool."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Iterable
+from functools import reduce
 
 from lavenderstall.pools.advice_requests import AdviceRequester
 from lavenderstall.pools.blocked_quota import BlockedQuota
 from lavenderstall.pools.effects import StartRun
 from lavenderstall.pools.gang_reservations import GangReservations
 from lavenderstall.pools.job import Run
+from lavenderstall.pools.kept_room import Demand, KeptRoom, scale
 from lavenderstall.pools.placement import Candidate, Placement
 from lavenderstall.pools.pool import MIN_BACKOFF_S, RUNS_PER_TERM, Pool
 from lavenderstall.pools.preemption import MIN_PREEMPTION_WAIT_S, Preemptor
@@ -23,6 +26,7 @@
 )
 from lavenderstall.pools.work import Task
 from lavenderstall.pools.workers import MIN_RETRY_S, Worker
+from lavenderstall.resources import NOTHING, Resources
 
 logger = logging.getLogger(__name__)
 
@@ -49,6 +53,7 @@
         self._sound_workers: dict[str, Worker] = {}
         self._shortages = ShortageTracker(self._gang_reservations)
         self._quota = BlockedQuota()
+        self._kept_room = KeptRoom()
         # Whether the last dispatch has started tasks, and has not looked at all that wait.
         self.may_start_more = False
         # Whether the last dispatch has held occurrences back.
@@ -70,6 +75,8 @@
         self._quota.clear()
         starting = len(self.pool.starting)
         waiting_steps = list_waiting_steps(self.pool)
+        if self.pool.orders_overload:
+            self._keep_room(waiting_steps, usable_workers)
         self._consider_all(waiting_steps, usable_workers)
         self.may_start_more = (
             len(self.pool.startable_steps) > len(waiting_steps)
@@ -78,6 +85,35 @@
         self._quota.end_dispatch()
         self._advice_requester.prefetch_advice(usable_workers)
 
+    def _keep_room(self, waiting_steps: list[WaitingStep], usable_workers: list[Worker]) -> None:
+        """Measure the room that each priority leaves free for more urgent work."""
+        held: defaultdict[int, Resources] = defaultdict(lambda: NOTHING)
+        for group, amounts in self.pool.running_totals:
+            queue = self.pool.settings.find_queue_by_name(group.queue)
+            priority = queue.priority if queue is not None else 0
+            held[priority] = held[priority].add(amounts)
+        waiting = (
+            Demand(each.queue.priority, scale(each.step.allocation, len(each.state.waiting)))
+            for each in waiting_steps
+            if not each.expired
+        )
+        capacity = reduce(Resources.add, (w.entry.capacity for w in usable_workers), NOTHING)
+        self._kept_room.clear(held, waiting, capacity, self.pool.now)
+
+    def _limit_to_kept_room(self, waiting_step: WaitingStep, waiting: list[int]) -> list[int]:
+        """Return the waiting tasks that leave room for more urgent queues; of a gang all or none.
+
+        Tasks that last are not held back, nor are gangs that starve, which may need more than the
+        room that is left.
+        """
+        step = waiting_step.step
+        exempt = step.long_running or (step.gang and waiting_step.starving)
+        if exempt or not self.pool.orders_overload:
+            return waiting
+        kept = self._kept_room.limit(waiting_step.queue.priority, step.allocation, waiting)
+        self.pool.counts["starts_held_for_urgent_work"] += len(waiting) - len(kept)
+        return [] if step.gang and len(kept) < len(waiting) else kept
+
     def _consider_all(self, waiting_steps: list[WaitingStep], usable_workers: list[Worker]) -> None:
         """Serve the steps, but those of repeated jobs only while few of their starts are under way.
 
@@ -251,7 +287,7 @@
         )
         allowance = job.get_start_allowance()
         if len(waiting) <= allowance:
-            return self._limit_to_quota(waiting_step, waiting)
+            return self._limit(waiting_step, waiting)
         fresh = [
             index for index in waiting if not job.get_last_run(Task(*waiting_step.step_key, index))
         ]
@@ -260,7 +296,11 @@
         else:
             held = set(fresh[allowance:])
         self.pool.counts["starts_held_for_progress"] += len(held)
-        return self._limit_to_quota(waiting_step, [i for i in waiting if i not in held])
+        return self._limit(waiting_step, [i for i in waiting if i not in held])
+
+    def _limit(self, waiting_step: WaitingStep, waiting: list[int]) -> list[int]:
+        """Return the waiting tasks that neither a quota nor more urgent work holds back."""
+        return self._limit_to_kept_room(waiting_step, self._limit_to_quota(waiting_step, waiting))
 
     def _limit_to_quota(self, waiting_step: WaitingStep, waiting: list[int]) -> list[int]:
         """Return as many of the waiting tasks as their team may start; of a gang all or none."""
@@ -424,6 +464,7 @@
         run.checkpoint = waiting_step.job.get_checkpoint(task)
         waiting_step.job.add_run(run)
         worker.add_run(run, step.allocation)
+        self._kept_room.note_started(waiting_step.queue.priority, step.allocation)
         self._placement.subtract_allocation(worker, step)
         pool.starting[task, number] = pool.now
         pool.counts["starts"] += 1
