--- a/lavenderstall/pools/dispatch.py
+++ b/lavenderstall/pools/dispatch.py
@@ -380,7 +380,7 @@
                 "waiting": len(state.waiting),
                 "pinned": len(self._list_pinned(waiting_step, state.waiting)),
                 "expired": waiting_step.expired,
-                "order": waiting_step.rank.reason.value if waiting_step.rank else "",
+                **_describe_order(waiting_step),
                 "usable": len(usable_workers),
                 **self._count_set_aside(),
                 "allowed": len(allowed),
@@ -442,3 +442,8 @@
                 "clock_age_ms": round((pool.now - worker.clock_at) * 1000),
             },
         )
+
+
+def _describe_order(waiting_step: WaitingStep) -> dict[str, str]:
+    """Return why others go first, if the pool has too little room."""
+    return {"order": waiting_step.rank.reason.value} if waiting_step.rank else {}
--- a/lavenderstall/pools/overload_order.py
+++ b/lavenderstall/pools/overload_order.py
@@ -47,8 +47,8 @@
 class PoolRoom(NamedTuple):
     """Room of a pool.
 
-    `held` lists the parts that the running tasks of each team hold, with their priorities, and
-    `turnover` is the part that tasks hold which end by themselves or may still start.
+    `held` lists the parts that the running tasks of each team hold, with their priorities.
+    `turnover` is the part that tasks without an end leave to others.
     """
 
     turnover: float = 1.0
--- a/tests/pools/test_overload_order.py
+++ b/tests/pools/test_overload_order.py
@@ -14,7 +14,7 @@
 from lavenderstall.pools.overload_order import PendingWork, PoolRoom, rank_work
 from lavenderstall.pools.teams import NO_TEAM, Team
 from lavenderstall.pools.work import Queue, QueueName
-from tests.pools.builders import ADVISED, make_queue, make_step
+from tests.pools.builders import ADVISED, Bench, make_entry, make_job, make_queue, make_step
 from tests.pools.overload_simulation import (
     Arrival,
     Order,
@@ -290,5 +290,23 @@
                 self.assertEqual(starts[2], starts[1])
 
 
+class ExplanationTest(unittest.TestCase):
+    """What operators see of a step that waits."""
+
+    def test_the_log_tells_why_others_go_first(self) -> None:
+        """Fails if operators can't tell want of room from the order, or it shows while off."""
+        for orders_overload, expected in ((True, "no room"), (False, None)):
+            with self.subTest(orders_overload=orders_overload):
+                bench = Bench(make_entry("w1"))
+                bench.pool.orders_overload = orders_overload
+                bench.pool.add_job(make_job(make_step(9, expected_ms=20_000)))
+                bench.start()
+                bench.advance(1.5)
+                with self.assertLogs("lavenderstall.pools.dispatch") as logs:
+                    bench.dispatch()
+                waiting = [r for r in logs.records if r.msg == "tasks of a step are waiting"]
+                self.assertEqual([getattr(r, "order", None) for r in waiting], [expected])
+
+
 if __name__ == "__main__":
     unittest.main()
