--- a/tests/pools/test_team_usage.py
+++ b/tests/pools/test_team_usage.py
@@ -69,7 +69,7 @@
         )
         for name, used, bound, need, expected in rows:
             with self.subTest(name=name):
-                self.assertEqual(count_startable(used, bound, need), expected)
+                self.assertEqual(count_startable(used, bound, bound, need), expected)
 
 
 class QuotaTest(unittest.TestCase):
