--- a/lavenderstall/pools/lease_ends.py
+++ b/lavenderstall/pools/lease_ends.py
@@ -23,17 +23,6 @@
     return {worker.key: pool.get_lease_expiry(worker) for worker in workers if _ends(pool, worker)}
 
 
-def list_settled(pool: "Pool", workers: Iterable[WorkerKey]) -> frozenset[WorkerKey]:
-    """Return those of the silent workers of which progress rows list all runs.
-
-    Nothing starts on them any more, so that it holds once all changes are recorded, or are part of
-    the transaction that is being built.
-    """
-    if pool.recorder.changed_jobs:
-        return frozenset()
-    return frozenset(key for key in workers if not pool.takeover.awaits_worker(key))
-
-
 def _ends(pool: "Pool", worker: Worker) -> bool:
     """Tell whether the leases on a worker end at a time that is known."""
     if worker.clock_at < 0:
--- a/lavenderstall/pools/owner.py
+++ b/lavenderstall/pools/owner.py
@@ -248,7 +248,7 @@
             if roster is None:
                 self.pool.takeover.note_unknown_workers()
                 continue
-            self.pool.takeover.add_workers(roster.workers, self.writer.list_inherited(roster))
+            self.pool.takeover.add_workers(roster.workers)
             self.writer.set_roster(roster)
 
     async def _read_partition(self, table: str, partition: str) -> tuple[list[Row], int]:
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -104,15 +104,11 @@
 
 
 class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
-    """When all leases on a worker that is silent end, on the store's clock.
-
-    With `settled`, progress rows list all runs there, also if others are in no progress row.
-    """
+    """When all leases on a worker that is silent end, on the store's clock."""
 
     worker: str
     incarnation: int
     end_ms: float
-    settled: bool = False
 
 
 class RosterRow(msgspec.Struct, omit_defaults=True):
--- a/lavenderstall/pools/takeover.py
+++ b/lavenderstall/pools/takeover.py
@@ -1,7 +1,7 @@
 """Takeover of a pool: jobs and runs inherited from earlier owners."""
 
 import logging
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -106,17 +106,14 @@
         """
         return self.noted_lease_ends.get(worker, self.leases_expire_at)
 
-    def add_workers(
-        self, entries: Iterable[WorkerEntry], settled: Collection[WorkerKey] = ()
-    ) -> None:
+    def add_workers(self, entries: Iterable[WorkerEntry]) -> None:
         """Add the workers that earlier owners used; the registry may not list all of them.
 
-        If it was read before and lists a newer incarnation, the older one has ended. All runs on
-        the `settled` ones are recorded, so that no other job waits for them.
+        If it was read before and lists a newer incarnation, the older one has ended.
         """
         for entry in entries:
             worker = self._find_or_add_worker(entry)
-            if not self._recorded and worker.key not in settled:
+            if not self._recorded:
                 self._unreported_workers.add(worker.key)
 
     def note_unknown_workers(self) -> None:
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -23,7 +23,7 @@
 from lavenderstall.pools.earlier_owners import get_leases_end_ms
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.job import EndedJob
-from lavenderstall.pools.lease_ends import list_lease_ends, list_settled
+from lavenderstall.pools.lease_ends import list_lease_ends
 from lavenderstall.pools.monitored_store import MonitoredStore
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.ports import (
@@ -140,11 +140,7 @@
         self._roster: tuple[WorkerEntry, ...] = ()
         # When leases on silent workers end by the durable roster row, in seconds of uptime.
         self._lease_ends: dict[WorkerKey, float] = {}
-        self._roster_written_at = -LEASE_END_INTERVAL_S
-        # Silent workers of which progress rows list all runs: by the durable roster row, and by the
-        # one that was built last.
-        self._settled: frozenset[WorkerKey] = frozenset()
-        self._settled_as_built: frozenset[WorkerKey] = frozenset()
+        self._lease_ends_changed_at = -LEASE_END_INTERVAL_S
         # Whether the durable roster row is that of the owner before this one, and tells of some.
         self._inherits_lease_ends = False
         self.confirmed_at = sent_at
@@ -198,22 +194,10 @@
             elif row.table == OWNERS and row.key == ROSTER_KEY:
                 self._roster_version = row.version
 
-    def list_inherited(self, roster: RosterRow) -> frozenset[WorkerKey]:
-        """Return the silent workers of which progress rows list all runs of earlier owners."""
-        if not self._is_of_predecessor(roster):
-            return frozenset()
-        return frozenset(
-            WorkerKey(each.worker, each.incarnation) for each in roster.lease_ends if each.settled
-        )
-
-    def _is_of_predecessor(self, roster: RosterRow) -> bool:
-        """Tell whether the last owner has heeded what the row tells of leases."""
-        return roster.term == self._pool.term - 1
-
     def set_roster(self, roster: RosterRow) -> None:
         """Set the roster row, and tell the pool when leases on silent workers end."""
         self._roster = tuple(roster.workers)
-        if not self._is_of_predecessor(roster):
+        if roster.term != self._pool.term - 1:
             return
         self._inherits_lease_ends = bool(roster.lease_ends)
         for each in roster.lease_ends:
@@ -293,22 +277,11 @@
             end < self._lease_ends.get(key, inf) - LEASE_END_TOLERANCE_S
             for key, end in lease_ends.items()
         )
-        settles = self._may_settle(lease_ends)
-        return (sooner or settles) and now - self._roster_written_at >= LEASE_END_INTERVAL_S
-
-    def _may_settle(self, lease_ends: dict[WorkerKey, float]) -> bool:
-        """Tell whether one more transaction may record the last runs on a silent worker."""
-        if len(self._pool.recorder.changed_jobs) > self._batch_jobs:
-            return False
-        unsettled = lease_ends.keys() - self._settled
-        return not all(map(self._pool.takeover.awaits_worker, unsettled))
+        return sooner and now - self._lease_ends_changed_at >= LEASE_END_INTERVAL_S
 
     def _make_roster(self, roster: Roster) -> RosterRow:
-        settled = list_settled(self._pool, roster.lease_ends)
-        self._settled_as_built = settled | (self._settled & roster.lease_ends.keys())
         ends = [
-            LeaseEnd(*key, self._get_latest_store_ms(end), key in self._settled_as_built)
-            for key, end in roster.lease_ends.items()
+            LeaseEnd(*key, self._get_latest_store_ms(end)) for key, end in roster.lease_ends.items()
         ]
         return RosterRow(list(roster.workers), ends, self._pool.term)
 
@@ -323,9 +296,9 @@
 
     def _note_roster_durable(self, roster: Roster, now: float) -> None:
         self._roster = roster.workers
-        self._roster_written_at = now
+        if roster.lease_ends != self._lease_ends:
+            self._lease_ends_changed_at = now
         self._lease_ends = roster.lease_ends
-        self._settled = self._settled_as_built
         self._inherits_lease_ends = False
         for key, worker in self._pool.workers.items():
             if key not in roster.lease_ends:
--- a/tests/pools/test_takeover.py
+++ b/tests/pools/test_takeover.py
@@ -11,7 +11,7 @@
 from lavenderstall.pools.identity import WorkerKey
 from lavenderstall.pools.pool import Pool
 from lavenderstall.pools.progress import RecordedRuns, StepProgress
-from lavenderstall.pools.takeover import MAX_LOGGED, EarlierLeases, Takeover
+from lavenderstall.pools.takeover import MAX_LOGGED, EarlierLeases
 from lavenderstall.pools.work import EndCause, JobState, Settings, StepKey, Task
 from lavenderstall.pools.workers import MAX_COMMAND_DELAY_S, MAX_LEASE_MS, MIN_CLOCK_RATE
 from lavenderstall.resources import NOTHING
@@ -74,33 +74,6 @@
                 bench.poll(FIRST)
                 self.assertEqual(len([e for e in bench.dispatch() if isinstance(e, StartRun)]), 1)
 
-    def test_unrecorded_runs_are_not_awaited_from_workers_whose_runs_are_all_recorded(self) -> None:
-        """Fails if a worker that is gone keeps all jobs of a pool waiting until its leases end."""
-        for settled, starts in ((False, 0), (True, 2)):
-            with self.subTest(settled=settled):
-                bench = self.take_over(recorded_all=False)
-                takeover = bench.pool.takeover = Takeover(
-                    bench.pool, bench.now + 10.0, recorded=False
-                )
-                takeover.add_workers([FIRST, SECOND], {WorkerKey("w2", 1)} if settled else ())
-                takeover.add_job(bench.pool.jobs[JOB])
-                takeover.note_loaded()
-                bench.pool.add_job(make_job(job=NEW))
-                bench.poll(FIRST)
-                bench.advance(0.1)
-                found = [effect for effect in bench.dispatch() if isinstance(effect, StartRun)]
-                self.assertEqual(len(found), starts)
-
-    def test_a_new_process_is_awaited_although_all_runs_of_the_former_one_are_recorded(
-        self,
-    ) -> None:
-        """Fails if a task is started again that runs on the new process of a worker."""
-        bench = self.take_over(recorded_all=False)
-        bench.pool.set_workers([FIRST, make_entry("w2", 2)])
-        takeover = bench.pool.takeover = Takeover(bench.pool, bench.now + 10.0, recorded=False)
-        takeover.add_workers([SECOND], {WorkerKey("w2", 1)})
-        self.assertTrue(takeover.awaits_worker(WorkerKey("w2", 2)))
-
     def test_tasks_may_run_on_workers_that_an_unreadable_roster_lists(self) -> None:
         """Fails if a task is started again before such a worker's lease must have lapsed."""
         for recorded_all, blocked in ((True, False), (False, True)):
--- a/tests/pools/test_writer.py
+++ b/tests/pools/test_writer.py
@@ -42,9 +42,7 @@
     PROGRESS,
     ROSTER_KEY,
     EarlierOwner,
-    LeaseEnd,
     OwnerRow,
-    RosterRow,
     decode_job,
     decode_owner,
     decode_progress,
@@ -390,62 +388,6 @@
                     self.assertGreaterEqual(left_s, expiry - owner.uptime)
                     self.assertLess(left_s, expiry - owner.uptime + 1.1)
 
-    def test_a_row_tells_once_all_runs_on_a_silent_worker_are_recorded(self) -> None:
-        """Fails if a successor awaits a worker of which all runs are recorded, or if it does not.
-
-        A batch of one job leaves the others for the next transaction.
-        """
-        rows = FakeRowStore()
-        owner = make_owner(rows)
-        self.silence_worker(owner)
-        for job in (JOB, OTHER):
-            owner.bench.pool.recorder.mark_changed(job)
-        with patch.object(owner.writer, "_batch_jobs", 1):
-            owner.step()
-            self.assertEqual(self.read_settled(rows), [False])
-        owner.step()
-        self.assertEqual(self.read_settled(rows), [True])
-
-    def test_a_row_tells_of_recorded_runs_only_once_their_record_is_durable(self) -> None:
-        """Fails if a row tells of a record that was part of a failed transaction."""
-        rows = FakeRowStore()
-        owner = make_owner(rows)
-        self.silence_worker(owner)
-        owner.bench.pool.recorder.mark_changed(OTHER)
-        rows.unavailable = True
-        owner.step()
-        rows.unavailable = False
-        with patch.object(owner.writer, "_batch_jobs", 0):
-            owner.step()
-            self.assertEqual(self.read_settled(rows), [False])
-        owner.step()
-        self.assertEqual(self.read_settled(rows), [True])
-
-    def test_a_row_does_not_tell_that_runs_are_recorded_which_the_owner_awaits(self) -> None:
-        """Fails if a successor starts a task again that an owner before both may have started."""
-        rows = FakeRowStore()
-        owner = make_owner(rows)
-        self.silence_worker(owner)
-        owner.bench.pool.takeover = Takeover(owner.bench.pool, 999.0, recorded=False)
-        owner.bench.pool.takeover.add_workers([ENTRY])
-        for _ in range(2):
-            owner.step()
-            self.assertEqual(self.read_settled(rows), [False])
-
-    def test_a_successor_awaits_no_worker_of_which_all_runs_are_recorded(self) -> None:
-        """Fails if an owner between the two, which has not read the row, is trusted."""
-        row = RosterRow([ENTRY], [LeaseEnd("w1", 1, 5000.0, settled=True)], term=1)
-        for term, found in ((2, {KEY}), (3, set())):
-            with self.subTest(term=term):
-                owner = make_owner(FakeRowStore())
-                owner.bench.pool.term = term
-                self.assertEqual(owner.writer.list_inherited(row), found)
-
-    def read_settled(self, rows: FakeRowStore) -> list[bool]:
-        """Return of which silent workers the roster row says that all runs are recorded."""
-        roster = decode_roster(rows.rows[OWNERS, POOL, ROSTER_KEY].value)
-        return [each.settled for each in roster.lease_ends]
-
     def silence_worker(self, owner: Owner) -> float:
         """Let the worker leave in silence, and return when the leases there end."""
         owner.bench.advance(0.0)
