Record runs that a takeover finds on workers

Callers saw nothing wrong with one change of owners: beside a slow store a start goes ahead of its record, the owner is killed, the next one finds the run on its worker and adopts it. It didn't mark the job as changed, so the run was in no row, and once the takeover was over its owner row said that rows list all runs. If that owner was killed too and the worker was cut off for a moment, the third owner started the task on another worker: TWICE.

Evidence: in the simulated cell the row of the second owner says that all is recorded while there is no progress row at all.

--- a/lavenderstall/pools/reconciliation.py
+++ b/lavenderstall/pools/reconciliation.py
@@ -117,6 +117,7 @@
         bool(state.active_runs.get(row.task.number)) and not step.speculative
     )
     job.add_run(run)
+    pool.recorder.note_found(job.id)
     logger.info("run adopted", extra={**describe_run(run), "superfluous": taken})
     if taken:
         pool.stop(run)
--- a/lavenderstall/pools/recording.py
+++ b/lavenderstall/pools/recording.py
@@ -62,6 +62,11 @@
         """Mark a job's progress as changed since it was last recorded."""
         self.changed_jobs[job] = None
 
+    def note_found(self, job: JobId) -> None:
+        """Note that a run of a job was found on a worker that may be in no row."""
+        self._unrecorded_jobs.add(job)
+        self.mark_changed(job)
+
     def defer_start(self, command: StartRun) -> None:
         """Keep a start command until its run is recorded."""
         self._pending_starts.setdefault(command.task.job, []).append(command)
@@ -144,7 +149,7 @@
         self._send_starts(batch.starts)
 
     def has_unrecorded(self, recorded: Collection[JobId]) -> bool:
-        """Tell whether jobs other than those being recorded have runs that are in no row."""
+        """Tell whether jobs other than those being recorded may have runs that are in no row."""
         return not self._unrecorded_jobs <= set(recorded)
 
     def requeue(self, batch: ProgressBatch) -> None:
--- a/tests/platform/test_faults.py
+++ b/tests/platform/test_faults.py
@@ -3,6 +3,7 @@
 import unittest
 from collections.abc import Callable, Sequence
 from functools import partial
+from itertools import product
 from random import Random
 from unittest.mock import patch
 
@@ -18,7 +19,7 @@
 from lavenderstall.pools.records import Presence, get_shard, list_shards
 from lavenderstall.pools.work import JobState, PoolName, QueueName
 from lavenderstall.pools.writer import RENEW_INTERVAL_S
-from tests.platform.fake_platform import STORE
+from tests.platform.fake_platform import STORE, STORE_DELAY_S
 from tests.platform.simulated_cell import POOLS, STEP_S, SimulatedCell
 from tests.pools.builders import make_job, make_step
 
@@ -254,13 +255,13 @@
                 self.assertEqual(cell.platform.checker.violations, [])
                 self.assertEqual(cell.platform.checker.starts, 2)
 
-    def start_unrecorded(self) -> SimulatedCell:
+    def start_unrecorded(self, count: int = 4) -> SimulatedCell:
         """Return a cell with a slow store and a task that has started and is in no record."""
         cell = SimulatedCell(3, 4, advice=False)
         self.assertTrue(cell.run_until(lambda: all(map(cell.find_owner, POOLS)), 3.0))
         cell.platform.store_delay_s = 0.2
         cell.run(2.0)
-        cell.submit("entry-0", "routing", make_name(1), [{**LONG, **ENDLESS}])
+        cell.submit("entry-0", "routing", make_name(1), [{**LONG, **ENDLESS, "count": count}])
         workers = list(cell.platform.workers.values())
         self.assertTrue(cell.run_until(lambda: any(w.running for w in workers), 2.0))
         return cell
@@ -281,6 +282,24 @@
                 cell.run(12.0)
                 self.assertEqual(cell.platform.checker.violations, [])
 
+    def test_an_adopted_run_is_known_to_the_owner_after_the_next(self) -> None:
+        """Fails if a task starts twice, as its run is in no row of the owner that adopted it."""
+        for quick, owned_s in product((False, True), (0.1, 0.3, 1.0, 3.0)):
+            with self.subTest(quick=quick, owned_s=owned_s):
+                cell = self.start_unrecorded(count=1)
+                if quick:
+                    cell.platform.store_delay_s = STORE_DELAY_S
+                for after_s in (owned_s, 0.0):
+                    owner = cell.find_owner("routing")
+                    assert owner is not None
+                    cell.kill(owner)
+                    if after_s:
+                        self.assertTrue(cell.run_until(partial(cell.find_owner, "routing"), 5.0))
+                        cell.run(after_s)
+                cut_off_busy_worker(cell)
+                cell.run(12.0)
+                self.assertEqual(cell.platform.checker.violations, [])
+
     def test_a_claim_made_before_the_configuration_is_read_starts_jobs(self) -> None:
         cell = start_cell()
         cell.submit("entry-0", "routing", make_name(1), [dict(STEP)])
