Rule out leases in an outage at successors that have started since

The next owner waited 13.4 s, until leases would have ended that the former one could have extended in an outage of the store. It rules these out by the heartbeats that it has heard of that owner, and a process that has started since has heard none.

Change: the owner row names up to 64 instances that the owner had heard for 1 s before the renewal. An owner that extends such leases, from 5 s after its first renewal without an answer, needs the answer of each of them to a heartbeat of the last 0.8 s. A process that has never heard a heartbeat from that owner has answered none; answers of its former process count no longer if it has started by 4.2 s after the renewal. So if the row names its instance, no such lease exists, and it waits for the ownership's leases alone.

--- a/lavenderstall/pools/earlier_owners.py
+++ b/lavenderstall/pools/earlier_owners.py
@@ -63,7 +63,9 @@
         return EarlierOwner(owner.entry, owner.term, owner.leases_end_ms)
     outage_ms = (OUTAGE_LEASES_LIFETIME_S - OWNED_LEASES_LIFETIME_S) * 1000
     end_ms = min(end_ms, owner.leases_end_ms + outage_ms)
-    return EarlierOwner(owner.entry, owner.term, end_ms, owner.leases_end_ms, owner.renewed_ms)
+    return EarlierOwner(
+        owner.entry, owner.term, end_ms, owner.leases_end_ms, owner.renewed_ms, owner.heard
+    )
 
 
 def shorten_leases(owner: EarlierOwner) -> EarlierOwner:
--- a/lavenderstall/pools/entry_instance.py
+++ b/lavenderstall/pools/entry_instance.py
@@ -635,6 +635,7 @@
             claim.sent_at,
             CommitRelay(self.peers, dependencies.read_uptime, self.metrics),
             dependencies.limits,
+            self.peers.list_heard,
         )
         owner = PoolOwner(
             pool,
--- a/lavenderstall/pools/peers.py
+++ b/lavenderstall/pools/peers.py
@@ -67,6 +67,8 @@
 ABSENCE_NOTICE_S = 1.0
 # An owner that was heard so shortly before its last renewal would have told of an absence.
 RECENT_HEARTBEAT_S = 1.0
+# Limit on the instances that an owner row names as heard.
+MAX_HEARD = 64
 # Peers that are asked to add the same row.
 MAX_WRITE_PROXIES = 2
 
@@ -129,6 +131,9 @@
         self.zone = zone
         self.links = links
         self.owners: dict[PoolName, OwnerState] = {}
+        self._started_at = read_uptime()
+        # Instances that have sent this process a heartbeat as an owner.
+        self._heard_owners: set[EntryId] = set()
         # The highest terms heard of, also those of owners that have released their pools since.
         self._terms: dict[PoolName, int] = {}
         self.peers: dict[EntryId, PeerState] = {}
@@ -151,6 +156,7 @@
 
     def record_owner(self, sender: EntryId, heartbeat: OwnerHeartbeat) -> None:
         """Record the owner of a pool unless one with a higher term is known."""
+        self._heard_owners.add(sender)
         state = self.peers.get(sender)
         if state is not None:
             state.heard_ms = heartbeat.sent_ms
@@ -336,6 +342,16 @@
         others = ((peer, state) for peer, state in self.peers.items() if peer != self.entry)
         return frozenset(peer for peer, state in others if state.last_contact_at < limit)
 
+    def list_heard(self) -> tuple[EntryId, ...]:
+        """Return instances that were heard lately, as the owner row tells them."""
+        limit = self._read_uptime() - ABSENCE_NOTICE_S
+        heard = (
+            peer
+            for peer, state in self.peers.items()
+            if peer != self.entry and state.last_contact_at > limit
+        )
+        return tuple(sorted(heard)[:MAX_HEARD])
+
     def rules_out_outage_leases(
         self, pool: PoolName, owner: EarlierOwner, earliest: float, latest: float
     ) -> bool:
@@ -346,7 +362,7 @@
         """
         known = self.owners.get(pool)
         if known is None or (known.entry, known.term) != (owner.entry, owner.term):
-            return False
+            return self._has_answered_nothing(owner, earliest)
         answered_until = known.last_contact_at + LIVENESS_TIMEOUT_S
         return (
             self.entry not in known.absent
@@ -354,6 +370,18 @@
             and answered_until < earliest + OUTAGE_LEASES_DELAY_S
         )
 
+    def _has_answered_nothing(self, owner: EarlierOwner, earliest: float) -> bool:
+        """Tell whether an owner needs an answer of this process that it doesn't have.
+
+        The answers of a former process count no longer by the time that such leases begin.
+        """
+        answered_until = self._started_at + LIVENESS_TIMEOUT_S
+        return (
+            self.entry in owner.heard
+            and owner.entry not in self._heard_owners
+            and answered_until < earliest + OUTAGE_LEASES_DELAY_S
+        )
+
     def note_term(self, pool: PoolName, term: int) -> None:
         """Note the term of a claim, so that earlier owners hear of it at once."""
         self._terms[pool] = max(term, self._terms.get(pool, 0))
--- a/lavenderstall/pools/records.py
+++ b/lavenderstall/pools/records.py
@@ -68,7 +68,7 @@
     """An earlier owner of a pool; its leases end by `leases_end_ms` on the store's clock.
 
     Those end by `owned_end_ms` that rest on its last renewal, at `renewed_ms` at the earliest; 0
-    means that it is not known.
+    means that it is not known. It had `heard` some instances shortly before.
     """
 
     entry: EntryId
@@ -76,6 +76,7 @@
     leases_end_ms: float
     owned_end_ms: float = 0.0
     renewed_ms: float = 0.0
+    heard: tuple[EntryId, ...] = ()
 
 
 class OwnerRow(msgspec.Struct, omit_defaults=True):
@@ -88,7 +89,7 @@
     end by `leases_end_ms` on the store's clock; 0 means that it is not known. Progress that was
     recorded by `settled_ms` on that clock tells of all starts that have no answer. `crashed_ms`
     tells when workers have crashed lately. `unrecorded_starts` tells where starts that are in no
-    row may arrive.
+    row may arrive. The owner had `heard` some instances shortly before the renewal.
     """
 
     entry: EntryId
@@ -104,6 +105,7 @@
     settled_ms: float = 0.0
     crashed_ms: list[float] = []
     unrecorded_starts: UnrecordedStarts | None = None
+    heard: tuple[EntryId, ...] = ()
 
 
 class LeaseEnd(msgspec.Struct, frozen=True, array_like=True):
--- a/lavenderstall/pools/writer.py
+++ b/lavenderstall/pools/writer.py
@@ -16,7 +16,7 @@
     StoreUnavailableError,
     TransactionRejectedError,
 )
-from lavenderstall.identifiers import JobId
+from lavenderstall.identifiers import EntryId, JobId
 from lavenderstall.metrics import Metrics
 from lavenderstall.pools.commit_relay import CommitRelay, HedgedCommit
 from lavenderstall.pools.commits import commit_and_verify
@@ -125,8 +125,10 @@
         sent_at: float,
         relay: CommitRelay,
         limits: StoreLimits | None = None,
+        list_heard: Callable[[], tuple[EntryId, ...]] = tuple,
     ) -> None:
         self._store = store
+        self._list_heard = list_heard
         self._clock = clock
         self._pool = pool
         self._relay = relay
@@ -483,6 +485,7 @@
         if not self._announces_unrecorded:
             self._may_start_unrecorded = False
         self._owner.earlier = self._list_earlier_owners(now)
+        self._owner.heard = self._list_heard()
         self._owner.leases_end_ms = get_leases_end_ms(self._get_latest_store_ms(now))
         self._owner.settled_ms = self._get_settled_ms(now)
         self._owner.crashed_ms = [
--- a/tests/platform/test_lease_evidence.py
+++ b/tests/platform/test_lease_evidence.py
@@ -4,6 +4,7 @@
 from base64 import b64decode
 from collections.abc import Callable
 from itertools import product
+from random import Random
 from typing import Any, NamedTuple
 
 from twisted.internet.defer import Deferred
@@ -106,6 +107,8 @@
 class OutageLeaseTest(HiddenWorkerCase):
     """An owner takes old reports of its peers for present ones, and extends full leases."""
 
+    RESTART_SEEDS = range(24)
+
     def test_no_task_starts_twice_whose_owner_is_frozen_at_the_end_of_an_outage(self) -> None:
         """Fails if an owner that wakes up trusts reports that were sent before a claim."""
         for frozen_at_s, back_s, thawed_s in product((1.2, 1.6), (2.0, 2.4, 3.0), (4.5, 5.5)):
@@ -121,6 +124,27 @@
                 cell.run(WATCH_S)
                 self.check(cell)
 
+    def test_no_task_starts_twice_if_other_instances_restart_in_an_outage(self) -> None:
+        """Fails if a process that has started since rules out leases that the owner extends."""
+        for seed in self.RESTART_SEEDS:
+            with self.subTest(seed=seed):
+                random = Random(seed)
+                cell, owner = self.start()
+                others = sorted(cell.nodes.keys() - {owner})
+                cell.platform.store_mode = random.choice(("silent", "busy"))
+                back_s = random.uniform(3.0, 8.5)
+                cell.clock.callLater(back_s, setattr, cell.platform, "store_mode", "up")
+                for other in others:
+                    at_s, down_s = random.uniform(0.1, back_s + 1.0), random.choice((0.1, 0.5, 1.2))
+                    cell.clock.callLater(at_s, cell.kill, other)
+                    cell.clock.callLater(at_s + down_s, cell.start, other)
+                if random.random() < 0.7:
+                    cell.clock.callLater(random.uniform(0.1, back_s + 0.5), isolate, cell, owner)
+                    cell.nodes[owner].http_client.unreachable.add(STORE)
+                cell.run(WATCH_S)
+                cell.run(WATCH_S)
+                self.check(cell)
+
     def test_no_task_starts_twice_if_messages_to_its_owner_are_late(self) -> None:
         """Fails if reports count from their arrival, so that a late one outlasts a claim."""
         for late_s, back_s, phase_s in LATE_MESSAGES:
--- a/tests/platform/test_owners_gone_for_good.py
+++ b/tests/platform/test_owners_gone_for_good.py
@@ -2,6 +2,8 @@
 
 import unittest
 from collections.abc import Callable
+from functools import partial
+from itertools import product
 from math import inf
 from typing import NamedTuple
 
@@ -30,6 +32,8 @@
 DELAYS_S = (-0.3, 0.1, 0.7, 1.5, 2.2, 3.0, 4.0)
 # From the end of one owner to that of the next; longer than a successor needs to take over.
 INTERVALS_S = (1.0, 2.5, 5.0)
+# For how long killed instances are down.
+DOWNS_S = (0.3, 0.9, 2.5)
 
 
 def vanish(cell: SimulatedCell, worker: FakeWorker) -> None:
@@ -54,6 +58,14 @@
     Deferred.fromCoroutine(cell.nodes[name].instance.release_pools())
 
 
+def remove_and_restart_others(cell: SimulatedCell, name: str, down_s: float) -> None:
+    """End an instance with its host, and kill all others, which start again."""
+    remove(cell, name)
+    for other in list(cell.nodes):
+        kill(cell, other)
+        cell.clock.callLater(down_s, cell.start, other)
+
+
 # Ends an instance that does not come back.
 EndInstance = Callable[[SimulatedCell, str], None]
 
@@ -120,6 +132,17 @@
 class OwnersGoneForGoodTest(unittest.TestCase):
     """A task that lasts loses its worker about when its pool loses its owner, for good."""
 
+    def test_successors_that_have_started_since_do_not_wait_longer(self) -> None:
+        """Fails if a process that has heard no owner before it waits for leases in an outage."""
+        for end_worker, down_s, delay_s in product((leave, cut_off, vanish), DOWNS_S, (0.1, 1.5)):
+            with self.subTest(end=end_worker.__name__, down_s=down_s, delay_s=delay_s):
+                cell, worker = start_lasting_task(end_worker is leave)
+                loss = Loss(partial(remove_and_restart_others, down_s=down_s), delay_s)
+                ended_s, returned_s = measure_return(cell, worker, end_worker, loss)
+                calm_s = max(ended_s + REST_S, delay_s + down_s + CALM_S)
+                self.assertLess(returned_s, calm_s + AWAY_S)
+                self.assertEqual(cell.platform.checker.violations, [])
+
     def test_a_task_that_lasts_is_not_away_for_too_long(self) -> None:
         """Fails if each successor waits anew for all that an owner before it may have done."""
         for end_worker in ENDS:
--- a/tests/pools/test_peers.py
+++ b/tests/pools/test_peers.py
@@ -309,6 +309,36 @@
                 found = self.peers.rules_out_outage_leases(POOL, owner, renewed_at, renewed_at)
                 self.assertEqual(found, ruled_out)
 
+    def test_leases_in_an_outage_are_ruled_out_by_a_process_that_has_started_since(self) -> None:
+        """Fails if a former process, or this one, may have answered the owner, or isn't asked."""
+        me, first, second = EntryId("e0"), EntryId("e2"), EntryId("e3")
+        last_answer_s = OUTAGE_LEASES_DELAY_S - LIVENESS_TIMEOUT_S
+        rows = (
+            # Instances that the owner had heard, one that this process has heard as an owner, when
+            # it has started after the renewal.
+            ((me, second), None, -9.0, True),
+            ((me, second), None, last_answer_s - 0.1, True),
+            ((me, second), None, last_answer_s + 0.1, False),
+            ((second,), None, 0.2, False),
+            ((), None, 0.2, False),
+            ((me,), first, 0.2, False),
+            ((me,), second, 0.2, True),
+        )
+        for heard, known, started_s, ruled_out in rows:
+            with self.subTest(heard=heard, known=known, started_s=started_s):
+                self.setUp()
+                if known is not None:
+                    self.peers.record_owner(known, OwnerHeartbeat(PoolName("other"), 1, {}))
+                owner = EarlierOwner(first, 4, 0.0, heard=heard)
+                renewed_at = self.now - started_s
+                found = self.peers.rules_out_outage_leases(POOL, owner, renewed_at, renewed_at)
+                self.assertEqual(found, ruled_out)
+
+    def test_an_owner_row_names_the_instances_that_were_heard_lately(self) -> None:
+        self.now += ABSENCE_NOTICE_S + 0.1
+        self.hear("e1", "e3")
+        self.assertEqual(self.peers.list_heard(), ("e1", "e3"))
+
     def test_an_owner_tells_of_instances_that_it_has_not_heard_for_long(self) -> None:
         self.now += ABSENCE_NOTICE_S + 0.1
         self.hear("e1", "e3")
